--- /dev/null
+++ b/scripts/mesh.sh
@@ -0,0 +1,231 @@
+# Starts a mesh of real processes on loopback; sourced by demo, bench, tests.
+#
+# Each run has an IP range of its own, 127.A.B.0/24, so that runs side by side
+# never meet. Node n has host 127.A.B.n and the ports below.
+#
+#   mesh_init BUILD        choose the folder and the range
+#   mesh_source ID ...     start replica ID of the source
+#   mesh_ledger ID ...     start replica ID of the ledger
+#   mesh_proxy N REGION DC start the proxy of node N
+#   mesh_backend N SERVICE [KEY=JSON ...]
+#                          start the backend server of node N
+#   mesh_pid NAME          process id of a process by name
+#   mesh_stop NAME [SIG]   signal it and wait for its end
+#   mesh_end               stop everything
+
+PORT_OUTER=7000
+PORT_INNER=7001
+PORT_PEER=7002
+PORT_CONTROL=7003
+PORT_ADMIN=7004
+PORT_HTTP=7005
+PORT_LEDGER=7006
+
+mesh_init() {
+	MESH_BIN=$1/bin
+	MESH_DIR=$(mktemp -d "${TMPDIR:-/tmp}/mesh.XXXXXX")
+	MESH_NET=127.$((($$ / 250) % 250 + 1)).$(($$ % 250 + 1))
+	MESH_SOURCES=${MESH_SOURCES:-1}
+	MESH_LEDGERS=${MESH_LEDGERS:-0}
+	MESH_PROXY_EXTRA=${MESH_PROXY_EXTRA:-}
+	MESH_LOG_LEVEL=${MESH_LOG_LEVEL:-info}
+	MESH_RULES_CALLS=0
+	trap mesh_end EXIT
+	trap 'exit 1' INT TERM
+}
+
+# Host of node N; sources take 201.., ledgers 211...
+mesh_host() { echo "$MESH_NET.$1"; }
+
+mesh_source_list() {
+	for i in $(seq 1 "$MESH_SOURCES"); do
+		printf '%s"%s:%s"' "$([ "$i" = 1 ] || echo ,)" \
+		    "$(mesh_host $((200 + i)))" $PORT_CONTROL
+	done
+}
+
+mesh_ledger_list() {
+	for i in $(seq 1 "$MESH_LEDGERS"); do
+		printf '%s"%s:%s"' "$([ "$i" = 1 ] || echo ,)" \
+		    "$(mesh_host $((210 + i)))" $PORT_LEDGER
+	done
+}
+
+mesh_replica_list() { # FIRST COUNT PORT
+	for i in $(seq 1 "$2"); do
+		printf '%s"%s=%s:%s"' "$([ "$i" = 1 ] || echo ,)" "$i" \
+		    "$(mesh_host $(($1 + i)))" "$3"
+	done
+}
+
+# Operators' addresses, for mvctl.
+mesh_operators() {
+	for i in $(seq 1 "$MESH_SOURCES"); do
+		printf '%s%s:%s' "$([ "$i" = 1 ] || echo ,)" \
+		    "$(mesh_host $((200 + i)))" $PORT_HTTP
+	done
+}
+
+mesh_run() { # NAME PROGRAM [ARG ...]
+	mesh_name=$1
+	shift
+	"$MESH_BIN/$@" >"$MESH_DIR/$mesh_name.out" 2>&1 &
+	echo $! >"$MESH_DIR/$mesh_name.pid"
+}
+
+mesh_pid() { cat "$MESH_DIR/$1.pid"; }
+
+mesh_stop() { # NAME [SIGNAL]
+	mesh_stop_pid=$(mesh_pid "$1")
+	kill -"${2:-TERM}" "$mesh_stop_pid" 2>/dev/null
+	wait "$mesh_stop_pid" 2>/dev/null
+	mesh_stop_rc=$?
+	rm -f "$MESH_DIR/$1.pid"
+	return $mesh_stop_rc
+}
+
+mesh_end() {
+	mesh_end_rc=$?
+	trap - EXIT
+	for f in "$MESH_DIR"/*.pid; do
+		[ -e "$f" ] || continue
+		kill -CONT "$(cat "$f")" 2>/dev/null
+		kill -KILL "$(cat "$f")" 2>/dev/null
+	done
+	wait 2>/dev/null
+	[ -n "${MESH_KEEP:-}" ] || rm -rf "$MESH_DIR"
+	exit $mesh_end_rc
+}
+
+mesh_log_json() {
+	printf '"log":{"path":"%s/%s.log","level":"%s"}' "$MESH_DIR" "$1" \
+	    "$MESH_LOG_LEVEL"
+}
+
+mesh_source_settings() { # ID
+	cat >"$MESH_DIR/source-$1.json" <<END
+{
+  $(mesh_log_json "source-$1"),
+  "region": "${MESH_SOURCE_REGION:-north}", "dc": "${MESH_SOURCE_DC:-north-1}",
+  "host": "$(mesh_host $((200 + $1)))",
+  "listen": {
+    "control": "$(mesh_host $((200 + $1))):$PORT_CONTROL",
+    "operators": "$(mesh_host $((200 + $1))):$PORT_HTTP"
+  },
+  "data_path": "$MESH_DIR/source-$1.data",
+  "cluster": "mesh", "id": $1,
+  "replicas": [$(mesh_replica_list 200 "$MESH_SOURCES" $PORT_CONTROL)],
+  "stale_ms": ${MESH_STALE_MS:-16000},
+  "election_ms": ${MESH_ELECTION_MS:-400}, "heartbeat_ms": ${MESH_HEARTBEAT_MS:-60}
+}
+END
+}
+
+mesh_source() { # ID [FLAG ...]
+	mesh_source_settings "$1"
+	mesh_source_id=$1
+	shift
+	mesh_run "source-$mesh_source_id" mvsource "$@" \
+	    "$MESH_DIR/source-$mesh_source_id.json"
+}
+
+mesh_ledger() { # ID [FLAG ...]
+	cat >"$MESH_DIR/ledger-$1.json" <<END
+{
+  $(mesh_log_json "ledger-$1"),
+  "listen": {
+    "control": "$(mesh_host $((210 + $1))):$PORT_CONTROL",
+    "clients": "$(mesh_host $((210 + $1))):$PORT_LEDGER",
+    "admin": "$(mesh_host $((210 + $1))):$PORT_ADMIN"
+  },
+  "data_path": "$MESH_DIR/ledger-$1.data",
+  "cluster": "mesh", "id": $1,
+  "replicas": [$(mesh_replica_list 210 "$MESH_LEDGERS" $PORT_CONTROL)],
+  "clients": [$(mesh_replica_list 210 "$MESH_LEDGERS" $PORT_LEDGER)],
+  "election_ms": ${MESH_ELECTION_MS:-400}, "heartbeat_ms": ${MESH_HEARTBEAT_MS:-60}
+}
+END
+	mesh_ledger_id=$1
+	shift
+	mesh_run "ledger-$mesh_ledger_id" mvledger "$@" \
+	    "$MESH_DIR/ledger-$mesh_ledger_id.json"
+}
+
+mesh_proxy() { # N REGION DC
+	mesh_proxy_host=$(mesh_host "$1")
+	cat >"$MESH_DIR/proxy-$1.json" <<END
+{
+  $(mesh_log_json "proxy-$1"),
+  "name": "n$1", "region": "$2", "dc": "$3", "host": "$mesh_proxy_host",
+  "listen": {
+    "outer": "$mesh_proxy_host:$PORT_OUTER",
+    "inner": "$mesh_proxy_host:$PORT_INNER",
+    "peer": "$mesh_proxy_host:$PORT_PEER",
+    "control": "$mesh_proxy_host:$PORT_CONTROL",
+    "admin": "$mesh_proxy_host:$PORT_ADMIN"
+  },
+  $MESH_PROXY_EXTRA
+  "seeds": ["$(mesh_host 1):$PORT_CONTROL", "$(mesh_host 2):$PORT_CONTROL"],
+  "ledgers": [$(mesh_ledger_list)],
+  "sources": [$(mesh_source_list)]
+}
+END
+	mesh_run "proxy-$1" mvproxy "$MESH_DIR/proxy-$1.json"
+}
+
+mesh_backend() { # N SERVICE [KEY=JSON ...]
+	mesh_backend_host=$(mesh_host "$1")
+	mesh_backend_n=$1
+	mesh_backend_service=$2
+	shift 2
+	{
+		echo "{ $(mesh_log_json "backend-$mesh_backend_n"),"
+		for pair in "$@"; do
+			echo "\"${pair%%=*}\": ${pair#*=},"
+		done
+		cat <<END
+"name": "b$mesh_backend_n", "service": "$mesh_backend_service",
+"listen": "$mesh_backend_host:$PORT_HTTP",
+"proxy": { "admin": "$mesh_backend_host:$PORT_ADMIN",
+           "inner": "$mesh_backend_host:$PORT_INNER" } }
+END
+	} >"$MESH_DIR/backend-$mesh_backend_n.json"
+	mesh_run "backend-$mesh_backend_n" fake-backend \
+	    "$MESH_DIR/backend-$mesh_backend_n.json"
+}
+
+mesh_ctl() { "$MESH_BIN/mvctl" --source "$(mesh_operators)" "$@"; }
+
+# Waits until a command succeeds, at most SECONDS.
+mesh_wait() { # SECONDS COMMAND ...
+	mesh_wait_left=$(($1 * 20))
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		mesh_wait_left=$((mesh_wait_left - 1))
+		[ $mesh_wait_left -gt 0 ] || return 1
+		sleep 0.05
+	done
+}
+
+mesh_counter() { # HOST:PORT NAME
+	curl -s "http://$1/counters" | awk -v n="$2" '$1 == n { print $2 }'
+}
+
+mesh_proxy_counter() { # N NAME
+	mesh_counter "$(mesh_host "$1"):$PORT_ADMIN" "$2"
+}
+
+mesh_url() { echo "http://$(mesh_host "$1"):$PORT_OUTER$2"; }
+
+# True once proxy N serves from a version at least V.
+mesh_proxy_has() { # N V
+	curl -sf "http://$(mesh_host "$1"):$PORT_ADMIN/status" |
+	    awk -v v="$2" '/"version"/ { gsub(/[^0-9]/, "", $2); ok = $2 >= v }
+		/"ready": true/ { ready = 1 } END { exit !(ok && ready) }'
+}
+
+# True once proxy N knows of COUNT members.
+mesh_proxy_knows() { # N COUNT
+	curl -sf "http://$(mesh_host "$1"):$PORT_ADMIN/status" |
+	    grep -q "\"members_alive\": $2,"
+}
--- /dev/null
+++ b/src/core/admission.c
@@ -0,0 +1,353 @@
+// Admission by rank with kept shares.
+#include <assert.h>
+#include <string.h>
+
+#include "core/admission.h"
+
+#define MEAN_WEIGHT	   16
+#define CREDIT_MAX_US	   2000000LL
+#define SERVICE_GUESS_US   5000LL
+#define PERCENT		   100
+
+void
+admission_init(struct admission *a, const struct admission_policy *policy,
+    uint32_t max_queued, uint32_t max_queued_bytes)
+{
+	memset(a, 0, sizeof(*a));
+	a->policy = policy;
+	a->slots = 1;
+	a->max_queued = max_queued;
+	a->max_queued_bytes = max_queued_bytes;
+}
+
+static struct admission_rank *
+find_by_name(struct admission *a, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++)
+		if (strcmp(a->ranks[i].name, name) == 0)
+			return &a->ranks[i];
+	return NULL;
+}
+
+/// Place for a rank that is new: a free one, or that of an idle old rank.
+static struct admission_rank *
+claim_place(struct admission *a)
+{
+	uint32_t i;
+
+	if (a->rank_count < ADMISSION_MAX_RANKS)
+		return &a->ranks[a->rank_count++];
+	for (i = 0; i < a->rank_count; i++) {
+		struct admission_rank *r = &a->ranks[i];
+
+		if (!r->configured && r->running == 0 && r->queued == 0)
+			return r;
+	}
+	return NULL;
+}
+
+void
+admission_configure(struct admission *a, uint32_t slots,
+    const struct rule_rank *ranks, uint32_t rank_count)
+{
+	uint32_t i;
+
+	a->slots = slots > 0 ? slots : 1;
+	for (i = 0; i < a->rank_count; i++) {
+		a->ranks[i].configured = false;
+		a->ranks[i].worth = 0;
+		a->ranks[i].keep_pct = 0;
+	}
+	for (i = 0; i < rank_count; i++) {
+		struct admission_rank *r = find_by_name(a, ranks[i].name);
+
+		if (r == NULL) {
+			r = claim_place(a);
+			if (r == NULL)
+				continue;
+			memset(r, 0, sizeof(*r));
+			memcpy(r->name, ranks[i].name, sizeof(r->name));
+		}
+		r->configured = true;
+		r->worth = ranks[i].worth;
+		r->keep_pct = ranks[i].keep_pct;
+		r->target_us = ranks[i].target_us;
+	}
+}
+
+uint32_t
+admission_find_rank(const struct admission *a, const char *name)
+{
+	uint32_t least = 0;
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++) {
+		if (strcmp(a->ranks[i].name, name) == 0)
+			return i;
+		if (a->ranks[i].worth < a->ranks[least].worth)
+			least = i;
+	}
+	return least;
+}
+
+static void
+queue_push(struct admission *a, struct admission_item *item)
+{
+	struct admission_rank *r = &a->ranks[item->rank];
+
+	item->queued = true;
+	item->next = NULL;
+	item->prev = r->tail;
+	if (r->tail != NULL)
+		r->tail->next = item;
+	else
+		r->head = item;
+	r->tail = item;
+	r->queued++;
+	a->queued++;
+	a->queued_bytes += item->size_bytes;
+}
+
+static void
+queue_remove(struct admission *a, struct admission_item *item)
+{
+	struct admission_rank *r = &a->ranks[item->rank];
+
+	assert(item->queued);
+	if (item->prev != NULL)
+		item->prev->next = item->next;
+	else
+		r->head = item->next;
+	if (item->next != NULL)
+		item->next->prev = item->prev;
+	else
+		r->tail = item->prev;
+	item->next = item->prev = NULL;
+	item->queued = false;
+	r->queued--;
+	a->queued--;
+	a->queued_bytes -= item->size_bytes;
+}
+
+/// Brings the slot time owed to each rank up to date.
+///
+/// A rank with work waiting earns its kept share of all slot time and pays
+/// for the slots that it holds. What it uses beyond its share is not a debt.
+static void
+update_credits(struct admission *a, int64_t now_us)
+{
+	int64_t passed_us = now_us - a->credit_time_us;
+	uint32_t i;
+
+	a->credit_time_us = now_us;
+	if (passed_us <= 0)
+		return;
+	for (i = 0; i < a->rank_count; i++) {
+		struct admission_rank *r = &a->ranks[i];
+
+		if (r->queued > 0)
+			r->credit_us += passed_us * r->keep_pct * a->slots /
+			    PERCENT;
+		r->credit_us -= passed_us * r->running;
+		if (r->credit_us < 0)
+			r->credit_us = 0;
+		if (r->credit_us > CREDIT_MAX_US)
+			r->credit_us = CREDIT_MAX_US;
+	}
+}
+
+static int64_t
+service_guess_us(const struct admission_rank *r)
+{
+	return r->service_us > 0 ? r->service_us : SERVICE_GUESS_US;
+}
+
+static int
+pick_keep(struct admission *a, int64_t now_us)
+{
+	int best = -1;
+	bool best_owed = false;
+	uint32_t i;
+
+	(void)now_us;
+	for (i = 0; i < a->rank_count; i++) {
+		const struct admission_rank *r = &a->ranks[i];
+		bool owed = r->credit_us >= service_guess_us(r);
+
+		if (r->queued == 0 || (best_owed && !owed))
+			continue;
+		if (best < 0 || (owed && !best_owed) ||
+		    r->worth > a->ranks[best].worth) {
+			best = (int)i;
+			best_owed = owed;
+		}
+	}
+	return best;
+}
+
+const struct admission_policy ADMISSION_KEEP = {
+    .pick = pick_keep,
+    .name = "keep",
+};
+
+static int64_t
+moving_mean(int64_t mean, int64_t sample)
+{
+	if (mean == 0)
+		return sample;
+	return mean + (sample - mean) / MEAN_WEIGHT;
+}
+
+static void
+start(struct admission *a, struct admission_item *item, int64_t now_us)
+{
+	struct admission_rank *r = &a->ranks[item->rank];
+
+	item->running = true;
+	item->start_us = now_us;
+	r->running++;
+	a->running++;
+}
+
+/// Expected time between starts of a rank while its queue is not empty.
+static int64_t
+start_gap_us(const struct admission *a, const struct admission_rank *r)
+{
+	if (r->gap_us > 0)
+		return r->gap_us;
+	return service_guess_us(r) / a->slots;
+}
+
+int64_t
+admission_wait_us(const struct admission *a, uint32_t rank)
+{
+	const struct admission_rank *r = &a->ranks[rank];
+
+	if (a->running < a->slots && a->queued == 0)
+		return 0;
+	return (int64_t)(r->queued + 1) * start_gap_us(a, r);
+}
+
+/// Wait that a request of a rank may face: its target, within its deadline.
+static int64_t
+wait_limit_us(const struct admission_rank *r,
+    const struct admission_item *item, int64_t now_us)
+{
+	int64_t left_us = item->deadline_us - now_us - service_guess_us(r);
+
+	return left_us < r->target_us || r->target_us == 0 ? left_us :
+							     r->target_us;
+}
+
+static bool
+has_room(const struct admission *a, const struct admission_item *item)
+{
+	return a->queued < a->max_queued &&
+	    item->size_bytes <= a->max_queued_bytes - a->queued_bytes;
+}
+
+enum admission_verdict
+admission_offer(struct admission *a, struct admission_item *item,
+    int64_t now_us, int64_t *retry_us)
+{
+	struct admission_rank *r;
+	int64_t wait_us;
+
+	assert(item->rank < a->rank_count);
+	r = &a->ranks[item->rank];
+	update_credits(a, now_us);
+	item->arrival_us = now_us;
+	*retry_us = 0;
+	if (item->deadline_us <= now_us)
+		return ADMISSION_REFUSED;
+	if (a->running < a->slots && a->queued == 0) {
+		start(a, item, now_us);
+		return ADMISSION_RUN;
+	}
+	wait_us = admission_wait_us(a, item->rank);
+	// An empty queue always takes one, so that the estimate stays fresh.
+	if (!has_room(a, item) ||
+	    (r->queued > 0 && wait_us > wait_limit_us(r, item, now_us))) {
+		*retry_us = wait_us;
+		return ADMISSION_REFUSED;
+	}
+	if (r->queued == 0)
+		r->last_start_us = now_us;
+	queue_push(a, item);
+	return ADMISSION_QUEUED;
+}
+
+void
+admission_finish(struct admission *a, struct admission_item *item,
+    int64_t now_us)
+{
+	struct admission_rank *r = &a->ranks[item->rank];
+
+	assert(item->running && r->running > 0 && a->running > 0);
+	update_credits(a, now_us);
+	item->running = false;
+	r->running--;
+	a->running--;
+	r->service_us = moving_mean(r->service_us, now_us - item->start_us + 1);
+}
+
+void
+admission_cancel(struct admission *a, struct admission_item *item)
+{
+	queue_remove(a, item);
+}
+
+/// First item of any queue that cannot meet its deadline any more.
+static struct admission_item *
+find_hopeless(const struct admission *a, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++) {
+		struct admission_item *item = a->ranks[i].head;
+
+		if (item != NULL && item->deadline_us <= now_us)
+			return item;
+	}
+	return NULL;
+}
+
+struct admission_item *
+admission_next(struct admission *a, int64_t now_us,
+    enum admission_verdict *verdict)
+{
+	struct admission_item *item;
+	struct admission_rank *r;
+	int rank;
+
+	if (a->queued == 0)
+		return NULL;
+	update_credits(a, now_us);
+	item = find_hopeless(a, now_us);
+	if (item != NULL) {
+		*verdict = ADMISSION_REFUSED;
+		queue_remove(a, item);
+		return item;
+	}
+	if (a->running >= a->slots)
+		return NULL;
+	rank = a->policy->pick(a, now_us);
+	if (rank < 0)
+		return NULL;
+	r = &a->ranks[rank];
+	item = r->head;
+	queue_remove(a, item);
+	r->gap_us = moving_mean(r->gap_us, now_us - r->last_start_us + 1);
+	r->last_start_us = now_us;
+	start(a, item, now_us);
+	*verdict = ADMISSION_RUN;
+	return item;
+}
+
+uint32_t
+admission_load_pct(const struct admission *a)
+{
+	return (a->running + a->queued) * PERCENT / a->slots;
+}
--- /dev/null
+++ b/src/core/balancer.h
@@ -0,0 +1,98 @@
+/// @file
+/// Choice of a backend server among the endpoints of a service.
+#ifndef MV_CORE_BALANCER_H
+#define MV_CORE_BALANCER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/member.h"
+#include "core/membership.h"
+#include "core/outcome.h"
+#include "core/random.h"
+
+/// One backend server as seen from this ingress.
+struct endpoint {
+	char name[MEMBER_NAME_BYTES];
+	char host[MEMBER_HOST_BYTES];
+	uint32_t peer_port;
+	uint64_t incarnation;
+	enum distance distance;
+	enum backend_state state;
+	uint32_t slots;
+	bool suspect;
+	bool present; ///< In the newest view.
+	// Own observations.
+	uint32_t outstanding; ///< Requests sent and not answered.
+	uint32_t reported;    ///< Running and queued there, as last told.
+	uint32_t outstanding_at_report;
+	uint32_t failures_in_row;
+	uint32_t ejections;
+	int64_t ejected_until_deadline_us;
+	int64_t busy_until_deadline_us;
+	uint32_t busy_worth; ///< Ranks up to this worth are refused there.
+	int64_t warm_deadline_us; ///< End of the slow start.
+};
+
+/// Endpoints of one service.
+struct balancer {
+	char service[MEMBER_NAME_BYTES];
+	struct random random;
+	struct endpoint **endpoints;
+	uint32_t count;
+	uint32_t capacity;
+	int64_t warm_us; ///< Length of the slow start.
+	bool warmed; ///< The first view is taken as warm.
+};
+
+/// Why an endpoint was chosen or not, for the log.
+struct balancer_choice {
+	struct endpoint *endpoint; ///< NULL if none can be used.
+	int64_t busy_until_deadline_us; ///< If all are busy: first one free.
+	uint32_t candidates;
+	uint32_t score_pct;
+};
+
+void balancer_init(struct balancer *b, const char *service, uint64_t seed,
+    int64_t warm_us);
+
+void balancer_free(struct balancer *b);
+
+/// Begins a new view: every endpoint not added again is dropped by
+/// balancer_end_view once it has no request in progress.
+void balancer_begin_view(struct balancer *b);
+
+/// Adds or updates an endpoint of the new view.
+void balancer_add(struct balancer *b, const struct member *member,
+    enum distance distance, int64_t now_us);
+
+void balancer_end_view(struct balancer *b);
+
+/// Chooses an endpoint and counts a request as sent to it.
+///
+/// @param worth        worth of the request's rank
+/// @param tried        names of endpoints to avoid, may be NULL
+/// @param tried_count  their number
+struct balancer_choice balancer_choose(struct balancer *b, uint32_t worth,
+    const char (*tried)[MEMBER_NAME_BYTES], uint32_t tried_count,
+    int64_t now_us);
+
+/// Ends a request that balancer_choose counted.
+///
+/// @param failed  the endpoint did not do its work: broken connection,
+///                silence, no backend server, or an error answer
+void balancer_finish(struct balancer *b, struct endpoint *endpoint,
+    bool failed, int64_t now_us);
+
+/// Notes the load that an endpoint told.
+void balancer_report(struct endpoint *endpoint, uint32_t running,
+    uint32_t queued);
+
+/// Avoids an endpoint until a time, for requests up to a worth.
+void balancer_set_busy(struct endpoint *endpoint, uint32_t worth,
+    int64_t until_deadline_us);
+
+/// Finds an endpoint by name; NULL if unknown.
+struct endpoint *balancer_find(const struct balancer *b, const char *name);
+
+#endif
--- /dev/null
+++ b/src/core/delta.h
@@ -0,0 +1,39 @@
+/// @file
+/// Line deltas between two versions of a rule file.
+#ifndef MV_CORE_DELTA_H
+#define MV_CORE_DELTA_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/error.h"
+
+/// Copies a run of old lines, then inserts new text.
+struct delta_step {
+	uint32_t copy_from; ///< First old line, from 0.
+	uint32_t copy_count;
+	const char *insert;
+	uint32_t insert_bytes;
+};
+
+struct delta {
+	struct delta_step *steps;
+	uint32_t step_count;
+};
+
+/// Computes a delta whose inserted text points into the new text.
+void delta_make(const char *old_text, size_t old_bytes, const char *new_text,
+    size_t new_bytes, struct delta *delta);
+
+void delta_free(struct delta *delta);
+
+/// Builds the new text.
+///
+/// @param max_bytes  bound on the result
+/// @param out        receives the text; release it with free()
+/// @return 0, or -1 with err set
+int delta_apply(const char *old_text, size_t old_bytes,
+    const struct delta_step *steps, uint32_t step_count, size_t max_bytes,
+    char **out, size_t *out_bytes, struct error *err);
+
+#endif
--- /dev/null
+++ b/src/core/error.h
@@ -0,0 +1,45 @@
+/// @file
+/// Typed errors that carry the step and the peer at which they arose.
+#ifndef MV_CORE_ERROR_H
+#define MV_CORE_ERROR_H
+
+#define ERROR_STEP_BYTES 32
+#define ERROR_PEER_BYTES 64
+#define ERROR_TEXT_BYTES 224
+
+/// What kind of failure an error describes.
+enum error_code {
+	ERR_NONE = 0,
+	ERR_SYNTAX,	 ///< Input that does not parse.
+	ERR_INVALID,	 ///< Input that parses but breaks a constraint.
+	ERR_IO,		 ///< A system call or a library failed.
+	ERR_CORRUPT,	 ///< Stored or received bytes fail their checksum.
+	ERR_CONFLICT,	 ///< Another value won.
+	ERR_UNAVAILABLE, ///< Cannot be done now; may succeed later.
+	ERR_TOO_LARGE,	 ///< A stated bound would be exceeded.
+};
+
+/// A failure, with the step and the peer at which it arose.
+struct error {
+	enum error_code code;
+	char step[ERROR_STEP_BYTES];
+	char peer[ERROR_PEER_BYTES];
+	char text[ERROR_TEXT_BYTES];
+};
+
+/// Fills an error.
+///
+/// @param err   the error to fill
+/// @param code  its kind
+/// @param step  name of the step that failed
+/// @param peer  name or address of the other end, or "" for none
+/// @param fmt   printf-style description
+/// @return -1, so that callers can return it
+int error_set(struct error *err, enum error_code code, const char *step,
+    const char *peer, const char *fmt, ...)
+    __attribute__((format(printf, 5, 6)));
+
+/// Names an error code.
+const char *error_code_name(enum error_code code);
+
+#endif
--- /dev/null
+++ b/src/core/random.h
@@ -0,0 +1,39 @@
+/// @file
+/// Small seedable generator for the core, whose runs must be repeatable.
+#ifndef MV_CORE_RANDOM_H
+#define MV_CORE_RANDOM_H
+
+#include <stdint.h>
+#include <xxhash.h>
+
+/// Hashes a counter under a seed; any two states are independent streams.
+struct random {
+	uint64_t seed;
+	uint64_t counter;
+};
+
+static inline uint64_t
+random_next(struct random *random)
+{
+	uint64_t n = random->counter++;
+
+	return XXH3_64bits_withSeed(&n, sizeof(n), random->seed);
+}
+
+/// Uniform number below a bound, which must not be 0.
+static inline uint32_t
+random_below(struct random *random, uint32_t bound)
+{
+	return (uint32_t)(random_next(random) % bound);
+}
+
+/// Uniform time from 0 up to a bound.
+static inline int64_t
+random_time_us(struct random *random, int64_t bound_us)
+{
+	if (bound_us <= 0)
+		return 0;
+	return (int64_t)(random_next(random) % (uint64_t)bound_us);
+}
+
+#endif
--- /dev/null
+++ b/src/core/replica.c
@@ -0,0 +1,697 @@
+// Elections, terms, and the follower's side of replication.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/replica.h"
+
+const char *
+replica_role_name(enum replica_role role)
+{
+	switch (role) {
+	case REPLICA_FOLLOWER:
+		return "follower";
+	case REPLICA_PRE_CANDIDATE:
+		return "pre-candidate";
+	case REPLICA_CANDIDATE:
+		return "candidate";
+	case REPLICA_LEADER:
+		return "leader";
+	}
+	return "unknown";
+}
+
+bool
+replica_is_leader(const struct replica *r)
+{
+	return r->role == REPLICA_LEADER && !replica_has_failed(r);
+}
+
+bool
+replica_has_failed(const struct replica *r)
+{
+	return r->failure.code != ERR_NONE;
+}
+
+static void
+reset_election(struct replica *r, int64_t now_us)
+{
+	r->election_deadline_us = now_us + r->settings.election_us +
+	    random_time_us(&r->random, r->settings.election_us);
+}
+
+static void
+save_vote(struct replica *r, uint64_t term, uint64_t vote)
+{
+	struct error err;
+
+	r->term = term;
+	r->vote = vote;
+	r->dirty = true;
+	if (r->storage->ops->save_vote(r->storage, term, vote, &err) != 0)
+		replica_fail(r, &err);
+}
+
+/// Queues a message until what it depends on is durable.
+static void
+send_after_sync(struct replica *r, const struct replica_message *m)
+{
+	assert(m->entry_count == 0 && m->snapshot == NULL);
+	if (r->outbox_count == r->outbox_capacity) {
+		r->outbox_capacity =
+		    r->outbox_capacity ? r->outbox_capacity * 2 : 16;
+		r->outbox = realloc(r->outbox,
+		    r->outbox_capacity * sizeof(*r->outbox));
+		assert(r->outbox != NULL);
+	}
+	r->outbox[r->outbox_count++] = *m;
+}
+
+static void
+set_role(struct replica *r, enum replica_role role, uint64_t leader)
+{
+	bool changed = r->role != role || r->leader != leader;
+
+	if (r->role == REPLICA_LEADER && role != REPLICA_LEADER)
+		replica_fail_reads(r);
+	r->role = role;
+	r->leader = leader;
+	if (changed)
+		r->ops->role_changed(r);
+}
+
+static void
+become_follower(struct replica *r, uint64_t term, uint64_t leader,
+    int64_t now_us)
+{
+	assert(term >= r->term);
+	if (term > r->term)
+		save_vote(r, term, 0);
+	set_role(r, REPLICA_FOLLOWER, leader);
+	reset_election(r, now_us);
+}
+
+static void
+become_leader(struct replica *r, int64_t now_us)
+{
+	struct replica_entry e = {
+	    .index = replica_last_index(r) + 1,
+	    .term = r->term,
+	    .kind = REPLICA_ENTRY_EMPTY,
+	};
+	uint32_t i;
+
+	set_role(r, REPLICA_LEADER, r->settings.id);
+	r->progress_count = 0;
+	replica_progress_update(r, now_us);
+	r->read_round = 0;
+	r->term_start_index = e.index;
+	r->quorum_deadline_us = now_us + r->settings.election_us;
+	replica_log_append(r, &e);
+	for (i = 0; i < r->progress_count; i++)
+		replica_send_append(r, &r->progress[i], now_us);
+	replica_broadcast_heartbeat(r, now_us);
+}
+
+static bool
+has_granted(void *arg, uint64_t id)
+{
+	struct replica *r = arg;
+	const struct replica_progress *p;
+
+	if (id == r->settings.id)
+		return true;
+	p = replica_progress_get(r, id);
+	return p != NULL && p->vote_granted;
+}
+
+static void start_election(struct replica *r, int64_t now_us);
+
+static void
+count_votes(struct replica *r, int64_t now_us)
+{
+	if (!replica_config_has_quorum(&r->config, has_granted, r))
+		return;
+	if (r->role == REPLICA_PRE_CANDIDATE)
+		start_election(r, now_us);
+	else
+		become_leader(r, now_us);
+}
+
+static void
+ask_votes(struct replica *r, enum replica_message_kind kind, uint64_t term)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->progress_count; i++) {
+		struct replica_message m = {
+		    .kind = kind,
+		    .from = r->settings.id,
+		    .to = r->progress[i].id,
+		    .term = term,
+		    .index = replica_last_index(r),
+		    .log_term = replica_log_term(r, replica_last_index(r)),
+		};
+
+		if (replica_config_is_voter(&r->config, m.to))
+			send_after_sync(r, &m);
+	}
+}
+
+static void
+clear_votes(struct replica *r, int64_t now_us)
+{
+	r->progress_count = 0;
+	replica_progress_update(r, now_us);
+	reset_election(r, now_us);
+}
+
+/// Asks whether an election could be won, before the term is raised.
+static void
+start_pre_vote(struct replica *r, int64_t now_us)
+{
+	set_role(r, REPLICA_PRE_CANDIDATE, 0);
+	clear_votes(r, now_us);
+	ask_votes(r, REPLICA_PRE_VOTE, r->term + 1);
+	count_votes(r, now_us);
+}
+
+static void
+start_election(struct replica *r, int64_t now_us)
+{
+	set_role(r, REPLICA_CANDIDATE, 0);
+	save_vote(r, r->term + 1, r->settings.id);
+	clear_votes(r, now_us);
+	ask_votes(r, REPLICA_VOTE, r->term);
+	count_votes(r, now_us);
+}
+
+/// Tells whether the log of a candidate holds all that this one may have
+/// committed.
+static bool
+is_up_to_date(const struct replica *r, const struct replica_message *m)
+{
+	uint64_t last = replica_last_index(r);
+	uint64_t last_term = replica_log_term(r, last);
+
+	return m->log_term > last_term ||
+	    (m->log_term == last_term && m->index >= last);
+}
+
+/// A replica that hears from a leader helps no other to replace it.
+static bool
+has_live_leader(const struct replica *r, int64_t now_us)
+{
+	if (r->role == REPLICA_LEADER)
+		return true;
+	return r->leader != 0 &&
+	    now_us < r->leader_contact_us + r->settings.election_us;
+}
+
+static void
+handle_pre_vote(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	struct replica_message answer = {
+	    .kind = REPLICA_PRE_VOTE_ANSWER,
+	    .from = r->settings.id,
+	    .to = m->from,
+	    .term = m->term,
+	};
+
+	answer.reject = m->term <= r->term || has_live_leader(r, now_us) ||
+	    !is_up_to_date(r, m);
+	if (answer.reject)
+		answer.term = r->term;
+	r->ops->send(r, &answer);
+}
+
+static void
+handle_vote(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	struct replica_message answer = {
+	    .kind = REPLICA_VOTE_ANSWER,
+	    .from = r->settings.id,
+	    .to = m->from,
+	    .term = r->term,
+	};
+
+	answer.reject = (r->vote != 0 && r->vote != m->from) ||
+	    !is_up_to_date(r, m);
+	if (!answer.reject) {
+		if (r->vote == 0)
+			save_vote(r, r->term, m->from);
+		reset_election(r, now_us);
+	}
+	send_after_sync(r, &answer);
+}
+
+static void
+handle_vote_answer(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	struct replica_progress *p = replica_progress_get(r, m->from);
+	enum replica_role awaited = m->kind == REPLICA_PRE_VOTE_ANSWER ?
+	    REPLICA_PRE_CANDIDATE :
+	    REPLICA_CANDIDATE;
+	uint64_t term =
+	    m->kind == REPLICA_PRE_VOTE_ANSWER ? r->term + 1 : r->term;
+
+	if (r->role != awaited || p == NULL || m->reject || m->term != term)
+		return;
+	p->vote_granted = true;
+	count_votes(r, now_us);
+}
+
+static void
+answer_append(struct replica *r, uint64_t to, uint64_t index, bool reject)
+{
+	struct replica_message answer = {
+	    .kind = REPLICA_APPEND_ANSWER,
+	    .from = r->settings.id,
+	    .to = to,
+	    .term = r->term,
+	    .index = index,
+	    .reject = reject,
+	};
+
+	send_after_sync(r, &answer);
+}
+
+static void
+raise_commit(struct replica *r, uint64_t commit, uint64_t limit)
+{
+	if (commit > limit)
+		commit = limit;
+	if (commit > r->commit)
+		r->commit = commit;
+}
+
+static void
+take_entries(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	bool config_changed = false;
+	uint32_t i;
+
+	for (i = 0; i < m->entry_count; i++) {
+		const struct replica_entry *e = &m->entries[i];
+
+		if (e->index <= r->commit ||
+		    replica_log_term(r, e->index) == e->term)
+			continue;
+		if (e->index <= replica_last_index(r))
+			replica_log_truncate(r, e->index);
+		replica_log_append(r, e);
+		config_changed |= e->kind == REPLICA_ENTRY_CONFIG;
+	}
+	if (config_changed) {
+		replica_find_config(r);
+		replica_progress_update(r, now_us);
+	}
+}
+
+/// Entry from which the leader should try next, when one does not match.
+static uint64_t
+reject_hint(const struct replica *r, uint64_t index)
+{
+	uint64_t last = replica_last_index(r);
+	uint64_t term;
+
+	if (index > last)
+		return last;
+	term = replica_log_term(r, index);
+	while (index > r->commit && replica_log_term(r, index) == term)
+		index--;
+	return index;
+}
+
+static void
+handle_append(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	uint64_t last_new = m->index + m->entry_count;
+
+	if (m->index < r->commit) {
+		// Everything up to the commit matches the leader's log.
+		if (last_new > r->commit)
+			take_entries(r, m, now_us);
+		if (last_new < r->commit)
+			last_new = r->commit;
+	} else if (m->index > replica_last_index(r) ||
+	    replica_log_term(r, m->index) != m->log_term) {
+		answer_append(r, m->from, reject_hint(r, m->index), true);
+		return;
+	} else
+		take_entries(r, m, now_us);
+	raise_commit(r, m->commit, last_new);
+	answer_append(r, m->from, last_new, false);
+}
+
+static void
+handle_heartbeat(struct replica *r, const struct replica_message *m)
+{
+	struct replica_message answer = {
+	    .kind = REPLICA_HEARTBEAT_ANSWER,
+	    .from = r->settings.id,
+	    .to = m->from,
+	    .term = r->term,
+	    .context = m->context,
+	};
+
+	raise_commit(r, m->commit, replica_last_index(r));
+	send_after_sync(r, &answer);
+}
+
+static void
+free_entries(struct replica *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->entry_count; i++)
+		free(r->entries[i].data);
+	r->entry_count = 0;
+	r->uncommitted_bytes = 0;
+}
+
+static void
+copy_snapshot(struct replica *r, const struct replica_snapshot *from)
+{
+	char *data = malloc(from->size_bytes + 1);
+
+	assert(data != NULL);
+	if (from->size_bytes > 0)
+		memcpy(data, from->data, from->size_bytes);
+	free(r->snapshot.data);
+	r->snapshot = *from;
+	r->snapshot.data = data;
+}
+
+static void
+handle_snapshot(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	struct error err;
+
+	if (m->snapshot->index <= r->commit) {
+		answer_append(r, m->from, r->commit, false);
+		return;
+	}
+	if (replica_log_get(r, m->snapshot->index) != NULL &&
+	    replica_log_term(r, m->snapshot->index) == m->snapshot->term) {
+		// The log holds it already, and perhaps more behind it.
+		raise_commit(r, m->snapshot->index, m->snapshot->index);
+		answer_append(r, m->from, m->snapshot->index, false);
+		return;
+	}
+	if (replica_last_index(r) > m->snapshot->index)
+		replica_log_truncate(r, m->snapshot->index + 1);
+	free_entries(r);
+	copy_snapshot(r, m->snapshot);
+	r->first_index = r->snapshot.index + 1;
+	r->commit = r->applied = r->synced = r->snapshot.index;
+	r->dirty = true;
+	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) !=
+	    0)
+		replica_fail(r, &err);
+	replica_find_config(r);
+	replica_progress_update(r, now_us);
+	r->ops->restore(r, &r->snapshot);
+	answer_append(r, m->from, r->snapshot.index, false);
+}
+
+/// Deals with a message of another term.
+///
+/// @return whether the message is to be handled further
+static bool
+settle_term(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	bool from_leader = m->kind == REPLICA_APPEND ||
+	    m->kind == REPLICA_HEARTBEAT || m->kind == REPLICA_SNAPSHOT;
+
+	if (m->kind == REPLICA_PRE_VOTE)
+		return true;
+	if (m->kind == REPLICA_PRE_VOTE_ANSWER && !m->reject)
+		return true;
+	if (m->term > r->term) {
+		if (m->kind == REPLICA_VOTE && has_live_leader(r, now_us))
+			return false;
+		become_follower(r, m->term, from_leader ? m->from : 0, now_us);
+		return true;
+	}
+	if (m->term == r->term)
+		return true;
+	// A leader of the past learns from the answer that it is one.
+	if (from_leader)
+		answer_append(r, m->from, replica_last_index(r), true);
+	return false;
+}
+
+static void
+note_leader(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	assert(r->role != REPLICA_LEADER);
+	if (r->role != REPLICA_FOLLOWER || r->leader != m->from)
+		set_role(r, REPLICA_FOLLOWER, m->from);
+	r->leader_contact_us = now_us;
+	reset_election(r, now_us);
+}
+
+void
+replica_step(struct replica *r, const struct replica_message *m,
+    int64_t now_us)
+{
+	if (replica_has_failed(r) || !settle_term(r, m, now_us))
+		return;
+	switch (m->kind) {
+	case REPLICA_PRE_VOTE:
+		handle_pre_vote(r, m, now_us);
+		break;
+	case REPLICA_VOTE:
+		handle_vote(r, m, now_us);
+		break;
+	case REPLICA_PRE_VOTE_ANSWER:
+	case REPLICA_VOTE_ANSWER:
+		handle_vote_answer(r, m, now_us);
+		break;
+	case REPLICA_APPEND:
+		note_leader(r, m, now_us);
+		handle_append(r, m, now_us);
+		break;
+	case REPLICA_HEARTBEAT:
+		note_leader(r, m, now_us);
+		handle_heartbeat(r, m);
+		break;
+	case REPLICA_SNAPSHOT:
+		note_leader(r, m, now_us);
+		handle_snapshot(r, m, now_us);
+		break;
+	case REPLICA_APPEND_ANSWER:
+		if (r->role == REPLICA_LEADER)
+			replica_handle_append_answer(r, m, now_us);
+		break;
+	case REPLICA_HEARTBEAT_ANSWER:
+		if (r->role == REPLICA_LEADER)
+			replica_handle_heartbeat_answer(r, m, now_us);
+		break;
+	case REPLICA_MESSAGE_KINDS:
+		break;
+	}
+}
+
+/// A leader that a quorum does not answer may have been replaced.
+static void
+check_quorum(struct replica *r, int64_t now_us)
+{
+	if (now_us < r->quorum_deadline_us)
+		return;
+	r->quorum_deadline_us = now_us + r->settings.election_us;
+	if (replica_quorum_contact_us(r) <
+	    now_us - 2 * r->settings.election_us)
+		become_follower(r, r->term, 0, now_us);
+}
+
+int64_t
+replica_tick(struct replica *r, int64_t now_us)
+{
+	if (replica_has_failed(r))
+		return INT64_MAX;
+	if (r->role == REPLICA_LEADER) {
+		if (now_us >= r->heartbeat_deadline_us)
+			replica_broadcast_heartbeat(r, now_us);
+		check_quorum(r, now_us);
+	} else if (now_us >= r->election_deadline_us) {
+		if (replica_config_is_voter(&r->config, r->settings.id))
+			start_pre_vote(r, now_us);
+		else
+			reset_election(r, now_us);
+	}
+	if (r->role == REPLICA_LEADER)
+		return r->heartbeat_deadline_us;
+	return r->election_deadline_us;
+}
+
+int
+replica_propose(struct replica *r, const char *data, uint32_t size_bytes,
+    uint64_t *index, int64_t now_us, struct error *err)
+{
+	struct replica_entry e = {
+	    .index = replica_last_index(r) + 1,
+	    .term = r->term,
+	    .kind = REPLICA_ENTRY_DATA,
+	    .data = (char *)(uintptr_t)data,
+	    .size_bytes = size_bytes,
+	};
+
+	if (replica_has_failed(r))
+		return error_set(err, ERR_UNAVAILABLE, "append",
+		    r->failure.peer, "storage failed: %s", r->failure.text);
+	if (r->role != REPLICA_LEADER)
+		return error_set(err, ERR_UNAVAILABLE, "append", "",
+		    "this replica is not the leader");
+	if (r->uncommitted_bytes > r->settings.max_uncommitted_bytes)
+		return error_set(err, ERR_TOO_LARGE, "append", "",
+		    "too much is waiting for a quorum");
+	replica_log_append(r, &e);
+	*index = e.index;
+	replica_broadcast_append(r, now_us);
+	return 0;
+}
+
+static void
+apply_committed(struct replica *r)
+{
+	while (r->applied < r->commit) {
+		const struct replica_entry *e =
+		    replica_log_get(r, r->applied + 1);
+
+		assert(e != NULL);
+		r->applied++;
+		r->uncommitted_bytes -=
+		    e->size_bytes + REPLICA_ENTRY_OVERHEAD_BYTES;
+		r->ops->apply(r, e);
+	}
+}
+
+/// A leader that the committed config leaves out steps down.
+static void
+leave_if_removed(struct replica *r, int64_t now_us)
+{
+	if (r->role == REPLICA_LEADER && r->config_index <= r->commit &&
+	    r->config.old_count == 0 &&
+	    !replica_config_is_voter(&r->config, r->settings.id))
+		become_follower(r, r->term, 0, now_us);
+}
+
+void
+replica_flush(struct replica *r, int64_t now_us)
+{
+	uint64_t before;
+	struct error err;
+	uint32_t i;
+
+	do {
+		before = r->commit;
+		if (r->dirty && !replica_has_failed(r)) {
+			r->dirty = false;
+			if (r->storage->ops->sync(r->storage, &err) != 0)
+				replica_fail(r, &err);
+			else
+				r->synced = replica_last_index(r);
+		}
+		if (replica_has_failed(r)) {
+			r->outbox_count = 0;
+			if (r->role != REPLICA_FOLLOWER)
+				set_role(r, REPLICA_FOLLOWER, 0);
+			return;
+		}
+		for (i = 0; i < r->outbox_count; i++)
+			r->ops->send(r, &r->outbox[i]);
+		r->outbox_count = 0;
+		if (r->role == REPLICA_LEADER)
+			replica_advance_commit(r, now_us);
+		apply_committed(r);
+		leave_if_removed(r, now_us);
+	} while (r->dirty || r->commit != before);
+}
+
+void
+replica_compact(struct replica *r, uint64_t index, const char *data,
+    uint32_t size_bytes)
+{
+	struct replica_snapshot s = {
+	    .index = index,
+	    .term = replica_log_term(r, index),
+	    .data = (char *)(uintptr_t)data,
+	    .size_bytes = size_bytes,
+	};
+	struct error err;
+	uint64_t config_index;
+
+	assert(index <= r->applied && index > r->snapshot.index);
+	s.config = replica_config_at(r, index, &config_index);
+	copy_snapshot(r, &s);
+	r->dirty = true;
+	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) !=
+	    0)
+		replica_fail(r, &err);
+	if (index > r->settings.keep_entries)
+		replica_log_drop_prefix(r, index - r->settings.keep_entries);
+}
+
+int
+replica_init(struct replica *r, const struct replica_ops *ops, void *owner,
+    struct replica_storage *storage, const struct replica_settings *settings,
+    struct replica_stored *stored, uint64_t seed, int64_t now_us,
+    struct error *err)
+{
+	uint32_t i;
+
+	memset(r, 0, sizeof(*r));
+	r->ops = ops;
+	r->owner = owner;
+	r->storage = storage;
+	r->settings = *settings;
+	r->random.seed = seed;
+	r->term = stored->term;
+	r->vote = stored->vote;
+	r->snapshot = stored->snapshot;
+	r->entries = stored->entries;
+	r->entry_count = stored->entry_count;
+	r->entry_capacity = stored->entry_count;
+	r->first_index = stored->entry_count > 0 ? stored->entries[0].index :
+						   stored->snapshot.index + 1;
+	memset(stored, 0, sizeof(*stored));
+	if (r->first_index > r->snapshot.index + 1)
+		return error_set(err, ERR_CORRUPT, "load log", "",
+		    "entries between the snapshot and the log are missing");
+	for (i = 0; i < r->entry_count; i++) {
+		if (r->entries[i].index != r->first_index + i)
+			return error_set(err, ERR_CORRUPT, "load log", "",
+			    "entries are out of order");
+		if (r->entries[i].index > r->snapshot.index)
+			r->uncommitted_bytes += r->entries[i].size_bytes +
+			    REPLICA_ENTRY_OVERHEAD_BYTES;
+	}
+	r->commit = r->applied = r->snapshot.index;
+	r->synced = replica_last_index(r);
+	replica_find_config(r);
+	replica_progress_update(r, now_us);
+	reset_election(r, now_us);
+	if (r->snapshot.index > 0)
+		ops->restore(r, &r->snapshot);
+	return 0;
+}
+
+void
+replica_free(struct replica *r)
+{
+	free_entries(r);
+	free(r->entries);
+	free(r->snapshot.data);
+	free(r->outbox);
+	memset(r, 0, sizeof(*r));
+}
--- /dev/null
+++ b/src/core/replica_config.h
@@ -0,0 +1,66 @@
+/// @file
+/// Members of a replicated log, and its quorums.
+#ifndef MV_CORE_REPLICA_CONFIG_H
+#define MV_CORE_REPLICA_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/error.h"
+
+#define REPLICA_MAX_VOTERS   7
+#define REPLICA_MAX_LEARNERS 3
+#define REPLICA_ADDRESS_BYTES 32
+#define REPLICA_MAX_PEERS                                                      \
+	(2 * REPLICA_MAX_VOTERS + REPLICA_MAX_LEARNERS)
+#define REPLICA_CONFIG_TEXT_BYTES (REPLICA_MAX_PEERS * 64)
+
+struct replica_peer {
+	uint64_t id;
+	char address[REPLICA_ADDRESS_BYTES]; ///< "IP:port"
+};
+
+/// Voters and learners. While old_count is not 0 the change is joint: both
+/// the old and the new voters must agree.
+struct replica_config {
+	uint32_t voter_count;
+	struct replica_peer voters[REPLICA_MAX_VOTERS];
+	uint32_t old_count;
+	struct replica_peer old_voters[REPLICA_MAX_VOTERS];
+	uint32_t learner_count;
+	struct replica_peer learners[REPLICA_MAX_LEARNERS];
+};
+
+/// Writes a config as text for a log entry.
+///
+/// @return length of the text
+size_t replica_config_encode(const struct replica_config *config,
+    char out[REPLICA_CONFIG_TEXT_BYTES]);
+
+/// Reads a config from a log entry.
+///
+/// @return 0, or -1 with err set
+int replica_config_decode(const char *text, size_t text_bytes,
+    struct replica_config *config, struct error *err);
+
+bool replica_config_is_voter(const struct replica_config *config, uint64_t id);
+
+/// Finds a peer in any role; NULL if it is in none.
+const struct replica_peer *replica_config_find(
+    const struct replica_config *config, uint64_t id);
+
+/// Tells whether those for which has() is true form a quorum, of both sets
+/// while the change is joint.
+bool replica_config_has_quorum(const struct replica_config *config,
+    bool (*has)(void *arg, uint64_t id), void *arg);
+
+/// Highest value that a quorum has reached.
+uint64_t replica_config_quorum_value(const struct replica_config *config,
+    uint64_t (*value)(void *arg, uint64_t id), void *arg);
+
+/// Calls a function once for each peer in any role.
+void replica_config_each(const struct replica_config *config,
+    void (*fn)(void *arg, const struct replica_peer *peer), void *arg);
+
+#endif
--- /dev/null
+++ b/src/core/report_table.c
@@ -0,0 +1,131 @@
+// Versions in force at the proxies.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/report_table.h"
+
+void
+report_table_free(struct report_table *table)
+{
+	free(table->items);
+	table->items = NULL;
+	table->count = table->capacity = 0;
+}
+
+static uint32_t
+position(const struct report_table *table, const char *name)
+{
+	uint32_t low = 0;
+	uint32_t high = table->count;
+
+	while (low < high) {
+		uint32_t mid = (low + high) / 2;
+
+		if (strcmp(table->items[mid].member.name, name) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static struct report *
+insert(struct report_table *table, uint32_t at)
+{
+	if (table->count == table->capacity) {
+		table->capacity = table->capacity ? table->capacity * 2 : 32;
+		table->items = realloc(table->items,
+		    table->capacity * sizeof(*table->items));
+		assert(table->items != NULL);
+	}
+	memmove(table->items + at + 1, table->items + at,
+	    (table->count - at) * sizeof(*table->items));
+	table->count++;
+	memset(&table->items[at], 0, sizeof(table->items[at]));
+	return &table->items[at];
+}
+
+const struct report *
+report_table_note(struct report_table *table, const struct member *member,
+    bool leaving, int64_t now_us)
+{
+	uint32_t at = position(table, member->name);
+	struct report *r;
+
+	if (at == table->count ||
+	    strcmp(table->items[at].member.name, member->name) != 0)
+		r = insert(table, at);
+	else
+		r = &table->items[at];
+	// A late report of an earlier process says nothing of this one.
+	if (member->incarnation < r->member.incarnation)
+		return r;
+	if (member->incarnation == r->member.incarnation &&
+	    member->version < r->member.version)
+		return r;
+	r->member = *member;
+	if (member->version > r->version_seen)
+		r->version_seen = member->version;
+	r->heard_us = now_us;
+	r->left = leaving;
+	return r;
+}
+
+static void
+remove_at(struct report_table *table, uint32_t at)
+{
+	table->count--;
+	memmove(table->items + at, table->items + at + 1,
+	    (table->count - at) * sizeof(*table->items));
+}
+
+bool
+report_table_forget(struct report_table *table, const char *name)
+{
+	uint32_t at = position(table, name);
+
+	if (at == table->count ||
+	    strcmp(table->items[at].member.name, name) != 0)
+		return false;
+	remove_at(table, at);
+	return true;
+}
+
+void
+report_table_expire(struct report_table *table, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = table->count; i-- > 0;)
+		if (now_us - table->items[i].heard_us > table->forget_us)
+			remove_at(table, i);
+}
+
+bool
+report_table_in_force(const struct report_table *table,
+    const struct report *report, uint64_t version, int64_t now_us)
+{
+	return report->member.version >= version &&
+	    now_us - report->heard_us <= table->stale_us;
+}
+
+struct report_sum
+report_table_sum(const struct report_table *table, const char *region,
+    uint64_t version, int64_t now_us)
+{
+	struct report_sum sum = {0, 0};
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+
+		if (r->left ||
+		    (region != NULL && strcmp(r->member.region, region) != 0))
+			continue;
+		sum.members++;
+		sum.in_force += report_table_in_force(table, r, version,
+		    now_us);
+	}
+	return sum;
+}
--- /dev/null
+++ b/src/core/rule_store.h
@@ -0,0 +1,58 @@
+/// @file
+/// State machine of the source: which rule file is accepted.
+///
+/// A file is accepted if its version is the accepted one plus 1 when its log
+/// entry is applied, so that of two files that race exactly one wins.
+#ifndef MV_CORE_RULE_STORE_H
+#define MV_CORE_RULE_STORE_H
+
+#include <stdint.h>
+
+#include "core/error.h"
+#include "core/rules.h"
+
+enum rule_store_verdict {
+	RULE_STORE_ACCEPTED,
+	RULE_STORE_ALREADY,  ///< The very same file is accepted.
+	RULE_STORE_CONFLICT, ///< Another file won this version.
+	RULE_STORE_OLD,	     ///< The version is below the accepted one.
+	RULE_STORE_GAP,	     ///< The version skips others.
+};
+
+struct rule_store {
+	struct rules *current; ///< NULL before the first file.
+	struct rules *previous;
+	int64_t accepted_us; ///< Wall clock of the leader.
+	/// For each line of the file, from 1: version since which it has
+	/// stood there unchanged. since[0] is not used.
+	uint64_t *since;
+	uint32_t line_count;
+};
+
+void rule_store_free(struct rule_store *store);
+
+/// Tells what would become of a file now.
+enum rule_store_verdict rule_store_check(const struct rule_store *store,
+    uint64_t version, uint64_t hash);
+
+/// Builds the log entry of a file. Release it with free().
+char *rule_store_encode(const struct rules *rules, int64_t accepted_us,
+    uint32_t *size_bytes);
+
+/// Applies a log entry.
+///
+/// @return the verdict, or -1 with err set if the entry is not valid
+int rule_store_apply(struct rule_store *store, const char *entry,
+    uint32_t size_bytes, struct error *err);
+
+/// Builds a snapshot. Release it with free().
+char *rule_store_snapshot(const struct rule_store *store,
+    uint32_t *size_bytes);
+
+/// Replaces the state by that of a snapshot.
+///
+/// @return 0, or -1 with err set; the state is then unchanged
+int rule_store_restore(struct rule_store *store, const char *snapshot,
+    uint32_t size_bytes, struct error *err);
+
+#endif
--- /dev/null
+++ b/src/core/version_sync.c
@@ -0,0 +1,227 @@
+// Pull decisions for rule versions.
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/version_sync.h"
+
+#define DEADLINE_NONE	  INT64_MAX
+#define BACKOFF_FIRST_US  100000LL
+#define BACKOFF_MAX_US	  5000000LL
+#define BACKOFF_MAX_SHIFT 6
+
+void
+version_sync_init(struct version_sync *vs, const struct version_sync_ops *ops,
+    void *owner, uint64_t seed, int64_t stagger_us, int64_t pull_timeout_us)
+{
+	memset(vs, 0, sizeof(*vs));
+	vs->ops = ops;
+	vs->owner = owner;
+	vs->random.seed = seed;
+	vs->stagger_us = stagger_us;
+	vs->pull_timeout_us = pull_timeout_us;
+	vs->remote_deadline_us = DEADLINE_NONE;
+	vs->pull_deadline_us = DEADLINE_NONE;
+}
+
+uint64_t
+version_sync_weight(const char *name, uint64_t version)
+{
+	return XXH3_64bits_withSeed(name, strlen(name), version);
+}
+
+uint32_t
+version_sync_rank(const struct membership *m, uint64_t version)
+{
+	uint64_t own = version_sync_weight(m->self.name, version);
+	uint32_t rank = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->peer_count; i++) {
+		const struct peer *peer = m->peers[i];
+
+		if (peer->distance == DISTANCE_DC &&
+		    peer->member.status == MEMBER_ALIVE &&
+		    version_sync_weight(peer->member.name, version) > own)
+			rank++;
+	}
+	return rank;
+}
+
+static bool
+same_holder(const struct holder *a, const struct holder *b)
+{
+	return a->port == b->port && strcmp(a->host, b->host) == 0;
+}
+
+/// Position at which to store a holder: its own, a free one, or that of the
+/// holder least worth keeping.
+static uint32_t
+holder_slot(const struct version_sync *vs, const struct holder *holder)
+{
+	uint32_t worst = 0;
+	uint32_t i;
+
+	for (i = 0; i < vs->holder_count; i++)
+		if (same_holder(&vs->holders[i], holder))
+			return i;
+	if (vs->holder_count < VERSION_SYNC_HOLDERS)
+		return vs->holder_count;
+	for (i = 1; i < vs->holder_count; i++) {
+		const struct holder *a = &vs->holders[i];
+		const struct holder *b = &vs->holders[worst];
+
+		if (a->version < b->version ||
+		    (a->version == b->version && a->distance > b->distance))
+			worst = i;
+	}
+	return worst;
+}
+
+void
+version_sync_heard(struct version_sync *vs, const struct holder *holder,
+    uint32_t rank, int64_t now_us)
+{
+	struct holder *slot;
+	int64_t retry_deadline_us = 0;
+	uint32_t at;
+
+	if (holder->version <= vs->have_version)
+		return;
+	at = holder_slot(vs, holder);
+	slot = &vs->holders[at];
+	if (at == vs->holder_count)
+		vs->holder_count++;
+	else if (same_holder(slot, holder))
+		retry_deadline_us = slot->retry_deadline_us;
+	*slot = *holder;
+	slot->retry_deadline_us = retry_deadline_us;
+	if (holder->version <= vs->known_version)
+		return;
+	vs->known_version = holder->version;
+	vs->rank = rank;
+	if (vs->remote_deadline_us == DEADLINE_NONE)
+		vs->remote_deadline_us = now_us + rank * vs->stagger_us;
+}
+
+static void
+drop_old_holders(struct version_sync *vs)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < vs->holder_count; i++)
+		if (vs->holders[i].version > vs->have_version)
+			vs->holders[kept++] = vs->holders[i];
+	vs->holder_count = kept;
+}
+
+void
+version_sync_adopted(struct version_sync *vs, uint64_t version)
+{
+	vs->have_version = version;
+	drop_old_holders(vs);
+	if (vs->known_version <= version)
+		vs->remote_deadline_us = DEADLINE_NONE;
+}
+
+static int64_t
+backoff_us(struct version_sync *vs)
+{
+	uint32_t shift = vs->failures;
+	int64_t limit_us;
+
+	if (shift > BACKOFF_MAX_SHIFT)
+		shift = BACKOFF_MAX_SHIFT;
+	limit_us = BACKOFF_FIRST_US << shift;
+	if (limit_us > BACKOFF_MAX_US)
+		limit_us = BACKOFF_MAX_US;
+	return limit_us / 2 + random_time_us(&vs->random, limit_us / 2);
+}
+
+/// Notes on the list when a holder may be asked again.
+static void
+postpone_holder(struct version_sync *vs, const struct holder *holder,
+    int64_t deadline_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < vs->holder_count; i++)
+		if (same_holder(&vs->holders[i], holder))
+			vs->holders[i].retry_deadline_us = deadline_us;
+}
+
+void
+version_sync_done(struct version_sync *vs, bool ok, int64_t wait_us,
+    int64_t now_us)
+{
+	if (!vs->pulling)
+		return;
+	vs->pulling = false;
+	vs->pull_deadline_us = DEADLINE_NONE;
+	vs->retry_deadline_us = now_us;
+	if (ok) {
+		vs->failures = 0;
+		return;
+	}
+	if (wait_us <= 0)
+		wait_us = backoff_us(vs);
+	postpone_holder(vs, &vs->pulling_from, now_us + wait_us);
+	vs->failures++;
+}
+
+static bool
+is_better(const struct holder *a, const struct holder *b)
+{
+	if (b == NULL || a->distance != b->distance)
+		return b == NULL || a->distance < b->distance;
+	// A proxy before a source, whose capacity does not grow with the fleet.
+	if (a->is_source != b->is_source)
+		return b->is_source;
+	return a->version > b->version;
+}
+
+/// Holder to ask now; or NULL, with the time at which to look again.
+static const struct holder *
+choose_holder(const struct version_sync *vs, int64_t now_us, int64_t *next_us)
+{
+	const struct holder *best = NULL;
+	uint32_t i;
+
+	*next_us = DEADLINE_NONE;
+	for (i = 0; i < vs->holder_count; i++) {
+		const struct holder *h = &vs->holders[i];
+		int64_t from_us = h->retry_deadline_us;
+
+		if (h->distance != DISTANCE_DC &&
+		    from_us < vs->remote_deadline_us)
+			from_us = vs->remote_deadline_us;
+		if (from_us > now_us) {
+			if (from_us < *next_us)
+				*next_us = from_us;
+			continue;
+		}
+		if (is_better(h, best))
+			best = h;
+	}
+	return best;
+}
+
+int64_t
+version_sync_tick(struct version_sync *vs, int64_t now_us)
+{
+	const struct holder *holder;
+	int64_t next_us;
+
+	if (vs->pulling && now_us >= vs->pull_deadline_us)
+		version_sync_done(vs, false, 0, now_us);
+	if (vs->pulling)
+		return vs->pull_deadline_us;
+	holder = choose_holder(vs, now_us, &next_us);
+	if (holder == NULL)
+		return next_us;
+	vs->pulling = true;
+	vs->pulling_from = *holder;
+	vs->pull_deadline_us = now_us + vs->pull_timeout_us;
+	vs->ops->pull(vs, &vs->pulling_from);
+	return vs->pull_deadline_us;
+}
--- /dev/null
+++ b/src/ctl/commands.c
@@ -0,0 +1,289 @@
+// Commands of mvctl, but for status.
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "core/delta.h"
+#include "core/rules.h"
+#include "ctl/ctl.h"
+#include "io/clock.h"
+
+#define RETRY_US 200000
+
+static void
+print_errors(const char *path, const struct rules_errors *errors)
+{
+	uint32_t shown = errors->count < RULES_MAX_ERRORS ? errors->count :
+							    RULES_MAX_ERRORS;
+	uint32_t i;
+
+	for (i = 0; i < shown; i++)
+		fprintf(stderr, "%s:%u:%u: %s\n", path,
+		    errors->items[i].line, errors->items[i].column,
+		    errors->items[i].text);
+	fprintf(stderr, "%s: refused, %u error%s\n", path, errors->count,
+	    errors->count == 1 ? "" : "s");
+}
+
+/// Parses a file and prints its errors; NULL if it has any.
+static struct rules *
+load_rules(const char *path, char **text, size_t *text_bytes)
+{
+	struct rules_errors *errors;
+	struct rules *rules;
+
+	*text = ctl_read_file(path, text_bytes);
+	if (*text == NULL)
+		return NULL;
+	errors = malloc(sizeof(*errors));
+	if (errors == NULL)
+		abort();
+	rules = rules_parse(*text, *text_bytes, errors);
+	if (rules == NULL)
+		print_errors(path, errors);
+	free(errors);
+	return rules;
+}
+
+int
+ctl_check(struct ctl *ctl)
+{
+	char *text;
+	size_t text_bytes;
+	struct rules *rules = load_rules(ctl->args[0], &text, &text_bytes);
+
+	free(text);
+	if (rules == NULL)
+		return CTL_REFUSED;
+	printf("%s: version %" PRIu64 ", %u ranks, %u services, %u routes\n",
+	    ctl->args[0], rules->version, rules->rank_count,
+	    rules->service_count, rules->route_count);
+	rules_unref(rules);
+	return CTL_OK;
+}
+
+static int
+report_no_answer(const struct ctl_answer *a)
+{
+	fprintf(stderr, "mvctl: no source answered: %s\n",
+	    a->failure[0] == '\0' ? "none is given" : a->failure);
+	return CTL_UNAVAILABLE;
+}
+
+static const char *
+get_text(const json_t *root, const char *key)
+{
+	const char *text = json_string_value(json_object_get(root, key));
+
+	return text == NULL ? "" : text;
+}
+
+static void
+print_submit_answer(const struct ctl_answer *a, const json_t *root)
+{
+	const json_t *accepted = json_object_get(root, "accepted");
+	const char *why = get_text(root, "why");
+
+	printf("version %" JSON_INTEGER_FORMAT ": %s\n",
+	    json_integer_value(json_object_get(root, "version")),
+	    get_text(root, "result"));
+	if (why[0] != '\0')
+		printf("why: %s\n", why);
+	if (a->status == 409)
+		printf("accepted is version %" JSON_INTEGER_FORMAT
+		       " (hash %s) by: %s\n",
+		    json_integer_value(json_object_get(accepted, "version")),
+		    get_text(accepted, "hash"), get_text(accepted, "owner"));
+}
+
+static int
+exit_code_of(long status)
+{
+	if (status >= 200 && status < 300)
+		return CTL_OK;
+	if (status == 409)
+		return CTL_CONFLICT;
+	if (status == 503)
+		return CTL_UNAVAILABLE;
+	return CTL_REFUSED;
+}
+
+/// Submits a file; with --wait again and again while no source can decide,
+/// which is safe since the same file is accepted only once.
+static bool
+submit(struct ctl *ctl, const char *text, size_t text_bytes,
+    struct ctl_answer *a)
+{
+	int64_t deadline_us = clock_now_us() + ctl->wait_s * US_PER_S;
+
+	for (;;) {
+		bool answered = ctl_request(ctl, "POST", "/rules", text,
+		    text_bytes, a);
+
+		if ((answered && a->status != 503) || !ctl->wait ||
+		    clock_now_us() >= deadline_us)
+			return answered;
+		ctl_answer_free(a);
+		usleep(RETRY_US);
+	}
+}
+
+int
+ctl_apply(struct ctl *ctl)
+{
+	struct ctl_answer a;
+	char *text;
+	size_t text_bytes;
+	struct rules *rules = load_rules(ctl->args[0], &text, &text_bytes);
+	json_t *root;
+	bool answered;
+	int exit_code;
+
+	if (rules == NULL) {
+		free(text);
+		return CTL_REFUSED;
+	}
+	rules_unref(rules);
+	answered = submit(ctl, text, text_bytes, &a);
+	free(text);
+	if (!answered)
+		return report_no_answer(&a);
+	root = json_loads(a.body, 0, NULL);
+	if (ctl->json)
+		printf("%s\n", a.body);
+	else
+		print_submit_answer(&a, root);
+	exit_code = exit_code_of(a.status);
+	json_decref(root);
+	ctl_answer_free(&a);
+	if (exit_code == CTL_OK && ctl->wait)
+		return ctl_status(ctl);
+	return exit_code;
+}
+
+int
+ctl_show(struct ctl *ctl)
+{
+	struct ctl_answer a;
+	int exit_code;
+
+	if (!ctl_request(ctl, "GET", "/rules", NULL, 0, &a))
+		return report_no_answer(&a);
+	exit_code = exit_code_of(a.status);
+	fputs(a.body, exit_code == CTL_OK ? stdout : stderr);
+	ctl_answer_free(&a);
+	return exit_code;
+}
+
+static const char *
+skip_lines(const char *text, uint32_t count)
+{
+	while (count-- > 0) {
+		const char *eol = strchr(text, '\n');
+
+		if (eol == NULL)
+			return text + strlen(text);
+		text = eol + 1;
+	}
+	return text;
+}
+
+static void
+print_marked(char mark, const char *text, const char *end)
+{
+	while (text < end) {
+		size_t n = strcspn(text, "\n");
+
+		if (text + n > end)
+			n = (size_t)(end - text);
+		printf("%c %.*s\n", mark, (int)n, text);
+		text += n + 1;
+	}
+}
+
+/// Prints the lines that differ; lines that moved show as both.
+static void
+print_diff(const char *old, const char *new, size_t new_bytes)
+{
+	struct delta delta;
+	uint32_t at = 0;
+	uint32_t i;
+
+	delta_make(old, strlen(old), new, new_bytes, &delta);
+	for (i = 0; i < delta.step_count; i++) {
+		const struct delta_step *s = &delta.steps[i];
+
+		if (s->copy_count > 0 && s->copy_from > at)
+			print_marked('-', skip_lines(old, at),
+			    skip_lines(old, s->copy_from));
+		if (s->copy_count > 0)
+			at = s->copy_from + s->copy_count;
+		print_marked('+', s->insert, s->insert + s->insert_bytes);
+	}
+	print_marked('-', skip_lines(old, at), old + strlen(old));
+	delta_free(&delta);
+}
+
+int
+ctl_diff(struct ctl *ctl)
+{
+	struct ctl_answer a;
+	char *text;
+	size_t text_bytes;
+
+	text = ctl_read_file(ctl->args[0], &text_bytes);
+	if (text == NULL)
+		return CTL_USAGE;
+	if (!ctl_request(ctl, "GET", "/rules", NULL, 0, &a)) {
+		free(text);
+		return report_no_answer(&a);
+	}
+	if (a.status == 200 || a.status == 404)
+		print_diff(a.status == 200 ? a.body : "", text, text_bytes);
+	else
+		fprintf(stderr, "%s\n", a.body);
+	free(text);
+	if (a.status == 404)
+		a.status = 200;
+	return exit_code_of(a.status);
+}
+
+static int
+post_simple(struct ctl *ctl, const char *target, const char *body)
+{
+	struct ctl_answer a;
+	int exit_code;
+
+	if (!ctl_request(ctl, "POST", target, body, strlen(body), &a))
+		return report_no_answer(&a);
+	exit_code = exit_code_of(a.status);
+	printf("%s\n", a.body);
+	ctl_answer_free(&a);
+	return exit_code;
+}
+
+int
+ctl_forget(struct ctl *ctl)
+{
+	char target[160];
+
+	snprintf(target, sizeof(target), "/forget?name=%s", ctl->args[0]);
+	return post_simple(ctl, target, "");
+}
+
+int
+ctl_replace(struct ctl *ctl)
+{
+	json_t *root = json_pack("{s:I, s:I, s:s}", "remove",
+	    (json_int_t)ctl->remove_id, "add", (json_int_t)ctl->add_id,
+	    "address", ctl->add_address);
+	char *body = json_dumps(root, JSON_COMPACT);
+	int exit_code = post_simple(ctl, "/replicas", body);
+
+	free(body);
+	json_decref(root);
+	return exit_code;
+}
--- /dev/null
+++ b/src/io/counters.c
@@ -0,0 +1,33 @@
+// Registry of counters.
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "io/counters.h"
+
+static struct counter *first;
+
+void
+counter_register(struct counter *counter)
+{
+	struct counter **at = &first;
+
+	while (*at != NULL && strcmp((*at)->name, counter->name) < 0)
+		at = &(*at)->next;
+	counter->next = *at;
+	*at = counter;
+}
+
+void
+counters_render(msgpack_sbuffer *out)
+{
+	struct counter *c;
+	char line[160];
+
+	for (c = first; c != NULL; c = c->next) {
+		int n = snprintf(line, sizeof(line), "%s %" PRId64 "\n",
+		    c->name, atomic_load(&c->value));
+
+		msgpack_sbuffer_write(out, line, (size_t)n);
+	}
+}
--- /dev/null
+++ b/src/io/counters.h
@@ -0,0 +1,44 @@
+/// @file
+/// Counters of a process, read at GET /counters on its admin address.
+#ifndef MV_IO_COUNTERS_H
+#define MV_IO_COUNTERS_H
+
+#include <msgpack/sbuffer.h>
+#include <stdatomic.h>
+#include <stdint.h>
+
+/// A named value. Define it with COUNTER_DEFINE and never free it.
+struct counter {
+	const char *name;
+	const char *help;
+	_Atomic int64_t value;
+	struct counter *next;
+};
+
+/// Defines a file-scope counter that registers itself at start-up.
+#define COUNTER_DEFINE(var_, name_, help_)                                     \
+	static struct counter var_ = {.name = (name_), .help = (help_)};       \
+	__attribute__((constructor)) static void var_##_register(void)         \
+	{                                                                      \
+		counter_register(&var_);                                       \
+	}                                                                      \
+	struct counter
+
+void counter_register(struct counter *counter);
+
+static inline void
+counter_add(struct counter *counter, int64_t n)
+{
+	atomic_fetch_add_explicit(&counter->value, n, memory_order_relaxed);
+}
+
+static inline void
+counter_set(struct counter *counter, int64_t n)
+{
+	atomic_store_explicit(&counter->value, n, memory_order_relaxed);
+}
+
+/// Appends all counters, sorted by name, a line "name value" each.
+void counters_render(msgpack_sbuffer *out);
+
+#endif
--- /dev/null
+++ b/src/io/httpd.c
@@ -0,0 +1,612 @@
+// HTTP server: libmicrohttpd with external polling.
+#include <assert.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "io/clock.h"
+#include "io/httpd.h"
+#include "io/log.h"
+
+#define CONNECTION_MEMORY_BYTES (32 * 1024)
+#define LOST_CALLER_SCAN_US	(100 * US_PER_MS)
+#define MAX_RUNS_PER_ROUND	16
+#define STREAM_BLOCK_BYTES	(32 * 1024)
+
+struct httpd {
+	struct loop *loop;
+	struct MHD_Daemon *daemon;
+	const struct httpd_ops *ops;
+	void *owner;
+	struct httpd_limits limits;
+	struct loop_watch watch;
+	struct loop_hook hook;
+	struct loop_timer scan_timer;
+	struct exchange *first;
+	uint32_t active_count;
+	bool draining;
+	bool ready; ///< The library has work to do.
+};
+
+/// Private part of an exchange.
+struct exchange {
+	struct http_exchange pub;
+	struct MHD_Connection *connection;
+	struct exchange *next;
+	struct exchange *prev;
+	struct MHD_Response *response;
+	uint32_t status;
+	int64_t credit_bytes;
+	char *out; ///< Streamed response bytes not yet taken.
+	size_t out_bytes;
+	size_t out_capacity_bytes;
+	bool dispatched;
+	bool upload_done;
+	bool suspended;
+	bool discarding; ///< Answered early: drop the rest of the upload.
+	bool out_ended;
+	bool out_complete;
+	bool queued;
+};
+
+static struct exchange *
+exchange_of(struct http_exchange *pub)
+{
+	return (struct exchange *)pub;
+}
+
+static void
+exchange_suspend(struct exchange *x)
+{
+	assert(!x->suspended);
+	x->suspended = true;
+	MHD_suspend_connection(x->connection);
+}
+
+static void
+exchange_resume(struct exchange *x)
+{
+	if (!x->suspended)
+		return;
+	x->suspended = false;
+	x->pub.httpd->ready = true;
+	MHD_resume_connection(x->connection);
+}
+
+/// Keeps the whole request target, query included.
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
+{
+	struct httpd *httpd = cls;
+	struct exchange *x = calloc(1, sizeof(*x));
+
+	assert(x != NULL);
+	x->pub.httpd = httpd;
+	x->pub.target = strdup(uri);
+	assert(x->pub.target != NULL);
+	x->pub.arrival_us = clock_now_us();
+	x->connection = connection;
+	x->next = httpd->first;
+	if (x->next != NULL)
+		x->next->prev = x;
+	httpd->first = x;
+	httpd->active_count++;
+	return x;
+}
+
+static void
+exchange_free(struct exchange *x)
+{
+	struct httpd *httpd = x->pub.httpd;
+
+	if (x->prev != NULL)
+		x->prev->next = x->next;
+	else
+		httpd->first = x->next;
+	if (x->next != NULL)
+		x->next->prev = x->prev;
+	httpd->active_count--;
+	if (x->response != NULL)
+		MHD_destroy_response(x->response);
+	free(x->pub.target);
+	free(x->pub.body);
+	free(x->out);
+	free(x);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	struct httpd *httpd = cls;
+	struct exchange *x = *con_cls;
+
+	(void)connection;
+	if (x == NULL)
+		return;
+	x->suspended = false;
+	if (x->dispatched)
+		httpd->ops->on_end(&x->pub,
+		    code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+			(x->out_complete || !x->out_ended));
+	exchange_free(x);
+	*con_cls = NULL;
+}
+
+/// Response with a plain text body, queued at once.
+static enum MHD_Result
+queue_refusal(struct MHD_Connection *connection, unsigned int status,
+    const char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rc;
+
+	MHD_add_response_header(response, "Magnolia-Outcome", "not-run");
+	rc = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return rc;
+}
+
+static void
+exchange_dispatch(struct exchange *x, bool more)
+{
+	x->dispatched = true;
+	x->pub.more = more;
+	x->pub.httpd->ops->on_request(x->pub.httpd->owner, &x->pub);
+}
+
+static void
+append_body(struct exchange *x, const char *data, size_t size_bytes)
+{
+	char *grown = realloc(x->pub.body, x->pub.body_bytes + size_bytes + 1);
+
+	assert(grown != NULL);
+	memcpy(grown + x->pub.body_bytes, data, size_bytes);
+	x->pub.body = grown;
+	x->pub.body_bytes += size_bytes;
+	x->pub.body[x->pub.body_bytes] = '\0';
+}
+
+/// Hands a part of the upload on, as far as the credit goes.
+static enum MHD_Result
+take_upload(struct exchange *x, const char *data, size_t *size_bytes)
+{
+	const struct httpd *httpd = x->pub.httpd;
+	size_t n = *size_bytes;
+
+	if (x->discarding) {
+		*size_bytes = 0;
+		return MHD_YES;
+	}
+	if (!x->dispatched) {
+		append_body(x, data, n);
+		*size_bytes = 0;
+		if (x->pub.body_bytes > HTTPD_WHOLE_BODY_BYTES &&
+		    httpd->ops->on_body != NULL)
+			exchange_dispatch(x, true);
+		else if ((int64_t)x->pub.body_bytes >
+		    httpd->limits.max_body_bytes)
+			return MHD_NO;
+		return MHD_YES;
+	}
+	if ((int64_t)n > x->credit_bytes)
+		n = (size_t)x->credit_bytes;
+	if (n == 0) {
+		exchange_suspend(x);
+		return MHD_YES;
+	}
+	x->credit_bytes -= (int64_t)n;
+	*size_bytes -= n;
+	httpd->ops->on_body(&x->pub, data, n, false);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+queue_response(struct exchange *x)
+{
+	if (x->queued)
+		return MHD_YES;
+	x->queued = true;
+	return MHD_queue_response(x->connection, x->status, x->response);
+}
+
+static enum MHD_Result
+finish_upload(struct exchange *x)
+{
+	if (!x->upload_done) {
+		x->upload_done = true;
+		if (!x->dispatched)
+			exchange_dispatch(x, false);
+		else if (!x->discarding)
+			x->pub.httpd->ops->on_body(&x->pub, NULL, 0, true);
+	}
+	if (x->response != NULL)
+		return queue_response(x);
+	if (!x->suspended)
+		exchange_suspend(x);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+begin_request(struct exchange *x)
+{
+	const struct httpd *httpd = x->pub.httpd;
+	const char *length = MHD_lookup_connection_value(x->connection,
+	    MHD_HEADER_KIND, "Content-Length");
+
+	if (length != NULL &&
+	    strtoll(length, NULL, 10) > httpd->limits.max_body_bytes)
+		return queue_refusal(x->connection, 413,
+		    "request body is too large\n");
+	return MHD_YES;
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *upload_data,
+    size_t *upload_data_size, void **con_cls)
+{
+	struct exchange *x = *con_cls;
+
+	(void)cls;
+	(void)connection;
+	(void)url;
+	(void)version;
+	if (x->pub.method == NULL) {
+		x->pub.method = method;
+		return begin_request(x);
+	}
+	if (*upload_data_size > 0)
+		return take_upload(x, upload_data, upload_data_size);
+	return finish_upload(x);
+}
+
+static void
+run_daemon(struct httpd *httpd)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	int i;
+
+	for (i = 0; i < MAX_RUNS_PER_ROUND; i++) {
+		httpd->ready = false;
+		MHD_run(httpd->daemon);
+		if (httpd->ready)
+			continue;
+		if (MHD_get_timeout(httpd->daemon, &timeout_ms) != MHD_YES ||
+		    timeout_ms > 0)
+			return;
+	}
+	httpd->ready = true;
+}
+
+static void
+on_epoll_ready(void *arg, uint32_t events)
+{
+	struct httpd *httpd = arg;
+
+	(void)events;
+	httpd->ready = true;
+}
+
+static int64_t
+before_wait(void *arg)
+{
+	struct httpd *httpd = arg;
+
+	if (httpd->ready)
+		run_daemon(httpd);
+	return httpd->ready ? 0 : DEADLINE_NEVER_US;
+}
+
+/// The library does not watch a suspended connection: look whether the
+/// caller has closed it.
+static bool
+caller_is_gone(const struct exchange *x)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+	ssize_t n;
+
+	if (info == NULL)
+		return false;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+			     errno != EINTR);
+}
+
+static void
+scan_lost_callers(void *arg)
+{
+	struct httpd *httpd = arg;
+	int64_t now_us = loop_now_us(httpd->loop);
+	struct exchange *x;
+
+	for (x = httpd->first; x != NULL; x = x->next) {
+		if (!x->suspended || x->response != NULL ||
+		    now_us - x->pub.arrival_us < LOST_CALLER_SCAN_US)
+			continue;
+		if (caller_is_gone(x))
+			http_exchange_respond_text(&x->pub, 499, "");
+	}
+	// Runs the library's own timeouts too.
+	httpd->ready = true;
+	loop_timer_set(httpd->loop, &httpd->scan_timer,
+	    now_us + LOST_CALLER_SCAN_US);
+}
+
+static void
+log_library(void *cls, const char *fmt, va_list ap)
+{
+	char text[256];
+
+	(void)cls;
+	vsnprintf(text, sizeof(text), fmt, ap);
+	text[strcspn(text, "\n")] = '\0';
+	log_write(LOG_DEBUG, "http", "%s", text);
+}
+
+static int
+start_daemon(struct httpd *httpd, const struct address *at)
+{
+	httpd->daemon = MHD_start_daemon(MHD_USE_EPOLL |
+		MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
+	    0, NULL, NULL, on_access, httpd, MHD_OPTION_EXTERNAL_LOGGER,
+	    log_library, NULL, MHD_OPTION_SOCK_ADDR, &at->in,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, httpd,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned int)httpd->limits.max_connections,
+	    MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned int)httpd->limits.idle_timeout_s,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+	    (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_END);
+	return httpd->daemon == NULL ? -1 : 0;
+}
+
+static void
+read_bound_address(const struct httpd *httpd, struct address *bound)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	socklen_t len = sizeof(bound->in);
+
+	getsockname(info->listen_fd, (struct sockaddr *)&bound->in, &len);
+}
+
+struct httpd *
+httpd_open(struct loop *loop, const struct address *at,
+    const struct httpd_ops *ops, void *owner,
+    const struct httpd_limits *limits, struct address *bound,
+    struct error *err)
+{
+	struct httpd *httpd = calloc(1, sizeof(*httpd));
+	const union MHD_DaemonInfo *info;
+	char text[ADDRESS_TEXT_BYTES];
+
+	assert(httpd != NULL);
+	httpd->loop = loop;
+	httpd->ops = ops;
+	httpd->owner = owner;
+	httpd->limits = *limits;
+	if (start_daemon(httpd, at) != 0) {
+		address_format(at, text);
+		error_set(err, ERR_IO, "listen", text, "%s", strerror(errno));
+		free(httpd);
+		return NULL;
+	}
+	read_bound_address(httpd, bound);
+	info = MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	httpd->watch.fn = on_epoll_ready;
+	httpd->watch.arg = httpd;
+	loop_watch_set(loop, &httpd->watch, info->epoll_fd, LOOP_READ);
+	httpd->hook.fn = before_wait;
+	httpd->hook.arg = httpd;
+	loop_hook_add(loop, &httpd->hook);
+	httpd->scan_timer.fn = scan_lost_callers;
+	httpd->scan_timer.arg = httpd;
+	loop_timer_set(loop, &httpd->scan_timer,
+	    loop_now_us(loop) + LOST_CALLER_SCAN_US);
+	return httpd;
+}
+
+void
+httpd_drain(struct httpd *httpd)
+{
+	MHD_socket fd;
+
+	if (httpd->draining)
+		return;
+	httpd->draining = true;
+	fd = MHD_quiesce_daemon(httpd->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		shutdown(fd, SHUT_RDWR);
+	httpd->ready = true;
+}
+
+uint32_t
+httpd_active_count(const struct httpd *httpd)
+{
+	return httpd->active_count;
+}
+
+void
+httpd_close(struct httpd *httpd)
+{
+	struct exchange *x;
+
+	if (httpd == NULL)
+		return;
+	loop_timer_clear(httpd->loop, &httpd->scan_timer);
+	loop_watch_set(httpd->loop, &httpd->watch, httpd->watch.fd, 0);
+	for (x = httpd->first; x != NULL; x = x->next)
+		exchange_resume(x);
+	MHD_stop_daemon(httpd->daemon);
+	loop_hook_remove(httpd->loop, &httpd->hook);
+	free(httpd);
+}
+
+const char *
+http_exchange_header(const struct http_exchange *exchange, const char *name)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+
+	return MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
+	    name);
+}
+
+struct visit {
+	void (*fn)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result
+visit_header(void *cls, enum MHD_ValueKind kind, const char *key,
+    const char *value)
+{
+	struct visit *visit = cls;
+
+	(void)kind;
+	visit->fn(visit->arg, key, value == NULL ? "" : value);
+	return MHD_YES;
+}
+
+void
+http_exchange_each_header(const struct http_exchange *exchange,
+    void (*fn)(void *arg, const char *name, const char *value), void *arg)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+	struct visit visit = {fn, arg};
+
+	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, visit_header,
+	    &visit);
+}
+
+/// Stores the response; the library takes it when it next runs the
+/// connection.
+static void
+set_response(struct exchange *x, uint32_t status,
+    struct MHD_Response *response, const struct http_header *headers,
+    size_t header_count)
+{
+	size_t i;
+
+	assert(response != NULL);
+	if (x->response != NULL) {
+		// The caller has gone, and the response was set for that.
+		MHD_destroy_response(response);
+		return;
+	}
+	for (i = 0; i < header_count; i++)
+		MHD_add_response_header(response, headers[i].name,
+		    headers[i].value);
+	if (x->pub.httpd->draining)
+		MHD_add_response_header(response, "Connection", "close");
+	x->response = response;
+	x->status = status;
+	if (!x->upload_done)
+		x->discarding = true;
+	exchange_resume(x);
+}
+
+void
+http_exchange_respond(struct http_exchange *exchange, uint32_t status,
+    const struct http_header *headers, size_t header_count, const char *body,
+    size_t body_bytes)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+
+	set_response(exchange_of(exchange), status, response, headers,
+	    header_count);
+}
+
+void
+http_exchange_respond_text(struct http_exchange *exchange, uint32_t status,
+    const char *text)
+{
+	static const struct http_header PLAIN = {"Content-Type",
+	    "text/plain; charset=utf-8"};
+
+	http_exchange_respond(exchange, status, &PLAIN, 1, text, strlen(text));
+}
+
+/// Gives the library bytes of a streamed response.
+static ssize_t
+read_out(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct exchange *x = cls;
+	size_t n = x->out_bytes < max ? x->out_bytes : max;
+
+	(void)pos;
+	if (n == 0 && x->out_ended)
+		return x->out_complete ? MHD_CONTENT_READER_END_OF_STREAM :
+					 MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n == 0) {
+		if (!x->suspended)
+			exchange_suspend(x);
+		return 0;
+	}
+	memcpy(buf, x->out, n);
+	memmove(x->out, x->out + n, x->out_bytes - n);
+	x->out_bytes -= n;
+	if (x->pub.httpd->ops->on_drained != NULL)
+		x->pub.httpd->ops->on_drained(&x->pub, n);
+	return (ssize_t)n;
+}
+
+void
+http_exchange_respond_start(struct http_exchange *exchange, uint32_t status,
+    const struct http_header *headers, size_t header_count,
+    int64_t total_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+	uint64_t size_bytes =
+	    total_bytes < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)total_bytes;
+
+	set_response(x, status,
+	    MHD_create_response_from_callback(size_bytes, STREAM_BLOCK_BYTES,
+		read_out, x, NULL),
+	    headers, header_count);
+}
+
+void
+http_exchange_respond_body(struct http_exchange *exchange, const char *data,
+    size_t size_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	if (x->out_bytes + size_bytes > x->out_capacity_bytes) {
+		x->out_capacity_bytes = x->out_bytes + size_bytes;
+		x->out = realloc(x->out, x->out_capacity_bytes);
+		assert(x->out != NULL);
+	}
+	memcpy(x->out + x->out_bytes, data, size_bytes);
+	x->out_bytes += size_bytes;
+	exchange_resume(x);
+}
+
+void
+http_exchange_respond_end(struct http_exchange *exchange, bool complete)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	x->out_ended = true;
+	x->out_complete = complete;
+	exchange_resume(x);
+}
+
+void
+http_exchange_grant(struct http_exchange *exchange, size_t size_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	x->credit_bytes += (int64_t)size_bytes;
+	if (!x->upload_done)
+		exchange_resume(x);
+}
--- /dev/null
+++ b/src/io/program.c
@@ -0,0 +1,182 @@
+// Start and end of a program.
+#include <argp.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "io/log.h"
+#include "io/program.h"
+
+#define MAX_FLAGS     8
+#define KEY_CHECK     1000
+#define KEY_DESCRIBE  1001
+#define KEY_FIRST_FLAG 1100
+
+const char *argp_program_version = "magnoliavalve " MV_VERSION;
+
+struct command_line {
+	const struct program *program;
+	const char *settings_path;
+	bool check_only;
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct command_line *c = state->input;
+	const struct program *p = c->program;
+
+	if (key >= KEY_FIRST_FLAG &&
+	    key < KEY_FIRST_FLAG + (int)p->flag_count) {
+		*p->flags[key - KEY_FIRST_FLAG].value = true;
+		return 0;
+	}
+	switch (key) {
+	case KEY_CHECK:
+		c->check_only = true;
+		return 0;
+	case KEY_DESCRIBE:
+		settings_describe(p->fields, p->field_count, stdout);
+		exit(EXIT_OK);
+	case ARGP_KEY_ARG:
+		if (c->settings_path != NULL)
+			argp_usage(state);
+		c->settings_path = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (c->settings_path == NULL)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int
+open_log(const struct program *program, const char *path)
+{
+	const struct program_log *log = program->log;
+	enum log_level level;
+	struct error err;
+
+	if (log_parse_level(log->level, &level) != 0) {
+		fprintf(stderr,
+		    "%s: log.level: must be debug, info, warn or error\n",
+		    path);
+		return -1;
+	}
+	if (log_open(log->path, level, log->json, &err) != 0) {
+		fprintf(stderr, "%s: log.path: %s\n", path, err.text);
+		return -1;
+	}
+	return 0;
+}
+
+int
+program_start(const struct program *program, int argc, char **argv)
+{
+	struct argp_option options[MAX_FLAGS + 3] = {
+	    {.name = "check-settings", .key = KEY_CHECK,
+		.doc = "Check the settings and exit"},
+	    {.name = "describe-settings", .key = KEY_DESCRIBE,
+		.doc = "List the settings and exit"},
+	};
+	struct argp argp = {.options = options, .parser = parse_option,
+	    .args_doc = "SETTINGS.json", .doc = program->purpose};
+	struct command_line c = {.program = program};
+	size_t i;
+
+	for (i = 0; i < program->flag_count && i < MAX_FLAGS; i++) {
+		options[i + 2].name = program->flags[i].name;
+		options[i + 2].key = KEY_FIRST_FLAG + (int)i;
+		options[i + 2].doc = program->flags[i].help;
+	}
+	argp_err_exit_status = EXIT_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &c);
+	if (settings_load(c.settings_path, program->fields,
+		program->field_count, program->settings, stderr) > 0)
+		return EXIT_USAGE;
+	if (open_log(program, c.settings_path) != 0)
+		return EXIT_USAGE;
+	if (c.check_only) {
+		printf("%s: settings are valid\n", c.settings_path);
+		return EXIT_OK;
+	}
+	return -1;
+}
+
+static void
+fill_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+}
+
+void
+program_block_signals(void)
+{
+	sigset_t set;
+
+	fill_signals(&set);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+/// The one watch of a process for its termination signals.
+static struct {
+	struct loop_watch watch;
+	void (*fn)(void *arg);
+	void *arg;
+} signals;
+
+static void
+on_signal(void *arg, uint32_t events)
+{
+	struct signalfd_siginfo info;
+
+	(void)arg;
+	(void)events;
+	if (read(signals.watch.fd, &info, sizeof(info)) == sizeof(info))
+		signals.fn(signals.arg);
+}
+
+int
+program_watch_signals(struct loop *loop, void (*fn)(void *arg), void *arg,
+    struct error *err)
+{
+	sigset_t set;
+	int fd;
+
+	fill_signals(&set);
+	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (fd < 0)
+		return error_set(err, ERR_IO, "watch signals", "", "%s",
+		    strerror(errno));
+	signals.fn = fn;
+	signals.arg = arg;
+	signals.watch.fn = on_signal;
+	loop_watch_set(loop, &signals.watch, fd, LOOP_READ);
+	return 0;
+}
+
+int
+program_write_bound(const char *path, const char *text, struct error *err)
+{
+	char temporary[SETTINGS_TEXT_BYTES + 8];
+	FILE *f;
+
+	if (path[0] == '\0')
+		return 0;
+	snprintf(temporary, sizeof(temporary), "%s.new", path);
+	f = fopen(temporary, "w");
+	if (f == NULL || fputs(text, f) == EOF || fclose(f) != 0 ||
+	    rename(temporary, path) != 0)
+		return error_set(err, ERR_IO, "write addresses", path, "%s",
+		    strerror(errno));
+	return 0;
+}
--- /dev/null
+++ b/src/io/program.h
@@ -0,0 +1,75 @@
+/// @file
+/// What all programs share: command line, settings, log, termination signals.
+#ifndef MV_IO_PROGRAM_H
+#define MV_IO_PROGRAM_H
+
+#include <stdbool.h>
+
+#include "io/loop.h"
+#include "io/settings.h"
+
+/// Exit codes of all programs.
+enum program_exit {
+	EXIT_OK = 0,
+	EXIT_FAILED = 1,  ///< It ran and failed.
+	EXIT_USAGE = 2,	  ///< Command line or settings are invalid.
+};
+
+/// Log keys that every settings struct starts with.
+struct program_log {
+	char path[SETTINGS_TEXT_BYTES];
+	char level[SETTINGS_TEXT_BYTES];
+	bool json;
+};
+
+/// Entries for the settings table, for a struct with a `log` member.
+#define PROGRAM_LOG_FIELDS(struct_)                                            \
+	{"log.path", SETTINGS_TEXT, offsetof(struct_, log.path), false, 0, 0,  \
+	    "\"\"", "file to append to; empty: standard error"},               \
+	    {"log.level", SETTINGS_TEXT, offsetof(struct_, log.level), false,  \
+		0, 0, "\"info\"", "debug, info, warn or error"},               \
+	{                                                                      \
+		"log.json", SETTINGS_BOOL, offsetof(struct_, log.json), false, \
+		    0, 0, "false", "JSON lines instead of text"                \
+	}
+
+/// An extra command line flag.
+struct program_flag {
+	const char *name;
+	const char *help;
+	bool *value;
+};
+
+struct program {
+	const char *name;
+	const char *purpose;
+	const struct settings_field *fields;
+	size_t field_count;
+	void *settings;
+	struct program_log *log; ///< Inside settings.
+	const struct program_flag *flags;
+	size_t flag_count;
+};
+
+/// Parses the command line, loads the settings, opens the log.
+///
+/// @return -1 to go on, or the exit code to end with
+int program_start(const struct program *program, int argc, char **argv);
+
+/// Blocks SIGTERM and SIGINT in all threads; call before any thread starts.
+void program_block_signals(void);
+
+/// Calls a function on SIGTERM or SIGINT.
+///
+/// @return 0, or -1 with err set
+int program_watch_signals(struct loop *loop, void (*fn)(void *arg), void *arg,
+    struct error *err);
+
+/// Writes the addresses in use to a file, for scripts; "" writes nothing.
+///
+/// @param text  JSON text
+/// @return 0, or -1 with err set
+int program_write_bound(const char *path, const char *text,
+    struct error *err);
+
+#endif
--- /dev/null
+++ b/src/io/replica_bootstrap.c
@@ -0,0 +1,142 @@
+// Beginning of a replica: its settings, and the guard of a bootstrap.
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "io/clock.h"
+#include "io/oneshot.h"
+#include "io/replica_host.h"
+
+#define QUERY_TIMEOUT_US (500 * US_PER_MS)
+
+uint64_t
+replica_cluster_number(const char *name)
+{
+	return XXH3_64bits(name, strlen(name)) | 1;
+}
+
+/// Questions to the other replicas that are still open.
+struct guard {
+	struct loop *loop;
+	uint64_t cluster;
+	uint32_t open;
+	bool has_data;
+};
+
+static void
+on_answer(void *arg, const struct message *answer, const struct error *err)
+{
+	struct guard *guard = arg;
+
+	(void)err;
+	if (answer != NULL && answer->type == MESSAGE_REPLICA_ANSWER &&
+	    answer->u.replica_answer.cluster == guard->cluster &&
+	    answer->u.replica_answer.data_index > 0)
+		guard->has_data = true;
+	if (--guard->open == 0)
+		loop_stop(guard->loop);
+}
+
+static bool
+is_new_folder(const struct replica_host_settings *s)
+{
+	struct wal_identity identity = {0, 0};
+	struct error err;
+	struct disk *disk = disk_open(s->data_path, &err);
+	bool is_new;
+
+	if (disk == NULL)
+		return false;
+	is_new = wal_read_identity(disk, &identity, &err) == 0 &&
+	    identity.replica == 0;
+	disk_close(disk);
+	return is_new;
+}
+
+/// Asks all others at once; a loop of its own ends with the last answer.
+static int
+ask_others(const struct replica_host_settings *s, struct guard *guard,
+    struct error *err)
+{
+	struct message_replica_query query = {.cluster = guard->cluster};
+	uint32_t i;
+
+	guard->loop = loop_create(err);
+	if (guard->loop == NULL)
+		return -1;
+	for (i = 0; i < s->initial.voter_count; i++) {
+		const struct replica_peer *peer = &s->initial.voters[i];
+		struct address to;
+
+		if (peer->id == s->id ||
+		    address_parse(peer->address, &to) != 0)
+			continue;
+		guard->open++;
+		oneshot_call(guard->loop, &to, MESSAGE_REPLICA_QUERY, &query,
+		    loop_now_us(guard->loop) + QUERY_TIMEOUT_US, on_answer,
+		    guard);
+	}
+	if (guard->open > 0)
+		loop_run(guard->loop);
+	loop_destroy(guard->loop);
+	return 0;
+}
+
+int
+replica_host_check_bootstrap(const struct replica_host_settings *s,
+    struct error *err)
+{
+	struct guard guard = {.cluster = replica_cluster_number(s->cluster)};
+
+	if (!s->bootstrap || !is_new_folder(s))
+		return 0;
+	if (ask_others(s, &guard, err) != 0)
+		return -1;
+	if (guard.has_data)
+		return error_set(err, ERR_CONFLICT, "bootstrap", s->cluster,
+		    "the cluster holds data already; use --join with a "
+		    "replica id never used before");
+	return 0;
+}
+
+static int
+parse_replica(const char *text, struct replica_peer *peer)
+{
+	struct address parsed;
+
+	memset(peer, 0, sizeof(*peer));
+	if (sscanf(text, "%" SCNu64 "=%31s", &peer->id, peer->address) != 2)
+		return -1;
+	return peer->id == 0 ? -1 : address_parse(peer->address, &parsed);
+}
+
+int
+replica_settings_parse(const struct settings_list *list,
+    struct replica_config *config)
+{
+	struct replica_peer peer;
+	int problems = 0;
+	uint32_t i;
+
+	memset(config, 0, sizeof(*config));
+	for (i = 0; i < list->count; i++) {
+		if (parse_replica(list->items[i], &peer) == 0 &&
+		    replica_config_find(config, peer.id) == NULL &&
+		    config->voter_count < REPLICA_MAX_VOTERS) {
+			config->voters[config->voter_count++] = peer;
+			continue;
+		}
+		fprintf(stderr,
+		    "settings: replicas[%u]: must be ID=IP:port with an id "
+		    "of its own, at most %d\n",
+		    i, REPLICA_MAX_VOTERS);
+		problems++;
+	}
+	if (list->count == 0) {
+		fprintf(stderr, "settings: replicas: must name a replica\n");
+		problems++;
+	}
+	return problems == 0 ? 0 : -1;
+}
--- /dev/null
+++ b/src/io/replica_host.c
@@ -0,0 +1,454 @@
+// A replica on an event loop.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "io/replica_host.h"
+#include "io/replica_message.h"
+
+#define REDIAL_US	      (200 * US_PER_MS)
+#define MAX_APPEND_BYTES      (512u * 1024)
+#define MAX_UNCOMMITTED_BYTES (32u * 1024 * 1024)
+#define KEEP_ENTRIES	      1000
+#define CATCH_UP_ENTRIES      16
+
+COUNTER_DEFINE(gauge_term, "replica_term", "Term of the replicated log");
+COUNTER_DEFINE(gauge_commit, "replica_commit", "Last committed entry");
+COUNTER_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
+COUNTER_DEFINE(count_flushes, "replica_flushes", "Rounds with a sync");
+
+static struct replica_host *
+host_of(struct replica *r)
+{
+	return r->owner;
+}
+
+static void
+on_peer_message(struct stream *stream, struct message *message)
+{
+	struct replica_stream *rs = stream->owner;
+
+	replica_host_receive(rs->host, stream, message);
+}
+
+static void
+on_peer_closed(struct stream *stream, const struct error *err)
+{
+	struct replica_stream *rs = stream->owner;
+
+	log_error(LOG_DEBUG, "replica", "Lost a replica", err);
+	rs->stream = NULL;
+	rs->redial_deadline_us = loop_now_us(rs->host->loop) + REDIAL_US;
+}
+
+static const struct stream_ops PEER_OPS = {
+    .on_message = on_peer_message,
+    .on_closed = on_peer_closed,
+};
+
+static struct replica_stream *
+find_stream(struct replica_host *host, uint64_t id)
+{
+	struct replica_stream *rs;
+	uint32_t i;
+
+	for (i = 0; i < host->stream_count; i++)
+		if (host->streams[i].id == id)
+			return &host->streams[i];
+	if (host->stream_count == REPLICA_MAX_PEERS)
+		return NULL;
+	rs = &host->streams[host->stream_count++];
+	memset(rs, 0, sizeof(*rs));
+	rs->host = host;
+	rs->id = id;
+	return rs;
+}
+
+static struct stream *
+get_stream(struct replica_host *host, uint64_t id)
+{
+	const struct replica_peer *peer =
+	    replica_config_find(&host->replica.config, id);
+	struct replica_stream *rs = find_stream(host, id);
+	struct address to;
+	struct error err;
+
+	// A replica that joins has no config of its own yet.
+	if (peer == NULL)
+		peer = replica_config_find(&host->initial, id);
+	if (rs == NULL || peer == NULL)
+		return NULL;
+	if (rs->stream != NULL ||
+	    loop_now_us(host->loop) < rs->redial_deadline_us)
+		return rs->stream;
+	if (address_parse(peer->address, &to) != 0)
+		return NULL;
+	rs->stream = stream_dial(host->loop, &to, &PEER_OPS, rs, &err);
+	rs->redial_deadline_us = loop_now_us(host->loop) + REDIAL_US;
+	return rs->stream;
+}
+
+static void
+send_message(struct replica *r, const struct replica_message *m)
+{
+	struct replica_host *host = host_of(r);
+	struct stream *stream = get_stream(host, m->to);
+
+	if (stream != NULL)
+		replica_message_send(stream, host->cluster, m);
+}
+
+static void
+on_apply(struct replica *r, const struct replica_entry *entry)
+{
+	struct replica_host *host = host_of(r);
+
+	if (entry->kind != REPLICA_ENTRY_DATA)
+		return;
+	host->data_index = entry->index;
+	host->ops->apply(host, entry);
+}
+
+static void
+on_restore(struct replica *r, const struct replica_snapshot *snapshot)
+{
+	struct replica_host *host = host_of(r);
+
+	host->data_index = snapshot->index;
+	host->ops->restore(host, snapshot);
+}
+
+static void
+on_read_done(struct replica *r, uint64_t context, bool ok)
+{
+	struct replica_host *host = host_of(r);
+
+	host->ops->read_done(host, context, ok);
+}
+
+static void
+on_role_changed(struct replica *r)
+{
+	struct replica_host *host = host_of(r);
+
+	log_write(LOG_INFO, "replica",
+	    "Replica %" PRIu64 " is %s in term %" PRIu64
+	    "; leader is %" PRIu64 ".",
+	    r->settings.id, replica_role_name(r->role), r->term, r->leader);
+	counter_set(&gauge_leader, r->role == REPLICA_LEADER);
+	if (r->role != REPLICA_LEADER)
+		host->change_pending = false;
+	host->ops->role_changed(host);
+}
+
+static const struct replica_ops REPLICA_OPS = {
+    .send = send_message,
+    .apply = on_apply,
+    .restore = on_restore,
+    .read_done = on_read_done,
+    .role_changed = on_role_changed,
+};
+
+static bool
+has_caught_up(const struct replica_host *host)
+{
+	const struct replica *r = &host->replica;
+	uint32_t i;
+
+	for (i = 0; i < host->target.voter_count; i++) {
+		uint64_t id = host->target.voters[i].id;
+		const struct replica_progress *p;
+
+		if (id == r->settings.id || replica_config_is_voter(&r->config,
+						id))
+			continue;
+		p = replica_progress_get((struct replica *)(uintptr_t)r, id);
+		if (p == NULL ||
+		    p->match + CATCH_UP_ENTRIES < replica_last_index(r))
+			return false;
+	}
+	return true;
+}
+
+/// Goes on with a replacement once its learner has caught up.
+static void
+advance_change(struct replica_host *host)
+{
+	struct error err;
+
+	if (!host->change_pending || !has_caught_up(host) ||
+	    host->replica.config_index > host->replica.commit)
+		return;
+	if (replica_change_config(&host->replica, &host->target,
+		loop_now_us(host->loop), &err) != 0)
+		return;
+	host->change_pending = false;
+	log_write(LOG_INFO, "replica", "Changes the voters.");
+}
+
+static void
+on_tick(void *arg)
+{
+	struct replica_host *host = arg;
+	int64_t now_us = loop_now_us(host->loop);
+	int64_t next_us = replica_tick(&host->replica, now_us);
+
+	advance_change(host);
+	counter_set(&gauge_term, (int64_t)host->replica.term);
+	counter_set(&gauge_commit, (int64_t)host->replica.commit);
+	if (next_us != INT64_MAX)
+		loop_timer_set(host->loop, &host->tick_timer, next_us);
+}
+
+/// Once in a round of the loop: one sync for all that came in.
+static int64_t
+before_wait(void *arg)
+{
+	struct replica_host *host = arg;
+	bool failed = replica_has_failed(&host->replica);
+
+	if (host->replica.dirty)
+		counter_add(&count_flushes, 1);
+	replica_flush(&host->replica, loop_now_us(host->loop));
+	if (!failed && replica_has_failed(&host->replica))
+		log_error(LOG_ERROR, "replica",
+		    "Storage failed; this replica takes no part any more",
+		    &host->replica.failure);
+	return DEADLINE_NEVER_US;
+}
+
+/// Checks whose folder this is, and writes the identity of a new replica.
+static int
+settle_identity(struct replica_host *host,
+    const struct replica_host_settings *s, bool *is_new, struct error *err)
+{
+	struct wal_identity identity;
+
+	if (wal_read_identity(host->disk, &identity, err) != 0)
+		return -1;
+	*is_new = identity.replica == 0;
+	if (!*is_new) {
+		if (identity.cluster != host->cluster ||
+		    identity.replica != s->id)
+			return error_set(err, ERR_INVALID, "open data folder",
+			    s->data_path,
+			    "it belongs to replica %" PRIu64
+			    " or to another cluster",
+			    identity.replica);
+		return 0;
+	}
+	if (!s->bootstrap && !s->join)
+		return error_set(err, ERR_INVALID, "open data folder",
+		    s->data_path,
+		    "it is empty: give --bootstrap once in a cluster's life, "
+		    "or --join with a replica id never used before");
+	identity.cluster = host->cluster;
+	identity.replica = s->id;
+	return wal_write_identity(host->disk, &identity, err);
+}
+
+/// Puts the initial config into the log of a bootstrapped replica. All
+/// replicas write the same entry.
+static int
+write_initial_config(struct replica_host *host,
+    const struct replica_host_settings *s, struct replica_stored *stored,
+    struct error *err)
+{
+	char text[REPLICA_CONFIG_TEXT_BYTES];
+	struct replica_entry e = {.index = 1, .term = 1,
+	    .kind = REPLICA_ENTRY_CONFIG, .data = text};
+	const struct replica_storage_ops *ops = host->wal.storage.ops;
+
+	e.size_bytes = (uint32_t)replica_config_encode(&s->initial, text);
+	if (ops->save_vote(&host->wal.storage, 1, 0, err) != 0 ||
+	    ops->append(&host->wal.storage, &e, 1, err) != 0 ||
+	    ops->sync(&host->wal.storage, err) != 0)
+		return -1;
+	stored->term = 1;
+	stored->entries = calloc(1, sizeof(e));
+	assert(stored->entries != NULL);
+	e.data = strdup(text);
+	assert(e.data != NULL);
+	stored->entries[0] = e;
+	stored->entry_count = 1;
+	return 0;
+}
+
+int
+replica_host_open(struct replica_host *host, struct loop *loop,
+    const struct replica_host_settings *s,
+    const struct replica_host_ops *ops, void *owner, struct error *err)
+{
+	struct replica_settings settings = {
+	    .id = s->id,
+	    .election_us = s->election_us,
+	    .heartbeat_us = s->heartbeat_us,
+	    .max_append_bytes = MAX_APPEND_BYTES,
+	    .max_uncommitted_bytes = MAX_UNCOMMITTED_BYTES,
+	    .keep_entries = KEEP_ENTRIES,
+	};
+	struct replica_stored stored;
+	bool is_new;
+
+	memset(host, 0, sizeof(*host));
+	host->ops = ops;
+	host->owner = owner;
+	host->loop = loop;
+	host->initial = s->initial;
+	host->cluster = replica_cluster_number(s->cluster);
+	host->disk = disk_open(s->data_path, err);
+	if (host->disk == NULL)
+		return -1;
+	if (settle_identity(host, s, &is_new, err) != 0 ||
+	    wal_load(&host->wal, host->disk, &stored, err) != 0)
+		return -1;
+	if (host->wal.cut_bytes > 0)
+		log_write(LOG_WARN, "replica",
+		    "Cut %" PRIu64 " torn bytes off the log.",
+		    host->wal.cut_bytes);
+	if (is_new && s->bootstrap &&
+	    write_initial_config(host, s, &stored, err) != 0)
+		return -1;
+	host->opened = true;
+	if (replica_init(&host->replica, &REPLICA_OPS, host,
+		&host->wal.storage, &settings, &stored,
+		(uint64_t)clock_wall_us() ^ s->id, loop_now_us(loop), err) != 0)
+		return -1;
+	host->flush_hook.fn = before_wait;
+	host->flush_hook.arg = host;
+	loop_hook_add(loop, &host->flush_hook);
+	host->tick_timer.fn = on_tick;
+	host->tick_timer.arg = host;
+	loop_timer_set(loop, &host->tick_timer, loop_now_us(loop));
+	return 0;
+}
+
+void
+replica_host_close(struct replica_host *host)
+{
+	uint32_t i;
+
+	for (i = 0; i < host->stream_count; i++)
+		if (host->streams[i].stream != NULL)
+			stream_close(host->streams[i].stream);
+	if (host->opened) {
+		replica_free(&host->replica);
+		wal_free(&host->wal);
+	}
+	if (host->disk != NULL)
+		disk_close(host->disk);
+	host->disk = NULL;
+}
+
+static void
+answer_query(struct replica_host *host, struct stream *stream)
+{
+	struct message_replica_answer answer = {
+	    .cluster = host->cluster,
+	    .id = host->replica.settings.id,
+	    .term = host->replica.term,
+	    .commit = host->replica.commit,
+	    .data_index = host->data_index,
+	};
+
+	stream_send(stream, MESSAGE_REPLICA_ANSWER, &answer);
+}
+
+bool
+replica_host_receive(struct replica_host *host, struct stream *stream,
+    const struct message *message)
+{
+	struct replica_inbound in;
+	struct error err;
+
+	if (message->type == MESSAGE_REPLICA_QUERY) {
+		answer_query(host, stream);
+		return true;
+	}
+	if (message->type != MESSAGE_RAFT)
+		return false;
+	if (message->u.raft.cluster != host->cluster ||
+	    message->u.raft.to != host->replica.settings.id)
+		return true;
+	if (replica_message_read(&message->u.raft, &in, &err) != 0) {
+		log_error(LOG_WARN, "replica", "Dropped a message", &err);
+		return true;
+	}
+	replica_step(&host->replica, &in.message, loop_now_us(host->loop));
+	replica_inbound_free(&in);
+	if (replica_is_leader(&host->replica))
+		loop_timer_set(host->loop, &host->tick_timer,
+		    loop_now_us(host->loop));
+	else
+		loop_timer_set(host->loop, &host->tick_timer,
+		    host->replica.election_deadline_us);
+	return true;
+}
+
+const char *
+replica_host_leader_address(const struct replica_host *host)
+{
+	const struct replica_peer *peer =
+	    replica_config_find(&host->replica.config, host->replica.leader);
+
+	return peer == NULL ? "" : peer->address;
+}
+
+static bool
+remove_voter(struct replica_config *c, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->voter_count; i++) {
+		if (c->voters[i].id != id)
+			continue;
+		c->voters[i] = c->voters[--c->voter_count];
+		memset(&c->voters[c->voter_count], 0, sizeof(c->voters[0]));
+		return true;
+	}
+	return false;
+}
+
+int
+replica_host_replace(struct replica_host *host, uint64_t remove_id,
+    const struct replica_peer *add, struct error *err)
+{
+	struct replica_config learners = host->replica.config;
+
+	if (host->change_pending)
+		return error_set(err, ERR_CONFLICT, "replace", "",
+		    "a replacement is in progress");
+	host->target = host->replica.config;
+	if (remove_id != 0 && !remove_voter(&host->target, remove_id))
+		return error_set(err, ERR_INVALID, "replace", "",
+		    "replica %" PRIu64 " is not a voter", remove_id);
+	if (add->id != 0) {
+		if (replica_config_find(&host->replica.config, add->id) !=
+			NULL ||
+		    add->id == remove_id)
+			return error_set(err, ERR_INVALID, "replace", "",
+			    "replica id %" PRIu64 " is in use", add->id);
+		if (host->target.voter_count == REPLICA_MAX_VOTERS ||
+		    learners.learner_count == REPLICA_MAX_LEARNERS)
+			return error_set(err, ERR_INVALID, "replace", "",
+			    "too many replicas");
+		host->target.voters[host->target.voter_count++] = *add;
+		learners.learners[learners.learner_count++] = *add;
+	}
+	if (host->target.voter_count == 0)
+		return error_set(err, ERR_INVALID, "replace", "",
+		    "no voter would be left");
+	if (add->id != 0 &&
+	    replica_change_config(&host->replica, &learners,
+		loop_now_us(host->loop), err) != 0)
+		return -1;
+	host->change_pending = true;
+	log_write(LOG_INFO, "replica",
+	    "Replaces replica %" PRIu64 " by %" PRIu64 ".", remove_id,
+	    add->id);
+	return 0;
+}
--- /dev/null
+++ b/src/io/stream.c
@@ -0,0 +1,398 @@
+// Framed TCP streams and their listener.
+#include <arpa/inet.h>
+#include <assert.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/log.h"
+#include "io/net.h"
+
+#define READ_BYTES	 (64 * 1024)
+#define IDLE_BUFFER_BYTES (16 * 1024)
+#define MAX_QUEUED_BYTES (16u * 1024 * 1024)
+#define ACCEPT_BATCH	 64
+
+static void
+stream_free(void *arg)
+{
+	struct stream *stream = arg;
+
+	msgpack_sbuffer_destroy(&stream->out);
+	free(stream->in);
+	free(stream);
+}
+
+/// Closes the descriptor; the memory goes at the end of the round.
+static void
+stream_release(struct stream *stream)
+{
+	int fd = stream->watch.fd;
+
+	if (stream->closed)
+		return;
+	stream->closed = true;
+	loop_watch_set(stream->loop, &stream->watch, fd, 0);
+	close(fd);
+	loop_defer(stream->loop, stream_free, stream);
+}
+
+static void
+stream_fail(struct stream *stream, const char *step, const char *text)
+{
+	struct error err;
+
+	if (stream->closed)
+		return;
+	error_set(&err, ERR_IO, step, stream->peer, "%s", text);
+	stream_release(stream);
+	stream->ops->on_closed(stream, &err);
+}
+
+static void
+update_watch(struct stream *stream)
+{
+	uint32_t events = LOOP_READ;
+
+	if (stream->closed)
+		return;
+	if (stream->connecting || stream_queued_bytes(stream) > 0)
+		events |= LOOP_WRITE;
+	loop_watch_set(stream->loop, &stream->watch, stream->watch.fd, events);
+}
+
+static void
+reset_out(struct stream *stream)
+{
+	stream->out_sent_bytes = 0;
+	if (stream->out.alloc > IDLE_BUFFER_BYTES) {
+		msgpack_sbuffer_destroy(&stream->out);
+		msgpack_sbuffer_init(&stream->out);
+	} else
+		msgpack_sbuffer_clear(&stream->out);
+}
+
+static void
+stream_flush(struct stream *stream)
+{
+	while (!stream->closed && stream_queued_bytes(stream) > 0) {
+		ssize_t n = send(stream->watch.fd,
+		    stream->out.data + stream->out_sent_bytes,
+		    stream_queued_bytes(stream), MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			break;
+		if (n < 0) {
+			stream_fail(stream, "send", strerror(errno));
+			return;
+		}
+		stream->out_sent_bytes += (size_t)n;
+		stream->sent_bytes += (uint64_t)n;
+	}
+	if (stream->closed)
+		return;
+	if (stream_queued_bytes(stream) == 0 && stream->out.size > 0)
+		reset_out(stream);
+	update_watch(stream);
+}
+
+static void
+flush_deferred(void *arg)
+{
+	struct stream *stream = arg;
+
+	stream->flush_deferred = false;
+	if (!stream->closed && !stream->connecting)
+		stream_flush(stream);
+}
+
+size_t
+stream_queued_bytes(const struct stream *stream)
+{
+	return stream->out.size - stream->out_sent_bytes;
+}
+
+int
+stream_send(struct stream *stream, enum message_type type, const void *value)
+{
+	if (stream->closed || stream_queued_bytes(stream) > MAX_QUEUED_BYTES)
+		return -1;
+	message_pack_frame(&stream->out, type, value);
+	if (stream->flush_deferred)
+		return 0;
+	stream->flush_deferred = true;
+	loop_defer(stream->loop, flush_deferred, stream);
+	return 0;
+}
+
+void
+stream_close(struct stream *stream)
+{
+	if (stream->closed)
+		return;
+	if (!stream->connecting && stream_queued_bytes(stream) > 0)
+		(void)!send(stream->watch.fd,
+		    stream->out.data + stream->out_sent_bytes,
+		    stream_queued_bytes(stream), MSG_NOSIGNAL | MSG_DONTWAIT);
+	stream_release(stream);
+}
+
+static void
+deliver_frame(struct stream *stream, const char *bytes, uint32_t size_bytes)
+{
+	struct message message;
+	struct error err;
+
+	if (message_unpack(&message, bytes, size_bytes, &err) != 0) {
+		stream_fail(stream, err.step, err.text);
+		return;
+	}
+	stream->ops->on_message(stream, &message);
+	message_free(&message);
+}
+
+static uint32_t
+frame_size(const char *header)
+{
+	uint32_t size_bytes;
+
+	memcpy(&size_bytes, header, sizeof(size_bytes));
+	return ntohl(size_bytes);
+}
+
+/// Hands over every whole frame and keeps the rest.
+static void
+deliver_frames(struct stream *stream)
+{
+	size_t at = 0;
+
+	while (!stream->closed &&
+	    stream->in_used_bytes - at >= FRAME_HEADER_BYTES) {
+		uint32_t size_bytes = frame_size(stream->in + at);
+
+		if (size_bytes > stream->max_frame_bytes) {
+			stream_fail(stream, "receive", "frame is too large");
+			return;
+		}
+		if (stream->in_used_bytes - at - FRAME_HEADER_BYTES <
+		    size_bytes)
+			break;
+		deliver_frame(stream, stream->in + at + FRAME_HEADER_BYTES,
+		    size_bytes);
+		at += FRAME_HEADER_BYTES + size_bytes;
+	}
+	if (stream->closed)
+		return;
+	memmove(stream->in, stream->in + at, stream->in_used_bytes - at);
+	stream->in_used_bytes -= at;
+	if (stream->in_used_bytes == 0 &&
+	    stream->in_capacity_bytes > IDLE_BUFFER_BYTES) {
+		free(stream->in);
+		stream->in = NULL;
+		stream->in_capacity_bytes = 0;
+	}
+}
+
+/// Makes room for the frame that has begun, or for one read.
+static void
+reserve_input(struct stream *stream)
+{
+	size_t want = stream->in_used_bytes + IDLE_BUFFER_BYTES / 2;
+
+	if (stream->in_used_bytes >= FRAME_HEADER_BYTES) {
+		size_t frame = frame_size(stream->in) + FRAME_HEADER_BYTES;
+
+		if (frame > want && frame <= stream->in_used_bytes + READ_BYTES)
+			want = frame;
+		else if (frame > want)
+			want = stream->in_used_bytes + READ_BYTES;
+	}
+	if (want <= stream->in_capacity_bytes)
+		return;
+	stream->in = realloc(stream->in, want);
+	assert(stream->in != NULL);
+	stream->in_capacity_bytes = want;
+}
+
+static void
+stream_receive(struct stream *stream)
+{
+	ssize_t n;
+
+	reserve_input(stream);
+	n = recv(stream->watch.fd, stream->in + stream->in_used_bytes,
+	    stream->in_capacity_bytes - stream->in_used_bytes, 0);
+	if (n < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	if (n < 0) {
+		stream_fail(stream, "receive", strerror(errno));
+		return;
+	}
+	if (n == 0) {
+		stream_fail(stream, "receive", "closed by the other end");
+		return;
+	}
+	stream->in_used_bytes += (size_t)n;
+	stream->received_bytes += (uint64_t)n;
+	stream->last_received_us = loop_now_us(stream->loop);
+	deliver_frames(stream);
+}
+
+static void
+finish_connect(struct stream *stream)
+{
+	int so_error = 0;
+	socklen_t len = sizeof(so_error);
+
+	getsockopt(stream->watch.fd, SOL_SOCKET, SO_ERROR, &so_error, &len);
+	if (so_error != 0) {
+		stream_fail(stream, "connect", strerror(so_error));
+		return;
+	}
+	stream->connecting = false;
+	stream->last_received_us = loop_now_us(stream->loop);
+	stream_flush(stream);
+}
+
+static void
+on_ready(void *arg, uint32_t events)
+{
+	struct stream *stream = arg;
+
+	if (stream->connecting) {
+		if (events & (LOOP_WRITE | LOOP_ERROR))
+			finish_connect(stream);
+		return;
+	}
+	if (events & (LOOP_READ | LOOP_ERROR))
+		stream_receive(stream);
+	if (!stream->closed && (events & LOOP_WRITE))
+		stream_flush(stream);
+}
+
+static struct stream *
+stream_create(struct loop *loop, int fd, const struct address *peer,
+    const struct stream_ops *ops, void *owner)
+{
+	struct stream *stream = calloc(1, sizeof(*stream));
+	int one = 1;
+
+	assert(stream != NULL);
+	stream->ops = ops;
+	stream->owner = owner;
+	stream->loop = loop;
+	stream->max_frame_bytes = FRAME_MAX_BYTES;
+	stream->last_received_us = loop_now_us(loop);
+	stream->watch.fn = on_ready;
+	stream->watch.arg = stream;
+	stream->watch.fd = fd;
+	msgpack_sbuffer_init(&stream->out);
+	address_format(peer, stream->peer);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return stream;
+}
+
+struct stream *
+stream_dial(struct loop *loop, const struct address *to,
+    const struct stream_ops *ops, void *owner, struct error *err)
+{
+	struct stream *stream;
+	char peer[ADDRESS_TEXT_BYTES];
+	int fd;
+
+	address_format(to, peer);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
+		return NULL;
+	}
+	if (connect(fd, (const struct sockaddr *)&to->in, sizeof(to->in)) !=
+		0 &&
+	    errno != EINPROGRESS) {
+		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
+		close(fd);
+		return NULL;
+	}
+	stream = stream_create(loop, fd, to, ops, owner);
+	stream->connecting = true;
+	update_watch(stream);
+	return stream;
+}
+
+static void
+on_acceptable(void *arg, uint32_t events)
+{
+	struct listener *listener = arg;
+	struct address from;
+	struct stream *stream;
+	socklen_t len;
+	int fd;
+	int i;
+
+	(void)events;
+	for (i = 0; i < ACCEPT_BATCH; i++) {
+		len = sizeof(from.in);
+		fd = accept4(listener->watch.fd, (struct sockaddr *)&from.in,
+		    &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		stream = stream_create(listener->loop, fd, &from,
+		    listener->ops, listener->owner);
+		update_watch(stream);
+		listener->on_accept(listener->owner, stream);
+	}
+}
+
+int
+listener_open(struct listener *listener, struct loop *loop,
+    const struct address *at, const struct stream_ops *ops, void *owner,
+    void (*on_accept)(void *owner, struct stream *stream),
+    struct address *bound, struct error *err)
+{
+	char text[ADDRESS_TEXT_BYTES];
+	socklen_t len = sizeof(bound->in);
+	int one = 1;
+	int fd;
+
+	memset(listener, 0, sizeof(*listener));
+	listener->watch.fd = -1;
+	address_format(at, text);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return error_set(err, ERR_IO, "listen", text, "%s",
+		    strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)&at->in, sizeof(at->in)) != 0 ||
+	    listen(fd, SOMAXCONN) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&bound->in, &len) != 0) {
+		error_set(err, ERR_IO, "listen", text, "%s", strerror(errno));
+		close(fd);
+		return -1;
+	}
+	listener->loop = loop;
+	listener->ops = ops;
+	listener->owner = owner;
+	listener->on_accept = on_accept;
+	listener->watch.fn = on_acceptable;
+	listener->watch.arg = listener;
+	loop_watch_set(loop, &listener->watch, fd, LOOP_READ);
+	return 0;
+}
+
+void
+listener_close(struct listener *listener)
+{
+	int fd = listener->watch.fd;
+
+	if (listener->loop == NULL || fd < 0)
+		return;
+	loop_watch_set(listener->loop, &listener->watch, fd, 0);
+	close(fd);
+	listener->watch.fd = -1;
+}
--- /dev/null
+++ b/src/io/wal_load.c
@@ -0,0 +1,376 @@
+// Loading of segments and snapshots, and their records.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "io/wal.h"
+#include "io/wal_record.h"
+
+#define SNAPSHOT_NAME "snapshot"
+
+/// Fixed part of a record, as it lies on the disk.
+struct record_header {
+	uint32_t magic;
+	uint32_t payload_bytes;
+	uint64_t sequence;
+	uint32_t kind;
+};
+
+static uint64_t
+checksum(const struct record_header *h, const char *payload)
+{
+	struct {
+		uint64_t sequence;
+		uint32_t kind;
+		uint32_t payload_bytes;
+	} covered = {h->sequence, h->kind, h->payload_bytes};
+	uint64_t seed = XXH3_64bits(&covered, sizeof(covered));
+
+	return XXH3_64bits_withSeed(payload, h->payload_bytes, seed);
+}
+
+void
+wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
+    const void *head, uint32_t head_bytes, const char *body,
+    size_t body_bytes)
+{
+	struct record_header h = {WAL_MAGIC,
+	    (uint32_t)(head_bytes + body_bytes), sequence, kind};
+	size_t start = out->size;
+	char fixed[WAL_HEADER_BYTES];
+	uint64_t sum;
+
+	memset(fixed, 0, sizeof(fixed));
+	msgpack_sbuffer_write(out, fixed, sizeof(fixed));
+	msgpack_sbuffer_write(out, head, head_bytes);
+	if (body_bytes > 0)
+		msgpack_sbuffer_write(out, body, body_bytes);
+	sum = checksum(&h, out->data + start + WAL_HEADER_BYTES);
+	memcpy(fixed, &h.magic, 4);
+	memcpy(fixed + 4, &h.payload_bytes, 4);
+	memcpy(fixed + 8, &h.sequence, 8);
+	memcpy(fixed + 16, &h.kind, 4);
+	memcpy(fixed + 20, &sum, 8);
+	memcpy(out->data + start, fixed, sizeof(fixed));
+}
+
+int
+wal_record_get(const char *bytes, size_t size_bytes,
+    struct wal_record *record)
+{
+	struct record_header h;
+	uint64_t sum;
+
+	if (size_bytes < WAL_HEADER_BYTES)
+		return -1;
+	memcpy(&h.magic, bytes, 4);
+	memcpy(&h.payload_bytes, bytes + 4, 4);
+	memcpy(&h.sequence, bytes + 8, 8);
+	memcpy(&h.kind, bytes + 16, 4);
+	memcpy(&sum, bytes + 20, 8);
+	if (h.magic != WAL_MAGIC || h.payload_bytes > WAL_MAX_PAYLOAD_BYTES ||
+	    h.payload_bytes > size_bytes - WAL_HEADER_BYTES)
+		return -1;
+	if (checksum(&h, bytes + WAL_HEADER_BYTES) != sum)
+		return -1;
+	record->sequence = h.sequence;
+	record->kind = h.kind;
+	record->payload = bytes + WAL_HEADER_BYTES;
+	record->payload_bytes = h.payload_bytes;
+	record->total_bytes = WAL_HEADER_BYTES + h.payload_bytes;
+	return 0;
+}
+
+struct loader {
+	struct wal *wal;
+	struct replica_stored *stored;
+	uint32_t entry_capacity;
+	struct error *err;
+};
+
+static void
+drop_entries_from(struct loader *l, uint64_t index)
+{
+	struct replica_stored *s = l->stored;
+
+	while (s->entry_count > 0 &&
+	    s->entries[s->entry_count - 1].index >= index)
+		free(s->entries[--s->entry_count].data);
+}
+
+static void
+drop_entries_to(struct loader *l, uint64_t index)
+{
+	struct replica_stored *s = l->stored;
+	uint32_t drop = 0;
+
+	while (drop < s->entry_count && s->entries[drop].index <= index)
+		free(s->entries[drop++].data);
+	s->entry_count -= drop;
+	memmove(s->entries, s->entries + drop,
+	    s->entry_count * sizeof(*s->entries));
+}
+
+static int
+load_entry(struct loader *l, const struct wal_record *record)
+{
+	struct replica_stored *s = l->stored;
+	struct wal_entry_head head;
+	struct replica_entry *e;
+
+	if (record->payload_bytes < sizeof(head))
+		return -1;
+	memcpy(&head, record->payload, sizeof(head));
+	if (head.index <= s->snapshot.index)
+		return 0;
+	drop_entries_from(l, head.index);
+	if (s->entry_count == l->entry_capacity) {
+		l->entry_capacity = l->entry_capacity ? l->entry_capacity * 2 :
+							64;
+		s->entries = realloc(s->entries,
+		    l->entry_capacity * sizeof(*s->entries));
+		assert(s->entries != NULL);
+	}
+	e = &s->entries[s->entry_count++];
+	e->index = head.index;
+	e->term = head.term;
+	e->kind = (enum replica_entry_kind)head.kind;
+	e->size_bytes = record->payload_bytes - (uint32_t)sizeof(head);
+	e->data = malloc(e->size_bytes + 1);
+	assert(e->data != NULL);
+	memcpy(e->data, record->payload + sizeof(head), e->size_bytes);
+	e->data[e->size_bytes] = '\0';
+	if (head.index > l->wal->segments[l->wal->segment_count - 1].last_index)
+		l->wal->segments[l->wal->segment_count - 1].last_index =
+		    head.index;
+	return 0;
+}
+
+static int
+load_record(struct loader *l, const struct wal_record *record)
+{
+	struct wal_vote vote;
+	uint64_t index;
+
+	switch (record->kind) {
+	case WAL_VOTE:
+		if (record->payload_bytes != sizeof(vote))
+			return -1;
+		memcpy(&vote, record->payload, sizeof(vote));
+		l->wal->term = l->stored->term = vote.term;
+		l->wal->vote = l->stored->vote = vote.vote;
+		return 0;
+	case WAL_ENTRY:
+		return load_entry(l, record);
+	case WAL_TRUNCATE:
+	case WAL_RESTORED:
+		if (record->payload_bytes != sizeof(index))
+			return -1;
+		memcpy(&index, record->payload, sizeof(index));
+		if (record->kind == WAL_TRUNCATE)
+			drop_entries_from(l, index);
+		else
+			drop_entries_to(l, index);
+		return 0;
+	default:
+		return -1;
+	}
+}
+
+/// Tells whether a valid record follows somewhere after a bad one, which a
+/// torn write cannot explain.
+static bool
+has_record_after(const char *bytes, size_t size_bytes, uint64_t sequence)
+{
+	struct wal_record record;
+	size_t at;
+
+	for (at = 1; at + WAL_HEADER_BYTES <= size_bytes; at++) {
+		uint32_t magic;
+
+		memcpy(&magic, bytes + at, sizeof(magic));
+		if (magic == WAL_MAGIC &&
+		    wal_record_get(bytes + at, size_bytes - at, &record) ==
+			0 &&
+		    record.sequence >= sequence)
+			return true;
+	}
+	return false;
+}
+
+static int
+report_damage(struct loader *l, const char *name, size_t offset)
+{
+	return error_set(l->err, ERR_CORRUPT, "load log", name,
+	    "damaged at byte %zu; replace this replica by one with an empty "
+	    "data folder",
+	    offset);
+}
+
+static int
+load_segment(struct loader *l, uint64_t number, bool last)
+{
+	struct wal *wal = l->wal;
+	struct wal_record record;
+	char name[WAL_NAME_BYTES];
+	char *bytes;
+	size_t size_bytes;
+	size_t at = 0;
+	int rc = -1;
+
+	wal_segment_name(number, name);
+	if (wal->disk->ops->read(wal->disk, name, &bytes, &size_bytes,
+		l->err) != 0)
+		return -1;
+	wal_add_segment(wal, number);
+	while (at < size_bytes) {
+		if (wal_record_get(bytes + at, size_bytes - at, &record) != 0)
+			break;
+		// Sequence numbers run on from segment to segment.
+		if (wal->sequence != 1 && record.sequence != wal->sequence)
+			break;
+		if (load_record(l, &record) != 0)
+			break;
+		wal->sequence = record.sequence + 1;
+		at += record.total_bytes;
+	}
+	wal->segment_bytes = at;
+	if (at < size_bytes) {
+		if (!last || has_record_after(bytes + at, size_bytes - at,
+				 wal->sequence)) {
+			report_damage(l, name, at);
+			goto out;
+		}
+		wal->cut_bytes += size_bytes - at;
+		if (wal->disk->ops->truncate(wal->disk, name, at, l->err) != 0)
+			goto out;
+	}
+	rc = 0;
+out:
+	free(bytes);
+	return rc;
+}
+
+static int
+load_snapshot(struct loader *l)
+{
+	struct replica_snapshot *s = &l->stored->snapshot;
+	struct wal_snapshot_head head;
+	struct wal_record record;
+	char *bytes;
+	size_t size_bytes;
+	int rc = -1;
+
+	if (l->wal->disk->ops->read(l->wal->disk, SNAPSHOT_NAME, &bytes,
+		&size_bytes, l->err) != 0)
+		return -1;
+	if (bytes == NULL)
+		return 0;
+	if (wal_record_get(bytes, size_bytes, &record) != 0 ||
+	    record.total_bytes != size_bytes ||
+	    record.kind != WAL_SNAPSHOT ||
+	    record.payload_bytes < sizeof(head)) {
+		report_damage(l, SNAPSHOT_NAME, 0);
+		goto out;
+	}
+	memcpy(&head, record.payload, sizeof(head));
+	if (sizeof(head) + (uint64_t)head.config_bytes + head.data_bytes !=
+		record.payload_bytes ||
+	    replica_config_decode(record.payload + sizeof(head),
+		head.config_bytes, &s->config, l->err) != 0) {
+		report_damage(l, SNAPSHOT_NAME, WAL_HEADER_BYTES);
+		goto out;
+	}
+	s->index = head.index;
+	s->term = head.term;
+	s->size_bytes = head.data_bytes;
+	s->data = malloc(head.data_bytes + 1);
+	assert(s->data != NULL);
+	memcpy(s->data, record.payload + sizeof(head) + head.config_bytes,
+	    head.data_bytes);
+	rc = 0;
+out:
+	free(bytes);
+	return rc;
+}
+
+struct number_list {
+	uint64_t *items;
+	uint32_t count;
+};
+
+static void
+collect_number(void *arg, const char *name)
+{
+	struct number_list *list = arg;
+	uint64_t number;
+	char check[WAL_NAME_BYTES];
+
+	if (sscanf(name, "log-%" SCNu64, &number) != 1)
+		return;
+	wal_segment_name(number, check);
+	if (strcmp(check, name) != 0)
+		return;
+	list->items = realloc(list->items,
+	    (list->count + 1) * sizeof(*list->items));
+	assert(list->items != NULL);
+	list->items[list->count++] = number;
+}
+
+static int
+compare_numbers(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/// Position of the first segment after the last gap. Segments before a gap
+/// were removed once and came back after a crash; if one is truly missing,
+/// replica_init finds that entries are.
+static uint32_t
+first_of_run(const struct number_list *numbers)
+{
+	uint32_t i = numbers->count;
+
+	if (i == 0)
+		return 0;
+	for (i--; i > 0; i--)
+		if (numbers->items[i - 1] + 1 != numbers->items[i])
+			break;
+	return i;
+}
+
+int
+wal_load(struct wal *wal, struct disk *disk, struct replica_stored *stored,
+    struct error *err)
+{
+	struct loader l = {.wal = wal, .stored = stored, .err = err};
+	struct number_list numbers = {NULL, 0};
+	uint32_t i;
+	int rc = -1;
+
+	memset(stored, 0, sizeof(*stored));
+	wal_init(wal, disk);
+	if (load_snapshot(&l) != 0)
+		goto out;
+	if (disk->ops->list(disk, collect_number, &numbers, err) != 0)
+		goto out;
+	if (numbers.count > 0)
+		qsort(numbers.items, numbers.count, sizeof(numbers.items[0]),
+		    compare_numbers);
+	for (i = first_of_run(&numbers); i < numbers.count; i++)
+		if (load_segment(&l, numbers.items[i],
+			i + 1 == numbers.count) != 0)
+			goto out;
+	if (wal->segment_count == 0)
+		wal_add_segment(wal, 1);
+	rc = 0;
+out:
+	free(numbers.items);
+	return rc;
+}
--- /dev/null
+++ b/src/io/wal_record.h
@@ -0,0 +1,70 @@
+/// @file
+/// Records of the write-ahead log, shared by its writer and its loader.
+#ifndef MV_IO_WAL_RECORD_H
+#define MV_IO_WAL_RECORD_H
+
+#include <msgpack/sbuffer.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "io/wal.h"
+
+#define WAL_NAME_BYTES	 32
+#define WAL_MAGIC	 0x4c57564du
+#define WAL_HEADER_BYTES 28
+#define WAL_MAX_PAYLOAD_BYTES (64u * 1024 * 1024)
+
+enum wal_kind {
+	WAL_VOTE = 1,
+	WAL_ENTRY = 2,
+	WAL_TRUNCATE = 3,
+	WAL_SNAPSHOT = 4,
+	WAL_RESTORED = 5, ///< A snapshot replaced all entries up to an index.
+};
+
+struct wal_vote {
+	uint64_t term;
+	uint64_t vote;
+};
+
+struct wal_entry_head {
+	uint64_t index;
+	uint64_t term;
+	uint32_t kind;
+	uint32_t zero;
+};
+
+struct wal_snapshot_head {
+	uint64_t index;
+	uint64_t term;
+	uint32_t config_bytes;
+	uint32_t data_bytes;
+};
+
+/// A record found in a file.
+struct wal_record {
+	uint64_t sequence;
+	uint32_t kind;
+	const char *payload;
+	uint32_t payload_bytes;
+	size_t total_bytes;
+};
+
+/// Appends a record whose payload is a head and a body.
+void wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
+    const void *head, uint32_t head_bytes, const char *body,
+    size_t body_bytes);
+
+/// Reads the record at the start of some bytes.
+///
+/// @return 0, or -1 if there is no whole and valid record
+int wal_record_get(const char *bytes, size_t size_bytes,
+    struct wal_record *record);
+
+void wal_init(struct wal *wal, struct disk *disk);
+
+void wal_segment_name(uint64_t number, char out[WAL_NAME_BYTES]);
+
+void wal_add_segment(struct wal *wal, uint64_t number);
+
+#endif
--- /dev/null
+++ b/src/proxy/attempt.c
@@ -0,0 +1,589 @@
+// Attempts of the ingress: sending, answers, broken streams, retries.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "proxy/headers.h"
+#include "proxy/ingress_request.h"
+
+#define CANCEL_GRACE_US	 (100 * US_PER_MS)
+#define BUSY_MAX_US	 (100 * US_PER_MS)
+#define MAX_OUT_HEADERS	 160
+#define MAX_TARGET_LOG	 120
+
+COUNTER_DEFINE(count_retries, "ingress_retries", "Attempts after the first");
+COUNTER_DEFINE(count_late, "ingress_late_answers", "Answers to no request");
+COUNTER_DEFINE(count_fences, "ingress_fences", "Fences asked for");
+COUNTER_DEFINE(count_given, "ingress_responses", "Responses passed on");
+
+static struct ingress_request **
+bucket_of(struct ingress *ingress, uint64_t id)
+{
+	return &ingress->buckets[id % INGRESS_BUCKETS];
+}
+
+/// Request whose attempt in progress has an id on a link; NULL if none has.
+static struct ingress_request *
+find_request(struct ingress *ingress, const struct link *link, uint64_t id)
+{
+	struct ingress_request *r = *bucket_of(ingress, id);
+
+	while (r != NULL && (r->id != id || r->link != link))
+		r = r->next;
+	if (r == NULL)
+		counter_add(&count_late, 1);
+	return r;
+}
+
+static void
+attempt_register(struct ingress_request *r)
+{
+	struct ingress_request **bucket;
+
+	r->id = ++r->ingress->next_id;
+	bucket = bucket_of(r->ingress, r->id);
+	r->next = *bucket;
+	*bucket = r;
+	if (r->link != NULL)
+		link_hold(r->link);
+}
+
+/// Ends the attempt in progress; answers to it are dropped from now on.
+static void
+attempt_end(struct ingress_request *r, bool failed)
+{
+	struct ingress_request **at = bucket_of(r->ingress, r->id);
+
+	assert(r->state != ATTEMPT_NONE);
+	while (*at != r)
+		at = &(*at)->next;
+	*at = r->next;
+	if (r->link != NULL)
+		link_release(r->link);
+	balancer_finish(r->balancer, r->endpoint, failed,
+	    loop_now_us(r->ingress->loop));
+	r->state = ATTEMPT_NONE;
+	r->link = NULL;
+	r->endpoint = NULL;
+}
+
+static int
+send_to_egress(struct ingress_request *r, enum message_type type,
+    const void *value)
+{
+	return link_send(r->link, type, value);
+}
+
+static struct egress_request *
+find_local(struct ingress_request *r)
+{
+	return egress_find(r->ingress->egress, &r->ingress->local_sink, r->id);
+}
+
+void
+ingress_send_cancel(struct ingress_request *r)
+{
+	struct message_cancel cancel = {r->id};
+	struct egress_request *local;
+
+	if (r->state == ATTEMPT_NONE) {
+		if (r->exchange == NULL)
+			ingress_request_free(r);
+		return;
+	}
+	if (r->link != NULL) {
+		send_to_egress(r, MESSAGE_CANCEL, &cancel);
+		return;
+	}
+	local = find_local(r);
+	if (local != NULL)
+		egress_request_cancel(local);
+}
+
+void
+ingress_send_body(struct ingress_request *r, const struct message_body *body)
+{
+	struct message_body m = *body;
+	struct egress_request *local;
+
+	if (r->state == ATTEMPT_NONE)
+		return;
+	m.id = r->id;
+	if (r->link != NULL) {
+		send_to_egress(r, MESSAGE_BODY, &m);
+		return;
+	}
+	local = find_local(r);
+	if (local != NULL)
+		egress_request_body(local, &m);
+}
+
+void
+ingress_send_window(struct ingress_request *r, uint32_t credit_bytes)
+{
+	struct message_window m = {r->id, credit_bytes};
+	struct egress_request *local;
+
+	if (r->state != ATTEMPT_STREAMING)
+		return;
+	if (r->link != NULL) {
+		send_to_egress(r, MESSAGE_WINDOW, &m);
+		return;
+	}
+	local = find_local(r);
+	if (local != NULL)
+		egress_request_window(local, credit_bytes);
+}
+
+static void
+fill_request(struct ingress_request *r, struct message_request *m)
+{
+	const struct http_exchange *x = r->exchange;
+	const char *length;
+
+	memset(m, 0, sizeof(*m));
+	m->id = r->id;
+	m->egress_incarnation = r->endpoint->incarnation;
+	m->deadline_left_us = r->deadline_us - clock_now_us();
+	m->rank = bytes_from(r->rank->name);
+	m->service = bytes_from(r->balancer->service);
+	m->method = bytes_from(x->method);
+	m->target = bytes_from(x->target);
+	m->key = bytes_from(r->key);
+	m->once = r->route->once;
+	m->more = x->more;
+	m->total_bytes = -1;
+	m->headers = header_list_view(&r->headers);
+	m->body.data = x->body;
+	m->body.size_bytes = (uint32_t)x->body_bytes;
+	length = http_exchange_header(x, "Content-Length");
+	if (x->more && length != NULL)
+		m->total_bytes = strtoll(length, NULL, 10);
+}
+
+static bool
+is_own_egress(const struct ingress_request *r)
+{
+	return r->endpoint->incarnation == r->ingress->settings.incarnation &&
+	    strcmp(r->endpoint->name, r->ingress->settings.name) == 0;
+}
+
+static void
+send_attempt(struct ingress_request *r)
+{
+	struct ingress *ingress = r->ingress;
+	struct message_request m;
+	struct link_target target = {.port = r->endpoint->peer_port,
+	    .incarnation = r->endpoint->incarnation};
+
+	r->link = NULL;
+	if (!is_own_egress(r)) {
+		memcpy(target.name, r->endpoint->name, sizeof(target.name));
+		memcpy(target.host, r->endpoint->host, sizeof(target.host));
+		r->link = links_get(ingress->links, &target);
+	}
+	attempt_register(r);
+	r->state = ATTEMPT_SENT;
+	r->sent_us = loop_now_us(ingress->loop);
+	fill_request(r, &m);
+	if (r->link == NULL)
+		egress_submit(ingress->egress, &ingress->local_sink, &m);
+	else if (link_send(r->link, MESSAGE_REQUEST, &m) != 0) {
+		attempt_end(r, true);
+		ingress_attempt_start(r);
+	}
+}
+
+/// No endpoint is left: repeats the last refusal, if there was an attempt.
+static void
+conclude_without_endpoint(struct ingress_request *r, int64_t busy_until_us)
+{
+	int64_t now_us = loop_now_us(r->ingress->loop);
+
+	if (busy_until_us != INT64_MAX)
+		ingress_conclude(r, 503, OUTCOME_NOT_RUN,
+		    busy_until_us - now_us, "all backend servers are busy");
+	else if (r->refused_status != 0)
+		ingress_conclude(r, r->refused_status, OUTCOME_NOT_RUN,
+		    r->refused_retry_us, r->refused_why);
+	else
+		ingress_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
+		    "no backend server can be had");
+}
+
+void
+ingress_attempt_start(struct ingress_request *r)
+{
+	struct ingress *ingress = r->ingress;
+	int64_t now_us = loop_now_us(ingress->loop);
+	const char *service = r->rules->services[r->route->service].name;
+	struct balancer_choice choice;
+	uint32_t i;
+
+	r->balancer = NULL;
+	for (i = 0; i < ingress->balancer_count; i++)
+		if (strcmp(ingress->balancers[i]->service, service) == 0)
+			r->balancer = ingress->balancers[i];
+	if (r->balancer == NULL || r->attempts >= INGRESS_MAX_ATTEMPTS) {
+		conclude_without_endpoint(r, INT64_MAX);
+		return;
+	}
+	choice = balancer_choose(r->balancer, r->rank->worth,
+	    (const char(*)[MEMBER_NAME_BYTES])r->tried, r->attempts, now_us);
+	if (choice.endpoint == NULL) {
+		conclude_without_endpoint(r, choice.busy_until_deadline_us);
+		return;
+	}
+	r->endpoint = choice.endpoint;
+	memcpy(r->tried[r->attempts++], choice.endpoint->name,
+	    MEMBER_NAME_BYTES);
+	log_write(LOG_INFO, "route",
+	    "Sent %s %.*s (%s) to %s at %s, attempt %u, %u candidates, "
+	    "load %u%%.",
+	    r->exchange->method, MAX_TARGET_LOG, r->exchange->target,
+	    r->rank->name, service, choice.endpoint->name, r->attempts,
+	    choice.candidates, choice.score_pct);
+	send_attempt(r);
+}
+
+/// Tries again if that is safe and within the budget, else answers.
+static void
+retry_or_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why)
+{
+	struct retry_request q = {
+	    .outcome = outcome,
+	    .repeatable = r->repeatable,
+	    .body_kept = !r->upload_passed_on,
+	    .attempts = r->attempts,
+	    .deadline_us = r->deadline_us,
+	};
+
+	// A key that belongs to another request does so everywhere.
+	if (r->exchange == NULL || status == 422 || status == 431 ||
+	    !retry_decide(&r->ingress->budget, &q,
+		loop_now_us(r->ingress->loop))) {
+		ingress_conclude(r, status, outcome, retry_us, why);
+		return;
+	}
+	counter_add(&count_retries, 1);
+	r->may_have_run |= outcome == OUTCOME_UNKNOWN;
+	r->refused_status = status;
+	r->refused_retry_us = retry_us;
+	snprintf(r->refused_why, sizeof(r->refused_why), "%s", why);
+	ingress_attempt_start(r);
+}
+
+/// Turns the headers of a response into those of the HTTP server. Names and
+/// values are copied into text, which the caller frees.
+static size_t
+copy_headers(const struct list *from, struct http_header *out, char **text)
+{
+	const struct message_header *h = from->items;
+	size_t text_bytes = 1;
+	size_t count = 0;
+	uint32_t i;
+	char *at;
+
+	for (i = 0; i < from->count; i++)
+		text_bytes += h[i].name.size_bytes + h[i].value.size_bytes + 2;
+	at = *text = malloc(text_bytes);
+	assert(at != NULL);
+	for (i = 0; i < from->count && count < MAX_OUT_HEADERS; i++) {
+		if (headers_is_internal(h[i].name))
+			continue;
+		memcpy(at, h[i].name.data, h[i].name.size_bytes);
+		at[h[i].name.size_bytes] = '\0';
+		out[count].name = at;
+		at += h[i].name.size_bytes + 1;
+		memcpy(at, h[i].value.data, h[i].value.size_bytes);
+		at[h[i].value.size_bytes] = '\0';
+		out[count++].value = at;
+		at += h[i].value.size_bytes + 1;
+	}
+	return count;
+}
+
+static void
+give_response(struct ingress_request *r, const struct message_response *m)
+{
+	struct http_header headers[MAX_OUT_HEADERS];
+	char *text;
+	size_t count = copy_headers(&m->headers, headers, &text);
+
+	counter_add(&count_given, 1);
+	if (!m->more)
+		http_exchange_respond(r->exchange, m->status, headers, count,
+		    m->body.data, m->body.size_bytes);
+	else {
+		http_exchange_respond_start(r->exchange, m->status, headers,
+		    count, m->total_bytes);
+		http_exchange_respond_body(r->exchange, m->body.data,
+		    m->body.size_bytes);
+	}
+	free(text);
+}
+
+/// Learns from a refusal: a full queue is no failure of the endpoint.
+static bool
+note_refusal(struct ingress_request *r, const struct message_response *m)
+{
+	int64_t wait_us = m->retry_left_us;
+
+	if (m->outcome != OUTCOME_NOT_RUN || wait_us <= 0)
+		return m->outcome != OUTCOME_ANSWERED;
+	if (wait_us > BUSY_MAX_US)
+		wait_us = BUSY_MAX_US;
+	balancer_set_busy(r->endpoint, r->rank->worth,
+	    loop_now_us(r->ingress->loop) + wait_us);
+	return false;
+}
+
+static void
+handle_response(struct ingress_request *r, const struct message_response *m)
+{
+	char why[128];
+	bool failed;
+
+	if (r->state == ATTEMPT_STREAMING)
+		return;
+	balancer_report(r->endpoint, m->running, m->queued);
+	failed = note_refusal(r, m);
+	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
+		r->state = ATTEMPT_STREAMING;
+		loop_timer_clear(r->ingress->loop, &r->timer);
+		give_response(r, m);
+		return;
+	}
+	if (m->outcome == OUTCOME_ANSWERED) {
+		attempt_end(r, m->status >= 500);
+		if (r->exchange != NULL)
+			give_response(r, m);
+		ingress_request_free(r);
+		return;
+	}
+	attempt_end(r, failed);
+	snprintf(why, sizeof(why), "%.*s", (int)m->body.size_bytes,
+	    m->body.data);
+	retry_or_conclude(r, m->status, (enum outcome)m->outcome,
+	    m->retry_left_us, why);
+}
+
+static void
+handle_body(struct ingress_request *r, const struct message_body *m)
+{
+	if (r->state != ATTEMPT_STREAMING)
+		return;
+	if (r->exchange != NULL && m->data.size_bytes > 0)
+		http_exchange_respond_body(r->exchange, m->data.data,
+		    m->data.size_bytes);
+	if (!m->last)
+		return;
+	attempt_end(r, m->failed);
+	if (r->exchange != NULL)
+		http_exchange_respond_end(r->exchange, !m->failed);
+	ingress_request_free(r);
+}
+
+static void
+on_response(void *owner, struct link *link, const struct message_response *m)
+{
+	struct ingress_request *r = find_request(owner, link, m->id);
+
+	if (r != NULL)
+		handle_response(r, m);
+}
+
+static void
+on_body(void *owner, struct link *link, const struct message_body *m)
+{
+	struct ingress_request *r = find_request(owner, link, m->id);
+
+	if (r != NULL)
+		handle_body(r, m);
+}
+
+static void
+on_window(void *owner, struct link *link, const struct message_window *m)
+{
+	struct ingress_request *r = find_request(owner, link, m->id);
+
+	if (r != NULL && r->exchange != NULL)
+		http_exchange_grant(r->exchange, m->credit_bytes);
+}
+
+static void
+on_load(void *owner, struct link *link, uint32_t running, uint32_t queued)
+{
+	const struct link_target *target = link_target(link);
+	struct ingress *ingress = owner;
+	uint32_t i;
+
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct endpoint *e =
+		    balancer_find(ingress->balancers[i], target->name);
+
+		if (e != NULL && e->incarnation == target->incarnation)
+			balancer_report(e, running, queued);
+	}
+}
+
+static void
+on_fence_answer(void *owner, struct link *link,
+    const struct message_fence_answer *m)
+{
+	struct ingress_request *r = find_request(owner, link, m->id);
+
+	if (r == NULL || r->state != ATTEMPT_FENCED)
+		return;
+	attempt_end(r, true);
+	if (m->outcome == OUTCOME_NOT_RUN)
+		retry_or_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
+		    "the connection broke before it ran");
+	else
+		retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+		    "the connection broke while it may have run");
+}
+
+/// Asks on a new stream what became of a request that may have run.
+static void
+ask_fence(struct ingress_request *r)
+{
+	struct message_fence fence = {.id = r->id,
+	    .egress_incarnation = r->endpoint->incarnation};
+
+	fence.age_us = loop_now_us(r->ingress->loop) - r->sent_us;
+	r->state = ATTEMPT_FENCED;
+	counter_add(&count_fences, 1);
+	if (link_send(r->link, MESSAGE_FENCE, &fence) == 0)
+		return;
+	attempt_end(r, true);
+	retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+	    "the connection broke while it may have run");
+}
+
+static void
+handle_broken(struct ingress_request *r)
+{
+	switch (r->state) {
+	case ATTEMPT_NONE:
+		break;
+	case ATTEMPT_STREAMING:
+		attempt_end(r, true);
+		if (r->exchange != NULL)
+			http_exchange_respond_end(r->exchange, false);
+		ingress_request_free(r);
+		break;
+	case ATTEMPT_SENT:
+		if (!r->repeatable && r->exchange != NULL) {
+			ask_fence(r);
+			break;
+		}
+		attempt_end(r, true);
+		retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+		    "the connection broke while it may have run");
+		break;
+	case ATTEMPT_FENCED:
+		attempt_end(r, true);
+		retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+		    "the connection broke while it may have run");
+		break;
+	}
+}
+
+static struct ingress_request *
+find_broken(const struct ingress *ingress)
+{
+	struct ingress_request *r = ingress->all;
+
+	while (r != NULL && !r->broken)
+		r = r->all_next;
+	return r;
+}
+
+/// Handling one request can end others: marks all first, then looks anew
+/// after each.
+static void
+on_broken(void *owner, struct link *link)
+{
+	struct ingress *ingress = owner;
+	struct ingress_request *r;
+
+	for (r = ingress->all; r != NULL; r = r->all_next)
+		r->broken = r->link == link && r->state != ATTEMPT_NONE;
+	while ((r = find_broken(ingress)) != NULL) {
+		r->broken = false;
+		handle_broken(r);
+	}
+}
+
+const struct links_ops INGRESS_LINKS_OPS = {
+    .on_response = on_response,
+    .on_body = on_body,
+    .on_window = on_window,
+    .on_fence_answer = on_fence_answer,
+    .on_load = on_load,
+    .on_broken = on_broken,
+};
+
+static struct ingress *
+ingress_of(struct egress_sink *sink)
+{
+	return (struct ingress *)sink;
+}
+
+static void
+sink_respond(struct egress_sink *sink, uint64_t id,
+    const struct message_response *m)
+{
+	(void)id;
+	on_response(ingress_of(sink), NULL, m);
+}
+
+static void
+sink_body(struct egress_sink *sink, uint64_t id, const struct message_body *m)
+{
+	(void)id;
+	on_body(ingress_of(sink), NULL, m);
+}
+
+static void
+sink_window(struct egress_sink *sink, uint64_t id, uint32_t credit_bytes)
+{
+	struct message_window m = {id, credit_bytes};
+
+	on_window(ingress_of(sink), NULL, &m);
+}
+
+const struct egress_sink_ops INGRESS_SINK_OPS = {
+    .respond = sink_respond,
+    .body = sink_body,
+    .window = sink_window,
+};
+
+void
+ingress_on_deadline(void *arg)
+{
+	struct ingress_request *r = arg;
+	struct ingress *ingress = r->ingress;
+
+	if (r->state == ATTEMPT_NONE) {
+		ingress_conclude(r, 504, OUTCOME_NOT_RUN, 0,
+		    "deadline passed");
+		return;
+	}
+	if (!r->cancel_sent) {
+		r->cancel_sent = true;
+		loop_timer_set(ingress->loop, &r->timer,
+		    loop_now_us(ingress->loop) + CANCEL_GRACE_US);
+		ingress_send_cancel(r);
+		return;
+	}
+	attempt_end(r, true);
+	ingress_conclude(r, 504, OUTCOME_UNKNOWN, 0, "deadline passed");
+}
--- /dev/null
+++ b/src/proxy/control.c
@@ -0,0 +1,262 @@
+// Control thread of a proxy.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "proxy/control.h"
+
+#define FLOOR_CHECK_US	(100 * US_PER_MS)
+#define DRAIN_CHECK_US	(50 * US_PER_MS)
+#define ADMIN_MAX_BODY_BYTES 65536
+#define ADMIN_MAX_CONNECTIONS 64
+#define ADMIN_IDLE_S	30
+
+COUNTER_DEFINE(gauge_version, "config_version", "Version in force");
+COUNTER_DEFINE(gauge_members, "members_alive", "Members alive, self included");
+
+static void
+publish_deferred(void *arg)
+{
+	struct control *control = arg;
+
+	control->view_deferred = false;
+	counter_set(&gauge_members,
+	    membership_alive_count(&control->membership));
+	traffic_post_view(control->traffic,
+	    view_create(&control->membership,
+		control->floor.ready ? control->rules : NULL));
+}
+
+void
+control_publish_view(struct control *control)
+{
+	if (control->view_deferred)
+		return;
+	control->view_deferred = true;
+	loop_defer(control->loop, publish_deferred, control);
+}
+
+bool
+control_adopt(struct control *control, struct rules *rules)
+{
+	int64_t now_us = loop_now_us(control->loop);
+
+	if (control->rules != NULL &&
+	    rules->version <= control->rules->version) {
+		rules_unref(rules);
+		return false;
+	}
+	log_write(LOG_INFO, "config",
+	    "Adopted version %" PRIu64 " (hash %016" PRIx64 ").",
+	    rules->version, rules->hash);
+	rules_unref(control->previous);
+	control->previous = control->rules;
+	control->rules = rules;
+	counter_set(&gauge_version, (int64_t)rules->version);
+	version_sync_adopted(&control->sync, rules->version);
+	membership_set_version(&control->membership, rules->version, now_us);
+	// The rules set the slots of the backend server beside.
+	if (control->backend.address[0] != '\0')
+		announce_publish(control);
+	control_publish_view(control);
+	distribution_send_report(control, false);
+	return true;
+}
+
+void
+control_tick(void *arg)
+{
+	struct control *control = arg;
+	int64_t now_us = loop_now_us(control->loop);
+	int64_t gossip_us;
+	int64_t sync_us;
+
+	membership_set_load(&control->membership,
+	    traffic_load_pct(control->traffic));
+	gossip_us = membership_tick(&control->membership, now_us);
+	sync_us = version_sync_tick(&control->sync, now_us);
+	loop_timer_set(control->loop, &control->tick_timer,
+	    gossip_us < sync_us ? gossip_us : sync_us);
+}
+
+static void
+on_control_message(struct stream *stream, struct message *message)
+{
+	struct control *control = stream->owner;
+
+	switch (message->type) {
+	case MESSAGE_SYNC:
+		gossip_io_answer_sync(control, stream, &message->u.sync);
+		break;
+	case MESSAGE_PULL:
+		distribution_answer_pull(control, stream, &message->u.pull);
+		break;
+	default:
+		stream_close(stream);
+		break;
+	}
+}
+
+static void
+on_control_closed(struct stream *stream, const struct error *err)
+{
+	(void)stream;
+	(void)err;
+}
+
+static const struct stream_ops CONTROL_STREAM_OPS = {
+    .on_message = on_control_message,
+    .on_closed = on_control_closed,
+};
+
+static void
+on_control_accept(void *owner, struct stream *stream)
+{
+	(void)owner;
+	(void)stream;
+}
+
+static void
+start_timer(struct control *control, struct loop_timer *timer,
+    void (*fn)(void *), int64_t delay_us)
+{
+	timer->fn = fn;
+	timer->arg = control;
+	loop_timer_set(control->loop, timer,
+	    loop_now_us(control->loop) + delay_us);
+}
+
+static int
+open_sockets(struct control *control, struct error *err)
+{
+	struct httpd_limits limits = {
+	    .max_body_bytes = ADMIN_MAX_BODY_BYTES,
+	    .max_connections = ADMIN_MAX_CONNECTIONS,
+	    .idle_timeout_s = ADMIN_IDLE_S,
+	};
+	struct address udp_bound;
+
+	// TCP and UDP share the port, which the kernel may have chosen.
+	if (listener_open(&control->listener, control->loop,
+		&control->settings.control, &CONTROL_STREAM_OPS, control,
+		on_control_accept, &control->bound_control, err) != 0 ||
+	    datagram_open(&control->udp, control->loop,
+		&control->bound_control, control, gossip_io_receive,
+		&udp_bound, err) != 0)
+		return -1;
+	control->admin = httpd_open(control->loop, &control->settings.admin,
+	    &CONTROL_ADMIN_OPS, control, &limits, &control->bound_admin, err);
+	return control->admin == NULL ? -1 : 0;
+}
+
+int
+control_open(struct control *control, struct error *err)
+{
+	struct control_settings *s = &control->settings;
+	int64_t now_us;
+
+	control->loop = loop_create(err);
+	if (control->loop == NULL || open_sockets(control, err) != 0)
+		return -1;
+	now_us = loop_now_us(control->loop);
+	s->self.control_port = ntohs(control->bound_control.in.sin_port);
+	s->self.peer_port = ntohs(control->bound_traffic.peer.in.sin_port);
+	membership_init(&control->membership, &CONTROL_MEMBERSHIP_OPS, control,
+	    &s->membership, &s->self, s->seed, now_us);
+	version_sync_init(&control->sync, &CONTROL_SYNC_OPS, control, s->seed,
+	    300 * US_PER_MS, 3 * US_PER_S);
+	control->floor.started_us = now_us;
+	start_timer(control, &control->tick_timer, control_tick, 0);
+	start_timer(control, &control->report_timer, distribution_report, 0);
+	start_timer(control, &control->floor_timer, distribution_check_floor,
+	    FLOOR_CHECK_US);
+	control->lease_timer.fn = announce_lease_expired;
+	control->lease_timer.arg = control;
+	return 0;
+}
+
+void
+control_run(struct control *control)
+{
+	loop_run(control->loop);
+}
+
+void
+control_close(struct control *control)
+{
+	if (control->loop == NULL)
+		return;
+	httpd_close(control->admin);
+	listener_close(&control->listener);
+	datagram_close(&control->udp);
+	membership_free(&control->membership);
+	rules_unref(control->rules);
+	rules_unref(control->previous);
+	loop_destroy(control->loop);
+}
+
+static void
+finish_leaving(struct control *control)
+{
+	membership_leave(&control->membership, loop_now_us(control->loop));
+	distribution_send_report(control, true);
+	log_write(LOG_INFO, "proxy", "Left the mesh.");
+	loop_stop(control->loop);
+}
+
+/// Waits until all requests in progress have their answers.
+static void
+check_drained(void *arg)
+{
+	struct control *control = arg;
+	int64_t now_us = loop_now_us(control->loop);
+	uint32_t active = traffic_active_count(control->traffic);
+
+	if (active > 0 && now_us < control->drain_deadline_us) {
+		loop_timer_set(control->loop, &control->drain_timer,
+		    now_us + DRAIN_CHECK_US);
+		return;
+	}
+	if (active > 0)
+		log_write(LOG_WARN, "proxy",
+		    "Leaves with %u requests in progress: the limit passed.",
+		    active);
+	finish_leaving(control);
+}
+
+/// Others have heard of the drain by now: refuses what still comes.
+static void
+stop_taking(void *arg)
+{
+	struct control *control = arg;
+
+	traffic_post_drain(control->traffic);
+	start_timer(control, &control->drain_timer, check_drained,
+	    2 * DRAIN_CHECK_US);
+}
+
+void
+control_leave(struct control *control)
+{
+	int64_t now_us = loop_now_us(control->loop);
+
+	if (control->leaving)
+		return;
+	control->leaving = true;
+	log_write(LOG_INFO, "proxy", "Drains before it leaves.");
+	control->drain_deadline_us = now_us +
+	    control->settings.drain_announce_us +
+	    control->settings.drain_limit_us;
+	if (control->backend.address[0] != '\0')
+		membership_set_backend(&control->membership,
+		    control->backend.service, BACKEND_DRAINING,
+		    control->membership.self.slots, now_us);
+	control_publish_view(control);
+	control_tick(control);
+	start_timer(control, &control->drain_timer, stop_taking,
+	    control->settings.drain_announce_us);
+}
--- /dev/null
+++ b/src/proxy/control.h
@@ -0,0 +1,115 @@
+/// @file
+/// Control thread of a proxy: membership, rules, the backend server's lease.
+#ifndef MV_PROXY_CONTROL_H
+#define MV_PROXY_CONTROL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/membership.h"
+#include "core/rules.h"
+#include "core/version_sync.h"
+#include "io/httpd.h"
+#include "io/loop.h"
+#include "io/net.h"
+#include "proxy/traffic.h"
+
+#define CONTROL_MAX_SOURCES 7
+
+struct control_settings {
+	struct member self; ///< Without ports that the kernel chooses.
+	struct address control; ///< UDP gossip and TCP control.
+	struct address admin;
+	struct membership_settings membership;
+	struct address sources[CONTROL_MAX_SOURCES];
+	uint32_t source_count;
+	int64_t report_period_us;
+	int64_t drain_announce_us; ///< Between announcing and refusing.
+	int64_t drain_limit_us;	   ///< Longest wait for requests in progress.
+	uint64_t seed;
+};
+
+/// Progress of a start until the proxy may serve.
+struct floor {
+	bool ready;
+	bool confirmed; ///< A quorum of sources confirmed our version.
+	uint32_t tables_read; ///< Tables got from other members.
+	int64_t started_us;
+	uint32_t next_source;
+	bool asking;
+};
+
+struct control {
+	struct loop *loop;
+	struct control_settings settings;
+	struct traffic *traffic;
+	struct membership membership;
+	struct version_sync sync;
+	struct rules *rules;
+	struct rules *previous; ///< Version before, to make deltas from.
+	struct datagram_socket udp;
+	struct listener listener;
+	struct httpd *admin;
+	struct loop_timer tick_timer;
+	struct loop_timer report_timer;
+	struct loop_timer floor_timer;
+	struct loop_timer lease_timer;
+	struct loop_timer drain_timer;
+	struct floor floor;
+	struct egress_backend backend;
+	struct address bound_control;
+	struct address bound_admin;
+	struct traffic_bound bound_traffic;
+	bool view_deferred;
+	bool leaving;
+	int64_t drain_deadline_us;
+};
+
+/// Opens the sockets of the control thread.
+///
+/// @return 0, or -1 with err set
+int control_open(struct control *control, struct error *err);
+
+/// Runs until the process has left the mesh.
+void control_run(struct control *control);
+
+void control_close(struct control *control);
+
+/// Begins a graceful shutdown.
+void control_leave(struct control *control);
+
+/// Calls membership and version sync, and sets the timer for the next call.
+void control_tick(void *arg);
+
+/// Hands a new view to the traffic thread at the end of the round.
+void control_publish_view(struct control *control);
+
+/// Puts newer rules in force. Takes over the reference.
+///
+/// @return whether they were newer
+bool control_adopt(struct control *control, struct rules *rules);
+
+// Gossip, in gossip_io.c.
+extern const struct membership_ops CONTROL_MEMBERSHIP_OPS;
+void gossip_io_receive(void *owner, const struct address *from,
+    struct message *message);
+void gossip_io_answer_sync(struct control *control, struct stream *stream,
+    const struct message_sync *sync);
+
+// Distribution of rules, in distribution.c.
+extern const struct version_sync_ops CONTROL_SYNC_OPS;
+void distribution_report(void *arg);
+void distribution_answer_pull(struct control *control, struct stream *stream,
+    const struct message_pull *pull);
+void distribution_heard_source(struct control *control,
+    const struct message_report_answer *answer);
+void distribution_check_floor(void *arg);
+void distribution_send_report(struct control *control, bool leaving);
+
+// Backend server and admin requests, in announce.c.
+extern const struct httpd_ops CONTROL_ADMIN_OPS;
+void announce_lease_expired(void *arg);
+void announce_publish(struct control *control);
+void announce_set_state(struct control *control, enum backend_state state);
+
+#endif
--- /dev/null
+++ b/src/proxy/distribution.c
@@ -0,0 +1,255 @@
+// Rules between this proxy, its peers and the sources.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/delta.h"
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "io/oneshot.h"
+#include "proxy/control.h"
+#include "wire/gossip_codec.h"
+#include "io/rules_message.h"
+
+#define PULL_TIMEOUT_US	   (3 * US_PER_S)
+#define CONFIRM_TIMEOUT_US (1 * US_PER_S)
+#define FLOOR_CHECK_US	   (200 * US_PER_MS)
+#define PEERS_ONLY_AFTER_US (1500 * US_PER_MS)
+#define PEERS_NEEDED	   3
+
+COUNTER_DEFINE(count_pulls, "config_pulls", "Pulls of rules begun");
+COUNTER_DEFINE(count_far_pulls, "config_far_pulls",
+    "Pulls from another data centre");
+COUNTER_DEFINE(count_served, "config_pulls_served", "Pulls answered");
+COUNTER_DEFINE(count_bytes, "config_received_bytes", "Bytes of rules pulled");
+COUNTER_DEFINE(count_refused, "config_refused", "Rules refused as damaged");
+
+static void
+on_pulled(void *arg, const struct message *answer, const struct error *err)
+{
+	struct control *control = arg;
+	int64_t now_us = loop_now_us(control->loop);
+	struct rules *rules;
+	struct error why;
+	int64_t wait_us = 0;
+	bool ok = false;
+
+	if (answer == NULL)
+		log_error(LOG_INFO, "config", "Pull failed", err);
+	else if (answer->type == MESSAGE_BUSY)
+		wait_us = answer->u.busy.retry_left_us;
+	else {
+		rules = rules_from_message(answer, control->rules, &why);
+		if (rules != NULL) {
+			counter_add(&count_bytes,
+			    rules_message_bytes(answer));
+			ok = control_adopt(control, rules);
+		} else if (why.code != ERR_NONE) {
+			counter_add(&count_refused, 1);
+			log_error(LOG_ERROR, "config", "Refused rules", &why);
+		}
+	}
+	version_sync_done(&control->sync, ok, wait_us, now_us);
+	control_tick(control);
+}
+
+static void
+start_pull(struct version_sync *vs, const struct holder *from)
+{
+	struct control *control = vs->owner;
+	struct message_pull pull = {.allow_delta = vs->failures == 0};
+	struct address to;
+
+	if (address_make(from->host, from->port, &to) != 0)
+		return;
+	pull.from = bytes_from(control->membership.self.name);
+	if (control->rules != NULL) {
+		pull.have_version = control->rules->version;
+		pull.have_hash = control->rules->hash;
+	}
+	counter_add(&count_pulls, 1);
+	if (from->distance != DISTANCE_DC)
+		counter_add(&count_far_pulls, 1);
+	log_write(LOG_INFO, "config",
+	    "Pulls version %" PRIu64 " from %s:%u.", from->version, from->host,
+	    from->port);
+	oneshot_call(control->loop, &to, MESSAGE_PULL, &pull,
+	    loop_now_us(control->loop) + PULL_TIMEOUT_US, on_pulled, control);
+}
+
+const struct version_sync_ops CONTROL_SYNC_OPS = {
+    .pull = start_pull,
+};
+
+void
+distribution_answer_pull(struct control *control, struct stream *stream,
+    const struct message_pull *pull)
+{
+	counter_add(&count_served, 1);
+	rules_send(stream, pull, control->rules, control->previous);
+}
+
+void
+distribution_heard_source(struct control *control,
+    const struct message_report_answer *answer)
+{
+	int64_t now_us = loop_now_us(control->loop);
+	struct holder holder = {.port = answer->control_port,
+	    .version = answer->accepted_version, .is_source = true};
+	struct member at = {0};
+
+	if (answer->version_seen > control->membership.version_floor)
+		control->membership.version_floor = answer->version_seen;
+	if (answer->accepted_version == 0 ||
+	    bytes_copy(answer->host, holder.host, sizeof(holder.host)) != 0 ||
+	    bytes_copy(answer->region, at.region, sizeof(at.region)) != 0)
+		return;
+	// Never as near as a peer of the own data centre: about one member of
+	// each data centre pulls from a source.
+	holder.distance =
+	    strcmp(at.region, control->membership.self.region) == 0 ?
+	    DISTANCE_REGION :
+	    DISTANCE_FAR;
+	version_sync_heard(&control->sync, &holder,
+	    version_sync_rank(&control->membership, holder.version), now_us);
+	loop_timer_set(control->loop, &control->tick_timer, now_us);
+}
+
+void
+distribution_send_report(struct control *control, bool leaving)
+{
+	struct message_report report = {.leaving = leaving};
+	msgpack_sbuffer out;
+	uint32_t i;
+
+	member_to_message(&control->membership.self, &report.member);
+	msgpack_sbuffer_init(&out);
+	message_pack(&out, MESSAGE_REPORT, &report);
+	for (i = 0; i < control->settings.source_count; i++)
+		datagram_send(&control->udp, &control->settings.sources[i],
+		    out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
+
+void
+distribution_report(void *arg)
+{
+	struct control *control = arg;
+	int64_t period_us = control->settings.report_period_us;
+
+	distribution_send_report(control, false);
+	loop_timer_set(control->loop, &control->report_timer,
+	    loop_now_us(control->loop) + period_us - period_us / 8 +
+		random_time_us(&control->membership.random, period_us / 4));
+}
+
+static void
+become_ready(struct control *control, const char *how)
+{
+	control->floor.ready = true;
+	log_write(LOG_INFO, "config",
+	    "Serves from version %" PRIu64 ", known to be the newest by %s.",
+	    control->rules->version, how);
+	control_publish_view(control);
+}
+
+static void
+on_confirmed(void *arg, const struct message *answer, const struct error *err)
+{
+	struct control *control = arg;
+	struct floor *floor = &control->floor;
+	struct rules *rules;
+	struct error why;
+
+	(void)err;
+	floor->asking = false;
+	floor->next_source++;
+	if (answer == NULL || answer->type == MESSAGE_BUSY)
+		return;
+	rules = rules_from_message(answer, control->rules, &why);
+	if (rules != NULL)
+		control_adopt(control, rules);
+	else if (why.code != ERR_NONE)
+		return;
+	floor->confirmed = control->rules != NULL;
+}
+
+/// Asks a source for what a quorum confirms to be the newest version.
+static void
+ask_confirmation(struct control *control)
+{
+	struct floor *floor = &control->floor;
+	struct message_pull pull = {.confirm = 1};
+
+	if (floor->asking || control->settings.source_count == 0)
+		return;
+	floor->asking = true;
+	pull.from = bytes_from(control->membership.self.name);
+	if (control->rules != NULL) {
+		pull.have_version = control->rules->version;
+		pull.have_hash = control->rules->hash;
+	}
+	oneshot_call(control->loop,
+	    &control->settings
+		 .sources[floor->next_source % control->settings.source_count],
+	    MESSAGE_PULL, &pull,
+	    loop_now_us(control->loop) + CONFIRM_TIMEOUT_US, on_confirmed,
+	    control);
+}
+
+/// With no quorum of sources, several peers must agree that nothing newer
+/// is in force; one alone may itself be behind.
+static bool
+peers_suffice(const struct control *control)
+{
+	const struct floor *floor = &control->floor;
+	uint32_t others = membership_alive_count(&control->membership) - 1;
+	uint32_t needed = others < PEERS_NEEDED ? others : PEERS_NEEDED;
+
+	return others > 0 && floor->tables_read >= needed &&
+	    loop_now_us(control->loop) - floor->started_us >=
+	    PEERS_ONLY_AFTER_US &&
+	    control->rules->version >= control->sync.known_version &&
+	    control->rules->version >= control->membership.version_floor;
+}
+
+/// Asks further members for their tables while the proxy may not serve.
+static void
+read_tables(struct control *control)
+{
+	const struct membership *m = &control->membership;
+	uint32_t at;
+
+	if (m->peer_count == 0)
+		return;
+	at = random_below(&control->membership.random, m->peer_count);
+	if (m->peers[at]->member.status <= MEMBER_SUSPECT)
+		m->ops->sync(&control->membership, m->peers[at]->member.host,
+		    m->peers[at]->member.control_port);
+}
+
+void
+distribution_check_floor(void *arg)
+{
+	struct control *control = arg;
+	struct floor *floor = &control->floor;
+
+	if (floor->ready)
+		return;
+	if (control->rules != NULL && floor->confirmed &&
+	    control->rules->version >= control->membership.version_floor) {
+		become_ready(control, "a quorum of sources");
+		return;
+	}
+	if (control->rules != NULL && peers_suffice(control)) {
+		become_ready(control, "its peers");
+		return;
+	}
+	ask_confirmation(control);
+	read_tables(control);
+	loop_timer_set(control->loop, &control->floor_timer,
+	    loop_now_us(control->loop) + FLOOR_CHECK_US +
+		random_time_us(&control->membership.random, FLOOR_CHECK_US));
+}
--- /dev/null
+++ b/src/proxy/egress_peer.c
@@ -0,0 +1,316 @@
+// Streams from ingresses: requests, bodies, fences, heartbeats.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/log.h"
+#include "proxy/egress_peer.h"
+
+#define SILENCE_LIMIT_US (3 * US_PER_S)
+#define IDLE_LIMIT_US	 (60 * US_PER_S)
+#define SCAN_US		 (500 * US_PER_MS)
+
+/// One stream of an ingress.
+struct egress_conn {
+	struct egress_sink sink;
+	struct egress_server *server;
+	struct stream *stream;
+	struct egress_conn *next;
+	struct egress_conn *prev;
+	uint64_t sequence;
+	uint32_t active; ///< Requests not yet ended.
+	bool greeted;
+};
+
+struct egress_server {
+	struct loop *loop;
+	struct egress *egress;
+	struct listener listener;
+	struct egress_conn *first;
+	struct loop_timer scan_timer;
+	uint64_t incarnation;
+};
+
+static struct egress_conn *
+conn_of(struct egress_sink *sink)
+{
+	return (struct egress_conn *)sink;
+}
+
+/// Ends a stream whose requests can no longer be answered on it.
+static void
+conn_close(struct egress_conn *conn)
+{
+	struct egress_server *server = conn->server;
+
+	egress_drop_sink(server->egress, &conn->sink);
+	stream_close(conn->stream);
+	if (conn->prev != NULL)
+		conn->prev->next = conn->next;
+	else
+		server->first = conn->next;
+	if (conn->next != NULL)
+		conn->next->prev = conn->prev;
+	free(conn);
+}
+
+static void
+sink_respond(struct egress_sink *sink, uint64_t id,
+    const struct message_response *response)
+{
+	struct egress_conn *conn = conn_of(sink);
+
+	(void)id;
+	if (!response->more && conn->active > 0)
+		conn->active--;
+	stream_send(conn->stream, MESSAGE_RESPONSE, response);
+}
+
+static void
+sink_body(struct egress_sink *sink, uint64_t id,
+    const struct message_body *body)
+{
+	struct egress_conn *conn = conn_of(sink);
+
+	(void)id;
+	if (body->last && conn->active > 0)
+		conn->active--;
+	stream_send(conn->stream, MESSAGE_BODY, body);
+}
+
+static void
+sink_window(struct egress_sink *sink, uint64_t id, uint32_t credit_bytes)
+{
+	struct message_window window = {id, credit_bytes};
+
+	stream_send(conn_of(sink)->stream, MESSAGE_WINDOW, &window);
+}
+
+static const struct egress_sink_ops SINK_OPS = {
+    .respond = sink_respond,
+    .body = sink_body,
+    .window = sink_window,
+};
+
+static void
+on_hello(struct egress_conn *conn, const struct message_hello *hello)
+{
+	struct egress_server *server = conn->server;
+
+	if (bytes_copy(hello->name, conn->sink.origin,
+		sizeof(conn->sink.origin)) != 0 ||
+	    !fence_admit_stream(egress_fence(server->egress),
+		conn->sink.origin, hello->incarnation, hello->sequence)) {
+		log_write(LOG_INFO, "egress",
+		    "Refused a stream of %s: it is shut out.",
+		    conn->sink.origin);
+		conn_close(conn);
+		return;
+	}
+	conn->sink.origin_incarnation = hello->incarnation;
+	conn->sequence = hello->sequence;
+	conn->greeted = true;
+}
+
+/// Refuses a request that was meant for an earlier process at this address.
+static void
+refuse_stranger(struct egress_conn *conn, uint64_t id)
+{
+	struct message_response response = {.id = id, .status = 503,
+	    .outcome = OUTCOME_NOT_RUN};
+
+	response.body = bytes_from("this egress was restarted");
+	sink_respond(&conn->sink, id, &response);
+}
+
+static void
+on_request(struct egress_conn *conn, const struct message_request *request)
+{
+	conn->active++;
+	if (request->egress_incarnation != conn->server->incarnation)
+		refuse_stranger(conn, request->id);
+	else
+		egress_submit(conn->server->egress, &conn->sink, request);
+}
+
+/// Closes the older streams of the origin that asks for a fence.
+static void
+close_older(const struct egress_conn *asking)
+{
+	struct egress_conn *conn = asking->server->first;
+
+	while (conn != NULL) {
+		struct egress_conn *next = conn->next;
+
+		if (conn != asking && conn->sequence < asking->sequence &&
+		    strcmp(conn->sink.origin, asking->sink.origin) == 0)
+			conn_close(conn);
+		conn = next;
+	}
+}
+
+static void
+on_fence(struct egress_conn *conn, const struct message_fence *m)
+{
+	struct egress_server *server = conn->server;
+	struct message_fence_answer answer = {m->id, OUTCOME_UNKNOWN};
+
+	close_older(conn);
+	if (m->egress_incarnation == server->incarnation)
+		answer.outcome = fence_ask(egress_fence(server->egress),
+		    conn->sink.origin, conn->sink.origin_incarnation,
+		    conn->sequence, m->id, m->age_us,
+		    loop_now_us(server->loop));
+	log_write(LOG_INFO, "fence", "Request %" PRIx64 " of %s: %s.", m->id,
+	    conn->sink.origin, outcome_name(answer.outcome));
+	stream_send(conn->stream, MESSAGE_FENCE_ANSWER, &answer);
+}
+
+static void
+on_heartbeat(struct egress_conn *conn, const struct message_heartbeat *m)
+{
+	struct message_heartbeat answer = {.answer = 1};
+	uint32_t load_pct;
+
+	if (m->answer)
+		return;
+	egress_load(conn->server->egress, &answer.queued, &answer.running,
+	    &load_pct);
+	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
+}
+
+static void
+on_message(struct stream *stream, struct message *message)
+{
+	struct egress_conn *conn = stream->owner;
+	struct egress *egress = conn->server->egress;
+	struct egress_request *r;
+
+	if (message->type == MESSAGE_HELLO && !conn->greeted) {
+		on_hello(conn, &message->u.hello);
+		return;
+	}
+	if (!conn->greeted) {
+		conn_close(conn);
+		return;
+	}
+	switch (message->type) {
+	case MESSAGE_REQUEST:
+		on_request(conn, &message->u.request);
+		break;
+	case MESSAGE_BODY:
+		r = egress_find(egress, &conn->sink, message->u.body.id);
+		if (r != NULL)
+			egress_request_body(r, &message->u.body);
+		break;
+	case MESSAGE_WINDOW:
+		r = egress_find(egress, &conn->sink, message->u.window.id);
+		if (r != NULL)
+			egress_request_window(r,
+			    message->u.window.credit_bytes);
+		break;
+	case MESSAGE_CANCEL:
+		r = egress_find(egress, &conn->sink, message->u.cancel.id);
+		if (r != NULL)
+			egress_request_cancel(r);
+		break;
+	case MESSAGE_FENCE:
+		on_fence(conn, &message->u.fence);
+		break;
+	case MESSAGE_HEARTBEAT:
+		on_heartbeat(conn, &message->u.heartbeat);
+		break;
+	default:
+		conn_close(conn);
+		break;
+	}
+}
+
+static void
+on_closed(struct stream *stream, const struct error *err)
+{
+	log_error(LOG_DEBUG, "egress", "Stream ended", err);
+	conn_close(stream->owner);
+}
+
+static const struct stream_ops STREAM_OPS = {
+    .on_message = on_message,
+    .on_closed = on_closed,
+};
+
+static void
+on_accept(void *owner, struct stream *stream)
+{
+	struct egress_server *server = owner;
+	struct egress_conn *conn = calloc(1, sizeof(*conn));
+
+	assert(conn != NULL);
+	conn->sink.ops = &SINK_OPS;
+	conn->server = server;
+	conn->stream = stream;
+	conn->next = server->first;
+	if (conn->next != NULL)
+		conn->next->prev = conn;
+	server->first = conn;
+	stream->owner = conn;
+}
+
+/// Closes streams that went silent with work in progress, and idle ones.
+static void
+scan(void *arg)
+{
+	struct egress_server *server = arg;
+	int64_t now_us = loop_now_us(server->loop);
+	struct egress_conn *conn = server->first;
+
+	while (conn != NULL) {
+		struct egress_conn *next = conn->next;
+		int64_t limit_us =
+		    conn->active > 0 ? SILENCE_LIMIT_US : IDLE_LIMIT_US;
+
+		if (now_us - conn->stream->last_received_us > limit_us) {
+			log_write(LOG_INFO, "egress",
+			    "Closed the silent stream of %s.",
+			    conn->sink.origin);
+			conn_close(conn);
+		}
+		conn = next;
+	}
+	loop_timer_set(server->loop, &server->scan_timer, now_us + SCAN_US);
+}
+
+struct egress_server *
+egress_server_open(struct loop *loop, struct egress *egress,
+    const struct address *at, uint64_t incarnation, struct address *bound,
+    struct error *err)
+{
+	struct egress_server *server = calloc(1, sizeof(*server));
+
+	assert(server != NULL);
+	server->loop = loop;
+	server->egress = egress;
+	server->incarnation = incarnation;
+	if (listener_open(&server->listener, loop, at, &STREAM_OPS, server,
+		on_accept, bound, err) != 0) {
+		free(server);
+		return NULL;
+	}
+	server->scan_timer.fn = scan;
+	server->scan_timer.arg = server;
+	loop_timer_set(loop, &server->scan_timer, loop_now_us(loop) + SCAN_US);
+	return server;
+}
+
+void
+egress_server_close(struct egress_server *server)
+{
+	if (server == NULL)
+		return;
+	loop_timer_clear(server->loop, &server->scan_timer);
+	while (server->first != NULL)
+		conn_close(server->first);
+	listener_close(&server->listener);
+	free(server);
+}
--- /dev/null
+++ b/src/proxy/egress_peer.h
@@ -0,0 +1,20 @@
+/// @file
+/// Streams from ingresses to this egress.
+#ifndef MV_PROXY_EGRESS_PEER_H
+#define MV_PROXY_EGRESS_PEER_H
+
+#include "io/net.h"
+#include "proxy/egress.h"
+
+struct egress_server;
+
+/// Listens for ingresses.
+///
+/// @param incarnation  of this process; requests meant for another are refused
+struct egress_server *egress_server_open(struct loop *loop,
+    struct egress *egress, const struct address *at, uint64_t incarnation,
+    struct address *bound, struct error *err);
+
+void egress_server_close(struct egress_server *server);
+
+#endif
--- /dev/null
+++ b/src/proxy/ingress.c
@@ -0,0 +1,369 @@
+// Listeners of the ingress: requests in, answers out.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "proxy/headers.h"
+#include "proxy/ingress_request.h"
+
+#define IDLE_TIMEOUT_S 60
+#define MAX_HEADERS    128
+
+COUNTER_DEFINE(count_requests, "ingress_requests", "Requests taken");
+COUNTER_DEFINE(count_answered, "ingress_answered", "Backend answers given");
+COUNTER_DEFINE(count_not_run, "ingress_not_run", "Answered: not run");
+COUNTER_DEFINE(count_unknown, "ingress_unknown", "Answered: unknown");
+COUNTER_DEFINE(count_gone, "ingress_callers_gone", "Callers that left early");
+
+static void
+collect_header(void *arg, const char *name, const char *value)
+{
+	struct ingress_request *r = arg;
+	struct bytes n = bytes_from(name);
+
+	if (headers_is_hop_by_hop(n) || headers_is_internal(n))
+		return;
+	header_list_add(&r->headers, n, bytes_from(value));
+}
+
+static struct ingress_request *
+request_create(struct ingress_door *door, struct http_exchange *exchange)
+{
+	struct ingress_request *r = calloc(1, sizeof(*r));
+
+	assert(r != NULL);
+	r->ingress = door->ingress;
+	r->exchange = exchange;
+	r->timer.fn = ingress_on_deadline;
+	r->timer.arg = r;
+	r->all_next = door->ingress->all;
+	if (r->all_next != NULL)
+		r->all_next->all_prev = r;
+	door->ingress->all = r;
+	exchange->state = r;
+	return r;
+}
+
+void
+ingress_request_free(struct ingress_request *r)
+{
+	struct ingress *ingress = r->ingress;
+
+	assert(r->state == ATTEMPT_NONE);
+	if (r->all_prev != NULL)
+		r->all_prev->all_next = r->all_next;
+	else
+		ingress->all = r->all_next;
+	if (r->all_next != NULL)
+		r->all_next->all_prev = r->all_prev;
+	loop_timer_clear(ingress->loop, &r->timer);
+	if (r->exchange != NULL)
+		r->exchange->state = NULL;
+	header_list_free(&r->headers);
+	rules_unref(r->rules);
+	free(r);
+}
+
+static void
+respond_own(struct http_exchange *exchange, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why)
+{
+	char body[256];
+	char seconds[24];
+	struct http_header headers[3] = {
+	    {"Content-Type", "text/plain; charset=utf-8"},
+	    {HEADER_OUTCOME, outcome_name(outcome)},
+	    {HEADER_RETRY, seconds},
+	};
+
+	counter_add(outcome == OUTCOME_NOT_RUN ? &count_not_run :
+						 &count_unknown,
+	    1);
+	snprintf(seconds, sizeof(seconds), "%" PRId64,
+	    (retry_us + US_PER_S - 1) / US_PER_S);
+	snprintf(body, sizeof(body), "%s: %s\n", outcome_name(outcome), why);
+	http_exchange_respond(exchange, status, headers, retry_us > 0 ? 3 : 2,
+	    body, strlen(body));
+}
+
+void
+ingress_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why)
+{
+	if (r->may_have_run && outcome == OUTCOME_NOT_RUN)
+		outcome = OUTCOME_UNKNOWN;
+	if (r->exchange != NULL) {
+		log_write(LOG_INFO, "ingress", "Answered %s %s: %u %s, %s.",
+		    r->exchange->method, r->exchange->target, status,
+		    outcome_name(outcome), why);
+		respond_own(r->exchange, status, outcome, retry_us, why);
+	}
+	ingress_request_free(r);
+}
+
+/// Takes rank and deadline over from the request that this one is part of.
+static void
+inherit(struct ingress_request *r)
+{
+	const char *rank = http_exchange_header(r->exchange, HEADER_RANK);
+	const char *left =
+	    http_exchange_header(r->exchange, HEADER_DEADLINE);
+	int64_t deadline_us;
+	int at;
+
+	if (rank != NULL) {
+		at = rules_find_rank(r->rules, rank);
+		if (at >= 0)
+			r->rank = &r->rules->ranks[at];
+	}
+	if (left != NULL) {
+		deadline_us = r->exchange->arrival_us +
+		    strtoll(left, NULL, 10) * US_PER_MS;
+		if (deadline_us < r->deadline_us)
+			r->deadline_us = deadline_us;
+	}
+}
+
+static int
+read_key(struct ingress_request *r)
+{
+	const char *key = http_exchange_header(r->exchange, HEADER_KEY);
+
+	if (key == NULL)
+		return r->route->once ? -1 : 0;
+	if (key[0] == '\0' || strlen(key) >= sizeof(r->key))
+		return -1;
+	snprintf(r->key, sizeof(r->key), "%s", key);
+	return 0;
+}
+
+static void
+on_request(void *owner, struct http_exchange *exchange)
+{
+	struct ingress_door *door = owner;
+	struct ingress *ingress = door->ingress;
+	struct ingress_request *r = request_create(door, exchange);
+
+	counter_add(&count_requests, 1);
+	if (ingress->rules == NULL) {
+		ingress_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
+		    "no rules are in force here yet");
+		return;
+	}
+	r->rules = rules_ref(ingress->rules);
+	r->route =
+	    rules_match(r->rules, exchange->method, exchange->target);
+	if (r->route == NULL ||
+	    headers_known_method(exchange->method) == NULL) {
+		ingress_conclude(r, 404, OUTCOME_NOT_RUN, 0, "no route");
+		return;
+	}
+	r->rank = &r->rules->ranks[r->route->rank];
+	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
+	if (door->trusted)
+		inherit(r);
+	if (read_key(r) != 0) {
+		ingress_conclude(r, 400, OUTCOME_NOT_RUN, 0,
+		    "an Idempotency-Key of 1 to 255 characters is needed");
+		return;
+	}
+	http_exchange_each_header(exchange, collect_header, r);
+	if (r->headers.count > MAX_HEADERS) {
+		ingress_conclude(r, 431, OUTCOME_NOT_RUN, 0,
+		    "too many headers");
+		return;
+	}
+	r->repeatable = retry_method_is_safe(exchange->method) ||
+	    (r->route->once && r->key[0] != '\0');
+	r->upload_ended = !exchange->more;
+	retry_budget_earn(&ingress->budget);
+	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
+	ingress_attempt_start(r);
+}
+
+static void
+on_body(struct http_exchange *exchange, const char *data, size_t size_bytes,
+    bool last)
+{
+	struct ingress_request *r = exchange->state;
+	struct message_body body = {.last = last};
+
+	if (r == NULL)
+		return;
+	body.data.data = data;
+	body.data.size_bytes = (uint32_t)size_bytes;
+	r->upload_passed_on = true;
+	r->upload_ended = last;
+	ingress_send_body(r, &body);
+}
+
+static void
+on_drained(struct http_exchange *exchange, size_t size_bytes)
+{
+	struct ingress_request *r = exchange->state;
+
+	if (r != NULL)
+		ingress_send_window(r, (uint32_t)size_bytes);
+}
+
+/// The exchange is over. If the request is not, its caller has gone.
+static void
+on_end(struct http_exchange *exchange, bool complete)
+{
+	struct ingress_request *r = exchange->state;
+	struct message_body cut = {.last = 1, .failed = 1};
+
+	(void)complete;
+	if (r == NULL)
+		return;
+	counter_add(&count_gone, 1);
+	r->exchange = NULL;
+	if (!r->upload_ended)
+		ingress_send_body(r, &cut);
+	ingress_send_cancel(r);
+}
+
+static const struct httpd_ops HTTPD_OPS = {
+    .on_request = on_request,
+    .on_body = on_body,
+    .on_drained = on_drained,
+    .on_end = on_end,
+};
+
+static struct balancer *
+get_balancer(struct ingress *ingress, const char *service)
+{
+	struct balancer *b;
+	uint32_t i;
+
+	for (i = 0; i < ingress->balancer_count; i++)
+		if (strcmp(ingress->balancers[i]->service, service) == 0)
+			return ingress->balancers[i];
+	b = calloc(1, sizeof(*b));
+	assert(b != NULL);
+	balancer_init(b, service, ingress->settings.seed + i,
+	    ingress->settings.warm_us);
+	ingress->balancers = realloc(ingress->balancers,
+	    (ingress->balancer_count + 1) * sizeof(b));
+	assert(ingress->balancers != NULL);
+	ingress->balancers[ingress->balancer_count++] = b;
+	return b;
+}
+
+void
+ingress_set_view(struct ingress *ingress, const struct view *view)
+{
+	int64_t now_us = loop_now_us(ingress->loop);
+	uint32_t i;
+
+	if (view->rules != NULL && view->rules != ingress->rules) {
+		assert(ingress->rules == NULL ||
+		    view->rules->version > ingress->rules->version);
+		rules_unref(ingress->rules);
+		ingress->rules = rules_ref(view->rules);
+		log_write(LOG_INFO, "config",
+		    "Version %" PRIu64 " is in force.", view->rules->version);
+	}
+	// Each service of the rules has a balancer, if perhaps an empty one.
+	for (i = 0; ingress->rules != NULL && i < ingress->rules->service_count;
+	     i++)
+		get_balancer(ingress, ingress->rules->services[i].name);
+	for (i = 0; i < ingress->balancer_count; i++)
+		balancer_begin_view(ingress->balancers[i]);
+	for (i = 0; i < view->endpoint_count; i++) {
+		const struct view_endpoint *e = &view->endpoints[i];
+
+		balancer_add(get_balancer(ingress, e->member.service),
+		    &e->member, e->distance, now_us);
+	}
+	for (i = 0; i < ingress->balancer_count; i++)
+		balancer_end_view(ingress->balancers[i]);
+}
+
+static int
+open_door(struct ingress_door *door, struct ingress *ingress,
+    const struct address *at, bool trusted, struct address *bound,
+    struct error *err)
+{
+	struct httpd_limits limits = {
+	    .max_body_bytes = ingress->settings.max_body_bytes,
+	    .max_connections = ingress->settings.max_connections,
+	    .idle_timeout_s = IDLE_TIMEOUT_S,
+	};
+
+	door->ingress = ingress;
+	door->trusted = trusted;
+	door->httpd = httpd_open(ingress->loop, at, &HTTPD_OPS, door, &limits,
+	    bound, err);
+	return door->httpd == NULL ? -1 : 0;
+}
+
+struct ingress *
+ingress_open(struct loop *loop, struct egress *egress,
+    const struct ingress_settings *settings, struct address *bound_outer,
+    struct address *bound_inner, struct error *err)
+{
+	struct ingress *ingress = calloc(1, sizeof(*ingress));
+
+	assert(ingress != NULL);
+	ingress->loop = loop;
+	ingress->egress = egress;
+	ingress->settings = *settings;
+	ingress->local_sink.ops = &INGRESS_SINK_OPS;
+	memcpy(ingress->local_sink.origin, settings->name,
+	    sizeof(ingress->local_sink.origin));
+	ingress->local_sink.origin_incarnation = settings->incarnation;
+	retry_budget_init(&ingress->budget);
+	ingress->links = links_create(loop, &INGRESS_LINKS_OPS, ingress,
+	    settings->name, settings->incarnation);
+	if (open_door(&ingress->outer, ingress, &settings->outer, false,
+		bound_outer, err) != 0 ||
+	    open_door(&ingress->inner, ingress, &settings->inner, true,
+		bound_inner, err) != 0) {
+		ingress_close(ingress);
+		return NULL;
+	}
+	return ingress;
+}
+
+void
+ingress_drain(struct ingress *ingress)
+{
+	httpd_drain(ingress->outer.httpd);
+	httpd_drain(ingress->inner.httpd);
+}
+
+uint32_t
+ingress_active_count(const struct ingress *ingress)
+{
+	return httpd_active_count(ingress->outer.httpd) +
+	    httpd_active_count(ingress->inner.httpd);
+}
+
+void
+ingress_close(struct ingress *ingress)
+{
+	uint32_t i;
+
+	if (ingress == NULL)
+		return;
+	httpd_close(ingress->outer.httpd);
+	httpd_close(ingress->inner.httpd);
+	links_destroy(ingress->links);
+	while (ingress->all != NULL) {
+		ingress->all->state = ATTEMPT_NONE;
+		ingress_request_free(ingress->all);
+	}
+	for (i = 0; i < ingress->balancer_count; i++) {
+		balancer_free(ingress->balancers[i]);
+		free(ingress->balancers[i]);
+	}
+	free(ingress->balancers);
+	rules_unref(ingress->rules);
+	free(ingress);
+}
--- /dev/null
+++ b/src/proxy/ingress.h
@@ -0,0 +1,41 @@
+/// @file
+/// Ingress: takes HTTP requests of callers and gets them served.
+#ifndef MV_PROXY_INGRESS_H
+#define MV_PROXY_INGRESS_H
+
+#include "core/rules.h"
+#include "io/address.h"
+#include "io/loop.h"
+#include "proxy/egress.h"
+#include "proxy/view.h"
+
+struct ingress;
+
+struct ingress_settings {
+	char name[MEMBER_NAME_BYTES];
+	uint64_t incarnation;
+	struct address outer; ///< For callers.
+	struct address inner; ///< For the backend server beside.
+	int64_t max_body_bytes;
+	int64_t max_connections;
+	int64_t warm_us;
+	uint64_t seed;
+};
+
+/// @param bound_outer, bound_inner  receive the addresses in use
+struct ingress *ingress_open(struct loop *loop, struct egress *egress,
+    const struct ingress_settings *settings, struct address *bound_outer,
+    struct address *bound_inner, struct error *err);
+
+/// Takes a new view of rules and endpoints.
+void ingress_set_view(struct ingress *ingress, const struct view *view);
+
+/// Stops to accept connections; requests in progress go on.
+void ingress_drain(struct ingress *ingress);
+
+/// Requests without a whole answer.
+uint32_t ingress_active_count(const struct ingress *ingress);
+
+void ingress_close(struct ingress *ingress);
+
+#endif
--- /dev/null
+++ b/src/proxy/ingress_request.h
@@ -0,0 +1,109 @@
+/// @file
+/// State of one request at the ingress, shared by the files of the ingress.
+#ifndef MV_PROXY_INGRESS_REQUEST_H
+#define MV_PROXY_INGRESS_REQUEST_H
+
+#include "core/balancer.h"
+#include "core/retry.h"
+#include "io/httpd.h"
+#include "proxy/egress.h"
+#include "proxy/ingress.h"
+#include "proxy/link.h"
+#include "wire/request_copy.h"
+
+#define INGRESS_BUCKETS	     1024
+#define INGRESS_MAX_ATTEMPTS 4
+
+enum attempt_state {
+	ATTEMPT_NONE,
+	ATTEMPT_SENT,	///< Awaits the response.
+	ATTEMPT_FENCED, ///< Its stream broke; awaits the fence's answer.
+	ATTEMPT_STREAMING, ///< The response has begun to reach the caller.
+};
+
+/// One of the two listeners.
+struct ingress_door {
+	struct ingress *ingress;
+	struct httpd *httpd;
+	bool trusted; ///< Rank and deadline headers are believed.
+};
+
+struct ingress_request {
+	struct ingress *ingress;
+	struct ingress_request *next; ///< In the bucket of the attempt's id.
+	struct ingress_request *all_next;
+	struct ingress_request *all_prev;
+	struct http_exchange *exchange; ///< NULL once the caller is gone.
+	struct rules *rules;
+	const struct rule_route *route;
+	const struct rule_rank *rank;
+	struct header_list headers;
+	char key[256];
+	bool repeatable;
+	bool upload_passed_on; ///< Parts of the body are no longer kept.
+	bool upload_ended;
+	bool cancel_sent;
+	bool may_have_run; ///< The outcome of an earlier attempt is unknown.
+	bool broken; ///< The stream of its attempt just broke.
+	int64_t deadline_us;
+	struct loop_timer timer;
+	// The attempt in progress.
+	enum attempt_state state;
+	uint64_t id;
+	int64_t sent_us;
+	struct balancer *balancer;
+	struct endpoint *endpoint;
+	struct link *link; ///< NULL for the own egress.
+	uint32_t attempts;
+	// Refusal of the last attempt, told if no other can be made.
+	uint32_t refused_status;
+	int64_t refused_retry_us;
+	char refused_why[96];
+	char tried[INGRESS_MAX_ATTEMPTS][MEMBER_NAME_BYTES];
+};
+
+struct ingress {
+	struct egress_sink local_sink;
+	struct loop *loop;
+	struct egress *egress;
+	struct links *links;
+	struct ingress_settings settings;
+	struct ingress_door outer;
+	struct ingress_door inner;
+	struct rules *rules;
+	struct balancer **balancers;
+	uint32_t balancer_count;
+	struct retry_budget budget;
+	struct ingress_request *buckets[INGRESS_BUCKETS];
+	struct ingress_request *all;
+	uint64_t next_id;
+};
+
+/// Sends the request to an endpoint, or answers it if there is none.
+void ingress_attempt_start(struct ingress_request *r);
+
+/// The request ended for this ingress: answers, unless the answer began.
+void ingress_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
+
+/// Frees a request whose exchange has ended or been answered.
+void ingress_request_free(struct ingress_request *r);
+
+/// Tells the egress of the attempt in progress to give up.
+void ingress_send_cancel(struct ingress_request *r);
+
+/// Sends a part of the body to the egress of the attempt in progress.
+void ingress_send_body(struct ingress_request *r,
+    const struct message_body *body);
+
+/// Lets the egress send more of the response.
+void ingress_send_window(struct ingress_request *r, uint32_t credit_bytes);
+
+/// The deadline of the request, or the grace after it, passed.
+void ingress_on_deadline(void *arg);
+
+/// Callbacks of the links and of the own egress.
+extern const struct links_ops INGRESS_LINKS_OPS;
+extern const struct egress_sink_ops INGRESS_SINK_OPS;
+
+#endif
--- /dev/null
+++ b/src/proxy/link.c
@@ -0,0 +1,256 @@
+// Streams to egresses: dialling, heartbeats, silence.
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "io/net.h"
+#include "proxy/link.h"
+
+#define SCAN_US		   (50 * US_PER_MS)
+#define HEARTBEAT_AFTER_US (100 * US_PER_MS)
+#define SILENCE_LIMIT_US   (500 * US_PER_MS)
+#define IDLE_LIMIT_US	   (15 * US_PER_S)
+
+COUNTER_DEFINE(count_silent, "link_silent", "Streams dropped for silence");
+COUNTER_DEFINE(count_dialled, "link_dialled", "Streams dialled");
+
+struct link {
+	struct links *links;
+	struct link *next;
+	struct link_target target;
+	struct stream *stream; ///< NULL while not connected.
+	uint32_t held;
+	int64_t idle_since_us;
+	int64_t waiting_since_us; ///< Oldest message without any answer; 0.
+	int64_t heartbeat_us;	  ///< Last heartbeat sent.
+};
+
+struct links {
+	struct loop *loop;
+	const struct links_ops *ops;
+	void *owner;
+	struct link *first;
+	struct loop_timer scan_timer;
+	char name[MEMBER_NAME_BYTES];
+	uint64_t incarnation;
+	uint64_t next_sequence;
+};
+
+static const struct stream_ops STREAM_OPS;
+
+const struct link_target *
+link_target(const struct link *link)
+{
+	return &link->target;
+}
+
+struct link *
+links_get(struct links *links, const struct link_target *target)
+{
+	struct link *link;
+
+	for (link = links->first; link != NULL; link = link->next)
+		if (link->target.incarnation == target->incarnation &&
+		    strcmp(link->target.name, target->name) == 0)
+			return link;
+	link = calloc(1, sizeof(*link));
+	assert(link != NULL);
+	link->links = links;
+	link->target = *target;
+	link->next = links->first;
+	links->first = link;
+	return link;
+}
+
+static int
+dial(struct link *link)
+{
+	struct links *links = link->links;
+	struct message_hello hello = {.incarnation = links->incarnation};
+	struct address to;
+	struct error err;
+
+	if (address_make(link->target.host, link->target.port, &to) != 0)
+		return -1;
+	link->stream = stream_dial(links->loop, &to, &STREAM_OPS, link, &err);
+	if (link->stream == NULL) {
+		log_error(LOG_INFO, "link", "Cannot dial", &err);
+		return -1;
+	}
+	counter_add(&count_dialled, 1);
+	hello.name = bytes_from(links->name);
+	hello.sequence = ++links->next_sequence;
+	return stream_send(link->stream, MESSAGE_HELLO, &hello);
+}
+
+int
+link_send(struct link *link, enum message_type type, const void *value)
+{
+	if (link->stream == NULL && dial(link) != 0)
+		return -1;
+	if (link->waiting_since_us == 0)
+		link->waiting_since_us = loop_now_us(link->links->loop);
+	return stream_send(link->stream, type, value);
+}
+
+void
+link_hold(struct link *link)
+{
+	link->held++;
+}
+
+void
+link_release(struct link *link)
+{
+	assert(link->held > 0);
+	link->held--;
+	if (link->held > 0)
+		return;
+	link->idle_since_us = loop_now_us(link->links->loop);
+	link->waiting_since_us = 0;
+}
+
+static void
+on_message(struct stream *stream, struct message *message)
+{
+	struct link *link = stream->owner;
+	const struct links_ops *ops = link->links->ops;
+	void *owner = link->links->owner;
+
+	link->waiting_since_us = 0;
+	switch (message->type) {
+	case MESSAGE_RESPONSE:
+		ops->on_response(owner, link, &message->u.response);
+		break;
+	case MESSAGE_BODY:
+		ops->on_body(owner, link, &message->u.body);
+		break;
+	case MESSAGE_WINDOW:
+		ops->on_window(owner, link, &message->u.window);
+		break;
+	case MESSAGE_FENCE_ANSWER:
+		ops->on_fence_answer(owner, link, &message->u.fence_answer);
+		break;
+	case MESSAGE_HEARTBEAT:
+		ops->on_load(owner, link, message->u.heartbeat.running,
+		    message->u.heartbeat.queued);
+		break;
+	default:
+		log_write(LOG_WARN, "link", "Unexpected message %d from %s.",
+		    message->type, link->target.name);
+		break;
+	}
+}
+
+static void
+drop_stream(struct link *link)
+{
+	link->stream = NULL;
+	link->waiting_since_us = 0;
+	link->heartbeat_us = 0;
+	link->links->ops->on_broken(link->links->owner, link);
+}
+
+static void
+on_closed(struct stream *stream, const struct error *err)
+{
+	struct link *link = stream->owner;
+
+	log_error(LOG_INFO, "link", "Stream ended", err);
+	drop_stream(link);
+}
+
+static const struct stream_ops STREAM_OPS = {
+    .on_message = on_message,
+    .on_closed = on_closed,
+};
+
+/// Asks a quiet stream for a sign of life, and drops it if none comes.
+static void
+check_silence(struct link *link, int64_t now_us)
+{
+	struct message_heartbeat beat = {0};
+	struct stream *stream = link->stream;
+	int64_t quiet_us = now_us - stream->last_received_us;
+
+	if (link->waiting_since_us != 0 &&
+	    now_us - link->waiting_since_us > SILENCE_LIMIT_US) {
+		log_write(LOG_WARN, "link",
+		    "Dropped the stream to %s: silent for %d ms.",
+		    link->target.name,
+		    (int)((now_us - link->waiting_since_us) / US_PER_MS));
+		counter_add(&count_silent, 1);
+		stream_close(stream);
+		drop_stream(link);
+		return;
+	}
+	if (quiet_us < HEARTBEAT_AFTER_US ||
+	    now_us - link->heartbeat_us < HEARTBEAT_AFTER_US)
+		return;
+	link->heartbeat_us = now_us;
+	link_send(link, MESSAGE_HEARTBEAT, &beat);
+}
+
+static void
+scan(void *arg)
+{
+	struct links *links = arg;
+	int64_t now_us = loop_now_us(links->loop);
+	struct link **at = &links->first;
+
+	while (*at != NULL) {
+		struct link *link = *at;
+
+		if (link->held > 0) {
+			if (link->stream != NULL)
+				check_silence(link, now_us);
+		} else if (now_us - link->idle_since_us > IDLE_LIMIT_US) {
+			if (link->stream != NULL)
+				stream_close(link->stream);
+			*at = link->next;
+			free(link);
+			continue;
+		}
+		at = &link->next;
+	}
+	loop_timer_set(links->loop, &links->scan_timer, now_us + SCAN_US);
+}
+
+struct links *
+links_create(struct loop *loop, const struct links_ops *ops, void *owner,
+    const char *name, uint64_t incarnation)
+{
+	struct links *links = calloc(1, sizeof(*links));
+
+	assert(links != NULL);
+	links->loop = loop;
+	links->ops = ops;
+	links->owner = owner;
+	links->incarnation = incarnation;
+	snprintf(links->name, sizeof(links->name), "%s", name);
+	links->scan_timer.fn = scan;
+	links->scan_timer.arg = links;
+	loop_timer_set(loop, &links->scan_timer, loop_now_us(loop) + SCAN_US);
+	return links;
+}
+
+void
+links_destroy(struct links *links)
+{
+	if (links == NULL)
+		return;
+	loop_timer_clear(links->loop, &links->scan_timer);
+	while (links->first != NULL) {
+		struct link *link = links->first;
+
+		links->first = link->next;
+		if (link->stream != NULL)
+			stream_close(link->stream);
+		free(link);
+	}
+	free(links);
+}
--- /dev/null
+++ b/src/proxy/link.h
@@ -0,0 +1,63 @@
+/// @file
+/// Streams from this ingress to egresses, one for each in use.
+#ifndef MV_PROXY_LINK_H
+#define MV_PROXY_LINK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/member.h"
+#include "io/loop.h"
+#include "wire/messages.h"
+
+struct link;
+struct links;
+
+/// What the ingress is told by its links.
+struct links_ops {
+	void (*on_response)(void *owner, struct link *link,
+	    const struct message_response *response);
+	void (*on_body)(void *owner, struct link *link,
+	    const struct message_body *body);
+	void (*on_window)(void *owner, struct link *link,
+	    const struct message_window *window);
+	void (*on_fence_answer)(void *owner, struct link *link,
+	    const struct message_fence_answer *answer);
+	/// The load that an egress told with a heartbeat.
+	void (*on_load)(void *owner, struct link *link, uint32_t running,
+	    uint32_t queued);
+	/// The stream is gone; a new one is dialled with the next message.
+	void (*on_broken)(void *owner, struct link *link);
+};
+
+/// Where a link leads.
+struct link_target {
+	char name[MEMBER_NAME_BYTES];
+	char host[MEMBER_HOST_BYTES];
+	uint32_t port;
+	uint64_t incarnation;
+};
+
+struct links *links_create(struct loop *loop, const struct links_ops *ops,
+    void *owner, const char *name, uint64_t incarnation);
+
+void links_destroy(struct links *links);
+
+/// Link to an egress process, created if there is none.
+struct link *links_get(struct links *links, const struct link_target *target);
+
+const struct link_target *link_target(const struct link *link);
+
+/// Sends a message, dialling first if there is no stream.
+///
+/// @return 0, or -1 if there is no stream and none can be dialled
+int link_send(struct link *link, enum message_type type, const void *value);
+
+/// Counts a request that awaits an answer; the link is then kept alive and
+/// watched for silence.
+void link_hold(struct link *link);
+
+/// Ends what link_hold began.
+void link_release(struct link *link);
+
+#endif
--- /dev/null
+++ b/src/proxy/main.c
@@ -0,0 +1,100 @@
+// mvproxy: the proxy beside each backend server.
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "io/log.h"
+#include "proxy/settings.h"
+
+static const char PURPOSE[] =
+    "Proxy beside a backend server: takes callers' requests, routes them by "
+    "the rules in force, and admits work to its backend server by rank.";
+
+static int
+write_bound(const struct proxy_settings *settings,
+    const struct control *control, struct error *err)
+{
+	char outer[ADDRESS_TEXT_BYTES];
+	char inner[ADDRESS_TEXT_BYTES];
+	char peer[ADDRESS_TEXT_BYTES];
+	char ctl[ADDRESS_TEXT_BYTES];
+	char admin[ADDRESS_TEXT_BYTES];
+	char text[512];
+
+	address_format(&control->bound_traffic.outer, outer);
+	address_format(&control->bound_traffic.inner, inner);
+	address_format(&control->bound_traffic.peer, peer);
+	address_format(&control->bound_control, ctl);
+	address_format(&control->bound_admin, admin);
+	snprintf(text, sizeof(text),
+	    "{\"outer\":\"%s\",\"inner\":\"%s\",\"peer\":\"%s\","
+	    "\"control\":\"%s\",\"admin\":\"%s\"}\n",
+	    outer, inner, peer, ctl, admin);
+	return program_write_bound(settings->bound_path, text, err);
+}
+
+static void
+on_terminate(void *arg)
+{
+	control_leave(arg);
+}
+
+static int
+run(const struct proxy_settings *settings, struct control *control,
+    const struct traffic_settings *traffic_settings)
+{
+	struct error err;
+	int exit_code = EXIT_FAILED;
+
+	control->traffic = traffic_create(traffic_settings,
+	    &control->bound_traffic, &err);
+	if (control->traffic == NULL || control_open(control, &err) != 0 ||
+	    program_watch_signals(control->loop, on_terminate, control,
+		&err) != 0 ||
+	    traffic_start(control->traffic, &err) != 0 ||
+	    write_bound(settings, control, &err) != 0) {
+		log_error(LOG_ERROR, "proxy", "Cannot start", &err);
+		goto out;
+	}
+	log_write(LOG_INFO, "proxy", "Started %s in %s/%s.",
+	    control->settings.self.name, control->settings.self.region,
+	    control->settings.self.dc);
+	control_run(control);
+	exit_code = EXIT_OK;
+out:
+	traffic_stop(control->traffic);
+	control_close(control);
+	return exit_code;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct proxy_settings settings;
+	static struct control control;
+	static struct traffic_settings traffic;
+	const struct program program = {
+	    .name = "mvproxy",
+	    .purpose = PURPOSE,
+	    .fields = PROXY_FIELDS,
+	    .field_count = PROXY_FIELD_COUNT,
+	    .settings = &settings,
+	    .log = &settings.log,
+	};
+	int exit_code = program_start(&program, argc, argv);
+
+	if (exit_code >= 0)
+		return exit_code;
+	if (proxy_settings_resolve(&settings, &control.settings, &traffic) !=
+	    0)
+		return EXIT_USAGE;
+	program_block_signals();
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	exit_code = run(&settings, &control, &traffic);
+	curl_global_cleanup();
+	apr_terminate();
+	log_flush();
+	return exit_code;
+}
