--- /dev/null
+++ b/src/proxy/once_client.c
@@ -0,0 +1,490 @@
+// Client of the ledger: finds the leader, resends until an answer comes.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/random.h"
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "io/net.h"
+#include "proxy/once_client.h"
+
+#define RESEND_US	 (150 * US_PER_MS)
+#define POLL_US		 (40 * US_PER_MS)
+#define TICK_US		 (10 * US_PER_MS)
+#define SETTLE_LIMIT_US	 (10 * US_PER_S)
+#define CLAIM_MARGIN_US	 (5 * US_PER_MS)
+#define MAX_RECORD_BYTES (64u * 1024)
+
+COUNTER_DEFINE(count_claims, "once_claims", "Claims sent to the ledger");
+COUNTER_DEFINE(count_resends, "once_resends", "Messages sent again");
+
+enum claim_state {
+	CLAIM_ASKING,	 ///< No verdict yet.
+	CLAIM_POLLING,	 ///< In progress elsewhere; asks for the answer.
+	CLAIM_HELD,	 ///< Granted; the caller decides.
+	CLAIM_RELEASING,
+	CLAIM_RECORDING,
+	CLAIM_ENDED, ///< Freed at the next tick.
+};
+
+struct once_claim {
+	struct once_client *client;
+	struct once_claim *next;
+	struct once_claim *prev;
+	enum claim_state state;
+	uint64_t id;
+	uint64_t sequence; ///< Of the message that awaits an answer.
+	uint64_t body_hash;
+	int64_t deadline_us;
+	int64_t send_deadline_us; ///< When to send (again).
+	once_verdict_fn *fn;
+	void *arg;
+	char *scope;
+	uint32_t scope_bytes;
+	char *key;
+	uint32_t key_bytes;
+	msgpack_sbuffer record; ///< Encoded MESSAGE_RECORD.
+	bool sent; ///< A claim may have reached the ledger.
+};
+
+struct once_client {
+	struct loop *loop;
+	struct address replicas[ONCE_MAX_REPLICAS];
+	uint32_t replica_count;
+	uint32_t current; ///< Replica taken for the leader.
+	struct stream *stream;
+	struct once_claim *first;
+	struct random random;
+	uint64_t next_sequence;
+	struct loop_timer timer;
+};
+
+static const struct stream_ops STREAM_OPS;
+
+static void
+claim_free(struct once_claim *c)
+{
+	struct once_client *client = c->client;
+
+	if (c->prev != NULL)
+		c->prev->next = c->next;
+	else
+		client->first = c->next;
+	if (c->next != NULL)
+		c->next->prev = c->prev;
+	msgpack_sbuffer_destroy(&c->record);
+	free(c->scope);
+	free(c->key);
+	free(c);
+}
+
+static struct once_claim *
+claim_find(struct once_client *client, uint64_t sequence)
+{
+	struct once_claim *c;
+
+	for (c = client->first; c != NULL; c = c->next)
+		if (c->sequence == sequence && c->state != CLAIM_ENDED)
+			return c;
+	return NULL;
+}
+
+static struct stream *
+get_stream(struct once_client *client)
+{
+	struct error err;
+
+	if (client->stream != NULL)
+		return client->stream;
+	client->stream = stream_dial(client->loop,
+	    &client->replicas[client->current], &STREAM_OPS, client, &err);
+	if (client->stream == NULL)
+		client->current =
+		    (client->current + 1) % client->replica_count;
+	return client->stream;
+}
+
+/// Drops the stream and turns to another replica.
+static void
+change_replica(struct once_client *client, struct bytes leader)
+{
+	char text[ADDRESS_TEXT_BYTES];
+	struct address to;
+	uint32_t i;
+
+	if (client->stream != NULL)
+		stream_close(client->stream);
+	client->stream = NULL;
+	client->current = (client->current + 1) % client->replica_count;
+	if (leader.size_bytes == 0 ||
+	    bytes_copy(leader, text, sizeof(text)) != 0 ||
+	    address_parse(text, &to) != 0)
+		return;
+	for (i = 0; i < client->replica_count; i++)
+		if (memcmp(&client->replicas[i].in, &to.in, sizeof(to.in)) ==
+		    0)
+			client->current = i;
+}
+
+static struct bytes
+claim_scope(const struct once_claim *c)
+{
+	struct bytes b = {c->scope, c->scope_bytes};
+
+	return b;
+}
+
+static struct bytes
+claim_key(const struct once_claim *c)
+{
+	struct bytes b = {c->key, c->key_bytes};
+
+	return b;
+}
+
+static void
+send_claim(struct once_claim *c, struct stream *stream)
+{
+	struct message_claim m = {.claim = c->id, .scope = claim_scope(c),
+	    .key = claim_key(c), .body_hash = c->body_hash,
+	    .peek = c->state == CLAIM_POLLING, .sequence = c->sequence};
+
+	stream_send(stream, MESSAGE_CLAIM, &m);
+	c->sent = true;
+	counter_add(&count_claims, 1);
+}
+
+static void
+send_release(struct once_claim *c, struct stream *stream)
+{
+	struct message_release m = {.claim = c->id, .scope = claim_scope(c),
+	    .key = claim_key(c), .sequence = c->sequence};
+
+	stream_send(stream, MESSAGE_RELEASE, &m);
+}
+
+static void
+send_record(struct once_claim *c, struct stream *stream)
+{
+	struct message m;
+	struct error err;
+
+	if (message_unpack(&m, c->record.data, c->record.size, &err) != 0)
+		return;
+	m.u.record.sequence = c->sequence;
+	stream_send(stream, MESSAGE_RECORD, &m.u.record);
+	message_free(&m);
+}
+
+static void
+send_current(struct once_claim *c)
+{
+	struct once_client *client = c->client;
+	struct stream *stream = get_stream(client);
+
+	c->send_deadline_us = loop_now_us(client->loop) + RESEND_US;
+	if (stream == NULL)
+		return;
+	if (c->sequence != 0)
+		counter_add(&count_resends, 1);
+	c->sequence = ++client->next_sequence;
+	switch (c->state) {
+	case CLAIM_ASKING:
+	case CLAIM_POLLING:
+		send_claim(c, stream);
+		break;
+	case CLAIM_RELEASING:
+		send_release(c, stream);
+		break;
+	case CLAIM_RECORDING:
+		send_record(c, stream);
+		break;
+	case CLAIM_HELD:
+	case CLAIM_ENDED:
+		break;
+	}
+}
+
+/// Ends a claim with a verdict.
+static void
+conclude(struct once_claim *c, enum once_verdict verdict,
+    const struct message_response *answer)
+{
+	once_verdict_fn *fn = c->fn;
+
+	if (verdict == ONCE_GRANTED) {
+		c->state = CLAIM_HELD;
+		c->send_deadline_us = DEADLINE_NEVER_US;
+	} else if (verdict == ONCE_IN_PROGRESS) {
+		c->state = CLAIM_POLLING;
+		c->send_deadline_us = loop_now_us(c->client->loop) + POLL_US;
+	} else {
+		c->state = CLAIM_ENDED;
+		c->send_deadline_us = 0;
+	}
+	fn(c->arg, verdict, answer);
+}
+
+/// The deadline passed without a verdict. A claim that was sent may have
+/// been taken: it is given back, which is safe since the request did not run.
+static void
+expire(struct once_claim *c)
+{
+	once_verdict_fn *fn = c->fn;
+	bool polling = c->state == CLAIM_POLLING;
+
+	if (!polling && c->sent) {
+		c->state = CLAIM_RELEASING;
+		c->deadline_us =
+		    loop_now_us(c->client->loop) + SETTLE_LIMIT_US;
+		c->send_deadline_us = 0;
+	} else {
+		c->state = CLAIM_ENDED;
+	}
+	fn(c->arg, polling ? ONCE_UNKNOWN : ONCE_UNAVAILABLE, NULL);
+}
+
+static void
+tick_claim(struct once_claim *c, int64_t now_us)
+{
+	if (c->state == CLAIM_ENDED) {
+		claim_free(c);
+		return;
+	}
+	if (c->state == CLAIM_HELD)
+		return;
+	if (now_us >= c->deadline_us) {
+		if (c->state == CLAIM_ASKING || c->state == CLAIM_POLLING) {
+			expire(c);
+			return;
+		}
+		log_write(LOG_WARN, "once",
+		    "Gave up telling the ledger of a settled claim.");
+		claim_free(c);
+		return;
+	}
+	if (now_us >= c->send_deadline_us)
+		send_current(c);
+}
+
+static void
+tick(void *arg)
+{
+	struct once_client *client = arg;
+	int64_t now_us = loop_now_us(client->loop);
+	struct once_claim *c = client->first;
+
+	while (c != NULL) {
+		struct once_claim *next = c->next;
+
+		tick_claim(c, now_us);
+		c = next;
+	}
+	loop_timer_set(client->loop, &client->timer,
+	    now_us + (client->first == NULL ? US_PER_S : TICK_US));
+}
+
+static void
+on_claim_answer(struct once_client *client,
+    const struct message_claim_answer *m)
+{
+	struct once_claim *c = claim_find(client, m->sequence);
+	struct message_response answer = {0};
+
+	if (c == NULL)
+		return;
+	if (m->verdict == ONCE_UNAVAILABLE) {
+		change_replica(client, m->leader);
+		c->send_deadline_us = loop_now_us(client->loop) + TICK_US;
+		return;
+	}
+	if (c->state == CLAIM_RELEASING)
+		return;
+	if (m->verdict == ONCE_IN_PROGRESS && c->state == CLAIM_POLLING) {
+		c->send_deadline_us = loop_now_us(client->loop) + POLL_US;
+		return;
+	}
+	answer.status = m->status;
+	answer.headers = m->headers;
+	answer.body = m->body;
+	conclude(c, (enum once_verdict)m->verdict, &answer);
+}
+
+static void
+on_settled(struct once_client *client, const struct message_settled *m)
+{
+	struct once_claim *c = claim_find(client, m->sequence);
+
+	if (c == NULL)
+		return;
+	if (!m->ok) {
+		change_replica(client, m->leader);
+		c->send_deadline_us = loop_now_us(client->loop) + TICK_US;
+		return;
+	}
+	c->state = CLAIM_ENDED;
+}
+
+static void
+on_message(struct stream *stream, struct message *message)
+{
+	struct once_client *client = stream->owner;
+
+	if (message->type == MESSAGE_CLAIM_ANSWER)
+		on_claim_answer(client, &message->u.claim_answer);
+	else if (message->type == MESSAGE_SETTLED)
+		on_settled(client, &message->u.settled);
+}
+
+/// Everything that awaits an answer is sent again, to another replica.
+static void
+on_closed(struct stream *stream, const struct error *err)
+{
+	struct once_client *client = stream->owner;
+	struct once_claim *c;
+
+	log_error(LOG_DEBUG, "once", "Lost the ledger", err);
+	client->stream = NULL;
+	client->current = (client->current + 1) % client->replica_count;
+	for (c = client->first; c != NULL; c = c->next)
+		if (c->send_deadline_us != DEADLINE_NEVER_US)
+			c->send_deadline_us =
+			    loop_now_us(client->loop) + TICK_US;
+}
+
+static const struct stream_ops STREAM_OPS = {
+    .on_message = on_message,
+    .on_closed = on_closed,
+};
+
+/// Identity of the request behind a key: same key, other request: refused.
+static uint64_t
+hash_request(const struct message_request *m)
+{
+	XXH3_state_t *state = XXH3_createState();
+	uint64_t hash;
+
+	XXH3_64bits_reset(state);
+	XXH3_64bits_update(state, m->method.data, m->method.size_bytes);
+	XXH3_64bits_update(state, " ", 1);
+	XXH3_64bits_update(state, m->target.data, m->target.size_bytes);
+	XXH3_64bits_update(state, "\n", 1);
+	XXH3_64bits_update(state, m->body.data, m->body.size_bytes);
+	hash = XXH3_64bits_digest(state);
+	XXH3_freeState(state);
+	return hash;
+}
+
+static char *
+copy_bytes(struct bytes b)
+{
+	char *copy = malloc(b.size_bytes + 1);
+
+	assert(copy != NULL);
+	memcpy(copy, b.data, b.size_bytes);
+	copy[b.size_bytes] = '\0';
+	return copy;
+}
+
+struct once_claim *
+once_client_claim(struct once_client *client,
+    const struct message_request *request, int64_t deadline_us,
+    once_verdict_fn *fn, void *arg)
+{
+	struct once_claim *c = calloc(1, sizeof(*c));
+
+	assert(c != NULL);
+	c->client = client;
+	c->next = client->first;
+	if (c->next != NULL)
+		c->next->prev = c;
+	client->first = c;
+	c->id = random_next(&client->random) | 1;
+	c->body_hash = hash_request(request);
+	c->deadline_us = deadline_us - CLAIM_MARGIN_US;
+	c->fn = fn;
+	c->arg = arg;
+	c->scope = copy_bytes(request->service);
+	c->scope_bytes = request->service.size_bytes;
+	c->key = copy_bytes(request->key);
+	c->key_bytes = request->key.size_bytes;
+	msgpack_sbuffer_init(&c->record);
+	send_current(c);
+	loop_timer_set(client->loop, &client->timer,
+	    loop_now_us(client->loop) + TICK_US);
+	return c;
+}
+
+static void
+settle(struct once_claim *c, enum claim_state state)
+{
+	c->state = state;
+	c->deadline_us = loop_now_us(c->client->loop) + SETTLE_LIMIT_US;
+	send_current(c);
+}
+
+void
+once_claim_release(struct once_claim *c)
+{
+	if (c->state == CLAIM_POLLING || !c->sent)
+		c->state = CLAIM_ENDED;
+	else
+		settle(c, CLAIM_RELEASING);
+}
+
+void
+once_claim_record(struct once_claim *c, const struct message_response *answer)
+{
+	struct message_record m = {.claim = c->id, .scope = claim_scope(c),
+	    .key = claim_key(c), .status = answer->status,
+	    .headers = answer->headers, .body = answer->body};
+
+	assert(c->state == CLAIM_HELD);
+	if (answer->body.size_bytes > MAX_RECORD_BYTES) {
+		once_claim_abandon(c);
+		return;
+	}
+	message_pack(&c->record, MESSAGE_RECORD, &m);
+	settle(c, CLAIM_RECORDING);
+}
+
+void
+once_claim_abandon(struct once_claim *c)
+{
+	c->state = CLAIM_ENDED;
+}
+
+struct once_client *
+once_client_create(struct loop *loop, const struct address *replicas,
+    uint32_t replica_count, uint64_t seed)
+{
+	struct once_client *client = calloc(1, sizeof(*client));
+
+	assert(client != NULL && replica_count > 0 &&
+	    replica_count <= ONCE_MAX_REPLICAS);
+	client->loop = loop;
+	memcpy(client->replicas, replicas, replica_count * sizeof(*replicas));
+	client->replica_count = replica_count;
+	client->random.seed = seed;
+	client->current = random_below(&client->random, replica_count);
+	client->timer.fn = tick;
+	client->timer.arg = client;
+	loop_timer_set(loop, &client->timer, loop_now_us(loop) + US_PER_S);
+	return client;
+}
+
+void
+once_client_destroy(struct once_client *client)
+{
+	if (client == NULL)
+		return;
+	loop_timer_clear(client->loop, &client->timer);
+	if (client->stream != NULL)
+		stream_close(client->stream);
+	while (client->first != NULL)
+		claim_free(client->first);
+	free(client);
+}
--- /dev/null
+++ b/src/proxy/settings.c
@@ -0,0 +1,209 @@
+// Settings of mvproxy.
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "io/clock.h"
+#include "proxy/settings.h"
+
+#define S struct proxy_settings
+#define TEXT(path_, member_, required_, fallback_, help_)                      \
+	{                                                                      \
+		path_, SETTINGS_TEXT, offsetof(S, member_), required_, 0, 0,   \
+		    fallback_, help_                                           \
+	}
+#define ADDRESS(path_, member_, help_)                                         \
+	{                                                                      \
+		path_, SETTINGS_ADDRESS, offsetof(S, member_), true, 0, 0,     \
+		    NULL, help_                                                \
+	}
+#define LIST(path_, member_, help_)                                            \
+	{                                                                      \
+		path_, SETTINGS_LIST, offsetof(S, member_), false, 0, 0, "[]", \
+		    help_                                                      \
+	}
+#define INTEGER(path_, member_, min_, max_, fallback_, help_)                  \
+	{                                                                      \
+		path_, SETTINGS_INTEGER, offsetof(S, member_), false, min_,    \
+		    max_, fallback_, help_                                     \
+	}
+
+const struct settings_field PROXY_FIELDS[] = {
+    PROGRAM_LOG_FIELDS(S),
+    TEXT("name", name, true, NULL, "name of this VM, unique in the mesh"),
+    TEXT("region", region, true, NULL, "region of this VM"),
+    TEXT("dc", dc, true, NULL, "data centre of this VM"),
+    TEXT("host", host, true, NULL, "IP number that others reach it by"),
+    ADDRESS("listen.outer", listen_outer, "HTTP for callers"),
+    ADDRESS("listen.inner", listen_inner,
+	"HTTP for the backend server beside; must be on loopback"),
+    ADDRESS("listen.peer", listen_peer, "streams from other proxies"),
+    ADDRESS("listen.control", listen_control, "gossip (UDP) and control (TCP)"),
+    ADDRESS("listen.admin", listen_admin,
+	"announcements, counters, status; must be on loopback"),
+    TEXT("bound_path", bound_path, false, "\"\"",
+	"file that receives the addresses in use"),
+    LIST("seeds", seeds, "control addresses of some proxies, IP:port"),
+    LIST("sources", sources, "control addresses of all sources, IP:port"),
+    LIST("ledgers", ledgers, "client addresses of all ledgers, IP:port"),
+    INTEGER("gossip.probe_ms", gossip_probe_ms, 50, 60000, "1000",
+	"time between probes"),
+    INTEGER("gossip.ack_timeout_ms", gossip_ack_timeout_ms, 10, 30000, "300",
+	"wait before indirect probes"),
+    INTEGER("gossip.notice_ms", gossip_notice_ms, 20, 10000, "200",
+	"time between notices while there is news"),
+    INTEGER("gossip.sync_ms", gossip_sync_ms, 500, 3600000, "30000",
+	"time between table exchanges"),
+    INTEGER("gossip.retry_dead_ms", gossip_retry_dead_ms, 200, 3600000,
+	"5000", "time between tries at members thought dead"),
+    INTEGER("gossip.forget_ms", gossip_forget_ms, 1000, 604800000, "86400000",
+	"time after which a dead member is dropped"),
+    INTEGER("gossip.suspicion_periods", gossip_suspicion_periods, 1, 100, "3",
+	"probe periods of suspicion, times the digits of the fleet's size"),
+    INTEGER("report_ms", report_ms, 100, 60000, "5000",
+	"time between reports to the sources"),
+    INTEGER("drain.announce_ms", drain_announce_ms, 0, 60000, "1000",
+	"time from announcing a shutdown to refusing work"),
+    INTEGER("drain.limit_ms", drain_limit_ms, 0, 3600000, "60000",
+	"longest wait for requests in progress"),
+    INTEGER("warm_ms", warm_ms, 0, 600000, "10000",
+	"slow start of a backend server"),
+    INTEGER("limits.body_bytes", max_body_bytes, 1024, 1099511627776,
+	"1073741824", "largest request body"),
+    INTEGER("limits.connections", max_connections, 1, 100000, "2000",
+	"connections of callers, for each listener"),
+    INTEGER("limits.queued", max_queued, 1, 1000000, "2000",
+	"requests that wait for the backend server"),
+    INTEGER("limits.queued_bytes", max_queued_bytes, 65536, 1073741824,
+	"16777216", "memory of the requests that wait"),
+};
+const size_t PROXY_FIELD_COUNT = sizeof(PROXY_FIELDS) / sizeof(PROXY_FIELDS[0]);
+
+static int
+copy_name(const char *key, const char *from, char *out, size_t out_bytes)
+{
+	if (from[0] == '\0' || strlen(from) >= out_bytes) {
+		fprintf(stderr, "settings: %s: must have 1 to %zu characters\n",
+		    key, out_bytes - 1);
+		return 1;
+	}
+	memset(out, 0, out_bytes);
+	strcpy(out, from);
+	return 0;
+}
+
+static int
+parse_addresses(const char *key, const struct settings_list *list,
+    struct address *out, uint32_t max, uint32_t *count)
+{
+	int problems = 0;
+	uint32_t i;
+
+	*count = 0;
+	for (i = 0; i < list->count; i++) {
+		if (*count < max &&
+		    address_parse(list->items[i], &out[*count]) == 0) {
+			(*count)++;
+			continue;
+		}
+		fprintf(stderr, "settings: %s[%u]: must be IP:port, at most %u\n",
+		    key, i, max);
+		problems++;
+	}
+	return problems;
+}
+
+static int
+parse_seeds(const struct proxy_settings *s, struct membership_settings *m)
+{
+	struct address seeds[SETTINGS_MAX_LIST];
+	uint32_t count;
+	uint32_t i;
+	int problems = parse_addresses("seeds", &s->seeds, seeds,
+	    SETTINGS_MAX_LIST, &count);
+
+	m->seed_count = count;
+	for (i = 0; i < count; i++) {
+		char text[ADDRESS_TEXT_BYTES];
+
+		address_format(&seeds[i], text);
+		*strrchr(text, ':') = '\0';
+		snprintf(m->seeds[i].host, sizeof(m->seeds[i].host), "%.15s",
+		    text);
+		m->seeds[i].port = ntohs(seeds[i].in.sin_port);
+	}
+	return problems;
+}
+
+static int
+check_loopback(const char *key, const char *text)
+{
+	if (strncmp(text, "127.", 4) == 0)
+		return 0;
+	fprintf(stderr, "settings: %s: must be on 127.0.0.0/8\n", key);
+	return 1;
+}
+
+static int
+resolve_self(const struct proxy_settings *s, struct member *self)
+{
+	struct address host;
+	int problems = 0;
+
+	memset(self, 0, sizeof(*self));
+	problems += copy_name("name", s->name, self->name, sizeof(self->name));
+	problems +=
+	    copy_name("region", s->region, self->region, sizeof(self->region));
+	problems += copy_name("dc", s->dc, self->dc, sizeof(self->dc));
+	problems += copy_name("host", s->host, self->host, sizeof(self->host));
+	if (address_make(s->host, 0, &host) != 0) {
+		fprintf(stderr, "settings: host: must be an IP number\n");
+		problems++;
+	}
+	// Later processes of this name must have a higher incarnation.
+	self->incarnation = (uint64_t)clock_wall_us();
+	return problems;
+}
+
+int
+proxy_settings_resolve(const struct proxy_settings *s,
+    struct control_settings *control, struct traffic_settings *traffic)
+{
+	struct membership_settings *m = &control->membership;
+	int problems = resolve_self(s, &control->self);
+
+	problems += check_loopback("listen.inner", s->listen_inner);
+	problems += check_loopback("listen.admin", s->listen_admin);
+	problems += parse_seeds(s, m);
+	problems += parse_addresses("sources", &s->sources, control->sources,
+	    CONTROL_MAX_SOURCES, &control->source_count);
+	problems += parse_addresses("ledgers", &s->ledgers, traffic->ledgers,
+	    ONCE_MAX_REPLICAS, &traffic->ledger_count);
+	address_parse(s->listen_control, &control->control);
+	address_parse(s->listen_admin, &control->admin);
+	address_parse(s->listen_outer, &traffic->ingress.outer);
+	address_parse(s->listen_inner, &traffic->ingress.inner);
+	address_parse(s->listen_peer, &traffic->peer);
+	m->probe_period_us = s->gossip_probe_ms * US_PER_MS;
+	m->ack_timeout_us = s->gossip_ack_timeout_ms * US_PER_MS;
+	m->notice_period_us = s->gossip_notice_ms * US_PER_MS;
+	m->sync_period_us = s->gossip_sync_ms * US_PER_MS;
+	m->retry_dead_period_us = s->gossip_retry_dead_ms * US_PER_MS;
+	m->forget_us = s->gossip_forget_ms * US_PER_MS;
+	m->suspicion_periods = (uint32_t)s->gossip_suspicion_periods;
+	control->report_period_us = s->report_ms * US_PER_MS;
+	control->drain_announce_us = s->drain_announce_ms * US_PER_MS;
+	control->drain_limit_us = s->drain_limit_ms * US_PER_MS;
+	control->seed = control->self.incarnation ^
+	    XXH3_64bits(s->name, strlen(s->name));
+	memcpy(traffic->ingress.name, control->self.name,
+	    sizeof(traffic->ingress.name));
+	traffic->ingress.incarnation = control->self.incarnation;
+	traffic->ingress.max_body_bytes = s->max_body_bytes;
+	traffic->ingress.max_connections = s->max_connections;
+	traffic->ingress.warm_us = s->warm_ms * US_PER_MS;
+	traffic->ingress.seed = control->seed + 1;
+	traffic->egress.max_queued = (uint32_t)s->max_queued;
+	traffic->egress.max_queued_bytes = (uint32_t)s->max_queued_bytes;
+	return problems == 0 ? 0 : -1;
+}
--- /dev/null
+++ b/src/proxy/settings.h
@@ -0,0 +1,50 @@
+/// @file
+/// Settings of mvproxy.
+#ifndef MV_PROXY_SETTINGS_H
+#define MV_PROXY_SETTINGS_H
+
+#include "io/program.h"
+#include "proxy/control.h"
+
+struct proxy_settings {
+	struct program_log log;
+	char name[SETTINGS_TEXT_BYTES];
+	char region[SETTINGS_TEXT_BYTES];
+	char dc[SETTINGS_TEXT_BYTES];
+	char host[SETTINGS_TEXT_BYTES];
+	char listen_outer[SETTINGS_TEXT_BYTES];
+	char listen_inner[SETTINGS_TEXT_BYTES];
+	char listen_peer[SETTINGS_TEXT_BYTES];
+	char listen_control[SETTINGS_TEXT_BYTES];
+	char listen_admin[SETTINGS_TEXT_BYTES];
+	char bound_path[SETTINGS_TEXT_BYTES];
+	struct settings_list seeds;
+	struct settings_list sources;
+	struct settings_list ledgers;
+	int64_t gossip_probe_ms;
+	int64_t gossip_ack_timeout_ms;
+	int64_t gossip_notice_ms;
+	int64_t gossip_sync_ms;
+	int64_t gossip_retry_dead_ms;
+	int64_t gossip_forget_ms;
+	int64_t gossip_suspicion_periods;
+	int64_t report_ms;
+	int64_t drain_announce_ms;
+	int64_t drain_limit_ms;
+	int64_t warm_ms;
+	int64_t max_body_bytes;
+	int64_t max_connections;
+	int64_t max_queued;
+	int64_t max_queued_bytes;
+};
+
+extern const struct settings_field PROXY_FIELDS[];
+extern const size_t PROXY_FIELD_COUNT;
+
+/// Turns settings into those of the two threads.
+///
+/// @return 0, or -1 with a line for each problem on standard error
+int proxy_settings_resolve(const struct proxy_settings *s,
+    struct control_settings *control, struct traffic_settings *traffic);
+
+#endif
--- /dev/null
+++ b/src/proxy/traffic.h
@@ -0,0 +1,57 @@
+/// @file
+/// Traffic thread: ingress and egress on one event loop.
+#ifndef MV_PROXY_TRAFFIC_H
+#define MV_PROXY_TRAFFIC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "io/address.h"
+#include "proxy/egress.h"
+#include "proxy/ingress.h"
+#include "proxy/once_client.h"
+#include "proxy/view.h"
+
+struct traffic;
+
+struct traffic_settings {
+	struct ingress_settings ingress;
+	struct egress_settings egress;
+	struct address peer; ///< For streams from other proxies.
+	struct address ledgers[ONCE_MAX_REPLICAS];
+	uint32_t ledger_count;
+};
+
+/// Addresses in use once the listeners are open.
+struct traffic_bound {
+	struct address outer;
+	struct address inner;
+	struct address peer;
+};
+
+/// Opens the listeners; traffic_start begins to serve.
+struct traffic *traffic_create(const struct traffic_settings *settings,
+    struct traffic_bound *bound, struct error *err);
+
+int traffic_start(struct traffic *traffic, struct error *err);
+
+/// Hands a view over. Any thread.
+void traffic_post_view(struct traffic *traffic, struct view *view);
+
+/// Hands the state of the backend server over. Any thread.
+void traffic_post_backend(struct traffic *traffic,
+    const struct egress_backend *backend);
+
+/// Stops to take new requests. Any thread.
+void traffic_post_drain(struct traffic *traffic);
+
+/// Load of the egress as a percentage of its slots. Any thread.
+uint32_t traffic_load_pct(const struct traffic *traffic);
+
+/// Requests in progress as ingress and as egress. Any thread.
+uint32_t traffic_active_count(const struct traffic *traffic);
+
+/// Ends the thread and frees everything.
+void traffic_stop(struct traffic *traffic);
+
+#endif
--- /dev/null
+++ b/src/proxy/view.h
@@ -0,0 +1,30 @@
+/// @file
+/// Immutable view of rules and endpoints, made by the control thread and
+/// read by the traffic thread.
+#ifndef MV_PROXY_VIEW_H
+#define MV_PROXY_VIEW_H
+
+#include <stdint.h>
+
+#include "core/membership.h"
+#include "core/rules.h"
+
+struct view_endpoint {
+	struct member member;
+	enum distance distance;
+};
+
+struct view {
+	struct rules *rules; ///< One reference; NULL before the first rules.
+	uint32_t endpoint_count;
+	struct view_endpoint endpoints[];
+};
+
+/// Copies the members that have a backend server.
+///
+/// @return the view; release it with view_free
+struct view *view_create(const struct membership *m, struct rules *rules);
+
+void view_free(struct view *view);
+
+#endif
--- /dev/null
+++ b/src/source/pending.c
@@ -0,0 +1,202 @@
+// Requests that wait for the replicated log.
+#include <assert.h>
+#include <stdlib.h>
+
+#include "io/clock.h"
+#include "io/rules_message.h"
+#include "source/source.h"
+
+static void
+pending_free(struct pending *p)
+{
+	struct pending **at = &p->source->pending;
+
+	while (*at != p)
+		at = &(*at)->next;
+	*at = p->next;
+	p->source->pending_count--;
+	rules_unref(p->rules);
+	free(p);
+}
+
+struct pending *
+pending_read(struct source *source, int kind)
+{
+	struct pending *p = calloc(1, sizeof(*p));
+
+	assert(p != NULL);
+	p->source = source;
+	p->kind = kind;
+	p->context = ++source->next_context;
+	p->next = source->pending;
+	source->pending = p;
+	source->pending_count++;
+	return p;
+}
+
+static void
+reply(struct pending *p, uint32_t status, int64_t retry_us, const char *body)
+{
+	operator_reply_fn *fn = p->fn;
+	void *arg = p->arg;
+
+	pending_free(p);
+	fn(arg, status, retry_us, body);
+}
+
+static void
+reply_unconfirmed(struct pending *p)
+{
+	char *body;
+
+	if (p->kind != PENDING_STATUS) {
+		reply(p, 503, US_PER_S,
+		    "{\"result\":\"unavailable\",\"why\":\"this replica "
+		    "cannot reach a quorum of the sources\"}");
+		return;
+	}
+	body = status_render(p->source, false);
+	reply(p, 503, US_PER_S, body);
+	free(body);
+}
+
+/// The newest version is known now: decides on a submitted file.
+static void
+decide_submit(struct pending *p)
+{
+	struct source *source = p->source;
+	enum rule_store_verdict verdict = rule_store_check(&source->store,
+	    p->rules->version, p->rules->hash);
+	struct error err;
+	uint32_t size_bytes;
+	uint32_t status;
+	char *entry;
+	char *body;
+	int rc;
+
+	if (verdict != RULE_STORE_ACCEPTED) {
+		body = operator_verdict_body(source, p->rules, verdict,
+		    &status);
+		reply(p, status, 0, body);
+		free(body);
+		return;
+	}
+	entry = rule_store_encode(p->rules, clock_wall_us(), &size_bytes);
+	p->kind = PENDING_PROPOSED;
+	p->term = source->host.replica.term;
+	rc = replica_propose(&source->host.replica, entry, size_bytes,
+	    &p->index, loop_now_us(source->loop), &err);
+	free(entry);
+	if (rc != 0)
+		reply(p, 503, US_PER_S,
+		    "{\"result\":\"unavailable\",\"why\":\"the source is at "
+		    "its limits\"}");
+}
+
+static void
+answer_confirm(struct pending *p, bool ok)
+{
+	struct message_busy busy = {.retry_left_us = US_PER_S};
+	struct message_pull pull = {.have_version = p->have_version};
+
+	if (p->stream != NULL && ok)
+		rules_send(p->stream, &pull, p->source->store.current, NULL);
+	else if (p->stream != NULL)
+		stream_send(p->stream, MESSAGE_BUSY, &busy);
+	pending_free(p);
+}
+
+static void
+finish_read(struct pending *p, bool ok)
+{
+	const struct rules *current = p->source->store.current;
+	char *body;
+
+	if (p->kind == PENDING_CONFIRM) {
+		answer_confirm(p, ok);
+		return;
+	}
+	if (!ok) {
+		reply_unconfirmed(p);
+		return;
+	}
+	switch (p->kind) {
+	case PENDING_STATUS:
+		body = status_render(p->source, true);
+		reply(p, 200, 0, body);
+		free(body);
+		break;
+	case PENDING_SHOW:
+		reply(p, current == NULL ? 404 : 200, 0,
+		    current == NULL ? "no file is accepted yet\n" :
+				      current->text);
+		break;
+	case PENDING_SUBMIT:
+		decide_submit(p);
+		break;
+	case PENDING_PROPOSED:
+	case PENDING_CONFIRM:
+		break;
+	}
+}
+
+void
+pending_finish_read(struct source *source, uint64_t context, bool ok)
+{
+	struct pending *p = source->pending;
+
+	while (p != NULL && p->context != context)
+		p = p->next;
+	if (p != NULL && p->kind != PENDING_PROPOSED)
+		finish_read(p, ok);
+}
+
+static const char UNKNOWN_BODY[] =
+    "{\"result\":\"unknown\",\"why\":\"the leader changed while the file "
+    "was being accepted; send the same file again\"}";
+
+void
+pending_finish_entry(struct source *source,
+    const struct replica_entry *entry, int verdict)
+{
+	struct pending *p = source->pending;
+	uint32_t status;
+	char *body;
+
+	while (p != NULL &&
+	    (p->kind != PENDING_PROPOSED || p->index != entry->index))
+		p = p->next;
+	if (p == NULL)
+		return;
+	if (p->term != entry->term || verdict < 0) {
+		reply(p, 503, US_PER_S, UNKNOWN_BODY);
+		return;
+	}
+	body = operator_verdict_body(source, p->rules, verdict, &status);
+	reply(p, status, 0, body);
+	free(body);
+}
+
+void
+pending_fail_proposed(struct source *source)
+{
+	struct pending *p = source->pending;
+
+	while (p != NULL) {
+		struct pending *next = p->next;
+
+		if (p->kind == PENDING_PROPOSED)
+			reply(p, 503, US_PER_S, UNKNOWN_BODY);
+		p = next;
+	}
+}
+
+void
+pending_drop_stream(struct source *source, const struct stream *stream)
+{
+	struct pending *p;
+
+	for (p = source->pending; p != NULL; p = p->next)
+		if (p->stream == stream)
+			p->stream = NULL;
+}
--- /dev/null
+++ b/src/source/publish.c
@@ -0,0 +1,159 @@
+// Rules out to the proxies, and their reports in.
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/version_sync.h"
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "io/rules_message.h"
+#include "source/source.h"
+#include "wire/gossip_codec.h"
+
+#define NOTIFIED_IN_DC	  2
+#define PULL_COST_MILLI	  1000
+#define PULL_RETRY_US	  (300 * US_PER_MS)
+
+COUNTER_DEFINE(count_reports, "source_reports", "Reports of proxies");
+COUNTER_DEFINE(count_pulls, "source_pulls", "Pulls answered");
+COUNTER_DEFINE(count_busy, "source_pulls_put_off", "Pulls told to wait");
+COUNTER_DEFINE(gauge_members, "source_members", "Proxies that report");
+
+static void
+send_answer(struct source *source, const struct address *to,
+    uint64_t version_seen)
+{
+	const struct rules *current = source->store.current;
+	struct message_report_answer answer = {
+	    .accepted_version = current == NULL ? 0 : current->version,
+	    .version_seen = version_seen,
+	    .control_port = ntohs(source->bound_control.in.sin_port),
+	};
+	msgpack_sbuffer out;
+
+	answer.host = bytes_from(source->settings.host);
+	answer.region = bytes_from(source->settings.region);
+	answer.dc = bytes_from(source->settings.dc);
+	msgpack_sbuffer_init(&out);
+	message_pack(&out, MESSAGE_REPORT_ANSWER, &answer);
+	datagram_send(&source->udp, to, out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
+
+void
+publish_on_datagram(void *owner, const struct address *from,
+    struct message *message)
+{
+	struct source *source = owner;
+	const struct report *report;
+	struct member member;
+	struct error err;
+
+	if (message->type != MESSAGE_REPORT)
+		return;
+	if (member_from_message(&message->u.report.member, &member, &err) !=
+	    0) {
+		log_error(LOG_WARN, "source", "Dropped a report", &err);
+		return;
+	}
+	counter_add(&count_reports, 1);
+	report = report_table_note(&source->reports, &member,
+	    message->u.report.leaving != 0, loop_now_us(source->loop));
+	counter_set(&gauge_members,
+	    report_table_sum(&source->reports, NULL, 0,
+		loop_now_us(source->loop))
+		.members);
+	send_answer(source, from, report->version_seen);
+}
+
+/// Proxies of the own data centre that go before one for a version.
+static uint32_t
+rank_in_dc(const struct report_table *table, const struct report *report,
+    uint64_t version)
+{
+	uint64_t own = version_sync_weight(report->member.name, version);
+	uint32_t rank = 0;
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+
+		if (!r->left && strcmp(r->member.dc, report->member.dc) == 0 &&
+		    version_sync_weight(r->member.name, version) > own)
+			rank++;
+	}
+	return rank;
+}
+
+void
+publish_accepted(struct source *source)
+{
+	const struct report_table *table = &source->reports;
+	uint64_t version = source->store.current->version;
+	struct address to;
+	uint32_t i;
+
+	if (!replica_is_leader(&source->host.replica))
+		return;
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+
+		if (r->left ||
+		    rank_in_dc(table, r, version) >= NOTIFIED_IN_DC ||
+		    address_make(r->member.host, r->member.control_port,
+			&to) != 0)
+			continue;
+		send_answer(source, &to, r->version_seen);
+	}
+}
+
+/// Takes a token of the bucket that bounds the pulls in a second.
+static bool
+take_pull_token(struct source *source)
+{
+	int64_t now_us = loop_now_us(source->loop);
+	int64_t max_milli = source->settings.pulls_per_s * PULL_COST_MILLI;
+
+	source->pull_tokens_milli += (now_us - source->pull_tokens_us) *
+	    source->settings.pulls_per_s / US_PER_MS;
+	source->pull_tokens_us = now_us;
+	if (source->pull_tokens_milli > max_milli)
+		source->pull_tokens_milli = max_milli;
+	if (source->pull_tokens_milli < PULL_COST_MILLI)
+		return false;
+	source->pull_tokens_milli -= PULL_COST_MILLI;
+	return true;
+}
+
+static void
+start_confirm(struct source *source, struct stream *stream,
+    const struct message_pull *pull)
+{
+	struct pending *p = pending_read(source, PENDING_CONFIRM);
+
+	p->stream = stream;
+	p->have_version = pull->have_version;
+	replica_read(&source->host.replica, p->context,
+	    loop_now_us(source->loop));
+}
+
+void
+publish_answer_pull(struct source *source, struct stream *stream,
+    const struct message_pull *pull)
+{
+	struct message_busy busy = {.retry_left_us = PULL_RETRY_US};
+
+	if (!take_pull_token(source) ||
+	    (pull->confirm && !replica_is_leader(&source->host.replica))) {
+		counter_add(&count_busy, 1);
+		stream_send(stream, MESSAGE_BUSY, &busy);
+		return;
+	}
+	counter_add(&count_pulls, 1);
+	if (pull->confirm)
+		start_confirm(source, stream, pull);
+	else
+		rules_send(stream, pull, source->store.current,
+		    source->store.previous);
+}
--- /dev/null
+++ b/src/source/service.c
@@ -0,0 +1,254 @@
+// Glue of the source: state machine, operators' HTTP, control streams.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "source/source.h"
+
+COUNTER_DEFINE(gauge_accepted, "source_version", "Accepted version");
+
+static struct source *
+source_of(struct replica_host *host)
+{
+	return host->owner;
+}
+
+/// Replaces applied entries by a snapshot now and then.
+static void
+compact_if_due(struct source *source, uint64_t index)
+{
+	uint32_t size_bytes;
+	char *data;
+
+	if (++source->applied_since_snapshot < source->settings.compact_every)
+		return;
+	source->applied_since_snapshot = 0;
+	data = rule_store_snapshot(&source->store, &size_bytes);
+	replica_compact(&source->host.replica, index, data, size_bytes);
+	free(data);
+}
+
+static void
+on_apply(struct replica_host *host, const struct replica_entry *entry)
+{
+	struct source *source = source_of(host);
+	struct error err;
+	int verdict = rule_store_apply(&source->store, entry->data,
+	    entry->size_bytes, &err);
+
+	if (verdict < 0)
+		log_error(LOG_ERROR, "source", "Entry is not valid", &err);
+	if (verdict == RULE_STORE_ACCEPTED) {
+		counter_set(&gauge_accepted,
+		    (int64_t)source->store.current->version);
+		log_write(LOG_INFO, "source",
+		    "Accepted version %" PRIu64 " (hash %016" PRIx64 ").",
+		    source->store.current->version,
+		    source->store.current->hash);
+		publish_accepted(source);
+	}
+	pending_finish_entry(source, entry, verdict);
+	compact_if_due(source, entry->index);
+}
+
+static void
+on_restore(struct replica_host *host, const struct replica_snapshot *s)
+{
+	struct source *source = source_of(host);
+	struct error err;
+
+	if (rule_store_restore(&source->store, s->data, s->size_bytes, &err) !=
+	    0) {
+		// Damage that the checksum did not show: do not run on it.
+		log_error(LOG_ERROR, "source", "Snapshot is not valid", &err);
+		replica_fail(&host->replica, &err);
+		return;
+	}
+	if (source->store.current != NULL)
+		counter_set(&gauge_accepted,
+		    (int64_t)source->store.current->version);
+}
+
+static void
+on_read_done(struct replica_host *host, uint64_t context, bool ok)
+{
+	pending_finish_read(source_of(host), context, ok);
+}
+
+static void
+on_role_changed(struct replica_host *host)
+{
+	if (!replica_is_leader(&host->replica))
+		pending_fail_proposed(source_of(host));
+}
+
+const struct replica_host_ops SOURCE_REPLICA_OPS = {
+    .apply = on_apply,
+    .restore = on_restore,
+    .read_done = on_read_done,
+    .role_changed = on_role_changed,
+};
+
+/// An HTTP request or a forwarded one that awaits its reply.
+struct call {
+	struct http_exchange *exchange; ///< NULL once the operator is gone.
+	struct stream *stream;
+	struct call *next;
+	struct source *source;
+};
+
+static struct call *open_calls;
+
+static struct call *
+call_create(struct source *source)
+{
+	struct call *call = calloc(1, sizeof(*call));
+
+	assert(call != NULL);
+	call->source = source;
+	call->next = open_calls;
+	open_calls = call;
+	return call;
+}
+
+static void
+call_free(struct call *call)
+{
+	struct call **at = &open_calls;
+
+	while (*at != call)
+		at = &(*at)->next;
+	*at = call->next;
+	free(call);
+}
+
+static void
+reply_http(struct http_exchange *exchange, uint32_t status, int64_t retry_us,
+    const char *body)
+{
+	char seconds[24];
+	struct http_header headers[2] = {
+	    {"Content-Type",
+		body[0] == '{' ? "application/json" :
+				 "text/plain; charset=utf-8"},
+	    {"Retry-After", seconds},
+	};
+
+	snprintf(seconds, sizeof(seconds), "%" PRId64,
+	    (retry_us + US_PER_S - 1) / US_PER_S);
+	exchange->state = NULL;
+	http_exchange_respond(exchange, status, headers, retry_us > 0 ? 2 : 1,
+	    body, strlen(body));
+}
+
+static void
+on_reply(void *arg, uint32_t status, int64_t retry_us, const char *body)
+{
+	struct call *call = arg;
+	struct message_operator_answer answer = {.status = status,
+	    .retry_left_us = retry_us};
+
+	if (call->exchange != NULL)
+		reply_http(call->exchange, status, retry_us, body);
+	if (call->stream != NULL) {
+		answer.body = bytes_from(body);
+		stream_send(call->stream, MESSAGE_OPERATOR_ANSWER, &answer);
+	}
+	call_free(call);
+}
+
+static void
+on_request(void *owner, struct http_exchange *exchange)
+{
+	static const struct http_header PLAIN = {"Content-Type",
+	    "text/plain; charset=utf-8"};
+	struct source *source = owner;
+	msgpack_sbuffer out;
+	struct call *call;
+
+	if (strcmp(exchange->target, "/counters") == 0) {
+		msgpack_sbuffer_init(&out);
+		counters_render(&out);
+		http_exchange_respond(exchange, 200, &PLAIN, 1, out.data,
+		    out.size);
+		msgpack_sbuffer_destroy(&out);
+		return;
+	}
+	call = call_create(source);
+	call->exchange = exchange;
+	exchange->state = call;
+	operator_handle(source, exchange->method, exchange->target,
+	    exchange->body, exchange->body_bytes, false, on_reply, call);
+}
+
+static void
+on_end(struct http_exchange *exchange, bool complete)
+{
+	struct call *call = exchange->state;
+
+	(void)complete;
+	if (call != NULL)
+		call->exchange = NULL;
+}
+
+const struct httpd_ops SOURCE_HTTPD_OPS = {
+    .on_request = on_request,
+    .on_end = on_end,
+};
+
+static void
+take_forwarded(struct source *source, struct stream *stream,
+    const struct message_operator *m)
+{
+	char method[16];
+	char target[256];
+	struct call *call;
+
+	if (bytes_copy(m->method, method, sizeof(method)) != 0 ||
+	    bytes_copy(m->target, target, sizeof(target)) != 0) {
+		stream_close(stream);
+		return;
+	}
+	call = call_create(source);
+	call->stream = stream;
+	operator_handle(source, method, target, m->body.data,
+	    m->body.size_bytes, true, on_reply, call);
+}
+
+static void
+on_message(struct stream *stream, struct message *message)
+{
+	struct source *source = stream->owner;
+
+	if (replica_host_receive(&source->host, stream, message))
+		return;
+	if (message->type == MESSAGE_PULL)
+		publish_answer_pull(source, stream, &message->u.pull);
+	else if (message->type == MESSAGE_OPERATOR)
+		take_forwarded(source, stream, &message->u.operator_request);
+	else
+		stream_close(stream);
+}
+
+static void
+on_closed(struct stream *stream, const struct error *err)
+{
+	struct source *source = stream->owner;
+	struct call *call;
+
+	(void)err;
+	pending_drop_stream(source, stream);
+	for (call = open_calls; call != NULL; call = call->next)
+		if (call->stream == stream)
+			call->stream = NULL;
+}
+
+const struct stream_ops SOURCE_STREAM_OPS = {
+    .on_message = on_message,
+    .on_closed = on_closed,
+};
--- /dev/null
+++ b/src/source/source.h
@@ -0,0 +1,137 @@
+/// @file
+/// mvsource: one replica of the source of rules.
+#ifndef MV_SOURCE_SOURCE_H
+#define MV_SOURCE_SOURCE_H
+
+#include "core/report_table.h"
+#include "core/rule_store.h"
+#include "io/httpd.h"
+#include "io/net.h"
+#include "io/program.h"
+#include "io/replica_host.h"
+
+struct source_settings {
+	struct program_log log;
+	char region[SETTINGS_TEXT_BYTES];
+	char dc[SETTINGS_TEXT_BYTES];
+	char host[SETTINGS_TEXT_BYTES];
+	char listen_control[SETTINGS_TEXT_BYTES];
+	char listen_operators[SETTINGS_TEXT_BYTES];
+	char bound_path[SETTINGS_TEXT_BYTES];
+	char data_path[SETTINGS_TEXT_BYTES];
+	char cluster[SETTINGS_TEXT_BYTES];
+	int64_t id;
+	struct settings_list replicas; ///< "ID=IP:port"
+	int64_t election_ms;
+	int64_t heartbeat_ms;
+	int64_t stale_ms;
+	int64_t forget_ms;
+	int64_t pulls_per_s;
+	int64_t compact_every;
+	bool bootstrap;
+	bool join;
+};
+
+/// Answers an operator's request.
+///
+/// @param retry_us  time after which to try again; 0 for no hint
+/// @param body      JSON or plain text
+typedef void operator_reply_fn(void *arg, uint32_t status, int64_t retry_us,
+    const char *body);
+
+/// A request that waits for the replicated log.
+struct pending {
+	struct pending *next;
+	struct source *source;
+	enum {
+		PENDING_STATUS,
+		PENDING_SUBMIT,	  ///< To be checked once the read is done.
+		PENDING_PROPOSED, ///< Awaits its entry.
+		PENDING_SHOW,
+		PENDING_CONFIRM,  ///< Pull of a starting proxy.
+	} kind;
+	uint64_t context; ///< Of the read.
+	uint64_t index;
+	uint64_t term;
+	struct rules *rules;
+	operator_reply_fn *fn;
+	void *arg;
+	struct stream *stream; ///< PENDING_CONFIRM.
+	uint64_t have_version;
+};
+
+struct source {
+	struct source_settings settings;
+	struct loop *loop;
+	struct replica_host host;
+	struct rule_store store;
+	struct report_table reports;
+	struct datagram_socket udp;
+	struct listener listener;
+	struct httpd *httpd;
+	struct address bound_control;
+	struct address bound_operators;
+	struct pending *pending;
+	uint32_t pending_count;
+	uint64_t next_context;
+	uint32_t applied_since_snapshot;
+	int64_t pull_tokens_milli;
+	int64_t pull_tokens_us; ///< When the tokens were last counted.
+	int64_t started_us;
+	struct loop_timer expire_timer;
+};
+
+extern const struct settings_field SOURCE_FIELDS[];
+extern const size_t SOURCE_FIELD_COUNT;
+
+/// Handles an operator's request; the reply may come from inside.
+///
+/// @param forwarded  it came from another replica: not to be passed on again
+void operator_handle(struct source *source, const char *method,
+    const char *target, const char *body, size_t body_bytes, bool forwarded,
+    operator_reply_fn *fn, void *arg);
+
+/// State machine callbacks for the replica.
+extern const struct replica_host_ops SOURCE_REPLICA_OPS;
+
+/// Operators' HTTP requests.
+extern const struct httpd_ops SOURCE_HTTPD_OPS;
+
+/// Control streams: replicas, pulls, forwarded requests.
+extern const struct stream_ops SOURCE_STREAM_OPS;
+
+/// Reports of proxies.
+void publish_on_datagram(void *owner, const struct address *from,
+    struct message *message);
+
+/// Tells some proxies of each data centre of the accepted version.
+void publish_accepted(struct source *source);
+
+/// Answers a pull, or puts it off if there are too many.
+void publish_answer_pull(struct source *source, struct stream *stream,
+    const struct message_pull *pull);
+
+/// JSON text of the status. Release it with free().
+char *status_render(const struct source *source, bool confirmed);
+
+/// Adds a request that waits for a read, and begins the read.
+struct pending *pending_read(struct source *source, int kind);
+
+/// Ends the requests that wait for a read.
+void pending_finish_read(struct source *source, uint64_t context, bool ok);
+
+/// Ends a proposal whose entry was applied.
+void pending_finish_entry(struct source *source,
+    const struct replica_entry *entry, int verdict);
+
+/// The leadership is lost: what was proposed may or may not be accepted.
+void pending_fail_proposed(struct source *source);
+
+/// Forgets a stream that closed.
+void pending_drop_stream(struct source *source, const struct stream *stream);
+
+/// Body of the answer to a submitted file. Release it with free().
+char *operator_verdict_body(const struct source *source,
+    const struct rules *rules, int verdict, uint32_t *status);
+
+#endif
--- /dev/null
+++ b/src/source/status.c
@@ -0,0 +1,155 @@
+// Status of the source: what is accepted, and where it is in force.
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "source/source.h"
+
+#define MAX_STRAGGLERS 100
+
+static json_t *
+render_accepted(const struct rule_store *store)
+{
+	const struct rules *r = store->current;
+	char hash[20];
+
+	if (r == NULL)
+		return json_null();
+	snprintf(hash, sizeof(hash), "%016" PRIx64, r->hash);
+	return json_pack("{s:I, s:s, s:s, s:I}", "version",
+	    (json_int_t)r->version, "hash", hash, "owner", r->owner,
+	    "accepted_at_ms", (json_int_t)(store->accepted_us / US_PER_MS));
+}
+
+static bool
+is_first_of_region(const struct report_table *table, uint32_t at)
+{
+	uint32_t i;
+
+	for (i = 0; i < at; i++)
+		if (!table->items[i].left &&
+		    strcmp(table->items[i].member.region,
+			table->items[at].member.region) == 0)
+			return false;
+	return !table->items[at].left;
+}
+
+static json_t *
+render_regions(const struct source *source, uint64_t version, int64_t now_us)
+{
+	const struct report_table *table = &source->reports;
+	json_t *regions = json_array();
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const char *name = table->items[i].member.region;
+		struct report_sum sum;
+
+		if (!is_first_of_region(table, i))
+			continue;
+		sum = report_table_sum(table, name, version, now_us);
+		if (version == 0)
+			sum.in_force = 0;
+		json_array_append_new(regions,
+		    json_pack("{s:s, s:i, s:i}", "region", name, "in_force",
+			(int)sum.in_force, "members", (int)sum.members));
+	}
+	return regions;
+}
+
+static json_t *
+render_stragglers(const struct source *source, uint64_t version,
+    int64_t now_us)
+{
+	const struct report_table *table = &source->reports;
+	json_t *stragglers = json_array();
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+
+		if (r->left ||
+		    report_table_in_force(table, r, version, now_us) ||
+		    json_array_size(stragglers) == MAX_STRAGGLERS)
+			continue;
+		json_array_append_new(stragglers,
+		    json_pack("{s:s, s:s, s:I, s:I}", "name", r->member.name,
+			"region", r->member.region, "version",
+			(json_int_t)r->member.version, "silent_ms",
+			(json_int_t)((now_us - r->heard_us) / US_PER_MS)));
+	}
+	return stragglers;
+}
+
+/// One row for each rule: since when it stands, and where it is in force.
+static json_t *
+render_rules(const struct source *source, int64_t now_us)
+{
+	const struct rule_store *store = &source->store;
+	json_t *rules = json_array();
+	const char *at = store->current == NULL ? "" : store->current->text;
+	uint32_t line;
+
+	for (line = 1; *at != '\0'; line++) {
+		size_t n = strcspn(at, "\n");
+		size_t blank = strspn(at, " \t\r");
+
+		if (blank < n && at[blank] != '#') {
+			uint64_t since = store->since[line];
+			struct report_sum sum = report_table_sum(
+			    &source->reports, NULL, since, now_us);
+
+			json_array_append_new(rules,
+			    json_pack("{s:i, s:s%, s:I, s:i}", "line",
+				(int)line, "rule", at, n, "since_version",
+				(json_int_t)since, "in_force",
+				(int)sum.in_force));
+		}
+		at += n + (at[n] == '\n');
+	}
+	return rules;
+}
+
+static json_t *
+render_replicas(const struct replica_config *config)
+{
+	json_t *replicas = json_array();
+	uint32_t i;
+
+	for (i = 0; i < config->voter_count; i++)
+		json_array_append_new(replicas,
+		    json_pack("{s:I, s:s}", "id",
+			(json_int_t)config->voters[i].id, "address",
+			config->voters[i].address));
+	return replicas;
+}
+
+char *
+status_render(const struct source *source, bool confirmed)
+{
+	const struct replica *r = &source->host.replica;
+	const struct rules *current = source->store.current;
+	uint64_t version = current == NULL ? 0 : current->version;
+	int64_t now_us = loop_now_us(source->loop);
+	struct report_sum sum =
+	    report_table_sum(&source->reports, NULL, version, now_us);
+	json_t *root = json_pack(
+	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:I, s:I, s:s}",
+	    "confirmed", confirmed, "accepted",
+	    render_accepted(&source->store), "in_force",
+	    current == NULL ? 0 : (int)sum.in_force, "members",
+	    (int)sum.members, "heard_for_ms",
+	    (json_int_t)((now_us - source->started_us) / US_PER_MS), "regions",
+	    render_regions(source, version, now_us), "stragglers",
+	    render_stragglers(source, version, now_us), "rules",
+	    render_rules(source, now_us), "replicas",
+	    render_replicas(&r->config), "replica",
+	    (json_int_t)r->settings.id, "leader", (json_int_t)r->leader,
+	    "storage", replica_has_failed(r) ? r->failure.text : "ok");
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
