--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -8,8 +8,9 @@
 
 #define TRANSMIT_FACTOR	     3
 #define NOTICE_FANOUT	     3
-#define VERSION_FANOUT_NEAR  4
-#define VERSION_FANOUT_FAR   1
+#define VERSION_FANOUT	     4
+#define CROSSING_MEMBERS     3
+#define MAX_DCS		     32
 #define REGION_PROBE_EVERY   4
 #define FAR_PROBE_EVERY	     8
 #define DEADLINE_NONE	     INT64_MAX
@@ -206,11 +207,94 @@
 	send_gossip(m, to->host, to->control_port, &g);
 }
 
+/// A random member that is up, for each other data centre.
+struct dc_sample {
+	const char *region;
+	const char *dc;
+	struct peer *peer;
+	uint32_t seen;
+};
+
+static struct dc_sample *
+sample_of(struct dc_sample *samples, uint32_t *count,
+    const struct member *member)
+{
+	uint32_t i;
+
+	for (i = 0; i < *count; i++)
+		if (strcmp(samples[i].dc, member->dc) == 0 &&
+		    strcmp(samples[i].region, member->region) == 0)
+			return &samples[i];
+	if (*count == MAX_DCS)
+		return NULL;
+	samples[*count].region = member->region;
+	samples[*count].dc = member->dc;
+	samples[*count].peer = NULL;
+	samples[*count].seen = 0;
+	return &samples[(*count)++];
+}
+
+static uint32_t
+sample_dcs(struct membership *m, struct dc_sample samples[MAX_DCS])
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->peer_count; i++) {
+		struct peer *peer = m->peers[i];
+		struct dc_sample *s;
+
+		if (peer->distance == DISTANCE_DC || !is_up(&peer->member))
+			continue;
+		s = sample_of(samples, &count, &peer->member);
+		if (s != NULL && random_below(&m->random, ++s->seen) == 0)
+			s->peer = peer;
+	}
+	return count;
+}
+
+/// Sends a notice with a record to one member of each other data centre.
+///
+/// @param record  NULL for the own record, which every message carries
+static void
+push_across(struct membership *m, const struct member *record)
+{
+	struct dc_sample samples[MAX_DCS];
+	uint32_t count = sample_dcs(m, samples);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		struct gossip g = {.kind = GOSSIP_NOTICE};
+		const struct member *to = &samples[i].peer->member;
+
+		if (record != NULL)
+			g.updates[g.update_count++] = *record;
+		g.from = m->self;
+		m->ops->send(m, to->host, to->control_port, &g);
+	}
+}
+
+/// Tells whether this member is one of the few that carry a change of their
+/// data centre across.
+static bool
+draw_crossing(struct membership *m)
+{
+	uint32_t near = 1;
+	uint32_t i;
+
+	for (i = 0; i < m->peer_count; i++)
+		near += m->peers[i]->distance == DISTANCE_DC &&
+		    is_up(&m->peers[i]->member);
+	return random_below(&m->random, near) < CROSSING_MEMBERS;
+}
+
 static void
 mark_changed(struct membership *m, struct peer *peer)
 {
 	peer->transmits_left = transmit_limit(m);
 	peer->sends = 0;
+	if (peer->distance == DISTANCE_DC && draw_crossing(m))
+		push_across(m, &peer->member);
 	m->ops->changed(m, &peer->member);
 }
 
@@ -220,6 +304,7 @@
 {
 	m->self.revision++;
 	m->self_transmits_left = transmit_limit(m);
+	m->push_self = true;
 }
 
 /// Refutes a record that calls this member anything but alive.
@@ -527,6 +612,10 @@
 {
 	uint32_t i;
 
+	if (m->push_self && m->peer_count > 0) {
+		m->push_self = false;
+		push_across(m, NULL);
+	}
 	for (i = 0; i < NOTICE_FANOUT && has_news(m); i++) {
 		enum distance d =
 		    distance_of_round(random_below(&m->random, 64));
@@ -659,6 +748,7 @@
 	m->sync_deadline_us = jittered(m, now_us, settings->sync_period_us);
 	m->retry_dead_deadline_us = now_us;
 	m->self_transmits_left = 1;
+	m->push_self = true;
 }
 
 void
@@ -694,26 +784,20 @@
 }
 
 void
-membership_set_version(struct membership *m, uint64_t version, int64_t now_us)
+membership_set_version(struct membership *m, uint64_t version)
 {
 	uint32_t i;
 
-	(void)now_us;
 	assert(version > m->self.version);
 	m->self.version = version;
-	for (i = 0; i < VERSION_FANOUT_NEAR; i++) {
+	for (i = 0; i < VERSION_FANOUT; i++) {
 		struct peer *peer = random_peer(m, DISTANCE_DC);
 
 		if (peer != NULL && peer->member.version < version)
 			send_simple(m, &peer->member, GOSSIP_NOTICE, 0);
 	}
-	for (i = 0; i < 2 * VERSION_FANOUT_FAR; i++) {
-		struct peer *peer = random_peer(m,
-		    i % 2 == 0 ? DISTANCE_REGION : DISTANCE_FAR);
-
-		if (peer != NULL && peer->member.version < version)
-			send_simple(m, &peer->member, GOSSIP_NOTICE, 0);
-	}
+	if (draw_crossing(m))
+		push_across(m, NULL);
 }
 
 void
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -3,8 +3,9 @@
 ///
 /// Probes with indirect probes and suspicion as in SWIM; updates ride on
 /// probes and on notices sent while there is something to tell. Targets are
-/// mostly in the own data centre, so that the bytes between regions stay few
-/// and do not grow with the fleet.
+/// mostly in the own data centre. A change crosses to each other data centre
+/// a few times, by the member itself and by a few of its neighbours, so that
+/// the bytes between regions do not grow with the fleet.
 #ifndef MV_CORE_MEMBERSHIP_H
 #define MV_CORE_MEMBERSHIP_H
 
@@ -95,6 +96,7 @@
 	struct random random;
 	struct member self;
 	uint32_t self_transmits_left;
+	bool push_self; ///< The own record is to go to every data centre.
 	struct peer **peers; ///< Sorted by name.
 	uint32_t peer_count;
 	uint32_t peer_capacity;
@@ -146,8 +148,7 @@
 void membership_set_load(struct membership *m, uint32_t load_pct);
 
 /// Raises the own version and tells some members at once.
-void membership_set_version(struct membership *m, uint64_t version,
-    int64_t now_us);
+void membership_set_version(struct membership *m, uint64_t version);
 
 /// Tells members that this one leaves of its own will.
 void membership_leave(struct membership *m, int64_t now_us);
--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -3,12 +3,24 @@
 #ifndef MV_CORE_OUTCOME_H
 #define MV_CORE_OUTCOME_H
 
+#include <stdbool.h>
+
 enum outcome {
 	OUTCOME_ANSWERED, ///< The backend server answered.
 	OUTCOME_NOT_RUN,  ///< Proved: the backend server never got it.
 	OUTCOME_UNKNOWN,  ///< It may have run.
+	/// Proved: this attempt did not run. An earlier attempt with the same
+	/// idempotency key may have.
+	OUTCOME_REFUSED,
 };
 
+/// Tells whether the attempt is proved not to have run.
+static inline bool
+outcome_is_not_run(enum outcome outcome)
+{
+	return outcome == OUTCOME_NOT_RUN || outcome == OUTCOME_REFUSED;
+}
+
 /// Names an outcome as in the Magnolia-Outcome header.
 static inline const char *
 outcome_name(enum outcome outcome)
@@ -20,6 +32,8 @@
 		return "not-run";
 	case OUTCOME_UNKNOWN:
 		return "unknown";
+	case OUTCOME_REFUSED:
+		return "refused";
 	}
 	return "unknown";
 }
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -145,7 +145,11 @@
 	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
 	enum MHD_Result rc;
 
-	MHD_add_response_header(response, "Magnolia-Outcome", "not-run");
+	MHD_add_response_header(response, "Magnolia-Outcome",
+	    MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+		"Idempotency-Key") == NULL ?
+		"not-run" :
+		"refused");
 	rc = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return rc;
--- /dev/null
+++ b/src/ledger/ledger.h
@@ -0,0 +1,80 @@
+/// @file
+/// mvledger: one replica of the ledger of idempotency keys.
+#ifndef MV_LEDGER_LEDGER_H
+#define MV_LEDGER_LEDGER_H
+
+#include "core/once.h"
+#include "io/httpd.h"
+#include "io/net.h"
+#include "io/program.h"
+#include "io/replica_host.h"
+
+#define LEDGER_PENDING_BUCKETS 4096
+
+struct ledger_settings {
+	struct program_log log;
+	char listen_control[SETTINGS_TEXT_BYTES];
+	char listen_clients[SETTINGS_TEXT_BYTES];
+	char listen_admin[SETTINGS_TEXT_BYTES];
+	char bound_path[SETTINGS_TEXT_BYTES];
+	char data_path[SETTINGS_TEXT_BYTES];
+	char cluster[SETTINGS_TEXT_BYTES];
+	int64_t id;
+	struct settings_list replicas; ///< "ID=IP:port"
+	struct settings_list clients;  ///< "ID=IP:port"
+	int64_t election_ms;
+	int64_t heartbeat_ms;
+	int64_t retention_ms;
+	bool bootstrap;
+	bool join;
+};
+
+/// An operation whose entry is not applied yet, or a peek that awaits a read.
+struct ledger_pending {
+	struct ledger_pending *next; ///< In the bucket.
+	uint64_t number;	     ///< Index of the entry, or read context.
+	uint64_t term;
+	struct stream *stream; ///< NULL once it closed.
+	uint64_t sequence;     ///< Of the client's message.
+	bool peek;
+	char *op; ///< Encoded operation of a peek.
+	uint32_t op_bytes;
+};
+
+/// Time at an index of the log, to know what may be dropped.
+struct ledger_mark {
+	uint64_t index;
+	int64_t clock_us;
+};
+
+struct ledger {
+	struct ledger_settings settings;
+	struct replica_config client_addresses;
+	struct loop *loop;
+	struct replica_host host;
+	struct once once;
+	struct listener control;
+	struct listener clients;
+	struct httpd *admin;
+	struct address bound_control;
+	struct address bound_clients;
+	struct address bound_admin;
+	struct ledger_pending *pending[LEDGER_PENDING_BUCKETS];
+	uint32_t pending_count;
+	uint64_t next_context;
+	struct ledger_mark *marks; ///< Oldest first.
+	uint32_t mark_count;
+	uint32_t mark_capacity;
+};
+
+extern const struct replica_host_ops LEDGER_REPLICA_OPS;
+extern const struct stream_ops LEDGER_CLIENT_OPS;
+extern const struct stream_ops LEDGER_CONTROL_OPS;
+extern const struct httpd_ops LEDGER_ADMIN_OPS;
+
+/// Counts entries and drops those that no longer matter.
+void ledger_note_entry(struct ledger *ledger, uint64_t index);
+
+void ledger_free_pending(struct ledger *ledger);
+
+#endif
--- /dev/null
+++ b/src/ledger/service.c
@@ -0,0 +1,404 @@
+// Clients of the ledger: claims, records, releases.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/counters.h"
+#include "io/log.h"
+#include "ledger/ledger.h"
+
+COUNTER_DEFINE(count_claims, "ledger_claims", "Claims applied");
+COUNTER_DEFINE(count_granted, "ledger_granted", "Claims granted");
+COUNTER_DEFINE(count_records, "ledger_records", "Answers recorded");
+COUNTER_DEFINE(count_releases, "ledger_releases", "Claims released");
+COUNTER_DEFINE(count_refused, "ledger_unavailable", "Refused: not leader");
+COUNTER_DEFINE(gauge_keys, "ledger_keys", "Keys held");
+COUNTER_DEFINE(gauge_memory, "ledger_keys_bytes", "Memory of the keys");
+
+static struct ledger *
+ledger_of(struct replica_host *host)
+{
+	return host->owner;
+}
+
+static struct ledger_pending **
+bucket_of(struct ledger *ledger, uint64_t number)
+{
+	return &ledger->pending[number % LEDGER_PENDING_BUCKETS];
+}
+
+static struct ledger_pending *
+pending_add(struct ledger *ledger, uint64_t number, struct stream *stream,
+    uint64_t sequence, bool peek)
+{
+	struct ledger_pending *p = calloc(1, sizeof(*p));
+	struct ledger_pending **bucket = bucket_of(ledger, number);
+
+	assert(p != NULL);
+	p->number = number;
+	p->term = ledger->host.replica.term;
+	p->stream = stream;
+	p->sequence = sequence;
+	p->peek = peek;
+	p->next = *bucket;
+	*bucket = p;
+	ledger->pending_count++;
+	return p;
+}
+
+/// Takes a pending operation out of the table; NULL if there is none.
+static struct ledger_pending *
+pending_take(struct ledger *ledger, uint64_t number, bool peek)
+{
+	struct ledger_pending **at = bucket_of(ledger, number);
+	struct ledger_pending *p;
+
+	while (*at != NULL && ((*at)->number != number || (*at)->peek != peek))
+		at = &(*at)->next;
+	p = *at;
+	if (p == NULL)
+		return NULL;
+	*at = p->next;
+	ledger->pending_count--;
+	return p;
+}
+
+static void
+pending_free(struct ledger_pending *p)
+{
+	free(p->op);
+	free(p);
+}
+
+void
+ledger_free_pending(struct ledger *ledger)
+{
+	uint32_t i;
+
+	for (i = 0; i < LEDGER_PENDING_BUCKETS; i++) {
+		while (ledger->pending[i] != NULL) {
+			struct ledger_pending *p = ledger->pending[i];
+
+			ledger->pending[i] = p->next;
+			pending_free(p);
+		}
+	}
+}
+
+static struct bytes
+leader_address(const struct ledger *ledger)
+{
+	const struct replica_peer *peer = replica_config_find(
+	    &ledger->client_addresses, ledger->host.replica.leader);
+
+	return bytes_from(peer == NULL ? "" : peer->address);
+}
+
+static void
+send_verdict(struct stream *stream, uint64_t sequence,
+    enum once_verdict verdict, struct once_bytes recorded)
+{
+	struct message_claim_answer answer = {.sequence = sequence,
+	    .verdict = verdict};
+	struct message record;
+	struct error err;
+
+	if (verdict != ONCE_DONE ||
+	    message_unpack(&record, recorded.data, recorded.size_bytes,
+		&err) != 0) {
+		stream_send(stream, MESSAGE_CLAIM_ANSWER, &answer);
+		return;
+	}
+	answer.status = record.u.record.status;
+	answer.headers = record.u.record.headers;
+	answer.body = record.u.record.body;
+	stream_send(stream, MESSAGE_CLAIM_ANSWER, &answer);
+	message_free(&record);
+}
+
+static void
+refuse_claim(struct ledger *ledger, struct stream *stream, uint64_t sequence)
+{
+	struct message_claim_answer answer = {.sequence = sequence,
+	    .verdict = ONCE_UNAVAILABLE};
+
+	counter_add(&count_refused, 1);
+	answer.leader = leader_address(ledger);
+	stream_send(stream, MESSAGE_CLAIM_ANSWER, &answer);
+}
+
+static void
+settle(struct ledger *ledger, struct stream *stream, uint64_t sequence,
+    bool ok)
+{
+	struct message_settled settled = {.sequence = sequence, .ok = ok};
+
+	settled.leader = leader_address(ledger);
+	stream_send(stream, MESSAGE_SETTLED, &settled);
+}
+
+/// Tells whether this replica leads and knows all that was committed before.
+static bool
+may_serve(const struct ledger *ledger)
+{
+	const struct replica *r = &ledger->host.replica;
+
+	return replica_is_leader(r) && r->commit >= r->term_start_index &&
+	    r->applied == r->commit;
+}
+
+static struct once_bytes
+borrow(struct bytes b)
+{
+	struct once_bytes out = {b.data == NULL ? "" : b.data, b.size_bytes};
+
+	return out;
+}
+
+/// Puts an operation into the log. A full log drops it: the client sends it
+/// again.
+static void
+propose(struct ledger *ledger, const struct once_op *op,
+    struct stream *stream, uint64_t sequence)
+{
+	uint32_t size_bytes;
+	char *data = once_op_encode(op, &size_bytes);
+	struct error err;
+	uint64_t index;
+
+	if (replica_propose(&ledger->host.replica, data, size_bytes, &index,
+		loop_now_us(ledger->loop), &err) == 0)
+		pending_add(ledger, index, stream, sequence, false);
+	else
+		log_error(LOG_DEBUG, "ledger", "Dropped an operation", &err);
+	free(data);
+}
+
+/// Asks for a read, since only a confirmed leader may call a key free.
+static void
+start_peek(struct ledger *ledger, const struct once_op *op,
+    struct stream *stream, uint64_t sequence)
+{
+	struct ledger_pending *p = pending_add(ledger, ++ledger->next_context,
+	    stream, sequence, true);
+
+	p->op = once_op_encode(op, &p->op_bytes);
+	replica_read(&ledger->host.replica, p->number,
+	    loop_now_us(ledger->loop));
+}
+
+static void
+on_claim(struct ledger *ledger, struct stream *stream,
+    const struct message_claim *m)
+{
+	struct once_op op = {.kind = ONCE_CLAIM, .claim = m->claim,
+	    .body_hash = m->body_hash, .wall_us = clock_wall_us()};
+	struct once_bytes answer = {"", 0};
+	enum once_verdict verdict;
+
+	if (!may_serve(ledger)) {
+		if (!replica_is_leader(&ledger->host.replica))
+			refuse_claim(ledger, stream, m->sequence);
+		return;
+	}
+	op.scope = borrow(m->scope);
+	op.key = borrow(m->key);
+	verdict = once_peek(&ledger->once, &op, &answer);
+	if (verdict == ONCE_FREED && m->peek)
+		start_peek(ledger, &op, stream, m->sequence);
+	else if (verdict == ONCE_FREED || verdict == ONCE_GRANTED)
+		propose(ledger, &op, stream, m->sequence);
+	else
+		send_verdict(stream, m->sequence, verdict, answer);
+}
+
+static void
+on_record(struct ledger *ledger, struct stream *stream,
+    const struct message_record *m)
+{
+	struct once_op op = {.kind = ONCE_RECORD, .claim = m->claim,
+	    .wall_us = clock_wall_us()};
+	msgpack_sbuffer packed;
+
+	if (!may_serve(ledger)) {
+		settle(ledger, stream, m->sequence, false);
+		return;
+	}
+	msgpack_sbuffer_init(&packed);
+	message_pack(&packed, MESSAGE_RECORD, m);
+	op.scope = borrow(m->scope);
+	op.key = borrow(m->key);
+	op.answer.data = packed.data;
+	op.answer.size_bytes = (uint32_t)packed.size;
+	propose(ledger, &op, stream, m->sequence);
+	msgpack_sbuffer_destroy(&packed);
+}
+
+static void
+on_release(struct ledger *ledger, struct stream *stream,
+    const struct message_release *m)
+{
+	struct once_op op = {.kind = ONCE_RELEASE, .claim = m->claim,
+	    .wall_us = clock_wall_us()};
+
+	if (!may_serve(ledger)) {
+		settle(ledger, stream, m->sequence, false);
+		return;
+	}
+	op.scope = borrow(m->scope);
+	op.key = borrow(m->key);
+	propose(ledger, &op, stream, m->sequence);
+}
+
+static void
+on_client_message(struct stream *stream, struct message *message)
+{
+	struct ledger *ledger = stream->owner;
+
+	switch (message->type) {
+	case MESSAGE_CLAIM:
+		on_claim(ledger, stream, &message->u.claim);
+		break;
+	case MESSAGE_RECORD:
+		on_record(ledger, stream, &message->u.record);
+		break;
+	case MESSAGE_RELEASE:
+		on_release(ledger, stream, &message->u.release);
+		break;
+	default:
+		stream_close(stream);
+		break;
+	}
+}
+
+static void
+on_client_closed(struct stream *stream, const struct error *err)
+{
+	struct ledger *ledger = stream->owner;
+	struct ledger_pending *p;
+	uint32_t i;
+
+	(void)err;
+	for (i = 0; i < LEDGER_PENDING_BUCKETS; i++)
+		for (p = ledger->pending[i]; p != NULL; p = p->next)
+			if (p->stream == stream)
+				p->stream = NULL;
+}
+
+const struct stream_ops LEDGER_CLIENT_OPS = {
+    .on_message = on_client_message,
+    .on_closed = on_client_closed,
+};
+
+static void
+count_op(const struct ledger *ledger, const struct once_op *op,
+    enum once_verdict verdict)
+{
+	if (op->kind == ONCE_CLAIM) {
+		counter_add(&count_claims, 1);
+		counter_add(&count_granted, verdict == ONCE_GRANTED);
+	} else if (op->kind == ONCE_RECORD)
+		counter_add(&count_records, 1);
+	else
+		counter_add(&count_releases, 1);
+	counter_set(&gauge_keys, ledger->once.count);
+	counter_set(&gauge_memory, (int64_t)ledger->once.memory_bytes);
+}
+
+static void
+on_apply(struct replica_host *host, const struct replica_entry *entry)
+{
+	struct ledger *ledger = ledger_of(host);
+	struct ledger_pending *p = pending_take(ledger, entry->index, false);
+	struct once_bytes answer = {"", 0};
+	enum once_verdict verdict;
+	struct once_op op;
+	struct error err;
+
+	if (once_op_decode(entry->data, entry->size_bytes, &op, &err) != 0) {
+		log_error(LOG_ERROR, "ledger", "Entry is not valid", &err);
+		if (p != NULL)
+			pending_free(p);
+		return;
+	}
+	verdict = once_apply(&ledger->once, &op, &answer);
+	count_op(ledger, &op, verdict);
+	// Another leader's entry may stand where ours was put.
+	if (p != NULL && p->stream != NULL && p->term == entry->term) {
+		if (op.kind == ONCE_CLAIM)
+			send_verdict(p->stream, p->sequence, verdict, answer);
+		else
+			settle(ledger, p->stream, p->sequence, true);
+	}
+	if (p != NULL)
+		pending_free(p);
+	ledger_note_entry(ledger, entry->index);
+}
+
+static void
+on_restore(struct replica_host *host, const struct replica_snapshot *s)
+{
+	struct ledger *ledger = ledger_of(host);
+
+	// What the snapshot stands for has expired; the log holds the rest.
+	(void)s;
+	once_clear(&ledger->once);
+	ledger->mark_count = 0;
+}
+
+static void
+on_read_done(struct replica_host *host, uint64_t context, bool ok)
+{
+	struct ledger *ledger = ledger_of(host);
+	struct ledger_pending *p = pending_take(ledger, context, true);
+	struct once_bytes answer = {"", 0};
+	struct once_op op;
+	struct error err;
+
+	if (p == NULL)
+		return;
+	if (p->stream != NULL && !ok)
+		refuse_claim(ledger, p->stream, p->sequence);
+	else if (p->stream != NULL &&
+	    once_op_decode(p->op, p->op_bytes, &op, &err) == 0)
+		send_verdict(p->stream, p->sequence,
+		    once_peek(&ledger->once, &op, &answer), answer);
+	pending_free(p);
+}
+
+static void
+on_role_changed(struct replica_host *host)
+{
+	// Clients send again what stays without an answer.
+	(void)host;
+}
+
+const struct replica_host_ops LEDGER_REPLICA_OPS = {
+    .apply = on_apply,
+    .restore = on_restore,
+    .read_done = on_read_done,
+    .role_changed = on_role_changed,
+};
+
+static void
+on_control_message(struct stream *stream, struct message *message)
+{
+	struct ledger *ledger = stream->owner;
+
+	if (!replica_host_receive(&ledger->host, stream, message))
+		stream_close(stream);
+}
+
+static void
+on_control_closed(struct stream *stream, const struct error *err)
+{
+	(void)stream;
+	(void)err;
+}
+
+const struct stream_ops LEDGER_CONTROL_OPS = {
+    .on_message = on_control_message,
+    .on_closed = on_control_closed,
+};
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -205,14 +205,14 @@
 {
 	int64_t now_us = loop_now_us(r->ingress->loop);
 
-	if (busy_until_us != INT64_MAX)
-		ingress_conclude(r, 503, OUTCOME_NOT_RUN,
-		    busy_until_us - now_us, "all backend servers are busy");
-	else if (r->refused_status != 0)
-		ingress_conclude(r, r->refused_status, OUTCOME_NOT_RUN,
+	if (r->refused_status != 0)
+		ingress_conclude(r, r->refused_status, r->refused_outcome,
 		    r->refused_retry_us, r->refused_why);
+	else if (busy_until_us != INT64_MAX)
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    busy_until_us - now_us, "all backend servers are busy");
 	else
-		ingress_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
+		ingress_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
 		    "no backend server can be had");
 }
 
@@ -274,6 +274,7 @@
 	counter_add(&count_retries, 1);
 	r->may_have_run |= outcome == OUTCOME_UNKNOWN;
 	r->refused_status = status;
+	r->refused_outcome = outcome;
 	r->refused_retry_us = retry_us;
 	snprintf(r->refused_why, sizeof(r->refused_why), "%s", why);
 	ingress_attempt_start(r);
@@ -335,7 +336,7 @@
 {
 	int64_t wait_us = m->retry_left_us;
 
-	if (m->outcome != OUTCOME_NOT_RUN || wait_us <= 0)
+	if (!outcome_is_not_run((enum outcome)m->outcome) || wait_us <= 0)
 		return m->outcome != OUTCOME_ANSWERED;
 	if (wait_us > BUSY_MAX_US)
 		wait_us = BUSY_MAX_US;
@@ -443,7 +444,7 @@
 		return;
 	attempt_end(r, true);
 	if (m->outcome == OUTCOME_NOT_RUN)
-		retry_or_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
+		retry_or_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
 		    "the connection broke before it ran");
 	else
 		retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
@@ -573,7 +574,7 @@
 	struct ingress *ingress = r->ingress;
 
 	if (r->state == ATTEMPT_NONE) {
-		ingress_conclude(r, 504, OUTCOME_NOT_RUN, 0,
+		ingress_conclude(r, 504, ingress_not_run_outcome(r), 0,
 		    "deadline passed");
 		return;
 	}
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -43,8 +43,6 @@
 bool
 control_adopt(struct control *control, struct rules *rules)
 {
-	int64_t now_us = loop_now_us(control->loop);
-
 	if (control->rules != NULL &&
 	    rules->version <= control->rules->version) {
 		rules_unref(rules);
@@ -58,7 +56,7 @@
 	control->rules = rules;
 	counter_set(&gauge_version, (int64_t)rules->version);
 	version_sync_adopted(&control->sync, rules->version);
-	membership_set_version(&control->membership, rules->version, now_us);
+	membership_set_version(&control->membership, rules->version);
 	// The rules set the slots of the backend server beside.
 	if (control->backend.address[0] != '\0')
 		announce_publish(control);
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -64,6 +64,7 @@
 	bool streaming;
 	bool shed; ///< The backend server said that it did not run it.
 	bool abort_marked;
+	bool key_was_free; ///< The ledger said so to this attempt.
 };
 
 struct egress {
@@ -119,7 +120,8 @@
 
 	fill_load(egress, &response);
 	response.body = bytes_from(why);
-	counter_add(outcome == OUTCOME_NOT_RUN ? &count_refused : &count_failed,
+	counter_add(outcome_is_not_run(outcome) ? &count_refused :
+						  &count_failed,
 	    1);
 	log_write(LOG_INFO, "admit", "Refused request %" PRIx64 ": %s, %s.",
 	    id, outcome_name(outcome), why);
@@ -127,6 +129,15 @@
 		sink->ops->respond(sink, id, &response);
 }
 
+/// Outcome of a request that did not run here. If its key was not claimed
+/// for it, an earlier attempt may have run.
+static enum outcome
+not_run_outcome(const struct message_request *m, bool claimed)
+{
+	return m->key.size_bytes > 0 && !claimed ? OUTCOME_REFUSED :
+						   OUTCOME_NOT_RUN;
+}
+
 /// Ends a request that never got to the backend server.
 static void
 end_not_run(struct egress_request *r, uint32_t status, int64_t retry_us,
@@ -135,6 +146,7 @@
 	struct egress_sink *sink = r->sink;
 	struct egress *egress = r->egress;
 	uint64_t id = r->message->id;
+	enum outcome outcome = not_run_outcome(r->message, r->key_was_free);
 
 	if (r->claim != NULL)
 		once_claim_release(r->claim);
@@ -144,7 +156,7 @@
 		admission_finish(&egress->admission, &r->item,
 		    loop_now_us(egress->loop));
 	request_free(r);
-	send_refusal(egress, sink, id, status, OUTCOME_NOT_RUN, retry_us, why);
+	send_refusal(egress, sink, id, status, outcome, retry_us, why);
 }
 
 static void
@@ -451,6 +463,7 @@
 	struct egress_request *r = arg;
 	struct egress *egress = r->egress;
 
+	r->key_was_free = verdict == ONCE_GRANTED || verdict == ONCE_FREED;
 	if (verdict == ONCE_GRANTED) {
 		if (egress->backend.address[0] == '\0')
 			end_not_run(r, 503, 0, "no backend server");
@@ -595,8 +608,8 @@
 
 	fence_arrive(&egress->fence, key, now_us);
 	if (obstacle != NULL) {
-		send_refusal(egress, sink, message->id, 503, OUTCOME_NOT_RUN,
-		    0, obstacle);
+		send_refusal(egress, sink, message->id, 503,
+		    not_run_outcome(message, false), 0, obstacle);
 		return NULL;
 	}
 	r = request_create(egress, sink, message);
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress_peer.c
@@ -116,13 +116,14 @@
 
 /// Refuses a request that was meant for an earlier process at this address.
 static void
-refuse_stranger(struct egress_conn *conn, uint64_t id)
+refuse_stranger(struct egress_conn *conn, const struct message_request *m)
 {
-	struct message_response response = {.id = id, .status = 503,
-	    .outcome = OUTCOME_NOT_RUN};
+	struct message_response response = {.id = m->id, .status = 503,
+	    .outcome = m->key.size_bytes > 0 ? OUTCOME_REFUSED :
+						  OUTCOME_NOT_RUN};
 
 	response.body = bytes_from("this egress was restarted");
-	sink_respond(&conn->sink, id, &response);
+	sink_respond(&conn->sink, m->id, &response);
 }
 
 static void
@@ -130,7 +131,7 @@
 {
 	conn->active++;
 	if (request->egress_incarnation != conn->server->incarnation)
-		refuse_stranger(conn, request->id);
+		refuse_stranger(conn, request);
 	else
 		egress_submit(conn->server->egress, &conn->sink, request);
 }
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -81,8 +81,8 @@
 	    {HEADER_RETRY, seconds},
 	};
 
-	counter_add(outcome == OUTCOME_NOT_RUN ? &count_not_run :
-						 &count_unknown,
+	counter_add(outcome_is_not_run(outcome) ? &count_not_run :
+						  &count_unknown,
 	    1);
 	snprintf(seconds, sizeof(seconds), "%" PRId64,
 	    (retry_us + US_PER_S - 1) / US_PER_S);
@@ -91,11 +91,21 @@
 	    body, strlen(body));
 }
 
+enum outcome
+ingress_not_run_outcome(const struct ingress_request *r)
+{
+	bool has_key = r->key[0] != '\0' ||
+	    (r->exchange != NULL &&
+		http_exchange_header(r->exchange, HEADER_KEY) != NULL);
+
+	return has_key ? OUTCOME_REFUSED : OUTCOME_NOT_RUN;
+}
+
 void
 ingress_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why)
 {
-	if (r->may_have_run && outcome == OUTCOME_NOT_RUN)
+	if (r->may_have_run)
 		outcome = OUTCOME_UNKNOWN;
 	if (r->exchange != NULL) {
 		log_write(LOG_INFO, "ingress", "Answered %s %s: %u %s, %s.",
@@ -151,8 +161,8 @@
 
 	counter_add(&count_requests, 1);
 	if (ingress->rules == NULL) {
-		ingress_conclude(r, 503, OUTCOME_NOT_RUN, US_PER_S,
-		    "no rules are in force here yet");
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    US_PER_S, "no rules are in force here yet");
 		return;
 	}
 	r->rules = rules_ref(ingress->rules);
@@ -160,7 +170,8 @@
 	    rules_match(r->rules, exchange->method, exchange->target);
 	if (r->route == NULL ||
 	    headers_known_method(exchange->method) == NULL) {
-		ingress_conclude(r, 404, OUTCOME_NOT_RUN, 0, "no route");
+		ingress_conclude(r, 404, ingress_not_run_outcome(r), 0,
+		    "no route");
 		return;
 	}
 	r->rank = &r->rules->ranks[r->route->rank];
@@ -168,13 +179,13 @@
 	if (door->trusted)
 		inherit(r);
 	if (read_key(r) != 0) {
-		ingress_conclude(r, 400, OUTCOME_NOT_RUN, 0,
+		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
 		    "an Idempotency-Key of 1 to 255 characters is needed");
 		return;
 	}
 	http_exchange_each_header(exchange, collect_header, r);
 	if (r->headers.count > MAX_HEADERS) {
-		ingress_conclude(r, 431, OUTCOME_NOT_RUN, 0,
+		ingress_conclude(r, 431, ingress_not_run_outcome(r), 0,
 		    "too many headers");
 		return;
 	}
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -57,6 +57,7 @@
 	uint32_t attempts;
 	// Refusal of the last attempt, told if no other can be made.
 	uint32_t refused_status;
+	enum outcome refused_outcome;
 	int64_t refused_retry_us;
 	char refused_why[96];
 	char tried[INGRESS_MAX_ATTEMPTS][MEMBER_NAME_BYTES];
@@ -86,6 +87,10 @@
 void ingress_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why);
 
+/// Outcome of a request that this proxy did not let run: with a key, only
+/// the ledger could tell whether an earlier attempt did.
+enum outcome ingress_not_run_outcome(const struct ingress_request *r);
+
 /// Frees a request whose exchange has ended or been answered.
 void ingress_request_free(struct ingress_request *r);
 
