--- a/src/core/replica_leader.c
+++ b/src/core/replica_leader.c
@@ -113,7 +113,7 @@
 	p->in_snapshot = false;
 	m.index = p->next - 1;
 	m.log_term = replica_log_term(r, m.index);
-	if (m.index > 0 && m.log_term == 0) {
+	if (p->next < r->first_index || (m.index > 0 && m.log_term == 0)) {
 		send_snapshot(r, p, now_us);
 		return;
 	}
@@ -159,6 +159,21 @@
 	}
 }
 
+/// The follower's log ends before, or differs at, the entry that was sent:
+/// tries from another one, within what can be.
+static void
+probe_from(struct replica *r, struct replica_progress *p, uint64_t next,
+    int64_t now_us)
+{
+	if (next > replica_last_index(r) + 1)
+		next = replica_last_index(r) + 1;
+	if (next <= p->match)
+		next = p->match + 1;
+	p->next = next;
+	p->probing = true;
+	replica_send_append(r, p, now_us);
+}
+
 void
 replica_handle_append_answer(struct replica *r,
     const struct replica_message *m, int64_t now_us)
@@ -169,13 +184,8 @@
 		return;
 	p->contact_us = now_us;
 	if (m->reject) {
-		// The follower's log ends before, or differs at, that entry.
-		if (m->index + 1 < p->next || p->probing) {
-			p->next = m->index + 1 > p->match ? m->index + 1 :
-							    p->match + 1;
-			p->probing = true;
-			replica_send_append(r, p, now_us);
-		}
+		if (m->index + 1 < p->next || p->probing)
+			probe_from(r, p, m->index + 1, now_us);
 		return;
 	}
 	p->in_snapshot = false;
@@ -185,7 +195,9 @@
 	if (p->next <= p->match)
 		p->next = p->match + 1;
 	replica_advance_commit(r, now_us);
-	if (p->next <= replica_last_index(r))
+	// The commit may have ended a change of members, and with it p.
+	p = replica_progress_get(r, m->from);
+	if (p != NULL && p->next <= replica_last_index(r))
 		replica_send_append(r, p, now_us);
 }
 
--- a/src/io/wal_load.c
+++ b/src/io/wal_load.c
@@ -109,6 +109,8 @@
 
 	while (drop < s->entry_count && s->entries[drop].index <= index)
 		free(s->entries[drop++].data);
+	if (drop == 0)
+		return;
 	s->entry_count -= drop;
 	memmove(s->entries, s->entries + drop,
 	    s->entry_count * sizeof(*s->entries));
