--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -4,10 +4,10 @@
 
 #include "core/admission.h"
 
-#define MEAN_WEIGHT	   16
-#define CREDIT_MAX_US	   2000000LL
-#define SERVICE_GUESS_US   5000LL
-#define PERCENT		   100
+#define MEAN_WEIGHT	 16
+#define CREDIT_MAX_US	 2000000LL
+#define SERVICE_GUESS_US 5000LL
+#define PERCENT		 100
 
 void
 admission_init(struct admission *a, const struct admission_policy *policy,
@@ -106,6 +106,7 @@
 		r->head = item;
 	r->tail = item;
 	r->queued++;
+	r->queued_bytes += item->size_bytes;
 	a->queued++;
 	a->queued_bytes += item->size_bytes;
 }
@@ -127,14 +128,25 @@
 	item->next = item->prev = NULL;
 	item->queued = false;
 	r->queued--;
+	r->queued_bytes -= item->size_bytes;
 	a->queued--;
 	a->queued_bytes -= item->size_bytes;
 }
 
-/// Brings the slot time owed to each rank up to date.
-///
-/// A rank with work waiting earns its kept share of all slot time and pays
-/// for the slots that it holds. What it uses beyond its share is not a debt.
+/// Limits a credit: what a rank used beyond its share is not a debt, and what
+/// it did not use does not pile up.
+static void
+add_credit(struct admission_rank *r, int64_t time_us)
+{
+	r->credit_us += time_us;
+	if (r->credit_us < 0)
+		r->credit_us = 0;
+	if (r->credit_us > CREDIT_MAX_US)
+		r->credit_us = CREDIT_MAX_US;
+}
+
+/// Brings the slot time owed to each rank up to date: a rank with work
+/// waiting earns its kept share of all slot time, and pays for each start.
 static void
 update_credits(struct admission *a, int64_t now_us)
 {
@@ -148,13 +160,8 @@
 		struct admission_rank *r = &a->ranks[i];
 
 		if (r->queued > 0)
-			r->credit_us += passed_us * r->keep_pct * a->slots /
-			    PERCENT;
-		r->credit_us -= passed_us * r->running;
-		if (r->credit_us < 0)
-			r->credit_us = 0;
-		if (r->credit_us > CREDIT_MAX_US)
-			r->credit_us = CREDIT_MAX_US;
+			add_credit(
+			    r, passed_us * r->keep_pct * a->slots / PERCENT);
 	}
 }
 
@@ -207,6 +214,10 @@
 
 	item->running = true;
 	item->start_us = now_us;
+	item->charged_us = r->credit_us < service_guess_us(r)
+	    ? r->credit_us
+	    : service_guess_us(r);
+	add_credit(r, -item->charged_us);
 	r->running++;
 	a->running++;
 }
@@ -232,20 +243,23 @@
 
 /// Wait that a request of a rank may face: its target, within its deadline.
 static int64_t
-wait_limit_us(const struct admission_rank *r,
-    const struct admission_item *item, int64_t now_us)
+wait_limit_us(const struct admission_rank *r, const struct admission_item *item,
+    int64_t now_us)
 {
 	int64_t left_us = item->deadline_us - now_us - service_guess_us(r);
 
-	return left_us < r->target_us || r->target_us == 0 ? left_us :
-							     r->target_us;
+	return left_us < r->target_us || r->target_us == 0 ? left_us
+							   : r->target_us;
 }
 
 static bool
 has_room(const struct admission *a, const struct admission_item *item)
 {
-	return a->queued < a->max_queued &&
-	    item->size_bytes <= a->max_queued_bytes - a->queued_bytes;
+	const struct admission_rank *r = &a->ranks[item->rank];
+
+	return r->queued < a->max_queued - a->queued &&
+	    (uint64_t)r->queued_bytes + item->size_bytes <=
+	    a->max_queued_bytes - a->queued_bytes;
 }
 
 enum admission_verdict
@@ -280,8 +294,8 @@
 }
 
 void
-admission_finish(struct admission *a, struct admission_item *item,
-    int64_t now_us)
+admission_finish(
+    struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	struct admission_rank *r = &a->ranks[item->rank];
 
@@ -290,6 +304,8 @@
 	item->running = false;
 	r->running--;
 	a->running--;
+	if (item->charged_us > 0)
+		add_credit(r, item->charged_us - (now_us - item->start_us));
 	r->service_us = moving_mean(r->service_us, now_us - item->start_us + 1);
 }
 
@@ -315,8 +331,8 @@
 }
 
 struct admission_item *
-admission_next(struct admission *a, int64_t now_us,
-    enum admission_verdict *verdict)
+admission_next(
+    struct admission *a, int64_t now_us, enum admission_verdict *verdict)
 {
 	struct admission_item *item;
 	struct admission_rank *r;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -3,7 +3,8 @@
 ///
 /// Each rank has a queue in order of arrival. A free slot goes first to a
 /// rank that has got less than its kept share of slot time while it had work
-/// waiting, then to the rank of highest worth.
+/// waiting, then to the rank of highest worth. A rank may queue no more than
+/// there is room left, so that no flood takes the whole queue.
 #ifndef MV_CORE_ADMISSION_H
 #define MV_CORE_ADMISSION_H
 
@@ -17,7 +18,7 @@
 struct admission;
 
 enum admission_verdict {
-	ADMISSION_RUN,	   ///< Has a slot; start it.
+	ADMISSION_RUN, ///< Has a slot; start it.
 	ADMISSION_QUEUED,
 	ADMISSION_REFUSED, ///< Cannot be served in time, or no room.
 };
@@ -31,6 +32,7 @@
 	int64_t deadline_us;
 	int64_t arrival_us;
 	int64_t start_us;
+	int64_t charged_us; ///< Slot time taken off the credit at the start.
 	bool queued;
 	bool running;
 };
@@ -44,10 +46,11 @@
 	struct admission_item *head;
 	struct admission_item *tail;
 	uint32_t queued;
+	uint32_t queued_bytes;
 	uint32_t running;
 	int64_t credit_us;  ///< Slot time owed under the kept share.
 	int64_t service_us; ///< Moving mean of the time in a slot.
-	int64_t gap_us; ///< Moving mean between starts while work waited.
+	int64_t gap_us;	    ///< Moving mean between starts while work waited.
 	int64_t last_start_us;
 	bool configured;
 };
@@ -93,8 +96,8 @@
     struct admission_item *item, int64_t now_us, int64_t *retry_us);
 
 /// Gives the slot of a running item back.
-void admission_finish(struct admission *a, struct admission_item *item,
-    int64_t now_us);
+void admission_finish(
+    struct admission *a, struct admission_item *item, int64_t now_us);
 
 /// Takes a waiting item out.
 void admission_cancel(struct admission *a, struct admission_item *item);
@@ -104,8 +107,8 @@
 /// @param verdict  ADMISSION_RUN, or ADMISSION_REFUSED if it cannot meet its
 ///                 deadline any more
 /// @return the item, or NULL if there is none now
-struct admission_item *admission_next(struct admission *a, int64_t now_us,
-    enum admission_verdict *verdict);
+struct admission_item *admission_next(
+    struct admission *a, int64_t now_us, enum admission_verdict *verdict);
 
 /// Expected wait of a new request of a rank.
 int64_t admission_wait_us(const struct admission *a, uint32_t rank);
--- a/src/core/balancer.c
+++ b/src/core/balancer.c
@@ -16,8 +16,8 @@
 static const uint32_t DISTANCE_PENALTY_PCT[DISTANCE_COUNT] = {0, 30, 120};
 
 void
-balancer_init(struct balancer *b, const char *service, uint64_t seed,
-    int64_t warm_us)
+balancer_init(
+    struct balancer *b, const char *service, uint64_t seed, int64_t warm_us)
 {
 	memset(b, 0, sizeof(*b));
 	strncpy(b->service, service, sizeof(b->service) - 1);
@@ -66,8 +66,8 @@
 	memcpy(e->name, name, strnlen(name, sizeof(e->name) - 1));
 	if (b->count == b->capacity) {
 		b->capacity = b->capacity ? b->capacity * 2 : 8;
-		b->endpoints = realloc(b->endpoints,
-		    b->capacity * sizeof(*b->endpoints));
+		b->endpoints =
+		    realloc(b->endpoints, b->capacity * sizeof(*b->endpoints));
 		assert(b->endpoints != NULL);
 	}
 	b->endpoints[b->count++] = e;
@@ -128,8 +128,7 @@
 
 /// Slots that an endpoint can be given, fewer during a slow start.
 static uint32_t
-capacity_pct(const struct balancer *b, const struct endpoint *e,
-    int64_t now_us)
+capacity_pct(const struct balancer *b, const struct endpoint *e, int64_t now_us)
 {
 	int64_t left_us = e->warm_deadline_us - now_us;
 
@@ -138,8 +137,8 @@
 	if (left_us <= 0 || b->warm_us <= 0)
 		return FULL_PCT;
 	return COLD_CAPACITY_PCT +
-	    (uint32_t)((FULL_PCT - COLD_CAPACITY_PCT) *
-		(b->warm_us - left_us) / b->warm_us);
+	    (uint32_t)((FULL_PCT - COLD_CAPACITY_PCT) * (b->warm_us - left_us) /
+		b->warm_us);
 }
 
 /// Load estimate: what was told, corrected by what was sent and answered
@@ -147,8 +146,8 @@
 static uint32_t
 score_pct(const struct balancer *b, const struct endpoint *e, int64_t now_us)
 {
-	int64_t load = (int64_t)e->reported + e->outstanding -
-	    e->outstanding_at_report;
+	int64_t load =
+	    (int64_t)e->reported + e->outstanding - e->outstanding_at_report;
 	uint32_t score;
 
 	if (load < (int64_t)e->outstanding)
@@ -203,8 +202,8 @@
 {
 	struct endpoint *sample[DISTANCE_COUNT][2] = {{NULL}};
 	uint32_t seen[DISTANCE_COUNT] = {0};
-	struct balancer_choice choice = {.score_pct = UINT32_MAX,
-	    .busy_until_deadline_us = INT64_MAX};
+	struct balancer_choice choice = {
+	    .score_pct = UINT32_MAX, .busy_until_deadline_us = INT64_MAX};
 	uint32_t i;
 
 	for (i = 0; i < b->count; i++) {
@@ -279,8 +278,8 @@
 }
 
 void
-balancer_finish(struct balancer *b, struct endpoint *e, bool failed,
-    int64_t now_us)
+balancer_finish(
+    struct balancer *b, struct endpoint *e, bool failed, int64_t now_us)
 {
 	uint32_t shift;
 
@@ -311,8 +310,7 @@
 }
 
 void
-balancer_set_busy(struct endpoint *e, uint32_t worth,
-    int64_t until_deadline_us)
+balancer_set_busy(struct endpoint *e, uint32_t worth, int64_t until_deadline_us)
 {
 	e->busy_worth = worth;
 	e->busy_until_deadline_us = until_deadline_us;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -30,7 +30,7 @@
 	uint32_t ejections;
 	int64_t ejected_until_deadline_us;
 	int64_t busy_until_deadline_us;
-	uint32_t busy_worth; ///< Ranks up to this worth are refused there.
+	uint32_t busy_worth;	  ///< Ranks up to this worth are refused there.
 	int64_t warm_deadline_us; ///< End of the slow start.
 };
 
@@ -42,19 +42,19 @@
 	uint32_t count;
 	uint32_t capacity;
 	int64_t warm_us; ///< Length of the slow start.
-	bool warmed; ///< The first view is taken as warm.
+	bool warmed;	 ///< The first view is taken as warm.
 };
 
 /// Why an endpoint was chosen or not, for the log.
 struct balancer_choice {
-	struct endpoint *endpoint; ///< NULL if none can be used.
+	struct endpoint *endpoint;	///< NULL if none can be used.
 	int64_t busy_until_deadline_us; ///< If all are busy: first one free.
 	uint32_t candidates;
 	uint32_t score_pct;
 };
 
-void balancer_init(struct balancer *b, const char *service, uint64_t seed,
-    int64_t warm_us);
+void balancer_init(
+    struct balancer *b, const char *service, uint64_t seed, int64_t warm_us);
 
 void balancer_free(struct balancer *b);
 
@@ -81,16 +81,16 @@
 ///
 /// @param failed  the endpoint did not do its work: broken connection,
 ///                silence, no backend server, or an error answer
-void balancer_finish(struct balancer *b, struct endpoint *endpoint,
-    bool failed, int64_t now_us);
+void balancer_finish(
+    struct balancer *b, struct endpoint *endpoint, bool failed, int64_t now_us);
 
 /// Notes the load that an endpoint told.
-void balancer_report(struct endpoint *endpoint, uint32_t running,
-    uint32_t queued);
+void balancer_report(
+    struct endpoint *endpoint, uint32_t running, uint32_t queued);
 
 /// Avoids an endpoint until a time, for requests up to a worth.
-void balancer_set_busy(struct endpoint *endpoint, uint32_t worth,
-    int64_t until_deadline_us);
+void balancer_set_busy(
+    struct endpoint *endpoint, uint32_t worth, int64_t until_deadline_us);
 
 /// Finds an endpoint by name; NULL if unknown.
 struct endpoint *balancer_find(const struct balancer *b, const char *name);
--- a/src/core/delta.c
+++ b/src/core/delta.c
@@ -24,8 +24,8 @@
 
 		if (lines.count + 1 >= capacity) {
 			capacity = capacity ? capacity * 2 : 64;
-			lines.start = realloc(lines.start,
-			    capacity * sizeof(*lines.start));
+			lines.start = realloc(
+			    lines.start, capacity * sizeof(*lines.start));
 			assert(lines.start != NULL);
 		}
 		lines.start[lines.count] = text;
@@ -44,8 +44,8 @@
 }
 
 static int
-lines_equal(const struct lines *a, uint32_t i, const struct lines *b,
-    uint32_t j)
+lines_equal(
+    const struct lines *a, uint32_t i, const struct lines *b, uint32_t j)
 {
 	size_t n = line_bytes(a, i);
 
@@ -72,8 +72,8 @@
 	index.next = calloc(lines->count + 1, sizeof(*index.next));
 	assert(index.buckets != NULL && index.next != NULL);
 	for (i = lines->count; i-- > 0;) {
-		uint32_t b = (uint32_t)XXH3_64bits(lines->start[i],
-				 line_bytes(lines, i)) &
+		uint32_t b = (uint32_t)XXH3_64bits(
+				 lines->start[i], line_bytes(lines, i)) &
 		    index.mask;
 
 		index.next[i] = index.buckets[b];
@@ -91,8 +91,8 @@
 
 	if (expected < old->count && lines_equal(old, expected, new, j))
 		return expected;
-	at = index->buckets[(uint32_t)XXH3_64bits(new->start[j],
-				line_bytes(new, j)) &
+	at = index->buckets[(uint32_t)XXH3_64bits(
+				new->start[j], line_bytes(new, j)) &
 	    index->mask];
 	while (at != 0 && !lines_equal(old, at - 1, new, j))
 		at = index->next[at - 1];
@@ -209,8 +209,8 @@
 	for (i = 0; i < step_count; i++) {
 		const struct delta_step *s = &steps[i];
 		const char *from = old.start[s->copy_from];
-		size_t n = (size_t)(old.start[s->copy_from + s->copy_count] -
-		    from);
+		size_t n =
+		    (size_t)(old.start[s->copy_from + s->copy_count] - from);
 
 		if (append(*out, &used, size, from, n) != 0 ||
 		    append(*out, &used, size, s->insert, s->insert_bytes) != 0)
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -18,8 +18,8 @@
 
 /// State of the backend server beside a proxy.
 enum backend_state {
-	BACKEND_NONE,	  ///< Nothing has announced itself.
-	BACKEND_COLD,	  ///< Announced, still warming up.
+	BACKEND_NONE, ///< Nothing has announced itself.
+	BACKEND_COLD, ///< Announced, still warming up.
 	BACKEND_READY,
 	BACKEND_DRAINING, ///< Finishes its work and takes no more.
 };
@@ -42,8 +42,8 @@
 	enum member_status status;
 	enum backend_state backend;
 	uint32_t slots;
-	uint32_t load_pct;  ///< Busy slots and queue, 100 for all slots busy.
-	uint64_t version;   ///< Highest rules version seen in force there.
+	uint32_t load_pct; ///< Busy slots and queue, 100 for all slots busy.
+	uint64_t version;  ///< Highest rules version seen in force there.
 };
 
 /// Tells whether record a replaces record b of the same member.
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -6,14 +6,14 @@
 
 #include "core/membership.h"
 
-#define TRANSMIT_FACTOR	     3
-#define NOTICE_FANOUT	     3
-#define VERSION_FANOUT	     4
-#define CROSSING_MEMBERS     3
-#define MAX_DCS		     32
-#define REGION_PROBE_EVERY   4
-#define FAR_PROBE_EVERY	     8
-#define DEADLINE_NONE	     INT64_MAX
+#define TRANSMIT_FACTOR	   3
+#define NOTICE_FANOUT	   3
+#define VERSION_FANOUT	   4
+#define CROSSING_MEMBERS   3
+#define MAX_DCS		   32
+#define REGION_PROBE_EVERY 4
+#define FAR_PROBE_EVERY	   8
+#define DEADLINE_NONE	   INT64_MAX
 
 static uint32_t
 log2_ceil(uint32_t n)
@@ -69,8 +69,8 @@
 	assert(peer != NULL);
 	if (m->peer_count == m->peer_capacity) {
 		m->peer_capacity = m->peer_capacity ? m->peer_capacity * 2 : 32;
-		m->peers = realloc(m->peers,
-		    m->peer_capacity * sizeof(*m->peers));
+		m->peers =
+		    realloc(m->peers, m->peer_capacity * sizeof(*m->peers));
 		assert(m->peers != NULL);
 	}
 	memmove(m->peers + at + 1, m->peers + at,
@@ -151,7 +151,8 @@
 	uint32_t i;
 
 	for (i = 0; i < m->peer_count; i++)
-		digest ^= hash_member(&m->peers[i]->member);
+		if (is_up(&m->peers[i]->member))
+			digest ^= hash_member(&m->peers[i]->member);
 	return digest;
 }
 
@@ -190,14 +191,28 @@
 }
 
 static void
-send_gossip(struct membership *m, const char *host, uint32_t port,
-    struct gossip *g)
+send_gossip(
+    struct membership *m, const char *host, uint32_t port, struct gossip *g)
 {
 	g->from = m->self;
+	g->digest = membership_digest(m);
 	add_updates(m, g);
 	m->ops->send(m, host, port, g);
 }
 
+static bool
+has_news(const struct membership *m)
+{
+	uint32_t i;
+
+	if (m->self_transmits_left > 0)
+		return true;
+	for (i = 0; i < m->peer_count; i++)
+		if (m->peers[i]->transmits_left > 0)
+			return true;
+	return false;
+}
+
 static void
 send_simple(struct membership *m, const struct member *to,
     enum gossip_kind kind, uint64_t sequence)
@@ -216,8 +231,8 @@
 };
 
 static struct dc_sample *
-sample_of(struct dc_sample *samples, uint32_t *count,
-    const struct member *member)
+sample_of(
+    struct dc_sample *samples, uint32_t *count, const struct member *member)
 {
 	uint32_t i;
 
@@ -270,6 +285,7 @@
 		if (record != NULL)
 			g.updates[g.update_count++] = *record;
 		g.from = m->self;
+		g.digest = membership_digest(m);
 		m->ops->send(m, to->host, to->control_port, &g);
 	}
 }
@@ -350,8 +366,8 @@
 }
 
 void
-membership_merge(struct membership *m, const struct member *record,
-    int64_t now_us)
+membership_merge(
+    struct membership *m, const struct member *record, int64_t now_us)
 {
 	struct peer *peer;
 	uint64_t version;
@@ -362,6 +378,8 @@
 	}
 	peer = peer_find(m, record->name);
 	if (peer == NULL) {
+		if (!is_up(record))
+			return;
 		peer = peer_insert(m, record->name);
 		peer->member = *record;
 		peer->member.version = 0;
@@ -433,8 +451,8 @@
 }
 
 static void
-receive_probe_request(struct membership *m, const struct gossip *g,
-    int64_t now_us)
+receive_probe_request(
+    struct membership *m, const struct gossip *g, int64_t now_us)
 {
 	const struct peer *target = peer_find(m, g->target);
 	uint32_t i;
@@ -456,9 +474,21 @@
 	}
 }
 
+/// Exchanges tables with a member whose table differs although neither this
+/// one nor, by the messages that went between, that one has news to tell.
+static void
+repair_difference(struct membership *m, const struct gossip *g, int64_t now_us)
+{
+	if (g->digest == membership_digest(m) || has_news(m) ||
+	    g->update_count > 0 || now_us < m->repair_deadline_us)
+		return;
+	m->repair_deadline_us = now_us + m->settings.probe_period_us +
+	    random_time_us(&m->random, m->settings.probe_period_us);
+	m->ops->sync(m, g->from.host, g->from.control_port);
+}
+
 void
-membership_receive(struct membership *m, const struct gossip *g,
-    int64_t now_us)
+membership_receive(struct membership *m, const struct gossip *g, int64_t now_us)
 {
 	uint32_t i;
 
@@ -474,6 +504,7 @@
 		break;
 	case GOSSIP_ACK:
 		receive_ack(m, g->sequence, now_us);
+		repair_difference(m, g, now_us);
 		break;
 	case GOSSIP_PROBE_REQUEST:
 		receive_probe_request(m, g, now_us);
@@ -577,8 +608,8 @@
 static void
 probe_indirectly(struct membership *m)
 {
-	struct gossip g = {.kind = GOSSIP_PROBE_REQUEST,
-	    .sequence = m->probe_sequence};
+	struct gossip g = {
+	    .kind = GOSSIP_PROBE_REQUEST, .sequence = m->probe_sequence};
 	uint32_t i;
 
 	m->indirect_deadline_us = DEADLINE_NONE;
@@ -594,19 +625,6 @@
 	}
 }
 
-static bool
-has_news(const struct membership *m)
-{
-	uint32_t i;
-
-	if (m->self_transmits_left > 0)
-		return true;
-	for (i = 0; i < m->peer_count; i++)
-		if (m->peers[i]->transmits_left > 0)
-			return true;
-	return false;
-}
-
 static void
 send_notices(struct membership *m)
 {
@@ -648,6 +666,55 @@
 	}
 }
 
+static bool
+is_known_address(const struct membership *m, const char *host, uint32_t port)
+{
+	uint32_t i;
+
+	if (m->self.control_port == port && strcmp(m->self.host, host) == 0)
+		return true;
+	for (i = 0; i < m->peer_count; i++) {
+		const struct member *member = &m->peers[i]->member;
+
+		if (is_up(member) && member->control_port == port &&
+		    strcmp(member->host, host) == 0)
+			return true;
+	}
+	return false;
+}
+
+/// Goes to the seeds that are not known to be up, each in its turn.
+static void
+try_seed(struct membership *m)
+{
+	uint32_t at;
+
+	if (m->settings.seed_count == 0)
+		return;
+	at = m->retry_round % m->settings.seed_count;
+	if (!is_known_address(
+		m, m->settings.seeds[at].host, m->settings.seeds[at].port))
+		m->ops->sync(
+		    m, m->settings.seeds[at].host, m->settings.seeds[at].port);
+}
+
+/// Time between tries: short at the start, when parts of the mesh may have
+/// begun without each other.
+static int64_t
+retry_period_us(const struct membership *m)
+{
+	int64_t period_us = m->settings.notice_period_us;
+	uint32_t i;
+
+	for (i = 0;
+	     i < m->retry_round && period_us < m->settings.retry_dead_period_us;
+	     i += 2)
+		period_us *= 2;
+	return period_us < m->settings.retry_dead_period_us
+	    ? period_us
+	    : m->settings.retry_dead_period_us;
+}
+
 /// Tries one dead member and one seed that is not known to be up, so that
 /// parts of the mesh that lost each other meet again.
 static void
@@ -665,20 +732,17 @@
 			found = peer;
 	}
 	if (found != NULL)
-		send_simple(m, &found->member, GOSSIP_PROBE,
-		    ++m->next_sequence);
-	if (m->settings.seed_count > 0 && membership_alive_count(m) == 1) {
-		i = random_below(&m->random, m->settings.seed_count);
-		m->ops->sync(m, m->settings.seeds[i].host,
-		    m->settings.seeds[i].port);
-	}
+		send_simple(
+		    m, &found->member, GOSSIP_PROBE, ++m->next_sequence);
+	try_seed(m);
+	m->retry_round++;
 }
 
 static void
 start_sync(struct membership *m)
 {
-	struct peer *peer = choose_peer(m,
-	    distance_of_round(random_below(&m->random, 64)), random_peer);
+	struct peer *peer = choose_peer(
+	    m, distance_of_round(random_below(&m->random, 64)), random_peer);
 
 	if (peer != NULL)
 		m->ops->sync(m, peer->member.host, peer->member.control_port);
@@ -721,7 +785,7 @@
 	}
 	if (now_us >= m->retry_dead_deadline_us) {
 		m->retry_dead_deadline_us =
-		    jittered(m, now_us, m->settings.retry_dead_period_us);
+		    jittered(m, now_us, retry_period_us(m));
 		retry_lost(m);
 	}
 	next_us = earliest(m->indirect_deadline_us, m->probe_deadline_us);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -5,7 +5,9 @@
 /// probes and on notices sent while there is something to tell. Targets are
 /// mostly in the own data centre. A change crosses to each other data centre
 /// a few times, by the member itself and by a few of its neighbours, so that
-/// the bytes between regions do not grow with the fleet.
+/// the bytes between regions do not grow with the fleet. Probes compare
+/// digests of the tables, and a difference that is no news is repaired by a
+/// table exchange.
 #ifndef MV_CORE_MEMBERSHIP_H
 #define MV_CORE_MEMBERSHIP_H
 
@@ -15,9 +17,9 @@
 #include "core/member.h"
 #include "core/random.h"
 
-#define GOSSIP_MAX_UPDATES   8
-#define GOSSIP_INDIRECT      3
-#define GOSSIP_MAX_RELAYS    32
+#define GOSSIP_MAX_UPDATES 8
+#define GOSSIP_INDIRECT	   3
+#define GOSSIP_MAX_RELAYS  32
 
 struct membership;
 
@@ -32,6 +34,7 @@
 struct gossip {
 	enum gossip_kind kind;
 	uint64_t sequence;
+	uint64_t digest; ///< Of the sender's table.
 	char target[MEMBER_NAME_BYTES];
 	struct member from;
 	uint32_t update_count;
@@ -47,8 +50,8 @@
 	/// A member is new or its record changed.
 	void (*changed)(struct membership *m, const struct member *member);
 	/// A member told its rules version, which may be newer than ours.
-	void (*version_heard)(struct membership *m,
-	    const struct member *member);
+	void (*version_heard)(
+	    struct membership *m, const struct member *member);
 };
 
 struct membership_settings {
@@ -58,7 +61,7 @@
 	int64_t sync_period_us;
 	int64_t retry_dead_period_us; ///< Between tries at dead members.
 	int64_t forget_us; ///< Dead members are dropped after this time.
-	uint32_t suspicion_periods;   ///< Times log10 of the fleet's size.
+	uint32_t suspicion_periods; ///< Times log10 of the fleet's size.
 	uint32_t seed_count;
 	struct {
 		char host[MEMBER_HOST_BYTES];
@@ -74,8 +77,8 @@
 	struct member member;
 	enum distance distance;
 	uint32_t transmits_left; ///< Times the record is still to be sent.
-	uint32_t sends; ///< Times it has been sent since it changed.
-	uint64_t pack_round; ///< Last message that carries the record.
+	uint32_t sends;		 ///< Times it has been sent since it changed.
+	uint64_t pack_round;	 ///< Last message that carries the record.
 	int64_t suspect_deadline_us;
 	int64_t forget_deadline_us;
 };
@@ -96,7 +99,7 @@
 	struct random random;
 	struct member self;
 	uint32_t self_transmits_left;
-	bool push_self; ///< The own record is to go to every data centre.
+	bool push_self;	     ///< The own record is to go to every data centre.
 	struct peer **peers; ///< Sorted by name.
 	uint32_t peer_count;
 	uint32_t peer_capacity;
@@ -112,7 +115,9 @@
 	int64_t probe_deadline_us;
 	int64_t notice_deadline_us;
 	int64_t sync_deadline_us;
+	int64_t repair_deadline_us; ///< No repair of a difference before.
 	int64_t retry_dead_deadline_us;
+	uint32_t retry_round;
 	struct relay relays[GOSSIP_MAX_RELAYS];
 	bool leaving;
 };
@@ -130,14 +135,15 @@
 int64_t membership_tick(struct membership *m, int64_t now_us);
 
 /// Handles a message.
-void membership_receive(struct membership *m, const struct gossip *gossip,
-    int64_t now_us);
+void membership_receive(
+    struct membership *m, const struct gossip *gossip, int64_t now_us);
 
 /// Merges one record of a table exchange.
-void membership_merge(struct membership *m, const struct member *member,
-    int64_t now_us);
+void membership_merge(
+    struct membership *m, const struct member *member, int64_t now_us);
 
-/// Hashes the records of all members, but not their load and version.
+/// Hashes the records of all members that are up, but not their load and
+/// version.
 uint64_t membership_digest(const struct membership *m);
 
 /// Changes the state of the own backend server and spreads it.
@@ -154,14 +160,14 @@
 void membership_leave(struct membership *m, int64_t now_us);
 
 /// Finds a member by name; NULL if unknown.
-const struct member *membership_find(const struct membership *m,
-    const char *name);
+const struct member *membership_find(
+    const struct membership *m, const char *name);
 
 /// Counts members that are alive or suspected, this one included.
 uint32_t membership_alive_count(const struct membership *m);
 
 /// Distance between this member and another.
-enum distance membership_distance(const struct membership *m,
-    const struct member *member);
+enum distance membership_distance(
+    const struct membership *m, const struct member *member);
 
 #endif
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -6,7 +6,7 @@
 
 #include "core/once.h"
 
-#define FIRST_BUCKETS	  1024
+#define FIRST_BUCKETS	   1024
 #define KEY_OVERHEAD_BYTES (sizeof(struct once_key) + 32)
 
 void
@@ -52,8 +52,8 @@
 static void
 expire(struct once *once)
 {
-	while (once->oldest != NULL &&
-	    once->oldest->expiry_us <= once->clock_us) {
+	while (
+	    once->oldest != NULL && once->oldest->expiry_us <= once->clock_us) {
 		struct once_key *k = once->oldest;
 
 		once->oldest = k->newer;
@@ -193,7 +193,7 @@
 
 /// Verdict on a claim for a key that is held.
 static enum once_verdict
-judge(const struct once_key *k, const struct once_op *op,
+judge_held(const struct once_key *k, const struct once_op *op,
     struct once_bytes *answer)
 {
 	if (k->body_hash != op->body_hash)
@@ -206,95 +206,102 @@
 	return k->claim == op->claim ? ONCE_GRANTED : ONCE_IN_PROGRESS;
 }
 
+/// Key of an operation as of the operation's time; NULL if it is free then.
+static struct once_key *
+find_held(const struct once *once, const struct once_op *op)
+{
+	struct name n = make_name(op->scope, op->key, false);
+	struct once_key *k = find(once, &n, false);
+
+	free(n.text);
+	return k == NULL || k->expiry_us <= op->wall_us ? NULL : k;
+}
+
 enum once_verdict
-once_peek(const struct once *once, const struct once_op *op,
+once_judge(const struct once *once, const struct once_op *op,
     struct once_bytes *answer)
+{
+	const struct once_key *k = find_held(once, op);
+
+	if (k != NULL)
+		return judge_held(k, op, answer);
+	return is_released(once, op->claim) ? ONCE_VOID : ONCE_FREED;
+}
+
+uint64_t
+once_op_hash(const struct once_op *op)
 {
 	struct name n = make_name(op->scope, op->key, false);
-	const struct once_key *k = find(once, &n, false);
-	enum once_verdict verdict =
-	    k == NULL ? ONCE_FREED : judge(k, op, answer);
 
 	free(n.text);
-	return verdict;
+	return n.hash;
 }
 
-static enum once_verdict
-apply_claim(struct once *once, const struct once_op *op,
-    struct once_bytes *answer)
+static void
+apply_claim(struct once *once, const struct once_op *op)
 {
 	struct name n = make_name(op->scope, op->key, false);
 	struct once_key *k = find(once, &n, false);
-	enum once_verdict verdict;
 
-	if (k != NULL)
-		verdict = judge(k, op, answer);
-	else if (is_released(once, op->claim))
-		verdict = ONCE_FREED;
-	else {
-		k = insert(once, &n, false);
-		k->claim = op->claim;
-		k->body_hash = op->body_hash;
-		verdict = ONCE_GRANTED;
+	if (k != NULL && k->claim == op->claim) {
+		free(n.text);
+		return;
 	}
+	if (k != NULL)
+		key_unlink(once, k);
+	k = insert(once, &n, false);
+	k->claim = op->claim;
+	k->body_hash = op->body_hash;
 	free(n.text);
-	return verdict;
 }
 
-static enum once_verdict
+static void
 apply_record(struct once *once, const struct once_op *op)
 {
-	struct name n = make_name(op->scope, op->key, false);
-	struct once_key *k = find(once, &n, false);
+	struct once_key *k = find_held(once, op);
 
-	free(n.text);
 	if (k == NULL || k->claim != op->claim || k->done)
-		return ONCE_DONE;
+		return;
 	k->done = true;
 	k->answer = malloc(op->answer.size_bytes + 1);
 	assert(k->answer != NULL);
 	memcpy(k->answer, op->answer.data, op->answer.size_bytes);
 	k->answer_bytes = op->answer.size_bytes;
 	once->memory_bytes += k->answer_bytes;
-	return ONCE_DONE;
 }
 
-static enum once_verdict
+static void
 apply_release(struct once *once, const struct once_op *op)
 {
-	struct name n = make_name(op->scope, op->key, false);
-	struct once_key *k = find(once, &n, false);
+	struct once_key *k = find_held(once, op);
+	struct name n;
 
-	free(n.text);
-	if (k != NULL && k->claim == op->claim && !k->done) {
+	if (k != NULL && k->claim == op->claim && !k->done)
 		key_unlink(once, k);
-		return ONCE_FREED;
-	}
-	if (is_released(once, op->claim))
-		return ONCE_FREED;
-	// The claim itself may still be on its way here.
+	// The claim itself may still be on its way here. The mark is set in
+	// any case, so that it follows from this entry alone.
 	n = make_claim_name(op->claim);
 	insert(once, &n, true);
 	free(n.text);
-	return ONCE_FREED;
 }
 
-enum once_verdict
-once_apply(struct once *once, const struct once_op *op,
-    struct once_bytes *answer)
+void
+once_apply(struct once *once, const struct once_op *op)
 {
 	if (op->wall_us > once->clock_us)
 		once->clock_us = op->wall_us;
 	expire(once);
 	switch (op->kind) {
 	case ONCE_CLAIM:
-		return apply_claim(once, op, answer);
+		apply_claim(once, op);
+		break;
 	case ONCE_RECORD:
-		return apply_record(once, op);
+		apply_record(once, op);
+		break;
 	case ONCE_RELEASE:
-		return apply_release(once, op);
+		apply_release(once, op);
+		break;
 	}
-	return ONCE_UNAVAILABLE;
 }
 
 /// Fixed part of an encoded operation.
@@ -312,8 +319,8 @@
 once_op_encode(const struct once_op *op, uint32_t *size_bytes)
 {
 	struct op_head head = {op->kind, op->scope.size_bytes,
-	    op->key.size_bytes, op->answer.size_bytes, op->claim,
-	    op->body_hash, op->wall_us};
+	    op->key.size_bytes, op->answer.size_bytes, op->claim, op->body_hash,
+	    op->wall_us};
 	char *out;
 	char *at;
 
@@ -339,8 +346,8 @@
 	struct op_head head;
 
 	if (size_bytes < sizeof(head))
-		return error_set(err, ERR_CORRUPT, "decode operation", "",
-		    "too short");
+		return error_set(
+		    err, ERR_CORRUPT, "decode operation", "", "too short");
 	memcpy(&head, data, sizeof(head));
 	if (head.kind > ONCE_RELEASE ||
 	    sizeof(head) + (uint64_t)head.scope_bytes + head.key_bytes +
--- a/src/core/once.h
+++ b/src/core/once.h
@@ -2,8 +2,11 @@
 /// At most once: state of the idempotency keys, replicated by the ledger.
 ///
 /// A key is claimed before its request may run, and keeps the answer after
-/// it. Time comes from the entries alone, so that all replicas agree on what
-/// has expired.
+/// it. The leader judges a claim before it enters the log; an entry is then
+/// applied whatever came before. So the state at any time follows from the
+/// log of the last retention period, and older entries can be dropped. Time
+/// comes from the entries alone, so that all replicas agree on what has
+/// expired.
 #ifndef MV_CORE_ONCE_H
 #define MV_CORE_ONCE_H
 
@@ -21,6 +24,7 @@
 	ONCE_UNAVAILABLE, ///< No quorum: nothing was claimed for this attempt.
 	ONCE_FREED,	  ///< Nobody holds the key.
 	ONCE_UNKNOWN,	  ///< Claimed, and no answer came in time.
+	ONCE_VOID,	  ///< This very claim was released before it came.
 };
 
 enum once_op_kind {
@@ -48,8 +52,8 @@
 
 /// A key that is claimed or done, or the mark of a released claim.
 struct once_key {
-	struct once_key *chain;	 ///< In the bucket.
-	struct once_key *newer;	 ///< By expiry.
+	struct once_key *chain; ///< In the bucket.
+	struct once_key *newer; ///< By expiry.
 	uint64_t hash;
 	uint64_t claim;
 	uint64_t body_hash;
@@ -90,16 +94,19 @@
 int once_op_decode(const char *data, uint32_t size_bytes, struct once_op *op,
     struct error *err);
 
-/// Applies an operation.
+/// Judges a claim by the state, without making it.
 ///
 /// @param answer  the recorded answer with ONCE_DONE; valid until the next
-///                call
-/// @return for a claim its verdict; for others ONCE_DONE or ONCE_FREED
-enum once_verdict once_apply(struct once *once, const struct once_op *op,
+///                change
+/// @return ONCE_FREED if it may be made
+enum once_verdict once_judge(const struct once *once, const struct once_op *op,
     struct once_bytes *answer);
 
-/// Tells what a claim would be told, without making it.
-enum once_verdict once_peek(const struct once *once, const struct once_op *op,
-    struct once_bytes *answer);
+/// Applies an operation of the log. A claim is always granted: the leader
+/// judged it before.
+void once_apply(struct once *once, const struct once_op *op);
+
+/// Hash of the key of an operation.
+uint64_t once_op_hash(const struct once_op *op);
 
 #endif
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -60,8 +60,8 @@
 	if (r->outbox_count == r->outbox_capacity) {
 		r->outbox_capacity =
 		    r->outbox_capacity ? r->outbox_capacity * 2 : 16;
-		r->outbox = realloc(r->outbox,
-		    r->outbox_capacity * sizeof(*r->outbox));
+		r->outbox =
+		    realloc(r->outbox, r->outbox_capacity * sizeof(*r->outbox));
 		assert(r->outbox != NULL);
 	}
 	r->outbox[r->outbox_count++] = *m;
@@ -81,8 +81,8 @@
 }
 
 static void
-become_follower(struct replica *r, uint64_t term, uint64_t leader,
-    int64_t now_us)
+become_follower(
+    struct replica *r, uint64_t term, uint64_t leader, int64_t now_us)
 {
 	assert(term >= r->term);
 	if (term > r->term)
@@ -209,8 +209,8 @@
 }
 
 static void
-handle_pre_vote(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+handle_pre_vote(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct replica_message answer = {
 	    .kind = REPLICA_PRE_VOTE_ANSWER,
@@ -227,8 +227,7 @@
 }
 
 static void
-handle_vote(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+handle_vote(struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct replica_message answer = {
 	    .kind = REPLICA_VOTE_ANSWER,
@@ -237,8 +236,8 @@
 	    .term = r->term,
 	};
 
-	answer.reject = (r->vote != 0 && r->vote != m->from) ||
-	    !is_up_to_date(r, m);
+	answer.reject =
+	    (r->vote != 0 && r->vote != m->from) || !is_up_to_date(r, m);
 	if (!answer.reject) {
 		if (r->vote == 0)
 			save_vote(r, r->term, m->from);
@@ -248,13 +247,13 @@
 }
 
 static void
-handle_vote_answer(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+handle_vote_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct replica_progress *p = replica_progress_get(r, m->from);
-	enum replica_role awaited = m->kind == REPLICA_PRE_VOTE_ANSWER ?
-	    REPLICA_PRE_CANDIDATE :
-	    REPLICA_CANDIDATE;
+	enum replica_role awaited = m->kind == REPLICA_PRE_VOTE_ANSWER
+	    ? REPLICA_PRE_CANDIDATE
+	    : REPLICA_CANDIDATE;
 	uint64_t term =
 	    m->kind == REPLICA_PRE_VOTE_ANSWER ? r->term + 1 : r->term;
 
@@ -289,8 +288,7 @@
 }
 
 static void
-take_entries(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+take_entries(struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	bool config_changed = false;
 	uint32_t i;
@@ -328,8 +326,8 @@
 }
 
 static void
-handle_append(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+handle_append(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	uint64_t last_new = m->index + m->entry_count;
 
@@ -389,8 +387,8 @@
 }
 
 static void
-handle_snapshot(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+handle_snapshot(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct error err;
 
@@ -412,8 +410,7 @@
 	r->first_index = r->snapshot.index + 1;
 	r->commit = r->applied = r->synced = r->snapshot.index;
 	r->dirty = true;
-	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) !=
-	    0)
+	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) != 0)
 		replica_fail(r, &err);
 	replica_find_config(r);
 	replica_progress_update(r, now_us);
@@ -425,8 +422,7 @@
 ///
 /// @return whether the message is to be handled further
 static bool
-settle_term(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+settle_term(struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	bool from_leader = m->kind == REPLICA_APPEND ||
 	    m->kind == REPLICA_HEARTBEAT || m->kind == REPLICA_SNAPSHOT;
@@ -450,8 +446,7 @@
 }
 
 static void
-note_leader(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+note_leader(struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	assert(r->role != REPLICA_LEADER);
 	if (r->role != REPLICA_FOLLOWER || r->leader != m->from)
@@ -461,8 +456,7 @@
 }
 
 void
-replica_step(struct replica *r, const struct replica_message *m,
-    int64_t now_us)
+replica_step(struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	if (replica_has_failed(r) || !settle_term(r, m, now_us))
 		return;
@@ -509,8 +503,7 @@
 	if (now_us < r->quorum_deadline_us)
 		return;
 	r->quorum_deadline_us = now_us + r->settings.election_us;
-	if (replica_quorum_contact_us(r) <
-	    now_us - 2 * r->settings.election_us)
+	if (replica_quorum_contact_us(r) < now_us - 2 * r->settings.election_us)
 		become_follower(r, r->term, 0, now_us);
 }
 
@@ -619,8 +612,8 @@
 }
 
 void
-replica_compact(struct replica *r, uint64_t index, const char *data,
-    uint32_t size_bytes)
+replica_compact(
+    struct replica *r, uint64_t index, const char *data, uint32_t size_bytes)
 {
 	struct replica_snapshot s = {
 	    .index = index,
@@ -635,8 +628,7 @@
 	s.config = replica_config_at(r, index, &config_index);
 	copy_snapshot(r, &s);
 	r->dirty = true;
-	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) !=
-	    0)
+	if (r->storage->ops->save_snapshot(r->storage, &r->snapshot, &err) != 0)
 		replica_fail(r, &err);
 	if (index > r->settings.keep_entries)
 		replica_log_drop_prefix(r, index - r->settings.keep_entries);
@@ -662,8 +654,8 @@
 	r->entries = stored->entries;
 	r->entry_count = stored->entry_count;
 	r->entry_capacity = stored->entry_count;
-	r->first_index = stored->entry_count > 0 ? stored->entries[0].index :
-						   stored->snapshot.index + 1;
+	r->first_index = stored->entry_count > 0 ? stored->entries[0].index
+						 : stored->snapshot.index + 1;
 	memset(stored, 0, sizeof(*stored));
 	if (r->first_index > r->snapshot.index + 1)
 		return error_set(err, ERR_CORRUPT, "load log", "",
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -108,8 +108,8 @@
 	/// An entry is committed. Called in order, once in a process's life.
 	void (*apply)(struct replica *r, const struct replica_entry *entry);
 	/// The state is replaced by that of a snapshot.
-	void (*restore)(struct replica *r,
-	    const struct replica_snapshot *snapshot);
+	void (*restore)(
+	    struct replica *r, const struct replica_snapshot *snapshot);
 	/// A read asked for by replica_read may look at the applied state, if
 	/// ok; else this replica cannot confirm it.
 	void (*read_done)(struct replica *r, uint64_t context, bool ok);
@@ -189,23 +189,23 @@
 	uint64_t term;
 	uint64_t vote;
 	struct replica_snapshot snapshot; ///< data is taken over.
-	struct replica_entry *entries; ///< Taken over.
+	struct replica_entry *entries;	  ///< Taken over.
 	uint32_t entry_count;
 };
 
 /// Starts a replica from what was stored.
 ///
 /// @return 0, or -1 with err set if the stored state contradicts itself
-int replica_init(struct replica *r, const struct replica_ops *ops,
-    void *owner, struct replica_storage *storage,
-    const struct replica_settings *settings, struct replica_stored *stored,
-    uint64_t seed, int64_t now_us, struct error *err);
+int replica_init(struct replica *r, const struct replica_ops *ops, void *owner,
+    struct replica_storage *storage, const struct replica_settings *settings,
+    struct replica_stored *stored, uint64_t seed, int64_t now_us,
+    struct error *err);
 
 void replica_free(struct replica *r);
 
 /// Handles a message.
-void replica_step(struct replica *r, const struct replica_message *message,
-    int64_t now_us);
+void replica_step(
+    struct replica *r, const struct replica_message *message, int64_t now_us);
 
 /// Does what is due.
 ///
@@ -231,8 +231,8 @@
 void replica_flush(struct replica *r, int64_t now_us);
 
 /// Replaces applied entries by a snapshot of the state.
-void replica_compact(struct replica *r, uint64_t index, const char *data,
-    uint32_t size_bytes);
+void replica_compact(
+    struct replica *r, uint64_t index, const char *data, uint32_t size_bytes);
 
 bool replica_is_leader(const struct replica *r);
 
@@ -253,8 +253,7 @@
 uint64_t replica_log_term(const struct replica *r, uint64_t index);
 
 /// Entry at an index, or NULL if the log does not hold it.
-struct replica_entry *replica_log_get(const struct replica *r,
-    uint64_t index);
+struct replica_entry *replica_log_get(const struct replica *r, uint64_t index);
 
 /// Copies an entry to the end of the log and of the storage.
 void replica_log_append(struct replica *r, const struct replica_entry *entry);
@@ -272,8 +271,8 @@
 void replica_find_config(struct replica *r);
 
 /// Config that was in force at an index of the log.
-struct replica_config replica_config_at(const struct replica *r,
-    uint64_t index, uint64_t *config_index);
+struct replica_config replica_config_at(
+    const struct replica *r, uint64_t index, uint64_t *config_index);
 
 // The leader's side of replication, in replica_leader.c.
 
@@ -282,18 +281,18 @@
 /// Makes the list of progress match the config.
 void replica_progress_update(struct replica *r, int64_t now_us);
 
-void replica_send_append(struct replica *r, struct replica_progress *p,
-    int64_t now_us);
+void replica_send_append(
+    struct replica *r, struct replica_progress *p, int64_t now_us);
 
 void replica_broadcast_append(struct replica *r, int64_t now_us);
 
 void replica_broadcast_heartbeat(struct replica *r, int64_t now_us);
 
-void replica_handle_append_answer(struct replica *r,
-    const struct replica_message *m, int64_t now_us);
+void replica_handle_append_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us);
 
-void replica_handle_heartbeat_answer(struct replica *r,
-    const struct replica_message *m, int64_t now_us);
+void replica_handle_heartbeat_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us);
 
 /// Commits what a quorum has made durable.
 void replica_advance_commit(struct replica *r, int64_t now_us);
@@ -302,7 +301,7 @@
 void replica_fail_reads(struct replica *r);
 
 /// Appends a config entry and acts on it at once.
-void replica_append_config(struct replica *r,
-    const struct replica_config *config, int64_t now_us);
+void replica_append_config(
+    struct replica *r, const struct replica_config *config, int64_t now_us);
 
 #endif
--- a/src/core/replica_config.c
+++ b/src/core/replica_config.c
@@ -20,16 +20,15 @@
 }
 
 size_t
-replica_config_encode(const struct replica_config *c,
-    char out[REPLICA_CONFIG_TEXT_BYTES])
+replica_config_encode(
+    const struct replica_config *c, char out[REPLICA_CONFIG_TEXT_BYTES])
 {
 	size_t used = 0;
 
 	out[0] = '\0';
 	used = encode_set(out, used, "voter", c->voters, c->voter_count);
 	used = encode_set(out, used, "old", c->old_voters, c->old_count);
-	return encode_set(out, used, "learner", c->learners,
-	    c->learner_count);
+	return encode_set(out, used, "learner", c->learners, c->learner_count);
 }
 
 static int
@@ -53,11 +52,11 @@
 	    peer.id == 0)
 		return -1;
 	if (strcmp(role, "voter") == 0)
-		return add_peer(c->voters, &c->voter_count,
-		    REPLICA_MAX_VOTERS, &peer);
+		return add_peer(
+		    c->voters, &c->voter_count, REPLICA_MAX_VOTERS, &peer);
 	if (strcmp(role, "old") == 0)
-		return add_peer(c->old_voters, &c->old_count,
-		    REPLICA_MAX_VOTERS, &peer);
+		return add_peer(
+		    c->old_voters, &c->old_count, REPLICA_MAX_VOTERS, &peer);
 	if (strcmp(role, "learner") == 0)
 		return add_peer(c->learners, &c->learner_count,
 		    REPLICA_MAX_LEARNERS, &peer);
@@ -87,8 +86,8 @@
 		text += n + 1;
 	}
 	if (c->voter_count == 0)
-		return error_set(err, ERR_CORRUPT, "decode config", "",
-		    "no voters");
+		return error_set(
+		    err, ERR_CORRUPT, "decode config", "", "no voters");
 	return 0;
 }
 
--- a/src/core/replica_config.h
+++ b/src/core/replica_config.h
@@ -9,11 +9,10 @@
 
 #include "core/error.h"
 
-#define REPLICA_MAX_VOTERS   7
-#define REPLICA_MAX_LEARNERS 3
-#define REPLICA_ADDRESS_BYTES 32
-#define REPLICA_MAX_PEERS                                                      \
-	(2 * REPLICA_MAX_VOTERS + REPLICA_MAX_LEARNERS)
+#define REPLICA_MAX_VOTERS	  7
+#define REPLICA_MAX_LEARNERS	  3
+#define REPLICA_ADDRESS_BYTES	  32
+#define REPLICA_MAX_PEERS	  (2 * REPLICA_MAX_VOTERS + REPLICA_MAX_LEARNERS)
 #define REPLICA_CONFIG_TEXT_BYTES (REPLICA_MAX_PEERS * 64)
 
 struct replica_peer {
@@ -35,8 +34,8 @@
 /// Writes a config as text for a log entry.
 ///
 /// @return length of the text
-size_t replica_config_encode(const struct replica_config *config,
-    char out[REPLICA_CONFIG_TEXT_BYTES]);
+size_t replica_config_encode(
+    const struct replica_config *config, char out[REPLICA_CONFIG_TEXT_BYTES]);
 
 /// Reads a config from a log entry.
 ///
--- a/src/core/replica_leader.c
+++ b/src/core/replica_leader.c
@@ -84,8 +84,8 @@
 	uint32_t count = 0;
 
 	while (count < available && count < MAX_APPEND_ENTRIES) {
-		const struct replica_entry *e = replica_log_get(r,
-		    from + count);
+		const struct replica_entry *e =
+		    replica_log_get(r, from + count);
 
 		if (count > 0 &&
 		    bytes + e->size_bytes > r->settings.max_append_bytes)
@@ -97,8 +97,8 @@
 }
 
 void
-replica_send_append(struct replica *r, struct replica_progress *p,
-    int64_t now_us)
+replica_send_append(
+    struct replica *r, struct replica_progress *p, int64_t now_us)
 {
 	struct replica_message m = {
 	    .kind = REPLICA_APPEND,
@@ -175,8 +175,8 @@
 }
 
 void
-replica_handle_append_answer(struct replica *r,
-    const struct replica_message *m, int64_t now_us)
+replica_handle_append_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct replica_progress *p = replica_progress_get(r, m->from);
 
@@ -230,8 +230,7 @@
 		struct round_query q = {r, read.round};
 
 		if (r->applied >= read.index &&
-		    replica_config_has_quorum(&r->config, has_acknowledged,
-			&q))
+		    replica_config_has_quorum(&r->config, has_acknowledged, &q))
 			r->ops->read_done(r, read.context, true);
 		else
 			r->reads[kept++] = read;
@@ -251,8 +250,8 @@
 }
 
 void
-replica_handle_heartbeat_answer(struct replica *r,
-    const struct replica_message *m, int64_t now_us)
+replica_handle_heartbeat_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
 	struct replica_progress *p = replica_progress_get(r, m->from);
 
@@ -312,8 +311,8 @@
 }
 
 void
-replica_append_config(struct replica *r, const struct replica_config *config,
-    int64_t now_us)
+replica_append_config(
+    struct replica *r, const struct replica_config *config, int64_t now_us)
 {
 	char text[REPLICA_CONFIG_TEXT_BYTES];
 	struct replica_entry e = {
@@ -369,7 +368,6 @@
 	finish_reads(r);
 }
 
-
 static uint64_t
 contact_time(void *arg, uint64_t id)
 {
@@ -387,6 +385,6 @@
 {
 	if (r->role != REPLICA_LEADER)
 		return 0;
-	return (int64_t)replica_config_quorum_value(&r->config, contact_time,
-	    (void *)(uintptr_t)r);
+	return (int64_t)replica_config_quorum_value(
+	    &r->config, contact_time, (void *)(uintptr_t)r);
 }
--- a/src/core/replica_log.c
+++ b/src/core/replica_log.c
@@ -58,8 +58,8 @@
 	if (r->entry_count == r->entry_capacity) {
 		r->entry_capacity =
 		    r->entry_capacity ? r->entry_capacity * 2 : 64;
-		r->entries = realloc(r->entries,
-		    r->entry_capacity * sizeof(*r->entries));
+		r->entries = realloc(
+		    r->entries, r->entry_capacity * sizeof(*r->entries));
 		assert(r->entries != NULL);
 	}
 	e = &r->entries[r->entry_count++];
@@ -80,7 +80,8 @@
 	while (r->entry_count > 0 && replica_last_index(r) >= from_index) {
 		struct replica_entry *e = &r->entries[--r->entry_count];
 
-		r->uncommitted_bytes -= e->size_bytes + REPLICA_ENTRY_OVERHEAD_BYTES;
+		r->uncommitted_bytes -=
+		    e->size_bytes + REPLICA_ENTRY_OVERHEAD_BYTES;
 		free(e->data);
 	}
 	if (r->synced >= from_index)
@@ -112,8 +113,8 @@
 }
 
 struct replica_config
-replica_config_at(const struct replica *r, uint64_t index,
-    uint64_t *config_index)
+replica_config_at(
+    const struct replica *r, uint64_t index, uint64_t *config_index)
 {
 	struct replica_config config;
 	struct error err;
@@ -122,8 +123,8 @@
 		const struct replica_entry *e = replica_log_get(r, index);
 
 		if (e == NULL || e->kind != REPLICA_ENTRY_CONFIG ||
-		    replica_config_decode(e->data, e->size_bytes, &config,
-			&err) != 0)
+		    replica_config_decode(
+			e->data, e->size_bytes, &config, &err) != 0)
 			continue;
 		*config_index = index;
 		return config;
@@ -135,6 +136,6 @@
 void
 replica_find_config(struct replica *r)
 {
-	r->config = replica_config_at(r, replica_last_index(r),
-	    &r->config_index);
+	r->config =
+	    replica_config_at(r, replica_last_index(r), &r->config_index);
 }
--- a/src/core/report_table.c
+++ b/src/core/report_table.c
@@ -35,8 +35,8 @@
 {
 	if (table->count == table->capacity) {
 		table->capacity = table->capacity ? table->capacity * 2 : 32;
-		table->items = realloc(table->items,
-		    table->capacity * sizeof(*table->items));
+		table->items = realloc(
+		    table->items, table->capacity * sizeof(*table->items));
 		assert(table->items != NULL);
 	}
 	memmove(table->items + at + 1, table->items + at,
@@ -124,8 +124,8 @@
 		    (region != NULL && strcmp(r->member.region, region) != 0))
 			continue;
 		sum.members++;
-		sum.in_force += report_table_in_force(table, r, version,
-		    now_us);
+		sum.in_force +=
+		    report_table_in_force(table, r, version, now_us);
 	}
 	return sum;
 }
--- a/src/core/report_table.h
+++ b/src/core/report_table.h
@@ -9,7 +9,7 @@
 #include "core/member.h"
 
 struct report {
-	struct member member; ///< version: in force now at that process.
+	struct member member;  ///< version: in force now at that process.
 	uint64_t version_seen; ///< Highest ever seen at that name.
 	int64_t heard_us;
 	bool left;
--- a/src/core/rule_store.c
+++ b/src/core/rule_store.c
@@ -19,8 +19,8 @@
 }
 
 enum rule_store_verdict
-rule_store_check(const struct rule_store *store, uint64_t version,
-    uint64_t hash)
+rule_store_check(
+    const struct rule_store *store, uint64_t version, uint64_t hash)
 {
 	uint64_t accepted =
 	    store->current == NULL ? 0 : store->current->version;
@@ -31,20 +31,19 @@
 		return RULE_STORE_GAP;
 	if (version < accepted)
 		return RULE_STORE_OLD;
-	return hash == store->current->hash ? RULE_STORE_ALREADY :
-					      RULE_STORE_CONFLICT;
+	return hash == store->current->hash ? RULE_STORE_ALREADY
+					    : RULE_STORE_CONFLICT;
 }
 
 char *
-rule_store_encode(const struct rules *rules, int64_t accepted_us,
-    uint32_t *size_bytes)
+rule_store_encode(
+    const struct rules *rules, int64_t accepted_us, uint32_t *size_bytes)
 {
 	char *out = malloc(HEAD_BYTES + rules->text_bytes);
 	int head;
 
 	assert(out != NULL);
-	head = snprintf(out, HEAD_BYTES, "accepted %" PRId64 "\n",
-	    accepted_us);
+	head = snprintf(out, HEAD_BYTES, "accepted %" PRId64 "\n", accepted_us);
 	memcpy(out + head, rules->text, rules->text_bytes);
 	*size_bytes = (uint32_t)head + (uint32_t)rules->text_bytes;
 	return out;
@@ -75,9 +74,8 @@
 	assert(errors != NULL);
 	rules = rules_parse(eol + 1, size_bytes - n - 1, errors);
 	if (rules == NULL)
-		error_set(err, ERR_CORRUPT, "decode rules", "",
-		    "line %u: %s", errors->items[0].line,
-		    errors->items[0].text);
+		error_set(err, ERR_CORRUPT, "decode rules", "", "line %u: %s",
+		    errors->items[0].line, errors->items[0].text);
 	free(errors);
 	return rules;
 }
@@ -137,9 +135,9 @@
 {
 	uint32_t count = count_lines(new);
 	const char **lines = find_lines(new, count);
-	const char **old = store->current == NULL ?
-	    NULL :
-	    find_lines(store->current, store->line_count);
+	const char **old = store->current == NULL
+	    ? NULL
+	    : find_lines(store->current, store->line_count);
 	uint64_t *since = calloc(count + 1, sizeof(*since));
 	uint32_t from = 0;
 	uint32_t i;
@@ -149,8 +147,8 @@
 		size_t n = (size_t)(lines[i + 1] - lines[i]);
 
 		if (old != NULL)
-			since[i + 1] = inherited_since(store, old, lines[i],
-			    n, &from);
+			since[i + 1] =
+			    inherited_since(store, old, lines[i], n, &from);
 		if (since[i + 1] == 0)
 			since[i + 1] = new->version;
 	}
@@ -201,8 +199,8 @@
 	assert(out != NULL);
 	used = (size_t)snprintf(out, capacity, "since %u", store->line_count);
 	for (i = 1; i <= store->line_count; i++)
-		used += (size_t)snprintf(out + used, capacity - used,
-		    " %" PRIu64, store->since[i]);
+		used += (size_t)snprintf(
+		    out + used, capacity - used, " %" PRIu64, store->since[i]);
 	used += (size_t)snprintf(out + used, capacity - used,
 	    "\naccepted %" PRId64 "\n", store->accepted_us);
 	memcpy(out + used, store->current->text, store->current->text_bytes);
@@ -251,8 +249,8 @@
 	}
 	eol = memchr(snapshot, '\n', size_bytes);
 	if (eol == NULL)
-		return error_set(err, ERR_CORRUPT, "restore", "",
-		    "bad snapshot");
+		return error_set(
+		    err, ERR_CORRUPT, "restore", "", "bad snapshot");
 	line = strndup(snapshot, (size_t)(eol - snapshot));
 	assert(line != NULL);
 	since = decode_since(line, &count, err);
--- a/src/core/rule_store.h
+++ b/src/core/rule_store.h
@@ -32,12 +32,12 @@
 void rule_store_free(struct rule_store *store);
 
 /// Tells what would become of a file now.
-enum rule_store_verdict rule_store_check(const struct rule_store *store,
-    uint64_t version, uint64_t hash);
+enum rule_store_verdict rule_store_check(
+    const struct rule_store *store, uint64_t version, uint64_t hash);
 
 /// Builds the log entry of a file. Release it with free().
-char *rule_store_encode(const struct rules *rules, int64_t accepted_us,
-    uint32_t *size_bytes);
+char *rule_store_encode(
+    const struct rules *rules, int64_t accepted_us, uint32_t *size_bytes);
 
 /// Applies a log entry.
 ///
@@ -46,8 +46,7 @@
     uint32_t size_bytes, struct error *err);
 
 /// Builds a snapshot. Release it with free().
-char *rule_store_snapshot(const struct rule_store *store,
-    uint32_t *size_bytes);
+char *rule_store_snapshot(const struct rule_store *store, uint32_t *size_bytes);
 
 /// Replaces the state by that of a snapshot.
 ///
--- a/src/core/rules.c
+++ b/src/core/rules.c
@@ -35,8 +35,8 @@
 }
 
 static bool
-path_matches(const struct rule_route *route, const char *path,
-    size_t path_bytes)
+path_matches(
+    const struct rule_route *route, const char *path, size_t path_bytes)
 {
 	if (path_bytes < route->path_bytes)
 		return false;
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -8,23 +8,23 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define RULES_NAME_BYTES    32
-#define RULES_PATH_BYTES    160
-#define RULES_OWNER_BYTES   96
-#define RULES_MAX_BYTES	    (4 * 1024 * 1024)
-#define RULES_MAX_RANKS	    16
-#define RULES_MAX_ERRORS    100
-#define RULES_ERROR_BYTES   160
-#define RULES_METHOD_BYTES  12
+#define RULES_NAME_BYTES      32
+#define RULES_PATH_BYTES      160
+#define RULES_OWNER_BYTES     96
+#define RULES_MAX_BYTES	      (4 * 1024 * 1024)
+#define RULES_MAX_RANKS	      16
+#define RULES_MAX_ERRORS      100
+#define RULES_ERROR_BYTES     160
+#define RULES_METHOD_BYTES    12
 #define RULES_MAX_DEADLINE_US (3600LL * 1000000)
 
 /// A class of work with its target and its guaranteed share.
 struct rule_rank {
 	char name[RULES_NAME_BYTES];
 	char owner[RULES_OWNER_BYTES];
-	uint32_t worth;	     ///< Relative worth of one served request.
-	uint32_t keep_pct;   ///< Share of slots kept in a flood, percent.
-	int64_t target_us;   ///< Response time that callers expect.
+	uint32_t worth;	   ///< Relative worth of one served request.
+	uint32_t keep_pct; ///< Share of slots kept in a flood, percent.
+	int64_t target_us; ///< Response time that callers expect.
 	uint32_t line;
 };
 
@@ -43,10 +43,10 @@
 	char path[RULES_PATH_BYTES];	 ///< Without a trailing "*".
 	char owner[RULES_OWNER_BYTES];
 	uint32_t path_bytes;
-	bool prefix; ///< The path ended in "*".
-	bool once;   ///< At most one execution for each idempotency key.
-	uint32_t service; ///< Index into services.
-	uint32_t rank;	  ///< Index into ranks.
+	bool prefix;	    ///< The path ended in "*".
+	bool once;	    ///< At most one execution for each idempotency key.
+	uint32_t service;   ///< Index into services.
+	uint32_t rank;	    ///< Index into ranks.
 	int64_t timeout_us; ///< Added to the arrival time for the deadline.
 	uint32_t line;
 };
@@ -86,8 +86,8 @@
 /// @param text_bytes  its length
 /// @param errors      receives every problem found
 /// @return the rules with one reference, or NULL if there was any error
-struct rules *rules_parse(const char *text, size_t text_bytes,
-    struct rules_errors *errors);
+struct rules *rules_parse(
+    const char *text, size_t text_bytes, struct rules_errors *errors);
 
 /// Takes one more reference.
 struct rules *rules_ref(struct rules *rules);
@@ -102,8 +102,8 @@
 /// an exact path before a prefix and a named method before "*".
 ///
 /// @return the route, or NULL if none matches
-const struct rule_route *rules_match(const struct rules *rules,
-    const char *method, const char *path);
+const struct rule_route *rules_match(
+    const struct rules *rules, const char *method, const char *path);
 
 /// Finds a rank by name.
 ///
--- a/src/core/rules_parse.c
+++ b/src/core/rules_parse.c
@@ -34,13 +34,12 @@
 	bool has_version;
 };
 
-static void
-parser_fail(struct parser *p, uint32_t line, uint32_t column, const char *fmt,
-    ...) __attribute__((format(printf, 4, 5)));
+static void parser_fail(struct parser *p, uint32_t line, uint32_t column,
+    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
 static void
-parser_fail(struct parser *p, uint32_t line, uint32_t column, const char *fmt,
-    ...)
+parser_fail(
+    struct parser *p, uint32_t line, uint32_t column, const char *fmt, ...)
 {
 	struct rules_error *e;
 	va_list ap;
@@ -109,8 +108,8 @@
 
 /// Parses a decimal number that fills the word up to a suffix.
 static bool
-parse_number(const struct word *w, uint64_t max, uint64_t *out,
-    uint32_t *used_bytes)
+parse_number(
+    const struct word *w, uint64_t max, uint64_t *out, uint32_t *used_bytes)
 {
 	uint64_t n = 0;
 	uint32_t i;
@@ -175,16 +174,16 @@
 }
 
 static bool
-parse_duration(struct parser *p, const struct word *w, const char *what,
-    int64_t *out_us)
+parse_duration(
+    struct parser *p, const struct word *w, const char *what, int64_t *out_us)
 {
 	uint64_t n;
 	uint32_t used;
 	int64_t unit_us = 0;
 
 	if (parse_number(w, RULES_MAX_DEADLINE_US, &n, &used))
-		unit_us = duration_unit_us(w->text + used,
-		    w->text_bytes - used);
+		unit_us =
+		    duration_unit_us(w->text + used, w->text_bytes - used);
 	if (unit_us == 0 || n == 0 ||
 	    n > (uint64_t)(RULES_MAX_DEADLINE_US / unit_us)) {
 		parser_fail(p, p->line, w->column,
@@ -244,8 +243,8 @@
 		return;
 	}
 	if (p->has_version) {
-		parser_fail(p, p->line, p->words[0].column,
-		    "version is given twice");
+		parser_fail(
+		    p, p->line, p->words[0].column, "version is given twice");
 		return;
 	}
 	if (!parse_number(w, INT64_MAX, &n, &used) || used != w->text_bytes ||
@@ -324,12 +323,12 @@
 		struct word v;
 
 		if (service.slots == 0 && word_option(w, "slots", &v))
-			ok &= parse_count(p, &v, "slots", 10000,
-			    &service.slots);
+			ok &=
+			    parse_count(p, &v, "slots", 10000, &service.slots);
 		else if (service.connections == 0 &&
 		    word_option(w, "connections", &v))
-			ok &= parse_count(p, &v, "connections", 10000,
-			    &service.connections);
+			ok &= parse_count(
+			    p, &v, "connections", 10000, &service.connections);
 		else {
 			fail_option(p, w, "service");
 			ok = false;
@@ -348,17 +347,17 @@
 		return;
 	}
 	memcpy(service.owner, p->owner, sizeof(service.owner));
-	r->services = grow_array(r->services, r->service_count,
-	    sizeof(*r->services));
+	r->services =
+	    grow_array(r->services, r->service_count, sizeof(*r->services));
 	r->services[r->service_count++] = service;
 }
 
 static bool
-parse_method(struct parser *p, const struct word *w,
-    char out[RULES_METHOD_BYTES])
+parse_method(
+    struct parser *p, const struct word *w, char out[RULES_METHOD_BYTES])
 {
-	static const char *const METHODS[] = {"*", "GET", "HEAD", "POST", "PUT",
-	    "PATCH", "DELETE", "OPTIONS"};
+	static const char *const METHODS[] = {
+	    "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 	size_t i;
 
 	for (i = 0; i < sizeof(METHODS) / sizeof(METHODS[0]); i++) {
@@ -386,8 +385,7 @@
 		return false;
 	}
 	if (star != NULL && star != w->text + w->text_bytes - 1) {
-		parser_fail(p, p->line,
-		    w->column + (uint32_t)(star - w->text),
+		parser_fail(p, p->line, w->column + (uint32_t)(star - w->text),
 		    "'*' may only end a path");
 		return false;
 	}
@@ -414,8 +412,8 @@
 }
 
 static bool
-parse_route_options(struct parser *p, struct rule_route *route,
-    struct pending_route *pending)
+parse_route_options(
+    struct parser *p, struct rule_route *route, struct pending_route *pending)
 {
 	bool ok = true;
 	uint32_t i;
@@ -429,8 +427,8 @@
 			ok &= parse_name(p, &v, "rank", pending->rank_name);
 		} else if (route->timeout_us == 0 &&
 		    word_option(w, "deadline", &v))
-			ok &= parse_duration(p, &v, "deadline",
-			    &route->timeout_us);
+			ok &= parse_duration(
+			    p, &v, "deadline", &route->timeout_us);
 		else if (!route->once && word_equals(w, "once"))
 			route->once = true;
 		else {
@@ -473,8 +471,8 @@
 	}
 	memcpy(route.owner, p->owner, sizeof(route.owner));
 	r->routes = grow_array(r->routes, r->route_count, sizeof(*r->routes));
-	p->pending = grow_array(p->pending, r->route_count,
-	    sizeof(*p->pending));
+	p->pending =
+	    grow_array(p->pending, r->route_count, sizeof(*p->pending));
 	p->pending[r->route_count] = pending;
 	r->routes[r->route_count++] = route;
 }
@@ -683,8 +681,8 @@
 
 	errors->count = 0;
 	if (text_bytes > RULES_MAX_BYTES) {
-		parser_fail(&p, 1, 1, "file is larger than %d bytes",
-		    RULES_MAX_BYTES);
+		parser_fail(
+		    &p, 1, 1, "file is larger than %d bytes", RULES_MAX_BYTES);
 		return NULL;
 	}
 	p.rules = calloc(1, sizeof(*p.rules));
--- a/src/core/version_sync.c
+++ b/src/core/version_sync.c
@@ -140,8 +140,8 @@
 
 /// Notes on the list when a holder may be asked again.
 static void
-postpone_holder(struct version_sync *vs, const struct holder *holder,
-    int64_t deadline_us)
+postpone_holder(
+    struct version_sync *vs, const struct holder *holder, int64_t deadline_us)
 {
 	uint32_t i;
 
@@ -151,8 +151,8 @@
 }
 
 void
-version_sync_done(struct version_sync *vs, bool ok, int64_t wait_us,
-    int64_t now_us)
+version_sync_done(
+    struct version_sync *vs, bool ok, int64_t wait_us, int64_t now_us)
 {
 	if (!vs->pulling)
 		return;
--- a/src/core/version_sync.h
+++ b/src/core/version_sync.h
@@ -37,7 +37,7 @@
 	const struct version_sync_ops *ops;
 	void *owner;
 	struct random random;
-	int64_t stagger_us;	 ///< Between ranks in a data centre.
+	int64_t stagger_us; ///< Between ranks in a data centre.
 	int64_t pull_timeout_us;
 	uint64_t have_version;
 	uint64_t known_version; ///< Highest version heard of.
@@ -69,8 +69,8 @@
 ///
 /// @param ok       whether rules newer than ours arrived and were adopted
 /// @param wait_us  time after which the holder wants to be asked again
-void version_sync_done(struct version_sync *vs, bool ok, int64_t wait_us,
-    int64_t now_us);
+void version_sync_done(
+    struct version_sync *vs, bool ok, int64_t wait_us, int64_t now_us);
 
 /// Does what is due.
 ///
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -16,14 +16,13 @@
 static void
 print_errors(const char *path, const struct rules_errors *errors)
 {
-	uint32_t shown = errors->count < RULES_MAX_ERRORS ? errors->count :
-							    RULES_MAX_ERRORS;
+	uint32_t shown =
+	    errors->count < RULES_MAX_ERRORS ? errors->count : RULES_MAX_ERRORS;
 	uint32_t i;
 
 	for (i = 0; i < shown; i++)
-		fprintf(stderr, "%s:%u:%u: %s\n", path,
-		    errors->items[i].line, errors->items[i].column,
-		    errors->items[i].text);
+		fprintf(stderr, "%s:%u:%u: %s\n", path, errors->items[i].line,
+		    errors->items[i].column, errors->items[i].text);
 	fprintf(stderr, "%s: refused, %u error%s\n", path, errors->count,
 	    errors->count == 1 ? "" : "s");
 }
@@ -114,14 +113,14 @@
 /// Submits a file; with --wait again and again while no source can decide,
 /// which is safe since the same file is accepted only once.
 static bool
-submit(struct ctl *ctl, const char *text, size_t text_bytes,
-    struct ctl_answer *a)
+submit(
+    struct ctl *ctl, const char *text, size_t text_bytes, struct ctl_answer *a)
 {
 	int64_t deadline_us = clock_now_us() + ctl->wait_s * US_PER_S;
 
 	for (;;) {
-		bool answered = ctl_request(ctl, "POST", "/rules", text,
-		    text_bytes, a);
+		bool answered =
+		    ctl_request(ctl, "POST", "/rules", text, text_bytes, a);
 
 		if ((answered && a->status != 503) || !ctl->wait ||
 		    clock_now_us() >= deadline_us)
@@ -277,9 +276,9 @@
 int
 ctl_replace(struct ctl *ctl)
 {
-	json_t *root = json_pack("{s:I, s:I, s:s}", "remove",
-	    (json_int_t)ctl->remove_id, "add", (json_int_t)ctl->add_id,
-	    "address", ctl->add_address);
+	json_t *root =
+	    json_pack("{s:I, s:I, s:s}", "remove", (json_int_t)ctl->remove_id,
+		"add", (json_int_t)ctl->add_id, "address", ctl->add_address);
 	char *body = json_dumps(root, JSON_COMPACT);
 	int exit_code = post_simple(ctl, "/replicas", body);
 
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -12,10 +12,10 @@
 /// Exit codes of mvctl.
 enum ctl_exit {
 	CTL_OK = 0,
-	CTL_REFUSED = 1,     ///< The file or the request was refused.
+	CTL_REFUSED = 1, ///< The file or the request was refused.
 	CTL_USAGE = 2,
-	CTL_UNAVAILABLE = 3, ///< No source could confirm; try again.
-	CTL_CONFLICT = 4,    ///< Another file or version won.
+	CTL_UNAVAILABLE = 3,  ///< No source could confirm; try again.
+	CTL_CONFLICT = 4,     ///< Another file or version won.
 	CTL_NOT_IN_FORCE = 5, ///< --wait ran out.
 };
 
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -7,13 +7,13 @@
 
 #include "ctl/ctl.h"
 
-#define DEFAULT_WAIT_S	30
-#define MAX_WAIT_S	86400
+#define DEFAULT_WAIT_S	 30
+#define MAX_WAIT_S	 86400
 #define SOURCES_VARIABLE "MAGNOLIA_SOURCES"
 
-#define KEY_ADD	   1000
-#define KEY_REMOVE 1001
-#define KEY_JSON   1002
+#define KEY_ADD	    1000
+#define KEY_REMOVE  1001
+#define KEY_JSON    1002
 #define KEY_TIMEOUT 1003
 
 const char *argp_program_version = "mvctl " MV_VERSION;
@@ -91,8 +91,7 @@
 		return 0;
 	case KEY_TIMEOUT:
 		ctl->wait_s = strtoll(arg, &end, 10);
-		if (*end != '\0' || ctl->wait_s < 0 ||
-		    ctl->wait_s > MAX_WAIT_S)
+		if (*end != '\0' || ctl->wait_s < 0 || ctl->wait_s > MAX_WAIT_S)
 			argp_error(state, "--timeout must be whole seconds");
 		return 0;
 	case KEY_JSON:
@@ -126,8 +125,7 @@
 static const struct argp_option OPTIONS[] = {
     {"source", 's', "IP:port[,...]", 0, "Operators' address of sources", 0},
     {"wait", 'w', NULL, 0, "Wait until in force everywhere", 0},
-    {"timeout", KEY_TIMEOUT, "SECONDS", 0,
-	"Longest --wait (default 30)", 0},
+    {"timeout", KEY_TIMEOUT, "SECONDS", 0, "Longest --wait (default 30)", 0},
     {"json", KEY_JSON, NULL, 0, "Print JSON", 0},
     {"remove", KEY_REMOVE, "ID", 0, "Replica to remove", 0},
     {"add", KEY_ADD, "ID=IP:port", 0, "Replica to add", 0},
@@ -157,8 +155,10 @@
 int
 main(int argc, char **argv)
 {
-	struct argp argp = {.options = OPTIONS, .parser = parse_option,
-	    .args_doc = "COMMAND [ARG]", .doc = DOC};
+	struct argp argp = {.options = OPTIONS,
+	    .parser = parse_option,
+	    .args_doc = "COMMAND [ARG]",
+	    .doc = DOC};
 	struct ctl ctl = {.wait_s = DEFAULT_WAIT_S};
 	const char *environment = getenv(SOURCES_VARIABLE);
 	int exit_code;
--- a/src/ctl/request.c
+++ b/src/ctl/request.c
@@ -55,10 +55,10 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, a);
 	if (strcmp(method, "POST") == 0) {
 		curl_easy_setopt(easy, CURLOPT_POST, 1L);
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
-		    body == NULL ? "" : body);
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)body_bytes);
+		curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDS, body == NULL ? "" : body);
+		curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_bytes);
 	}
 	rc = curl_easy_perform(easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &a->status);
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -10,7 +10,7 @@
 #include "ctl/ctl.h"
 #include "io/clock.h"
 
-#define POLL_US		    (100 * US_PER_MS)
+#define POLL_US (100 * US_PER_MS)
 /// Time a source must have heard reports for before its list is complete.
 #define REPORTS_COMPLETE_MS 6000
 
@@ -65,12 +65,11 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(root, "rules"), i, rule)
-		printf("  line %-4" PRId64 " since version %-6" PRId64
-		       " in force %" PRId64 " of %" PRId64 "  %.60s\n",
-		    get_number(rule, "line"),
-		    get_number(rule, "since_version"),
-		    get_number(rule, "in_force"), get_number(root, "members"),
-		    get_text(rule, "rule"));
+	    printf("  line %-4" PRId64 " since version %-6" PRId64
+		   " in force %" PRId64 " of %" PRId64 "  %.60s\n",
+		get_number(rule, "line"), get_number(rule, "since_version"),
+		get_number(rule, "in_force"), get_number(root, "members"),
+		get_text(rule, "rule"));
 }
 
 static void
@@ -86,15 +85,14 @@
 	printf("in force: %" PRId64 " of %" PRId64 " proxies\n",
 	    get_number(root, "in_force"), get_number(root, "members"));
 	json_array_foreach(json_object_get(root, "regions"), i, item)
-		printf("  region %s: %" PRId64 " of %" PRId64 "\n",
-		    get_text(item, "region"), get_number(item, "in_force"),
-		    get_number(item, "members"));
+	    printf("  region %s: %" PRId64 " of %" PRId64 "\n",
+		get_text(item, "region"), get_number(item, "in_force"),
+		get_number(item, "members"));
 	json_array_foreach(json_object_get(root, "stragglers"), i, item)
-		printf("  straggler %s in %s: version %" PRId64
-		       ", silent for %" PRId64 " ms\n",
-		    get_text(item, "name"), get_text(item, "region"),
-		    get_number(item, "version"),
-		    get_number(item, "silent_ms"));
+	    printf("  straggler %s in %s: version %" PRId64
+		   ", silent for %" PRId64 " ms\n",
+		get_text(item, "name"), get_text(item, "region"),
+		get_number(item, "version"), get_number(item, "silent_ms"));
 	print_rules(root);
 }
 
--- a/src/io/address.h
+++ b/src/io/address.h
@@ -24,7 +24,7 @@
 int address_make(const char *host, uint32_t port, struct address *address);
 
 /// Writes "IP:port".
-void address_format(const struct address *address,
-    char out[ADDRESS_TEXT_BYTES]);
+void address_format(
+    const struct address *address, char out[ADDRESS_TEXT_BYTES]);
 
 #endif
--- a/src/io/counters.h
+++ b/src/io/counters.h
@@ -16,12 +16,12 @@
 };
 
 /// Defines a file-scope counter that registers itself at start-up.
-#define COUNTER_DEFINE(var_, name_, help_)                                     \
-	static struct counter var_ = {.name = (name_), .help = (help_)};       \
-	__attribute__((constructor)) static void var_##_register(void)         \
-	{                                                                      \
-		counter_register(&var_);                                       \
-	}                                                                      \
+#define COUNTER_DEFINE(var_, name_, help_)                               \
+	static struct counter var_ = {.name = (name_), .help = (help_)}; \
+	__attribute__((constructor)) static void var_##_register(void)   \
+	{                                                                \
+		counter_register(&var_);                                 \
+	}                                                                \
 	struct counter
 
 void counter_register(struct counter *counter);
--- a/src/io/datagram.c
+++ b/src/io/datagram.c
@@ -6,7 +6,7 @@
 
 #include "io/net.h"
 
-#define RECEIVE_BATCH 64
+#define RECEIVE_BATCH	    64
 #define SOCKET_BUFFER_BYTES (1024 * 1024)
 
 static void
@@ -43,8 +43,8 @@
 int
 datagram_open(struct datagram_socket *sock, struct loop *loop,
     const struct address *at, void *owner,
-    void (*on_message)(void *owner, const struct address *from,
-	struct message *message),
+    void (*on_message)(
+	void *owner, const struct address *from, struct message *message),
     struct address *bound, struct error *err)
 {
 	char text[ADDRESS_TEXT_BYTES];
@@ -56,10 +56,10 @@
 	address_format(at, text);
 	fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
-		return error_set(err, ERR_IO, "bind", text, "%s",
-		    strerror(errno));
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
-	    sizeof(buffer_bytes));
+		return error_set(
+		    err, ERR_IO, "bind", text, "%s", strerror(errno));
+	setsockopt(
+	    fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
 	if (bind(fd, (const struct sockaddr *)&at->in, sizeof(at->in)) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&bound->in, &len) != 0) {
 		error_set(err, ERR_IO, "bind", text, "%s", strerror(errno));
--- a/src/io/disk.c
+++ b/src/io/disk.c
@@ -77,13 +77,12 @@
 		return 0;
 	close_file(d);
 	path = path_of(d, name, d->file_pool);
-	d->name_is_new |= apr_stat(&info, path, APR_FINFO_TYPE,
-			      d->file_pool) != APR_SUCCESS;
+	d->name_is_new |=
+	    apr_stat(&info, path, APR_FINFO_TYPE, d->file_pool) != APR_SUCCESS;
 	rc = apr_file_open(&d->file, path,
 	    APR_FOPEN_WRITE | APR_FOPEN_CREATE | APR_FOPEN_APPEND |
 		APR_FOPEN_BINARY,
-	    APR_FPROT_UREAD | APR_FPROT_UWRITE | APR_FPROT_GREAD,
-	    d->file_pool);
+	    APR_FPROT_UREAD | APR_FPROT_UWRITE | APR_FPROT_GREAD, d->file_pool);
 	if (rc != APR_SUCCESS) {
 		d->file = NULL;
 		return fail(err, "open", name, rc);
@@ -189,8 +188,8 @@
 }
 
 static int
-real_read(struct disk *disk, const char *name, char **bytes,
-    size_t *size_bytes, struct error *err)
+real_read(struct disk *disk, const char *name, char **bytes, size_t *size_bytes,
+    struct error *err)
 {
 	struct real_disk *d = real_of(disk);
 	apr_pool_t *pool;
@@ -212,8 +211,8 @@
 }
 
 static int
-real_truncate(struct disk *disk, const char *name, size_t size_bytes,
-    struct error *err)
+real_truncate(
+    struct disk *disk, const char *name, size_t size_bytes, struct error *err)
 {
 	struct real_disk *d = real_of(disk);
 	apr_status_t rc;
@@ -244,8 +243,8 @@
 }
 
 static int
-real_list(struct disk *disk, void (*fn)(void *arg, const char *name),
-    void *arg, struct error *err)
+real_list(struct disk *disk, void (*fn)(void *arg, const char *name), void *arg,
+    struct error *err)
 {
 	struct real_disk *d = real_of(disk);
 	apr_pool_t *pool;
@@ -284,13 +283,12 @@
 lock_folder(struct real_disk *d, struct error *err)
 {
 	apr_status_t rc = apr_file_open(&d->lock,
-	    path_of(d, LOCK_NAME, d->pool),
-	    APR_FOPEN_WRITE | APR_FOPEN_CREATE,
+	    path_of(d, LOCK_NAME, d->pool), APR_FOPEN_WRITE | APR_FOPEN_CREATE,
 	    APR_FPROT_UREAD | APR_FPROT_UWRITE, d->pool);
 
 	if (rc == APR_SUCCESS)
-		rc = apr_file_lock(d->lock,
-		    APR_FLOCK_EXCLUSIVE | APR_FLOCK_NONBLOCK);
+		rc = apr_file_lock(
+		    d->lock, APR_FLOCK_EXCLUSIVE | APR_FLOCK_NONBLOCK);
 	if (rc != APR_SUCCESS)
 		return error_set(err, ERR_IO, "lock folder", d->folder,
 		    "another process uses it");
--- a/src/io/disk.h
+++ b/src/io/disk.h
@@ -23,14 +23,13 @@
 	int (*read)(struct disk *disk, const char *name, char **bytes,
 	    size_t *size_bytes, struct error *err);
 	/// Cuts a file and makes that durable.
-	int (*truncate)(struct disk *disk, const char *name,
-	    size_t size_bytes, struct error *err);
+	int (*truncate)(struct disk *disk, const char *name, size_t size_bytes,
+	    struct error *err);
 	/// Removes a file; it may come back after a crash.
 	int (*remove)(struct disk *disk, const char *name, struct error *err);
 	/// Visits the names of all files.
-	int (*list)(struct disk *disk,
-	    void (*fn)(void *arg, const char *name), void *arg,
-	    struct error *err);
+	int (*list)(struct disk *disk, void (*fn)(void *arg, const char *name),
+	    void *arg, struct error *err);
 };
 
 struct disk {
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -9,8 +9,8 @@
 #include "io/clock.h"
 #include "io/httpc.h"
 
-#define MAX_IDLE_HANDLES 256
-#define DIAL_TIMEOUT_MS	 2000L
+#define MAX_IDLE_HANDLES   256
+#define DIAL_TIMEOUT_MS	   2000L
 #define CACHED_CONNECTIONS 256L
 
 /// Registration of one of the library's descriptors.
@@ -79,8 +79,8 @@
 
 	snprintf(url, sizeof(url), "%.*s", (int)sizeof(url) - 1, call->url);
 	if (code != CURLE_OK)
-		error_set(&err, ERR_IO, step, url, "%s",
-		    curl_easy_strerror(code));
+		error_set(
+		    &err, ERR_IO, step, url, "%s", curl_easy_strerror(code));
 	call_release(call);
 	call->ops->on_done(call, code == CURLE_OK ? NULL : &err);
 }
@@ -96,8 +96,7 @@
 
 		if (msg->msg != CURLMSG_DONE)
 			continue;
-		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
-		    &private);
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &private);
 		finish_call((struct httpc_call *)private, msg->data.result);
 	}
 }
@@ -212,13 +211,12 @@
 		free(httpc);
 		return NULL;
 	}
-	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETFUNCTION,
-	    on_set_socket);
+	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETFUNCTION, on_set_socket);
 	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETDATA, httpc);
 	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERFUNCTION, on_set_timer);
 	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERDATA, httpc);
-	curl_multi_setopt(httpc->multi, CURLMOPT_MAXCONNECTS,
-	    CACHED_CONNECTIONS);
+	curl_multi_setopt(
+	    httpc->multi, CURLMOPT_MAXCONNECTS, CACHED_CONNECTIONS);
 	httpc_set_max_connections(httpc, max_connections);
 	httpc->timer.fn = on_timer;
 	httpc->timer.arg = httpc;
@@ -231,8 +229,8 @@
 void
 httpc_set_max_connections(struct httpc *httpc, uint32_t max_connections)
 {
-	curl_multi_setopt(httpc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-	    (long)max_connections);
+	curl_multi_setopt(
+	    httpc->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)max_connections);
 }
 
 static bool
@@ -251,8 +249,8 @@
 	// An interim response is followed by the real one.
 	if (call->last_status >= 100 && call->last_status < 200)
 		return;
-	curl_easy_getinfo(call->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
-	    &total_bytes);
+	curl_easy_getinfo(
+	    call->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &total_bytes);
 	call->head_seen = true;
 	call->ops->on_head(call, call->last_status, total_bytes);
 }
@@ -330,8 +328,8 @@
 
 /// Notes that a connection is there, so that bytes may go out.
 static int
-on_before_send(void *arg, char *peer_ip, char *local_ip, int peer_port,
-    int local_port)
+on_before_send(
+    void *arg, char *peer_ip, char *local_ip, int peer_port, int local_port)
 {
 	struct httpc_call *call = arg;
 
@@ -401,9 +399,8 @@
 		curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload_part);
 		curl_easy_setopt(easy, CURLOPT_READDATA, call);
 		curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
-		    (curl_off_t)(call->streamed ?
-			    call->total_bytes :
-			    (int64_t)call->body_bytes));
+		    (curl_off_t)(call->streamed ? call->total_bytes
+						: (int64_t)call->body_bytes));
 	} else if (strcmp(call->method, "GET") != 0) {
 		curl_easy_setopt(easy, CURLOPT_POST, 1L);
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
@@ -425,8 +422,8 @@
 }
 
 int
-httpc_call_start(struct httpc *httpc, struct httpc_call *call,
-    struct error *err)
+httpc_call_start(
+    struct httpc *httpc, struct httpc_call *call, struct error *err)
 {
 	CURL *easy = handle_take(httpc);
 
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -18,24 +18,24 @@
 struct httpc_ops {
 	/// Status and headers have arrived.
 	/// @param total_bytes  length of the body, or -1 if not announced
-	void (*on_head)(struct httpc_call *call, uint32_t status,
-	    int64_t total_bytes);
+	void (*on_head)(
+	    struct httpc_call *call, uint32_t status, int64_t total_bytes);
 	/// A header of the response; comes before on_head.
-	void (*on_header)(struct httpc_call *call, struct bytes name,
-	    struct bytes value);
+	void (*on_header)(
+	    struct httpc_call *call, struct bytes name, struct bytes value);
 	/// A part of the response body.
 	/// @return false to pause; the same part comes again after
 	/// httpc_call_resume
-	bool (*on_body)(struct httpc_call *call, const char *data,
-	    size_t size_bytes);
+	bool (*on_body)(
+	    struct httpc_call *call, const char *data, size_t size_bytes);
 	/// The call ended; err is NULL if the response was whole. The call
 	/// may be reused or freed.
 	void (*on_done)(struct httpc_call *call, const struct error *err);
 	/// Fills the next part of a streamed request body.
 	/// @param last  set to true with the end of the body
 	/// @return its length; 0 without last pauses the upload
-	size_t (*on_read)(struct httpc_call *call, char *out, size_t out_bytes,
-	    bool *last);
+	size_t (*on_read)(
+	    struct httpc_call *call, char *out, size_t out_bytes, bool *last);
 };
 
 /// A request to a server. Zero it, fill the public part, start it.
@@ -48,8 +48,8 @@
 	size_t header_count;
 	const char *body; ///< Whole body; must outlive the call.
 	size_t body_bytes;
-	bool streamed;	      ///< The body comes from on_read instead.
-	int64_t total_bytes;  ///< Length of a streamed body, or -1.
+	bool streamed;	     ///< The body comes from on_read instead.
+	int64_t total_bytes; ///< Length of a streamed body, or -1.
 	int64_t deadline_us;
 	bool repeatable; ///< May be sent again by the library unasked.
 	// Private.
@@ -66,8 +66,8 @@
 
 /// @param max_connections  to any one server
 /// @return the client, or NULL with err set
-struct httpc *httpc_open(struct loop *loop, uint32_t max_connections,
-    struct error *err);
+struct httpc *httpc_open(
+    struct loop *loop, uint32_t max_connections, struct error *err);
 
 /// Changes the bound on connections to one server.
 void httpc_set_max_connections(struct httpc *httpc, uint32_t max_connections);
@@ -75,8 +75,8 @@
 /// Starts a call; its callbacks never come from inside this function.
 ///
 /// @return 0, or -1 with err set
-int httpc_call_start(struct httpc *httpc, struct httpc_call *call,
-    struct error *err);
+int httpc_call_start(
+    struct httpc *httpc, struct httpc_call *call, struct error *err);
 
 /// Goes on after on_body or on_read paused the call.
 void httpc_call_resume(struct httpc_call *call);
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -138,18 +138,18 @@
 
 /// Response with a plain text body, queued at once.
 static enum MHD_Result
-queue_refusal(struct MHD_Connection *connection, unsigned int status,
-    const char *text)
+queue_refusal(
+    struct MHD_Connection *connection, unsigned int status, const char *text)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
 	enum MHD_Result rc;
 
 	MHD_add_response_header(response, "Magnolia-Outcome",
-	    MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
-		"Idempotency-Key") == NULL ?
-		"not-run" :
-		"refused");
+	    MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, "Idempotency-Key") == NULL
+		? "not-run"
+		: "refused");
 	rc = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return rc;
@@ -239,13 +239,13 @@
 begin_request(struct exchange *x)
 {
 	const struct httpd *httpd = x->pub.httpd;
-	const char *length = MHD_lookup_connection_value(x->connection,
-	    MHD_HEADER_KIND, "Content-Length");
+	const char *length = MHD_lookup_connection_value(
+	    x->connection, MHD_HEADER_KIND, "Content-Length");
 
 	if (length != NULL &&
 	    strtoll(length, NULL, 10) > httpd->limits.max_body_bytes)
-		return queue_refusal(x->connection, 413,
-		    "request body is too large\n");
+		return queue_refusal(
+		    x->connection, 413, "request body is too large\n");
 	return MHD_YES;
 }
 
@@ -319,8 +319,9 @@
 	if (info == NULL)
 		return false;
 	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-			     errno != EINTR);
+	return n == 0 ||
+	    (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+		errno != EINTR);
 }
 
 static void
@@ -339,8 +340,8 @@
 	}
 	// Runs the library's own timeouts too.
 	httpd->ready = true;
-	loop_timer_set(httpd->loop, &httpd->scan_timer,
-	    now_us + LOST_CALLER_SCAN_US);
+	loop_timer_set(
+	    httpd->loop, &httpd->scan_timer, now_us + LOST_CALLER_SCAN_US);
 }
 
 static void
@@ -357,19 +358,18 @@
 static int
 start_daemon(struct httpd *httpd, const struct address *at)
 {
-	httpd->daemon = MHD_start_daemon(MHD_USE_EPOLL |
-		MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
-	    0, NULL, NULL, on_access, httpd, MHD_OPTION_EXTERNAL_LOGGER,
+	httpd->daemon = MHD_start_daemon(
+	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
+	    NULL, NULL, on_access, httpd, MHD_OPTION_EXTERNAL_LOGGER,
 	    log_library, NULL, MHD_OPTION_SOCK_ADDR, &at->in,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, httpd,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
+	    on_uri, httpd, MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
 	    MHD_OPTION_CONNECTION_LIMIT,
 	    (unsigned int)httpd->limits.max_connections,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)httpd->limits.idle_timeout_s,
-	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-	    (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_END);
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+	    MHD_OPTION_END);
 	return httpd->daemon == NULL ? -1 : 0;
 }
 
@@ -385,9 +385,8 @@
 
 struct httpd *
 httpd_open(struct loop *loop, const struct address *at,
-    const struct httpd_ops *ops, void *owner,
-    const struct httpd_limits *limits, struct address *bound,
-    struct error *err)
+    const struct httpd_ops *ops, void *owner, const struct httpd_limits *limits,
+    struct address *bound, struct error *err)
 {
 	struct httpd *httpd = calloc(1, sizeof(*httpd));
 	const union MHD_DaemonInfo *info;
@@ -414,8 +413,8 @@
 	loop_hook_add(loop, &httpd->hook);
 	httpd->scan_timer.fn = scan_lost_callers;
 	httpd->scan_timer.arg = httpd;
-	loop_timer_set(loop, &httpd->scan_timer,
-	    loop_now_us(loop) + LOST_CALLER_SCAN_US);
+	loop_timer_set(
+	    loop, &httpd->scan_timer, loop_now_us(loop) + LOST_CALLER_SCAN_US);
 	return httpd;
 }
 
@@ -460,8 +459,8 @@
 {
 	const struct exchange *x = (const struct exchange *)exchange;
 
-	return MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
-	    name);
+	return MHD_lookup_connection_value(
+	    x->connection, MHD_HEADER_KIND, name);
 }
 
 struct visit {
@@ -470,8 +469,8 @@
 };
 
 static enum MHD_Result
-visit_header(void *cls, enum MHD_ValueKind kind, const char *key,
-    const char *value)
+visit_header(
+    void *cls, enum MHD_ValueKind kind, const char *key, const char *value)
 {
 	struct visit *visit = cls;
 
@@ -487,16 +486,15 @@
 	const struct exchange *x = (const struct exchange *)exchange;
 	struct visit visit = {fn, arg};
 
-	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, visit_header,
-	    &visit);
+	MHD_get_connection_values(
+	    x->connection, MHD_HEADER_KIND, visit_header, &visit);
 }
 
 /// Stores the response; the library takes it when it next runs the
 /// connection.
 static void
-set_response(struct exchange *x, uint32_t status,
-    struct MHD_Response *response, const struct http_header *headers,
-    size_t header_count)
+set_response(struct exchange *x, uint32_t status, struct MHD_Response *response,
+    const struct http_header *headers, size_t header_count)
 {
 	size_t i;
 
@@ -507,8 +505,8 @@
 		return;
 	}
 	for (i = 0; i < header_count; i++)
-		MHD_add_response_header(response, headers[i].name,
-		    headers[i].value);
+		MHD_add_response_header(
+		    response, headers[i].name, headers[i].value);
 	if (x->pub.httpd->draining)
 		MHD_add_response_header(response, "Connection", "close");
 	x->response = response;
@@ -526,16 +524,16 @@
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
 
-	set_response(exchange_of(exchange), status, response, headers,
-	    header_count);
+	set_response(
+	    exchange_of(exchange), status, response, headers, header_count);
 }
 
 void
-http_exchange_respond_text(struct http_exchange *exchange, uint32_t status,
-    const char *text)
+http_exchange_respond_text(
+    struct http_exchange *exchange, uint32_t status, const char *text)
 {
-	static const struct http_header PLAIN = {"Content-Type",
-	    "text/plain; charset=utf-8"};
+	static const struct http_header PLAIN = {
+	    "Content-Type", "text/plain; charset=utf-8"};
 
 	http_exchange_respond(exchange, status, &PLAIN, 1, text, strlen(text));
 }
@@ -549,8 +547,8 @@
 
 	(void)pos;
 	if (n == 0 && x->out_ended)
-		return x->out_complete ? MHD_CONTENT_READER_END_OF_STREAM :
-					 MHD_CONTENT_READER_END_WITH_ERROR;
+		return x->out_complete ? MHD_CONTENT_READER_END_OF_STREAM
+				       : MHD_CONTENT_READER_END_WITH_ERROR;
 	if (n == 0) {
 		if (!x->suspended)
 			exchange_suspend(x);
@@ -566,22 +564,21 @@
 
 void
 http_exchange_respond_start(struct http_exchange *exchange, uint32_t status,
-    const struct http_header *headers, size_t header_count,
-    int64_t total_bytes)
+    const struct http_header *headers, size_t header_count, int64_t total_bytes)
 {
 	struct exchange *x = exchange_of(exchange);
 	uint64_t size_bytes =
 	    total_bytes < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)total_bytes;
 
 	set_response(x, status,
-	    MHD_create_response_from_callback(size_bytes, STREAM_BLOCK_BYTES,
-		read_out, x, NULL),
+	    MHD_create_response_from_callback(
+		size_bytes, STREAM_BLOCK_BYTES, read_out, x, NULL),
 	    headers, header_count);
 }
 
 void
-http_exchange_respond_body(struct http_exchange *exchange, const char *data,
-    size_t size_bytes)
+http_exchange_respond_body(
+    struct http_exchange *exchange, const char *data, size_t size_bytes)
 {
 	struct exchange *x = exchange_of(exchange);
 
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -44,7 +44,7 @@
 };
 
 struct httpd_limits {
-	int64_t max_body_bytes;	 ///< Larger requests get status 413.
+	int64_t max_body_bytes; ///< Larger requests get status 413.
 	int64_t max_connections;
 	int64_t idle_timeout_s;
 };
@@ -54,9 +54,8 @@
 /// @param bound  receives the address in use; port 0 lets the kernel choose
 /// @return the server, or NULL with err set
 struct httpd *httpd_open(struct loop *loop, const struct address *at,
-    const struct httpd_ops *ops, void *owner,
-    const struct httpd_limits *limits, struct address *bound,
-    struct error *err);
+    const struct httpd_ops *ops, void *owner, const struct httpd_limits *limits,
+    struct address *bound, struct error *err);
 
 /// Stops to accept connections; those that are open are served and then
 /// closed after the response in progress.
@@ -70,8 +69,8 @@
 /// Looks up a request header, without regard to case.
 ///
 /// @return its value, or NULL
-const char *http_exchange_header(const struct http_exchange *exchange,
-    const char *name);
+const char *http_exchange_header(
+    const struct http_exchange *exchange, const char *name);
 
 /// Visits the request headers in order.
 void http_exchange_each_header(const struct http_exchange *exchange,
@@ -89,8 +88,8 @@
     size_t body_bytes);
 
 /// Answers with a plain text body.
-void http_exchange_respond_text(struct http_exchange *exchange,
-    uint32_t status, const char *text);
+void http_exchange_respond_text(
+    struct http_exchange *exchange, uint32_t status, const char *text);
 
 /// Starts a streamed response.
 ///
@@ -100,8 +99,8 @@
     int64_t total_bytes);
 
 /// Adds a part to a streamed response.
-void http_exchange_respond_body(struct http_exchange *exchange,
-    const char *data, size_t size_bytes);
+void http_exchange_respond_body(
+    struct http_exchange *exchange, const char *data, size_t size_bytes);
 
 /// Ends a streamed response; if it is not complete the caller sees a
 /// broken connection.
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -38,8 +38,8 @@
 		return 0;
 	state.fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
 	if (state.fd < 0)
-		return error_set(err, ERR_IO, "open log", path, "%s",
-		    strerror(errno));
+		return error_set(
+		    err, ERR_IO, "open log", path, "%s", strerror(errno));
 	return 0;
 }
 
@@ -121,8 +121,8 @@
 }
 
 static int
-format_line(char *out, size_t out_bytes, enum log_level level,
-    const char *part, const char *text)
+format_line(char *out, size_t out_bytes, enum log_level level, const char *part,
+    const char *text)
 {
 	int64_t wall_us = clock_wall_us();
 	const char *second = format_second(wall_us);
@@ -171,8 +171,8 @@
     const struct error *err)
 {
 	if (err->peer[0] == '\0')
-		log_write(level, part, "%s: %s: %s.", what, err->step,
-		    err->text);
+		log_write(
+		    level, part, "%s: %s: %s.", what, err->step, err->text);
 	else
 		log_write(level, part, "%s: %s (%s): %s.", what, err->step,
 		    err->peer, err->text);
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -18,8 +18,8 @@
 /// @param level  least severe level that is written
 /// @param json   JSON lines instead of text
 /// @return 0, or -1 with err set
-int log_open(const char *path, enum log_level level, bool json,
-    struct error *err);
+int log_open(
+    const char *path, enum log_level level, bool json, struct error *err);
 
 /// Parses "debug", "info", "warn" or "error".
 ///
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -12,9 +12,9 @@
 #include "io/log.h"
 #include "io/loop.h"
 
-#define POLL_BATCH     256
-#define MAX_WAIT_US    (1 * US_PER_S)
-#define LOG_FLUSH_US   (20 * US_PER_MS)
+#define POLL_BATCH   256
+#define MAX_WAIT_US  (1 * US_PER_S)
+#define LOG_FLUSH_US (20 * US_PER_MS)
 
 /// One descriptor number; kept for good, so that poll results stay valid.
 struct fd_slot {
@@ -56,8 +56,8 @@
 {
 	if (list->count == list->capacity) {
 		list->capacity = list->capacity ? list->capacity * 2 : 16;
-		list->items = realloc(list->items,
-		    list->capacity * sizeof(*list->items));
+		list->items =
+		    realloc(list->items, list->capacity * sizeof(*list->items));
 		assert(list->items != NULL);
 	}
 	list->items[list->count].fn = fn;
@@ -78,8 +78,8 @@
 	    APR_POLLSET_WAKEABLE | APR_POLLSET_NOCOPY, APR_POLLSET_EPOLL);
 	if (rc != APR_SUCCESS)
 		goto fail;
-	rc = apr_thread_mutex_create(&loop->mutex, APR_THREAD_MUTEX_DEFAULT,
-	    loop->pool);
+	rc = apr_thread_mutex_create(
+	    &loop->mutex, APR_THREAD_MUTEX_DEFAULT, loop->pool);
 	if (rc != APR_SUCCESS)
 		goto fail;
 	loop->now_us = clock_now_us();
@@ -106,8 +106,7 @@
 
 	assert(fd >= 0);
 	if (want > loop->slot_count) {
-		loop->slots = realloc(loop->slots,
-		    want * sizeof(*loop->slots));
+		loop->slots = realloc(loop->slots, want * sizeof(*loop->slots));
 		assert(loop->slots != NULL);
 		memset(loop->slots + loop->slot_count, 0,
 		    (want - loop->slot_count) * sizeof(*loop->slots));
@@ -126,8 +125,8 @@
 }
 
 void
-loop_watch_set(struct loop *loop, struct loop_watch *watch, int fd,
-    uint32_t events)
+loop_watch_set(
+    struct loop *loop, struct loop_watch *watch, int fd, uint32_t events)
 {
 	struct fd_slot *slot = slot_get(loop, fd);
 
@@ -149,8 +148,7 @@
 	if (events & LOOP_WRITE)
 		slot->pollfd.reqevents |= APR_POLLOUT;
 	if (apr_pollset_add(loop->pollset, &slot->pollfd) != APR_SUCCESS)
-		log_write(LOG_ERROR, "loop", "Cannot watch descriptor %d.",
-		    fd);
+		log_write(LOG_ERROR, "loop", "Cannot watch descriptor %d.", fd);
 }
 
 static bool
@@ -199,8 +197,7 @@
 }
 
 void
-loop_timer_set(struct loop *loop, struct loop_timer *timer,
-    int64_t deadline_us)
+loop_timer_set(struct loop *loop, struct loop_timer *timer, int64_t deadline_us)
 {
 	uint32_t i;
 
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -51,12 +51,12 @@
 /// Watches a descriptor for some events; 0 stops watching it.
 ///
 /// Callbacks may be called when nothing is ready: descriptors must not block.
-void loop_watch_set(struct loop *loop, struct loop_watch *watch, int fd,
-    uint32_t events);
+void loop_watch_set(
+    struct loop *loop, struct loop_watch *watch, int fd, uint32_t events);
 
 /// Sets or moves a timer.
-void loop_timer_set(struct loop *loop, struct loop_timer *timer,
-    int64_t deadline_us);
+void loop_timer_set(
+    struct loop *loop, struct loop_timer *timer, int64_t deadline_us);
 
 void loop_timer_clear(struct loop *loop, struct loop_timer *timer);
 
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -52,8 +52,8 @@
 /// Queues a message.
 ///
 /// @return 0, or -1 if the stream is closed or its queue is full
-int stream_send(struct stream *stream, enum message_type type,
-    const void *value);
+int stream_send(
+    struct stream *stream, enum message_type type, const void *value);
 
 /// Bytes queued and not yet taken by the kernel.
 size_t stream_queued_bytes(const struct stream *stream);
@@ -87,8 +87,8 @@
 	struct loop *loop;
 	struct loop_watch watch;
 	void *owner;
-	void (*on_message)(void *owner, const struct address *from,
-	    struct message *message);
+	void (*on_message)(
+	    void *owner, const struct address *from, struct message *message);
 	uint64_t sent_bytes;
 	uint64_t received_bytes;
 	uint64_t sent_count;
@@ -98,8 +98,8 @@
 
 int datagram_open(struct datagram_socket *socket, struct loop *loop,
     const struct address *at, void *owner,
-    void (*on_message)(void *owner, const struct address *from,
-	struct message *message),
+    void (*on_message)(
+	void *owner, const struct address *from, struct message *message),
     struct address *bound, struct error *err);
 
 void datagram_close(struct datagram_socket *socket);
--- a/src/io/oneshot.c
+++ b/src/io/oneshot.c
@@ -14,8 +14,7 @@
 };
 
 static void
-finish(struct oneshot *o, const struct message *answer,
-    const struct error *err)
+finish(struct oneshot *o, const struct message *answer, const struct error *err)
 {
 	loop_timer_clear(o->loop, &o->timer);
 	o->fn(o->arg, answer, err);
--- a/src/io/oneshot.h
+++ b/src/io/oneshot.h
@@ -6,8 +6,8 @@
 #include "io/net.h"
 
 /// Told of the answer, or of the failure with answer NULL. Called once.
-typedef void oneshot_fn(void *arg, const struct message *answer,
-    const struct error *err);
+typedef void oneshot_fn(
+    void *arg, const struct message *answer, const struct error *err);
 
 /// Asks and waits for one message until a deadline. The callback never comes
 /// from inside.
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -11,9 +11,9 @@
 #include "io/log.h"
 #include "io/program.h"
 
-#define MAX_FLAGS     8
-#define KEY_CHECK     1000
-#define KEY_DESCRIBE  1001
+#define MAX_FLAGS      8
+#define KEY_CHECK      1000
+#define KEY_DESCRIBE   1001
 #define KEY_FIRST_FLAG 1100
 
 const char *argp_program_version = "magnoliavalve " MV_VERSION;
@@ -80,13 +80,17 @@
 program_start(const struct program *program, int argc, char **argv)
 {
 	struct argp_option options[MAX_FLAGS + 3] = {
-	    {.name = "check-settings", .key = KEY_CHECK,
+	    {.name = "check-settings",
+		.key = KEY_CHECK,
 		.doc = "Check the settings and exit"},
-	    {.name = "describe-settings", .key = KEY_DESCRIBE,
+	    {.name = "describe-settings",
+		.key = KEY_DESCRIBE,
 		.doc = "List the settings and exit"},
 	};
-	struct argp argp = {.options = options, .parser = parse_option,
-	    .args_doc = "SETTINGS.json", .doc = program->purpose};
+	struct argp argp = {.options = options,
+	    .parser = parse_option,
+	    .args_doc = "SETTINGS.json",
+	    .doc = program->purpose};
 	struct command_line c = {.program = program};
 	size_t i;
 
@@ -146,8 +150,8 @@
 }
 
 int
-program_watch_signals(struct loop *loop, void (*fn)(void *arg), void *arg,
-    struct error *err)
+program_watch_signals(
+    struct loop *loop, void (*fn)(void *arg), void *arg, struct error *err)
 {
 	sigset_t set;
 	int fd;
@@ -155,8 +159,8 @@
 	fill_signals(&set);
 	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	if (fd < 0)
-		return error_set(err, ERR_IO, "watch signals", "", "%s",
-		    strerror(errno));
+		return error_set(
+		    err, ERR_IO, "watch signals", "", "%s", strerror(errno));
 	signals.fn = fn;
 	signals.arg = arg;
 	signals.watch.fn = on_signal;
--- a/src/io/program.h
+++ b/src/io/program.h
@@ -11,8 +11,8 @@
 /// Exit codes of all programs.
 enum program_exit {
 	EXIT_OK = 0,
-	EXIT_FAILED = 1,  ///< It ran and failed.
-	EXIT_USAGE = 2,	  ///< Command line or settings are invalid.
+	EXIT_FAILED = 1, ///< It ran and failed.
+	EXIT_USAGE = 2,	 ///< Command line or settings are invalid.
 };
 
 /// Log keys that every settings struct starts with.
@@ -62,14 +62,13 @@
 /// Calls a function on SIGTERM or SIGINT.
 ///
 /// @return 0, or -1 with err set
-int program_watch_signals(struct loop *loop, void (*fn)(void *arg), void *arg,
-    struct error *err);
+int program_watch_signals(
+    struct loop *loop, void (*fn)(void *arg), void *arg, struct error *err);
 
 /// Writes the addresses in use to a file, for scripts; "" writes nothing.
 ///
 /// @param text  JSON text
 /// @return 0, or -1 with err set
-int program_write_bound(const char *path, const char *text,
-    struct error *err);
+int program_write_bound(const char *path, const char *text, struct error *err);
 
 #endif
--- a/src/io/replica_bootstrap.c
+++ b/src/io/replica_bootstrap.c
@@ -70,8 +70,7 @@
 		const struct replica_peer *peer = &s->initial.voters[i];
 		struct address to;
 
-		if (peer->id == s->id ||
-		    address_parse(peer->address, &to) != 0)
+		if (peer->id == s->id || address_parse(peer->address, &to) != 0)
 			continue;
 		guard->open++;
 		oneshot_call(guard->loop, &to, MESSAGE_REPLICA_QUERY, &query,
@@ -85,8 +84,8 @@
 }
 
 int
-replica_host_check_bootstrap(const struct replica_host_settings *s,
-    struct error *err)
+replica_host_check_bootstrap(
+    const struct replica_host_settings *s, struct error *err)
 {
 	struct guard guard = {.cluster = replica_cluster_number(s->cluster)};
 
@@ -113,8 +112,8 @@
 }
 
 int
-replica_settings_parse(const struct settings_list *list,
-    struct replica_config *config)
+replica_settings_parse(
+    const struct settings_list *list, struct replica_config *config)
 {
 	struct replica_peer peer;
 	int problems = 0;
--- a/src/io/replica_host.c
+++ b/src/io/replica_host.c
@@ -136,8 +136,8 @@
 	struct replica_host *host = host_of(r);
 
 	log_write(LOG_INFO, "replica",
-	    "Replica %" PRIu64 " is %s in term %" PRIu64
-	    "; leader is %" PRIu64 ".",
+	    "Replica %" PRIu64 " is %s in term %" PRIu64 "; leader is %" PRIu64
+	    ".",
 	    r->settings.id, replica_role_name(r->role), r->term, r->leader);
 	counter_set(&gauge_leader, r->role == REPLICA_LEADER);
 	if (r->role != REPLICA_LEADER)
@@ -163,8 +163,8 @@
 		uint64_t id = host->target.voters[i].id;
 		const struct replica_progress *p;
 
-		if (id == r->settings.id || replica_config_is_voter(&r->config,
-						id))
+		if (id == r->settings.id ||
+		    replica_config_is_voter(&r->config, id))
 			continue;
 		p = replica_progress_get((struct replica *)(uintptr_t)r, id);
 		if (p == NULL ||
@@ -259,8 +259,8 @@
     struct error *err)
 {
 	char text[REPLICA_CONFIG_TEXT_BYTES];
-	struct replica_entry e = {.index = 1, .term = 1,
-	    .kind = REPLICA_ENTRY_CONFIG, .data = text};
+	struct replica_entry e = {
+	    .index = 1, .term = 1, .kind = REPLICA_ENTRY_CONFIG, .data = text};
 	const struct replica_storage_ops *ops = host->wal.storage.ops;
 
 	e.size_bytes = (uint32_t)replica_config_encode(&s->initial, text);
@@ -280,8 +280,8 @@
 
 int
 replica_host_open(struct replica_host *host, struct loop *loop,
-    const struct replica_host_settings *s,
-    const struct replica_host_ops *ops, void *owner, struct error *err)
+    const struct replica_host_settings *s, const struct replica_host_ops *ops,
+    void *owner, struct error *err)
 {
 	struct replica_settings settings = {
 	    .id = s->id,
@@ -314,9 +314,9 @@
 	    write_initial_config(host, s, &stored, err) != 0)
 		return -1;
 	host->opened = true;
-	if (replica_init(&host->replica, &REPLICA_OPS, host,
-		&host->wal.storage, &settings, &stored,
-		(uint64_t)clock_wall_us() ^ s->id, loop_now_us(loop), err) != 0)
+	if (replica_init(&host->replica, &REPLICA_OPS, host, &host->wal.storage,
+		&settings, &stored, (uint64_t)clock_wall_us() ^ s->id,
+		loop_now_us(loop), err) != 0)
 		return -1;
 	host->flush_hook.fn = before_wait;
 	host->flush_hook.arg = host;
@@ -381,8 +381,8 @@
 	replica_step(&host->replica, &in.message, loop_now_us(host->loop));
 	replica_inbound_free(&in);
 	if (replica_is_leader(&host->replica))
-		loop_timer_set(host->loop, &host->tick_timer,
-		    loop_now_us(host->loop));
+		loop_timer_set(
+		    host->loop, &host->tick_timer, loop_now_us(host->loop));
 	else
 		loop_timer_set(host->loop, &host->tick_timer,
 		    host->replica.election_deadline_us);
@@ -440,15 +440,14 @@
 		learners.learners[learners.learner_count++] = *add;
 	}
 	if (host->target.voter_count == 0)
-		return error_set(err, ERR_INVALID, "replace", "",
-		    "no voter would be left");
+		return error_set(
+		    err, ERR_INVALID, "replace", "", "no voter would be left");
 	if (add->id != 0 &&
-	    replica_change_config(&host->replica, &learners,
-		loop_now_us(host->loop), err) != 0)
+	    replica_change_config(
+		&host->replica, &learners, loop_now_us(host->loop), err) != 0)
 		return -1;
 	host->change_pending = true;
 	log_write(LOG_INFO, "replica",
-	    "Replaces replica %" PRIu64 " by %" PRIu64 ".", remove_id,
-	    add->id);
+	    "Replaces replica %" PRIu64 " by %" PRIu64 ".", remove_id, add->id);
 	return 0;
 }
--- a/src/io/replica_host.h
+++ b/src/io/replica_host.h
@@ -12,12 +12,11 @@
 
 /// What the state machine on top is told.
 struct replica_host_ops {
-	void (*apply)(struct replica_host *host,
-	    const struct replica_entry *entry);
-	void (*restore)(struct replica_host *host,
-	    const struct replica_snapshot *snapshot);
-	void (*read_done)(struct replica_host *host, uint64_t context,
-	    bool ok);
+	void (*apply)(
+	    struct replica_host *host, const struct replica_entry *entry);
+	void (*restore)(
+	    struct replica_host *host, const struct replica_snapshot *snapshot);
+	void (*read_done)(struct replica_host *host, uint64_t context, bool ok);
 	void (*role_changed)(struct replica_host *host);
 };
 
@@ -49,7 +48,7 @@
 	struct wal wal;
 	struct replica replica;
 	uint64_t cluster;
-	uint64_t data_index; ///< Last data entry applied.
+	uint64_t data_index;	       ///< Last data entry applied.
 	struct replica_config initial; ///< From the settings.
 	struct replica_stream streams[REPLICA_MAX_PEERS];
 	uint32_t stream_count;
@@ -94,13 +93,13 @@
 /// other replicas, and waits until they have answered or failed.
 ///
 /// @return 0 if it is not a bootstrap, or may go on; -1 with err set
-int replica_host_check_bootstrap(const struct replica_host_settings *settings,
-    struct error *err);
+int replica_host_check_bootstrap(
+    const struct replica_host_settings *settings, struct error *err);
 
 /// Parses the replicas of a cluster, "ID=IP:port" each.
 ///
 /// @return 0, or -1 with a line for each problem on standard error
-int replica_settings_parse(const struct settings_list *list,
-    struct replica_config *config);
+int replica_settings_parse(
+    const struct settings_list *list, struct replica_config *config);
 
 #endif
--- a/src/io/replica_message.c
+++ b/src/io/replica_message.c
@@ -13,16 +13,16 @@
 	uint32_t config_bytes =
 	    (uint32_t)replica_config_encode(&s->config, config);
 
-	msgpack_sbuffer_write(out, (const char *)&config_bytes,
-	    sizeof(config_bytes));
+	msgpack_sbuffer_write(
+	    out, (const char *)&config_bytes, sizeof(config_bytes));
 	msgpack_sbuffer_write(out, config, config_bytes);
 	if (s->size_bytes > 0)
 		msgpack_sbuffer_write(out, s->data, s->size_bytes);
 }
 
 void
-replica_message_send(struct stream *stream, uint64_t cluster,
-    const struct replica_message *m)
+replica_message_send(
+    struct stream *stream, uint64_t cluster, const struct replica_message *m)
 {
 	struct message_raft raft = {
 	    .kind = m->kind,
@@ -71,15 +71,15 @@
 	uint32_t left = raft->snapshot.size_bytes;
 
 	if (left < sizeof(config_bytes))
-		return error_set(err, ERR_SYNTAX, "read snapshot", "",
-		    "too short");
+		return error_set(
+		    err, ERR_SYNTAX, "read snapshot", "", "too short");
 	memcpy(&config_bytes, at, sizeof(config_bytes));
 	at += sizeof(config_bytes);
 	left -= (uint32_t)sizeof(config_bytes);
 	if (config_bytes > left ||
 	    replica_config_decode(at, config_bytes, &s->config, err) != 0)
-		return error_set(err, ERR_SYNTAX, "read snapshot", "",
-		    "bad config");
+		return error_set(
+		    err, ERR_SYNTAX, "read snapshot", "", "bad config");
 	s->index = raft->index;
 	s->term = raft->log_term;
 	s->data = (char *)(uintptr_t)(at + config_bytes);
@@ -106,8 +106,7 @@
 		in->entries[i].index = from[i].index;
 		in->entries[i].term = from[i].term;
 		in->entries[i].kind = (enum replica_entry_kind)from[i].kind;
-		in->entries[i].data =
-		    (char *)(uintptr_t)from[i].data.data;
+		in->entries[i].data = (char *)(uintptr_t)from[i].data.data;
 		in->entries[i].size_bytes = from[i].data.size_bytes;
 	}
 	in->message.entries = in->entries;
--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -10,8 +10,8 @@
 
 /// Parses a text and checks that it is what the sender says.
 static struct rules *
-check_text(const char *text, size_t text_bytes, uint64_t version,
-    uint64_t hash, struct error *err)
+check_text(const char *text, size_t text_bytes, uint64_t version, uint64_t hash,
+    struct error *err)
 {
 	struct rules_errors *errors;
 	struct rules *rules;
@@ -40,8 +40,8 @@
 }
 
 static struct rules *
-apply_delta(const struct message_delta *m, const struct rules *have,
-    struct error *err)
+apply_delta(
+    const struct message_delta *m, const struct rules *have, struct error *err)
 {
 	const struct message_delta_step *from = m->steps.items;
 	struct delta_step *steps;
@@ -76,8 +76,8 @@
 }
 
 struct rules *
-rules_from_message(const struct message *message, const struct rules *have,
-    struct error *err)
+rules_from_message(
+    const struct message *message, const struct rules *have, struct error *err)
 {
 	const struct message_rules *m = &message->u.rules;
 
@@ -91,8 +91,8 @@
 	}
 	if (m->version == 0)
 		return NULL;
-	return check_text(m->text.data, m->text.size_bytes, m->version,
-	    m->hash, err);
+	return check_text(
+	    m->text.data, m->text.size_bytes, m->version, m->hash, err);
 }
 
 int64_t
@@ -113,18 +113,19 @@
 }
 
 static void
-send_delta(struct stream *stream, const struct rules *old,
-    const struct rules *new)
+send_delta(
+    struct stream *stream, const struct rules *old, const struct rules *new)
 {
 	struct message_delta m = {.from_version = old->version,
-	    .from_hash = old->hash, .version = new->version,
+	    .from_hash = old->hash,
+	    .version = new->version,
 	    .hash = new->hash};
 	struct message_delta_step *steps;
 	struct delta delta;
 	uint32_t i;
 
-	delta_make(old->text, old->text_bytes, new->text, new->text_bytes,
-	    &delta);
+	delta_make(
+	    old->text, old->text_bytes, new->text, new->text_bytes, &delta);
 	steps = calloc(delta.step_count + 1, sizeof(*steps));
 	assert(steps != NULL);
 	for (i = 0; i < delta.step_count; i++) {
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -14,8 +14,8 @@
 /// @param have      rules in force, which a delta starts from; may be NULL
 /// @return the rules; or NULL with err->code ERR_NONE if the sender has
 /// nothing newer, or any other code if what came is damaged
-struct rules *rules_from_message(const struct message *message,
-    const struct rules *have, struct error *err);
+struct rules *rules_from_message(
+    const struct message *message, const struct rules *have, struct error *err);
 
 /// Length of the rules or delta in a message.
 int64_t rules_message_bytes(const struct message *message);
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -42,8 +42,8 @@
 }
 
 static void
-store_text(struct loader *l, const struct settings_field *f,
-    const json_t *value)
+store_text(
+    struct loader *l, const struct settings_field *f, const json_t *value)
 {
 	char *at = l->out + f->offset;
 	struct address address;
@@ -63,8 +63,8 @@
 }
 
 static void
-store_integer(struct loader *l, const struct settings_field *f,
-    const json_t *value)
+store_integer(
+    struct loader *l, const struct settings_field *f, const json_t *value)
 {
 	char what[128];
 	int64_t n;
@@ -84,8 +84,8 @@
 }
 
 static void
-store_list(struct loader *l, const struct settings_field *f,
-    const json_t *value)
+store_list(
+    struct loader *l, const struct settings_field *f, const json_t *value)
 {
 	struct settings_list *list = (void *)(l->out + f->offset);
 	size_t i;
@@ -108,8 +108,8 @@
 }
 
 static void
-store_value(struct loader *l, const struct settings_field *f,
-    const json_t *value)
+store_value(
+    struct loader *l, const struct settings_field *f, const json_t *value)
 {
 	switch (f->kind) {
 	case SETTINGS_TEXT:
@@ -220,15 +220,15 @@
 void
 settings_describe(const struct settings_field *fields, size_t count, FILE *out)
 {
-	static const char *const KINDS[] = {"text", "integer", "bool", "list",
-	    "IP:port"};
+	static const char *const KINDS[] = {
+	    "text", "integer", "bool", "list", "IP:port"};
 	size_t i;
 
 	for (i = 0; i < count; i++)
 		fprintf(out, "  %-28s %-8s %-12s %s\n", fields[i].path,
 		    KINDS[fields[i].kind],
-		    fields[i].required	    ? "(required)" :
-			fields[i].fallback != NULL ? fields[i].fallback :
-						     "",
+		    fields[i].required		     ? "(required)"
+			: fields[i].fallback != NULL ? fields[i].fallback
+						     : "",
 		    fields[i].help);
 }
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -48,7 +48,7 @@
     size_t count, void *out, FILE *errors);
 
 /// Prints the table of keys: path, kind, default and meaning.
-void settings_describe(const struct settings_field *fields, size_t count,
-    FILE *out);
+void settings_describe(
+    const struct settings_field *fields, size_t count, FILE *out);
 
 #endif
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -11,10 +11,10 @@
 #include "io/log.h"
 #include "io/net.h"
 
-#define READ_BYTES	 (64 * 1024)
+#define READ_BYTES	  (64 * 1024)
 #define IDLE_BUFFER_BYTES (16 * 1024)
-#define MAX_QUEUED_BYTES (16u * 1024 * 1024)
-#define ACCEPT_BATCH	 64
+#define MAX_QUEUED_BYTES  (16u * 1024 * 1024)
+#define ACCEPT_BATCH	  64
 
 static void
 stream_free(void *arg)
@@ -182,8 +182,8 @@
 		if (stream->in_used_bytes - at - FRAME_HEADER_BYTES <
 		    size_bytes)
 			break;
-		deliver_frame(stream, stream->in + at + FRAME_HEADER_BYTES,
-		    size_bytes);
+		deliver_frame(
+		    stream, stream->in + at + FRAME_HEADER_BYTES, size_bytes);
 		at += FRAME_HEADER_BYTES + size_bytes;
 	}
 	if (stream->closed)
@@ -342,8 +342,8 @@
 		    &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
 			return;
-		stream = stream_create(listener->loop, fd, &from,
-		    listener->ops, listener->owner);
+		stream = stream_create(
+		    listener->loop, fd, &from, listener->ops, listener->owner);
 		update_watch(stream);
 		listener->on_accept(listener->owner, stream);
 	}
@@ -365,8 +365,8 @@
 	address_format(at, text);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
-		return error_set(err, ERR_IO, "listen", text, "%s",
-		    strerror(errno));
+		return error_set(
+		    err, ERR_IO, "listen", text, "%s", strerror(errno));
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (const struct sockaddr *)&at->in, sizeof(at->in)) != 0 ||
 	    listen(fd, SOMAXCONN) != 0 ||
--- a/src/io/wal.c
+++ b/src/io/wal.c
@@ -8,8 +8,8 @@
 #include "io/wal.h"
 #include "io/wal_record.h"
 
-#define SNAPSHOT_NAME "snapshot"
-#define IDENTITY_NAME "identity"
+#define SNAPSHOT_NAME	"snapshot"
+#define IDENTITY_NAME	"identity"
 #define IDENTITY_FORMAT "cluster %" PRIu64 " replica %" PRIu64 "\n"
 
 static struct wal *
@@ -54,8 +54,8 @@
 	if (wal->buffer.size == 0)
 		return 0;
 	wal_segment_name(current_segment(wal)->number, name);
-	rc = wal->disk->ops->append(wal->disk, name, wal->buffer.data,
-	    wal->buffer.size, err);
+	rc = wal->disk->ops->append(
+	    wal->disk, name, wal->buffer.data, wal->buffer.size, err);
 	wal->segment_bytes += wal->buffer.size;
 	msgpack_sbuffer_clear(&wal->buffer);
 	return rc;
@@ -110,8 +110,8 @@
 }
 
 static int
-wal_append(struct replica_storage *storage,
-    const struct replica_entry *entries, uint32_t count, struct error *err)
+wal_append(struct replica_storage *storage, const struct replica_entry *entries,
+    uint32_t count, struct error *err)
 {
 	struct wal *wal = wal_of(storage);
 	uint32_t i;
@@ -124,8 +124,8 @@
 			wal->max_segment_bytes &&
 		    start_segment(wal, err) != 0)
 			return -1;
-		wal_record_put(&wal->buffer, wal->sequence++, WAL_ENTRY,
-		    &head, sizeof(head), e->data, e->size_bytes);
+		wal_record_put(&wal->buffer, wal->sequence++, WAL_ENTRY, &head,
+		    sizeof(head), e->data, e->size_bytes);
 		if (e->index > current_segment(wal)->last_index)
 			current_segment(wal)->last_index = e->index;
 	}
@@ -133,14 +133,14 @@
 }
 
 static int
-wal_truncate(struct replica_storage *storage, uint64_t from_index,
-    struct error *err)
+wal_truncate(
+    struct replica_storage *storage, uint64_t from_index, struct error *err)
 {
 	struct wal *wal = wal_of(storage);
 
 	(void)err;
-	wal_record_put(&wal->buffer, wal->sequence++, WAL_TRUNCATE,
-	    &from_index, sizeof(from_index), NULL, 0);
+	wal_record_put(&wal->buffer, wal->sequence++, WAL_TRUNCATE, &from_index,
+	    sizeof(from_index), NULL, 0);
 	return 0;
 }
 
@@ -171,8 +171,8 @@
 {
 	struct wal *wal = wal_of(storage);
 	char config[REPLICA_CONFIG_TEXT_BYTES];
-	struct wal_snapshot_head head = {snapshot->index, snapshot->term, 0,
-	    snapshot->size_bytes};
+	struct wal_snapshot_head head = {
+	    snapshot->index, snapshot->term, 0, snapshot->size_bytes};
 	msgpack_sbuffer payload;
 	msgpack_sbuffer out;
 	int rc;
@@ -183,12 +183,12 @@
 	msgpack_sbuffer_init(&out);
 	msgpack_sbuffer_write(&payload, config, head.config_bytes);
 	if (snapshot->size_bytes > 0)
-		msgpack_sbuffer_write(&payload, snapshot->data,
-		    snapshot->size_bytes);
-	wal_record_put(&out, 0, WAL_SNAPSHOT, &head, sizeof(head),
-	    payload.data, payload.size);
-	rc = wal->disk->ops->replace(wal->disk, SNAPSHOT_NAME, out.data,
-	    out.size, err);
+		msgpack_sbuffer_write(
+		    &payload, snapshot->data, snapshot->size_bytes);
+	wal_record_put(&out, 0, WAL_SNAPSHOT, &head, sizeof(head), payload.data,
+	    payload.size);
+	rc = wal->disk->ops->replace(
+	    wal->disk, SNAPSHOT_NAME, out.data, out.size, err);
 	msgpack_sbuffer_destroy(&payload);
 	msgpack_sbuffer_destroy(&out);
 	if (rc != 0 || start_segment(wal, err) != 0)
@@ -234,8 +234,8 @@
 }
 
 int
-wal_read_identity(struct disk *disk, struct wal_identity *identity,
-    struct error *err)
+wal_read_identity(
+    struct disk *disk, struct wal_identity *identity, struct error *err)
 {
 	char *text;
 	size_t text_bytes;
@@ -249,19 +249,19 @@
 	text[text_bytes] = '\0';
 	if (sscanf(text, "cluster %" SCNu64 " replica %" SCNu64,
 		&identity->cluster, &identity->replica) != 2)
-		rc = error_set(err, ERR_CORRUPT, "read identity",
-		    IDENTITY_NAME, "not an identity");
+		rc = error_set(err, ERR_CORRUPT, "read identity", IDENTITY_NAME,
+		    "not an identity");
 	free(text);
 	return rc;
 }
 
 int
-wal_write_identity(struct disk *disk, const struct wal_identity *identity,
-    struct error *err)
+wal_write_identity(
+    struct disk *disk, const struct wal_identity *identity, struct error *err)
 {
 	char text[80];
-	int n = snprintf(text, sizeof(text), IDENTITY_FORMAT,
-	    identity->cluster, identity->replica);
+	int n = snprintf(text, sizeof(text), IDENTITY_FORMAT, identity->cluster,
+	    identity->replica);
 
 	return disk->ops->replace(disk, IDENTITY_NAME, text, (size_t)n, err);
 }
--- a/src/io/wal.h
+++ b/src/io/wal.h
@@ -40,22 +40,22 @@
 	size_t segment_bytes; ///< Written to the last segment.
 	size_t max_segment_bytes;
 	msgpack_sbuffer buffer; ///< Records not yet handed to the disk.
-	uint64_t cut_bytes; ///< Torn bytes removed by wal_load.
+	uint64_t cut_bytes;	///< Torn bytes removed by wal_load.
 };
 
 /// Reads the identity; both numbers are 0 if there is none.
-int wal_read_identity(struct disk *disk, struct wal_identity *identity,
-    struct error *err);
+int wal_read_identity(
+    struct disk *disk, struct wal_identity *identity, struct error *err);
 
-int wal_write_identity(struct disk *disk, const struct wal_identity *identity,
-    struct error *err);
+int wal_write_identity(
+    struct disk *disk, const struct wal_identity *identity, struct error *err);
 
 /// Loads everything.
 ///
 /// @param stored  receives what replica_init wants
 /// @return 0, or -1 with err set if stored state is damaged
-int wal_load(struct wal *wal, struct disk *disk,
-    struct replica_stored *stored, struct error *err);
+int wal_load(struct wal *wal, struct disk *disk, struct replica_stored *stored,
+    struct error *err);
 
 void wal_free(struct wal *wal);
 
--- a/src/io/wal_load.c
+++ b/src/io/wal_load.c
@@ -34,11 +34,10 @@
 
 void
 wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
-    const void *head, uint32_t head_bytes, const char *body,
-    size_t body_bytes)
+    const void *head, uint32_t head_bytes, const char *body, size_t body_bytes)
 {
-	struct record_header h = {WAL_MAGIC,
-	    (uint32_t)(head_bytes + body_bytes), sequence, kind};
+	struct record_header h = {
+	    WAL_MAGIC, (uint32_t)(head_bytes + body_bytes), sequence, kind};
 	size_t start = out->size;
 	char fixed[WAL_HEADER_BYTES];
 	uint64_t sum;
@@ -58,8 +57,7 @@
 }
 
 int
-wal_record_get(const char *bytes, size_t size_bytes,
-    struct wal_record *record)
+wal_record_get(const char *bytes, size_t size_bytes, struct wal_record *record)
 {
 	struct record_header h;
 	uint64_t sum;
@@ -96,8 +94,8 @@
 {
 	struct replica_stored *s = l->stored;
 
-	while (s->entry_count > 0 &&
-	    s->entries[s->entry_count - 1].index >= index)
+	while (
+	    s->entry_count > 0 && s->entries[s->entry_count - 1].index >= index)
 		free(s->entries[--s->entry_count].data);
 }
 
@@ -130,10 +128,10 @@
 		return 0;
 	drop_entries_from(l, head.index);
 	if (s->entry_count == l->entry_capacity) {
-		l->entry_capacity = l->entry_capacity ? l->entry_capacity * 2 :
-							64;
-		s->entries = realloc(s->entries,
-		    l->entry_capacity * sizeof(*s->entries));
+		l->entry_capacity =
+		    l->entry_capacity ? l->entry_capacity * 2 : 64;
+		s->entries = realloc(
+		    s->entries, l->entry_capacity * sizeof(*s->entries));
 		assert(s->entries != NULL);
 	}
 	e = &s->entries[s->entry_count++];
@@ -195,8 +193,7 @@
 
 		memcpy(&magic, bytes + at, sizeof(magic));
 		if (magic == WAL_MAGIC &&
-		    wal_record_get(bytes + at, size_bytes - at, &record) ==
-			0 &&
+		    wal_record_get(bytes + at, size_bytes - at, &record) == 0 &&
 		    record.sequence >= sequence)
 			return true;
 	}
@@ -224,8 +221,8 @@
 	int rc = -1;
 
 	wal_segment_name(number, name);
-	if (wal->disk->ops->read(wal->disk, name, &bytes, &size_bytes,
-		l->err) != 0)
+	if (wal->disk->ops->read(
+		wal->disk, name, &bytes, &size_bytes, l->err) != 0)
 		return -1;
 	wal_add_segment(wal, number);
 	while (at < size_bytes) {
@@ -241,8 +238,9 @@
 	}
 	wal->segment_bytes = at;
 	if (at < size_bytes) {
-		if (!last || has_record_after(bytes + at, size_bytes - at,
-				 wal->sequence)) {
+		if (!last ||
+		    has_record_after(
+			bytes + at, size_bytes - at, wal->sequence)) {
 			report_damage(l, name, at);
 			goto out;
 		}
@@ -266,14 +264,13 @@
 	size_t size_bytes;
 	int rc = -1;
 
-	if (l->wal->disk->ops->read(l->wal->disk, SNAPSHOT_NAME, &bytes,
-		&size_bytes, l->err) != 0)
+	if (l->wal->disk->ops->read(
+		l->wal->disk, SNAPSHOT_NAME, &bytes, &size_bytes, l->err) != 0)
 		return -1;
 	if (bytes == NULL)
 		return 0;
 	if (wal_record_get(bytes, size_bytes, &record) != 0 ||
-	    record.total_bytes != size_bytes ||
-	    record.kind != WAL_SNAPSHOT ||
+	    record.total_bytes != size_bytes || record.kind != WAL_SNAPSHOT ||
 	    record.payload_bytes < sizeof(head)) {
 		report_damage(l, SNAPSHOT_NAME, 0);
 		goto out;
@@ -316,8 +313,8 @@
 	wal_segment_name(number, check);
 	if (strcmp(check, name) != 0)
 		return;
-	list->items = realloc(list->items,
-	    (list->count + 1) * sizeof(*list->items));
+	list->items =
+	    realloc(list->items, (list->count + 1) * sizeof(*list->items));
 	assert(list->items != NULL);
 	list->items[list->count++] = number;
 }
@@ -366,8 +363,8 @@
 		qsort(numbers.items, numbers.count, sizeof(numbers.items[0]),
 		    compare_numbers);
 	for (i = first_of_run(&numbers); i < numbers.count; i++)
-		if (load_segment(&l, numbers.items[i],
-			i + 1 == numbers.count) != 0)
+		if (load_segment(
+			&l, numbers.items[i], i + 1 == numbers.count) != 0)
 			goto out;
 	if (wal->segment_count == 0)
 		wal_add_segment(wal, 1);
--- a/src/io/wal_record.h
+++ b/src/io/wal_record.h
@@ -9,9 +9,9 @@
 
 #include "io/wal.h"
 
-#define WAL_NAME_BYTES	 32
-#define WAL_MAGIC	 0x4c57564du
-#define WAL_HEADER_BYTES 28
+#define WAL_NAME_BYTES	      32
+#define WAL_MAGIC	      0x4c57564du
+#define WAL_HEADER_BYTES      28
 #define WAL_MAX_PAYLOAD_BYTES (64u * 1024 * 1024)
 
 enum wal_kind {
@@ -52,14 +52,13 @@
 
 /// Appends a record whose payload is a head and a body.
 void wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
-    const void *head, uint32_t head_bytes, const char *body,
-    size_t body_bytes);
+    const void *head, uint32_t head_bytes, const char *body, size_t body_bytes);
 
 /// Reads the record at the start of some bytes.
 ///
 /// @return 0, or -1 if there is no whole and valid record
-int wal_record_get(const char *bytes, size_t size_bytes,
-    struct wal_record *record);
+int wal_record_get(
+    const char *bytes, size_t size_bytes, struct wal_record *record);
 
 void wal_init(struct wal *wal, struct disk *disk);
 
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -31,8 +31,11 @@
 
 /// An operation whose entry is not applied yet, or a peek that awaits a read.
 struct ledger_pending {
-	struct ledger_pending *next; ///< In the bucket.
-	uint64_t number;	     ///< Index of the entry, or read context.
+	struct ledger_pending *next;	 ///< In the bucket by number.
+	struct ledger_pending *key_next; ///< In the bucket by key.
+	uint64_t key_hash;
+	uint64_t claim;
+	uint64_t number; ///< Index of the entry, or read context.
 	uint64_t term;
 	struct stream *stream; ///< NULL once it closed.
 	uint64_t sequence;     ///< Of the client's message.
@@ -60,6 +63,9 @@
 	struct address bound_clients;
 	struct address bound_admin;
 	struct ledger_pending *pending[LEDGER_PENDING_BUCKETS];
+	/// Operations in the log but not applied, by key: no other claim of
+	/// the key is judged meanwhile.
+	struct ledger_pending *in_flight[LEDGER_PENDING_BUCKETS];
 	uint32_t pending_count;
 	uint64_t next_context;
 	struct ledger_mark *marks; ///< Oldest first.
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -15,10 +15,10 @@
     "run and keeps the answers, durable on a quorum of replicas.";
 
 #define S struct ledger_settings
-#define ROW(path_, kind_, member_, required_, min_, max_, fallback_, help_)    \
-	{                                                                      \
-		path_, kind_, offsetof(S, member_), required_, min_, max_,     \
-		    fallback_, help_                                           \
+#define ROW(path_, kind_, member_, required_, min_, max_, fallback_, help_) \
+	{                                                                   \
+		path_, kind_, offsetof(S, member_), required_, min_, max_,  \
+		    fallback_, help_                                        \
 	}
 
 static const struct settings_field FIELDS[] = {
@@ -41,20 +41,20 @@
 	"ID=IP:port of each replica's control address"),
     ROW("clients", SETTINGS_LIST, clients, true, 0, 0, NULL,
 	"ID=IP:port of each replica's address for proxies"),
-    ROW("election_ms", SETTINGS_INTEGER, election_ms, false, 50, 60000,
-	"1000", "least time without a leader before an election"),
-    ROW("heartbeat_ms", SETTINGS_INTEGER, heartbeat_ms, false, 10, 10000,
-	"150", "time between heartbeats of the leader"),
-    ROW("retention_ms", SETTINGS_INTEGER, retention_ms, false, 1000,
-	604800000, "600000", "time for which a key and its answer are kept"),
+    ROW("election_ms", SETTINGS_INTEGER, election_ms, false, 50, 60000, "1000",
+	"least time without a leader before an election"),
+    ROW("heartbeat_ms", SETTINGS_INTEGER, heartbeat_ms, false, 10, 10000, "150",
+	"time between heartbeats of the leader"),
+    ROW("retention_ms", SETTINGS_INTEGER, retention_ms, false, 1000, 604800000,
+	"600000", "time for which a key and its answer are kept"),
 };
 #define FIELD_COUNT (sizeof(FIELDS) / sizeof(FIELDS[0]))
 
 static void
 on_admin_request(void *owner, struct http_exchange *exchange)
 {
-	static const struct http_header PLAIN = {"Content-Type",
-	    "text/plain; charset=utf-8"};
+	static const struct http_header PLAIN = {
+	    "Content-Type", "text/plain; charset=utf-8"};
 	msgpack_sbuffer out;
 
 	(void)owner;
@@ -92,7 +92,8 @@
 {
 	const struct ledger_settings *s = &ledger->settings;
 	struct httpd_limits limits = {.max_body_bytes = 1024,
-	    .max_connections = 64, .idle_timeout_s = 30};
+	    .max_connections = 64,
+	    .idle_timeout_s = 30};
 	struct address control;
 	struct address clients;
 	struct address admin;
@@ -101,8 +102,8 @@
 	address_parse(s->listen_clients, &clients);
 	address_parse(s->listen_admin, &admin);
 	if (listener_open(&ledger->control, ledger->loop, &control,
-		&LEDGER_CONTROL_OPS, ledger, on_accept,
-		&ledger->bound_control, err) != 0 ||
+		&LEDGER_CONTROL_OPS, ledger, on_accept, &ledger->bound_control,
+		err) != 0 ||
 	    listener_open(&ledger->clients, ledger->loop, &clients,
 		&LEDGER_CLIENT_OPS, ledger, on_accept, &ledger->bound_clients,
 		err) != 0)
@@ -130,13 +131,13 @@
 }
 
 static void
-fill_host_settings(const struct ledger_settings *s,
-    struct replica_host_settings *out)
+fill_host_settings(
+    const struct ledger_settings *s, struct replica_host_settings *out)
 {
 	memset(out, 0, sizeof(*out));
 	memcpy(out->data_path, s->data_path, sizeof(out->data_path));
-	snprintf(out->cluster, sizeof(out->cluster), "ledger %.200s",
-	    s->cluster);
+	snprintf(
+	    out->cluster, sizeof(out->cluster), "ledger %.200s", s->cluster);
 	out->id = (uint64_t)s->id;
 	out->bootstrap = s->bootstrap;
 	out->join = s->join;
@@ -213,10 +214,10 @@
 	if (exit_code >= 0)
 		return exit_code;
 	fill_host_settings(&ledger.settings, &host);
-	if (replica_settings_parse(&ledger.settings.replicas,
-		&host.initial) != 0 ||
-	    replica_settings_parse(&ledger.settings.clients,
-		&ledger.client_addresses) != 0)
+	if (replica_settings_parse(&ledger.settings.replicas, &host.initial) !=
+		0 ||
+	    replica_settings_parse(
+		&ledger.settings.clients, &ledger.client_addresses) != 0)
 		return EXIT_USAGE;
 	program_block_signals();
 	apr_initialize();
--- a/src/ledger/retention.c
+++ b/src/ledger/retention.c
@@ -33,8 +33,7 @@
 		drop++;
 	if (drop == 0)
 		return;
-	if (ledger->marks[drop - 1].index >
-	    ledger->host.replica.snapshot.index)
+	if (ledger->marks[drop - 1].index > ledger->host.replica.snapshot.index)
 		replica_compact(&ledger->host.replica,
 		    ledger->marks[drop - 1].index, "", 0);
 	ledger->mark_count -= drop;
--- a/src/ledger/service.c
+++ b/src/ledger/service.c
@@ -9,7 +9,7 @@
 #include "io/log.h"
 #include "ledger/ledger.h"
 
-COUNTER_DEFINE(count_claims, "ledger_claims", "Claims applied");
+COUNTER_DEFINE(count_claims, "ledger_claims", "Claims and polls received");
 COUNTER_DEFINE(count_granted, "ledger_granted", "Claims granted");
 COUNTER_DEFINE(count_records, "ledger_records", "Answers recorded");
 COUNTER_DEFINE(count_releases, "ledger_releases", "Claims released");
@@ -48,7 +48,47 @@
 	return p;
 }
 
-/// Takes a pending operation out of the table; NULL if there is none.
+static struct ledger_pending **
+key_bucket_of(struct ledger *ledger, uint64_t key_hash)
+{
+	return &ledger->in_flight[key_hash % LEDGER_PENDING_BUCKETS];
+}
+
+static void
+mark_in_flight(
+    struct ledger *ledger, struct ledger_pending *p, const struct once_op *op)
+{
+	struct ledger_pending **bucket;
+
+	p->key_hash = once_op_hash(op);
+	p->claim = op->claim;
+	bucket = key_bucket_of(ledger, p->key_hash);
+	p->key_next = *bucket;
+	*bucket = p;
+}
+
+static void
+unmark_in_flight(struct ledger *ledger, struct ledger_pending *p)
+{
+	struct ledger_pending **at = key_bucket_of(ledger, p->key_hash);
+
+	while (*at != p)
+		at = &(*at)->key_next;
+	*at = p->key_next;
+}
+
+static struct ledger_pending *
+find_in_flight(struct ledger *ledger, const struct once_op *op)
+{
+	uint64_t key_hash = once_op_hash(op);
+	struct ledger_pending *p = *key_bucket_of(ledger, key_hash);
+
+	while (p != NULL && p->key_hash != key_hash)
+		p = p->key_next;
+	return p;
+}
+
+/// Takes a pending operation out of the tables; NULL if there is none.
 static struct ledger_pending *
 pending_take(struct ledger *ledger, uint64_t number, bool peek)
 {
@@ -62,6 +102,8 @@
 		return NULL;
 	*at = p->next;
 	ledger->pending_count--;
+	if (!p->peek)
+		unmark_in_flight(ledger, p);
 	return p;
 }
 
@@ -84,7 +126,9 @@
 			ledger->pending[i] = p->next;
 			pending_free(p);
 		}
+		ledger->in_flight[i] = NULL;
 	}
+	ledger->pending_count = 0;
 }
 
 static struct bytes
@@ -100,14 +144,14 @@
 send_verdict(struct stream *stream, uint64_t sequence,
     enum once_verdict verdict, struct once_bytes recorded)
 {
-	struct message_claim_answer answer = {.sequence = sequence,
-	    .verdict = verdict};
+	struct message_claim_answer answer = {
+	    .sequence = sequence, .verdict = verdict};
 	struct message record;
 	struct error err;
 
 	if (verdict != ONCE_DONE ||
-	    message_unpack(&record, recorded.data, recorded.size_bytes,
-		&err) != 0) {
+	    message_unpack(&record, recorded.data, recorded.size_bytes, &err) !=
+		0) {
 		stream_send(stream, MESSAGE_CLAIM_ANSWER, &answer);
 		return;
 	}
@@ -121,8 +165,8 @@
 static void
 refuse_claim(struct ledger *ledger, struct stream *stream, uint64_t sequence)
 {
-	struct message_claim_answer answer = {.sequence = sequence,
-	    .verdict = ONCE_UNAVAILABLE};
+	struct message_claim_answer answer = {
+	    .sequence = sequence, .verdict = ONCE_UNAVAILABLE};
 
 	counter_add(&count_refused, 1);
 	answer.leader = leader_address(ledger);
@@ -130,8 +174,7 @@
 }
 
 static void
-settle(struct ledger *ledger, struct stream *stream, uint64_t sequence,
-    bool ok)
+settle(struct ledger *ledger, struct stream *stream, uint64_t sequence, bool ok)
 {
 	struct message_settled settled = {.sequence = sequence, .ok = ok};
 
@@ -160,8 +203,8 @@
 /// Puts an operation into the log. A full log drops it: the client sends it
 /// again.
 static void
-propose(struct ledger *ledger, const struct once_op *op,
-    struct stream *stream, uint64_t sequence)
+propose(struct ledger *ledger, const struct once_op *op, struct stream *stream,
+    uint64_t sequence)
 {
 	uint32_t size_bytes;
 	char *data = once_op_encode(op, &size_bytes);
@@ -170,7 +213,8 @@
 
 	if (replica_propose(&ledger->host.replica, data, size_bytes, &index,
 		loop_now_us(ledger->loop), &err) == 0)
-		pending_add(ledger, index, stream, sequence, false);
+		mark_in_flight(ledger,
+		    pending_add(ledger, index, stream, sequence, false), op);
 	else
 		log_error(LOG_DEBUG, "ledger", "Dropped an operation", &err);
 	free(data);
@@ -181,23 +225,43 @@
 start_peek(struct ledger *ledger, const struct once_op *op,
     struct stream *stream, uint64_t sequence)
 {
-	struct ledger_pending *p = pending_add(ledger, ++ledger->next_context,
-	    stream, sequence, true);
+	struct ledger_pending *p =
+	    pending_add(ledger, ++ledger->next_context, stream, sequence, true);
 
 	p->op = once_op_encode(op, &p->op_bytes);
-	replica_read(&ledger->host.replica, p->number,
-	    loop_now_us(ledger->loop));
+	replica_read(
+	    &ledger->host.replica, p->number, loop_now_us(ledger->loop));
 }
 
+/// An operation on the key is on its way into the log. A claim sent again is
+/// answered with the first; any other attempt is told to ask again.
 static void
-on_claim(struct ledger *ledger, struct stream *stream,
+wait_for_in_flight(struct ledger_pending *p, struct stream *stream,
     const struct message_claim *m)
 {
-	struct once_op op = {.kind = ONCE_CLAIM, .claim = m->claim,
-	    .body_hash = m->body_hash, .wall_us = clock_wall_us()};
+	struct once_bytes none = {"", 0};
+
+	if (p->claim != m->claim) {
+		send_verdict(stream, m->sequence, ONCE_IN_PROGRESS, none);
+		return;
+	}
+	p->stream = stream;
+	p->sequence = m->sequence;
+}
+
+static void
+on_claim(
+    struct ledger *ledger, struct stream *stream, const struct message_claim *m)
+{
+	struct once_op op = {.kind = ONCE_CLAIM,
+	    .claim = m->claim,
+	    .body_hash = m->body_hash,
+	    .wall_us = clock_wall_us()};
 	struct once_bytes answer = {"", 0};
+	struct ledger_pending *p;
 	enum once_verdict verdict;
 
+	counter_add(&count_claims, 1);
 	if (!may_serve(ledger)) {
 		if (!replica_is_leader(&ledger->host.replica))
 			refuse_claim(ledger, stream, m->sequence);
@@ -205,12 +269,17 @@
 	}
 	op.scope = borrow(m->scope);
 	op.key = borrow(m->key);
-	verdict = once_peek(&ledger->once, &op, &answer);
+	p = find_in_flight(ledger, &op);
+	if (p != NULL) {
+		wait_for_in_flight(p, stream, m);
+		return;
+	}
+	verdict = once_judge(&ledger->once, &op, &answer);
 	if (verdict == ONCE_FREED && m->peek)
 		start_peek(ledger, &op, stream, m->sequence);
-	else if (verdict == ONCE_FREED || verdict == ONCE_GRANTED)
+	else if (verdict == ONCE_FREED)
 		propose(ledger, &op, stream, m->sequence);
-	else
+	else if (verdict != ONCE_VOID)
 		send_verdict(stream, m->sequence, verdict, answer);
 }
 
@@ -218,8 +287,8 @@
 on_record(struct ledger *ledger, struct stream *stream,
     const struct message_record *m)
 {
-	struct once_op op = {.kind = ONCE_RECORD, .claim = m->claim,
-	    .wall_us = clock_wall_us()};
+	struct once_op op = {
+	    .kind = ONCE_RECORD, .claim = m->claim, .wall_us = clock_wall_us()};
 	msgpack_sbuffer packed;
 
 	if (!may_serve(ledger)) {
@@ -240,7 +309,8 @@
 on_release(struct ledger *ledger, struct stream *stream,
     const struct message_release *m)
 {
-	struct once_op op = {.kind = ONCE_RELEASE, .claim = m->claim,
+	struct once_op op = {.kind = ONCE_RELEASE,
+	    .claim = m->claim,
 	    .wall_us = clock_wall_us()};
 
 	if (!may_serve(ledger)) {
@@ -293,13 +363,11 @@
 };
 
 static void
-count_op(const struct ledger *ledger, const struct once_op *op,
-    enum once_verdict verdict)
+count_op(const struct ledger *ledger, const struct once_op *op)
 {
-	if (op->kind == ONCE_CLAIM) {
-		counter_add(&count_claims, 1);
-		counter_add(&count_granted, verdict == ONCE_GRANTED);
-	} else if (op->kind == ONCE_RECORD)
+	if (op->kind == ONCE_CLAIM)
+		counter_add(&count_granted, 1);
+	else if (op->kind == ONCE_RECORD)
 		counter_add(&count_records, 1);
 	else
 		counter_add(&count_releases, 1);
@@ -312,8 +380,7 @@
 {
 	struct ledger *ledger = ledger_of(host);
 	struct ledger_pending *p = pending_take(ledger, entry->index, false);
-	struct once_bytes answer = {"", 0};
-	enum once_verdict verdict;
+	struct once_bytes none = {"", 0};
 	struct once_op op;
 	struct error err;
 
@@ -323,12 +390,13 @@
 			pending_free(p);
 		return;
 	}
-	verdict = once_apply(&ledger->once, &op, &answer);
-	count_op(ledger, &op, verdict);
+	once_apply(&ledger->once, &op);
+	count_op(ledger, &op);
 	// Another leader's entry may stand where ours was put.
 	if (p != NULL && p->stream != NULL && p->term == entry->term) {
 		if (op.kind == ONCE_CLAIM)
-			send_verdict(p->stream, p->sequence, verdict, answer);
+			send_verdict(
+			    p->stream, p->sequence, ONCE_GRANTED, none);
 		else
 			settle(ledger, p->stream, p->sequence, true);
 	}
@@ -364,15 +432,19 @@
 	else if (p->stream != NULL &&
 	    once_op_decode(p->op, p->op_bytes, &op, &err) == 0)
 		send_verdict(p->stream, p->sequence,
-		    once_peek(&ledger->once, &op, &answer), answer);
+		    once_judge(&ledger->once, &op, &answer), answer);
 	pending_free(p);
 }
 
 static void
 on_role_changed(struct replica_host *host)
 {
-	// Clients send again what stays without an answer.
-	(void)host;
+	struct ledger *ledger = ledger_of(host);
+
+	// What was proposed may be replaced by others' entries; clients send
+	// again what stays without an answer.
+	if (!replica_is_leader(&host->replica))
+		ledger_free_pending(ledger);
 }
 
 const struct replica_host_ops LEDGER_REPLICA_OPS = {
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -11,19 +11,19 @@
 #include "io/httpc.h"
 #include "io/loop.h"
 
-#define LOAD_MAX_TARGETS  64
-#define LOAD_MAX_CLASSES  16
-#define LOAD_TEXT_BYTES	  128
+#define LOAD_MAX_TARGETS 64
+#define LOAD_MAX_CLASSES 16
+#define LOAD_TEXT_BYTES	 128
 
 /// What became of a request, as its caller sees it.
 enum load_result {
-	LOAD_IN_TIME,	///< Right answer within the target.
-	LOAD_LATE,	///< Right answer, but late.
+	LOAD_IN_TIME, ///< Right answer within the target.
+	LOAD_LATE,    ///< Right answer, but late.
 	LOAD_NOT_RUN,
 	LOAD_REFUSED,
 	LOAD_UNKNOWN,
-	LOAD_WRONG,	///< Another request's answer, or a cut one.
-	LOAD_ERROR,	///< The connection failed, or no answer in time.
+	LOAD_WRONG, ///< Another request's answer, or a cut one.
+	LOAD_ERROR, ///< The connection failed, or no answer in time.
 	LOAD_RESULTS,
 };
 
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -141,8 +141,8 @@
 main(int argc, char **argv)
 {
 	static struct load load;
-	struct argp argp = {.options = OPTIONS, .parser = parse_option,
-	    .doc = DOC};
+	struct argp argp = {
+	    .options = OPTIONS, .parser = parse_option, .doc = DOC};
 	struct error err;
 	bool clean = false;
 
--- a/src/load/report.c
+++ b/src/load/report.c
@@ -8,8 +8,8 @@
 
 #include "load/load.h"
 
-static const char *const RESULT_NAMES[LOAD_RESULTS] = {"in_time", "late",
-    "not_run", "refused", "unknown", "wrong", "error"};
+static const char *const RESULT_NAMES[LOAD_RESULTS] = {
+    "in_time", "late", "not_run", "refused", "unknown", "wrong", "error"};
 
 struct text {
 	char *bytes;
@@ -101,10 +101,10 @@
 
 /// Faults found over all keys.
 struct faults {
-	uint64_t doubled;  ///< Ran more than once.
-	uint64_t lost;	   ///< Answered as done, but never ran.
+	uint64_t doubled;     ///< Ran more than once.
+	uint64_t lost;	      ///< Answered as done, but never ran.
 	uint64_t misreported; ///< Told "not run", but ran.
-	uint64_t wrong;	   ///< Got another request's answer.
+	uint64_t wrong;	      ///< Got another request's answer.
 };
 
 static struct faults
@@ -131,8 +131,8 @@
 {
 	if (c->latency_count == 0)
 		return 0;
-	return gsl_stats_quantile_from_sorted_data(c->latencies_us, 1,
-		   c->latency_count, q) /
+	return gsl_stats_quantile_from_sorted_data(
+		   c->latencies_us, 1, c->latency_count, q) /
 	    1000;
 }
 
@@ -153,8 +153,8 @@
 	}
 	fprintf(out, "{\"class\":\"%s\",\"sent\":%" PRIu64, c->name, c->sent);
 	for (i = 0; i < LOAD_RESULTS; i++)
-		fprintf(out, ",\"%s\":%" PRIu64, RESULT_NAMES[i],
-		    c->results[i]);
+		fprintf(
+		    out, ",\"%s\":%" PRIu64, RESULT_NAMES[i], c->results[i]);
 	fprintf(out,
 	    ",\"p50_ms\":%.3f,\"p90_ms\":%.3f,\"p99_ms\":%.3f,"
 	    "\"max_ms\":%.3f,\"rate_per_s\":%.1f}",
@@ -186,13 +186,11 @@
 		    "],\"doubled\":%" PRIu64 ",\"lost\":%" PRIu64
 		    ",\"misreported\":%" PRIu64 ",\"wrong\":%" PRIu64
 		    ",\"keys\":%u}\n",
-		    f.doubled, f.lost, f.misreported, f.wrong,
-		    load->key_count);
+		    f.doubled, f.lost, f.misreported, f.wrong, load->key_count);
 	else
 		fprintf(out,
 		    "keys %u doubled %" PRIu64 " lost %" PRIu64
 		    " misreported %" PRIu64 " wrong %" PRIu64 "\n",
-		    load->key_count, f.doubled, f.lost, f.misreported,
-		    f.wrong);
+		    load->key_count, f.doubled, f.lost, f.misreported, f.wrong);
 	return f.doubled + f.lost + f.misreported + f.wrong == 0;
 }
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -57,8 +57,8 @@
 	if (load->key_count == load->key_capacity) {
 		load->key_capacity =
 		    load->key_capacity ? load->key_capacity * 2 : 1024;
-		load->keys = realloc(load->keys,
-		    load->key_capacity * sizeof(*load->keys));
+		load->keys = realloc(
+		    load->keys, load->key_capacity * sizeof(*load->keys));
 		assert(load->keys != NULL);
 	}
 	memcpy(load->keys[load->key_count].key, r->key, sizeof(r->key));
@@ -112,8 +112,8 @@
 		r->resends_left--;
 		r->resend_timer.fn = on_resend;
 		r->resend_timer.arg = r;
-		loop_timer_set(load->loop, &r->resend_timer,
-		    now_us + RESEND_WAIT_US);
+		loop_timer_set(
+		    load->loop, &r->resend_timer, now_us + RESEND_WAIT_US);
 		return;
 	}
 	keep_key(load, r, result);
@@ -218,8 +218,8 @@
 	r->arrival_us = arrival_us;
 	r->give_up_us = arrival_us + c->timeout_us;
 	r->counted = arrival_us >= load->warm_us;
-	r->target = (uint32_t)gsl_rng_uniform_int(load->rng,
-	    load->target_count);
+	r->target =
+	    (uint32_t)gsl_rng_uniform_int(load->rng, load->target_count);
 	r->resends_left = load->resend;
 	snprintf(r->expected, sizeof(r->expected),
 	    " %s %s%s-%" PRIu64 "%s bytes=%u ", c->method, c->path,
@@ -268,8 +268,8 @@
 			if (load->active < MAX_ACTIVE)
 				begin_request(load, c, c->next_arrival_us);
 			c->next_arrival_us += 1 +
-			    (int64_t)gsl_ran_exponential(load->rng,
-				1e6 / c->rate_per_s);
+			    (int64_t)gsl_ran_exponential(
+				load->rng, 1e6 / c->rate_per_s);
 		}
 		if (c->next_arrival_us < next_us)
 			next_us = c->next_arrival_us;
@@ -294,8 +294,8 @@
 		struct load_class *c = &load->classes[i];
 
 		c->next_arrival_us = load->start_us +
-		    (int64_t)gsl_ran_exponential(load->rng,
-			1e6 / c->rate_per_s);
+		    (int64_t)gsl_ran_exponential(
+			load->rng, 1e6 / c->rate_per_s);
 		if (c->body_bytes > max_body)
 			max_body = c->body_bytes;
 	}
--- a/src/proxy/announce.c
+++ b/src/proxy/announce.c
@@ -54,8 +54,7 @@
 ///
 /// @return NULL, or what is wrong with it
 static const char *
-read_announcement(json_t *root, struct egress_backend *out,
-    int64_t *lease_ms)
+read_announcement(json_t *root, struct egress_backend *out, int64_t *lease_ms)
 {
 	const char *service;
 	const char *address;
@@ -89,8 +88,8 @@
 handle_announce(struct control *control, struct http_exchange *exchange)
 {
 	struct egress_backend new;
-	json_t *root = json_loadb(exchange->body, exchange->body_bytes, 0,
-	    NULL);
+	json_t *root =
+	    json_loadb(exchange->body, exchange->body_bytes, 0, NULL);
 	const char *problem = "not a JSON object\n";
 	int64_t lease_ms = 0;
 
@@ -122,8 +121,8 @@
 handle_drain(struct control *control, struct http_exchange *exchange)
 {
 	if (control->backend.state == BACKEND_NONE) {
-		http_exchange_respond_text(exchange, 409,
-		    "no backend server is announced\n");
+		http_exchange_respond_text(
+		    exchange, 409, "no backend server is announced\n");
 		return;
 	}
 	announce_set_state(control, BACKEND_DRAINING);
@@ -133,8 +132,8 @@
 static void
 respond_counters(struct http_exchange *exchange)
 {
-	static const struct http_header PLAIN = {"Content-Type",
-	    "text/plain; charset=utf-8"};
+	static const struct http_header PLAIN = {
+	    "Content-Type", "text/plain; charset=utf-8"};
 	msgpack_sbuffer out;
 
 	msgpack_sbuffer_init(&out);
@@ -146,14 +145,14 @@
 static void
 respond_status(struct control *control, struct http_exchange *exchange)
 {
-	static const struct http_header TYPE = {"Content-Type",
-	    "application/json"};
+	static const struct http_header TYPE = {
+	    "Content-Type", "application/json"};
 	const struct member *self = &control->membership.self;
 	json_t *root = json_pack("{s:s, s:s, s:s, s:I, s:b, s:s, s:s, s:i, "
 				 "s:i, s:i}",
 	    "name", self->name, "region", self->region, "dc", self->dc,
-	    "version", (json_int_t)self->version, "ready",
-	    control->floor.ready, "service", self->service, "backend",
+	    "version", (json_int_t)self->version, "ready", control->floor.ready,
+	    "service", self->service, "backend",
 	    backend_state_name(control->backend.state), "members_alive",
 	    (int)membership_alive_count(&control->membership), "active",
 	    (int)traffic_active_count(control->traffic), "load_pct",
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -11,10 +11,10 @@
 #include "proxy/headers.h"
 #include "proxy/ingress_request.h"
 
-#define CANCEL_GRACE_US	 (100 * US_PER_MS)
-#define BUSY_MAX_US	 (100 * US_PER_MS)
-#define MAX_OUT_HEADERS	 160
-#define MAX_TARGET_LOG	 120
+#define CANCEL_GRACE_US (100 * US_PER_MS)
+#define BUSY_MAX_US	(100 * US_PER_MS)
+#define MAX_OUT_HEADERS 160
+#define MAX_TARGET_LOG	120
 
 COUNTER_DEFINE(count_retries, "ingress_retries", "Attempts after the first");
 COUNTER_DEFINE(count_late, "ingress_late_answers", "Answers to no request");
@@ -65,16 +65,16 @@
 	*at = r->next;
 	if (r->link != NULL)
 		link_release(r->link);
-	balancer_finish(r->balancer, r->endpoint, failed,
-	    loop_now_us(r->ingress->loop));
+	balancer_finish(
+	    r->balancer, r->endpoint, failed, loop_now_us(r->ingress->loop));
 	r->state = ATTEMPT_NONE;
 	r->link = NULL;
 	r->endpoint = NULL;
 }
 
 static int
-send_to_egress(struct ingress_request *r, enum message_type type,
-    const void *value)
+send_to_egress(
+    struct ingress_request *r, enum message_type type, const void *value)
 {
 	return link_send(r->link, type, value);
 }
@@ -240,8 +240,8 @@
 		return;
 	}
 	r->endpoint = choice.endpoint;
-	memcpy(r->tried[r->attempts++], choice.endpoint->name,
-	    MEMBER_NAME_BYTES);
+	memcpy(
+	    r->tried[r->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
 	log_write(LOG_INFO, "route",
 	    "Sent %s %.*s (%s) to %s at %s, attempt %u, %u candidates, "
 	    "load %u%%.",
@@ -266,8 +266,8 @@
 
 	// A key that belongs to another request does so everywhere.
 	if (r->exchange == NULL || status == 422 || status == 431 ||
-	    !retry_decide(&r->ingress->budget, &q,
-		loop_now_us(r->ingress->loop))) {
+	    !retry_decide(
+		&r->ingress->budget, &q, loop_now_us(r->ingress->loop))) {
 		ingress_conclude(r, status, outcome, retry_us, why);
 		return;
 	}
@@ -322,10 +322,10 @@
 		http_exchange_respond(r->exchange, m->status, headers, count,
 		    m->body.data, m->body.size_bytes);
 	else {
-		http_exchange_respond_start(r->exchange, m->status, headers,
-		    count, m->total_bytes);
-		http_exchange_respond_body(r->exchange, m->body.data,
-		    m->body.size_bytes);
+		http_exchange_respond_start(
+		    r->exchange, m->status, headers, count, m->total_bytes);
+		http_exchange_respond_body(
+		    r->exchange, m->body.data, m->body.size_bytes);
 	}
 	free(text);
 }
@@ -369,10 +369,10 @@
 		return;
 	}
 	attempt_end(r, failed);
-	snprintf(why, sizeof(why), "%.*s", (int)m->body.size_bytes,
-	    m->body.data);
-	retry_or_conclude(r, m->status, (enum outcome)m->outcome,
-	    m->retry_left_us, why);
+	snprintf(
+	    why, sizeof(why), "%.*s", (int)m->body.size_bytes, m->body.data);
+	retry_or_conclude(
+	    r, m->status, (enum outcome)m->outcome, m->retry_left_us, why);
 }
 
 static void
@@ -381,8 +381,8 @@
 	if (r->state != ATTEMPT_STREAMING)
 		return;
 	if (r->exchange != NULL && m->data.size_bytes > 0)
-		http_exchange_respond_body(r->exchange, m->data.data,
-		    m->data.size_bytes);
+		http_exchange_respond_body(
+		    r->exchange, m->data.data, m->data.size_bytes);
 	if (!m->last)
 		return;
 	attempt_end(r, m->failed);
@@ -435,8 +435,8 @@
 }
 
 static void
-on_fence_answer(void *owner, struct link *link,
-    const struct message_fence_answer *m)
+on_fence_answer(
+    void *owner, struct link *link, const struct message_fence_answer *m)
 {
 	struct ingress_request *r = find_request(owner, link, m->id);
 
@@ -455,8 +455,8 @@
 static void
 ask_fence(struct ingress_request *r)
 {
-	struct message_fence fence = {.id = r->id,
-	    .egress_incarnation = r->endpoint->incarnation};
+	struct message_fence fence = {
+	    .id = r->id, .egress_incarnation = r->endpoint->incarnation};
 
 	fence.age_us = loop_now_us(r->ingress->loop) - r->sent_us;
 	r->state = ATTEMPT_FENCED;
@@ -539,8 +539,8 @@
 }
 
 static void
-sink_respond(struct egress_sink *sink, uint64_t id,
-    const struct message_response *m)
+sink_respond(
+    struct egress_sink *sink, uint64_t id, const struct message_response *m)
 {
 	(void)id;
 	on_response(ingress_of(sink), NULL, m);
@@ -574,8 +574,8 @@
 	struct ingress *ingress = r->ingress;
 
 	if (r->state == ATTEMPT_NONE) {
-		ingress_conclude(r, 504, ingress_not_run_outcome(r), 0,
-		    "deadline passed");
+		ingress_conclude(
+		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
 		return;
 	}
 	if (!r->cancel_sent) {
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -9,11 +9,11 @@
 #include "io/log.h"
 #include "proxy/control.h"
 
-#define FLOOR_CHECK_US	(100 * US_PER_MS)
-#define DRAIN_CHECK_US	(50 * US_PER_MS)
-#define ADMIN_MAX_BODY_BYTES 65536
+#define FLOOR_CHECK_US	      (100 * US_PER_MS)
+#define DRAIN_CHECK_US	      (50 * US_PER_MS)
+#define ADMIN_MAX_BODY_BYTES  65536
 #define ADMIN_MAX_CONNECTIONS 64
-#define ADMIN_IDLE_S	30
+#define ADMIN_IDLE_S	      30
 
 COUNTER_DEFINE(gauge_version, "config_version", "Version in force");
 COUNTER_DEFINE(gauge_members, "members_alive", "Members alive, self included");
@@ -24,8 +24,8 @@
 	struct control *control = arg;
 
 	control->view_deferred = false;
-	counter_set(&gauge_members,
-	    membership_alive_count(&control->membership));
+	counter_set(
+	    &gauge_members, membership_alive_count(&control->membership));
 	traffic_post_view(control->traffic,
 	    view_create(&control->membership,
 		control->floor.ready ? control->rules : NULL));
@@ -73,8 +73,8 @@
 	int64_t gossip_us;
 	int64_t sync_us;
 
-	membership_set_load(&control->membership,
-	    traffic_load_pct(control->traffic));
+	membership_set_load(
+	    &control->membership, traffic_load_pct(control->traffic));
 	gossip_us = membership_tick(&control->membership, now_us);
 	sync_us = version_sync_tick(&control->sync, now_us);
 	loop_timer_set(control->loop, &control->tick_timer,
@@ -124,8 +124,8 @@
 {
 	timer->fn = fn;
 	timer->arg = control;
-	loop_timer_set(control->loop, timer,
-	    loop_now_us(control->loop) + delay_us);
+	loop_timer_set(
+	    control->loop, timer, loop_now_us(control->loop) + delay_us);
 }
 
 static int
@@ -142,9 +142,8 @@
 	if (listener_open(&control->listener, control->loop,
 		&control->settings.control, &CONTROL_STREAM_OPS, control,
 		on_control_accept, &control->bound_control, err) != 0 ||
-	    datagram_open(&control->udp, control->loop,
-		&control->bound_control, control, gossip_io_receive,
-		&udp_bound, err) != 0)
+	    datagram_open(&control->udp, control->loop, &control->bound_control,
+		control, gossip_io_receive, &udp_bound, err) != 0)
 		return -1;
 	control->admin = httpd_open(control->loop, &control->settings.admin,
 	    &CONTROL_ADMIN_OPS, control, &limits, &control->bound_admin, err);
@@ -233,8 +232,8 @@
 	struct control *control = arg;
 
 	traffic_post_drain(control->traffic);
-	start_timer(control, &control->drain_timer, check_drained,
-	    2 * DRAIN_CHECK_US);
+	start_timer(
+	    control, &control->drain_timer, check_drained, 2 * DRAIN_CHECK_US);
 }
 
 void
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -17,7 +17,7 @@
 #define CONTROL_MAX_SOURCES 7
 
 struct control_settings {
-	struct member self; ///< Without ports that the kernel chooses.
+	struct member self;	///< Without ports that the kernel chooses.
 	struct address control; ///< UDP gossip and TCP control.
 	struct address admin;
 	struct membership_settings membership;
@@ -32,7 +32,7 @@
 /// Progress of a start until the proxy may serve.
 struct floor {
 	bool ready;
-	bool confirmed; ///< A quorum of sources confirmed our version.
+	bool confirmed;	      ///< A quorum of sources confirmed our version.
 	uint32_t tables_read; ///< Tables got from other members.
 	int64_t started_us;
 	uint32_t next_source;
@@ -91,8 +91,8 @@
 
 // Gossip, in gossip_io.c.
 extern const struct membership_ops CONTROL_MEMBERSHIP_OPS;
-void gossip_io_receive(void *owner, const struct address *from,
-    struct message *message);
+void gossip_io_receive(
+    void *owner, const struct address *from, struct message *message);
 void gossip_io_answer_sync(struct control *control, struct stream *stream,
     const struct message_sync *sync);
 
@@ -101,8 +101,8 @@
 void distribution_report(void *arg);
 void distribution_answer_pull(struct control *control, struct stream *stream,
     const struct message_pull *pull);
-void distribution_heard_source(struct control *control,
-    const struct message_report_answer *answer);
+void distribution_heard_source(
+    struct control *control, const struct message_report_answer *answer);
 void distribution_check_floor(void *arg);
 void distribution_send_report(struct control *control, bool leaving);
 
--- a/src/proxy/distribution.c
+++ b/src/proxy/distribution.c
@@ -9,19 +9,19 @@
 #include "io/counters.h"
 #include "io/log.h"
 #include "io/oneshot.h"
+#include "io/rules_message.h"
 #include "proxy/control.h"
 #include "wire/gossip_codec.h"
-#include "io/rules_message.h"
 
-#define PULL_TIMEOUT_US	   (3 * US_PER_S)
-#define CONFIRM_TIMEOUT_US (1 * US_PER_S)
-#define FLOOR_CHECK_US	   (200 * US_PER_MS)
+#define PULL_TIMEOUT_US	    (3 * US_PER_S)
+#define CONFIRM_TIMEOUT_US  (1 * US_PER_S)
+#define FLOOR_CHECK_US	    (200 * US_PER_MS)
 #define PEERS_ONLY_AFTER_US (1500 * US_PER_MS)
-#define PEERS_NEEDED	   3
+#define PEERS_NEEDED	    3
 
 COUNTER_DEFINE(count_pulls, "config_pulls", "Pulls of rules begun");
-COUNTER_DEFINE(count_far_pulls, "config_far_pulls",
-    "Pulls from another data centre");
+COUNTER_DEFINE(
+    count_far_pulls, "config_far_pulls", "Pulls from another data centre");
 COUNTER_DEFINE(count_served, "config_pulls_served", "Pulls answered");
 COUNTER_DEFINE(count_bytes, "config_received_bytes", "Bytes of rules pulled");
 COUNTER_DEFINE(count_refused, "config_refused", "Rules refused as damaged");
@@ -43,8 +43,7 @@
 	else {
 		rules = rules_from_message(answer, control->rules, &why);
 		if (rules != NULL) {
-			counter_add(&count_bytes,
-			    rules_message_bytes(answer));
+			counter_add(&count_bytes, rules_message_bytes(answer));
 			ok = control_adopt(control, rules);
 		} else if (why.code != ERR_NONE) {
 			counter_add(&count_refused, 1);
@@ -72,9 +71,8 @@
 	counter_add(&count_pulls, 1);
 	if (from->distance != DISTANCE_DC)
 		counter_add(&count_far_pulls, 1);
-	log_write(LOG_INFO, "config",
-	    "Pulls version %" PRIu64 " from %s:%u.", from->version, from->host,
-	    from->port);
+	log_write(LOG_INFO, "config", "Pulls version %" PRIu64 " from %s:%u.",
+	    from->version, from->host, from->port);
 	oneshot_call(control->loop, &to, MESSAGE_PULL, &pull,
 	    loop_now_us(control->loop) + PULL_TIMEOUT_US, on_pulled, control);
 }
@@ -92,12 +90,13 @@
 }
 
 void
-distribution_heard_source(struct control *control,
-    const struct message_report_answer *answer)
+distribution_heard_source(
+    struct control *control, const struct message_report_answer *answer)
 {
 	int64_t now_us = loop_now_us(control->loop);
 	struct holder holder = {.port = answer->control_port,
-	    .version = answer->accepted_version, .is_source = true};
+	    .version = answer->accepted_version,
+	    .is_source = true};
 	struct member at = {0};
 
 	if (answer->version_seen > control->membership.version_floor)
@@ -109,9 +108,9 @@
 	// Never as near as a peer of the own data centre: about one member of
 	// each data centre pulls from a source.
 	holder.distance =
-	    strcmp(at.region, control->membership.self.region) == 0 ?
-	    DISTANCE_REGION :
-	    DISTANCE_FAR;
+	    strcmp(at.region, control->membership.self.region) == 0
+	    ? DISTANCE_REGION
+	    : DISTANCE_FAR;
 	version_sync_heard(&control->sync, &holder,
 	    version_sync_rank(&control->membership, holder.version), now_us);
 	loop_timer_set(control->loop, &control->tick_timer, now_us);
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -15,11 +15,11 @@
 #include "proxy/once_client.h"
 #include "wire/request_copy.h"
 
-#define WHOLE_RESPONSE_BYTES (64u * 1024)
-#define UPLOAD_WINDOW_BYTES  (256u * 1024)
+#define WHOLE_RESPONSE_BYTES  (64u * 1024)
+#define UPLOAD_WINDOW_BYTES   (256u * 1024)
 #define RESPONSE_WINDOW_BYTES (256u * 1024)
-#define SWEEP_US	     (20 * US_PER_MS)
-#define MAX_EXTRA_HEADERS    4
+#define SWEEP_US	      (20 * US_PER_MS)
+#define MAX_EXTRA_HEADERS     4
 
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
 COUNTER_DEFINE(count_refused, "egress_requests_refused", "Refused, not run");
@@ -28,9 +28,9 @@
 COUNTER_DEFINE(count_queued, "egress_requests_queued", "Waited for a slot");
 
 enum request_state {
-	REQUEST_WAITING,  ///< In the admission's queue.
-	REQUEST_CLAIMING, ///< Has a slot; its key is being claimed.
-	REQUEST_RUNNING,  ///< Sent to the backend server.
+	REQUEST_WAITING,   ///< In the admission's queue.
+	REQUEST_CLAIMING,  ///< Has a slot; its key is being claimed.
+	REQUEST_RUNNING,   ///< Sent to the backend server.
 	REQUEST_ATTENDING, ///< Its key is in progress; waits for the answer.
 };
 
@@ -115,16 +115,17 @@
 send_refusal(struct egress *egress, struct egress_sink *sink, uint64_t id,
     uint32_t status, enum outcome outcome, int64_t retry_us, const char *why)
 {
-	struct message_response response = {.id = id, .status = status,
-	    .outcome = outcome, .retry_left_us = retry_us};
+	struct message_response response = {.id = id,
+	    .status = status,
+	    .outcome = outcome,
+	    .retry_left_us = retry_us};
 
 	fill_load(egress, &response);
 	response.body = bytes_from(why);
-	counter_add(outcome_is_not_run(outcome) ? &count_refused :
-						  &count_failed,
-	    1);
-	log_write(LOG_INFO, "admit", "Refused request %" PRIx64 ": %s, %s.",
-	    id, outcome_name(outcome), why);
+	counter_add(
+	    outcome_is_not_run(outcome) ? &count_refused : &count_failed, 1);
+	log_write(LOG_INFO, "admit", "Refused request %" PRIx64 ": %s, %s.", id,
+	    outcome_name(outcome), why);
 	if (sink != NULL)
 		sink->ops->respond(sink, id, &response);
 }
@@ -134,8 +135,8 @@
 static enum outcome
 not_run_outcome(const struct message_request *m, bool claimed)
 {
-	return m->key.size_bytes > 0 && !claimed ? OUTCOME_REFUSED :
-						   OUTCOME_NOT_RUN;
+	return m->key.size_bytes > 0 && !claimed ? OUTCOME_REFUSED
+						 : OUTCOME_NOT_RUN;
 }
 
 /// Ends a request that never got to the backend server.
@@ -153,8 +154,8 @@
 	if (r->item.queued)
 		admission_cancel(&egress->admission, &r->item);
 	if (r->item.running)
-		admission_finish(&egress->admission, &r->item,
-		    loop_now_us(egress->loop));
+		admission_finish(
+		    &egress->admission, &r->item, loop_now_us(egress->loop));
 	request_free(r);
 	send_refusal(egress, sink, id, status, outcome, retry_us, why);
 }
@@ -163,7 +164,8 @@
 send_whole_response(struct egress_request *r)
 {
 	struct message_response response = {.id = r->message->id,
-	    .status = r->status, .outcome = OUTCOME_ANSWERED};
+	    .status = r->status,
+	    .outcome = OUTCOME_ANSWERED};
 
 	fill_load(r->egress, &response);
 	response.headers = header_list_view(&r->response_headers);
@@ -179,8 +181,8 @@
 static void
 send_stream_end(struct egress_request *r, bool failed)
 {
-	struct message_body body = {.id = r->message->id, .last = 1,
-	    .failed = failed};
+	struct message_body body = {
+	    .id = r->message->id, .last = 1, .failed = failed};
 
 	if (r->claim != NULL)
 		once_claim_abandon(r->claim);
@@ -212,8 +214,8 @@
 		send_stream_end(r, err != NULL);
 	else if (r->shed || (err != NULL && !httpc_call_was_sent(&r->call))) {
 		end_not_run(r, late ? 504 : 503, 0,
-		    r->shed ? "shed by the backend server" :
-			      "backend server cannot be reached");
+		    r->shed ? "shed by the backend server"
+			    : "backend server cannot be reached");
 		run_waiting(egress);
 		return;
 	} else if (err != NULL)
@@ -246,7 +248,9 @@
 start_streaming(struct egress_request *r)
 {
 	struct message_response response = {.id = r->message->id,
-	    .status = r->status, .outcome = OUTCOME_ANSWERED, .more = 1,
+	    .status = r->status,
+	    .outcome = OUTCOME_ANSWERED,
+	    .more = 1,
 	    .total_bytes = r->total_bytes};
 
 	r->streaming = true;
@@ -439,8 +443,8 @@
 	replay.outcome = OUTCOME_ANSWERED;
 	fill_load(r->egress, &replay);
 	counter_add(&count_replayed, 1);
-	log_write(LOG_INFO, "once", "Replayed the answer of request %" PRIx64
-	    ".", r->message->id);
+	log_write(LOG_INFO, "once",
+	    "Replayed the answer of request %" PRIx64 ".", r->message->id);
 	if (r->sink != NULL)
 		r->sink->ops->respond(r->sink, replay.id, &replay);
 }
@@ -457,8 +461,8 @@
 
 /// The ledger's verdict on the key of a request.
 static void
-on_claimed(void *arg, enum once_verdict verdict,
-    const struct message_response *answer)
+on_claimed(
+    void *arg, enum once_verdict verdict, const struct message_response *answer)
 {
 	struct egress_request *r = arg;
 	struct egress *egress = r->egress;
@@ -512,8 +516,8 @@
 		end_not_run(r, 503, US_PER_S, "no ledger is set");
 		return;
 	}
-	r->claim = once_client_claim(egress->once, m, r->item.deadline_us,
-	    on_claimed, r);
+	r->claim = once_client_claim(
+	    egress->once, m, r->item.deadline_us, on_claimed, r);
 }
 
 /// Gives out free slots and drops what can no longer be served in time.
@@ -583,13 +587,12 @@
 	bytes_copy(message->rank, rank, sizeof(rank));
 	r->item.rank = admission_find_rank(&egress->admission, rank);
 	r->item.size_bytes = message->body.size_bytes;
-	r->item.deadline_us = loop_now_us(egress->loop) +
-	    message->deadline_left_us;
+	r->item.deadline_us =
+	    loop_now_us(egress->loop) + message->deadline_left_us;
 	if (message->more) {
 		r->upload = malloc(message->body.size_bytes);
 		assert(r->upload != NULL);
-		memcpy(r->upload, message->body.data,
-		    message->body.size_bytes);
+		memcpy(r->upload, message->body.data, message->body.size_bytes);
 		r->upload_bytes = message->body.size_bytes;
 	}
 	return r;
@@ -603,8 +606,8 @@
 	int64_t now_us = loop_now_us(egress->loop);
 	struct egress_request *r;
 	int64_t retry_us;
-	uint64_t key = fence_key(sink->origin, sink->origin_incarnation,
-	    message->id);
+	uint64_t key =
+	    fence_key(sink->origin, sink->origin_incarnation, message->id);
 
 	fence_arrive(&egress->fence, key, now_us);
 	if (obstacle != NULL) {
@@ -614,8 +617,8 @@
 	}
 	r = request_create(egress, sink, message);
 	r->fence_key = key;
-	switch (admission_offer(&egress->admission, &r->item, now_us,
-	    &retry_us)) {
+	switch (
+	    admission_offer(&egress->admission, &r->item, now_us, &retry_us)) {
 	case ADMISSION_RUN:
 		begin(r);
 		return egress_find(egress, sink, message->id);
@@ -787,8 +790,8 @@
 	fence_init(&egress->fence, loop_now_us(loop));
 	egress->sweep_timer.fn = sweep;
 	egress->sweep_timer.arg = egress;
-	loop_timer_set(loop, &egress->sweep_timer,
-	    loop_now_us(loop) + SWEEP_US);
+	loop_timer_set(
+	    loop, &egress->sweep_timer, loop_now_us(loop) + SWEEP_US);
 	return egress;
 }
 
--- a/src/proxy/egress.h
+++ b/src/proxy/egress.h
@@ -24,8 +24,8 @@
 	    const struct message_response *response);
 	void (*body)(struct egress_sink *sink, uint64_t id,
 	    const struct message_body *body);
-	void (*window)(struct egress_sink *sink, uint64_t id,
-	    uint32_t credit_bytes);
+	void (*window)(
+	    struct egress_sink *sink, uint64_t id, uint32_t credit_bytes);
 };
 
 /// Way back to the ingress of a request.
@@ -55,8 +55,8 @@
 /// Sets the client of the ledger; NULL while there is none.
 void egress_set_once_client(struct egress *egress, struct once_client *once);
 
-void egress_set_backend(struct egress *egress,
-    const struct egress_backend *backend);
+void egress_set_backend(
+    struct egress *egress, const struct egress_backend *backend);
 
 void egress_set_rules(struct egress *egress, struct rules *rules);
 
@@ -70,16 +70,16 @@
     struct egress_sink *sink, const struct message_request *message);
 
 /// Finds a request of a sink by its id; NULL if it has ended.
-struct egress_request *egress_find(struct egress *egress,
-    const struct egress_sink *sink, uint64_t id);
+struct egress_request *egress_find(
+    struct egress *egress, const struct egress_sink *sink, uint64_t id);
 
 /// A further part of a request's body came in.
-void egress_request_body(struct egress_request *request,
-    const struct message_body *body);
+void egress_request_body(
+    struct egress_request *request, const struct message_body *body);
 
 /// The ingress can take more of the response body.
-void egress_request_window(struct egress_request *request,
-    uint32_t credit_bytes);
+void egress_request_window(
+    struct egress_request *request, uint32_t credit_bytes);
 
 /// The ingress gave up; the sink is told of the outcome.
 void egress_request_cancel(struct egress_request *request);
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress_peer.c
@@ -69,8 +69,8 @@
 }
 
 static void
-sink_body(struct egress_sink *sink, uint64_t id,
-    const struct message_body *body)
+sink_body(
+    struct egress_sink *sink, uint64_t id, const struct message_body *body)
 {
 	struct egress_conn *conn = conn_of(sink);
 
@@ -101,8 +101,8 @@
 
 	if (bytes_copy(hello->name, conn->sink.origin,
 		sizeof(conn->sink.origin)) != 0 ||
-	    !fence_admit_stream(egress_fence(server->egress),
-		conn->sink.origin, hello->incarnation, hello->sequence)) {
+	    !fence_admit_stream(egress_fence(server->egress), conn->sink.origin,
+		hello->incarnation, hello->sequence)) {
 		log_write(LOG_INFO, "egress",
 		    "Refused a stream of %s: it is shut out.",
 		    conn->sink.origin);
@@ -118,9 +118,10 @@
 static void
 refuse_stranger(struct egress_conn *conn, const struct message_request *m)
 {
-	struct message_response response = {.id = m->id, .status = 503,
-	    .outcome = m->key.size_bytes > 0 ? OUTCOME_REFUSED :
-						  OUTCOME_NOT_RUN};
+	struct message_response response = {.id = m->id,
+	    .status = 503,
+	    .outcome =
+		m->key.size_bytes > 0 ? OUTCOME_REFUSED : OUTCOME_NOT_RUN};
 
 	response.body = bytes_from("this egress was restarted");
 	sink_respond(&conn->sink, m->id, &response);
@@ -160,10 +161,10 @@
 
 	close_older(conn);
 	if (m->egress_incarnation == server->incarnation)
-		answer.outcome = fence_ask(egress_fence(server->egress),
-		    conn->sink.origin, conn->sink.origin_incarnation,
-		    conn->sequence, m->id, m->age_us,
-		    loop_now_us(server->loop));
+		answer.outcome =
+		    fence_ask(egress_fence(server->egress), conn->sink.origin,
+			conn->sink.origin_incarnation, conn->sequence, m->id,
+			m->age_us, loop_now_us(server->loop));
 	log_write(LOG_INFO, "fence", "Request %" PRIx64 " of %s: %s.", m->id,
 	    conn->sink.origin, outcome_name(answer.outcome));
 	stream_send(conn->stream, MESSAGE_FENCE_ANSWER, &answer);
@@ -177,8 +178,8 @@
 
 	if (m->answer)
 		return;
-	egress_load(conn->server->egress, &answer.queued, &answer.running,
-	    &load_pct);
+	egress_load(
+	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
@@ -209,8 +210,8 @@
 	case MESSAGE_WINDOW:
 		r = egress_find(egress, &conn->sink, message->u.window.id);
 		if (r != NULL)
-			egress_request_window(r,
-			    message->u.window.credit_bytes);
+			egress_request_window(
+			    r, message->u.window.credit_bytes);
 		break;
 	case MESSAGE_CANCEL:
 		r = egress_find(egress, &conn->sink, message->u.cancel.id);
--- a/src/proxy/gossip_io.c
+++ b/src/proxy/gossip_io.c
@@ -14,8 +14,7 @@
 #define SYNC_TIMEOUT_US (2 * US_PER_S)
 
 COUNTER_DEFINE(count_sent, "gossip_sent_bytes", "Bytes of datagrams sent");
-COUNTER_DEFINE(count_received, "gossip_received",
-    "Datagrams received");
+COUNTER_DEFINE(count_received, "gossip_received", "Datagrams received");
 COUNTER_DEFINE(count_syncs, "gossip_tables", "Tables exchanged");
 
 static struct control *
@@ -56,8 +55,8 @@
 			log_error(LOG_WARN, "gossip", "Dropped a record", &err);
 			continue;
 		}
-		membership_merge(&control->membership, &member,
-		    loop_now_us(control->loop));
+		membership_merge(
+		    &control->membership, &member, loop_now_us(control->loop));
 	}
 }
 
@@ -102,8 +101,8 @@
 	bool second;
 };
 
-static void on_sync_answer(void *arg, const struct message *answer,
-    const struct error *err);
+static void on_sync_answer(
+    void *arg, const struct message *answer, const struct error *err);
 
 static void
 ask(struct exchange *x)
@@ -120,8 +119,7 @@
 }
 
 static void
-on_sync_answer(void *arg, const struct message *answer,
-    const struct error *err)
+on_sync_answer(void *arg, const struct message *answer, const struct error *err)
 {
 	struct exchange *x = arg;
 	struct control *control = x->control;
@@ -175,8 +173,8 @@
 on_version_heard(struct membership *m, const struct member *member)
 {
 	struct control *control = control_of(m);
-	struct holder holder = {.port = member->control_port,
-	    .version = member->version};
+	struct holder holder = {
+	    .port = member->control_port, .version = member->version};
 	int64_t now_us = loop_now_us(control->loop);
 
 	if (member->status > MEMBER_SUSPECT)
@@ -196,8 +194,8 @@
 };
 
 void
-gossip_io_receive(void *owner, const struct address *from,
-    struct message *message)
+gossip_io_receive(
+    void *owner, const struct address *from, struct message *message)
 {
 	struct control *control = owner;
 	struct gossip gossip;
@@ -215,6 +213,6 @@
 		log_error(LOG_WARN, "gossip", "Dropped a message", &err);
 		return;
 	}
-	membership_receive(&control->membership, &gossip,
-	    loop_now_us(control->loop));
+	membership_receive(
+	    &control->membership, &gossip, loop_now_us(control->loop));
 }
--- a/src/proxy/headers.c
+++ b/src/proxy/headers.c
@@ -47,8 +47,8 @@
 const char *
 headers_known_method(const char *method)
 {
-	static const char *const METHODS[] = {"GET", "HEAD", "POST", "PUT",
-	    "PATCH", "DELETE", "OPTIONS"};
+	static const char *const METHODS[] = {
+	    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 	size_t i;
 
 	for (i = 0; i < sizeof(METHODS) / sizeof(METHODS[0]); i++)
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -81,9 +81,8 @@
 	    {HEADER_RETRY, seconds},
 	};
 
-	counter_add(outcome_is_not_run(outcome) ? &count_not_run :
-						  &count_unknown,
-	    1);
+	counter_add(
+	    outcome_is_not_run(outcome) ? &count_not_run : &count_unknown, 1);
 	snprintf(seconds, sizeof(seconds), "%" PRId64,
 	    (retry_us + US_PER_S - 1) / US_PER_S);
 	snprintf(body, sizeof(body), "%s: %s\n", outcome_name(outcome), why);
@@ -121,8 +120,7 @@
 inherit(struct ingress_request *r)
 {
 	const char *rank = http_exchange_header(r->exchange, HEADER_RANK);
-	const char *left =
-	    http_exchange_header(r->exchange, HEADER_DEADLINE);
+	const char *left = http_exchange_header(r->exchange, HEADER_DEADLINE);
 	int64_t deadline_us;
 	int at;
 
@@ -161,17 +159,16 @@
 
 	counter_add(&count_requests, 1);
 	if (ingress->rules == NULL) {
-		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    US_PER_S, "no rules are in force here yet");
+		ingress_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
+		    "no rules are in force here yet");
 		return;
 	}
 	r->rules = rules_ref(ingress->rules);
-	r->route =
-	    rules_match(r->rules, exchange->method, exchange->target);
+	r->route = rules_match(r->rules, exchange->method, exchange->target);
 	if (r->route == NULL ||
 	    headers_known_method(exchange->method) == NULL) {
-		ingress_conclude(r, 404, ingress_not_run_outcome(r), 0,
-		    "no route");
+		ingress_conclude(
+		    r, 404, ingress_not_run_outcome(r), 0, "no route");
 		return;
 	}
 	r->rank = &r->rules->ranks[r->route->rank];
@@ -185,8 +182,8 @@
 	}
 	http_exchange_each_header(exchange, collect_header, r);
 	if (r->headers.count > MAX_HEADERS) {
-		ingress_conclude(r, 431, ingress_not_run_outcome(r), 0,
-		    "too many headers");
+		ingress_conclude(
+		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
 		return;
 	}
 	r->repeatable = retry_method_is_safe(exchange->method) ||
@@ -257,10 +254,10 @@
 			return ingress->balancers[i];
 	b = calloc(1, sizeof(*b));
 	assert(b != NULL);
-	balancer_init(b, service, ingress->settings.seed + i,
-	    ingress->settings.warm_us);
-	ingress->balancers = realloc(ingress->balancers,
-	    (ingress->balancer_count + 1) * sizeof(b));
+	balancer_init(
+	    b, service, ingress->settings.seed + i, ingress->settings.warm_us);
+	ingress->balancers = realloc(
+	    ingress->balancers, (ingress->balancer_count + 1) * sizeof(b));
 	assert(ingress->balancers != NULL);
 	ingress->balancers[ingress->balancer_count++] = b;
 	return b;
@@ -309,8 +306,8 @@
 
 	door->ingress = ingress;
 	door->trusted = trusted;
-	door->httpd = httpd_open(ingress->loop, at, &HTTPD_OPS, door, &limits,
-	    bound, err);
+	door->httpd = httpd_open(
+	    ingress->loop, at, &HTTPD_OPS, door, &limits, bound, err);
 	return door->httpd == NULL ? -1 : 0;
 }
 
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -16,8 +16,8 @@
 
 enum attempt_state {
 	ATTEMPT_NONE,
-	ATTEMPT_SENT,	///< Awaits the response.
-	ATTEMPT_FENCED, ///< Its stream broke; awaits the fence's answer.
+	ATTEMPT_SENT,	   ///< Awaits the response.
+	ATTEMPT_FENCED,	   ///< Its stream broke; awaits the fence's answer.
 	ATTEMPT_STREAMING, ///< The response has begun to reach the caller.
 };
 
@@ -44,7 +44,7 @@
 	bool upload_ended;
 	bool cancel_sent;
 	bool may_have_run; ///< The outcome of an earlier attempt is unknown.
-	bool broken; ///< The stream of its attempt just broke.
+	bool broken;	   ///< The stream of its attempt just broke.
 	int64_t deadline_us;
 	struct loop_timer timer;
 	// The attempt in progress.
@@ -98,8 +98,8 @@
 void ingress_send_cancel(struct ingress_request *r);
 
 /// Sends a part of the body to the egress of the attempt in progress.
-void ingress_send_body(struct ingress_request *r,
-    const struct message_body *body);
+void ingress_send_body(
+    struct ingress_request *r, const struct message_body *body);
 
 /// Lets the egress send more of the response.
 void ingress_send_window(struct ingress_request *r, uint32_t credit_bytes);
--- a/src/proxy/link.h
+++ b/src/proxy/link.h
@@ -17,15 +17,15 @@
 struct links_ops {
 	void (*on_response)(void *owner, struct link *link,
 	    const struct message_response *response);
-	void (*on_body)(void *owner, struct link *link,
-	    const struct message_body *body);
+	void (*on_body)(
+	    void *owner, struct link *link, const struct message_body *body);
 	void (*on_window)(void *owner, struct link *link,
 	    const struct message_window *window);
 	void (*on_fence_answer)(void *owner, struct link *link,
 	    const struct message_fence_answer *answer);
 	/// The load that an egress told with a heartbeat.
-	void (*on_load)(void *owner, struct link *link, uint32_t running,
-	    uint32_t queued);
+	void (*on_load)(
+	    void *owner, struct link *link, uint32_t running, uint32_t queued);
 	/// The stream is gone; a new one is dialled with the next message.
 	void (*on_broken)(void *owner, struct link *link);
 };
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -47,11 +47,11 @@
 	struct error err;
 	int exit_code = EXIT_FAILED;
 
-	control->traffic = traffic_create(traffic_settings,
-	    &control->bound_traffic, &err);
+	control->traffic =
+	    traffic_create(traffic_settings, &control->bound_traffic, &err);
 	if (control->traffic == NULL || control_open(control, &err) != 0 ||
-	    program_watch_signals(control->loop, on_terminate, control,
-		&err) != 0 ||
+	    program_watch_signals(control->loop, on_terminate, control, &err) !=
+		0 ||
 	    traffic_start(control->traffic, &err) != 0 ||
 	    write_bound(settings, control, &err) != 0) {
 		log_error(LOG_ERROR, "proxy", "Cannot start", &err);
@@ -86,8 +86,7 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	if (proxy_settings_resolve(&settings, &control.settings, &traffic) !=
-	    0)
+	if (proxy_settings_resolve(&settings, &control.settings, &traffic) != 0)
 		return EXIT_USAGE;
 	program_block_signals();
 	apr_initialize();
--- a/src/proxy/once_client.c
+++ b/src/proxy/once_client.c
@@ -22,9 +22,9 @@
 COUNTER_DEFINE(count_resends, "once_resends", "Messages sent again");
 
 enum claim_state {
-	CLAIM_ASKING,	 ///< No verdict yet.
-	CLAIM_POLLING,	 ///< In progress elsewhere; asks for the answer.
-	CLAIM_HELD,	 ///< Granted; the caller decides.
+	CLAIM_ASKING,  ///< No verdict yet.
+	CLAIM_POLLING, ///< In progress elsewhere; asks for the answer.
+	CLAIM_HELD,    ///< Granted; the caller decides.
 	CLAIM_RELEASING,
 	CLAIM_RECORDING,
 	CLAIM_ENDED, ///< Freed at the next tick.
@@ -47,7 +47,7 @@
 	char *key;
 	uint32_t key_bytes;
 	msgpack_sbuffer record; ///< Encoded MESSAGE_RECORD.
-	bool sent; ///< A claim may have reached the ledger.
+	bool sent;		///< A claim may have reached the ledger.
 };
 
 struct once_client {
@@ -102,8 +102,7 @@
 	client->stream = stream_dial(client->loop,
 	    &client->replicas[client->current], &STREAM_OPS, client, &err);
 	if (client->stream == NULL)
-		client->current =
-		    (client->current + 1) % client->replica_count;
+		client->current = (client->current + 1) % client->replica_count;
 	return client->stream;
 }
 
@@ -124,8 +123,7 @@
 	    address_parse(text, &to) != 0)
 		return;
 	for (i = 0; i < client->replica_count; i++)
-		if (memcmp(&client->replicas[i].in, &to.in, sizeof(to.in)) ==
-		    0)
+		if (memcmp(&client->replicas[i].in, &to.in, sizeof(to.in)) == 0)
 			client->current = i;
 }
 
@@ -148,9 +146,12 @@
 static void
 send_claim(struct once_claim *c, struct stream *stream)
 {
-	struct message_claim m = {.claim = c->id, .scope = claim_scope(c),
-	    .key = claim_key(c), .body_hash = c->body_hash,
-	    .peek = c->state == CLAIM_POLLING, .sequence = c->sequence};
+	struct message_claim m = {.claim = c->id,
+	    .scope = claim_scope(c),
+	    .key = claim_key(c),
+	    .body_hash = c->body_hash,
+	    .peek = c->state == CLAIM_POLLING,
+	    .sequence = c->sequence};
 
 	stream_send(stream, MESSAGE_CLAIM, &m);
 	c->sent = true;
@@ -160,8 +161,10 @@
 static void
 send_release(struct once_claim *c, struct stream *stream)
 {
-	struct message_release m = {.claim = c->id, .scope = claim_scope(c),
-	    .key = claim_key(c), .sequence = c->sequence};
+	struct message_release m = {.claim = c->id,
+	    .scope = claim_scope(c),
+	    .key = claim_key(c),
+	    .sequence = c->sequence};
 
 	stream_send(stream, MESSAGE_RELEASE, &m);
 }
@@ -238,8 +241,7 @@
 
 	if (!polling && c->sent) {
 		c->state = CLAIM_RELEASING;
-		c->deadline_us =
-		    loop_now_us(c->client->loop) + SETTLE_LIMIT_US;
+		c->deadline_us = loop_now_us(c->client->loop) + SETTLE_LIMIT_US;
 		c->send_deadline_us = 0;
 	} else {
 		c->state = CLAIM_ENDED;
@@ -288,8 +290,8 @@
 }
 
 static void
-on_claim_answer(struct once_client *client,
-    const struct message_claim_answer *m)
+on_claim_answer(
+    struct once_client *client, const struct message_claim_answer *m)
 {
 	struct once_claim *c = claim_find(client, m->sequence);
 	struct message_response answer = {0};
@@ -413,8 +415,8 @@
 	c->key_bytes = request->key.size_bytes;
 	msgpack_sbuffer_init(&c->record);
 	send_current(c);
-	loop_timer_set(client->loop, &client->timer,
-	    loop_now_us(client->loop) + TICK_US);
+	loop_timer_set(
+	    client->loop, &client->timer, loop_now_us(client->loop) + TICK_US);
 	return c;
 }
 
@@ -438,9 +440,12 @@
 void
 once_claim_record(struct once_claim *c, const struct message_response *answer)
 {
-	struct message_record m = {.claim = c->id, .scope = claim_scope(c),
-	    .key = claim_key(c), .status = answer->status,
-	    .headers = answer->headers, .body = answer->body};
+	struct message_record m = {.claim = c->id,
+	    .scope = claim_scope(c),
+	    .key = claim_key(c),
+	    .status = answer->status,
+	    .headers = answer->headers,
+	    .body = answer->body};
 
 	assert(c->state == CLAIM_HELD);
 	if (answer->body.size_bytes > MAX_RECORD_BYTES) {
--- a/src/proxy/once_client.h
+++ b/src/proxy/once_client.h
@@ -38,8 +38,8 @@
 void once_claim_release(struct once_claim *claim);
 
 /// Records the answer of a claimed request.
-void once_claim_record(struct once_claim *claim,
-    const struct message_response *answer);
+void once_claim_record(
+    struct once_claim *claim, const struct message_response *answer);
 
 /// Leaves the key claimed: the outcome is not known.
 void once_claim_abandon(struct once_claim *claim);
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -7,25 +7,25 @@
 #include "proxy/settings.h"
 
 #define S struct proxy_settings
-#define TEXT(path_, member_, required_, fallback_, help_)                      \
-	{                                                                      \
-		path_, SETTINGS_TEXT, offsetof(S, member_), required_, 0, 0,   \
-		    fallback_, help_                                           \
+#define TEXT(path_, member_, required_, fallback_, help_)                    \
+	{                                                                    \
+		path_, SETTINGS_TEXT, offsetof(S, member_), required_, 0, 0, \
+		    fallback_, help_                                         \
 	}
-#define ADDRESS(path_, member_, help_)                                         \
-	{                                                                      \
-		path_, SETTINGS_ADDRESS, offsetof(S, member_), true, 0, 0,     \
-		    NULL, help_                                                \
+#define ADDRESS(path_, member_, help_)                                     \
+	{                                                                  \
+		path_, SETTINGS_ADDRESS, offsetof(S, member_), true, 0, 0, \
+		    NULL, help_                                            \
 	}
 #define LIST(path_, member_, help_)                                            \
 	{                                                                      \
 		path_, SETTINGS_LIST, offsetof(S, member_), false, 0, 0, "[]", \
 		    help_                                                      \
 	}
-#define INTEGER(path_, member_, min_, max_, fallback_, help_)                  \
-	{                                                                      \
-		path_, SETTINGS_INTEGER, offsetof(S, member_), false, min_,    \
-		    max_, fallback_, help_                                     \
+#define INTEGER(path_, member_, min_, max_, fallback_, help_)               \
+	{                                                                   \
+		path_, SETTINGS_INTEGER, offsetof(S, member_), false, min_, \
+		    max_, fallback_, help_                                  \
 	}
 
 const struct settings_field PROXY_FIELDS[] = {
@@ -54,8 +54,8 @@
 	"time between notices while there is news"),
     INTEGER("gossip.sync_ms", gossip_sync_ms, 500, 3600000, "30000",
 	"time between table exchanges"),
-    INTEGER("gossip.retry_dead_ms", gossip_retry_dead_ms, 200, 3600000,
-	"5000", "time between tries at members thought dead"),
+    INTEGER("gossip.retry_dead_ms", gossip_retry_dead_ms, 200, 3600000, "5000",
+	"time between tries at members thought dead"),
     INTEGER("gossip.forget_ms", gossip_forget_ms, 1000, 604800000, "86400000",
 	"time after which a dead member is dropped"),
     INTEGER("gossip.suspicion_periods", gossip_suspicion_periods, 1, 100, "3",
@@ -106,8 +106,9 @@
 			(*count)++;
 			continue;
 		}
-		fprintf(stderr, "settings: %s[%u]: must be IP:port, at most %u\n",
-		    key, i, max);
+		fprintf(stderr,
+		    "settings: %s[%u]: must be IP:port, at most %u\n", key, i,
+		    max);
 		problems++;
 	}
 	return problems;
@@ -119,8 +120,8 @@
 	struct address seeds[SETTINGS_MAX_LIST];
 	uint32_t count;
 	uint32_t i;
-	int problems = parse_addresses("seeds", &s->seeds, seeds,
-	    SETTINGS_MAX_LIST, &count);
+	int problems = parse_addresses(
+	    "seeds", &s->seeds, seeds, SETTINGS_MAX_LIST, &count);
 
 	m->seed_count = count;
 	for (i = 0; i < count; i++) {
@@ -128,8 +129,8 @@
 
 		address_format(&seeds[i], text);
 		*strrchr(text, ':') = '\0';
-		snprintf(m->seeds[i].host, sizeof(m->seeds[i].host), "%.15s",
-		    text);
+		snprintf(
+		    m->seeds[i].host, sizeof(m->seeds[i].host), "%.15s", text);
 		m->seeds[i].port = ntohs(seeds[i].in.sin_port);
 	}
 	return problems;
@@ -194,8 +195,8 @@
 	control->report_period_us = s->report_ms * US_PER_MS;
 	control->drain_announce_us = s->drain_announce_ms * US_PER_MS;
 	control->drain_limit_us = s->drain_limit_ms * US_PER_MS;
-	control->seed = control->self.incarnation ^
-	    XXH3_64bits(s->name, strlen(s->name));
+	control->seed =
+	    control->self.incarnation ^ XXH3_64bits(s->name, strlen(s->name));
 	memcpy(traffic->ingress.name, control->self.name,
 	    sizeof(traffic->ingress.name));
 	traffic->ingress.incarnation = control->self.incarnation;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -79,8 +79,8 @@
 }
 
 void
-traffic_post_backend(struct traffic *traffic,
-    const struct egress_backend *backend)
+traffic_post_backend(
+    struct traffic *traffic, const struct egress_backend *backend)
 {
 	struct order *order = order_create(traffic);
 
@@ -167,14 +167,13 @@
 	traffic->loop = loop_create(err);
 	if (traffic->loop == NULL)
 		goto fail;
-	traffic->egress =
-	    egress_create(traffic->loop, &settings->egress, err);
+	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
 	if (settings->ledger_count > 0) {
-		traffic->once = once_client_create(traffic->loop,
-		    settings->ledgers, settings->ledger_count,
-		    settings->ingress.seed);
+		traffic->once =
+		    once_client_create(traffic->loop, settings->ledgers,
+			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
 	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
@@ -187,8 +186,8 @@
 		goto fail;
 	traffic->publish_timer.fn = publish;
 	traffic->publish_timer.arg = traffic;
-	loop_timer_set(traffic->loop, &traffic->publish_timer,
-	    loop_now_us(traffic->loop));
+	loop_timer_set(
+	    traffic->loop, &traffic->publish_timer, loop_now_us(traffic->loop));
 	return traffic;
 fail:
 	if (traffic->loop != NULL)
@@ -204,11 +203,11 @@
 	apr_status_t rc = apr_pool_create(&traffic->pool, NULL);
 
 	if (rc == APR_SUCCESS)
-		rc = apr_thread_create(&traffic->thread, NULL, run, traffic,
-		    traffic->pool);
+		rc = apr_thread_create(
+		    &traffic->thread, NULL, run, traffic, traffic->pool);
 	if (rc != APR_SUCCESS)
-		return error_set(err, ERR_IO, "start thread", "",
-		    "APR status %d", (int)rc);
+		return error_set(
+		    err, ERR_IO, "start thread", "", "APR status %d", (int)rc);
 	return 0;
 }
 
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -39,8 +39,8 @@
 void traffic_post_view(struct traffic *traffic, struct view *view);
 
 /// Hands the state of the backend server over. Any thread.
-void traffic_post_backend(struct traffic *traffic,
-    const struct egress_backend *backend);
+void traffic_post_backend(
+    struct traffic *traffic, const struct egress_backend *backend);
 
 /// Stops to take new requests. Any thread.
 void traffic_post_drain(struct traffic *traffic);
--- a/src/proxy/view.c
+++ b/src/proxy/view.c
@@ -5,8 +5,8 @@
 #include "proxy/view.h"
 
 static void
-add_member(struct view *view, const struct member *member,
-    enum distance distance)
+add_member(
+    struct view *view, const struct member *member, enum distance distance)
 {
 	struct view_endpoint *e;
 
@@ -21,16 +21,15 @@
 struct view *
 view_create(const struct membership *m, struct rules *rules)
 {
-	struct view *view = calloc(1, sizeof(*view) +
-		(m->peer_count + 1) * sizeof(view->endpoints[0]));
+	struct view *view = calloc(1,
+	    sizeof(*view) + (m->peer_count + 1) * sizeof(view->endpoints[0]));
 	uint32_t i;
 
 	assert(view != NULL);
 	view->rules = rules == NULL ? NULL : rules_ref(rules);
 	add_member(view, &m->self, DISTANCE_DC);
 	for (i = 0; i < m->peer_count; i++)
-		add_member(view, &m->peers[i]->member,
-		    m->peers[i]->distance);
+		add_member(view, &m->peers[i]->member, m->peers[i]->distance);
 	return view;
 }
 
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -18,16 +18,15 @@
     "durable on a quorum of replicas, and publishes them to the proxies.";
 
 #define S struct source_settings
-#define ROW(path_, kind_, member_, required_, min_, max_, fallback_, help_)    \
-	{                                                                      \
-		path_, kind_, offsetof(S, member_), required_, min_, max_,     \
-		    fallback_, help_                                           \
+#define ROW(path_, kind_, member_, required_, min_, max_, fallback_, help_) \
+	{                                                                   \
+		path_, kind_, offsetof(S, member_), required_, min_, max_,  \
+		    fallback_, help_                                        \
 	}
 
 const struct settings_field SOURCE_FIELDS[] = {
     PROGRAM_LOG_FIELDS(S),
-    ROW("region", SETTINGS_TEXT, region, true, 0, 0, NULL,
-	"region of this VM"),
+    ROW("region", SETTINGS_TEXT, region, true, 0, 0, NULL, "region of this VM"),
     ROW("dc", SETTINGS_TEXT, dc, true, 0, 0, NULL, "data centre of this VM"),
     ROW("host", SETTINGS_TEXT, host, true, 0, 0, NULL,
 	"IP number that others reach it by"),
@@ -45,16 +44,16 @@
 	"id of this replica, never used before"),
     ROW("replicas", SETTINGS_LIST, replicas, true, 0, 0, NULL,
 	"ID=IP:port of each replica's control address"),
-    ROW("election_ms", SETTINGS_INTEGER, election_ms, false, 50, 60000,
-	"1000", "least time without a leader before an election"),
-    ROW("heartbeat_ms", SETTINGS_INTEGER, heartbeat_ms, false, 10, 10000,
-	"150", "time between heartbeats of the leader"),
+    ROW("election_ms", SETTINGS_INTEGER, election_ms, false, 50, 60000, "1000",
+	"least time without a leader before an election"),
+    ROW("heartbeat_ms", SETTINGS_INTEGER, heartbeat_ms, false, 10, 10000, "150",
+	"time between heartbeats of the leader"),
     ROW("stale_ms", SETTINGS_INTEGER, stale_ms, false, 500, 3600000, "16000",
 	"silence after which a proxy counts as not in force"),
     ROW("forget_ms", SETTINGS_INTEGER, forget_ms, false, 1000, 604800000,
 	"86400000", "silence after which a proxy is dropped"),
-    ROW("pulls_per_s", SETTINGS_INTEGER, pulls_per_s, false, 1, 100000,
-	"100", "pulls answered in a second; others are told to wait"),
+    ROW("pulls_per_s", SETTINGS_INTEGER, pulls_per_s, false, 1, 100000, "100",
+	"pulls answered in a second; others are told to wait"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
 	"200", "versions between snapshots"),
 };
@@ -68,8 +67,7 @@
 	int64_t now_us = loop_now_us(source->loop);
 
 	report_table_expire(&source->reports, now_us);
-	loop_timer_set(source->loop, &source->expire_timer,
-	    now_us + EXPIRE_US);
+	loop_timer_set(source->loop, &source->expire_timer, now_us + EXPIRE_US);
 }
 
 static void
@@ -100,9 +98,8 @@
 	    datagram_open(&source->udp, source->loop, &source->bound_control,
 		source, publish_on_datagram, &udp_bound, err) != 0)
 		return -1;
-	source->httpd = httpd_open(source->loop, &operators,
-	    &SOURCE_HTTPD_OPS, source, &limits, &source->bound_operators,
-	    err);
+	source->httpd = httpd_open(source->loop, &operators, &SOURCE_HTTPD_OPS,
+	    source, &limits, &source->bound_operators, err);
 	return source->httpd == NULL ? -1 : 0;
 }
 
@@ -121,13 +118,13 @@
 }
 
 static void
-fill_host_settings(const struct source_settings *s,
-    struct replica_host_settings *out)
+fill_host_settings(
+    const struct source_settings *s, struct replica_host_settings *out)
 {
 	memset(out, 0, sizeof(*out));
 	memcpy(out->data_path, s->data_path, sizeof(out->data_path));
-	snprintf(out->cluster, sizeof(out->cluster), "source %.200s",
-	    s->cluster);
+	snprintf(
+	    out->cluster, sizeof(out->cluster), "source %.200s", s->cluster);
 	out->id = (uint64_t)s->id;
 	out->bootstrap = s->bootstrap;
 	out->join = s->join;
@@ -206,8 +203,8 @@
 	if (exit_code >= 0)
 		return exit_code;
 	fill_host_settings(&source.settings, &host);
-	if (replica_settings_parse(&source.settings.replicas,
-		&host.initial) != 0)
+	if (replica_settings_parse(&source.settings.replicas, &host.initial) !=
+	    0)
 		return EXIT_USAGE;
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
 	source.reports.forget_us = source.settings.forget_ms * US_PER_MS;
