--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -28,8 +28,8 @@
 {
 	json_t *root = json_pack("{s:s, s:i, s:[]}", "result", "invalid",
 	    "count", (int)errors->count, "errors");
-	uint32_t shown = errors->count < RULES_MAX_ERRORS ? errors->count :
-							    RULES_MAX_ERRORS;
+	uint32_t shown =
+	    errors->count < RULES_MAX_ERRORS ? errors->count : RULES_MAX_ERRORS;
 	uint32_t i;
 	char *text;
 
@@ -72,10 +72,10 @@
 	json_t *root;
 	char *text;
 
-	*status = verdict == RULE_STORE_ACCEPTED ||
-		verdict == RULE_STORE_ALREADY ?
-	    200 :
-	    409;
+	*status =
+	    verdict == RULE_STORE_ACCEPTED || verdict == RULE_STORE_ALREADY
+	    ? 200
+	    : 409;
 	if (*status != 200)
 		counter_add(&count_refused, 1);
 	snprintf(hash, sizeof(hash), "%016" PRIx64,
@@ -109,10 +109,10 @@
 	(void)err;
 	if (answer == NULL || answer->type != MESSAGE_OPERATOR_ANSWER) {
 		forward->fn(forward->arg, 503, US_PER_S,
-		    forward->submit ?
-			"{\"result\":\"unknown\",\"why\":\"the leader did not "
-			"answer; send the same file again\"}" :
-			NO_LEADER);
+		    forward->submit ? "{\"result\":\"unknown\",\"why\":\"the "
+				      "leader did not "
+				      "answer; send the same file again\"}"
+				    : NO_LEADER);
 		free(forward);
 		return;
 	}
@@ -126,9 +126,8 @@
 
 /// Passes a request on to the leader.
 static void
-forward_request(struct source *source, const char *method,
-    const char *target, const char *body, size_t body_bytes,
-    operator_reply_fn *fn, void *arg)
+forward_request(struct source *source, const char *method, const char *target,
+    const char *body, size_t body_bytes, operator_reply_fn *fn, void *arg)
 {
 	struct message_operator m;
 	struct forward *forward;
@@ -170,8 +169,8 @@
 	p->fn = fn;
 	p->arg = arg;
 	p->rules = rules;
-	replica_read(&source->host.replica, p->context,
-	    loop_now_us(source->loop));
+	replica_read(
+	    &source->host.replica, p->context, loop_now_us(source->loop));
 }
 
 static void
@@ -196,8 +195,8 @@
 }
 
 static void
-handle_forget(struct source *source, const char *name, operator_reply_fn *fn,
-    void *arg)
+handle_forget(
+    struct source *source, const char *name, operator_reply_fn *fn, void *arg)
 {
 	if (report_table_forget(&source->reports, name))
 		fn(arg, 200, 0, "{\"result\":\"forgotten\"}");
@@ -210,8 +209,8 @@
 handle_replace(struct source *source, const char *body, size_t body_bytes,
     operator_reply_fn *fn, void *arg)
 {
-	json_t *root = json_loadb(body == NULL ? "" : body, body_bytes, 0,
-	    NULL);
+	json_t *root =
+	    json_loadb(body == NULL ? "" : body, body_bytes, 0, NULL);
 	struct replica_peer add = {0};
 	struct address parsed;
 	struct error err;
@@ -231,8 +230,8 @@
 	add.id = (uint64_t)add_id;
 	snprintf(add.address, sizeof(add.address), "%s", address);
 	json_decref(root);
-	if (replica_host_replace(&source->host, (uint64_t)remove_id, &add,
-		&err) == 0) {
+	if (replica_host_replace(
+		&source->host, (uint64_t)remove_id, &add, &err) == 0) {
 		fn(arg, 202, 0, "{\"result\":\"replacing\"}");
 		return;
 	}
@@ -242,9 +241,9 @@
 }
 
 void
-operator_handle(struct source *source, const char *method,
-    const char *target, const char *body, size_t body_bytes, bool forwarded,
-    operator_reply_fn *fn, void *arg)
+operator_handle(struct source *source, const char *method, const char *target,
+    const char *body, size_t body_bytes, bool forwarded, operator_reply_fn *fn,
+    void *arg)
 {
 	bool post = strcmp(method, "POST") == 0;
 	bool get = strcmp(method, "GET") == 0;
@@ -259,8 +258,8 @@
 		if (forwarded)
 			fn(arg, 503, US_PER_S, NO_LEADER);
 		else
-			forward_request(source, method, target, body,
-			    body_bytes, fn, arg);
+			forward_request(
+			    source, method, target, body, body_bytes, fn, arg);
 		return;
 	}
 	if (post && strcmp(target, "/rules") == 0)
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -65,8 +65,8 @@
 decide_submit(struct pending *p)
 {
 	struct source *source = p->source;
-	enum rule_store_verdict verdict = rule_store_check(&source->store,
-	    p->rules->version, p->rules->hash);
+	enum rule_store_verdict verdict =
+	    rule_store_check(&source->store, p->rules->version, p->rules->hash);
 	struct error err;
 	uint32_t size_bytes;
 	uint32_t status;
@@ -75,8 +75,8 @@
 	int rc;
 
 	if (verdict != RULE_STORE_ACCEPTED) {
-		body = operator_verdict_body(source, p->rules, verdict,
-		    &status);
+		body =
+		    operator_verdict_body(source, p->rules, verdict, &status);
 		reply(p, status, 0, body);
 		free(body);
 		return;
@@ -128,8 +128,8 @@
 		break;
 	case PENDING_SHOW:
 		reply(p, current == NULL ? 404 : 200, 0,
-		    current == NULL ? "no file is accepted yet\n" :
-				      current->text);
+		    current == NULL ? "no file is accepted yet\n"
+				    : current->text);
 		break;
 	case PENDING_SUBMIT:
 		decide_submit(p);
@@ -156,8 +156,8 @@
     "was being accepted; send the same file again\"}";
 
 void
-pending_finish_entry(struct source *source,
-    const struct replica_entry *entry, int verdict)
+pending_finish_entry(
+    struct source *source, const struct replica_entry *entry, int verdict)
 {
 	struct pending *p = source->pending;
 	uint32_t status;
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -11,9 +11,9 @@
 #include "source/source.h"
 #include "wire/gossip_codec.h"
 
-#define NOTIFIED_IN_DC	  2
-#define PULL_COST_MILLI	  1000
-#define PULL_RETRY_US	  (300 * US_PER_MS)
+#define NOTIFIED_IN_DC	2
+#define PULL_COST_MILLI 1000
+#define PULL_RETRY_US	(300 * US_PER_MS)
 
 COUNTER_DEFINE(count_reports, "source_reports", "Reports of proxies");
 COUNTER_DEFINE(count_pulls, "source_pulls", "Pulls answered");
@@ -21,8 +21,8 @@
 COUNTER_DEFINE(gauge_members, "source_members", "Proxies that report");
 
 static void
-send_answer(struct source *source, const struct address *to,
-    uint64_t version_seen)
+send_answer(
+    struct source *source, const struct address *to, uint64_t version_seen)
 {
 	const struct rules *current = source->store.current;
 	struct message_report_answer answer = {
@@ -42,8 +42,8 @@
 }
 
 void
-publish_on_datagram(void *owner, const struct address *from,
-    struct message *message)
+publish_on_datagram(
+    void *owner, const struct address *from, struct message *message)
 {
 	struct source *source = owner;
 	const struct report *report;
@@ -61,8 +61,8 @@
 	report = report_table_note(&source->reports, &member,
 	    message->u.report.leaving != 0, loop_now_us(source->loop));
 	counter_set(&gauge_members,
-	    report_table_sum(&source->reports, NULL, 0,
-		loop_now_us(source->loop))
+	    report_table_sum(
+		&source->reports, NULL, 0, loop_now_us(source->loop))
 		.members);
 	send_answer(source, from, report->version_seen);
 }
@@ -101,8 +101,8 @@
 
 		if (r->left ||
 		    rank_in_dc(table, r, version) >= NOTIFIED_IN_DC ||
-		    address_make(r->member.host, r->member.control_port,
-			&to) != 0)
+		    address_make(r->member.host, r->member.control_port, &to) !=
+			0)
 			continue;
 		send_answer(source, &to, r->version_seen);
 	}
@@ -134,8 +134,8 @@
 
 	p->stream = stream;
 	p->have_version = pull->have_version;
-	replica_read(&source->host.replica, p->context,
-	    loop_now_us(source->loop));
+	replica_read(
+	    &source->host.replica, p->context, loop_now_us(source->loop));
 }
 
 void
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -38,14 +38,14 @@
 {
 	struct source *source = source_of(host);
 	struct error err;
-	int verdict = rule_store_apply(&source->store, entry->data,
-	    entry->size_bytes, &err);
+	int verdict = rule_store_apply(
+	    &source->store, entry->data, entry->size_bytes, &err);
 
 	if (verdict < 0)
 		log_error(LOG_ERROR, "source", "Entry is not valid", &err);
 	if (verdict == RULE_STORE_ACCEPTED) {
-		counter_set(&gauge_accepted,
-		    (int64_t)source->store.current->version);
+		counter_set(
+		    &gauge_accepted, (int64_t)source->store.current->version);
 		log_write(LOG_INFO, "source",
 		    "Accepted version %" PRIu64 " (hash %016" PRIx64 ").",
 		    source->store.current->version,
@@ -70,8 +70,8 @@
 		return;
 	}
 	if (source->store.current != NULL)
-		counter_set(&gauge_accepted,
-		    (int64_t)source->store.current->version);
+		counter_set(
+		    &gauge_accepted, (int64_t)source->store.current->version);
 }
 
 static void
@@ -134,8 +134,8 @@
 	char seconds[24];
 	struct http_header headers[2] = {
 	    {"Content-Type",
-		body[0] == '{' ? "application/json" :
-				 "text/plain; charset=utf-8"},
+		body[0] == '{' ? "application/json"
+			       : "text/plain; charset=utf-8"},
 	    {"Retry-After", seconds},
 	};
 
@@ -150,8 +150,8 @@
 on_reply(void *arg, uint32_t status, int64_t retry_us, const char *body)
 {
 	struct call *call = arg;
-	struct message_operator_answer answer = {.status = status,
-	    .retry_left_us = retry_us};
+	struct message_operator_answer answer = {
+	    .status = status, .retry_left_us = retry_us};
 
 	if (call->exchange != NULL)
 		reply_http(call->exchange, status, retry_us, body);
@@ -165,8 +165,8 @@
 static void
 on_request(void *owner, struct http_exchange *exchange)
 {
-	static const struct http_header PLAIN = {"Content-Type",
-	    "text/plain; charset=utf-8"};
+	static const struct http_header PLAIN = {
+	    "Content-Type", "text/plain; charset=utf-8"};
 	struct source *source = owner;
 	msgpack_sbuffer out;
 	struct call *call;
@@ -174,8 +174,8 @@
 	if (strcmp(exchange->target, "/counters") == 0) {
 		msgpack_sbuffer_init(&out);
 		counters_render(&out);
-		http_exchange_respond(exchange, 200, &PLAIN, 1, out.data,
-		    out.size);
+		http_exchange_respond(
+		    exchange, 200, &PLAIN, 1, out.data, out.size);
 		msgpack_sbuffer_destroy(&out);
 		return;
 	}
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -36,8 +36,8 @@
 ///
 /// @param retry_us  time after which to try again; 0 for no hint
 /// @param body      JSON or plain text
-typedef void operator_reply_fn(void *arg, uint32_t status, int64_t retry_us,
-    const char *body);
+typedef void operator_reply_fn(
+    void *arg, uint32_t status, int64_t retry_us, const char *body);
 
 /// A request that waits for the replicated log.
 struct pending {
@@ -48,7 +48,7 @@
 		PENDING_SUBMIT,	  ///< To be checked once the read is done.
 		PENDING_PROPOSED, ///< Awaits its entry.
 		PENDING_SHOW,
-		PENDING_CONFIRM,  ///< Pull of a starting proxy.
+		PENDING_CONFIRM, ///< Pull of a starting proxy.
 	} kind;
 	uint64_t context; ///< Of the read.
 	uint64_t index;
@@ -101,8 +101,8 @@
 extern const struct stream_ops SOURCE_STREAM_OPS;
 
 /// Reports of proxies.
-void publish_on_datagram(void *owner, const struct address *from,
-    struct message *message);
+void publish_on_datagram(
+    void *owner, const struct address *from, struct message *message);
 
 /// Tells some proxies of each data centre of the accepted version.
 void publish_accepted(struct source *source);
@@ -121,8 +121,8 @@
 void pending_finish_read(struct source *source, uint64_t context, bool ok);
 
 /// Ends a proposal whose entry was applied.
-void pending_finish_entry(struct source *source,
-    const struct replica_entry *entry, int verdict);
+void pending_finish_entry(
+    struct source *source, const struct replica_entry *entry, int verdict);
 
 /// The leadership is lost: what was proposed may or may not be accepted.
 void pending_fail_proposed(struct source *source);
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -60,8 +60,7 @@
 }
 
 static json_t *
-render_stragglers(const struct source *source, uint64_t version,
-    int64_t now_us)
+render_stragglers(const struct source *source, uint64_t version, int64_t now_us)
 {
 	const struct report_table *table = &source->reports;
 	json_t *stragglers = json_array();
@@ -137,17 +136,16 @@
 	    report_table_sum(&source->reports, NULL, version, now_us);
 	json_t *root = json_pack(
 	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:I, s:I, s:s}",
-	    "confirmed", confirmed, "accepted",
-	    render_accepted(&source->store), "in_force",
-	    current == NULL ? 0 : (int)sum.in_force, "members",
+	    "confirmed", confirmed, "accepted", render_accepted(&source->store),
+	    "in_force", current == NULL ? 0 : (int)sum.in_force, "members",
 	    (int)sum.members, "heard_for_ms",
 	    (json_int_t)((now_us - source->started_us) / US_PER_MS), "regions",
 	    render_regions(source, version, now_us), "stragglers",
 	    render_stragglers(source, version, now_us), "rules",
 	    render_rules(source, now_us), "replicas",
-	    render_replicas(&r->config), "replica",
-	    (json_int_t)r->settings.id, "leader", (json_int_t)r->leader,
-	    "storage", replica_has_failed(r) ? r->failure.text : "ok");
+	    render_replicas(&r->config), "replica", (json_int_t)r->settings.id,
+	    "leader", (json_int_t)r->leader, "storage",
+	    replica_has_failed(r) ? r->failure.text : "ok");
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -7,8 +7,8 @@
 #define MAX_DEPTH 4
 
 static void
-pack_field(msgpack_packer *pk, const struct codec_field *field,
-    const char *base)
+pack_field(
+    msgpack_packer *pk, const struct codec_field *field, const char *base)
 {
 	const void *at = base + field->offset;
 	const struct bytes *b = at;
@@ -64,8 +64,8 @@
 	msgpack_unpack_return rc;
 
 	msgpack_unpacked_init(&decoder->unpacked);
-	rc = msgpack_unpack_next(&decoder->unpacked, bytes, size_bytes,
-	    &offset);
+	rc =
+	    msgpack_unpack_next(&decoder->unpacked, bytes, size_bytes, &offset);
 	if (rc != MSGPACK_UNPACK_SUCCESS || offset != size_bytes)
 		return error_set(err, ERR_SYNTAX, "decode", "",
 		    "not one whole msgpack object");
@@ -107,8 +107,8 @@
 	out->items = NULL;
 	if (out->count == 0)
 		return 0;
-	out->items = msgpack_zone_malloc(decoder->unpacked.zone,
-	    out->count * schema->struct_bytes);
+	out->items = msgpack_zone_malloc(
+	    decoder->unpacked.zone, out->count * schema->struct_bytes);
 	if (out->items == NULL)
 		return error_set(err, ERR_IO, "decode", "", "out of memory");
 	memset(out->items, 0, out->count * schema->struct_bytes);
@@ -182,8 +182,8 @@
 	case CODEC_STRUCT:
 		if (o->type != MSGPACK_OBJECT_ARRAY)
 			return -1;
-		return read_struct(decoder, o->via.array.ptr,
-		    o->via.array.size, field->schema, at, depth + 1, err);
+		return read_struct(decoder, o->via.array.ptr, o->via.array.size,
+		    field->schema, at, depth + 1, err);
 	}
 	return -1;
 }
@@ -206,8 +206,7 @@
 			continue;
 		if (err->code == ERR_NONE)
 			error_set(err, ERR_SYNTAX, "decode", "",
-			    "%s: field %u has the wrong type", schema->name,
-			    i);
+			    "%s: field %u has the wrong type", schema->name, i);
 		return -1;
 	}
 	return 0;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -29,8 +29,8 @@
 	CODEC_U32,
 	CODEC_U64,
 	CODEC_I64,
-	CODEC_BYTES, ///< struct bytes
-	CODEC_LIST,  ///< struct list
+	CODEC_BYTES,  ///< struct bytes
+	CODEC_LIST,   ///< struct list
 	CODEC_STRUCT, ///< nested struct
 };
 
@@ -71,8 +71,7 @@
 /// Reads the type of a parsed message.
 ///
 /// @return the type, or -1 with err set
-int64_t codec_read_type(const struct codec_decoder *decoder,
-    struct error *err);
+int64_t codec_read_type(const struct codec_decoder *decoder, struct error *err);
 
 /// Fills a struct from a parsed message whose type has been read.
 ///
@@ -88,20 +87,20 @@
 /// @return 0, or -1 if it does not fit or holds a NUL
 int bytes_copy(struct bytes b, char *out, size_t out_bytes);
 
-#define CODEC_FIELD(struct_, kind_, member_)                                   \
-	{                                                                      \
-		.kind = (kind_), .offset = offsetof(struct_, member_)          \
+#define CODEC_FIELD(struct_, kind_, member_)                          \
+	{                                                             \
+		.kind = (kind_), .offset = offsetof(struct_, member_) \
 	}
-#define CODEC_NESTED(struct_, kind_, member_, schema_)                         \
-	{                                                                      \
-		.kind = (kind_), .offset = offsetof(struct_, member_),         \
-		.schema = (schema_)                                            \
+#define CODEC_NESTED(struct_, kind_, member_, schema_)                 \
+	{                                                              \
+		.kind = (kind_), .offset = offsetof(struct_, member_), \
+		.schema = (schema_)                                    \
 	}
-#define CODEC_SCHEMA(struct_, fields_)                                         \
-	{                                                                      \
-		.name = #struct_, .struct_bytes = sizeof(struct_),             \
-		.fields = (fields_),                                           \
-		.field_count = sizeof(fields_) / sizeof((fields_)[0])          \
+#define CODEC_SCHEMA(struct_, fields_)                                \
+	{                                                             \
+		.name = #struct_, .struct_bytes = sizeof(struct_),    \
+		.fields = (fields_),                                  \
+		.field_count = sizeof(fields_) / sizeof((fields_)[0]) \
 	}
 
 #endif
--- a/src/wire/gossip_codec.c
+++ b/src/wire/gossip_codec.c
@@ -23,8 +23,8 @@
 }
 
 int
-member_from_message(const struct message_member *in, struct member *out,
-    struct error *err)
+member_from_message(
+    const struct message_member *in, struct member *out, struct error *err)
 {
 	memset(out, 0, sizeof(*out));
 	if (in->name.size_bytes == 0 ||
@@ -55,7 +55,8 @@
 gossip_pack(msgpack_sbuffer *out, const struct gossip *g)
 {
 	struct message_member updates[GOSSIP_MAX_UPDATES];
-	struct message_gossip m = {.kind = g->kind, .sequence = g->sequence};
+	struct message_gossip m = {
+	    .kind = g->kind, .sequence = g->sequence, .digest = g->digest};
 	uint32_t i;
 
 	m.target = bytes_from(g->target);
@@ -68,8 +69,8 @@
 }
 
 int
-gossip_from_message(const struct message_gossip *in, struct gossip *out,
-    struct error *err)
+gossip_from_message(
+    const struct message_gossip *in, struct gossip *out, struct error *err)
 {
 	const struct message_member *updates = in->updates.items;
 	uint32_t i;
@@ -79,6 +80,7 @@
 		    "a value is out of range");
 	out->kind = (enum gossip_kind)in->kind;
 	out->sequence = in->sequence;
+	out->digest = in->digest;
 	out->update_count = in->updates.count;
 	if (bytes_copy(in->target, out->target, sizeof(out->target)) != 0)
 		return error_set(err, ERR_INVALID, "decode gossip", "",
--- a/src/wire/gossip_codec.h
+++ b/src/wire/gossip_codec.h
@@ -7,8 +7,7 @@
 #include "wire/messages.h"
 
 /// Fills a message that borrows the strings of a member.
-void member_to_message(const struct member *member,
-    struct message_member *out);
+void member_to_message(const struct member *member, struct message_member *out);
 
 /// Copies and checks a member that came in.
 ///
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -77,6 +77,7 @@
 struct message_gossip {
 	uint32_t kind;
 	uint64_t sequence;
+	uint64_t digest;
 	struct bytes target; ///< Name of the member an indirect probe is for.
 	struct message_member from;
 	struct list updates; ///< of struct message_member
@@ -168,13 +169,13 @@
 struct message_response {
 	uint64_t id;
 	uint32_t status;
-	uint32_t outcome; ///< enum outcome
+	uint32_t outcome;      ///< enum outcome
 	int64_t retry_left_us; ///< Not before; 0 for no hint.
-	uint32_t queued;   ///< Requests waiting at the egress.
-	uint32_t running;  ///< Requests executing at the egress.
-	uint32_t more;	   ///< Body frames follow.
-	int64_t total_bytes; ///< Of a body that goes on; -1 if not known.
-	struct list headers; ///< of struct message_header
+	uint32_t queued;       ///< Requests waiting at the egress.
+	uint32_t running;      ///< Requests executing at the egress.
+	uint32_t more;	       ///< Body frames follow.
+	int64_t total_bytes;   ///< Of a body that goes on; -1 if not known.
+	struct list headers;   ///< of struct message_header
 	struct bytes body;
 };
 
@@ -264,7 +265,7 @@
 };
 
 struct message_claim {
-	uint64_t claim; ///< Chosen by the egress; the same in a resend.
+	uint64_t claim;	    ///< Chosen by the egress; the same in a resend.
 	struct bytes scope; ///< Route that the key belongs to.
 	struct bytes key;
 	uint64_t body_hash;
@@ -343,12 +344,12 @@
 };
 
 /// Appends an encoded message, without a frame header, to a buffer.
-void message_pack(msgpack_sbuffer *out, enum message_type type,
-    const void *value);
+void message_pack(
+    msgpack_sbuffer *out, enum message_type type, const void *value);
 
 /// Appends an encoded message with its frame header to a buffer.
-void message_pack_frame(msgpack_sbuffer *out, enum message_type type,
-    const void *value);
+void message_pack_frame(
+    msgpack_sbuffer *out, enum message_type type, const void *value);
 
 /// Decodes a message.
 ///
--- a/src/wire/request_copy.c
+++ b/src/wire/request_copy.c
@@ -14,8 +14,8 @@
 	uint32_t i;
 
 	for (i = 0; i < r->headers.count; i++)
-		size += headers[i].name.size_bytes +
-		    headers[i].value.size_bytes;
+		size +=
+		    headers[i].name.size_bytes + headers[i].value.size_bytes;
 	return size + r->rank.size_bytes + r->service.size_bytes +
 	    r->method.size_bytes + r->target.size_bytes + r->key.size_bytes +
 	    r->body.size_bytes;
@@ -77,15 +77,14 @@
 }
 
 void
-header_list_add(struct header_list *list, struct bytes name,
-    struct bytes value)
+header_list_add(struct header_list *list, struct bytes name, struct bytes value)
 {
 	if (list->count == list->capacity) {
 		list->capacity = list->capacity ? list->capacity * 2 : 16;
-		list->items = realloc(list->items,
-		    list->capacity * sizeof(*list->items));
-		list->offsets = realloc(list->offsets,
-		    list->capacity * 2 * sizeof(*list->offsets));
+		list->items =
+		    realloc(list->items, list->capacity * sizeof(*list->items));
+		list->offsets = realloc(
+		    list->offsets, list->capacity * 2 * sizeof(*list->offsets));
 		assert(list->items != NULL && list->offsets != NULL);
 	}
 	list->offsets[2 * list->count] = store_text(list, name);
@@ -110,8 +109,8 @@
 }
 
 bool
-header_list_find(const struct list *headers, const char *name,
-    struct bytes *value)
+header_list_find(
+    const struct list *headers, const char *name, struct bytes *value)
 {
 	const struct message_header *h = headers->items;
 	size_t name_bytes = strlen(name);
--- a/src/wire/request_copy.h
+++ b/src/wire/request_copy.h
@@ -25,8 +25,8 @@
 };
 
 /// Appends a copy of a header.
-void header_list_add(struct header_list *list, struct bytes name,
-    struct bytes value);
+void header_list_add(
+    struct header_list *list, struct bytes name, struct bytes value);
 
 /// Points a message field at the headers; valid until the next add.
 struct list header_list_view(struct header_list *list);
@@ -34,8 +34,8 @@
 /// Value of the first header of a name, without regard to case.
 ///
 /// @return whether there is one
-bool header_list_find(const struct list *headers, const char *name,
-    struct bytes *value);
+bool header_list_find(
+    const struct list *headers, const char *name, struct bytes *value);
 
 void header_list_free(struct header_list *list);
 
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -25,14 +25,14 @@
 
 /// What the stand-in does, and does wrong.
 struct behaviour {
-	int64_t service_us;   ///< Time that a request takes.
-	int64_t slots;	      ///< Requests at once; more are told 500.
-	int64_t shed;	      ///< 1: shed every request, with proof.
-	int64_t stall;	      ///< 1: take requests and never answer.
-	int64_t fail;	      ///< 1: answer 500.
-	int64_t die_after_run; ///< Exit right after the n-th run from now.
+	int64_t service_us;	///< Time that a request takes.
+	int64_t slots;		///< Requests at once; more are told 500.
+	int64_t shed;		///< 1: shed every request, with proof.
+	int64_t stall;		///< 1: take requests and never answer.
+	int64_t fail;		///< 1: answer 500.
+	int64_t die_after_run;	///< Exit right after the n-th run from now.
 	int64_t response_bytes; ///< Length of the answer; 0: a short line.
-	int64_t cut_at_bytes; ///< Cut a long answer there; 0: never.
+	int64_t cut_at_bytes;	///< Cut a long answer there; 0: never.
 };
 
 struct behaviour_key {
@@ -40,13 +40,13 @@
 	size_t offset;
 };
 
-#define KEY(name_)                                                             \
-	{                                                                      \
-		#name_, offsetof(struct behaviour, name_)                      \
+#define KEY(name_)                                        \
+	{                                                 \
+#name_, offsetof(struct behaviour, name_) \
 	}
 static const struct behaviour_key KEYS[] = {KEY(service_us), KEY(slots),
-    KEY(shed), KEY(stall), KEY(fail), KEY(die_after_run),
-    KEY(response_bytes), KEY(cut_at_bytes)};
+    KEY(shed), KEY(stall), KEY(fail), KEY(die_after_run), KEY(response_bytes),
+    KEY(cut_at_bytes)};
 
 /// Runs of one idempotency key.
 struct key_count {
@@ -127,8 +127,8 @@
 	if (key != NULL)
 		find_key(b, key)->runs++;
 	log_write(LOG_INFO, "fake", "Ran %s %s key %s rank %s deadline %s.",
-	    w->exchange->method, w->exchange->target,
-	    key == NULL ? "-" : key, w->rank, w->deadline);
+	    w->exchange->method, w->exchange->target, key == NULL ? "-" : key,
+	    w->rank, w->deadline);
 	if (b->settings.behaviour.die_after_run > 0 &&
 	    --b->settings.behaviour.die_after_run == 0) {
 		log_flush();
@@ -174,9 +174,9 @@
 		return;
 	}
 	snprintf(text, sizeof(text),
-	    "%s %s %s bytes=%zu sum=%" PRIu64 " rank=%s\n",
-	    b->settings.service, w->exchange->method, w->exchange->target,
-	    w->body_bytes, w->body_sum, w->rank);
+	    "%s %s %s bytes=%zu sum=%" PRIu64 " rank=%s\n", b->settings.service,
+	    w->exchange->method, w->exchange->target, w->body_bytes,
+	    w->body_sum, w->rank);
 	http_exchange_respond_text(w->exchange, 200, text);
 }
 
@@ -211,8 +211,8 @@
 	}
 	w->timer.fn = on_service_end;
 	w->timer.arg = w;
-	loop_timer_set(b->loop, &w->timer,
-	    loop_now_us(b->loop) + behaviour->service_us);
+	loop_timer_set(
+	    b->loop, &w->timer, loop_now_us(b->loop) + behaviour->service_us);
 }
 
 static void
@@ -243,8 +243,8 @@
 	}
 	if (err != NULL || call->last_status != 200) {
 		w->served = true;
-		http_exchange_respond_text(w->exchange, 502,
-		    "nested call failed\n");
+		http_exchange_respond_text(
+		    w->exchange, 502, "nested call failed\n");
 		return;
 	}
 	start_service(w);
@@ -336,8 +336,8 @@
 
 		if (strncmp(query, KEYS[i].name, n) != 0 || query[n] != '=')
 			continue;
-		*(int64_t *)((char *)&b->settings.behaviour +
-		    KEYS[i].offset) = strtoll(query + n + 1, NULL, 10);
+		*(int64_t *)((char *)&b->settings.behaviour + KEYS[i].offset) =
+		    strtoll(query + n + 1, NULL, 10);
 		return true;
 	}
 	return false;
@@ -409,8 +409,8 @@
 	w->exchange = exchange;
 	exchange->state = w;
 	copy_header(exchange, "Magnolia-Rank", w->rank, sizeof(w->rank));
-	copy_header(exchange, "Magnolia-Deadline-Ms", w->deadline,
-	    sizeof(w->deadline));
+	copy_header(
+	    exchange, "Magnolia-Deadline-Ms", w->deadline, sizeof(w->deadline));
 	add_body(w, exchange->body, exchange->body_bytes);
 	if (exchange->more)
 		http_exchange_grant(exchange, 1u << 20);
@@ -484,8 +484,8 @@
 	if (b->announcing || b->draining)
 		return;
 	address_format(&b->bound, address);
-	snprintf(b->announce_url, sizeof(b->announce_url),
-	    "http://%s/announce", b->settings.proxy_admin);
+	snprintf(b->announce_url, sizeof(b->announce_url), "http://%s/announce",
+	    b->settings.proxy_admin);
 	snprintf(b->announce_body, sizeof(b->announce_body),
 	    "{\"service\":\"%.40s\",\"address\":\"%s\",\"state\":\"%s\","
 	    "\"lease_ms\":%" PRId64 "}",
@@ -500,15 +500,14 @@
 	b->announce.body = b->announce_body;
 	b->announce.body_bytes = strlen(b->announce_body);
 	b->announce.deadline_us = clock_now_us() + US_PER_S;
-	b->announcing =
-	    httpc_call_start(b->httpc, &b->announce, &err) == 0;
+	b->announcing = httpc_call_start(b->httpc, &b->announce, &err) == 0;
 }
 
 #define S struct settings
-#define ROW(path_, kind_, member_, required_, fallback_, help_)                \
-	{                                                                      \
-		path_, kind_, offsetof(S, member_), required_, 0, INT64_MAX,   \
-		    fallback_, help_                                           \
+#define ROW(path_, kind_, member_, required_, fallback_, help_)              \
+	{                                                                    \
+		path_, kind_, offsetof(S, member_), required_, 0, INT64_MAX, \
+		    fallback_, help_                                         \
 	}
 static const struct settings_field FIELDS[] = {
     PROGRAM_LOG_FIELDS(S),
@@ -543,7 +542,8 @@
 run(struct backend *b)
 {
 	struct httpd_limits limits = {.max_body_bytes = INT64_MAX / 2,
-	    .max_connections = 1000, .idle_timeout_s = 60};
+	    .max_connections = 1000,
+	    .idle_timeout_s = 60};
 	struct address at;
 	struct error err;
 	char text[80];
--- a/test/fakes/fake_disk.c
+++ b/test/fakes/fake_disk.c
@@ -51,8 +51,8 @@
 	struct fake_file *f;
 
 	if (d->full)
-		return error_set(err, ERR_IO, "append", name,
-		    "No space left on device");
+		return error_set(
+		    err, ERR_IO, "append", name, "No space left on device");
 	f = get_file(d, name);
 	f->bytes = realloc(f->bytes, f->size_bytes + size_bytes + 1);
 	assert(f->bytes != NULL);
@@ -68,8 +68,8 @@
 	struct fake_file *f;
 
 	if (d->sync_fails)
-		return error_set(err, ERR_IO, "sync", name,
-		    "Input/output error");
+		return error_set(
+		    err, ERR_IO, "sync", name, "Input/output error");
 	d->syncs++;
 	if (d->sync_lies)
 		return 0;
@@ -87,8 +87,8 @@
 	struct fake_file *f;
 
 	if (d->full)
-		return error_set(err, ERR_IO, "write", name,
-		    "No space left on device");
+		return error_set(
+		    err, ERR_IO, "write", name, "No space left on device");
 	f = get_file(d, name);
 	f->bytes = realloc(f->bytes, size_bytes + 1);
 	assert(f->bytes != NULL);
@@ -99,8 +99,8 @@
 }
 
 static int
-fake_read(struct disk *disk, const char *name, char **bytes,
-    size_t *size_bytes, struct error *err)
+fake_read(struct disk *disk, const char *name, char **bytes, size_t *size_bytes,
+    struct error *err)
 {
 	struct fake_file *f = fake_disk_find(fake_of(disk), name);
 
@@ -118,8 +118,8 @@
 }
 
 static int
-fake_truncate(struct disk *disk, const char *name, size_t size_bytes,
-    struct error *err)
+fake_truncate(
+    struct disk *disk, const char *name, size_t size_bytes, struct error *err)
 {
 	struct fake_file *f = get_file(fake_of(disk), name);
 
@@ -143,8 +143,8 @@
 }
 
 static int
-fake_list(struct disk *disk, void (*fn)(void *arg, const char *name),
-    void *arg, struct error *err)
+fake_list(struct disk *disk, void (*fn)(void *arg, const char *name), void *arg,
+    struct error *err)
 {
 	struct fake_disk *d = fake_of(disk);
 	uint32_t i;
--- a/test/fakes/fake_disk.h
+++ b/test/fakes/fake_disk.h
@@ -22,7 +22,7 @@
 	struct disk disk;
 	struct fake_file files[FAKE_DISK_FILES];
 	uint32_t file_count;
-	bool full;	  ///< Appends and replacements fail.
+	bool full; ///< Appends and replacements fail.
 	bool sync_fails;
 	uint64_t syncs;
 	/// A sync that says it worked although it did not: off in all tests
--- /dev/null
+++ b/test/unit/test_admission.c
@@ -0,0 +1,473 @@
+// Admission on a virtual clock: against a naive version, and under floods.
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/admission.h"
+#include "core/random.h"
+#include "unit/support.h"
+
+#define ITEMS	  4000
+#define MS	  1000
+#define SECOND_US 1000000LL
+
+static const struct rule_rank RANKS[] = {
+    {.name = "urgent", .worth = 100, .keep_pct = 10, .target_us = 200 * MS},
+    {.name = "middle", .worth = 10, .keep_pct = 20, .target_us = 2000 * MS},
+    {.name = "log", .worth = 1, .keep_pct = 5, .target_us = 2000 * MS},
+};
+
+static void
+init(struct admission *a, uint32_t slots)
+{
+	admission_init(a, &ADMISSION_KEEP, 1000, 1 << 20);
+	admission_configure(a, slots, RANKS, 3);
+}
+
+/// A naive version: one list, searched whole for each decision.
+struct naive_item {
+	bool waiting;
+	uint32_t rank;
+	int64_t deadline_us;
+	uint64_t number;
+};
+
+struct naive {
+	struct naive_item items[ITEMS];
+	uint32_t count;
+};
+
+/// First waiting item of a rank; -1 if there is none.
+static int
+naive_first(const struct naive *n, uint32_t rank)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->count; i++)
+		if (n->items[i].waiting && n->items[i].rank == rank)
+			return (int)i;
+	return -1;
+}
+
+/// Which item must go next, by the rules as the header states them: of the
+/// ranks that are owed a slot the one of most worth, else of all.
+static int
+naive_next(const struct naive *n, const struct admission *a)
+{
+	int best = -1;
+	int pass;
+
+	for (pass = 0; pass < 2 && best < 0; pass++) {
+		uint32_t worth = 0;
+		uint32_t r;
+
+		for (r = 0; r < a->rank_count; r++) {
+			const struct admission_rank *rank = &a->ranks[r];
+			int64_t one_us =
+			    rank->service_us > 0 ? rank->service_us : 5000;
+
+			if (naive_first(n, r) < 0 || rank->worth < worth ||
+			    (pass == 0 && rank->credit_us < one_us))
+				continue;
+			worth = rank->worth;
+			best = naive_first(n, r);
+		}
+	}
+	return best;
+}
+
+static void
+test_order_like_naive(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 50; seed++) {
+		static struct admission_item items[ITEMS];
+		static struct naive naive;
+		struct admission_item *running[64];
+		struct random random = {seed, 0};
+		struct admission a;
+		uint32_t running_count = 0;
+		int64_t now_us = SECOND_US;
+		uint32_t i;
+
+		memset(items, 0, sizeof(items));
+		memset(&naive, 0, sizeof(naive));
+		init(&a, 4);
+		for (i = 0; i < ITEMS; i++) {
+			enum admission_verdict verdict;
+			struct admission_item *next;
+			int64_t retry_us;
+
+			now_us += random_time_us(&random, 2 * MS);
+			items[i].rank = random_below(&random, 3);
+			items[i].deadline_us = now_us + 3600 * SECOND_US;
+			verdict =
+			    admission_offer(&a, &items[i], now_us, &retry_us);
+			naive.items[i].rank = items[i].rank;
+			naive.items[i].waiting = verdict == ADMISSION_QUEUED;
+			naive.count = i + 1;
+			if (verdict == ADMISSION_RUN)
+				running[running_count++] = &items[i];
+			if (running_count > 0 && random_below(&random, 4) > 0) {
+				uint32_t r =
+				    random_below(&random, running_count);
+
+				admission_finish(&a, running[r], now_us);
+				running[r] = running[--running_count];
+			}
+			while ((next = admission_next(&a, now_us, &verdict)) !=
+			    NULL) {
+				int expected;
+
+				// Put it back into the list for the question.
+				naive.items[next - items].waiting = true;
+				a.ranks[next->rank].credit_us +=
+				    next->charged_us;
+				expected = naive_next(&naive, &a);
+				a.ranks[next->rank].credit_us -=
+				    next->charged_us;
+				assert_int_equal(next - items, expected);
+				naive.items[next - items].waiting = false;
+				running[running_count++] = next;
+				assert_true(running_count <= 4);
+			}
+		}
+	}
+}
+
+/// Outcome of a flood for one rank.
+struct share {
+	uint32_t offered;
+	uint32_t served;
+	uint32_t in_target;
+	uint32_t refused;
+};
+
+struct flood {
+	struct admission a;
+	struct random random;
+	struct admission_item *running[64];
+	int64_t end_us[64];
+	uint32_t running_count;
+	int64_t now_us;
+	struct share shares[3];
+	int64_t service_us;
+};
+
+static void
+begin(struct flood *f, struct admission_item *item)
+{
+	struct share *s = &f->shares[item->rank];
+
+	f->running[f->running_count] = item;
+	f->end_us[f->running_count++] = f->now_us + f->service_us / 2 +
+	    random_time_us(&f->random, f->service_us);
+	s->in_target += f->now_us + f->service_us - item->arrival_us <=
+	    RANKS[item->rank].target_us;
+}
+
+static void
+give_slots(struct flood *f)
+{
+	enum admission_verdict verdict;
+	struct admission_item *next;
+
+	while ((next = admission_next(&f->a, f->now_us, &verdict)) != NULL) {
+		if (verdict == ADMISSION_RUN)
+			begin(f, next);
+		else {
+			f->shares[next->rank].refused++;
+			free(next);
+		}
+	}
+}
+
+static void
+finish_due(struct flood *f)
+{
+	uint32_t i = 0;
+
+	while (i < f->running_count) {
+		struct admission_item *item = f->running[i];
+
+		if (f->end_us[i] > f->now_us) {
+			i++;
+			continue;
+		}
+		admission_finish(&f->a, item, f->now_us);
+		f->shares[item->rank].served++;
+		free(item);
+		f->running[i] = f->running[--f->running_count];
+		f->end_us[i] = f->end_us[f->running_count];
+	}
+}
+
+static void
+arrive(struct flood *f, uint32_t rank)
+{
+	struct admission_item *item = calloc(1, sizeof(*item));
+	int64_t retry_us;
+
+	item->rank = rank;
+	item->deadline_us = f->now_us + 5 * SECOND_US;
+	f->shares[rank].offered++;
+	switch (admission_offer(&f->a, item, f->now_us, &retry_us)) {
+	case ADMISSION_RUN:
+		begin(f, item);
+		break;
+	case ADMISSION_QUEUED:
+		break;
+	case ADMISSION_REFUSED:
+		f->shares[rank].refused++;
+		free(item);
+		break;
+	}
+}
+
+/// Offers each rank a load, in slots, for 30 s; the first 5 do not count.
+static void
+run_flood(struct flood *f, const double load[3])
+{
+	int64_t step_us = 250;
+	int64_t end_us;
+
+	memset(f, 0, sizeof(*f));
+	f->random.seed = 5;
+	f->service_us = 10 * MS;
+	f->now_us = SECOND_US;
+	init(&f->a, 20);
+	for (end_us = f->now_us + 30 * SECOND_US; f->now_us < end_us;
+	     f->now_us += step_us) {
+		uint32_t r;
+
+		if (f->now_us == 6 * SECOND_US)
+			memset(f->shares, 0, sizeof(f->shares));
+		finish_due(f);
+		for (r = 0; r < 3; r++)
+			if (random_below(&f->random, 1000000) <
+			    load[r] * (double)step_us / f->service_us * 1000000)
+				arrive(f, r);
+		give_slots(f);
+	}
+}
+
+static double
+served_share(const struct flood *f, uint32_t rank)
+{
+	uint32_t all =
+	    f->shares[0].served + f->shares[1].served + f->shares[2].served;
+
+	return (double)f->shares[rank].served / all;
+}
+
+static void
+end_flood(struct flood *f)
+{
+	enum admission_verdict verdict;
+	struct admission_item *item;
+
+	while (f->running_count > 0) {
+		admission_finish(
+		    &f->a, f->running[--f->running_count], f->now_us);
+		free(f->running[f->running_count]);
+	}
+	while ((item = admission_next(
+		    &f->a, f->now_us + 100 * SECOND_US, &verdict)) != NULL)
+		free(item);
+}
+
+/// Log pulls at three times what there is: all urgent work within its target.
+static void
+test_flood_of_least(void **state)
+{
+	const double load[3] = {4, 4, 30};
+	struct flood f;
+
+	(void)state;
+	run_flood(&f, load);
+	assert_int_equal(f.shares[0].refused, 0);
+	assert_true(f.shares[0].in_target >= f.shares[0].offered * 99 / 100);
+	assert_int_equal(f.shares[1].refused, 0);
+	end_flood(&f);
+}
+
+/// Urgent work at three times what there is: each other rank with enough work
+/// keeps its share of the slots.
+static void
+test_flood_of_most_urgent(void **state)
+{
+	const double load[3] = {40, 10, 10};
+	struct flood f;
+
+	(void)state;
+	run_flood(&f, load);
+	assert_true(served_share(&f, 1) >= 0.19);
+	assert_true(served_share(&f, 2) >= 0.045);
+	assert_true(served_share(&f, 0) >= 0.70);
+	end_flood(&f);
+}
+
+/// With all slots in use, what is left of the kept shares goes by worth, and
+/// nothing stands idle.
+static void
+test_no_slot_idles(void **state)
+{
+	const double load[3] = {0, 0, 40};
+	struct flood f;
+
+	(void)state;
+	run_flood(&f, load);
+	// 24 s, 20 slots, 10 ms each.
+	assert_true(f.shares[2].served >= 24 * 2000 * 97 / 100);
+	end_flood(&f);
+}
+
+/// One slot alone: shares hold over time although none is a whole slot.
+static void
+test_one_slot(void **state)
+{
+	const double load[3] = {3, 3, 3};
+	struct flood f;
+
+	(void)state;
+	memset(&f, 0, sizeof(f));
+	run_flood(&f, load);
+	end_flood(&f);
+	init(&f.a, 1);
+	f.running_count = 0;
+	memset(f.shares, 0, sizeof(f.shares));
+	for (f.now_us = SECOND_US; f.now_us < 61 * SECOND_US; f.now_us += 500) {
+		finish_due(&f);
+		if (f.now_us % 5000 == 0) {
+			arrive(&f, 0);
+			arrive(&f, 1);
+			arrive(&f, 2);
+		}
+		give_slots(&f);
+	}
+	assert_true(served_share(&f, 1) >= 0.18);
+	assert_true(served_share(&f, 2) >= 0.04);
+	end_flood(&f);
+}
+
+static void
+test_bounds(void **state)
+{
+	static struct admission_item items[8];
+	struct admission a;
+	int64_t retry_us;
+	uint32_t i;
+
+	(void)state;
+	memset(items, 0, sizeof(items));
+	admission_init(&a, &ADMISSION_KEEP, 6, 200);
+	admission_configure(&a, 1, RANKS, 3);
+	for (i = 0; i < 8; i++) {
+		items[i].deadline_us = 1000 * SECOND_US;
+		items[i].size_bytes = 40;
+	}
+	assert_int_equal(
+	    admission_offer(&a, &items[0], 1, &retry_us), ADMISSION_RUN);
+	assert_int_equal(
+	    admission_offer(&a, &items[1], 1, &retry_us), ADMISSION_QUEUED);
+	assert_int_equal(
+	    admission_offer(&a, &items[2], 1, &retry_us), ADMISSION_QUEUED);
+	// 80 of 200 bytes are taken; a rank may hold as much as is left.
+	items[3].size_bytes = 41;
+	assert_int_equal(
+	    admission_offer(&a, &items[3], 1, &retry_us), ADMISSION_REFUSED);
+	assert_true(retry_us > 0);
+	items[3].size_bytes = 0;
+	assert_int_equal(
+	    admission_offer(&a, &items[3], 1, &retry_us), ADMISSION_QUEUED);
+	// The rank holds 3 of 6 places; the rest is for others.
+	assert_int_equal(
+	    admission_offer(&a, &items[4], 1, &retry_us), ADMISSION_REFUSED);
+	items[5].rank = 1;
+	assert_int_equal(
+	    admission_offer(&a, &items[5], 1, &retry_us), ADMISSION_QUEUED);
+	admission_cancel(&a, &items[2]);
+	assert_int_equal(a.queued, 3);
+	assert_int_equal(a.queued_bytes, 80);
+}
+
+/// What can no longer be served in time is refused, at once or when found.
+static void
+test_hopeless(void **state)
+{
+	static struct admission_item items[4];
+	enum admission_verdict verdict;
+	struct admission a;
+	int64_t retry_us;
+
+	(void)state;
+	memset(items, 0, sizeof(items));
+	init(&a, 1);
+	items[0].deadline_us = 100;
+	assert_int_equal(
+	    admission_offer(&a, &items[0], 100, &retry_us), ADMISSION_REFUSED);
+	items[1].deadline_us = items[2].deadline_us = 50 * MS;
+	items[2].rank = 1;
+	items[3].rank = 0;
+	items[3].deadline_us = 500 * MS;
+	admission_offer(&a, &items[1], 1000, &retry_us);
+	assert_int_equal(
+	    admission_offer(&a, &items[2], 1000, &retry_us), ADMISSION_QUEUED);
+	assert_int_equal(
+	    admission_offer(&a, &items[3], 1000, &retry_us), ADMISSION_QUEUED);
+	assert_null(admission_next(&a, 49 * MS, &verdict));
+	assert_ptr_equal(admission_next(&a, 50 * MS, &verdict), &items[2]);
+	assert_int_equal(verdict, ADMISSION_REFUSED);
+	admission_finish(&a, &items[1], 51 * MS);
+	assert_ptr_equal(admission_next(&a, 51 * MS, &verdict), &items[3]);
+	assert_int_equal(verdict, ADMISSION_RUN);
+}
+
+/// A new version of the rules keeps the work in hand.
+static void
+test_reconfigure(void **state)
+{
+	static const struct rule_rank NEW[] = {
+	    {.name = "log", .worth = 7, .target_us = SECOND_US},
+	    {.name = "fresh", .worth = 3, .target_us = SECOND_US},
+	};
+	static struct admission_item items[3];
+	enum admission_verdict verdict;
+	struct admission a;
+	int64_t retry_us;
+	uint32_t i;
+
+	(void)state;
+	memset(items, 0, sizeof(items));
+	init(&a, 1);
+	for (i = 0; i < 3; i++) {
+		items[i].rank = i;
+		items[i].deadline_us = 100 * SECOND_US;
+		admission_offer(&a, &items[i], 1000, &retry_us);
+	}
+	admission_configure(&a, 2, NEW, 2);
+	assert_string_equal(
+	    a.ranks[admission_find_rank(&a, "log")].name, "log");
+	assert_ptr_equal(admission_next(&a, 2000, &verdict), &items[2]);
+	admission_finish(&a, &items[0], 3000);
+	assert_ptr_equal(admission_next(&a, 3000, &verdict), &items[1]);
+	assert_int_equal(verdict, ADMISSION_RUN);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_order_like_naive),
+	    cmocka_unit_test(test_flood_of_least),
+	    cmocka_unit_test(test_flood_of_most_urgent),
+	    cmocka_unit_test(test_no_slot_idles),
+	    cmocka_unit_test(test_one_slot),
+	    cmocka_unit_test(test_bounds),
+	    cmocka_unit_test(test_hopeless),
+	    cmocka_unit_test(test_reconfigure),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_distribution.c
@@ -0,0 +1,267 @@
+// Who pulls a version from whom, the state machine of the source, and the
+// table of reports.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/report_table.h"
+#include "core/rule_store.h"
+#include "core/version_sync.h"
+#include "unit/support.h"
+
+#define SECOND_US  1000000LL
+#define STAGGER_US 300000
+
+static struct holder last_pull;
+static uint32_t pulls;
+
+static void
+on_pull(struct version_sync *vs, const struct holder *from)
+{
+	(void)vs;
+	last_pull = *from;
+	pulls++;
+}
+
+static const struct version_sync_ops SYNC_OPS = {.pull = on_pull};
+
+static struct holder
+make_holder(const char *host, uint64_t version, enum distance distance)
+{
+	struct holder h = {.port = 1, .version = version, .distance = distance};
+
+	strcpy(h.host, host);
+	return h;
+}
+
+static void
+init_sync(struct version_sync *vs)
+{
+	pulls = 0;
+	version_sync_init(vs, &SYNC_OPS, NULL, 1, STAGGER_US, 3 * SECOND_US);
+}
+
+/// A far holder is asked at once only by the first of a data centre; the
+/// others wait, and take a near holder as soon as there is one.
+static void
+test_one_crossing(void **state)
+{
+	struct holder far = make_holder("far", 5, DISTANCE_FAR);
+	struct holder near = make_holder("near", 5, DISTANCE_DC);
+	struct version_sync vs;
+
+	(void)state;
+	init_sync(&vs);
+	version_sync_heard(&vs, &far, 0, SECOND_US);
+	version_sync_tick(&vs, SECOND_US);
+	assert_int_equal(pulls, 1);
+	init_sync(&vs);
+	version_sync_heard(&vs, &far, 2, SECOND_US);
+	assert_int_equal(
+	    version_sync_tick(&vs, SECOND_US), SECOND_US + 2 * STAGGER_US);
+	assert_int_equal(pulls, 0);
+	version_sync_heard(&vs, &near, 2, SECOND_US + 1000);
+	version_sync_tick(&vs, SECOND_US + 1000);
+	assert_int_equal(pulls, 1);
+	assert_string_equal(last_pull.host, "near");
+	init_sync(&vs);
+	version_sync_heard(&vs, &far, 2, SECOND_US);
+	version_sync_tick(&vs, SECOND_US + 2 * STAGGER_US);
+	assert_int_equal(pulls, 1);
+}
+
+/// A holder that fails is put off and another one asked; one that is busy is
+/// asked when it said.
+static void
+test_failures(void **state)
+{
+	struct holder a = make_holder("a", 5, DISTANCE_DC);
+	struct holder b = make_holder("b", 5, DISTANCE_REGION);
+	struct version_sync vs;
+	int64_t next_us;
+
+	(void)state;
+	init_sync(&vs);
+	version_sync_heard(&vs, &a, 0, SECOND_US);
+	version_sync_heard(&vs, &b, 0, SECOND_US);
+	version_sync_tick(&vs, SECOND_US);
+	assert_string_equal(last_pull.host, "a");
+	version_sync_done(&vs, false, 0, SECOND_US);
+	version_sync_tick(&vs, SECOND_US);
+	assert_string_equal(last_pull.host, "b");
+	version_sync_done(&vs, false, 7 * SECOND_US, SECOND_US);
+	next_us = version_sync_tick(&vs, SECOND_US);
+	assert_in_range(next_us, SECOND_US + 1, SECOND_US + 5 * SECOND_US);
+	version_sync_tick(&vs, next_us);
+	assert_string_equal(last_pull.host, "a");
+	// No answer at all: the pull times out.
+	version_sync_tick(&vs, next_us + 3 * SECOND_US);
+	assert_true(pulls >= 3);
+}
+
+/// Late news of old versions starts nothing.
+static void
+test_old_news(void **state)
+{
+	struct holder old = make_holder("a", 5, DISTANCE_DC);
+	struct version_sync vs;
+
+	(void)state;
+	init_sync(&vs);
+	version_sync_heard(&vs, &old, 0, SECOND_US);
+	version_sync_adopted(&vs, 6);
+	version_sync_tick(&vs, SECOND_US);
+	version_sync_heard(&vs, &old, 0, SECOND_US);
+	version_sync_tick(&vs, SECOND_US);
+	assert_int_equal(pulls, 0);
+}
+
+static struct rules *
+make_rules(uint64_t version, const char *owner)
+{
+	static struct rules_errors errors;
+	char text[300];
+	int n = snprintf(text, sizeof(text),
+	    "version %llu # %s\nrank a worth=1 target=1s # x\n"
+	    "service s slots=1 connections=1 # x\n"
+	    "route GET /v%llu s rank=a deadline=1s # x\n",
+	    (unsigned long long)version, owner, (unsigned long long)version);
+	struct rules *rules = rules_parse(text, (size_t)n, &errors);
+
+	assert_non_null(rules);
+	return rules;
+}
+
+static int
+apply(struct rule_store *store, uint64_t version, const char *owner)
+{
+	struct rules *rules = make_rules(version, owner);
+	uint32_t size_bytes;
+	char *entry = rule_store_encode(rules, 42, &size_bytes);
+	struct error err;
+	int verdict = rule_store_apply(store, entry, size_bytes, &err);
+
+	free(entry);
+	rules_unref(rules);
+	return verdict;
+}
+
+/// Of two files under one version exactly one wins; a resend of the winner is
+/// accepted already; none goes back or skips.
+static void
+test_compare_and_set(void **state)
+{
+	struct rule_store store = {0};
+
+	(void)state;
+	assert_int_equal(apply(&store, 2, "Lin"), RULE_STORE_GAP);
+	assert_int_equal(apply(&store, 1, "Lin"), RULE_STORE_ACCEPTED);
+	assert_int_equal(apply(&store, 1, "Lin"), RULE_STORE_ALREADY);
+	assert_int_equal(apply(&store, 1, "Wu"), RULE_STORE_CONFLICT);
+	assert_string_equal(store.current->owner, "Lin");
+	assert_int_equal(apply(&store, 2, "Wu"), RULE_STORE_ACCEPTED);
+	assert_int_equal(apply(&store, 1, "Lin"), RULE_STORE_OLD);
+	assert_int_equal(apply(&store, 4, "Lin"), RULE_STORE_GAP);
+	assert_int_equal(store.current->version, 2);
+	// Lines: version, rank, service, route.
+	assert_int_equal(store.since[1], 2);
+	assert_int_equal(store.since[2], 1);
+	assert_int_equal(store.since[3], 1);
+	assert_int_equal(store.since[4], 2);
+	rule_store_free(&store);
+}
+
+static void
+test_store_snapshot(void **state)
+{
+	struct rule_store store = {0};
+	struct rule_store copy = {0};
+	struct error err;
+	uint32_t size_bytes;
+	uint32_t i;
+	char *data;
+
+	(void)state;
+	apply(&store, 1, "Lin");
+	apply(&store, 2, "Wu");
+	data = rule_store_snapshot(&store, &size_bytes);
+	assert_int_equal(rule_store_restore(&copy, data, size_bytes, &err), 0);
+	assert_int_equal(copy.current->hash, store.current->hash);
+	assert_int_equal(copy.accepted_us, 42);
+	assert_int_equal(copy.since[2], 1);
+	// Cut anywhere in the head it is refused, and changes nothing.
+	for (i = 1; i < 20; i++) {
+		assert_int_equal(rule_store_restore(&copy, data, i, &err), -1);
+		assert_int_equal(copy.current->version, 2);
+	}
+	assert_int_equal(apply(&copy, 3, "Lin"), RULE_STORE_ACCEPTED);
+	free(data);
+	rule_store_free(&store);
+	rule_store_free(&copy);
+}
+
+static struct member
+make_member(const char *name, uint64_t incarnation, uint64_t version)
+{
+	struct member m = {.incarnation = incarnation, .version = version};
+
+	strcpy(m.name, name);
+	strcpy(m.region, name[0] == 'a' ? "north" : "south");
+	return m;
+}
+
+static void
+test_reports(void **state)
+{
+	struct report_table table = {
+	    .stale_us = 10 * SECOND_US, .forget_us = 100 * SECOND_US};
+	struct member a = make_member("a", 1, 5);
+	struct member b = make_member("b", 1, 5);
+	struct report_sum sum;
+
+	(void)state;
+	report_table_note(&table, &a, false, SECOND_US);
+	report_table_note(&table, &b, false, SECOND_US);
+	sum = report_table_sum(&table, NULL, 5, SECOND_US);
+	assert_int_equal(sum.members, 2);
+	assert_int_equal(sum.in_force, 2);
+	// A late report neither lowers a version nor renews the silence.
+	b.version = 4;
+	report_table_note(&table, &b, false, 8 * SECOND_US);
+	assert_int_equal(
+	    report_table_sum(&table, "south", 5, 2 * SECOND_US).in_force, 1);
+	assert_int_equal(
+	    report_table_sum(&table, NULL, 5, 12 * SECOND_US).in_force, 0);
+	// A restart counts anew, but its highest version is remembered.
+	b.incarnation = 2;
+	b.version = 0;
+	assert_int_equal(
+	    report_table_note(&table, &b, false, 12 * SECOND_US)->version_seen,
+	    5);
+	assert_int_equal(
+	    report_table_sum(&table, "south", 5, 12 * SECOND_US).in_force, 0);
+	a.incarnation = 1;
+	report_table_note(&table, &a, true, 12 * SECOND_US);
+	assert_int_equal(
+	    report_table_sum(&table, NULL, 5, 12 * SECOND_US).members, 1);
+	assert_true(report_table_forget(&table, "b"));
+	assert_false(report_table_forget(&table, "b"));
+	report_table_expire(&table, 200 * SECOND_US);
+	assert_int_equal(table.count, 0);
+	report_table_free(&table);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_one_crossing),
+	    cmocka_unit_test(test_failures),
+	    cmocka_unit_test(test_old_news),
+	    cmocka_unit_test(test_compare_and_set),
+	    cmocka_unit_test(test_store_snapshot),
+	    cmocka_unit_test(test_reports),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_membership.c
@@ -0,0 +1,498 @@
+// Many members on a virtual network and clock: convergence, failures, cuts.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/membership.h"
+#include "unit/support.h"
+
+#define MAX_NODES   128
+#define MAX_PACKETS 65536
+#define STEP_US	    10000
+#define SECOND_US   1000000
+
+struct packet {
+	struct gossip gossip;
+	uint32_t from;
+	uint32_t to;
+	int64_t due_us;
+};
+
+struct net_node {
+	struct membership m;
+	struct net *net;
+	uint32_t id;
+	bool up;
+	uint32_t group; ///< Members of different groups cannot talk.
+	uint64_t version_heard;
+};
+
+struct net {
+	struct net_node nodes[MAX_NODES];
+	uint32_t count;
+	struct packet *packets;
+	uint32_t packet_count;
+	struct random random;
+	int64_t now_us;
+	uint32_t drop_pct;
+	uint64_t sent;
+	uint64_t sent_far;
+};
+
+static struct net_node *
+node_of(struct membership *m)
+{
+	return m->owner;
+}
+
+static void
+on_send(struct membership *m, const char *host, uint32_t port,
+    const struct gossip *gossip)
+{
+	struct net_node *from = node_of(m);
+	struct net *net = from->net;
+	struct packet *p;
+
+	(void)host;
+	assert_in_range(port, 1, net->count);
+	net->sent++;
+	net->sent_far += strcmp(net->nodes[port - 1].m.self.region,
+			     from->m.self.region) != 0;
+	if (random_below(&net->random, 100) < net->drop_pct ||
+	    net->packet_count == MAX_PACKETS)
+		return;
+	p = &net->packets[net->packet_count++];
+	p->gossip = *gossip;
+	p->from = from->id;
+	p->to = port - 1;
+	p->due_us = net->now_us + 1000 + random_time_us(&net->random, 20000);
+}
+
+/// Table exchange, at once and in both directions.
+static void
+on_sync(struct membership *m, const char *host, uint32_t port)
+{
+	struct net_node *a = node_of(m);
+	struct net_node *b = &a->net->nodes[port - 1];
+	uint32_t i;
+
+	(void)host;
+	if (!b->up || a->group != b->group || a == b)
+		return;
+	membership_merge(&b->m, &a->m.self, a->net->now_us);
+	for (i = 0; i < a->m.peer_count; i++)
+		membership_merge(&b->m, &a->m.peers[i]->member, a->net->now_us);
+	membership_merge(&a->m, &b->m.self, a->net->now_us);
+	for (i = 0; i < b->m.peer_count; i++)
+		membership_merge(&a->m, &b->m.peers[i]->member, a->net->now_us);
+}
+
+static void
+on_changed(struct membership *m, const struct member *member)
+{
+	(void)m;
+	(void)member;
+}
+
+static void
+on_version_heard(struct membership *m, const struct member *member)
+{
+	if (member->version > node_of(m)->version_heard)
+		node_of(m)->version_heard = member->version;
+}
+
+static const struct membership_ops OPS = {
+    .send = on_send,
+    .sync = on_sync,
+    .changed = on_changed,
+    .version_heard = on_version_heard,
+};
+
+static void
+start_node(struct net *net, uint32_t id, uint64_t incarnation)
+{
+	struct net_node *n = &net->nodes[id];
+	struct membership_settings settings = {
+	    .probe_period_us = SECOND_US,
+	    .ack_timeout_us = 300000,
+	    .notice_period_us = 200000,
+	    .sync_period_us = 30 * SECOND_US,
+	    .retry_dead_period_us = 5 * SECOND_US,
+	    .forget_us = 3600LL * SECOND_US,
+	    .suspicion_periods = 3,
+	    .seed_count = 2,
+	};
+	struct member self = {
+	    .control_port = id + 1, .incarnation = incarnation};
+
+	strcpy(settings.seeds[0].host, "h");
+	settings.seeds[0].port = 1;
+	strcpy(settings.seeds[1].host, "h");
+	settings.seeds[1].port = 2;
+	snprintf(self.name, sizeof(self.name), "n%03u", id);
+	strcpy(self.host, "h");
+	snprintf(self.region, sizeof(self.region), "r%u", id % 2);
+	snprintf(self.dc, sizeof(self.dc), "r%u-%u", id % 2, id / 2 % 3);
+	n->net = net;
+	n->id = id;
+	n->up = true;
+	n->version_heard = 0;
+	membership_init(&n->m, &OPS, n, &settings, &self,
+	    id * 1000 + incarnation, net->now_us);
+}
+
+static struct net *
+create_net(uint32_t count)
+{
+	struct net *net = calloc(1, sizeof(*net));
+	uint32_t i;
+
+	assert_non_null(net);
+	net->packets = calloc(MAX_PACKETS, sizeof(*net->packets));
+	assert_non_null(net->packets);
+	net->count = count;
+	net->random.seed = count;
+	net->now_us = 1000 * SECOND_US;
+	for (i = 0; i < count; i++)
+		start_node(net, i, 1);
+	return net;
+}
+
+static void
+free_net(struct net *net)
+{
+	uint32_t i;
+
+	for (i = 0; i < net->count; i++)
+		membership_free(&net->nodes[i].m);
+	free(net->packets);
+	free(net);
+}
+
+static void
+deliver(struct net *net)
+{
+	uint32_t i = 0;
+
+	while (i < net->packet_count) {
+		struct packet p = net->packets[i];
+		struct net_node *to = &net->nodes[p.to];
+
+		if (p.due_us > net->now_us) {
+			i++;
+			continue;
+		}
+		net->packets[i] = net->packets[--net->packet_count];
+		if (to->up && to->group == net->nodes[p.from].group)
+			membership_receive(&to->m, &p.gossip, net->now_us);
+	}
+}
+
+static void
+run(struct net *net, int64_t time_us)
+{
+	int64_t end_us = net->now_us + time_us;
+	uint32_t i;
+
+	while (net->now_us < end_us) {
+		net->now_us += STEP_US;
+		deliver(net);
+		for (i = 0; i < net->count; i++)
+			if (net->nodes[i].up)
+				membership_tick(&net->nodes[i].m, net->now_us);
+	}
+}
+
+/// Runs until a condition holds at all that are up.
+///
+/// @return the time it took, or -1 if it did not come in time
+static int64_t
+run_until(struct net *net, int64_t limit_us,
+    bool (*holds)(const struct net_node *n, void *arg), void *arg)
+{
+	int64_t start_us = net->now_us;
+
+	while (net->now_us - start_us < limit_us) {
+		uint32_t i = 0;
+
+		run(net, STEP_US);
+		while (i < net->count &&
+		    (!net->nodes[i].up || holds(&net->nodes[i], arg)))
+			i++;
+		if (i == net->count)
+			return net->now_us - start_us;
+	}
+	return -1;
+}
+
+static bool
+knows_count(const struct net_node *n, void *arg)
+{
+	return membership_alive_count(&n->m) == *(uint32_t *)arg;
+}
+
+struct wanted {
+	const char *name;
+	enum member_status status;
+	enum backend_state backend;
+};
+
+static bool
+sees_member(const struct net_node *n, void *arg)
+{
+	const struct wanted *w = arg;
+	const struct member *m = membership_find(&n->m, w->name);
+
+	return m != NULL && m->status == w->status && m->backend == w->backend;
+}
+
+static bool
+heard_version(const struct net_node *n, void *arg)
+{
+	uint64_t version = *(uint64_t *)arg;
+
+	return n->version_heard >= version || n->m.self.version >= version;
+}
+
+static struct net *
+create_converged(uint32_t count)
+{
+	struct net *net = create_net(count);
+
+	assert_true(run_until(net, 30 * SECOND_US, knows_count, &count) >= 0);
+	run(net, 5 * SECOND_US);
+	return net;
+}
+
+static void
+test_convergence(void **state)
+{
+	struct net *net = create_converged(60);
+
+	(void)state;
+	free_net(net);
+}
+
+/// Parts that began without each other, each with one of the seeds, meet.
+static void
+test_split_start_heals(void **state)
+{
+	struct net *net = create_net(12);
+	uint32_t half = 6;
+	uint32_t all = 12;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < net->count; i++)
+		net->nodes[i].group = i % 2;
+	assert_true(run_until(net, 30 * SECOND_US, knows_count, &half) >= 0);
+	for (i = 0; i < net->count; i++)
+		net->nodes[i].group = 0;
+	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
+	free_net(net);
+}
+
+/// A change of one backend server reaches all within a few seconds, also with
+/// a fifth of all datagrams lost.
+static void
+test_drain_spreads(void **state)
+{
+	struct net *net = create_converged(100);
+	struct wanted w = {"n042", MEMBER_ALIVE, BACKEND_DRAINING};
+	int64_t took_us;
+
+	(void)state;
+	net->drop_pct = 20;
+	membership_set_backend(
+	    &net->nodes[42].m, "s", BACKEND_DRAINING, 5, net->now_us);
+	took_us = run_until(net, 20 * SECOND_US, sees_member, &w);
+	assert_in_range(took_us, 0, 4 * SECOND_US);
+	free_net(net);
+}
+
+/// Whoever missed a change, also one that nobody tells any more, has it
+/// within a few probes.
+static void
+test_missed_change_is_repaired(void **state)
+{
+	struct net *net = create_converged(24);
+	struct wanted w = {"n005", MEMBER_ALIVE, BACKEND_READY};
+	uint32_t i;
+
+	(void)state;
+	// All datagrams are lost while the change is news.
+	net->drop_pct = 100;
+	membership_set_backend(
+	    &net->nodes[5].m, "s", BACKEND_READY, 5, net->now_us);
+	for (i = 0; i < 20; i++)
+		run(net, SECOND_US / 10);
+	net->nodes[5].m.self_transmits_left = 0;
+	net->drop_pct = 0;
+	assert_in_range(
+	    run_until(net, 60 * SECOND_US, sees_member, &w), 0, 20 * SECOND_US);
+	free_net(net);
+}
+
+static void
+test_failure_is_detected(void **state)
+{
+	struct net *net = create_converged(60);
+	struct wanted w = {"n007", MEMBER_DEAD, BACKEND_NONE};
+	int64_t took_us;
+
+	(void)state;
+	net->drop_pct = 5;
+	net->nodes[7].up = false;
+	took_us = run_until(net, 60 * SECOND_US, sees_member, &w);
+	assert_in_range(took_us, 0, 30 * SECOND_US);
+	free_net(net);
+}
+
+/// Lost datagrams alone make no member that answers dead.
+static void
+test_no_false_death(void **state)
+{
+	struct net *net = create_converged(30);
+	uint32_t all = 30;
+	uint32_t i;
+
+	(void)state;
+	net->drop_pct = 20;
+	for (i = 0; i < 120; i++) {
+		run(net, SECOND_US);
+		assert_in_range(
+		    membership_alive_count(&net->nodes[3].m), 29, 30);
+	}
+	net->drop_pct = 0;
+	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
+	free_net(net);
+}
+
+/// A restarted member replaces its old record, and learns the highest version
+/// that others saw it run.
+static void
+test_restart(void **state)
+{
+	struct net *net = create_converged(30);
+	struct wanted w = {"n009", MEMBER_ALIVE, BACKEND_READY};
+
+	(void)state;
+	membership_set_version(&net->nodes[9].m, 41);
+	run(net, 10 * SECOND_US);
+	net->nodes[9].up = false;
+	run(net, 2 * SECOND_US);
+	membership_free(&net->nodes[9].m);
+	start_node(net, 9, 2);
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_READY, 5, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &w) >= 0);
+	assert_int_equal(net->nodes[9].m.version_floor, 41);
+	free_net(net);
+}
+
+/// Regions that lose each other for an hour find each other by themselves.
+static void
+test_region_cut_heals(void **state)
+{
+	struct net *net = create_converged(24);
+	uint32_t half = 12;
+	uint32_t all = 24;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < net->count; i++)
+		net->nodes[i].group = i % 2;
+	assert_true(run_until(net, 120 * SECOND_US, knows_count, &half) >= 0);
+	run(net, 3000LL * SECOND_US);
+	for (i = 0; i < net->count; i++)
+		net->nodes[i].group = 0;
+	assert_true(run_until(net, 60 * SECOND_US, knows_count, &all) >= 0);
+	free_net(net);
+}
+
+/// A version told to one member of a fleet without a source is heard of by
+/// all within seconds, by gossip alone.
+static void
+test_version_spreads(void **state)
+{
+	struct net *net = create_converged(100);
+	uint64_t version = 5;
+	int64_t took_us;
+
+	(void)state;
+	membership_set_version(&net->nodes[50].m, version);
+	// Whoever hears of a version adopts it at once.
+	do {
+		uint32_t i;
+
+		run(net, STEP_US);
+		for (i = 0; i < net->count; i++)
+			if (net->nodes[i].version_heard >
+			    net->nodes[i].m.self.version)
+				membership_set_version(&net->nodes[i].m,
+				    net->nodes[i].version_heard);
+		took_us = run_until(net, STEP_US, heard_version, &version);
+	} while (took_us < 0 && net->now_us < 1100LL * SECOND_US);
+	assert_true(took_us >= 0);
+	free_net(net);
+}
+
+/// What a member sends in a quiet second does not depend on the fleet.
+static void
+test_quiet_cost_is_constant(void **state)
+{
+	struct net *small = create_converged(20);
+	struct net *large = create_converged(120);
+	uint64_t small_sent;
+	uint64_t large_sent;
+
+	(void)state;
+	run(small, 20 * SECOND_US);
+	run(large, 20 * SECOND_US);
+	small_sent = small->sent;
+	large_sent = large->sent;
+	run(small, 30 * SECOND_US);
+	run(large, 30 * SECOND_US);
+	// Messages of a member in 30 s; a tenth more is allowed for chance.
+	assert_true((large->sent - large_sent) / 120 <=
+	    (small->sent - small_sent) / 20 * 11 / 10 + 1);
+	free_net(small);
+	free_net(large);
+}
+
+/// A member that leaves is not taken for dead and does not come back.
+static void
+test_leave(void **state)
+{
+	struct net *net = create_converged(30);
+	struct wanted w = {"n004", MEMBER_LEFT, BACKEND_NONE};
+
+	(void)state;
+	membership_leave(&net->nodes[4].m, net->now_us);
+	run(net, SECOND_US / 2);
+	net->nodes[4].up = false;
+	assert_true(run_until(net, 10 * SECOND_US, sees_member, &w) >= 0);
+	run(net, 60 * SECOND_US);
+	assert_true(run_until(net, STEP_US, sees_member, &w) >= 0);
+	free_net(net);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_convergence),
+	    cmocka_unit_test(test_split_start_heals),
+	    cmocka_unit_test(test_drain_spreads),
+	    cmocka_unit_test(test_missed_change_is_repaired),
+	    cmocka_unit_test(test_failure_is_detected),
+	    cmocka_unit_test(test_no_false_death),
+	    cmocka_unit_test(test_restart),
+	    cmocka_unit_test(test_region_cut_heals),
+	    cmocka_unit_test(test_version_spreads),
+	    cmocka_unit_test(test_quiet_cost_is_constant),
+	    cmocka_unit_test(test_leave),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/test_replica.c
+++ b/test/unit/test_replica.c
@@ -17,14 +17,14 @@
 #include "io/wal.h"
 #include "unit/support.h"
 
-#define MAX_NODES    8
-#define MAX_MESSAGES 4096
-#define MAX_INDEX    20000
-#define ELECTION_US  100000
-#define HEARTBEAT_US 20000
-#define STEP_US	     2000
-#define RUN_STEPS    1500
-#define HEAL_STEPS   1500
+#define MAX_NODES     8
+#define MAX_MESSAGES  4096
+#define MAX_INDEX     20000
+#define ELECTION_US   100000
+#define HEARTBEAT_US  20000
+#define STEP_US	      2000
+#define RUN_STEPS     1500
+#define HEAL_STEPS    1500
 #define COMPACT_EVERY 40
 
 /// A message on its way, with copies of what it borrows.
@@ -126,13 +126,13 @@
 	f->entries = calloc(m->entry_count + 1, sizeof(*f->entries));
 	for (i = 0; i < m->entry_count; i++) {
 		f->entries[i] = m->entries[i];
-		f->entries[i].data = copy_bytes(m->entries[i].data,
-		    m->entries[i].size_bytes);
+		f->entries[i].data =
+		    copy_bytes(m->entries[i].data, m->entries[i].size_bytes);
 	}
 	if (m->snapshot != NULL) {
 		f->snapshot = *m->snapshot;
-		f->snapshot.data = copy_bytes(m->snapshot->data,
-		    m->snapshot->size_bytes);
+		f->snapshot.data =
+		    copy_bytes(m->snapshot->data, m->snapshot->size_bytes);
 	}
 	f->due_us = c->now_us + 1000 +
 	    random_time_us(&c->random, c->chaos ? 30000 : 3000);
@@ -261,8 +261,8 @@
 {
 	struct replica_config config = {0};
 	char text[REPLICA_CONFIG_TEXT_BYTES];
-	struct replica_entry e = {.index = 1, .term = 1,
-	    .kind = REPLICA_ENTRY_CONFIG, .data = text};
+	struct replica_entry e = {
+	    .index = 1, .term = 1, .kind = REPLICA_ENTRY_CONFIG, .data = text};
 	struct replica_stored stored;
 	struct error err;
 	uint32_t i;
@@ -315,8 +315,8 @@
 		}
 		c->flights[i] = c->flights[--c->flight_count];
 		f.m.entries = f.entries;
-		f.m.snapshot = f.m.kind == REPLICA_SNAPSHOT ? &f.snapshot :
-							      NULL;
+		f.m.snapshot =
+		    f.m.kind == REPLICA_SNAPSHOT ? &f.snapshot : NULL;
 		if (to->up && !to->cut && !from->cut) {
 			replica_step(&to->replica, &f.m, c->now_us);
 			// Several messages may share one sync.
@@ -375,15 +375,15 @@
 	learners.learners[0].id = c->node_count + 1;
 	strcpy(learners.learners[0].address, "-");
 	learners.learner_count = 1;
-	if (replica_change_config(&leader->replica, &learners, c->now_us,
-		&err) != 0)
+	if (replica_change_config(
+		&leader->replica, &learners, c->now_us, &err) != 0)
 		return;
 	new->cluster = c;
 	new->id = ++c->node_count;
 	new->exists = true;
 	fake_disk_init(&new->disk);
-	assert_int_equal(wal_load(&new->wal, &new->disk.disk, &stored, &err),
-	    0);
+	assert_int_equal(
+	    wal_load(&new->wal, &new->disk.disk, &stored, &err), 0);
 	wal_free(&new->wal);
 	start_node(c, new);
 }
@@ -428,8 +428,7 @@
 static void
 cause_trouble(struct cluster *c, bool replacements)
 {
-	struct node *n =
-	    &c->nodes[random_below(&c->random, c->node_count)];
+	struct node *n = &c->nodes[random_below(&c->random, c->node_count)];
 
 	if (!n->exists)
 		return;
@@ -710,8 +709,8 @@
 		promote_learner(c, find_leader(c));
 	}
 	run_steps(c, 50, false);
-	assert_false(replica_config_is_voter(&find_leader(c)->replica.config,
-	    first->id));
+	assert_false(replica_config_is_voter(
+	    &find_leader(c)->replica.config, first->id));
 	acknowledged = highest_acknowledged(c);
 	stop_node(second);
 	run_steps(c, 500, false);
--- /dev/null
+++ b/test/unit/test_routing.c
@@ -0,0 +1,330 @@
+// Balancer, retry policy and fence on a virtual clock.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/balancer.h"
+#include "core/fence.h"
+#include "core/retry.h"
+#include "unit/support.h"
+
+#define SECOND_US 1000000LL
+
+static struct member
+make_member(const char *name, enum backend_state state)
+{
+	struct member m = {
+	    .incarnation = 1, .backend = state, .slots = 10, .peer_port = 1};
+
+	snprintf(m.name, sizeof(m.name), "%s", name);
+	strcpy(m.service, "s");
+	return m;
+}
+
+/// Six endpoints: a, b near; c, d in the region; e, f far.
+static void
+fill(struct balancer *b, int64_t now_us)
+{
+	static const char *const NAMES[] = {"a", "b", "c", "d", "e", "f"};
+	size_t i;
+
+	balancer_begin_view(b);
+	for (i = 0; i < 6; i++) {
+		struct member m = make_member(NAMES[i], BACKEND_READY);
+
+		balancer_add(b, &m, (enum distance)(i / 2), now_us);
+	}
+	balancer_end_view(b);
+}
+
+static uint32_t
+count_chosen(
+    struct balancer *b, const char *names, uint32_t tries, int64_t now_us)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < tries; i++) {
+		struct balancer_choice c =
+		    balancer_choose(b, 1, NULL, 0, now_us);
+
+		assert_non_null(c.endpoint);
+		count += strchr(names, c.endpoint->name[0]) != NULL;
+		balancer_finish(b, c.endpoint, false, now_us);
+	}
+	return count;
+}
+
+static void
+test_nearest_first_then_spill(void **state)
+{
+	struct balancer b;
+	uint32_t i;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	fill(&b, SECOND_US);
+	assert_int_equal(count_chosen(&b, "ab", 200, SECOND_US), 200);
+	// Without answers the load grows until the others are better.
+	for (i = 0; i < 60; i++)
+		balancer_choose(&b, 1, NULL, 0, SECOND_US);
+	assert_true(balancer_find(&b, "a")->outstanding >= 10);
+	assert_true(balancer_find(&b, "c")->outstanding > 0);
+	assert_true(balancer_find(&b, "a")->outstanding >
+	    balancer_find(&b, "e")->outstanding);
+	balancer_free(&b);
+}
+
+/// Load that an endpoint tells counts, also load that others put on it.
+static void
+test_reported_load(void **state)
+{
+	struct balancer b;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	fill(&b, SECOND_US);
+	balancer_report(balancer_find(&b, "a"), 10, 20);
+	assert_int_equal(count_chosen(&b, "b", 200, SECOND_US), 200);
+	balancer_free(&b);
+}
+
+static void
+test_states(void **state)
+{
+	struct member cold = make_member("a", BACKEND_COLD);
+	struct member draining = make_member("b", BACKEND_DRAINING);
+	struct balancer b;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	fill(&b, SECOND_US);
+	balancer_begin_view(&b);
+	balancer_add(&b, &cold, DISTANCE_DC, SECOND_US);
+	balancer_add(&b, &draining, DISTANCE_DC, SECOND_US);
+	balancer_end_view(&b);
+	assert_int_equal(count_chosen(&b, "a", 50, SECOND_US), 50);
+	balancer_free(&b);
+}
+
+/// A backend server that came back is eased in.
+static void
+test_slow_start(void **state)
+{
+	struct member back = make_member("a", BACKEND_READY);
+	struct balancer b;
+	uint32_t early;
+	uint32_t late;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 10 * SECOND_US);
+	fill(&b, SECOND_US);
+	back.incarnation = 2;
+	balancer_begin_view(&b);
+	balancer_add(&b, &back, DISTANCE_DC, 20 * SECOND_US);
+	back = make_member("b", BACKEND_READY);
+	balancer_add(&b, &back, DISTANCE_DC, 20 * SECOND_US);
+	balancer_end_view(&b);
+	for (early = 0; early < 11; early++)
+		balancer_choose(&b, 1, NULL, 0, 20 * SECOND_US);
+	early = balancer_find(&b, "a")->outstanding;
+	for (late = 0; late < 11; late++)
+		balancer_choose(&b, 1, NULL, 0, 40 * SECOND_US);
+	late = balancer_find(&b, "a")->outstanding - early;
+	assert_in_range(early, 0, 2);
+	assert_in_range(late, 5, 11);
+	balancer_free(&b);
+}
+
+static void
+fail_often(struct balancer *b, const char *name, uint32_t times, int64_t now_us)
+{
+	struct endpoint *e = balancer_find(b, name);
+
+	while (times-- > 0) {
+		e->outstanding++;
+		balancer_finish(b, e, true, now_us);
+	}
+}
+
+/// At most half of a service is ejected, however many fail; and one that was
+/// ejected comes back.
+static void
+test_ejection_is_bounded(void **state)
+{
+	static const char *const NAMES[] = {"a", "b", "c", "d", "e", "f"};
+	struct balancer b;
+	uint32_t ejected = 0;
+	size_t i;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	fill(&b, SECOND_US);
+	for (i = 0; i < 6; i++)
+		fail_often(&b, NAMES[i], 20, SECOND_US);
+	for (i = 0; i < 6; i++)
+		ejected +=
+		    balancer_find(&b, NAMES[i])->ejected_until_deadline_us >
+		    SECOND_US;
+	assert_int_equal(ejected, 3);
+	assert_int_equal(count_chosen(&b, "ab", 50, SECOND_US), 0);
+	assert_int_equal(count_chosen(&b, "ab", 50, 100 * SECOND_US), 50);
+	balancer_free(&b);
+}
+
+/// A queue that is full for one rank is not avoided by a rank of more worth;
+/// with all busy the caller is told until when.
+static void
+test_busy_by_worth(void **state)
+{
+	static const char *const NAMES[] = {"a", "b", "c", "d", "e", "f"};
+	struct balancer_choice c;
+	struct balancer b;
+	size_t i;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	fill(&b, SECOND_US);
+	for (i = 0; i < 6; i++)
+		balancer_set_busy(balancer_find(&b, NAMES[i]), 5,
+		    SECOND_US + 1000 * (int64_t)(i + 1));
+	c = balancer_choose(&b, 5, NULL, 0, SECOND_US);
+	assert_null(c.endpoint);
+	assert_int_equal(c.busy_until_deadline_us, SECOND_US + 1000);
+	c = balancer_choose(&b, 6, NULL, 0, SECOND_US);
+	assert_non_null(c.endpoint);
+	c = balancer_choose(&b, 5, NULL, 0, SECOND_US + 1001);
+	assert_string_equal(c.endpoint->name, "a");
+	balancer_free(&b);
+}
+
+static void
+test_retry_safety(void **state)
+{
+	struct retry_request q = {.outcome = OUTCOME_UNKNOWN,
+	    .body_kept = true,
+	    .attempts = 1,
+	    .deadline_us = 100};
+	struct retry_budget budget;
+
+	(void)state;
+	retry_budget_init(&budget);
+	assert_false(retry_decide(&budget, &q, 1));
+	q.repeatable = true;
+	assert_true(retry_decide(&budget, &q, 1));
+	q.body_kept = false;
+	assert_false(retry_decide(&budget, &q, 1));
+	q.body_kept = true;
+	q.repeatable = false;
+	q.outcome = OUTCOME_NOT_RUN;
+	assert_true(retry_decide(&budget, &q, 1));
+	assert_false(retry_decide(&budget, &q, 100));
+	q.attempts = 3;
+	assert_false(retry_decide(&budget, &q, 1));
+	q.outcome = OUTCOME_ANSWERED;
+	q.attempts = 1;
+	assert_false(retry_decide(&budget, &q, 1));
+}
+
+/// However much fails, retries stay a fifth of the requests.
+static void
+test_retry_budget(void **state)
+{
+	struct retry_request q = {.outcome = OUTCOME_NOT_RUN,
+	    .body_kept = true,
+	    .attempts = 1,
+	    .deadline_us = 100};
+	struct retry_budget budget;
+	uint32_t retries = 0;
+	uint32_t i;
+
+	(void)state;
+	retry_budget_init(&budget);
+	for (i = 0; i < 10000; i++) {
+		retry_budget_earn(&budget);
+		retries += retry_decide(&budget, &q, 1);
+	}
+	assert_in_range(retries, 1900, 2100);
+}
+
+static void
+test_fence(void **state)
+{
+	struct fence *f = malloc(sizeof(*f));
+	int64_t t = 100 * SECOND_US;
+
+	(void)state;
+	fence_init(f, SECOND_US);
+	assert_true(fence_admit_stream(f, "i", 7, 1));
+	fence_arrive(f, fence_key("i", 7, 1), t);
+	fence_arrive(f, fence_key("i", 7, 2), t);
+	fence_ran(f, fence_key("i", 7, 2));
+	assert_true(fence_admit_stream(f, "i", 7, 2));
+	// Arrived and did not run; ran; never arrived.
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 2, 1, SECOND_US, t), OUTCOME_NOT_RUN);
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 2, 2, SECOND_US, t), OUTCOME_UNKNOWN);
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 2, 3, SECOND_US, t), OUTCOME_NOT_RUN);
+	// The stream of before is shut out for good, as is a late hello.
+	assert_false(fence_admit_stream(f, "i", 7, 1));
+	assert_true(fence_admit_stream(f, "i", 7, 2));
+	// An earlier process of the ingress is, too; a later one is not.
+	assert_false(fence_admit_stream(f, "i", 6, 9));
+	assert_true(fence_admit_stream(f, "i", 8, 1));
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 3, 1, SECOND_US, t), OUTCOME_UNKNOWN);
+	fence_free(f);
+	free(f);
+}
+
+/// What may have been evicted, or came before this process, is not "not run".
+static void
+test_fence_forgets_honestly(void **state)
+{
+	struct fence *f = malloc(sizeof(*f));
+	int64_t t = 100 * SECOND_US;
+	uint64_t id;
+
+	(void)state;
+	fence_init(f, t);
+	fence_admit_stream(f, "i", 7, 1);
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 1, 1, SECOND_US, t), OUTCOME_UNKNOWN);
+	t += 10 * SECOND_US;
+	fence_arrive(f, fence_key("i", 7, 1), t);
+	fence_ran(f, fence_key("i", 7, 1));
+	for (id = 2; id <= FENCE_SEEN_COUNT + 1; id++)
+		fence_arrive(f, fence_key("i", 7, id), t + 1);
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 1, 1, 2 * SECOND_US, t + 2 * SECOND_US),
+	    OUTCOME_UNKNOWN);
+	assert_int_equal(fence_ask(f, "i", 7, 1, FENCE_SEEN_COUNT + 1,
+			     2 * SECOND_US, t + 2 * SECOND_US),
+	    OUTCOME_NOT_RUN);
+	assert_int_equal(
+	    fence_ask(f, "i", 7, 1, 99999, SECOND_US, t + 10 * SECOND_US),
+	    OUTCOME_NOT_RUN);
+	fence_free(f);
+	free(f);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_nearest_first_then_spill),
+	    cmocka_unit_test(test_reported_load),
+	    cmocka_unit_test(test_states),
+	    cmocka_unit_test(test_slow_start),
+	    cmocka_unit_test(test_ejection_is_bounded),
+	    cmocka_unit_test(test_busy_by_worth),
+	    cmocka_unit_test(test_retry_safety),
+	    cmocka_unit_test(test_retry_budget),
+	    cmocka_unit_test(test_fence),
+	    cmocka_unit_test(test_fence_forgets_honestly),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_wire.c
@@ -0,0 +1,175 @@
+// Messages: round trips, and bytes that are not messages.
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/random.h"
+#include "unit/support.h"
+#include "wire/gossip_codec.h"
+#include "wire/messages.h"
+#include "wire/request_copy.h"
+
+static void
+pack_request(msgpack_sbuffer *out)
+{
+	struct message_header headers[2];
+	struct message_request m = {.id = 7,
+	    .egress_incarnation = 9,
+	    .deadline_left_us = -5,
+	    .once = 1,
+	    .total_bytes = -1};
+
+	headers[0].name = bytes_from("A");
+	headers[0].value = bytes_from("");
+	headers[1].name = bytes_from("B");
+	headers[1].value = bytes_from("two");
+	m.method = bytes_from("POST");
+	m.target = bytes_from("/x?y");
+	m.body = bytes_from("body");
+	m.headers.items = headers;
+	m.headers.count = 2;
+	msgpack_sbuffer_init(out);
+	message_pack(out, MESSAGE_REQUEST, &m);
+}
+
+static void
+check_request(const struct message_request *m)
+{
+	const struct message_header *h = m->headers.items;
+	struct bytes value;
+
+	assert_int_equal(m->id, 7);
+	assert_int_equal(m->deadline_left_us, -5);
+	assert_int_equal(m->total_bytes, -1);
+	assert_int_equal(m->headers.count, 2);
+	assert_memory_equal(h[1].value.data, "two", 3);
+	assert_memory_equal(m->target.data, "/x?y", 4);
+	assert_true(header_list_find(&m->headers, "b", &value));
+	assert_false(header_list_find(&m->headers, "c", &value));
+}
+
+static void
+test_round_trip(void **state)
+{
+	struct message_request *copy;
+	struct message m;
+	struct error err;
+	msgpack_sbuffer out;
+
+	(void)state;
+	pack_request(&out);
+	assert_int_equal(message_unpack(&m, out.data, out.size, &err), 0);
+	assert_int_equal(m.type, MESSAGE_REQUEST);
+	check_request(&m.u.request);
+	copy = message_request_copy(&m.u.request);
+	message_free(&m);
+	memset(out.data, 0, out.size);
+	check_request(copy);
+	free(copy);
+	msgpack_sbuffer_destroy(&out);
+}
+
+/// Every cut and a random flip of each byte are refused or give a whole
+/// message; none reads outside its bytes (the sanitizers look).
+static void
+test_damaged(void **state)
+{
+	struct random random = {3, 0};
+	struct message m;
+	struct error err;
+	msgpack_sbuffer out;
+	size_t i;
+	int round;
+
+	(void)state;
+	pack_request(&out);
+	for (i = 0; i < out.size; i++) {
+		char *part = malloc(i + 1);
+
+		memcpy(part, out.data, i);
+		assert_int_equal(message_unpack(&m, part, i, &err), -1);
+		free(part);
+	}
+	for (i = 0; i < out.size; i++)
+		for (round = 0; round < 20; round++) {
+			char saved = out.data[i];
+
+			out.data[i] = (char)random_next(&random);
+			if (message_unpack(&m, out.data, out.size, &err) == 0)
+				message_free(&m);
+			out.data[i] = saved;
+		}
+	msgpack_sbuffer_destroy(&out);
+}
+
+static void
+test_gossip(void **state)
+{
+	struct gossip g = {
+	    .kind = GOSSIP_ACK, .sequence = 5, .update_count = 2};
+	struct gossip got;
+	struct message m;
+	struct error err;
+	msgpack_sbuffer out;
+
+	(void)state;
+	strcpy(g.from.name, "n1");
+	strcpy(g.from.host, "127.0.0.1");
+	strcpy(g.updates[0].name, "n2");
+	strcpy(g.updates[1].name, "n3");
+	g.updates[1].status = MEMBER_DEAD;
+	g.updates[1].version = 41;
+	msgpack_sbuffer_init(&out);
+	gossip_pack(&out, &g);
+	assert_int_equal(message_unpack(&m, out.data, out.size, &err), 0);
+	assert_int_equal(gossip_from_message(&m.u.gossip, &got, &err), 0);
+	assert_string_equal(got.updates[1].name, "n3");
+	assert_int_equal(got.updates[1].status, MEMBER_DEAD);
+	assert_int_equal(got.updates[1].version, 41);
+	m.u.gossip.from.name.size_bytes = 0;
+	assert_int_equal(gossip_from_message(&m.u.gossip, &got, &err), -1);
+	message_free(&m);
+	msgpack_sbuffer_destroy(&out);
+}
+
+/// The largest gossip message fits a datagram with common name lengths.
+static void
+test_gossip_fits_datagram(void **state)
+{
+	struct gossip g = {.kind = GOSSIP_NOTICE,
+	    .sequence = UINT64_MAX,
+	    .update_count = GOSSIP_MAX_UPDATES};
+	msgpack_sbuffer out;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i <= GOSSIP_MAX_UPDATES; i++) {
+		struct member *m =
+		    i == GOSSIP_MAX_UPDATES ? &g.from : &g.updates[i];
+
+		strcpy(m->name, "vm-0123456789.north");
+		strcpy(m->host, "255.255.255.255");
+		strcpy(m->region, "westside");
+		strcpy(m->dc, "westside-1");
+		strcpy(m->service, "breakbook-edge");
+		m->control_port = m->peer_port = 65535;
+		m->incarnation = m->version = UINT64_MAX;
+		m->revision = m->slots = m->load_pct = UINT32_MAX;
+	}
+	msgpack_sbuffer_init(&out);
+	gossip_pack(&out, &g);
+	assert_true(out.size <= DATAGRAM_MAX_BYTES);
+	msgpack_sbuffer_destroy(&out);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_round_trip),
+	    cmocka_unit_test(test_damaged),
+	    cmocka_unit_test(test_gossip),
+	    cmocka_unit_test(test_gossip_fits_datagram),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
