--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -56,6 +56,10 @@
 	struct loop_timer lease_timer;
 	struct loop_timer drain_timer;
 	struct floor floor;
+	/// Sources as the sources tell them, which may have been replaced
+	/// since the settings were written.
+	struct address learned_sources[CONTROL_MAX_SOURCES];
+	uint32_t learned_count;
 	struct egress_backend backend;
 	struct address bound_control;
 	struct address bound_admin;
--- a/src/proxy/distribution.c
+++ b/src/proxy/distribution.c
@@ -89,6 +89,33 @@
 	rules_send(stream, pull, control->rules, control->previous);
 }
 
+static void
+learn_sources(struct control *control, const struct list *sources)
+{
+	const struct message_address *items = sources->items;
+	char text[ADDRESS_TEXT_BYTES];
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < sources->count && count < CONTROL_MAX_SOURCES; i++)
+		if (bytes_copy(items[i].text, text, sizeof(text)) == 0 &&
+		    address_parse(text, &control->learned_sources[count]) == 0)
+			count++;
+	control->learned_count = count;
+}
+
+static bool
+is_in_settings(const struct control *control, const struct address *source)
+{
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		if (memcmp(&control->settings.sources[i].in, &source->in,
+			sizeof(source->in)) == 0)
+			return true;
+	return false;
+}
+
 void
 distribution_heard_source(
     struct control *control, const struct message_report_answer *answer)
@@ -99,6 +126,7 @@
 	    .is_source = true};
 	struct member at = {0};
 
+	learn_sources(control, &answer->sources);
 	if (answer->version_seen > control->membership.version_floor)
 		control->membership.version_floor = answer->version_seen;
 	if (answer->accepted_version == 0 ||
@@ -129,6 +157,10 @@
 	for (i = 0; i < control->settings.source_count; i++)
 		datagram_send(&control->udp, &control->settings.sources[i],
 		    out.data, out.size);
+	for (i = 0; i < control->learned_count; i++)
+		if (!is_in_settings(control, &control->learned_sources[i]))
+			datagram_send(&control->udp,
+			    &control->learned_sources[i], out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
--- a/src/proxy/once_client.c
+++ b/src/proxy/once_client.c
@@ -16,6 +16,7 @@
 #define TICK_US		 (10 * US_PER_MS)
 #define SETTLE_LIMIT_US	 (10 * US_PER_S)
 #define CLAIM_MARGIN_US	 (5 * US_PER_MS)
+#define CLAIM_LIMIT_US	 (3 * US_PER_S)
 #define MAX_RECORD_BYTES (64u * 1024)
 
 COUNTER_DEFINE(count_claims, "once_claims", "Claims sent to the ledger");
@@ -38,7 +39,8 @@
 	uint64_t id;
 	uint64_t sequence; ///< Of the message that awaits an answer.
 	uint64_t body_hash;
-	int64_t deadline_us;
+	int64_t request_deadline_us;
+	int64_t deadline_us; ///< Of what the state waits for.
 	int64_t send_deadline_us; ///< When to send (again).
 	once_verdict_fn *fn;
 	void *arg;
@@ -223,6 +225,7 @@
 		c->send_deadline_us = DEADLINE_NEVER_US;
 	} else if (verdict == ONCE_IN_PROGRESS) {
 		c->state = CLAIM_POLLING;
+		c->deadline_us = c->request_deadline_us;
 		c->send_deadline_us = loop_now_us(c->client->loop) + POLL_US;
 	} else {
 		c->state = CLAIM_ENDED;
@@ -406,7 +409,10 @@
 	client->first = c;
 	c->id = random_next(&client->random) | 1;
 	c->body_hash = hash_request(request);
-	c->deadline_us = deadline_us - CLAIM_MARGIN_US;
+	c->request_deadline_us = deadline_us - CLAIM_MARGIN_US;
+	c->deadline_us = loop_now_us(client->loop) + CLAIM_LIMIT_US;
+	if (c->deadline_us > c->request_deadline_us)
+		c->deadline_us = c->request_deadline_us;
 	c->fn = fn;
 	c->arg = arg;
 	c->scope = copy_bytes(request->service);
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -30,8 +30,15 @@
 	    .version_seen = version_seen,
 	    .control_port = ntohs(source->bound_control.in.sin_port),
 	};
+	const struct replica_config *config = &source->host.replica.config;
+	struct message_address sources[REPLICA_MAX_VOTERS];
 	msgpack_sbuffer out;
+	uint32_t i;
 
+	for (i = 0; i < config->voter_count; i++)
+		sources[i].text = bytes_from(config->voters[i].address);
+	answer.sources.items = sources;
+	answer.sources.count = config->voter_count;
 	answer.host = bytes_from(source->settings.host);
 	answer.region = bytes_from(source->settings.region);
 	answer.dc = bytes_from(source->settings.dc);
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -51,6 +51,12 @@
 static const struct codec_schema report_schema =
     CODEC_SCHEMA(struct message_report, report_fields);
 
+static const struct codec_field address_fields[] = {
+    F(message_address, BYTES, text),
+};
+static const struct codec_schema address_schema =
+    CODEC_SCHEMA(struct message_address, address_fields);
+
 static const struct codec_field report_answer_fields[] = {
     F(message_report_answer, U64, accepted_version),
     F(message_report_answer, U64, version_seen),
@@ -58,6 +64,7 @@
     F(message_report_answer, U32, control_port),
     F(message_report_answer, BYTES, region),
     F(message_report_answer, BYTES, dc),
+    N(message_report_answer, LIST, sources, &address_schema),
 };
 static const struct codec_schema report_answer_schema =
     CODEC_SCHEMA(struct message_report_answer, report_answer_fields);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -102,6 +102,11 @@
 	uint32_t control_port;
 	struct bytes region;
 	struct bytes dc;
+	struct list sources; ///< of struct message_address: all replicas now.
+};
+
+struct message_address {
+	struct bytes text; ///< "IP:port"
 };
 
 /// Asks for the rules if newer than what the caller has.
