--- a/src/core/error.c
+++ b/src/core/error.c
@@ -37,6 +37,8 @@
 		return "conflict";
 	case ERR_UNAVAILABLE:
 		return "unavailable";
+	case ERR_TIMEOUT:
+		return "timeout";
 	case ERR_TOO_LARGE:
 		return "too large";
 	}
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -16,6 +16,7 @@
 	ERR_CORRUPT,	 ///< Stored or received bytes fail their checksum.
 	ERR_CONFLICT,	 ///< Another value won.
 	ERR_UNAVAILABLE, ///< Cannot be done now; may succeed later.
+	ERR_TIMEOUT,	 ///< A deadline passed.
 	ERR_TOO_LARGE,	 ///< A stated bound would be exceeded.
 };
 
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -79,8 +79,9 @@
 
 	snprintf(url, sizeof(url), "%.*s", (int)sizeof(url) - 1, call->url);
 	if (code != CURLE_OK)
-		error_set(
-		    &err, ERR_IO, step, url, "%s", curl_easy_strerror(code));
+		error_set(&err,
+		    code == CURLE_OPERATION_TIMEDOUT ? ERR_TIMEOUT : ERR_IO,
+		    step, url, "%s", curl_easy_strerror(code));
 	call_release(call);
 	call->ops->on_done(call, code == CURLE_OK ? NULL : &err);
 }
@@ -140,6 +141,8 @@
 	(void)multi;
 	loop_timer_clear(httpc->loop, &httpc->timer);
 	httpc->run_now = timeout_ms == 0;
+	if (httpc->run_now)
+		loop_wake_hooks(httpc->loop);
 	if (timeout_ms > 0)
 		loop_timer_set(httpc->loop, &httpc->timer,
 		    loop_now_us(httpc->loop) + timeout_ms * US_PER_MS);
@@ -474,6 +477,7 @@
 		return;
 	curl_easy_pause(call->easy, CURLPAUSE_CONT);
 	call->httpc->check_done = true;
+	loop_wake_hooks(call->httpc->loop);
 }
 
 void
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -73,6 +73,7 @@
 		return;
 	x->suspended = false;
 	x->pub.httpd->ready = true;
+	loop_wake_hooks(x->pub.httpd->loop);
 	MHD_resume_connection(x->connection);
 }
 
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -14,6 +14,7 @@
 
 #define POLL_BATCH   256
 #define MAX_WAIT_US  (1 * US_PER_S)
+#define MAX_HOOK_PASSES 16
 #define LOG_FLUSH_US (20 * US_PER_MS)
 
 /// One descriptor number; kept for good, so that poll results stay valid.
@@ -46,6 +47,7 @@
 	uint32_t heap_count;
 	uint32_t heap_capacity;
 	struct loop_hook *hooks;
+	bool hooks_woken;
 	int64_t now_us;
 	int64_t log_flush_deadline_us;
 	atomic_bool stopping;
@@ -321,8 +323,14 @@
 	loop->deferred.count = 0;
 }
 
+void
+loop_wake_hooks(struct loop *loop)
+{
+	loop->hooks_woken = true;
+}
+
 static int64_t
-run_hooks(struct loop *loop)
+run_hooks_once(struct loop *loop)
 {
 	int64_t deadline_us = DEADLINE_NEVER_US;
 	struct loop_hook *hook;
@@ -336,6 +344,23 @@
 	return deadline_us;
 }
 
+/// Runs the hooks until none makes work for another.
+static int64_t
+run_hooks(struct loop *loop)
+{
+	int64_t deadline_us = 0;
+	int passes;
+
+	for (passes = 0; passes < MAX_HOOK_PASSES; passes++) {
+		loop->hooks_woken = false;
+		deadline_us = run_hooks_once(loop);
+		run_deferred(loop);
+		if (!loop->hooks_woken)
+			return deadline_us;
+	}
+	return 0;
+}
+
 static void
 flush_log(struct loop *loop)
 {
@@ -409,7 +434,6 @@
 		run_timers(loop);
 		run_deferred(loop);
 		deadline_us = run_hooks(loop);
-		run_deferred(loop);
 		flush_log(loop);
 		poll_once(loop, wait_time_us(loop, deadline_us));
 	}
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -62,6 +62,10 @@
 
 void loop_hook_add(struct loop *loop, struct loop_hook *hook);
 
+/// Has all hooks called once more before the loop waits. For work that one
+/// hook makes for another.
+void loop_wake_hooks(struct loop *loop);
+
 /// Removes a hook; not to be called from a hook.
 void loop_hook_remove(struct loop *loop, struct loop_hook *hook);
 
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -205,7 +205,8 @@
 {
 	struct egress *egress = r->egress;
 	int64_t now_us = loop_now_us(egress->loop);
-	bool late = now_us >= r->item.deadline_us;
+	bool late = now_us >= r->item.deadline_us ||
+	    (err != NULL && err->code == ERR_TIMEOUT);
 
 	admission_finish(&egress->admission, &r->item, now_us);
 	if (err != NULL)
--- a/src/proxy/once_client.c
+++ b/src/proxy/once_client.c
@@ -40,7 +40,7 @@
 	uint64_t sequence; ///< Of the message that awaits an answer.
 	uint64_t body_hash;
 	int64_t request_deadline_us;
-	int64_t deadline_us; ///< Of what the state waits for.
+	int64_t deadline_us;	  ///< Of what the state waits for.
 	int64_t send_deadline_us; ///< When to send (again).
 	once_verdict_fn *fn;
 	void *arg;
