--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -19,7 +19,6 @@
 PORT_CONTROL=7003
 PORT_ADMIN=7004
 PORT_HTTP=7005
-PORT_LEDGER=7006
 
 mesh_init() {
 	MESH_BIN=$1/bin
@@ -48,7 +47,7 @@
 mesh_ledger_list() {
 	for i in $(seq 1 "$MESH_LEDGERS"); do
 		printf '%s"%s:%s"' "$([ "$i" = 1 ] || echo ,)" \
-		    "$(mesh_host $((210 + i)))" $PORT_LEDGER
+		    "$(mesh_host $((210 + i)))" $PORT_CONTROL
 	done
 }
 
@@ -136,13 +135,11 @@
   $(mesh_log_json "ledger-$1"),
   "listen": {
     "control": "$(mesh_host $((210 + $1))):$PORT_CONTROL",
-    "clients": "$(mesh_host $((210 + $1))):$PORT_LEDGER",
     "admin": "$(mesh_host $((210 + $1))):$PORT_ADMIN"
   },
   "data_path": "$MESH_DIR/ledger-$1.data",
   "cluster": "mesh", "id": $1,
   "replicas": [$(mesh_replica_list 210 "$MESH_LEDGERS" $PORT_CONTROL)],
-  "clients": [$(mesh_replica_list 210 "$MESH_LEDGERS" $PORT_LEDGER)],
   "election_ms": ${MESH_ELECTION_MS:-400}, "heartbeat_ms": ${MESH_HEARTBEAT_MS:-60}
 }
 END
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -5,6 +5,7 @@
 #include "core/admission.h"
 
 #define MEAN_WEIGHT	 16
+#define IDLE_CREDITS	 2
 #define CREDIT_MAX_US	 2000000LL
 #define SERVICE_GUESS_US 5000LL
 #define PERCENT		 100
@@ -133,20 +134,30 @@
 	a->queued_bytes -= item->size_bytes;
 }
 
-/// Limits a credit: what a rank used beyond its share is not a debt, and what
-/// it did not use does not pile up.
+static int64_t
+service_guess_us(const struct admission_rank *r)
+{
+	return r->service_us > 0 ? r->service_us : SERVICE_GUESS_US;
+}
+
+/// Changes a credit within its limits: what a rank used beyond its share is
+/// not a debt, and what it did not use while it had no work is worth two
+/// requests at most.
 static void
 add_credit(struct admission_rank *r, int64_t time_us)
 {
+	int64_t max_us =
+	    r->queued > 0 ? CREDIT_MAX_US : IDLE_CREDITS * service_guess_us(r);
+
 	r->credit_us += time_us;
 	if (r->credit_us < 0)
 		r->credit_us = 0;
-	if (r->credit_us > CREDIT_MAX_US)
-		r->credit_us = CREDIT_MAX_US;
+	if (r->credit_us > max_us)
+		r->credit_us = max_us;
 }
 
-/// Brings the slot time owed to each rank up to date: a rank with work
-/// waiting earns its kept share of all slot time, and pays for each start.
+/// Brings the slot time owed to each rank up to date: each earns its kept
+/// share of all slot time, and pays for each start.
 static void
 update_credits(struct admission *a, int64_t now_us)
 {
@@ -159,18 +170,10 @@
 	for (i = 0; i < a->rank_count; i++) {
 		struct admission_rank *r = &a->ranks[i];
 
-		if (r->queued > 0)
-			add_credit(
-			    r, passed_us * r->keep_pct * a->slots / PERCENT);
+		add_credit(r, passed_us * r->keep_pct * a->slots / PERCENT);
 	}
 }
 
-static int64_t
-service_guess_us(const struct admission_rank *r)
-{
-	return r->service_us > 0 ? r->service_us : SERVICE_GUESS_US;
-}
-
 static int
 pick_keep(struct admission *a, int64_t now_us)
 {
@@ -241,15 +244,17 @@
 	return (int64_t)(r->queued + 1) * start_gap_us(a, r);
 }
 
-/// Wait that a request of a rank may face: its target, within its deadline.
+/// Wait that a request of a rank may face when it comes: half of what its
+/// target leaves besides its service, since the estimate is but a mean; and
+/// within its deadline.
 static int64_t
 wait_limit_us(const struct admission_rank *r, const struct admission_item *item,
     int64_t now_us)
 {
 	int64_t left_us = item->deadline_us - now_us - service_guess_us(r);
+	int64_t target_us = (r->target_us - service_guess_us(r)) / 2;
 
-	return left_us < r->target_us || r->target_us == 0 ? left_us
-							   : r->target_us;
+	return r->target_us > 0 && target_us < left_us ? target_us : left_us;
 }
 
 static bool
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -2,8 +2,8 @@
 /// Admission to the slots of one backend server, by rank.
 ///
 /// Each rank has a queue in order of arrival. A free slot goes first to a
-/// rank that has got less than its kept share of slot time while it had work
-/// waiting, then to the rank of highest worth. A rank may queue no more than
+/// rank that has got less than its kept share of slot time, then to the rank of
+/// highest worth. A rank may queue no more than
 /// there is room left, so that no flood takes the whole queue.
 #ifndef MV_CORE_ADMISSION_H
 #define MV_CORE_ADMISSION_H
--- a/src/core/balancer.c
+++ b/src/core/balancer.c
@@ -181,10 +181,18 @@
 	return also_ejected || e->ejected_until_deadline_us <= now_us;
 }
 
-static bool
-is_busy(const struct endpoint *e, uint32_t worth, int64_t now_us)
+/// Time until which an endpoint has no room for the rank of a worth; 0 if it
+/// may have.
+static int64_t
+busy_until_us(const struct endpoint *e, uint32_t worth, int64_t now_us)
 {
-	return worth <= e->busy_worth && e->busy_until_deadline_us > now_us;
+	uint32_t i;
+
+	for (i = 0; i < BALANCER_BUSY_MARKS; i++)
+		if (e->busy[i].worth == worth &&
+		    e->busy[i].until_deadline_us > now_us)
+			return e->busy[i].until_deadline_us;
+	return 0;
 }
 
 /// What a search looks for.
@@ -208,16 +216,16 @@
 
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
+		int64_t busy_us;
 		uint32_t at;
 
 		if (!is_usable(e, q->also_ejected, q->now_us) ||
 		    was_tried(e, q->tried, q->tried_count))
 			continue;
-		if (is_busy(e, q->worth, q->now_us)) {
-			if (e->busy_until_deadline_us <
-			    choice.busy_until_deadline_us)
-				choice.busy_until_deadline_us =
-				    e->busy_until_deadline_us;
+		busy_us = busy_until_us(e, q->worth, q->now_us);
+		if (busy_us > 0) {
+			if (busy_us < choice.busy_until_deadline_us)
+				choice.busy_until_deadline_us = busy_us;
 			continue;
 		}
 		choice.candidates++;
@@ -312,6 +320,18 @@
 void
 balancer_set_busy(struct endpoint *e, uint32_t worth, int64_t until_deadline_us)
 {
-	e->busy_worth = worth;
-	e->busy_until_deadline_us = until_deadline_us;
+	uint32_t oldest = 0;
+	uint32_t i;
+
+	for (i = 0; i < BALANCER_BUSY_MARKS; i++) {
+		if (e->busy[i].worth == worth) {
+			oldest = i;
+			break;
+		}
+		if (e->busy[i].until_deadline_us <
+		    e->busy[oldest].until_deadline_us)
+			oldest = i;
+	}
+	e->busy[oldest].worth = worth;
+	e->busy[oldest].until_deadline_us = until_deadline_us;
 }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -11,6 +11,15 @@
 #include "core/outcome.h"
 #include "core/random.h"
 
+#define BALANCER_BUSY_MARKS 8
+
+/// A rank that an egress has no room for until a time. Each rank has its own
+/// queue and share there, so one says nothing of another.
+struct busy_mark {
+	uint32_t worth;
+	int64_t until_deadline_us;
+};
+
 /// One backend server as seen from this ingress.
 struct endpoint {
 	char name[MEMBER_NAME_BYTES];
@@ -29,8 +38,7 @@
 	uint32_t failures_in_row;
 	uint32_t ejections;
 	int64_t ejected_until_deadline_us;
-	int64_t busy_until_deadline_us;
-	uint32_t busy_worth;	  ///< Ranks up to this worth are refused there.
+	struct busy_mark busy[BALANCER_BUSY_MARKS];
 	int64_t warm_deadline_us; ///< End of the slow start.
 };
 
@@ -88,7 +96,7 @@
 void balancer_report(
     struct endpoint *endpoint, uint32_t running, uint32_t queued);
 
-/// Avoids an endpoint until a time, for requests up to a worth.
+/// Avoids an endpoint until a time, for requests of the rank of a worth.
 void balancer_set_busy(
     struct endpoint *endpoint, uint32_t worth, int64_t until_deadline_us);
 
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -2,315 +2,22 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
-#include "core/membership.h"
+#include "core/membership_internal.h"
 
-#define TRANSMIT_FACTOR	   3
 #define NOTICE_FANOUT	   3
 #define VERSION_FANOUT	   4
-#define CROSSING_MEMBERS   3
-#define MAX_DCS		   32
 #define REGION_PROBE_EVERY 4
 #define FAR_PROBE_EVERY	   8
 #define DEADLINE_NONE	   INT64_MAX
 
-static uint32_t
-log2_ceil(uint32_t n)
-{
-	uint32_t bits = 1;
-
-	while (n > (1u << bits))
-		bits++;
-	return bits;
-}
-
-/// Times that a change is sent so that it reaches all with high probability.
-static uint32_t
-transmit_limit(const struct membership *m)
-{
-	return TRANSMIT_FACTOR * log2_ceil(m->peer_count + 2);
-}
-
-/// Lower bound of a name's position among the sorted peers.
-static uint32_t
-peer_position(const struct membership *m, const char *name)
-{
-	uint32_t low = 0;
-	uint32_t high = m->peer_count;
-
-	while (low < high) {
-		uint32_t mid = (low + high) / 2;
-
-		if (strcmp(m->peers[mid]->member.name, name) < 0)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	return low;
-}
-
-static struct peer *
-peer_find(const struct membership *m, const char *name)
-{
-	uint32_t i = peer_position(m, name);
-
-	if (i == m->peer_count || strcmp(m->peers[i]->member.name, name) != 0)
-		return NULL;
-	return m->peers[i];
-}
-
-static struct peer *
-peer_insert(struct membership *m, const char *name)
-{
-	uint32_t at = peer_position(m, name);
-	struct peer *peer = calloc(1, sizeof(*peer));
-
-	assert(peer != NULL);
-	if (m->peer_count == m->peer_capacity) {
-		m->peer_capacity = m->peer_capacity ? m->peer_capacity * 2 : 32;
-		m->peers =
-		    realloc(m->peers, m->peer_capacity * sizeof(*m->peers));
-		assert(m->peers != NULL);
-	}
-	memmove(m->peers + at + 1, m->peers + at,
-	    (m->peer_count - at) * sizeof(*m->peers));
-	m->peers[at] = peer;
-	m->peer_count++;
-	peer->forget_deadline_us = DEADLINE_NONE;
-	return peer;
-}
-
-static void
-peer_remove(struct membership *m, uint32_t at)
-{
-	free(m->peers[at]);
-	m->peer_count--;
-	memmove(m->peers + at, m->peers + at + 1,
-	    (m->peer_count - at) * sizeof(*m->peers));
-}
-
-static bool
-is_up(const struct member *member)
-{
-	return member->status <= MEMBER_SUSPECT;
-}
-
-enum distance
-membership_distance(const struct membership *m, const struct member *member)
-{
-	if (strcmp(m->self.region, member->region) != 0)
-		return DISTANCE_FAR;
-	if (strcmp(m->self.dc, member->dc) != 0)
-		return DISTANCE_REGION;
-	return DISTANCE_DC;
-}
-
-const struct member *
-membership_find(const struct membership *m, const char *name)
-{
-	const struct peer *peer = peer_find(m, name);
-
-	if (peer != NULL)
-		return &peer->member;
-	return strcmp(name, m->self.name) == 0 ? &m->self : NULL;
-}
-
-uint32_t
-membership_alive_count(const struct membership *m)
-{
-	uint32_t count = 1;
-	uint32_t i;
-
-	for (i = 0; i < m->peer_count; i++)
-		count += is_up(&m->peers[i]->member);
-	return count;
-}
-
-static uint64_t
-hash_member(const struct member *member)
-{
-	struct {
-		uint64_t name;
-		uint64_t incarnation;
-		uint32_t revision;
-		uint32_t status;
-	} key;
-
-	key.name = XXH3_64bits(member->name, strlen(member->name));
-	key.incarnation = member->incarnation;
-	key.revision = member->revision;
-	key.status = member->status;
-	return XXH3_64bits(&key, sizeof(key));
-}
-
-uint64_t
-membership_digest(const struct membership *m)
-{
-	uint64_t digest = hash_member(&m->self);
-	uint32_t i;
-
-	for (i = 0; i < m->peer_count; i++)
-		if (is_up(&m->peers[i]->member))
-			digest ^= hash_member(&m->peers[i]->member);
-	return digest;
-}
-
-/// Pending record that was sent least and is not in this message yet.
-static struct peer *
-next_update(const struct membership *m)
-{
-	struct peer *best = NULL;
-	uint32_t i;
-
-	for (i = 0; i < m->peer_count; i++) {
-		struct peer *p = m->peers[i];
-
-		if (p->transmits_left == 0 || p->pack_round == m->pack_round)
-			continue;
-		if (best == NULL || p->sends < best->sends)
-			best = p;
-	}
-	return best;
-}
-
-static void
-add_updates(struct membership *m, struct gossip *g)
-{
-	m->pack_round++;
-	while (g->update_count < GOSSIP_MAX_UPDATES) {
-		struct peer *peer = next_update(m);
-
-		if (peer == NULL)
-			return;
-		g->updates[g->update_count++] = peer->member;
-		peer->pack_round = m->pack_round;
-		peer->sends++;
-		peer->transmits_left--;
-	}
-}
-
-static void
-send_gossip(
-    struct membership *m, const char *host, uint32_t port, struct gossip *g)
-{
-	g->from = m->self;
-	g->digest = membership_digest(m);
-	add_updates(m, g);
-	m->ops->send(m, host, port, g);
-}
-
-static bool
-has_news(const struct membership *m)
-{
-	uint32_t i;
-
-	if (m->self_transmits_left > 0)
-		return true;
-	for (i = 0; i < m->peer_count; i++)
-		if (m->peers[i]->transmits_left > 0)
-			return true;
-	return false;
-}
-
-static void
-send_simple(struct membership *m, const struct member *to,
-    enum gossip_kind kind, uint64_t sequence)
-{
-	struct gossip g = {.kind = kind, .sequence = sequence};
-
-	send_gossip(m, to->host, to->control_port, &g);
-}
-
-/// A random member that is up, for each other data centre.
-struct dc_sample {
-	const char *region;
-	const char *dc;
-	struct peer *peer;
-	uint32_t seen;
-};
-
-static struct dc_sample *
-sample_of(
-    struct dc_sample *samples, uint32_t *count, const struct member *member)
-{
-	uint32_t i;
-
-	for (i = 0; i < *count; i++)
-		if (strcmp(samples[i].dc, member->dc) == 0 &&
-		    strcmp(samples[i].region, member->region) == 0)
-			return &samples[i];
-	if (*count == MAX_DCS)
-		return NULL;
-	samples[*count].region = member->region;
-	samples[*count].dc = member->dc;
-	samples[*count].peer = NULL;
-	samples[*count].seen = 0;
-	return &samples[(*count)++];
-}
-
-static uint32_t
-sample_dcs(struct membership *m, struct dc_sample samples[MAX_DCS])
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < m->peer_count; i++) {
-		struct peer *peer = m->peers[i];
-		struct dc_sample *s;
-
-		if (peer->distance == DISTANCE_DC || !is_up(&peer->member))
-			continue;
-		s = sample_of(samples, &count, &peer->member);
-		if (s != NULL && random_below(&m->random, ++s->seen) == 0)
-			s->peer = peer;
-	}
-	return count;
-}
-
-/// Sends a notice with a record to one member of each other data centre.
-///
-/// @param record  NULL for the own record, which every message carries
-static void
-push_across(struct membership *m, const struct member *record)
-{
-	struct dc_sample samples[MAX_DCS];
-	uint32_t count = sample_dcs(m, samples);
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		struct gossip g = {.kind = GOSSIP_NOTICE};
-		const struct member *to = &samples[i].peer->member;
-
-		if (record != NULL)
-			g.updates[g.update_count++] = *record;
-		g.from = m->self;
-		g.digest = membership_digest(m);
-		m->ops->send(m, to->host, to->control_port, &g);
-	}
-}
-
-/// Tells whether this member is one of the few that carry a change of their
-/// data centre across.
-static bool
-draw_crossing(struct membership *m)
-{
-	uint32_t near = 1;
-	uint32_t i;
-
-	for (i = 0; i < m->peer_count; i++)
-		near += m->peers[i]->distance == DISTANCE_DC &&
-		    is_up(&m->peers[i]->member);
-	return random_below(&m->random, near) < CROSSING_MEMBERS;
-}
-
 static void
 mark_changed(struct membership *m, struct peer *peer)
 {
-	peer->transmits_left = transmit_limit(m);
+	peer->transmits_left = membership_transmit_limit(m);
 	peer->sends = 0;
-	if (peer->distance == DISTANCE_DC && draw_crossing(m))
-		push_across(m, &peer->member);
+	if (peer->distance == DISTANCE_DC && membership_draw_crossing(m))
+		membership_push_across(m, &peer->member);
 	m->ops->changed(m, &peer->member);
 }
 
@@ -319,7 +26,7 @@
 bump_self(struct membership *m)
 {
 	m->self.revision++;
-	m->self_transmits_left = transmit_limit(m);
+	m->self_transmits_left = membership_transmit_limit(m);
 	m->push_self = true;
 }
 
@@ -352,7 +59,7 @@
 		peer->suspect_deadline_us = now_us +
 		    m->settings.probe_period_us *
 			m->settings.suspicion_periods * digits;
-	if (!is_up(&peer->member))
+	if (!membership_is_up(&peer->member))
 		peer->forget_deadline_us = now_us + m->settings.forget_us;
 }
 
@@ -376,11 +83,11 @@
 		merge_self(m, record);
 		return;
 	}
-	peer = peer_find(m, record->name);
+	peer = membership_peer_find(m, record->name);
 	if (peer == NULL) {
-		if (!is_up(record))
+		if (!membership_is_up(record))
 			return;
-		peer = peer_insert(m, record->name);
+		peer = membership_peer_insert(m, record->name);
 		peer->member = *record;
 		peer->member.version = 0;
 	} else {
@@ -405,7 +112,7 @@
 	struct peer *peer;
 
 	membership_merge(m, from, now_us);
-	peer = peer_find(m, from->name);
+	peer = membership_peer_find(m, from->name);
 	if (peer == NULL)
 		return;
 	if (peer->member.incarnation == from->incarnation &&
@@ -438,7 +145,7 @@
 			continue;
 		r->deadline_us = 0;
 		g.sequence = r->origin_sequence;
-		send_gossip(m, r->origin_host, r->origin_port, &g);
+		membership_send_gossip(m, r->origin_host, r->origin_port, &g);
 	}
 }
 
@@ -454,7 +161,7 @@
 receive_probe_request(
     struct membership *m, const struct gossip *g, int64_t now_us)
 {
-	const struct peer *target = peer_find(m, g->target);
+	const struct peer *target = membership_peer_find(m, g->target);
 	uint32_t i;
 
 	if (target == NULL)
@@ -469,7 +176,8 @@
 		memcpy(r->origin_host, g->from.host, sizeof(r->origin_host));
 		r->origin_port = g->from.control_port;
 		r->deadline_us = now_us + m->settings.probe_period_us;
-		send_simple(m, &target->member, GOSSIP_PROBE, r->sequence);
+		membership_send_simple(
+		    m, &target->member, GOSSIP_PROBE, r->sequence);
 		return;
 	}
 }
@@ -479,7 +187,7 @@
 static void
 repair_difference(struct membership *m, const struct gossip *g, int64_t now_us)
 {
-	if (g->digest == membership_digest(m) || has_news(m) ||
+	if (g->digest == membership_digest(m) || membership_has_news(m) ||
 	    g->update_count > 0 || now_us < m->repair_deadline_us)
 		return;
 	m->repair_deadline_us = now_us + m->settings.probe_period_us +
@@ -500,7 +208,7 @@
 		membership_merge(m, &g->updates[i], now_us);
 	switch (g->kind) {
 	case GOSSIP_PROBE:
-		send_simple(m, &g->from, GOSSIP_ACK, g->sequence);
+		membership_send_simple(m, &g->from, GOSSIP_ACK, g->sequence);
 		break;
 	case GOSSIP_ACK:
 		receive_ack(m, g->sequence, now_us);
@@ -524,7 +232,8 @@
 		uint32_t at = (m->cursor[distance] + i) % m->peer_count;
 		struct peer *peer = m->peers[at];
 
-		if (peer->distance != distance || !is_up(&peer->member))
+		if (peer->distance != distance ||
+		    !membership_is_up(&peer->member))
 			continue;
 		m->cursor[distance] = at + 1;
 		return peer;
@@ -543,7 +252,8 @@
 	for (i = 0; i < m->peer_count; i++) {
 		struct peer *peer = m->peers[i];
 
-		if (peer->distance != distance || !is_up(&peer->member))
+		if (peer->distance != distance ||
+		    !membership_is_up(&peer->member))
 			continue;
 		if (random_below(&m->random, ++seen) == 0)
 			found = peer;
@@ -577,7 +287,7 @@
 static void
 suspect_probed(struct membership *m, int64_t now_us)
 {
-	struct peer *peer = peer_find(m, m->probe_name);
+	struct peer *peer = membership_peer_find(m, m->probe_name);
 
 	m->probe_name[0] = '\0';
 	m->indirect_deadline_us = DEADLINE_NONE;
@@ -602,7 +312,8 @@
 	memcpy(m->probe_name, peer->member.name, sizeof(m->probe_name));
 	m->probe_sequence = ++m->next_sequence;
 	m->indirect_deadline_us = now_us + m->settings.ack_timeout_us;
-	send_simple(m, &peer->member, GOSSIP_PROBE, m->probe_sequence);
+	membership_send_simple(
+	    m, &peer->member, GOSSIP_PROBE, m->probe_sequence);
 }
 
 static void
@@ -621,7 +332,8 @@
 		if (via == NULL || strcmp(via->member.name, g.target) == 0)
 			continue;
 		g.update_count = 0;
-		send_gossip(m, via->member.host, via->member.control_port, &g);
+		membership_send_gossip(
+		    m, via->member.host, via->member.control_port, &g);
 	}
 }
 
@@ -632,9 +344,9 @@
 
 	if (m->push_self && m->peer_count > 0) {
 		m->push_self = false;
-		push_across(m, NULL);
+		membership_push_across(m, NULL);
 	}
-	for (i = 0; i < NOTICE_FANOUT && has_news(m); i++) {
+	for (i = 0; i < NOTICE_FANOUT && membership_has_news(m); i++) {
 		enum distance d =
 		    distance_of_round(random_below(&m->random, 64));
 		struct peer *peer = choose_peer(m, d, random_peer);
@@ -643,7 +355,7 @@
 			return;
 		if (m->self_transmits_left > 0)
 			m->self_transmits_left--;
-		send_simple(m, &peer->member, GOSSIP_NOTICE, 0);
+		membership_send_simple(m, &peer->member, GOSSIP_NOTICE, 0);
 	}
 }
 
@@ -662,7 +374,7 @@
 			set_deadlines(m, peer, now_us);
 			mark_changed(m, peer);
 		} else if (peer->forget_deadline_us <= now_us)
-			peer_remove(m, i);
+			membership_peer_remove(m, i);
 	}
 }
 
@@ -676,7 +388,7 @@
 	for (i = 0; i < m->peer_count; i++) {
 		const struct member *member = &m->peers[i]->member;
 
-		if (is_up(member) && member->control_port == port &&
+		if (membership_is_up(member) && member->control_port == port &&
 		    strcmp(member->host, host) == 0)
 			return true;
 	}
@@ -732,7 +444,7 @@
 			found = peer;
 	}
 	if (found != NULL)
-		send_simple(
+		membership_send_simple(
 		    m, &found->member, GOSSIP_PROBE, ++m->next_sequence);
 	try_seed(m);
 	m->retry_round++;
@@ -819,7 +531,7 @@
 membership_free(struct membership *m)
 {
 	while (m->peer_count > 0)
-		peer_remove(m, m->peer_count - 1);
+		membership_peer_remove(m, m->peer_count - 1);
 	free(m->peers);
 	m->peers = NULL;
 }
@@ -858,10 +570,11 @@
 		struct peer *peer = random_peer(m, DISTANCE_DC);
 
 		if (peer != NULL && peer->member.version < version)
-			send_simple(m, &peer->member, GOSSIP_NOTICE, 0);
+			membership_send_simple(
+			    m, &peer->member, GOSSIP_NOTICE, 0);
 	}
-	if (draw_crossing(m))
-		push_across(m, NULL);
+	if (membership_draw_crossing(m))
+		membership_push_across(m, NULL);
 }
 
 void
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -304,4 +304,35 @@
 void replica_append_config(
     struct replica *r, const struct replica_config *config, int64_t now_us);
 
+// Elections, in replica_election.c.
+
+void replica_reset_election(struct replica *r, int64_t now_us);
+
+void replica_save_vote(struct replica *r, uint64_t term, uint64_t vote);
+
+/// Queues a message until what it depends on is durable.
+void replica_send_after_sync(
+    struct replica *r, const struct replica_message *m);
+
+void replica_set_role(
+    struct replica *r, enum replica_role role, uint64_t leader);
+
+void replica_become_follower(
+    struct replica *r, uint64_t term, uint64_t leader, int64_t now_us);
+
+/// Asks whether an election could be won, before the term is raised.
+void replica_start_pre_vote(struct replica *r, int64_t now_us);
+
+/// A replica that hears from a leader helps no other to replace it.
+bool replica_has_live_leader(const struct replica *r, int64_t now_us);
+
+void replica_handle_pre_vote(
+    struct replica *r, const struct replica_message *m, int64_t now_us);
+
+void replica_handle_vote(
+    struct replica *r, const struct replica_message *m, int64_t now_us);
+
+void replica_handle_vote_answer(
+    struct replica *r, const struct replica_message *m, int64_t now_us);
+
 #endif
--- a/src/core/rules_parse.c
+++ b/src/core/rules_parse.c
@@ -1,58 +1,10 @@
 // Parser and validator of the rule file.
 #include <assert.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/rules.h"
-
-#define MAX_WORDS 12
-
-struct word {
-	const char *text;
-	uint32_t text_bytes;
-	uint32_t column;
-};
-
-/// A reference from a route that is resolved once the whole file is read.
-struct pending_route {
-	struct word service;
-	struct word rank;
-	char service_name[RULES_NAME_BYTES];
-	char rank_name[RULES_NAME_BYTES];
-};
-
-struct parser {
-	struct rules *rules;
-	struct rules_errors *errors;
-	struct pending_route *pending;
-	uint32_t line;
-	struct word words[MAX_WORDS];
-	uint32_t word_count;
-	char owner[RULES_OWNER_BYTES];
-	bool has_version;
-};
-
-static void parser_fail(struct parser *p, uint32_t line, uint32_t column,
-    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
-
-static void
-parser_fail(
-    struct parser *p, uint32_t line, uint32_t column, const char *fmt, ...)
-{
-	struct rules_error *e;
-	va_list ap;
-
-	if (p->errors->count++ >= RULES_MAX_ERRORS)
-		return;
-	e = &p->errors->items[p->errors->count - 1];
-	e->line = line;
-	e->column = column;
-	va_start(ap, fmt);
-	vsnprintf(e->text, sizeof(e->text), fmt, ap);
-	va_end(ap);
-}
+#include "core/rules_words.h"
 
 static void *
 grow_array(void *items, uint32_t count, size_t item_bytes)
@@ -67,149 +19,6 @@
 	return grown;
 }
 
-static bool
-word_equals(const struct word *w, const char *text)
-{
-	return strlen(text) == w->text_bytes &&
-	    memcmp(w->text, text, w->text_bytes) == 0;
-}
-
-static bool
-is_name_char(char c)
-{
-	return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
-	    c == '_';
-}
-
-/// Copies a name of [a-z0-9_-]; reports anything else.
-static bool
-parse_name(struct parser *p, const struct word *w, const char *what,
-    char out[RULES_NAME_BYTES])
-{
-	uint32_t i;
-
-	if (w->text_bytes == 0 || w->text_bytes >= RULES_NAME_BYTES) {
-		parser_fail(p, p->line, w->column,
-		    "%s name must have 1 to %d characters", what,
-		    RULES_NAME_BYTES - 1);
-		return false;
-	}
-	for (i = 0; i < w->text_bytes; i++) {
-		if (is_name_char(w->text[i]))
-			continue;
-		parser_fail(p, p->line, w->column + i,
-		    "%s name may hold only a-z, 0-9, '-' and '_'", what);
-		return false;
-	}
-	memcpy(out, w->text, w->text_bytes);
-	out[w->text_bytes] = '\0';
-	return true;
-}
-
-/// Parses a decimal number that fills the word up to a suffix.
-static bool
-parse_number(
-    const struct word *w, uint64_t max, uint64_t *out, uint32_t *used_bytes)
-{
-	uint64_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < w->text_bytes; i++) {
-		char c = w->text[i];
-
-		if (c < '0' || c > '9')
-			break;
-		if (n > (max - (uint64_t)(c - '0')) / 10)
-			return false;
-		n = n * 10 + (uint64_t)(c - '0');
-	}
-	*out = n;
-	*used_bytes = i;
-	return i > 0;
-}
-
-static bool
-parse_count(struct parser *p, const struct word *w, const char *what,
-    uint32_t max, uint32_t *out)
-{
-	uint64_t n;
-	uint32_t used;
-
-	if (!parse_number(w, max, &n, &used) || used != w->text_bytes ||
-	    n == 0) {
-		parser_fail(p, p->line, w->column,
-		    "%s must be a whole number from 1 to %u", what, max);
-		return false;
-	}
-	*out = (uint32_t)n;
-	return true;
-}
-
-static bool
-parse_percent(struct parser *p, const struct word *w, uint32_t *out)
-{
-	uint64_t n;
-	uint32_t used;
-
-	if (!parse_number(w, 100, &n, &used) || used + 1 != w->text_bytes ||
-	    w->text[used] != '%') {
-		parser_fail(p, p->line, w->column,
-		    "keep must be a percentage from 0%% to 100%%");
-		return false;
-	}
-	*out = (uint32_t)n;
-	return true;
-}
-
-static int64_t
-duration_unit_us(const char *unit, uint32_t unit_bytes)
-{
-	if (unit_bytes == 2 && memcmp(unit, "us", 2) == 0)
-		return 1;
-	if (unit_bytes == 2 && memcmp(unit, "ms", 2) == 0)
-		return 1000;
-	if (unit_bytes == 1 && unit[0] == 's')
-		return 1000000;
-	return 0;
-}
-
-static bool
-parse_duration(
-    struct parser *p, const struct word *w, const char *what, int64_t *out_us)
-{
-	uint64_t n;
-	uint32_t used;
-	int64_t unit_us = 0;
-
-	if (parse_number(w, RULES_MAX_DEADLINE_US, &n, &used))
-		unit_us =
-		    duration_unit_us(w->text + used, w->text_bytes - used);
-	if (unit_us == 0 || n == 0 ||
-	    n > (uint64_t)(RULES_MAX_DEADLINE_US / unit_us)) {
-		parser_fail(p, p->line, w->column,
-		    "%s must be a time such as 800ms or 5s, at most 3600s",
-		    what);
-		return false;
-	}
-	*out_us = (int64_t)n * unit_us;
-	return true;
-}
-
-/// Splits a word at "key=" and yields the value.
-static bool
-word_option(const struct word *w, const char *key, struct word *value)
-{
-	uint32_t key_bytes = (uint32_t)strlen(key);
-
-	if (w->text_bytes <= key_bytes || w->text[key_bytes] != '=' ||
-	    memcmp(w->text, key, key_bytes) != 0)
-		return false;
-	value->text = w->text + key_bytes + 1;
-	value->text_bytes = w->text_bytes - key_bytes - 1;
-	value->column = w->column + key_bytes + 1;
-	return true;
-}
-
 /// Reports an option that is unknown or that was given before.
 static void
 fail_option(struct parser *p, const struct word *w, const char *directive)
@@ -247,8 +56,8 @@
 		    p, p->line, p->words[0].column, "version is given twice");
 		return;
 	}
-	if (!parse_number(w, INT64_MAX, &n, &used) || used != w->text_bytes ||
-	    n == 0) {
+	if (!parser_read_number(w, INT64_MAX, &n, &used) ||
+	    used != w->text_bytes || n == 0) {
 		parser_fail(p, p->line, w->column,
 		    "version must be a whole number above 0");
 		return;
@@ -269,17 +78,21 @@
 
 	if (!need_words(p, 4, "rank NAME worth=N target=TIME [keep=N%]"))
 		return;
-	ok = parse_name(p, &p->words[1], "rank", rank.name);
+	ok = parser_read_name(p, &p->words[1], "rank", rank.name);
 	for (i = 2; i < p->word_count; i++) {
 		const struct word *w = &p->words[i];
 		struct word v;
 
-		if (rank.worth == 0 && word_option(w, "worth", &v))
-			ok &= parse_count(p, &v, "worth", 1000000, &rank.worth);
-		else if (rank.target_us == 0 && word_option(w, "target", &v))
-			ok &= parse_duration(p, &v, "target", &rank.target_us);
-		else if (!has_keep && word_option(w, "keep", &v))
-			ok &= has_keep = parse_percent(p, &v, &rank.keep_pct);
+		if (rank.worth == 0 && parser_word_option(w, "worth", &v))
+			ok &= parser_read_count(
+			    p, &v, "worth", 1000000, &rank.worth);
+		else if (rank.target_us == 0 &&
+		    parser_word_option(w, "target", &v))
+			ok &= parser_read_duration(
+			    p, &v, "target", &rank.target_us);
+		else if (!has_keep && parser_word_option(w, "keep", &v))
+			ok &= has_keep =
+			    parser_read_percent(p, &v, &rank.keep_pct);
 		else {
 			fail_option(p, w, "rank");
 			ok = false;
@@ -317,17 +130,17 @@
 
 	if (!need_words(p, 4, "service NAME slots=N connections=N"))
 		return;
-	ok = parse_name(p, &p->words[1], "service", service.name);
+	ok = parser_read_name(p, &p->words[1], "service", service.name);
 	for (i = 2; i < p->word_count; i++) {
 		const struct word *w = &p->words[i];
 		struct word v;
 
-		if (service.slots == 0 && word_option(w, "slots", &v))
-			ok &=
-			    parse_count(p, &v, "slots", 10000, &service.slots);
+		if (service.slots == 0 && parser_word_option(w, "slots", &v))
+			ok &= parser_read_count(
+			    p, &v, "slots", 10000, &service.slots);
 		else if (service.connections == 0 &&
-		    word_option(w, "connections", &v))
-			ok &= parse_count(
+		    parser_word_option(w, "connections", &v))
+			ok &= parser_read_count(
 			    p, &v, "connections", 10000, &service.connections);
 		else {
 			fail_option(p, w, "service");
@@ -361,7 +174,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(known_methods) / sizeof(known_methods[0]); i++) {
-		if (!word_equals(w, known_methods[i]))
+		if (!parser_word_equals(w, known_methods[i]))
 			continue;
 		snprintf(out, RULES_METHOD_BYTES, "%s", known_methods[i]);
 		return true;
@@ -422,14 +235,16 @@
 		const struct word *w = &p->words[i];
 		struct word v;
 
-		if (pending->rank.text == NULL && word_option(w, "rank", &v)) {
+		if (pending->rank.text == NULL &&
+		    parser_word_option(w, "rank", &v)) {
 			pending->rank = v;
-			ok &= parse_name(p, &v, "rank", pending->rank_name);
+			ok &=
+			    parser_read_name(p, &v, "rank", pending->rank_name);
 		} else if (route->timeout_us == 0 &&
-		    word_option(w, "deadline", &v))
-			ok &= parse_duration(
+		    parser_word_option(w, "deadline", &v))
+			ok &= parser_read_duration(
 			    p, &v, "deadline", &route->timeout_us);
-		else if (!route->once && word_equals(w, "once"))
+		else if (!route->once && parser_word_equals(w, "once"))
 			route->once = true;
 		else {
 			fail_option(p, w, "route");
@@ -454,7 +269,8 @@
 	ok = parse_method(p, &p->words[1], route.method);
 	ok &= parse_path(p, &p->words[2], &route);
 	pending.service = p->words[3];
-	ok &= parse_name(p, &p->words[3], "service", pending.service_name);
+	ok &=
+	    parser_read_name(p, &p->words[3], "service", pending.service_name);
 	ok &= parse_route_options(p, &route, &pending);
 	if (!ok)
 		return;
@@ -477,100 +293,31 @@
 	r->routes[r->route_count++] = route;
 }
 
-/// Cuts the comment off a line and stores who asked for the rule.
-///
-/// @return length of the line before the comment
-static uint32_t
-take_owner(struct parser *p, const char *line, uint32_t line_bytes)
-{
-	const char *hash = memchr(line, '#', line_bytes);
-	const char *end = line + line_bytes;
-	uint32_t owner_bytes;
-
-	p->owner[0] = '\0';
-	if (hash == NULL)
-		return line_bytes;
-	line_bytes = (uint32_t)(hash - line);
-	for (hash++; hash < end && (*hash == ' ' || *hash == '\t'); hash++)
-		;
-	while (end > hash && (end[-1] == ' ' || end[-1] == '\t'))
-		end--;
-	owner_bytes = (uint32_t)(end - hash);
-	if (owner_bytes >= RULES_OWNER_BYTES)
-		owner_bytes = RULES_OWNER_BYTES - 1;
-	memcpy(p->owner, hash, owner_bytes);
-	p->owner[owner_bytes] = '\0';
-	return line_bytes;
-}
-
-static bool
-split_words(struct parser *p, const char *line, uint32_t line_bytes)
-{
-	uint32_t i = 0;
-
-	p->word_count = 0;
-	while (i < line_bytes) {
-		uint32_t start;
-
-		while (i < line_bytes && (line[i] == ' ' || line[i] == '\t'))
-			i++;
-		start = i;
-		while (i < line_bytes && line[i] != ' ' && line[i] != '\t')
-			i++;
-		if (i == start)
-			break;
-		if (p->word_count == MAX_WORDS) {
-			parser_fail(p, p->line, start + 1, "too many words");
-			return false;
-		}
-		p->words[p->word_count].text = line + start;
-		p->words[p->word_count].text_bytes = i - start;
-		p->words[p->word_count++].column = start + 1;
-	}
-	return true;
-}
-
-static bool
-check_bytes(struct parser *p, const char *line, uint32_t line_bytes)
-{
-	uint32_t i;
-
-	for (i = 0; i < line_bytes; i++) {
-		unsigned char c = (unsigned char)line[i];
-
-		if (c >= 0x20 ? c != 0x7f : c == '\t')
-			continue;
-		parser_fail(p, p->line, i + 1, "control character 0x%02x", c);
-		return false;
-	}
-	return true;
-}
-
 static void
 parse_line(struct parser *p, const char *line, uint32_t line_bytes)
 {
 	uint32_t rule_bytes;
 
-	if (!check_bytes(p, line, line_bytes))
+	if (!parser_check_bytes(p, line, line_bytes))
 		return;
-	rule_bytes = take_owner(p, line, line_bytes);
-	if (!split_words(p, line, rule_bytes) || p->word_count == 0)
+	rule_bytes = parser_take_owner(p, line, line_bytes);
+	if (!parser_split_words(p, line, rule_bytes) || p->word_count == 0)
 		return;
 	if (p->owner[0] == '\0') {
 		parser_fail(p, p->line, rule_bytes + 1,
 		    "no comment naming who asked for this rule");
 	}
-	if (!p->has_version && !word_equals(&p->words[0], "version") &&
+	if (!p->has_version && !parser_word_equals(&p->words[0], "version") &&
 	    p->rules->rank_count + p->rules->service_count == 0 &&
 	    p->errors->count == 0)
 		parser_fail(p, p->line, 1, "the first rule must be: version N");
-	if (word_equals(&p->words[0], "version"))
+	if (parser_word_equals(&p->words[0], "version"))
 		parse_version(p);
-	else if (word_equals(&p->words[0], "rank"))
+	else if (parser_word_equals(&p->words[0], "rank"))
 		parse_rank(p);
-	else if (word_equals(&p->words[0], "service"))
+	else if (parser_word_equals(&p->words[0], "service"))
 		parse_service(p);
-	else if (word_equals(&p->words[0], "route"))
+	else if (parser_word_equals(&p->words[0], "route"))
 		parse_route(p);
 	else
 		parser_fail(p, p->line, p->words[0].column,
--- /dev/null
+++ b/src/core/rules_words.h
@@ -0,0 +1,75 @@
+/// @file
+/// State of the rule parser, and its words, names and numbers.
+#ifndef MV_CORE_RULES_WORDS_H
+#define MV_CORE_RULES_WORDS_H
+
+#include <stdbool.h>
+
+#include "core/rules.h"
+
+#define MAX_WORDS 12
+
+struct word {
+	const char *text;
+	uint32_t text_bytes;
+	uint32_t column;
+};
+
+/// A reference from a route that is resolved once the whole file is read.
+struct pending_route {
+	struct word service;
+	struct word rank;
+	char service_name[RULES_NAME_BYTES];
+	char rank_name[RULES_NAME_BYTES];
+};
+
+struct parser {
+	struct rules *rules;
+	struct rules_errors *errors;
+	struct pending_route *pending;
+	uint32_t line;
+	struct word words[MAX_WORDS];
+	uint32_t word_count;
+	char owner[RULES_OWNER_BYTES];
+	bool has_version;
+};
+
+/// Notes an error at a line and column.
+void parser_fail(struct parser *p, uint32_t line, uint32_t column,
+    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+bool parser_word_equals(const struct word *w, const char *text);
+
+/// Copies a name of [a-z0-9_-]; reports anything else.
+bool parser_read_name(struct parser *p, const struct word *w, const char *what,
+    char out[RULES_NAME_BYTES]);
+
+/// Parses a decimal number that fills the word up to a suffix.
+bool parser_read_number(
+    const struct word *w, uint64_t max, uint64_t *out, uint32_t *used_bytes);
+
+bool parser_read_count(struct parser *p, const struct word *w, const char *what,
+    uint32_t max, uint32_t *out);
+
+bool parser_read_percent(struct parser *p, const struct word *w, uint32_t *out);
+
+bool parser_read_duration(
+    struct parser *p, const struct word *w, const char *what, int64_t *out_us);
+
+/// Splits a word at "key=" and yields the value.
+bool parser_word_option(
+    const struct word *w, const char *key, struct word *value);
+
+/// Cuts the comment off a line and stores who asked for the rule.
+///
+/// @return length of the line before the comment
+uint32_t parser_take_owner(
+    struct parser *p, const char *line, uint32_t line_bytes);
+
+bool parser_split_words(
+    struct parser *p, const char *line, uint32_t line_bytes);
+
+bool parser_check_bytes(
+    struct parser *p, const char *line, uint32_t line_bytes);
+
+#endif
--- /dev/null
+++ b/src/io/counters_http.c
@@ -0,0 +1,16 @@
+// Answer to GET /counters.
+#include "io/counters_http.h"
+#include "io/counters.h"
+
+void
+counters_respond(struct http_exchange *exchange)
+{
+	static const struct http_header plain = {
+	    "Content-Type", "text/plain; charset=utf-8"};
+	msgpack_sbuffer out;
+
+	msgpack_sbuffer_init(&out);
+	counters_render(&out);
+	http_exchange_respond(exchange, 200, &plain, 1, out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -12,10 +12,10 @@
 #include "io/log.h"
 #include "io/loop.h"
 
-#define POLL_BATCH   256
-#define MAX_WAIT_US  (1 * US_PER_S)
+#define POLL_BATCH	256
+#define MAX_WAIT_US	(1 * US_PER_S)
 #define MAX_HOOK_PASSES 16
-#define LOG_FLUSH_US (20 * US_PER_MS)
+#define LOG_FLUSH_US	(20 * US_PER_MS)
 
 /// One descriptor number; kept for good, so that poll results stay valid.
 struct fd_slot {
--- /dev/null
+++ b/src/io/replica_admin.h
@@ -0,0 +1,18 @@
+/// @file
+/// Operators' requests to a replicated log.
+#ifndef MV_IO_REPLICA_ADMIN_H
+#define MV_IO_REPLICA_ADMIN_H
+
+#include "io/replica_host.h"
+
+#define REPLICA_ADMIN_TEXT_BYTES 320
+
+/// Handles a replacement: {"remove": ID, "add": ID, "address": "IP:port"},
+/// where 0 stands for none.
+///
+/// @param text  receives the JSON answer
+/// @return its HTTP status
+uint32_t replica_admin_replace(struct replica_host *host, const char *body,
+    size_t body_bytes, char text[REPLICA_ADMIN_TEXT_BYTES]);
+
+#endif
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -14,14 +14,12 @@
 struct ledger_settings {
 	struct program_log log;
 	char listen_control[SETTINGS_TEXT_BYTES];
-	char listen_clients[SETTINGS_TEXT_BYTES];
 	char listen_admin[SETTINGS_TEXT_BYTES];
 	char bound_path[SETTINGS_TEXT_BYTES];
 	char data_path[SETTINGS_TEXT_BYTES];
 	char cluster[SETTINGS_TEXT_BYTES];
 	int64_t id;
 	struct settings_list replicas; ///< "ID=IP:port"
-	struct settings_list clients;  ///< "ID=IP:port"
 	int64_t election_ms;
 	int64_t heartbeat_ms;
 	int64_t retention_ms;
@@ -52,15 +50,12 @@
 
 struct ledger {
 	struct ledger_settings settings;
-	struct replica_config client_addresses;
 	struct loop *loop;
 	struct replica_host host;
 	struct once once;
-	struct listener control;
-	struct listener clients;
+	struct listener listener;
 	struct httpd *admin;
-	struct address bound_control;
-	struct address bound_clients;
+	struct address bound;
 	struct address bound_admin;
 	struct ledger_pending *pending[LEDGER_PENDING_BUCKETS];
 	/// Operations in the log but not applied, by key: no other claim of
@@ -74,8 +69,7 @@
 };
 
 extern const struct replica_host_ops ledger_replica_ops;
-extern const struct stream_ops ledger_client_ops;
-extern const struct stream_ops ledger_control_ops;
+extern const struct stream_ops ledger_stream_ops;
 extern const struct httpd_ops ledger_admin_ops;
 
 /// Counts entries and drops those that no longer matter.
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
+#include "io/counters_http.h"
 #include "io/log.h"
+#include "io/replica_admin.h"
 #include "ledger/ledger.h"
 
 static const char program_purpose[] =
@@ -24,11 +25,9 @@
 static const struct settings_field settings_fields[] = {
     PROGRAM_LOG_FIELDS(S),
     ROW("listen.control", SETTINGS_ADDRESS, listen_control, true, 0, 0, NULL,
-	"other replicas (TCP)"),
-    ROW("listen.clients", SETTINGS_ADDRESS, listen_clients, true, 0, 0, NULL,
-	"proxies (TCP)"),
+	"other replicas and proxies (TCP)"),
     ROW("listen.admin", SETTINGS_ADDRESS, listen_admin, true, 0, 0, NULL,
-	"HTTP: counters"),
+	"HTTP: counters, and mvctl replace"),
     ROW("bound_path", SETTINGS_TEXT, bound_path, false, 0, 0, "\"\"",
 	"file that receives the addresses in use"),
     ROW("data_path", SETTINGS_TEXT, data_path, true, 0, 0, NULL,
@@ -39,8 +38,6 @@
 	"id of this replica, never used before"),
     ROW("replicas", SETTINGS_LIST, replicas, true, 0, 0, NULL,
 	"ID=IP:port of each replica's control address"),
-    ROW("clients", SETTINGS_LIST, clients, true, 0, 0, NULL,
-	"ID=IP:port of each replica's address for proxies"),
     ROW("election_ms", SETTINGS_INTEGER, election_ms, false, 50, 60000, "1000",
 	"least time without a leader before an election"),
     ROW("heartbeat_ms", SETTINGS_INTEGER, heartbeat_ms, false, 10, 10000, "150",
@@ -50,23 +47,27 @@
 };
 #define FIELD_COUNT (sizeof(settings_fields) / sizeof(settings_fields[0]))
 
+static void
+handle_replace(struct ledger *ledger, struct http_exchange *exchange)
+{
+	char text[REPLICA_ADMIN_TEXT_BYTES];
+	uint32_t status = replica_admin_replace(
+	    &ledger->host, exchange->body, exchange->body_bytes, text);
+
+	http_exchange_respond_text(exchange, status, text);
+}
+
 static void
 on_admin_request(void *owner, struct http_exchange *exchange)
 {
-	static const struct http_header plain_text = {
-	    "Content-Type", "text/plain; charset=utf-8"};
-	msgpack_sbuffer out;
+	bool post = strcmp(exchange->method, "POST") == 0;
 
-	(void)owner;
-	if (strcmp(exchange->target, "/counters") != 0) {
+	if (post && strcmp(exchange->target, "/replicas") == 0)
+		handle_replace(owner, exchange);
+	else if (!post && strcmp(exchange->target, "/counters") == 0)
+		counters_respond(exchange);
+	else
 		http_exchange_respond_text(exchange, 404, "not found\n");
-		return;
-	}
-	msgpack_sbuffer_init(&out);
-	counters_render(&out);
-	http_exchange_respond(
-	    exchange, 200, &plain_text, 1, out.data, out.size);
-	msgpack_sbuffer_destroy(&out);
 }
 
 static void
@@ -96,17 +97,12 @@
 	    .max_connections = 64,
 	    .idle_timeout_s = 30};
 	struct address control;
-	struct address clients;
 	struct address admin;
 
 	address_parse(s->listen_control, &control);
-	address_parse(s->listen_clients, &clients);
 	address_parse(s->listen_admin, &admin);
-	if (listener_open(&ledger->control, ledger->loop, &control,
-		&ledger_control_ops, ledger, on_accept, &ledger->bound_control,
-		err) != 0 ||
-	    listener_open(&ledger->clients, ledger->loop, &clients,
-		&ledger_client_ops, ledger, on_accept, &ledger->bound_clients,
+	if (listener_open(&ledger->listener, ledger->loop, &control,
+		&ledger_stream_ops, ledger, on_accept, &ledger->bound,
 		err) != 0)
 		return -1;
 	ledger->admin = httpd_open(ledger->loop, &admin, &ledger_admin_ops,
@@ -118,16 +114,13 @@
 write_bound(const struct ledger *ledger, struct error *err)
 {
 	char control[ADDRESS_TEXT_BYTES];
-	char clients[ADDRESS_TEXT_BYTES];
 	char admin[ADDRESS_TEXT_BYTES];
 	char text[200];
 
-	address_format(&ledger->bound_control, control);
-	address_format(&ledger->bound_clients, clients);
+	address_format(&ledger->bound, control);
 	address_format(&ledger->bound_admin, admin);
-	snprintf(text, sizeof(text),
-	    "{\"control\":\"%s\",\"clients\":\"%s\",\"admin\":\"%s\"}\n",
-	    control, clients, admin);
+	snprintf(text, sizeof(text), "{\"control\":\"%s\",\"admin\":\"%s\"}\n",
+	    control, admin);
 	return program_write_bound(ledger->settings.bound_path, text, err);
 }
 
@@ -179,8 +172,7 @@
 	exit_code = EXIT_OK;
 out:
 	httpd_close(ledger->admin);
-	listener_close(&ledger->control);
-	listener_close(&ledger->clients);
+	listener_close(&ledger->listener);
 	replica_host_close(&ledger->host);
 	ledger_free_pending(ledger);
 	free(ledger->marks);
@@ -216,9 +208,7 @@
 		return exit_code;
 	fill_host_settings(&ledger.settings, &host);
 	if (replica_settings_parse(&ledger.settings.replicas, &host.initial) !=
-		0 ||
-	    replica_settings_parse(
-		&ledger.settings.clients, &ledger.client_addresses) != 0)
+	    0)
 		return EXIT_USAGE;
 	program_block_signals();
 	apr_initialize();
--- a/src/ledger/service.c
+++ b/src/ledger/service.c
@@ -134,10 +134,7 @@
 static struct bytes
 leader_address(const struct ledger *ledger)
 {
-	const struct replica_peer *peer = replica_config_find(
-	    &ledger->client_addresses, ledger->host.replica.leader);
-
-	return bytes_from(peer == NULL ? "" : peer->address);
+	return bytes_from(replica_host_leader_address(&ledger->host));
 }
 
 static void
@@ -323,10 +320,12 @@
 }
 
 static void
-on_client_message(struct stream *stream, struct message *message)
+on_message(struct stream *stream, struct message *message)
 {
 	struct ledger *ledger = stream->owner;
 
+	if (replica_host_receive(&ledger->host, stream, message))
+		return;
 	switch (message->type) {
 	case MESSAGE_CLAIM:
 		on_claim(ledger, stream, &message->u.claim);
@@ -344,7 +343,7 @@
 }
 
 static void
-on_client_closed(struct stream *stream, const struct error *err)
+on_closed(struct stream *stream, const struct error *err)
 {
 	struct ledger *ledger = stream->owner;
 	struct ledger_pending *p;
@@ -357,9 +356,9 @@
 				p->stream = NULL;
 }
 
-const struct stream_ops ledger_client_ops = {
-    .on_message = on_client_message,
-    .on_closed = on_client_closed,
+const struct stream_ops ledger_stream_ops = {
+    .on_message = on_message,
+    .on_closed = on_closed,
 };
 
 static void
@@ -453,24 +452,3 @@
     .read_done = on_read_done,
     .role_changed = on_role_changed,
 };
-
-static void
-on_control_message(struct stream *stream, struct message *message)
-{
-	struct ledger *ledger = stream->owner;
-
-	if (!replica_host_receive(&ledger->host, stream, message))
-		stream_close(stream);
-}
-
-static void
-on_control_closed(struct stream *stream, const struct error *err)
-{
-	(void)stream;
-	(void)err;
-}
-
-const struct stream_ops ledger_control_ops = {
-    .on_message = on_control_message,
-    .on_closed = on_control_closed,
-};
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -196,6 +196,7 @@
 	r->call.owner = r;
 	r->call.method = c->method;
 	r->call.url = r->url;
+	r->call.repeatable = !c->once;
 	r->call.body = load->body;
 	r->call.body_bytes = c->body_bytes;
 	r->call.deadline_us = clock_now_us() + c->timeout_us;
--- a/src/proxy/announce.c
+++ b/src/proxy/announce.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
+#include "io/counters_http.h"
 #include "io/log.h"
 #include "proxy/control.h"
 
@@ -129,20 +129,6 @@
 	http_exchange_respond_text(exchange, 202, "draining\n");
 }
 
-static void
-respond_counters(struct http_exchange *exchange)
-{
-	static const struct http_header plain_text = {
-	    "Content-Type", "text/plain; charset=utf-8"};
-	msgpack_sbuffer out;
-
-	msgpack_sbuffer_init(&out);
-	counters_render(&out);
-	http_exchange_respond(
-	    exchange, 200, &plain_text, 1, out.data, out.size);
-	msgpack_sbuffer_destroy(&out);
-}
-
 static void
 respond_status(struct control *control, struct http_exchange *exchange)
 {
@@ -178,7 +164,7 @@
 	else if (put && strcmp(target, "/drain") == 0)
 		handle_drain(control, exchange);
 	else if (get && strcmp(target, "/counters") == 0)
-		respond_counters(exchange);
+		counters_respond(exchange);
 	else if (get && strcmp(target, "/status") == 0)
 		respond_status(control, exchange);
 	else
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -73,6 +73,13 @@
 	int64_t gossip_us;
 	int64_t sync_us;
 
+	if (control->membership.self.incarnation !=
+	    control->traffic_incarnation) {
+		control->traffic_incarnation =
+		    control->membership.self.incarnation;
+		traffic_post_incarnation(
+		    control->traffic, control->traffic_incarnation);
+	}
 	membership_set_load(
 	    &control->membership, traffic_load_pct(control->traffic));
 	gossip_us = membership_tick(&control->membership, now_us);
@@ -166,6 +173,7 @@
 	    &s->membership, &s->self, s->seed, now_us);
 	version_sync_init(&control->sync, &control_sync_ops, control, s->seed,
 	    300 * US_PER_MS, 3 * US_PER_S);
+	control->traffic_incarnation = s->self.incarnation;
 	control->floor.started_us = now_us;
 	start_timer(control, &control->tick_timer, control_tick, 0);
 	start_timer(control, &control->report_timer, distribution_report, 0);
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -64,6 +64,7 @@
 	struct address bound_control;
 	struct address bound_admin;
 	struct traffic_bound bound_traffic;
+	uint64_t traffic_incarnation; ///< Known to the traffic thread.
 	bool view_deferred;
 	bool leaving;
 	int64_t drain_deadline_us;
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress_peer.c
@@ -305,6 +305,13 @@
 	return server;
 }
 
+void
+egress_server_set_incarnation(
+    struct egress_server *server, uint64_t incarnation)
+{
+	server->incarnation = incarnation;
+}
+
 void
 egress_server_close(struct egress_server *server)
 {
--- a/src/proxy/egress_peer.h
+++ b/src/proxy/egress_peer.h
@@ -15,6 +15,9 @@
     struct egress *egress, const struct address *at, uint64_t incarnation,
     struct address *bound, struct error *err);
 
+void egress_server_set_incarnation(
+    struct egress_server *server, uint64_t incarnation);
+
 void egress_server_close(struct egress_server *server);
 
 #endif
--- /dev/null
+++ b/src/proxy/egress_request.h
@@ -0,0 +1,91 @@
+/// @file
+/// State of one request at the egress, shared by the files of the egress.
+#ifndef MV_PROXY_EGRESS_REQUEST_H
+#define MV_PROXY_EGRESS_REQUEST_H
+
+#include "core/outcome.h"
+#include "io/httpc.h"
+#include "proxy/egress.h"
+#include "proxy/once_client.h"
+#include "wire/request_copy.h"
+
+enum request_state {
+	REQUEST_WAITING,   ///< In the admission's queue.
+	REQUEST_CLAIMING,  ///< Has a slot; its key is being claimed.
+	REQUEST_RUNNING,   ///< Sent to the backend server.
+	REQUEST_ATTENDING, ///< Its key is in progress; waits for the answer.
+};
+
+struct egress_request {
+	struct admission_item item;
+	struct httpc_call call;
+	struct egress *egress;
+	struct egress_sink *sink; ///< NULL once the way back is gone.
+	struct egress_request *next;
+	struct egress_request *prev;
+	struct message_request *message;
+	struct once_claim *claim;
+	enum request_state state;
+	uint64_t fence_key;
+	char *url;
+	char rank_text[RULES_NAME_BYTES];
+	char deadline_text[24];
+	struct bytes (*headers)[2];
+	// Request body beyond the first part.
+	char *upload;
+	size_t upload_bytes;
+	bool upload_last;
+	bool upload_failed;
+	// Response.
+	struct header_list response_headers;
+	uint32_t status;
+	int64_t total_bytes; ///< Announced length, or -1.
+	char *body;
+	size_t body_bytes;
+	int64_t window_bytes;
+	bool streaming;
+	bool shed; ///< The backend server said that it did not run it.
+	bool abort_marked;
+	bool key_was_free; ///< The ledger said so to this attempt.
+};
+
+struct egress {
+	struct loop *loop;
+	struct httpc *httpc;
+	struct once_client *once;
+	struct admission admission;
+	struct fence fence;
+	struct egress_backend backend;
+	struct rules *rules;
+	struct egress_request *first;
+	struct loop_timer sweep_timer;
+	bool draining;
+	bool abort_deferred;
+};
+
+void egress_mark_abort(struct egress_request *r);
+
+/// Sends a request that holds a slot, and its claim if it needs one.
+void egress_start_call(struct egress_request *r);
+
+void egress_request_free(struct egress_request *r);
+
+void egress_fill_load(
+    const struct egress *egress, struct message_response *response);
+
+/// Answers on behalf of the egress, not of the backend server.
+void egress_send_refusal(struct egress *egress, struct egress_sink *sink,
+    uint64_t id, uint32_t status, enum outcome outcome, int64_t retry_us,
+    const char *why);
+
+/// Ends a request that never got to the backend server.
+void egress_end_not_run(struct egress_request *r, uint32_t status,
+    int64_t retry_us, const char *why);
+
+void egress_send_unknown(
+    struct egress_request *r, uint32_t status, const char *why);
+
+/// Gives out free slots and drops what can no longer be served in time.
+void egress_run_waiting(struct egress *egress);
+
+#endif
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -15,7 +15,6 @@
 #define MAX_HEADERS    128
 
 COUNTER_DEFINE(count_requests, "ingress_requests", "Requests taken");
-COUNTER_DEFINE(count_answered, "ingress_answered", "Backend answers given");
 COUNTER_DEFINE(count_not_run, "ingress_not_run", "Answered: not run");
 COUNTER_DEFINE(count_unknown, "ingress_unknown", "Answered: unknown");
 COUNTER_DEFINE(count_gone, "ingress_callers_gone", "Callers that left early");
@@ -339,6 +338,14 @@
 	return ingress;
 }
 
+void
+ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation)
+{
+	ingress->settings.incarnation = incarnation;
+	ingress->local_sink.origin_incarnation = incarnation;
+	links_set_incarnation(ingress->links, incarnation);
+}
+
 void
 ingress_drain(struct ingress *ingress)
 {
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -30,6 +30,9 @@
 /// Takes a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
 
+/// Takes another incarnation of this process.
+void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
+
 /// Stops to accept connections; requests in progress go on.
 void ingress_drain(struct ingress *ingress);
 
--- a/src/proxy/link.c
+++ b/src/proxy/link.c
@@ -238,6 +238,12 @@
 	return links;
 }
 
+void
+links_set_incarnation(struct links *links, uint64_t incarnation)
+{
+	links->incarnation = incarnation;
+}
+
 void
 links_destroy(struct links *links)
 {
--- a/src/proxy/link.h
+++ b/src/proxy/link.h
@@ -43,6 +43,9 @@
 
 void links_destroy(struct links *links);
 
+/// Changes the incarnation that later streams begin with.
+void links_set_incarnation(struct links *links, uint64_t incarnation);
+
 /// Link to an egress process, created if there is none.
 struct link *links_get(struct links *links, const struct link_target *target);
 
--- a/src/proxy/once_client.c
+++ b/src/proxy/once_client.c
@@ -15,7 +15,7 @@
 #define POLL_US		 (40 * US_PER_MS)
 #define TICK_US		 (10 * US_PER_MS)
 #define SETTLE_LIMIT_US	 (10 * US_PER_S)
-#define CLAIM_MARGIN_US	 (5 * US_PER_MS)
+#define CLAIM_MARGIN_US	 (50 * US_PER_MS)
 #define CLAIM_LIMIT_US	 (3 * US_PER_S)
 #define MAX_RECORD_BYTES (64u * 1024)
 
@@ -124,9 +124,16 @@
 	    bytes_copy(leader, text, sizeof(text)) != 0 ||
 	    address_parse(text, &to) != 0)
 		return;
-	for (i = 0; i < client->replica_count; i++)
-		if (memcmp(&client->replicas[i].in, &to.in, sizeof(to.in)) == 0)
-			client->current = i;
+	for (i = 0; i < client->replica_count &&
+	     memcmp(&client->replicas[i].in, &to.in, sizeof(to.in)) != 0;
+	     i++)
+		;
+	// A leader that is not in the settings has replaced another replica.
+	if (i == client->replica_count &&
+	    client->replica_count < ONCE_MAX_REPLICAS)
+		client->replicas[client->replica_count++] = to;
+	if (i < client->replica_count)
+		client->current = i;
 }
 
 static struct bytes
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -35,6 +35,7 @@
 	struct traffic *traffic;
 	struct view *view;
 	struct egress_backend backend;
+	uint64_t incarnation;
 };
 
 static struct order *
@@ -88,6 +89,26 @@
 	loop_post(traffic->loop, take_backend, order);
 }
 
+static void
+take_incarnation(void *arg)
+{
+	struct order *order = arg;
+
+	egress_server_set_incarnation(
+	    order->traffic->server, order->incarnation);
+	ingress_set_incarnation(order->traffic->ingress, order->incarnation);
+	free(order);
+}
+
+void
+traffic_post_incarnation(struct traffic *traffic, uint64_t incarnation)
+{
+	struct order *order = order_create(traffic);
+
+	order->incarnation = incarnation;
+	loop_post(traffic->loop, take_incarnation, order);
+}
+
 static void
 take_drain(void *arg)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -38,6 +38,10 @@
 /// Hands a view over. Any thread.
 void traffic_post_view(struct traffic *traffic, struct view *view);
 
+/// Takes another incarnation of this process: others knew a higher one, from
+/// before a clock was set back. Any thread.
+void traffic_post_incarnation(struct traffic *traffic, uint64_t incarnation);
+
 /// Hands the state of the backend server over. Any thread.
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -10,6 +10,7 @@
 #include "io/counters.h"
 #include "io/log.h"
 #include "io/oneshot.h"
+#include "io/replica_admin.h"
 #include "source/source.h"
 
 #define MAX_PENDING	   64
@@ -204,40 +205,15 @@
 		fn(arg, 404, 0, "{\"result\":\"unknown proxy\"}");
 }
 
-/// Body: {"remove": ID, "add": ID, "address": "IP:port"}; 0 for none.
 static void
 handle_replace(struct source *source, const char *body, size_t body_bytes,
     operator_reply_fn *fn, void *arg)
 {
-	json_t *root =
-	    json_loadb(body == NULL ? "" : body, body_bytes, 0, NULL);
-	struct replica_peer add = {0};
-	struct address parsed;
-	struct error err;
-	json_int_t remove_id = 0;
-	json_int_t add_id = 0;
-	const char *address = "";
-	char text[320];
+	char text[REPLICA_ADMIN_TEXT_BYTES];
+	uint32_t status =
+	    replica_admin_replace(&source->host, body, body_bytes, text);
 
-	if (root == NULL ||
-	    json_unpack(root, "{s?I, s?I, s?s}", "remove", &remove_id, "add",
-		&add_id, "address", &address) != 0 ||
-	    (add_id != 0 && address_parse(address, &parsed) != 0)) {
-		json_decref(root);
-		fn(arg, 400, 0, "{\"result\":\"invalid\"}");
-		return;
-	}
-	add.id = (uint64_t)add_id;
-	snprintf(add.address, sizeof(add.address), "%s", address);
-	json_decref(root);
-	if (replica_host_replace(
-		&source->host, (uint64_t)remove_id, &add, &err) == 0) {
-		fn(arg, 202, 0, "{\"result\":\"replacing\"}");
-		return;
-	}
-	snprintf(text, sizeof(text), "{\"result\":\"refused\",\"why\":\"%s\"}",
-	    err.text);
-	fn(arg, 409, 0, text);
+	fn(arg, status, 0, text);
 }
 
 void
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -7,6 +7,7 @@
 
 #include "io/clock.h"
 #include "io/counters.h"
+#include "io/counters_http.h"
 #include "io/log.h"
 #include "source/source.h"
 
@@ -165,18 +166,11 @@
 static void
 on_request(void *owner, struct http_exchange *exchange)
 {
-	static const struct http_header plain_text = {
-	    "Content-Type", "text/plain; charset=utf-8"};
 	struct source *source = owner;
-	msgpack_sbuffer out;
 	struct call *call;
 
 	if (strcmp(exchange->target, "/counters") == 0) {
-		msgpack_sbuffer_init(&out);
-		counters_render(&out);
-		http_exchange_respond(
-		    exchange, 200, &plain_text, 1, out.data, out.size);
-		msgpack_sbuffer_destroy(&out);
+		counters_respond(exchange);
 		return;
 	}
 	call = call_create(source);
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "wire/codec.h"
+#include "wire/msgpack_check.h"
 
 /// Bounds recursion: a message nests lists of structs, no deeper.
 #define MAX_DEPTH 4
@@ -64,6 +65,9 @@
 	msgpack_unpack_return rc;
 
 	msgpack_unpacked_init(&decoder->unpacked);
+	if (!msgpack_check(bytes, size_bytes))
+		return error_set(err, ERR_SYNTAX, "decode", "",
+		    "not one whole msgpack object");
 	rc =
 	    msgpack_unpack_next(&decoder->unpacked, bytes, size_bytes, &offset);
 	if (rc != MSGPACK_UNPACK_SUCCESS || offset != size_bytes)
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -171,8 +171,8 @@
 	balancer_free(&b);
 }
 
-/// A queue that is full for one rank is not avoided by a rank of more worth;
-/// with all busy the caller is told until when.
+/// A queue that is full for one rank is not avoided by any other: each has its
+/// own share there. With all busy the caller is told until when.
 static void
 test_busy_by_worth(void **state)
 {
@@ -192,6 +192,8 @@
 	assert_int_equal(c.busy_until_deadline_us, SECOND_US + 1000);
 	c = balancer_choose(&b, 6, NULL, 0, SECOND_US);
 	assert_non_null(c.endpoint);
+	c = balancer_choose(&b, 4, NULL, 0, SECOND_US);
+	assert_non_null(c.endpoint);
 	c = balancer_choose(&b, 5, NULL, 0, SECOND_US + 1001);
 	assert_string_equal(c.endpoint->name, "a");
 	balancer_free(&b);
