--- a/src/io/program.c
+++ b/src/io/program.c
@@ -106,6 +106,8 @@
 		return EXIT_USAGE;
 	if (open_log(program, c.settings_path) != 0)
 		return EXIT_USAGE;
+	if (program->validate != NULL && program->validate() != 0)
+		return EXIT_USAGE;
 	if (c.check_only) {
 		printf("%s: settings are valid\n", c.settings_path);
 		return EXIT_OK;
--- a/src/io/program.h
+++ b/src/io/program.h
@@ -47,6 +47,9 @@
 	size_t field_count;
 	void *settings;
 	struct program_log *log; ///< Inside settings.
+	/// Further checks of the settings; NULL for none.
+	/// @return 0, or -1 with a line for each problem on standard error
+	int (*validate)(void);
 	const struct program_flag *flags;
 	size_t flag_count;
 };
--- a/src/io/replica_host.c
+++ b/src/io/replica_host.c
@@ -198,8 +198,6 @@
 	int64_t next_us = replica_tick(&host->replica, now_us);
 
 	advance_change(host);
-	counter_set(&gauge_term, (int64_t)host->replica.term);
-	counter_set(&gauge_commit, (int64_t)host->replica.commit);
 	if (next_us != INT64_MAX)
 		loop_timer_set(host->loop, &host->tick_timer, next_us);
 }
@@ -214,6 +212,8 @@
 	if (host->replica.dirty)
 		counter_add(&count_flushes, 1);
 	replica_flush(&host->replica, loop_now_us(host->loop));
+	counter_set(&gauge_term, (int64_t)host->replica.term);
+	counter_set(&gauge_commit, (int64_t)host->replica.commit);
 	if (!failed && replica_has_failed(&host->replica))
 		log_error(LOG_ERROR, "replica",
 		    "Storage failed; this replica takes no part any more",
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -181,11 +181,19 @@
 	return exit_code;
 }
 
+static struct ledger ledger;
+static struct replica_host_settings host;
+
+static int
+validate(void)
+{
+	fill_host_settings(&ledger.settings, &host);
+	return replica_settings_parse(&ledger.settings.replicas, &host.initial);
+}
+
 int
 main(int argc, char **argv)
 {
-	static struct ledger ledger;
-	static struct replica_host_settings host;
 	const struct program_flag flags[] = {
 	    {"bootstrap", "Begin a new cluster; once in its life",
 		&ledger.settings.bootstrap},
@@ -199,6 +207,7 @@
 	    .field_count = FIELD_COUNT,
 	    .settings = &ledger.settings,
 	    .log = &ledger.settings.log,
+	    .validate = validate,
 	    .flags = flags,
 	    .flag_count = 2,
 	};
@@ -206,10 +215,6 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	fill_host_settings(&ledger.settings, &host);
-	if (replica_settings_parse(&ledger.settings.replicas, &host.initial) !=
-	    0)
-		return EXIT_USAGE;
 	program_block_signals();
 	apr_initialize();
 	exit_code = run(&ledger, &host);
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -264,10 +264,10 @@
 	    .deadline_us = r->deadline_us,
 	};
 
-	// A key that belongs to another request does so everywhere, and time
-	// that is up is up everywhere.
-	if (r->exchange == NULL || status == 422 || status == 431 ||
-	    status == 504 ||
+	// A key that is in use, or belongs to another request, is so everywhere,
+	// and time that is up is up everywhere.
+	if (r->exchange == NULL || status == 409 || status == 422 ||
+	    status == 431 || status == 504 ||
 	    !retry_decide(
 		&r->ingress->budget, &q, loop_now_us(r->ingress->loop))) {
 		ingress_conclude(r, status, outcome, retry_us, why);
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -11,9 +11,12 @@
     "Proxy beside a backend server: takes callers' requests, routes them by "
     "the rules in force, and admits work to its backend server by rank.";
 
+static struct proxy_settings settings;
+static struct control control;
+static struct traffic_settings traffic;
+
 static int
-write_bound(const struct proxy_settings *settings,
-    const struct control *control, struct error *err)
+write_bound(struct error *err)
 {
 	char outer[ADDRESS_TEXT_BYTES];
 	char inner[ADDRESS_TEXT_BYTES];
@@ -22,16 +25,16 @@
 	char admin[ADDRESS_TEXT_BYTES];
 	char text[512];
 
-	address_format(&control->bound_traffic.outer, outer);
-	address_format(&control->bound_traffic.inner, inner);
-	address_format(&control->bound_traffic.peer, peer);
-	address_format(&control->bound_control, ctl);
-	address_format(&control->bound_admin, admin);
+	address_format(&control.bound_traffic.outer, outer);
+	address_format(&control.bound_traffic.inner, inner);
+	address_format(&control.bound_traffic.peer, peer);
+	address_format(&control.bound_control, ctl);
+	address_format(&control.bound_admin, admin);
 	snprintf(text, sizeof(text),
 	    "{\"outer\":\"%s\",\"inner\":\"%s\",\"peer\":\"%s\","
 	    "\"control\":\"%s\",\"admin\":\"%s\"}\n",
 	    outer, inner, peer, ctl, admin);
-	return program_write_bound(settings->bound_path, text, err);
+	return program_write_bound(settings.bound_path, text, err);
 }
 
 static void
@@ -41,39 +44,41 @@
 }
 
 static int
-run(const struct proxy_settings *settings, struct control *control,
-    const struct traffic_settings *traffic_settings)
+run(void)
 {
 	struct error err;
 	int exit_code = EXIT_FAILED;
 
-	control->traffic =
-	    traffic_create(traffic_settings, &control->bound_traffic, &err);
-	if (control->traffic == NULL || control_open(control, &err) != 0 ||
-	    program_watch_signals(control->loop, on_terminate, control, &err) !=
+	control.traffic =
+	    traffic_create(&traffic, &control.bound_traffic, &err);
+	if (control.traffic == NULL || control_open(&control, &err) != 0 ||
+	    program_watch_signals(control.loop, on_terminate, &control, &err) !=
 		0 ||
-	    traffic_start(control->traffic, &err) != 0 ||
-	    write_bound(settings, control, &err) != 0) {
+	    traffic_start(control.traffic, &err) != 0 ||
+	    write_bound(&err) != 0) {
 		log_error(LOG_ERROR, "proxy", "Cannot start", &err);
 		goto out;
 	}
 	log_write(LOG_INFO, "proxy", "Started %s in %s/%s.",
-	    control->settings.self.name, control->settings.self.region,
-	    control->settings.self.dc);
-	control_run(control);
+	    control.settings.self.name, control.settings.self.region,
+	    control.settings.self.dc);
+	control_run(&control);
 	exit_code = EXIT_OK;
 out:
-	traffic_stop(control->traffic);
-	control_close(control);
+	traffic_stop(control.traffic);
+	control_close(&control);
 	return exit_code;
 }
 
+static int
+validate(void)
+{
+	return proxy_settings_resolve(&settings, &control.settings, &traffic);
+}
+
 int
 main(int argc, char **argv)
 {
-	static struct proxy_settings settings;
-	static struct control control;
-	static struct traffic_settings traffic;
 	const struct program program = {
 	    .name = "mvproxy",
 	    .purpose = program_purpose,
@@ -81,17 +86,16 @@
 	    .field_count = proxy_field_count,
 	    .settings = &settings,
 	    .log = &settings.log,
+	    .validate = validate,
 	};
 	int exit_code = program_start(&program, argc, argv);
 
 	if (exit_code >= 0)
 		return exit_code;
-	if (proxy_settings_resolve(&settings, &control.settings, &traffic) != 0)
-		return EXIT_USAGE;
 	program_block_signals();
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	exit_code = run(&settings, &control, &traffic);
+	exit_code = run();
 	curl_global_cleanup();
 	apr_terminate();
 	log_flush();
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -177,11 +177,19 @@
 	return exit_code;
 }
 
+static struct source source;
+static struct replica_host_settings host;
+
+static int
+validate(void)
+{
+	fill_host_settings(&source.settings, &host);
+	return replica_settings_parse(&source.settings.replicas, &host.initial);
+}
+
 int
 main(int argc, char **argv)
 {
-	static struct source source;
-	static struct replica_host_settings host;
 	const struct program_flag flags[] = {
 	    {"bootstrap", "Begin a new cluster; once in its life",
 		&source.settings.bootstrap},
@@ -195,6 +203,7 @@
 	    .field_count = source_field_count,
 	    .settings = &source.settings,
 	    .log = &source.settings.log,
+	    .validate = validate,
 	    .flags = flags,
 	    .flag_count = 2,
 	};
@@ -202,10 +211,6 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	fill_host_settings(&source.settings, &host);
-	if (replica_settings_parse(&source.settings.replicas, &host.initial) !=
-	    0)
-		return EXIT_USAGE;
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
 	source.reports.forget_us = source.settings.forget_ms * US_PER_MS;
 	program_block_signals();
