--- a/test/functional/once_failures.sh
+++ b/test/functional/once_failures.sh
@@ -5,7 +5,7 @@
 . scripts/mesh.sh
 MESH_SOURCES=1
 MESH_LEDGERS=3
-MESH_BACKEND_EXTRA="service_us=100000"
+MESH_BACKEND_EXTRA="service_us=400000"
 mesh_init "$BUILD"
 mesh_start test/functional/once.mv 6 book
 
