--- a/test/functional/requests.sh
+++ b/test/functional/requests.sh
@@ -126,6 +126,8 @@
 path=/get/end
 for i in 1 2 3 4 5 6; do path="/deep/$i?call=$path"; done
 curl -s -m 9 "$(mesh_url 1 "$path")" | sed 's/?call.* bytes/ bytes/'
+# Log lines are written a little after the answer.
+mesh_wait 5 grep -q 'Ran GET /get/end' "$MESH_DIR"/backend-*.log
 grep -h 'Ran GET /get/end' "$MESH_DIR"/backend-*.log | grep -o 'rank [a-z]*'
 grep -h 'Ran GET /get/end' "$MESH_DIR"/backend-*.log |
     awk '{ print ($NF + 0 > 0 && $NF + 0 <= 5000) ? "deadline kept" : $0 }'
