--- a/src/core/error.h
+++ b/src/core/error.h
@@ -40,7 +40,4 @@
     const char *peer, const char *fmt, ...)
     __attribute__((format(printf, 5, 6)));
 
-/// Names an error code.
-const char *error_code_name(enum error_code code);
-
 #endif
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -129,7 +129,7 @@
 	if (x == NULL)
 		return;
 	x->suspended = false;
-	if (x->dispatched)
+	if (x->dispatched && httpd->ops->on_end != NULL)
 		httpd->ops->on_end(&x->pub,
 		    code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
 			(x->out_complete || !x->out_ended));
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -27,7 +27,7 @@
 	/// The caller took bytes of a streamed response.
 	void (*on_drained)(struct http_exchange *exchange, size_t size_bytes);
 	/// The exchange ended; complete is false if the caller did not get
-	/// the whole response. The exchange is freed on return.
+	/// the whole response. The exchange is freed on return. May be NULL.
 	void (*on_end)(struct http_exchange *exchange, bool complete);
 };
 
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -71,7 +71,8 @@
 	const struct stream_ops *ops;
 	void *owner;
 	struct stream *first; ///< Accepted and still open.
-	/// Called for each accepted stream, whose owner is the listener's.
+	/// Called for each accepted stream, whose owner is the listener's; may
+	/// be NULL.
 	void (*on_accept)(void *owner, struct stream *stream);
 };
 
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -371,7 +371,8 @@
 		    listener->loop, fd, &from, listener->ops, listener->owner);
 		listener_add(listener, stream);
 		update_watch(stream);
-		listener->on_accept(listener->owner, stream);
+		if (listener->on_accept != NULL)
+			listener->on_accept(listener->owner, stream);
 	}
 }
 
--- a/src/io/wal.c
+++ b/src/io/wal.c
@@ -8,9 +8,9 @@
 #include "io/wal.h"
 #include "io/wal_record.h"
 
-#define SNAPSHOT_NAME	"snapshot"
-#define IDENTITY_NAME	"identity"
-#define IDENTITY_FORMAT "cluster %" PRIu64 " replica %" PRIu64 "\n"
+#define WAL_SNAPSHOT_NAME "snapshot"
+#define IDENTITY_NAME	  "identity"
+#define IDENTITY_FORMAT	  "cluster %" PRIu64 " replica %" PRIu64 "\n"
 
 static struct wal *
 wal_of(struct replica_storage *storage)
@@ -189,7 +189,7 @@
 	wal_record_put(&out, 0, WAL_SNAPSHOT, &head, sizeof(head), payload.data,
 	    payload.size);
 	rc = wal->disk->ops->replace(
-	    wal->disk, SNAPSHOT_NAME, out.data, out.size, err);
+	    wal->disk, WAL_SNAPSHOT_NAME, out.data, out.size, err);
 	msgpack_sbuffer_destroy(&payload);
 	msgpack_sbuffer_destroy(&out);
 	if (rc != 0 || start_segment(wal, err) != 0)
--- a/src/io/wal_load.c
+++ b/src/io/wal_load.c
@@ -9,8 +9,6 @@
 #include "io/wal.h"
 #include "io/wal_record.h"
 
-#define SNAPSHOT_NAME "snapshot"
-
 /// Fixed part of a record, as it lies on the disk.
 struct record_header {
 	uint32_t magic;
@@ -264,15 +262,15 @@
 	size_t size_bytes;
 	int rc = -1;
 
-	if (l->wal->disk->ops->read(
-		l->wal->disk, SNAPSHOT_NAME, &bytes, &size_bytes, l->err) != 0)
+	if (l->wal->disk->ops->read(l->wal->disk, WAL_SNAPSHOT_NAME, &bytes,
+		&size_bytes, l->err) != 0)
 		return -1;
 	if (bytes == NULL)
 		return 0;
 	if (wal_record_get(bytes, size_bytes, &record) != 0 ||
 	    record.total_bytes != size_bytes || record.kind != WAL_SNAPSHOT ||
 	    record.payload_bytes < sizeof(head)) {
-		report_damage(l, SNAPSHOT_NAME, 0);
+		report_damage(l, WAL_SNAPSHOT_NAME, 0);
 		goto out;
 	}
 	memcpy(&head, record.payload, sizeof(head));
@@ -280,7 +278,7 @@
 		record.payload_bytes ||
 	    replica_config_decode(record.payload + sizeof(head),
 		head.config_bytes, &s->config, l->err) != 0) {
-		report_damage(l, SNAPSHOT_NAME, WAL_HEADER_BYTES);
+		report_damage(l, WAL_SNAPSHOT_NAME, WAL_HEADER_BYTES);
 		goto out;
 	}
 	s->index = head.index;
--- a/src/io/wal_record.h
+++ b/src/io/wal_record.h
@@ -9,6 +9,7 @@
 
 #include "io/wal.h"
 
+#define WAL_SNAPSHOT_NAME     "snapshot"
 #define WAL_NAME_BYTES	      32
 #define WAL_MAGIC	      0x4c57564du
 #define WAL_HEADER_BYTES      28
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -54,25 +54,10 @@
 		http_exchange_respond_text(exchange, 404, "not found\n");
 }
 
-static void
-on_admin_end(struct http_exchange *exchange, bool complete)
-{
-	(void)exchange;
-	(void)complete;
-}
-
 const struct httpd_ops ledger_admin_ops = {
     .on_request = on_admin_request,
-    .on_end = on_admin_end,
 };
 
-static void
-on_accept(void *owner, struct stream *stream)
-{
-	(void)owner;
-	(void)stream;
-}
-
 static int
 open_sockets(struct ledger *ledger, struct error *err)
 {
@@ -86,8 +71,7 @@
 	address_parse(s->listen_control, &control);
 	address_parse(s->listen_admin, &admin);
 	if (listener_open(&ledger->listener, ledger->loop, &control,
-		&ledger_stream_ops, ledger, on_accept, &ledger->bound,
-		err) != 0)
+		&ledger_stream_ops, ledger, NULL, &ledger->bound, err) != 0)
 		return -1;
 	ledger->admin = httpd_open(ledger->loop, &admin, &ledger_admin_ops,
 	    ledger, &limits, &ledger->bound_admin, err);
--- a/src/proxy/announce.c
+++ b/src/proxy/announce.c
@@ -171,14 +171,6 @@
 		http_exchange_respond_text(exchange, 404, "not found\n");
 }
 
-static void
-on_admin_end(struct http_exchange *exchange, bool complete)
-{
-	(void)exchange;
-	(void)complete;
-}
-
 const struct httpd_ops control_admin_ops = {
     .on_request = on_admin_request,
-    .on_end = on_admin_end,
 };
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -72,13 +72,6 @@
 	r->endpoint = NULL;
 }
 
-static int
-send_to_egress(
-    struct ingress_request *r, enum message_type type, const void *value)
-{
-	return link_send(r->link, type, value);
-}
-
 static struct egress_request *
 find_local(struct ingress_request *r)
 {
@@ -97,7 +90,7 @@
 		return;
 	}
 	if (r->link != NULL) {
-		send_to_egress(r, MESSAGE_CANCEL, &cancel);
+		link_send(r->link, MESSAGE_CANCEL, &cancel);
 		return;
 	}
 	local = find_local(r);
@@ -115,7 +108,7 @@
 		return;
 	m.id = r->id;
 	if (r->link != NULL) {
-		send_to_egress(r, MESSAGE_BODY, &m);
+		link_send(r->link, MESSAGE_BODY, &m);
 		return;
 	}
 	local = find_local(r);
@@ -132,7 +125,7 @@
 	if (r->state != ATTEMPT_STREAMING)
 		return;
 	if (r->link != NULL) {
-		send_to_egress(r, MESSAGE_WINDOW, &m);
+		link_send(r->link, MESSAGE_WINDOW, &m);
 		return;
 	}
 	local = find_local(r);
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -118,13 +118,6 @@
     .on_closed = on_control_closed,
 };
 
-static void
-on_control_accept(void *owner, struct stream *stream)
-{
-	(void)owner;
-	(void)stream;
-}
-
 static void
 start_timer(struct control *control, struct loop_timer *timer,
     void (*fn)(void *), int64_t delay_us)
@@ -147,8 +140,8 @@
 
 	// TCP and UDP share the port, which the kernel may have chosen.
 	if (listener_open(&control->listener, control->loop,
-		&control->settings.control, &control_stream_ops, control,
-		on_control_accept, &control->bound_control, err) != 0 ||
+		&control->settings.control, &control_stream_ops, control, NULL,
+		&control->bound_control, err) != 0 ||
 	    datagram_open(&control->udp, control->loop, &control->bound_control,
 		control, gossip_io_receive, &udp_bound, err) != 0)
 		return -1;
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -53,13 +53,6 @@
 	loop_timer_set(source->loop, &source->expire_timer, now_us + EXPIRE_US);
 }
 
-static void
-on_accept(void *owner, struct stream *stream)
-{
-	(void)owner;
-	(void)stream;
-}
-
 static int
 open_sockets(struct source *source, struct error *err)
 {
@@ -76,7 +69,7 @@
 	address_parse(s->listen_control, &control);
 	address_parse(s->listen_operators, &operators);
 	if (listener_open(&source->listener, source->loop, &control,
-		&source_stream_ops, source, on_accept, &source->bound_control,
+		&source_stream_ops, source, NULL, &source->bound_control,
 		err) != 0 ||
 	    datagram_open(&source->udp, source->loop, &source->bound_control,
 		source, publish_on_datagram, &udp_bound, err) != 0)
