--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 build=$1
-files=$(git ls-files --cached --others --exclude-standard 'src/*.[ch]' \
+files=$(git ls-files --cached --others --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' \
     'test/*.[ch]')
 rc=0
 
--- /dev/null
+++ b/src/core/backend.c
@@ -0,0 +1,88 @@
+// Order of the announcements of a backend server.
+#include <string.h>
+
+#include "core/backend.h"
+
+/// Lease of a server that left without one: longer than its announcements can
+/// be under way.
+#define LEFT_LEASE_US (60LL * 1000000)
+
+static bool
+is_same_process(const struct backend *b, const struct backend_announcement *a)
+{
+	return strcmp(b->now.id, a->id) == 0 && b->now.born == a->born;
+}
+
+/// Tells whether an announcement is from before the one that holds.
+///
+/// Starts of two processes are compared by their clocks, which may have been
+/// set back in between: once the lease is over the newer word counts.
+static bool
+is_stale(const struct backend *b, const struct backend_announcement *a,
+    int64_t now_us)
+{
+	if (!b->known)
+		return false;
+	if (is_same_process(b, a))
+		return a->sequence <= b->now.sequence && a->sequence != 0;
+	if (a->born < b->now.born)
+		return now_us < b->now.lease_deadline_us;
+	return false;
+}
+
+enum backend_verdict
+backend_announce(
+    struct backend *b, const struct backend_announcement *a, int64_t now_us)
+{
+	struct backend_announcement old = b->now;
+	bool same = b->known && is_same_process(b, a);
+
+	if (is_stale(b, a, now_us))
+		return BACKEND_STALE;
+	b->now = *a;
+	b->known = true;
+	// A process that has begun to leave does not come back. Where processes
+	// have no identity, a cold one is a new one.
+	if (same && old.state == BACKEND_DRAINING &&
+	    (a->born != 0 || a->state != BACKEND_COLD))
+		b->now.state = BACKEND_DRAINING;
+	if (same && old.state == b->now.state && old.slots == a->slots &&
+	    strcmp(old.service, a->service) == 0 &&
+	    strcmp(old.address, a->address) == 0)
+		return BACKEND_RENEWED;
+	return BACKEND_CHANGED;
+}
+
+enum backend_verdict
+backend_leave(
+    struct backend *b, const struct backend_announcement *a, int64_t now_us)
+{
+	if (b->known && strcmp(b->now.id, a->id) != 0)
+		return BACKEND_STALE;
+	if (b->known && a->born != 0 && a->born < b->now.born)
+		return BACKEND_STALE;
+	if (!b->known) {
+		b->now = *a;
+		b->known = true;
+	}
+	if (a->born > b->now.born)
+		b->now.born = a->born;
+	if (a->sequence > b->now.sequence)
+		b->now.sequence = a->sequence;
+	if (b->now.lease_deadline_us < now_us + LEFT_LEASE_US)
+		b->now.lease_deadline_us = now_us + LEFT_LEASE_US;
+	if (b->now.state == BACKEND_DRAINING)
+		return BACKEND_RENEWED;
+	b->now.state = BACKEND_DRAINING;
+	return BACKEND_CHANGED;
+}
+
+bool
+backend_expire(struct backend *b, int64_t now_us, bool gone)
+{
+	if (!b->known || b->now.state == BACKEND_NONE ||
+	    (!gone && now_us < b->now.lease_deadline_us))
+		return false;
+	b->now.state = BACKEND_NONE;
+	return true;
+}
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -395,6 +395,13 @@
 	return false;
 }
 
+void
+membership_meet(struct membership *m, const char *host, uint32_t port)
+{
+	if (!is_known_address(m, host, port))
+		m->ops->sync(m, host, port);
+}
+
 /// Goes to the seeds that are not known to be up, each in its turn.
 static void
 try_seed(struct membership *m)
@@ -404,10 +411,8 @@
 	if (m->settings.seed_count == 0)
 		return;
 	at = m->retry_round % m->settings.seed_count;
-	if (!is_known_address(
-		m, m->settings.seeds[at].host, m->settings.seeds[at].port))
-		m->ops->sync(
-		    m, m->settings.seeds[at].host, m->settings.seeds[at].port);
+	membership_meet(
+	    m, m->settings.seeds[at].host, m->settings.seeds[at].port);
 }
 
 /// Time between tries: short at the start, when parts of the mesh may have
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -138,6 +138,10 @@
 void membership_receive(
     struct membership *m, const struct gossip *gossip, int64_t now_us);
 
+/// Exchanges tables with the member at an address, unless one is known to be
+/// up there.
+void membership_meet(struct membership *m, const char *host, uint32_t port);
+
 /// Merges one record of a table exchange.
 void membership_merge(
     struct membership *m, const struct member *record, int64_t now_us);
--- a/src/core/rule_store.c
+++ b/src/core/rule_store.c
@@ -5,9 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/delta.h"
 #include "core/rule_store.h"
 
 #define HEAD_BYTES 64
+#define LINE_BYTES 192
+
+#define CHANGE_FORMAT \
+	"change %" PRIu64 " %" PRIu64 " base %d %" PRIu64 " at %" PRId64 "\n"
+#define STEP_FORMAT "copy %u %u insert %u\n"
 
 void
 rule_store_free(struct rule_store *store)
@@ -15,64 +21,168 @@
 	rules_unref(store->current);
 	rules_unref(store->previous);
 	free(store->since);
+	free(store->history);
 	memset(store, 0, sizeof(*store));
 }
 
-enum rule_store_verdict
-rule_store_check(
-    const struct rule_store *store, uint64_t version, uint64_t hash)
+/// What decides whether a file is accepted.
+struct candidate {
+	struct rule_store_id id;
+	bool has_base;
+	uint64_t base;
+};
+
+static bool
+is_in_history(const struct rule_store *store, const struct rule_store_id *id)
+{
+	uint32_t i;
+
+	for (i = store->history_count; i > 0; i--)
+		if (store->history[i - 1].version == id->version &&
+		    store->history[i - 1].hash == id->hash)
+			return true;
+	return false;
+}
+
+static enum rule_store_verdict
+judge(const struct rule_store *store, const struct candidate *c)
 {
 	uint64_t accepted =
 	    store->current == NULL ? 0 : store->current->version;
 
-	if (version == accepted + 1)
+	if (store->current != NULL && c->id.version == accepted &&
+	    c->id.hash == store->current->hash)
+		return RULE_STORE_ALREADY;
+	if (c->has_base && is_in_history(store, &c->id))
+		return RULE_STORE_SUPERSEDED;
+	if (c->has_base && c->base == accepted && c->id.version > accepted)
 		return RULE_STORE_ACCEPTED;
-	if (version > accepted)
+	if (!c->has_base && c->id.version == accepted + 1)
+		return RULE_STORE_ACCEPTED;
+	if (c->has_base && c->base > accepted)
 		return RULE_STORE_GAP;
-	if (version < accepted || store->current == NULL)
-		return RULE_STORE_OLD;
-	return hash == store->current->hash ? RULE_STORE_ALREADY
-					    : RULE_STORE_CONFLICT;
+	if (c->id.version > accepted)
+		return c->has_base ? RULE_STORE_CONFLICT : RULE_STORE_GAP;
+	return c->id.version < accepted || store->current == NULL
+	    ? RULE_STORE_OLD
+	    : RULE_STORE_CONFLICT;
+}
+
+enum rule_store_verdict
+rule_store_check(const struct rule_store *store, const struct rules *rules)
+{
+	struct candidate c = {
+	    {rules->version, rules->hash}, rules->has_base, rules->base};
+
+	return judge(store, &c);
 }
 
+/// Growing text of an entry.
+struct text {
+	char *bytes;
+	size_t used;
+	size_t capacity;
+};
+
+static void
+text_append(struct text *t, const char *bytes, size_t size_bytes)
+{
+	if (t->used + size_bytes + 1 > t->capacity) {
+		t->capacity = 2 * (t->used + size_bytes + 1);
+		t->bytes = realloc(t->bytes, t->capacity);
+		assert(t->bytes != NULL);
+	}
+	memcpy(t->bytes + t->used, bytes, size_bytes);
+	t->used += size_bytes;
+	t->bytes[t->used] = '\0';
+}
+
+/// Entry: a head line, then for each step "copy FROM COUNT insert BYTES" and
+/// the inserted bytes.
 char *
-rule_store_encode(
-    const struct rules *rules, int64_t accepted_us, uint32_t *size_bytes)
+rule_store_encode(const struct rule_store *store, const struct rules *rules,
+    int64_t accepted_us, uint32_t *size_bytes)
 {
-	char *out = malloc(HEAD_BYTES + rules->text_bytes);
-	int head;
-
-	assert(out != NULL);
-	head = snprintf(out, HEAD_BYTES, "accepted %" PRId64 "\n", accepted_us);
-	memcpy(out + head, rules->text, rules->text_bytes);
-	*size_bytes = (uint32_t)head + (uint32_t)rules->text_bytes;
-	return out;
+	const struct rules *old = store->current;
+	struct text out = {NULL, 0, 0};
+	char line[LINE_BYTES];
+	struct delta delta;
+	uint32_t i;
+	int n;
+
+	delta_make(old == NULL ? "" : old->text,
+	    old == NULL ? 0 : old->text_bytes, rules->text, rules->text_bytes,
+	    &delta);
+	n = snprintf(line, sizeof(line), CHANGE_FORMAT, rules->version,
+	    rules->hash, rules->has_base, rules->base, accepted_us);
+	text_append(&out, line, (size_t)n);
+	for (i = 0; i < delta.step_count; i++) {
+		const struct delta_step *step = &delta.steps[i];
+
+		n = snprintf(line, sizeof(line), STEP_FORMAT, step->copy_from,
+		    step->copy_count, step->insert_bytes);
+		text_append(&out, line, (size_t)n);
+		text_append(&out, step->insert, step->insert_bytes);
+	}
+	delta_free(&delta);
+	*size_bytes = (uint32_t)out.used;
+	return out.bytes;
 }
 
-/// Parses a head line "accepted N" and the rules behind it.
+/// Cuts the next line off some bytes.
+///
+/// @return 0, or -1 if there is no whole line that fits
+static int
+next_line(const char **at, const char *end, char line[LINE_BYTES])
+{
+	const char *eol = memchr(*at, '\n', (size_t)(end - *at));
+	size_t n = eol == NULL ? 0 : (size_t)(eol - *at);
+
+	if (eol == NULL || n >= LINE_BYTES)
+		return -1;
+	memcpy(line, *at, n);
+	line[n] = '\0';
+	*at = eol + 1;
+	return 0;
+}
+
+/// Reads the steps of an entry; they point into it.
+static int
+decode_steps(
+    const char *at, const char *end, struct delta *out, struct error *err)
+{
+	char line[LINE_BYTES];
+
+	memset(out, 0, sizeof(*out));
+	while (at < end) {
+		struct delta_step step = {0};
+
+		if (next_line(&at, end, line) != 0 ||
+		    sscanf(line, "copy %" SCNu32 " %" SCNu32 " insert %" SCNu32,
+			&step.copy_from, &step.copy_count,
+			&step.insert_bytes) != 3 ||
+		    step.insert_bytes > (size_t)(end - at))
+			return error_set(
+			    err, ERR_CORRUPT, "decode rules", "", "bad step");
+		step.insert = at;
+		at += step.insert_bytes;
+		out->steps =
+		    realloc(out->steps, (out->step_count + 1) * sizeof(step));
+		assert(out->steps != NULL);
+		out->steps[out->step_count++] = step;
+	}
+	return 0;
+}
+
+/// Parses a text that was checked before it was stored.
 static struct rules *
-decode(const char *bytes, uint32_t size_bytes, int64_t *accepted_us,
-    struct error *err)
+parse_stored(const char *text, size_t text_bytes, struct error *err)
 {
-	const char *eol = memchr(bytes, '\n', size_bytes);
-	struct rules_errors *errors;
+	struct rules_errors *errors = malloc(sizeof(*errors));
 	struct rules *rules;
-	char head[HEAD_BYTES];
-	size_t n = eol == NULL ? 0 : (size_t)(eol - bytes);
 
-	if (eol == NULL || n >= sizeof(head)) {
-		error_set(err, ERR_CORRUPT, "decode rules", "", "no head");
-		return NULL;
-	}
-	memcpy(head, bytes, n);
-	head[n] = '\0';
-	if (sscanf(head, "accepted %" SCNd64, accepted_us) != 1) {
-		error_set(err, ERR_CORRUPT, "decode rules", "", "bad head");
-		return NULL;
-	}
-	errors = malloc(sizeof(*errors));
 	assert(errors != NULL);
-	rules = rules_parse(eol + 1, size_bytes - n - 1, errors);
+	rules = rules_parse(text, text_bytes, errors);
 	if (rules == NULL)
 		error_set(err, ERR_CORRUPT, "decode rules", "", "line %u: %s",
 		    errors->items[0].line, errors->items[0].text);
@@ -80,6 +190,54 @@
 	return rules;
 }
 
+/// Builds the file of an entry from the accepted file.
+static struct rules *
+decode_rules(const struct rule_store *store, const char *at, const char *end,
+    const struct rule_store_id *id, struct error *err)
+{
+	const struct rules *old = store->current;
+	struct rules *rules = NULL;
+	struct delta delta;
+	size_t text_bytes;
+	char *text;
+
+	if (decode_steps(at, end, &delta, err) != 0)
+		goto out;
+	if (delta_apply(old == NULL ? "" : old->text,
+		old == NULL ? 0 : old->text_bytes, delta.steps,
+		delta.step_count, RULES_MAX_BYTES, &text, &text_bytes,
+		err) != 0)
+		goto out;
+	rules = parse_stored(text, text_bytes, err);
+	free(text);
+	if (rules != NULL &&
+	    (rules->version != id->version || rules->hash != id->hash)) {
+		error_set(err, ERR_CORRUPT, "decode rules", "",
+		    "version %" PRIu64 " does not match its hash", id->version);
+		rules_unref(rules);
+		rules = NULL;
+	}
+out:
+	free(delta.steps);
+	return rules;
+}
+
+/// Parses a head line "accepted N" and the rules behind it.
+static struct rules *
+decode_snapshot(const char *bytes, uint32_t size_bytes, int64_t *accepted_us,
+    struct error *err)
+{
+	const char *end = bytes + size_bytes;
+	char head[LINE_BYTES];
+
+	if (next_line(&bytes, end, head) != 0 ||
+	    sscanf(head, "accepted %" SCNd64, accepted_us) != 1) {
+		error_set(err, ERR_CORRUPT, "decode rules", "", "bad head");
+		return NULL;
+	}
+	return parse_stored(bytes, (size_t)(end - bytes), err);
+}
+
 static uint32_t
 count_lines(const struct rules *rules)
 {
@@ -159,56 +317,111 @@
 	store->line_count = count;
 }
 
+static void
+history_add(struct rule_store *store, const struct rule_store_id *id)
+{
+	if (store->history == NULL) {
+		store->history =
+		    calloc(RULE_STORE_HISTORY, sizeof(*store->history));
+		assert(store->history != NULL);
+	}
+	if (store->history_count == RULE_STORE_HISTORY) {
+		store->history_count--;
+		memmove(store->history, store->history + 1,
+		    store->history_count * sizeof(*store->history));
+	}
+	store->history[store->history_count++] = *id;
+}
+
 int
 rule_store_apply(struct rule_store *store, const char *entry,
     uint32_t size_bytes, struct error *err)
 {
+	const char *at = entry;
+	struct candidate c = {0};
 	enum rule_store_verdict verdict;
+	char head[LINE_BYTES];
 	int64_t accepted_us;
-	struct rules *rules = decode(entry, size_bytes, &accepted_us, err);
+	struct rules *rules;
+	int has_base;
 
+	if (next_line(&at, entry + size_bytes, head) != 0 ||
+	    sscanf(head,
+		"change %" SCNu64 " %" SCNu64 " base %d %" SCNu64
+		" at %" SCNd64,
+		&c.id.version, &c.id.hash, &has_base, &c.base,
+		&accepted_us) != 5)
+		return error_set(
+		    err, ERR_CORRUPT, "decode rules", "", "bad head");
+	c.has_base = has_base != 0;
+	verdict = judge(store, &c);
+	if (verdict != RULE_STORE_ACCEPTED)
+		return verdict;
+	rules = decode_rules(store, at, entry + size_bytes, &c.id, err);
 	if (rules == NULL)
 		return -1;
-	verdict = rule_store_check(store, rules->version, rules->hash);
-	if (verdict != RULE_STORE_ACCEPTED) {
-		rules_unref(rules);
-		return verdict;
-	}
 	update_since(store, rules);
 	rules_unref(store->previous);
 	store->previous = store->current;
 	store->current = rules;
 	store->accepted_us = accepted_us;
+	history_add(store, &c.id);
 	return verdict;
 }
 
 char *
 rule_store_snapshot(const struct rule_store *store, uint32_t *size_bytes)
 {
-	size_t capacity = HEAD_BYTES + 24 * ((size_t)store->line_count + 1);
-	size_t used;
-	char *out;
+	struct text out = {NULL, 0, 0};
+	char line[LINE_BYTES];
 	uint32_t i;
+	int n;
 
 	if (store->current == NULL) {
 		*size_bytes = 0;
 		return calloc(1, 1);
 	}
-	capacity += store->current->text_bytes;
-	out = malloc(capacity);
-	assert(out != NULL);
-	used = (size_t)snprintf(out, capacity, "since %u", store->line_count);
-	for (i = 1; i <= store->line_count; i++)
-		used += (size_t)snprintf(
-		    out + used, capacity - used, " %" PRIu64, store->since[i]);
-	used += (size_t)snprintf(out + used, capacity - used,
-	    "\naccepted %" PRId64 "\n", store->accepted_us);
-	memcpy(out + used, store->current->text, store->current->text_bytes);
-	*size_bytes = (uint32_t)(used + store->current->text_bytes);
-	return out;
+	n = snprintf(line, sizeof(line), "since %u", store->line_count);
+	text_append(&out, line, (size_t)n);
+	for (i = 1; i <= store->line_count; i++) {
+		n = snprintf(line, sizeof(line), " %" PRIu64, store->since[i]);
+		text_append(&out, line, (size_t)n);
+	}
+	n = snprintf(line, sizeof(line), "\nhistory %u", store->history_count);
+	text_append(&out, line, (size_t)n);
+	for (i = 0; i < store->history_count; i++) {
+		n = snprintf(line, sizeof(line), " %" PRIu64 ":%" PRIu64,
+		    store->history[i].version, store->history[i].hash);
+		text_append(&out, line, (size_t)n);
+	}
+	n = snprintf(
+	    line, sizeof(line), "\naccepted %" PRId64 "\n", store->accepted_us);
+	text_append(&out, line, (size_t)n);
+	text_append(&out, store->current->text, store->current->text_bytes);
+	*size_bytes = (uint32_t)out.used;
+	return out.bytes;
 }
 
-/// Reads the line "since N v v v ...".
+/// Cuts a line of any length off a snapshot. Release it with free().
+static char *
+cut_line(const char **at, const char *end, const char *begin, struct error *err)
+{
+	const char *eol = memchr(*at, '\n', (size_t)(end - *at));
+	size_t n = strlen(begin);
+	char *line;
+
+	if (eol == NULL || (size_t)(eol - *at) < n ||
+	    memcmp(*at, begin, n) != 0) {
+		error_set(err, ERR_CORRUPT, "restore", "", "bad snapshot");
+		return NULL;
+	}
+	line = strndup(*at + n, (size_t)(eol - *at) - n);
+	assert(line != NULL);
+	*at = eol + 1;
+	return line;
+}
+
+/// Reads the numbers "N v v v ..." of the since line.
 static uint64_t *
 decode_since(const char *line, uint32_t *count, struct error *err)
 {
@@ -216,11 +429,7 @@
 	char *at;
 	uint32_t i;
 
-	if (strncmp(line, "since ", 6) != 0) {
-		error_set(err, ERR_CORRUPT, "restore", "", "bad snapshot");
-		return NULL;
-	}
-	*count = (uint32_t)strtoul(line + 6, &at, 10);
+	*count = (uint32_t)strtoul(line, &at, 10);
 	if (*count == 0 || *count > RULES_MAX_BYTES) {
 		error_set(err, ERR_CORRUPT, "restore", "", "bad line count");
 		return NULL;
@@ -232,45 +441,74 @@
 	return since;
 }
 
-int
-rule_store_restore(struct rule_store *store, const char *snapshot,
-    uint32_t size_bytes, struct error *err)
+/// Reads the pairs "N version:hash ..." of the history line.
+static int
+decode_history(struct rule_store *store, const char *line, struct error *err)
 {
-	const char *eol;
-	struct rules *rules;
-	uint64_t *since;
-	uint32_t count;
-	int64_t accepted_us;
-	char *line;
+	char *at;
+	uint32_t count = (uint32_t)strtoul(line, &at, 10);
+	uint32_t i;
 
-	if (size_bytes == 0) {
-		rule_store_free(store);
-		return 0;
-	}
-	eol = memchr(snapshot, '\n', size_bytes);
-	if (eol == NULL)
+	if (count > RULE_STORE_HISTORY)
 		return error_set(
-		    err, ERR_CORRUPT, "restore", "", "bad snapshot");
-	line = strndup(snapshot, (size_t)(eol - snapshot));
-	assert(line != NULL);
-	since = decode_since(line, &count, err);
-	free(line);
+		    err, ERR_CORRUPT, "restore", "", "bad history");
+	for (i = 0; i < count; i++) {
+		struct rule_store_id id;
+
+		id.version = strtoull(at, &at, 10);
+		if (*at != ':')
+			return error_set(
+			    err, ERR_CORRUPT, "restore", "", "bad history");
+		id.hash = strtoull(at + 1, &at, 10);
+		history_add(store, &id);
+	}
+	return 0;
+}
+
+static int
+decode_all(
+    struct rule_store *new, const char *at, const char *end, struct error *err)
+{
+	char *since = cut_line(&at, end, "since ", err);
+	char *history = NULL;
+	int rc = -1;
+
 	if (since == NULL)
 		return -1;
-	rules = decode(eol + 1, size_bytes - (uint32_t)(eol + 1 - snapshot),
-	    &accepted_us, err);
-	if (rules == NULL || count != count_lines(rules)) {
-		if (rules != NULL)
-			error_set(err, ERR_CORRUPT, "restore", "",
-			    "line count does not match");
-		rules_unref(rules);
-		free(since);
+	new->since = decode_since(since, &new->line_count, err);
+	if (new->since == NULL)
+		goto out;
+	history = cut_line(&at, end, "history ", err);
+	if (history == NULL || decode_history(new, history, err) != 0)
+		goto out;
+	new->current =
+	    decode_snapshot(at, (uint32_t)(end - at), &new->accepted_us, err);
+	if (new->current == NULL)
+		goto out;
+	if (new->line_count != count_lines(new->current)) {
+		error_set(err, ERR_CORRUPT, "restore", "",
+		    "line count does not match");
+		goto out;
+	}
+	rc = 0;
+out:
+	free(history);
+	free(since);
+	return rc;
+}
+
+int
+rule_store_restore(struct rule_store *store, const char *snapshot,
+    uint32_t size_bytes, struct error *err)
+{
+	struct rule_store new = {0};
+
+	if (size_bytes > 0 &&
+	    decode_all(&new, snapshot, snapshot + size_bytes, err) != 0) {
+		rule_store_free(&new);
 		return -1;
 	}
 	rule_store_free(store);
-	store->current = rules;
-	store->since = since;
-	store->line_count = count;
-	store->accepted_us = accepted_us;
+	*store = new;
 	return 0;
 }
--- a/src/core/rule_store.h
+++ b/src/core/rule_store.h
@@ -1,8 +1,10 @@
 /// @file
 /// State machine of the source: which rule file is accepted.
 ///
-/// A file is accepted if its version is the accepted one plus 1 when its log
-/// entry is applied, so that of two files that race exactly one wins.
+/// A file that names its base is accepted if the base is the accepted version
+/// when its log entry is applied; one without, if its version is the accepted
+/// one plus 1. So of two files that race exactly one wins. Log entries hold the
+/// lines that differ from the accepted file, not the whole file.
 #ifndef MV_CORE_RULE_STORE_H
 #define MV_CORE_RULE_STORE_H
 
@@ -17,6 +19,19 @@
 	RULE_STORE_CONFLICT, ///< Another file won this version.
 	RULE_STORE_OLD,	     ///< The version is below the accepted one.
 	RULE_STORE_GAP,	     ///< The version skips others.
+	/// The very same file, which names its base, was accepted before the
+	/// accepted one.
+	RULE_STORE_SUPERSEDED,
+};
+
+/// Files remembered besides the accepted one. A caller resends a file within
+/// minutes; at a change each 0.1 s these last longer than that.
+#define RULE_STORE_HISTORY 4096
+
+/// Identity of a file.
+struct rule_store_id {
+	uint64_t version;
+	uint64_t hash;
 };
 
 struct rule_store {
@@ -27,16 +42,20 @@
 	/// stood there unchanged. since[0] is not used.
 	uint64_t *since;
 	uint32_t line_count;
+	/// Files accepted so far, oldest first; the last is the accepted one.
+	struct rule_store_id *history;
+	uint32_t history_count;
 };
 
 void rule_store_free(struct rule_store *store);
 
 /// Tells what would become of a file now.
 enum rule_store_verdict rule_store_check(
-    const struct rule_store *store, uint64_t version, uint64_t hash);
+    const struct rule_store *store, const struct rules *rules);
 
-/// Builds the log entry of a file. Release it with free().
-char *rule_store_encode(
+/// Builds the log entry of a file: its difference from the accepted file.
+/// Release it with free().
+char *rule_store_encode(const struct rule_store *store,
     const struct rules *rules, int64_t accepted_us, uint32_t *size_bytes);
 
 /// Applies a log entry.
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -17,6 +17,26 @@
 #define RULES_ERROR_BYTES     160
 #define RULES_METHOD_BYTES    12
 #define RULES_MAX_DEADLINE_US (3600LL * 1000000)
+#define RULES_LABEL_BYTES     64
+#define RULES_HOST_BYTES      128
+#define RULES_MAX_TARGETS     8
+#define RULES_MAX_WEIGHT      1000000
+#define RULES_MAX_LENGTHS     64
+
+/// Longest timeout of a match rule: ten minutes.
+#define RULES_MAX_MATCH_US (600LL * 1000000)
+
+/// First character of the rank that a match rule gets by its number; no rank
+/// that is defined by name can begin so.
+#define RULES_NUMBERED_RANK '.'
+
+/// What may be repeated of the requests of a route.
+enum rule_kind {
+	RULE_KIND_METHOD, ///< As the method of the request says.
+	RULE_KIND_SAFE,	  ///< May run more than once.
+	RULE_KIND_UNSAFE, ///< Runs at most once.
+	RULE_KIND_UPLOAD, ///< As unsafe, with large bodies.
+};
 
 /// A class of work with its target and its guaranteed share.
 struct rule_rank {
@@ -32,20 +52,50 @@
 struct rule_service {
 	char name[RULES_NAME_BYTES];
 	char owner[RULES_OWNER_BYTES];
-	uint32_t slots;
+	char health[RULES_PATH_BYTES];	 ///< Path of the health check, or "".
+	char protocol[RULES_NAME_BYTES]; ///< Spoken by its servers, or "".
+	uint32_t slots; ///< 0: each backend server announces its own.
 	uint32_t connections;
+	bool tls;
+	uint32_t line;
+};
+
+/// A service that a route leads to, and its share of the requests.
+struct rule_target {
+	uint32_t service; ///< Index into services.
+	uint32_t weight;
+};
+
+/// What a caller may send, and how long it may take.
+struct rule_limits {
+	bool given;
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t header_timeout_us; ///< From the first byte to the last header.
+	int64_t idle_timeout_us;   ///< Of a connection without a request.
 	uint32_t line;
 };
 
-/// A mapping of method and path to a service.
+/// A mapping of requests to a service: by method and path (route), or by host
+/// and path prefix (match).
 struct rule_route {
+	char name[RULES_LABEL_BYTES]; ///< Of a match rule; else "".
+	char host[RULES_HOST_BYTES];  ///< Of a match rule, in lower case.
+	enum rule_kind kind;
+	uint32_t number;   ///< Rank number of a match rule; 0 is the highest.
+	uint32_t attempts; ///< Backend servers that may be tried; 0: no bound.
+	int64_t target_us; ///< Response time that callers expect.
+	bool weighted;	   ///< Its targets were given with weights.
+	uint32_t target_count;
+	uint32_t weight_sum;
+	struct rule_target targets[RULES_MAX_TARGETS];
 	char method[RULES_METHOD_BYTES]; ///< "*" matches every method.
 	char path[RULES_PATH_BYTES];	 ///< Without a trailing "*".
 	char owner[RULES_OWNER_BYTES];
 	uint32_t path_bytes;
 	bool prefix;	    ///< The path ended in "*".
 	bool once;	    ///< At most one execution for each idempotency key.
-	uint32_t service;   ///< Index into services.
+	uint32_t service;   ///< Index into services: that of the first target.
 	uint32_t rank;	    ///< Index into ranks.
 	int64_t timeout_us; ///< Added to the arrival time for the deadline.
 	uint32_t line;
@@ -59,12 +109,17 @@
 	char *text;
 	size_t text_bytes;
 	char owner[RULES_OWNER_BYTES]; ///< Comment of the version line.
+	bool has_base;
+	uint64_t base; ///< Version that this one builds on, if has_base.
+	struct rule_limits limits;
 	struct rule_rank *ranks;
 	uint32_t rank_count;
 	struct rule_service *services;
 	uint32_t service_count;
 	struct rule_route *routes; ///< Most specific path first.
 	uint32_t route_count;
+	uint32_t match_count;	  ///< Match rules among the routes.
+	struct rule_index *index; ///< Of the match rules.
 };
 
 /// One problem found in a rule file.
@@ -98,12 +153,26 @@
 /// Hashes the text of a rule file.
 uint64_t rules_hash(const char *text, size_t text_bytes);
 
-/// Finds the route of a request: the longest matching path; at equal length
-/// an exact path before a prefix and a named method before "*".
+/// Finds the route of a request: the match rule of its host with the longest
+/// prefix; without one, the route with the longest matching path; at equal
+/// length an exact path before a prefix and a named method before "*".
 ///
+/// @param host  value of the Host header; NULL or "" for none
 /// @return the route, or NULL if none matches
-const struct rule_route *rules_match(
-    const struct rules *rules, const char *method, const char *path);
+const struct rule_route *rules_match(const struct rules *rules,
+    const char *method, const char *host, const char *path);
+
+/// Draws one of the targets of a route by their weights.
+///
+/// @param draw  a random number
+/// @return index of the service
+uint32_t rules_draw_target(const struct rule_route *route, uint64_t draw);
+
+/// Names a kind as in the rule file.
+const char *rules_kind_name(enum rule_kind kind);
+
+/// Builds the index of the match rules. Routes must have their final order.
+void rules_index_build(struct rules *rules);
 
 /// Finds a rank by name.
 ///
--- a/src/core/rules_parse.c
+++ b/src/core/rules_parse.c
@@ -6,35 +6,26 @@
 
 #include "core/rules_words.h"
 
-static void *
-grow_array(void *items, uint32_t count, size_t item_bytes)
+/// Parses the option base=N of the version.
+static bool
+parse_base(struct parser *p)
 {
-	void *grown = items;
+	struct word v;
+	uint32_t used;
 
-	if ((count & (count - 1)) == 0) {
-		grown = realloc(items, (count ? count * 2 : 1) * item_bytes);
-		assert(grown != NULL);
+	if (!parser_word_option(&p->words[2], "base", &v)) {
+		parser_fail(p, p->line, p->words[2].column,
+		    "unexpected word after version");
+		return false;
 	}
-	memset((char *)grown + count * item_bytes, 0, item_bytes);
-	return grown;
-}
-
-/// Reports an option that is unknown or that was given before.
-static void
-fail_option(struct parser *p, const struct word *w, const char *directive)
-{
-	parser_fail(p, p->line, w->column,
-	    "unknown or repeated option '%.*s' of %s",
-	    (int)(w->text_bytes > 40 ? 40 : w->text_bytes), w->text, directive);
-}
-
-static bool
-need_words(struct parser *p, uint32_t count, const char *usage)
-{
-	if (p->word_count >= count)
-		return true;
-	parser_fail(p, p->line, p->words[0].column, "expected: %s", usage);
-	return false;
+	if (!parser_read_number(&v, INT64_MAX, &p->rules->base, &used) ||
+	    used != v.text_bytes || p->rules->base >= p->rules->version) {
+		parser_fail(p, p->line, v.column,
+		    "base must be a whole number below the version");
+		return false;
+	}
+	p->rules->has_base = true;
+	return true;
 }
 
 static void
@@ -44,10 +35,10 @@
 	uint32_t used;
 	const struct word *w = &p->words[1];
 
-	if (!need_words(p, 2, "version N"))
+	if (!parser_need_words(p, 2, "version N [base=N]"))
 		return;
-	if (p->word_count > 2) {
-		parser_fail(p, p->line, p->words[2].column,
+	if (p->word_count > 3) {
+		parser_fail(p, p->line, p->words[3].column,
 		    "unexpected word after version");
 		return;
 	}
@@ -62,8 +53,10 @@
 		    "version must be a whole number above 0");
 		return;
 	}
-	p->has_version = true;
 	p->rules->version = n;
+	if (p->word_count == 3 && !parse_base(p))
+		return;
+	p->has_version = true;
 	snprintf(p->rules->owner, sizeof(p->rules->owner), "%s", p->owner);
 }
 
@@ -76,7 +69,7 @@
 	bool ok;
 	uint32_t i;
 
-	if (!need_words(p, 4, "rank NAME worth=N target=TIME [keep=N%]"))
+	if (!parser_need_words(p, 4, "rank NAME worth=N target=TIME [keep=N%]"))
 		return;
 	ok = parser_read_name(p, &p->words[1], "rank", rank.name);
 	for (i = 2; i < p->word_count; i++) {
@@ -94,7 +87,7 @@
 			ok &= has_keep =
 			    parser_read_percent(p, &v, &rank.keep_pct);
 		else {
-			fail_option(p, w, "rank");
+			parser_fail_option(p, w, "rank");
 			ok = false;
 		}
 	}
@@ -116,10 +109,25 @@
 		return;
 	}
 	memcpy(rank.owner, p->owner, sizeof(rank.owner));
-	r->ranks = grow_array(r->ranks, r->rank_count, sizeof(*r->ranks));
+	r->ranks = parser_grow(r->ranks, r->rank_count, sizeof(*r->ranks));
 	r->ranks[r->rank_count++] = rank;
 }
 
+static bool
+parse_health(
+    struct parser *p, const struct word *w, struct rule_service *service)
+{
+	if (w->text_bytes == 0 || w->text[0] != '/' ||
+	    w->text_bytes >= sizeof(service->health)) {
+		parser_fail(p, p->line, w->column,
+		    "health must start with '/' and be under %d characters",
+		    RULES_PATH_BYTES);
+		return false;
+	}
+	memcpy(service->health, w->text, w->text_bytes);
+	return true;
+}
+
 static void
 parse_service(struct parser *p)
 {
@@ -128,7 +136,7 @@
 	bool ok;
 	uint32_t i;
 
-	if (!need_words(p, 4, "service NAME slots=N connections=N"))
+	if (!parser_need_words(p, 4, "service NAME slots=N connections=N"))
 		return;
 	ok = parser_read_name(p, &p->words[1], "service", service.name);
 	for (i = 2; i < p->word_count; i++) {
@@ -142,14 +150,24 @@
 		    parser_word_option(w, "connections", &v))
 			ok &= parser_read_count(
 			    p, &v, "connections", 10000, &service.connections);
+		else if (service.health[0] == '\0' &&
+		    parser_word_option(w, "health", &v))
+			ok &= parse_health(p, &v, &service);
+		else if (service.protocol[0] == '\0' &&
+		    parser_word_option(w, "protocol", &v))
+			ok &= parser_read_name(
+			    p, &v, "protocol", service.protocol);
+		else if (!service.tls && parser_word_equals(w, "tls"))
+			service.tls = true;
 		else {
-			fail_option(p, w, "service");
+			parser_fail_option(p, w, "service");
 			ok = false;
 		}
 	}
 	if (!ok)
 		return;
-	if (service.slots == 0 || service.connections == 0) {
+	if (service.connections == 0 ||
+	    (service.slots == 0 && service.health[0] == '\0')) {
 		parser_fail(p, p->line, p->words[0].column,
 		    "service needs slots= and connections=");
 		return;
@@ -161,7 +179,7 @@
 	}
 	memcpy(service.owner, p->owner, sizeof(service.owner));
 	r->services =
-	    grow_array(r->services, r->service_count, sizeof(*r->services));
+	    parser_grow(r->services, r->service_count, sizeof(*r->services));
 	r->services[r->service_count++] = service;
 }
 
@@ -216,7 +234,7 @@
 	for (i = 0; i < r->route_count; i++) {
 		const struct rule_route *other = &r->routes[i];
 
-		if (other->prefix == route->prefix &&
+		if (other->name[0] == '\0' && other->prefix == route->prefix &&
 		    strcmp(other->path, route->path) == 0 &&
 		    strcmp(other->method, route->method) == 0)
 			return other;
@@ -247,7 +265,7 @@
 		else if (!route->once && parser_word_equals(w, "once"))
 			route->once = true;
 		else {
-			fail_option(p, w, "route");
+			parser_fail_option(p, w, "route");
 			ok = false;
 		}
 	}
@@ -263,7 +281,7 @@
 	const struct rule_route *same;
 	bool ok;
 
-	if (!need_words(p, 4,
+	if (!parser_need_words(p, 4,
 		"route METHOD PATH SERVICE rank=NAME deadline=TIME [once]"))
 		return;
 	ok = parse_method(p, &p->words[1], route.method);
@@ -285,12 +303,8 @@
 		    "route repeats line %u", same->line);
 		return;
 	}
-	memcpy(route.owner, p->owner, sizeof(route.owner));
-	r->routes = grow_array(r->routes, r->route_count, sizeof(*r->routes));
-	p->pending =
-	    grow_array(p->pending, r->route_count, sizeof(*p->pending));
-	p->pending[r->route_count] = pending;
-	r->routes[r->route_count++] = route;
+	route.target_count = route.weight_sum = route.targets[0].weight = 1;
+	parser_add_route(p, &route, &pending);
 }
 
 static void
@@ -319,9 +333,14 @@
 		parse_service(p);
 	else if (parser_word_equals(&p->words[0], "route"))
 		parse_route(p);
+	else if (parser_word_equals(&p->words[0], "match"))
+		parser_parse_match(p);
+	else if (parser_word_equals(&p->words[0], "limits"))
+		parser_parse_limits(p);
 	else
 		parser_fail(p, p->line, p->words[0].column,
-		    "unknown rule; expected version, rank, service or route");
+		    "unknown rule; expected version, rank, service, route, "
+		    "match or limits");
 }
 
 static void
@@ -352,9 +371,15 @@
 
 	for (i = 0; i < r->route_count; i++) {
 		const struct pending_route *pending = &p->pending[i];
-		int service = rules_find_service(r, pending->service_name);
-		int rank = rules_find_rank(r, pending->rank_name);
+		int service;
+		int rank;
 
+		if (pending->is_match) {
+			parser_resolve_match(p, &r->routes[i], pending);
+			continue;
+		}
+		service = rules_find_service(r, pending->service_name);
+		rank = rules_find_rank(r, pending->rank_name);
 		if (service < 0)
 			parser_fail(p, r->routes[i].line,
 			    pending->service.column,
@@ -364,7 +389,10 @@
 			parser_fail(p, r->routes[i].line, pending->rank.column,
 			    "rank '%s' is not defined", pending->rank_name);
 		r->routes[i].service = (uint32_t)service;
+		r->routes[i].targets[0].service = (uint32_t)service;
 		r->routes[i].rank = (uint32_t)rank;
+		if (rank >= 0)
+			r->routes[i].target_us = r->ranks[rank].target_us;
 	}
 }
 
@@ -440,6 +468,7 @@
 		parser_fail(&p, 1, 1, "the first rule must be: version N");
 	resolve_routes(&p);
 	check_shares(&p);
+	parser_check_matches(&p);
 	free(p.pending);
 	if (errors->count > 0) {
 		sort_errors(errors);
@@ -449,6 +478,8 @@
 	if (p.rules->route_count > 0)
 		qsort(p.rules->routes, p.rules->route_count,
 		    sizeof(p.rules->routes[0]), compare_routes);
+	if (p.rules->match_count > 0)
+		rules_index_build(p.rules);
 	p.rules->text = malloc(text_bytes + 1);
 	assert(p.rules->text != NULL);
 	memcpy(p.rules->text, text, text_bytes);
--- a/src/core/rules_words.c
+++ b/src/core/rules_words.c
@@ -1,6 +1,8 @@
 // Words, names and numbers of a rule line.
+#include <assert.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/rules_words.h"
@@ -227,3 +229,48 @@
 	}
 	return true;
 }
+
+void *
+parser_grow(void *items, uint32_t count, size_t item_bytes)
+{
+	void *grown = items;
+
+	if ((count & (count - 1)) == 0) {
+		grown = realloc(items, (count ? count * 2 : 1) * item_bytes);
+		assert(grown != NULL);
+	}
+	memset((char *)grown + count * item_bytes, 0, item_bytes);
+	return grown;
+}
+
+void
+parser_fail_option(
+    struct parser *p, const struct word *w, const char *directive)
+{
+	parser_fail(p, p->line, w->column,
+	    "unknown or repeated option '%.*s' of %s",
+	    (int)(w->text_bytes > 40 ? 40 : w->text_bytes), w->text, directive);
+}
+
+bool
+parser_need_words(struct parser *p, uint32_t count, const char *usage)
+{
+	if (p->word_count >= count)
+		return true;
+	parser_fail(p, p->line, p->words[0].column, "expected: %s", usage);
+	return false;
+}
+
+void
+parser_add_route(struct parser *p, struct rule_route *route,
+    const struct pending_route *pending)
+{
+	struct rules *r = p->rules;
+
+	memcpy(route->owner, p->owner, sizeof(route->owner));
+	r->routes = parser_grow(r->routes, r->route_count, sizeof(*r->routes));
+	p->pending =
+	    parser_grow(p->pending, r->route_count, sizeof(*p->pending));
+	p->pending[r->route_count] = *pending;
+	r->routes[r->route_count++] = *route;
+}
--- a/src/core/rules_words.h
+++ b/src/core/rules_words.h
@@ -7,7 +7,7 @@
 
 #include "core/rules.h"
 
-#define MAX_WORDS 12
+#define MAX_WORDS 16
 
 struct word {
 	const char *text;
@@ -17,6 +17,8 @@
 
 /// A reference from a route that is resolved once the whole file is read.
 struct pending_route {
+	bool is_match;
+	struct word targets[RULES_MAX_TARGETS]; ///< Of a match rule.
 	struct word service;
 	struct word rank;
 	char service_name[RULES_NAME_BYTES];
@@ -72,4 +74,30 @@
 bool parser_check_bytes(
     struct parser *p, const char *line, uint32_t line_bytes);
 
+/// Makes room for one more item, which is zeroed.
+void *parser_grow(void *items, uint32_t count, size_t item_bytes);
+
+/// Reports an option that is unknown or that was given before.
+void parser_fail_option(
+    struct parser *p, const struct word *w, const char *directive);
+
+bool parser_need_words(struct parser *p, uint32_t count, const char *usage);
+
+/// Adds a route whose references are resolved later.
+void parser_add_route(struct parser *p, struct rule_route *route,
+    const struct pending_route *pending);
+
+// Match rules and limits, in rules_match.c.
+
+void parser_parse_match(struct parser *p);
+
+void parser_parse_limits(struct parser *p);
+
+/// Resolves the services and the rank of a match rule.
+void parser_resolve_match(struct parser *p, struct rule_route *route,
+    const struct pending_route *pending);
+
+/// Reports match rules that have the same name or the same place.
+void parser_check_matches(struct parser *p);
+
 #endif
--- /dev/null
+++ b/src/io/dialect.c
@@ -0,0 +1,158 @@
+// Dialects by name, and the product's own.
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "io/address.h"
+#include "io/clock.h"
+#include "io/dialect.h"
+
+#define LEASE_MIN_MS 100
+#define LEASE_MAX_MS 60000
+
+static struct dialect *registered = &dialect_own;
+
+void
+dialect_register(struct dialect *dialect)
+{
+	dialect->next = registered;
+	registered = dialect;
+}
+
+const struct dialect *
+dialect_find(const char *name)
+{
+	const struct dialect *d = registered;
+
+	while (d != NULL && strcmp(d->name, name) != 0)
+		d = d->next;
+	return d;
+}
+
+/// Whole seconds: a fraction would be rounded down by some callers.
+static void
+write_retry(int64_t retry_us, char out[DIALECT_RETRY_BYTES])
+{
+	snprintf(out, DIALECT_RETRY_BYTES, "%" PRId64,
+	    (retry_us + US_PER_S - 1) / US_PER_S);
+}
+
+static enum dialect_call
+read_call(const char *method, const char *target, char id[BACKEND_ID_BYTES])
+{
+	static const struct {
+		const char *method;
+		const char *target;
+		enum dialect_call call;
+	} calls[] = {
+	    {"PUT", "/announce", DIALECT_ANNOUNCE},
+	    {"PUT", "/drain", DIALECT_DRAIN},
+	    {"GET", "/ready", DIALECT_READY},
+	    {"GET", "/status", DIALECT_STATUS},
+	    {"GET", "/counters", DIALECT_COUNTERS},
+	};
+	size_t i;
+
+	id[0] = '\0';
+	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
+		if (strcmp(calls[i].method, method) == 0 &&
+		    strcmp(calls[i].target, target) == 0)
+			return calls[i].call;
+	return DIALECT_OTHER;
+}
+
+static int
+read_state(const char *state, enum backend_state *out)
+{
+	if (strcmp(state, "ready") == 0)
+		*out = BACKEND_READY;
+	else if (strcmp(state, "cold") == 0)
+		*out = BACKEND_COLD;
+	else
+		return -1;
+	return 0;
+}
+
+static int
+check_announcement(json_t *root, int64_t now_us,
+    struct backend_announcement *out, struct error *err)
+{
+	const char *service;
+	const char *address;
+	const char *state;
+	struct address parsed;
+	json_int_t lease_ms;
+
+	if (json_unpack(root, "{s:s, s:s, s:s, s:I}", "service", &service,
+		"address", &address, "state", &state, "lease_ms",
+		&lease_ms) != 0)
+		return error_set(err, ERR_INVALID, "body", "",
+		    "needs service, address, state and lease_ms");
+	if (service[0] == '\0' || strlen(service) >= sizeof(out->service))
+		return error_set(err, ERR_INVALID, "service", "",
+		    "must have 1 to %zu characters", sizeof(out->service) - 1);
+	if (strlen(address) >= sizeof(out->address) ||
+	    address_parse(address, &parsed) != 0)
+		return error_set(
+		    err, ERR_INVALID, "address", "", "must be IP:port");
+	if (lease_ms < LEASE_MIN_MS || lease_ms > LEASE_MAX_MS)
+		return error_set(err, ERR_INVALID, "lease_ms", "",
+		    "must be from %d to %d", LEASE_MIN_MS, LEASE_MAX_MS);
+	if (read_state(state, &out->state) != 0)
+		return error_set(
+		    err, ERR_INVALID, "state", "", "must be ready or cold");
+	strcpy(out->service, service);
+	strcpy(out->address, address);
+	strcpy(out->id, address);
+	out->lease_deadline_us = now_us + lease_ms * US_PER_MS;
+	return 0;
+}
+
+/// An announcement of the own dialect names no process: the address stands
+/// for it, and a cold one for its start.
+static int
+read_announcement(enum dialect_call call, const char *id, const char *body,
+    size_t body_bytes, int64_t now_us, int64_t lease_us,
+    struct backend_announcement *out, struct error *err)
+{
+	json_t *root =
+	    json_loadb(body == NULL ? "" : body, body_bytes, 0, NULL);
+	int rc;
+
+	(void)call;
+	(void)id;
+	(void)lease_us;
+	memset(out, 0, sizeof(*out));
+	if (root == NULL)
+		return error_set(
+		    err, ERR_SYNTAX, "body", "", "not a JSON object");
+	rc = check_announcement(root, now_us, out, err);
+	json_decref(root);
+	return rc;
+}
+
+static uint32_t
+verdict_status(int verdict)
+{
+	return verdict == RULE_STORE_ACCEPTED || verdict == RULE_STORE_ALREADY
+	    ? 200
+	    : 409;
+}
+
+struct dialect dialect_own = {
+    .name = "own",
+    .headers =
+	{
+	    .internal_prefix = "Magnolia-",
+	    .deadline = "Magnolia-Deadline-Ms",
+	    .rank = "Magnolia-Rank",
+	    .key = "Idempotency-Key",
+	    .not_run = "Magnolia-Shed",
+	    .outcome = "Magnolia-Outcome",
+	},
+    .write_retry = write_retry,
+    .read_call = read_call,
+    .read_announcement = read_announcement,
+    .verdict_status = verdict_status,
+};
--- a/src/io/replica_bootstrap.c
+++ b/src/io/replica_bootstrap.c
@@ -1,4 +1,6 @@
 // Beginning of a replica: its settings, and the guard of a bootstrap.
+#include <apr_general.h>
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -70,7 +72,9 @@
 		const struct replica_peer *peer = &s->initial.voters[i];
 		struct address to;
 
-		if (peer->id == s->id || address_parse(peer->address, &to) != 0)
+		if ((s->forms ? strcmp(peer->address, s->address) == 0
+			      : peer->id == s->id) ||
+		    address_parse(peer->address, &to) != 0)
 			continue;
 		guard->open++;
 		oneshot_call(guard->loop, &to, MESSAGE_REPLICA_QUERY, &query,
@@ -100,6 +104,67 @@
 	return 0;
 }
 
+/// Id that follows from an address; within the whole numbers that JSON
+/// readers keep exact.
+#define ID_MASK ((1ULL << 48) - 1)
+
+static uint64_t
+id_of_address(const char *address)
+{
+	return (XXH3_64bits(address, strlen(address)) & ID_MASK) | 1;
+}
+
+uint64_t
+replica_host_choose_id(struct replica_host_settings *s)
+{
+	uint64_t id = 0;
+	bool is_seed = false;
+	uint32_t i;
+
+	for (i = 0; i < s->initial.voter_count; i++) {
+		struct replica_peer *seed = &s->initial.voters[i];
+
+		seed->id = id_of_address(seed->address);
+		is_seed |= strcmp(seed->address, s->address) == 0;
+	}
+	if (s->bootstrap && is_seed)
+		return id_of_address(s->address);
+	s->bootstrap = false;
+	while (id == 0) {
+		apr_generate_random_bytes((unsigned char *)&id, sizeof(id));
+		// Even, so that it is never that of an address.
+		id &= ID_MASK & ~1ULL;
+	}
+	return id;
+}
+
+int
+replica_settings_parse_seeds(const struct settings_list *list, uint32_t port,
+    struct replica_config *config)
+{
+	struct address seed;
+	int problems = 0;
+	uint32_t i;
+
+	memset(config, 0, sizeof(*config));
+	for (i = 0; i < list->count; i++) {
+		if (config->voter_count == REPLICA_MAX_VOTERS ||
+		    address_parse(list->items[i], &seed) != 0) {
+			fprintf(stderr,
+			    "settings: seeds[%u]: must be IP:port, at most "
+			    "%d\n",
+			    i, REPLICA_MAX_VOTERS);
+			problems++;
+			continue;
+		}
+		if (port != 0)
+			seed.in.sin_port = htons((uint16_t)port);
+		address_format(
+		    &seed, config->voters[config->voter_count++].address);
+	}
+	return problems == 0 ? 0 : -1;
+}
+
 static int
 parse_replica(const char *text, struct replica_peer *peer)
 {
--- a/src/io/replica_host.c
+++ b/src/io/replica_host.c
@@ -80,6 +80,8 @@
 	// A replica that joins has no config of its own yet.
 	if (peer == NULL)
 		peer = replica_config_find(&host->initial, id);
+	if (peer == NULL)
+		peer = replica_join_find(&host->joining, id);
 	if (rs == NULL || peer == NULL)
 		return NULL;
 	if (rs->stream != NULL ||
@@ -223,14 +225,16 @@
 
 /// Checks whose folder this is, and writes the identity of a new replica.
 static int
-settle_identity(struct replica_host *host,
-    const struct replica_host_settings *s, bool *is_new, struct error *err)
+settle_identity(struct replica_host *host, struct replica_host_settings *s,
+    bool *is_new, struct error *err)
 {
 	struct wal_identity identity;
 
 	if (wal_read_identity(host->disk, &identity, err) != 0)
 		return -1;
 	*is_new = identity.replica == 0;
+	if (!*is_new && s->forms && identity.cluster == host->cluster)
+		s->id = identity.replica;
 	if (!*is_new) {
 		if (identity.cluster != host->cluster ||
 		    identity.replica != s->id)
@@ -241,7 +245,9 @@
 			    identity.replica);
 		return 0;
 	}
-	if (!s->bootstrap && !s->join)
+	if (s->forms)
+		s->id = replica_host_choose_id(s);
+	else if (!s->bootstrap && !s->join)
 		return error_set(err, ERR_INVALID, "open data folder",
 		    s->data_path,
 		    "it is empty: give --bootstrap once in a cluster's life, "
@@ -278,13 +284,38 @@
 	return 0;
 }
 
+void
+replica_host_set_seeds(
+    struct replica_host *host, const struct replica_config *seeds)
+{
+	struct replica_join *join = &host->joining;
+	uint32_t i;
+
+	join->seed_count = 0;
+	for (i = 0; i < seeds->voter_count; i++)
+		if (address_parse(seeds->voters[i].address,
+			&join->seeds[join->seed_count]) == 0)
+			join->seed_count++;
+}
+
+static void
+start_joining(struct replica_host *host, const struct replica_host_settings *s)
+{
+	struct replica_peer self = {.id = host->replica.settings.id};
+
+	memcpy(self.address, s->address, sizeof(self.address));
+	replica_host_set_seeds(host, &s->initial);
+	replica_join_start(&host->joining, host, &self, s->target_voters);
+}
+
 int
 replica_host_open(struct replica_host *host, struct loop *loop,
-    const struct replica_host_settings *s, const struct replica_host_ops *ops,
-    void *owner, struct error *err)
+    const struct replica_host_settings *wanted,
+    const struct replica_host_ops *ops, void *owner, struct error *err)
 {
+	struct replica_host_settings effective = *wanted;
+	struct replica_host_settings *s = &effective;
 	struct replica_settings settings = {
-	    .id = s->id,
 	    .election_us = s->election_us,
 	    .heartbeat_us = s->heartbeat_us,
 	    .max_append_bytes = MAX_APPEND_BYTES,
@@ -310,6 +341,7 @@
 		log_write(LOG_WARN, "replica",
 		    "Cut %" PRIu64 " torn bytes off the log.",
 		    host->wal.cut_bytes);
+	settings.id = s->id;
 	if (is_new && s->bootstrap &&
 	    write_initial_config(host, s, &stored, err) != 0)
 		return -1;
@@ -324,6 +356,8 @@
 	host->tick_timer.fn = on_tick;
 	host->tick_timer.arg = host;
 	loop_timer_set(loop, &host->tick_timer, loop_now_us(loop));
+	if (s->forms)
+		start_joining(host, wanted);
 	return 0;
 }
 
@@ -332,6 +366,7 @@
 {
 	uint32_t i;
 
+	replica_join_stop(&host->joining);
 	for (i = 0; i < host->stream_count; i++)
 		if (host->streams[i].stream != NULL)
 			stream_close(host->streams[i].stream);
@@ -369,6 +404,10 @@
 		answer_query(host, stream);
 		return true;
 	}
+	if (message->type == MESSAGE_JOIN && host->joining.host != NULL) {
+		replica_join_receive(&host->joining, stream, &message->u.join);
+		return true;
+	}
 	if (message->type != MESSAGE_RAFT)
 		return false;
 	if (message->u.raft.cluster != host->cluster ||
--- a/src/io/replica_host.h
+++ b/src/io/replica_host.h
@@ -5,6 +5,7 @@
 
 #include "core/replica.h"
 #include "io/net.h"
+#include "io/replica_join.h"
 #include "io/settings.h"
 #include "io/wal.h"
 
@@ -27,6 +28,10 @@
 	struct replica_config initial; ///< Used once, to bootstrap.
 	bool bootstrap;
 	bool join;
+	/// The set forms itself: initial holds the seeds, with ids of 0.
+	bool forms;
+	char address[REPLICA_ADDRESS_BYTES]; ///< Own, if the set forms itself.
+	uint32_t target_voters;
 	int64_t election_us;
 	int64_t heartbeat_us;
 };
@@ -54,6 +59,7 @@
 	uint32_t stream_count;
 	struct loop_hook flush_hook;
 	struct loop_timer tick_timer;
+	struct replica_join joining;
 	// A replacement asked for by an operator.
 	struct replica_config target;
 	bool change_pending;
@@ -64,17 +70,21 @@
 ///
 /// @return 0, or -1 with err set
 int replica_host_open(struct replica_host *host, struct loop *loop,
-    const struct replica_host_settings *settings,
+    const struct replica_host_settings *wanted,
     const struct replica_host_ops *ops, void *owner, struct error *err);
 
 void replica_host_close(struct replica_host *host);
 
-/// Handles MESSAGE_RAFT and MESSAGE_REPLICA_QUERY.
+/// Handles MESSAGE_RAFT, MESSAGE_REPLICA_QUERY and MESSAGE_JOIN.
 ///
 /// @return whether the message was one of these
 bool replica_host_receive(struct replica_host *host, struct stream *stream,
     const struct message *message);
 
+/// Takes other seeds, if the set forms itself.
+void replica_host_set_seeds(
+    struct replica_host *host, const struct replica_config *seeds);
+
 /// Address of the leader, or "" if none is known.
 const char *replica_host_leader_address(const struct replica_host *host);
 
@@ -102,4 +112,18 @@
 int replica_settings_parse(
     const struct settings_list *list, struct replica_config *config);
 
+/// Parses the seeds of a set that forms itself, "IP:port" each.
+///
+/// @param port  in place of theirs, unless it is 0
+/// @return 0, or -1 with a line for each problem on standard error
+int replica_settings_parse_seeds(const struct settings_list *list,
+    uint32_t port, struct replica_config *config);
+
+/// Chooses the id of a replica whose data folder is new.
+///
+/// A seed at the first start of the whole set gets one that follows from its
+/// address, so that all seeds begin with the same voters; any other a random
+/// one, so that no id is ever used for two disks.
+uint64_t replica_host_choose_id(struct replica_host_settings *settings);
+
 #endif
--- a/src/io/replica_program.c
+++ b/src/io/replica_program.c
@@ -26,7 +26,21 @@
 	host.join = s->join;
 	host.election_us = s->election_ms * US_PER_MS;
 	host.heartbeat_us = s->heartbeat_ms * US_PER_MS;
-	return replica_settings_parse(&s->replicas, &host.initial);
+	if (s->seeds.count == 0)
+		return replica_settings_parse(&s->replicas, &host.initial);
+	if (running->own_address == NULL || s->id != 0 ||
+	    s->replicas.count > 0) {
+		fprintf(stderr,
+		    "settings: seeds: stand alone, without id and replicas\n");
+		return -1;
+	}
+	host.forms = true;
+	host.bootstrap = s->first_start;
+	host.target_voters = 2 * (uint32_t)s->tolerated + 1;
+	snprintf(host.address, sizeof(host.address), "%.31s",
+	    running->own_address());
+	return replica_settings_parse_seeds(
+	    &s->seeds, (uint32_t)s->seed_port, &host.initial);
 }
 
 static void
--- a/src/io/replica_program.h
+++ b/src/io/replica_program.h
@@ -13,8 +13,12 @@
 	char cluster[SETTINGS_TEXT_BYTES];
 	int64_t id;
 	struct settings_list replicas; ///< "ID=IP:port"
+	struct settings_list seeds;    ///< "IP:port"; empty: fixed replicas.
+	int64_t seed_port;
+	int64_t tolerated;
 	int64_t election_ms;
 	int64_t heartbeat_ms;
+	bool first_start;
 	bool bootstrap;
 	bool join;
 };
@@ -27,6 +31,13 @@
 		    required_, min_, max_, fallback_, help_             \
 	}
 
+#define REPLICA_ROW_UNLESS(path_, kind_, member_, min_, max_, help_, unless_) \
+	{                                                                     \
+		path_, kind_,                                                 \
+		    offsetof(struct replica_program_settings, member_), true, \
+		    min_, max_, NULL, help_, unless_                          \
+	}
+
 /// Entries for the settings table of a program.
 #define REPLICA_PROGRAM_FIELDS                                                 \
 	PROGRAM_LOG_FIELDS(struct replica_program_settings),                   \
@@ -34,10 +45,21 @@
 		NULL, "data folder, on a disk of its own use"),                \
 	    REPLICA_ROW("cluster", SETTINGS_TEXT, cluster, true, 0, 0, NULL,   \
 		"name of the cluster, the same at all replicas"),              \
-	    REPLICA_ROW("id", SETTINGS_INTEGER, id, true, 1, INT32_MAX, NULL,  \
-		"id of this replica, never used before"),                      \
-	    REPLICA_ROW("replicas", SETTINGS_LIST, replicas, true, 0, 0, NULL, \
-		"ID=IP:port of each replica's control address"),               \
+	    REPLICA_ROW_UNLESS("id", SETTINGS_INTEGER, id, 1, INT32_MAX,       \
+		"id of this replica, never used before", "seeds"),             \
+	    REPLICA_ROW_UNLESS("replicas", SETTINGS_LIST, replicas, 0, 0,      \
+		"ID=IP:port of each replica's control address", "seeds"),      \
+	    REPLICA_ROW("seeds", SETTINGS_LIST, seeds, false, 0, 0, "[]",      \
+		"control addresses of some replicas of a set that forms "      \
+		"itself, in place of replicas"),                               \
+	    REPLICA_ROW("seed_port", SETTINGS_INTEGER, seed_port, false, 0,    \
+		65535, "0",                                                    \
+		"port of the seeds in place of theirs; 0: as "                 \
+		"listed"),                                                     \
+	    REPLICA_ROW("tolerated", SETTINGS_INTEGER, tolerated, false, 0, 3, \
+		"1", "replicas that may be lost at once; with seeds"),         \
+	    REPLICA_ROW("first_start", SETTINGS_BOOL, first_start, false, 0,   \
+		0, "false", "the set starts for the first time; with seeds"),  \
 	    REPLICA_ROW("election_ms", SETTINGS_INTEGER, election_ms, false,   \
 		50, 60000, "1000",                                             \
 		"least time without a leader before an election"),             \
@@ -52,6 +74,9 @@
 	const struct settings_field *fields;
 	size_t field_count;
 	struct replica_program_settings *settings;
+	/// Own control address, for a set that forms itself; NULL if the
+	/// program cannot be part of one.
+	const char *(*own_address)(void);
 	/// Opens the sockets and whatever else lies on top of the replica.
 	int (*open)(struct loop *loop, struct error *err);
 	/// Starts the replica.
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -207,7 +207,9 @@
 
 		if (value != NULL)
 			store_value(&l, &fields[i], value);
-		else if (fields[i].required)
+		else if (fields[i].required &&
+		    (fields[i].unless == NULL ||
+			find_value(root, fields[i].unless) == NULL))
 			report(&l, fields[i].path, "is missing");
 		else
 			store_fallback(&l, &fields[i]);
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -34,6 +34,7 @@
 	int64_t max;
 	const char *fallback; ///< Default, as JSON text; NULL for empty or 0.
 	const char *help;
+	const char *unless; ///< With this key given, it is not required.
 };
 
 /// Loads and checks a whole file; prints every problem with its key's path.
--- a/src/proxy/announce.c
+++ b/src/proxy/announce.c
@@ -9,126 +9,180 @@
 #include "io/log.h"
 #include "proxy/control.h"
 
-#define LEASE_MIN_MS 100
-#define LEASE_MAX_MS 60000
-
-void
-announce_publish(struct control *control)
+/// Slots of the backend server: as it says, or as the rules say.
+static uint32_t
+count_slots(const struct control *control)
 {
-	struct egress_backend *b = &control->backend;
+	const struct backend_announcement *b = &control->backend.now;
 	const struct rules *rules = control->rules;
 	int at = rules == NULL ? -1 : rules_find_service(rules, b->service);
-	uint32_t slots = at < 0 ? 1 : rules->services[at].slots;
 
-	traffic_post_backend(control->traffic, b);
-	membership_set_backend(&control->membership, b->service, b->state,
-	    slots, loop_now_us(control->loop));
+	if (b->slots > 0)
+		return b->slots;
+	return at < 0 || rules->services[at].slots == 0
+	    ? 1
+	    : rules->services[at].slots;
+}
+
+void
+announce_publish(struct control *control)
+{
+	const struct backend_announcement *now = &control->backend.now;
+	struct egress_backend b = {.state = now->state,
+	    .slots = now->slots,
+	    .born = now->born,
+	    .cold_deadline_us = now->cold_deadline_us};
+
+	if (control->leaving && b.state != BACKEND_NONE)
+		b.state = BACKEND_DRAINING;
+	memcpy(b.id, now->id, sizeof(b.id));
+	memcpy(b.address, now->address, sizeof(b.address));
+	memcpy(b.service, now->service, sizeof(b.service));
+	traffic_post_backend(control->traffic, &b);
+	membership_set_backend(&control->membership, now->service,
+	    b.state == BACKEND_READY && now->cold_deadline_us != 0
+		? BACKEND_COLD
+		: b.state,
+	    count_slots(control), loop_now_us(control->loop));
 	control_publish_view(control);
 	control_tick(control);
 }
 
-void
-announce_set_state(struct control *control, enum backend_state state)
+static void
+set_lease_timer(struct control *control)
 {
-	if (control->backend.state == state)
-		return;
-	control->backend.state = state;
-	log_write(LOG_INFO, "backend", "Backend server %s of %s is %s.",
-	    control->backend.address, control->backend.service,
-	    backend_state_name(state));
-	announce_publish(control);
+	const struct backend_announcement *now = &control->backend.now;
+	int64_t deadline_us = now->lease_deadline_us;
+
+	if (now->cold_deadline_us != 0 && now->cold_deadline_us < deadline_us)
+		deadline_us = now->cold_deadline_us;
+	loop_timer_set(control->loop, &control->lease_timer, deadline_us);
+}
+
+static void
+log_backend(const struct control *control, const char *why)
+{
+	const struct backend_announcement *now = &control->backend.now;
+
+	log_write(LOG_INFO, "backend",
+	    "Backend server %s at %s of %s is %s: %s.", now->id, now->address,
+	    now->service, backend_state_name(now->state), why);
 }
 
 void
 announce_lease_expired(void *arg)
 {
 	struct control *control = arg;
+	struct backend_announcement *now = &control->backend.now;
+	int64_t now_us = loop_now_us(control->loop);
+
+	if (backend_expire(&control->backend, now_us, false)) {
+		log_backend(control, "did not renew its lease");
+		announce_publish(control);
+		return;
+	}
+	if (now->cold_deadline_us != 0 && now->cold_deadline_us <= now_us) {
+		now->cold_deadline_us = 0;
+		announce_publish(control);
+	}
+	if (now->state != BACKEND_NONE)
+		set_lease_timer(control);
+}
+
+void
+announce_backend_gone(struct control *control, const char *id)
+{
+	if (strcmp(control->backend.now.id, id) != 0 ||
+	    !backend_expire(
+		&control->backend, loop_now_us(control->loop), true))
+		return;
+	log_backend(control, "cannot be reached");
+	announce_publish(control);
+}
+
+static void
+respond_problem(struct http_exchange *exchange, const struct error *err)
+{
+	char text[ERROR_STEP_BYTES + ERROR_TEXT_BYTES + 4];
 
-	log_write(LOG_WARN, "backend",
-	    "Backend server %s did not renew its lease.",
-	    control->backend.address);
-	announce_set_state(control, BACKEND_NONE);
+	snprintf(text, sizeof(text), "%s: %s\n", err->step, err->text);
+	http_exchange_respond_text(exchange, 400, text);
 }
 
-/// Checks an announcement.
-///
-/// @return NULL, or what is wrong with it
-static const char *
-read_announcement(json_t *root, struct egress_backend *out, int64_t *lease_ms)
+static void
+respond_announced(struct control *control, struct http_exchange *exchange)
 {
-	const char *service;
-	const char *address;
-	const char *state;
-	struct address parsed;
-
-	if (json_unpack(root, "{s:s, s:s, s:s, s:I}", "service", &service,
-		"address", &address, "state", &state, "lease_ms",
-		lease_ms) != 0)
-		return "needs service, address, state and lease_ms\n";
-	if (service[0] == '\0' || strlen(service) >= sizeof(out->service))
-		return "service: must have 1 to 39 characters\n";
-	if (strlen(address) >= sizeof(out->address) ||
-	    address_parse(address, &parsed) != 0)
-		return "address: must be IP:port\n";
-	if (*lease_ms < LEASE_MIN_MS || *lease_ms > LEASE_MAX_MS)
-		return "lease_ms: must be from 100 to 60000\n";
-	memset(out, 0, sizeof(*out));
-	strcpy(out->service, service);
-	strcpy(out->address, address);
-	if (strcmp(state, "ready") == 0)
-		out->state = BACKEND_READY;
-	else if (strcmp(state, "cold") == 0)
-		out->state = BACKEND_COLD;
+	static const struct http_header json_type = {
+	    "Content-Type", "application/json"};
+
+	if (control->settings.dialect == &dialect_own)
+		http_exchange_respond_text(exchange, 200,
+		    control->floor.ready ? "ready\n" : "waiting for rules\n");
 	else
-		return "state: must be ready or cold\n";
-	return NULL;
+		http_exchange_respond(exchange, 200, &json_type, 1, "{}", 2);
 }
 
+/// Takes an announcement or a leave, in order or not.
 static void
-handle_announce(struct control *control, struct http_exchange *exchange)
+handle_announcement(struct control *control, struct http_exchange *exchange,
+    enum dialect_call call, const char *id)
 {
-	struct egress_backend new;
-	json_t *root =
-	    json_loadb(exchange->body, exchange->body_bytes, 0, NULL);
-	const char *problem = "not a JSON object\n";
-	int64_t lease_ms = 0;
-
-	if (root != NULL)
-		problem = read_announcement(root, &new, &lease_ms);
-	json_decref(root);
-	if (problem != NULL) {
-		http_exchange_respond_text(exchange, 400, problem);
+	int64_t now_us = loop_now_us(control->loop);
+	struct backend_announcement a;
+	enum backend_verdict verdict;
+	struct error err;
+
+	if (control->settings.dialect->read_announcement(call, id,
+		exchange->body, exchange->body_bytes, now_us,
+		control->settings.lease_us, &a, &err) != 0) {
+		log_error(LOG_WARN, "backend", "Refused an announcement", &err);
+		respond_problem(exchange, &err);
 		return;
 	}
-	loop_timer_set(control->loop, &control->lease_timer,
-	    loop_now_us(control->loop) + lease_ms * US_PER_MS);
-	if (control->leaving)
-		new.state = BACKEND_DRAINING;
-	if (strcmp(new.service, control->backend.service) != 0 ||
-	    strcmp(new.address, control->backend.address) != 0) {
-		control->backend = new;
-		control->backend.state = BACKEND_NONE;
+	verdict = call == DIALECT_LEAVE
+	    ? backend_leave(&control->backend, &a, now_us)
+	    : backend_announce(&control->backend, &a, now_us);
+	if (verdict == BACKEND_STALE)
+		log_write(LOG_INFO, "backend",
+		    "Ignored a stale announcement of %s, sequence %" PRIu64 ".",
+		    a.id, a.sequence);
+	else
+		set_lease_timer(control);
+	if (verdict == BACKEND_CHANGED) {
+		log_backend(control, "announced");
+		announce_publish(control);
 	}
-	// A drain ends when the backend server announces itself anew as cold.
-	if (control->backend.state != BACKEND_DRAINING ||
-	    new.state == BACKEND_COLD)
-		announce_set_state(control, new.state);
-	http_exchange_respond_text(exchange, 200,
-	    control->floor.ready ? "ready\n" : "waiting for rules\n");
+	respond_announced(control, exchange);
 }
 
 static void
 handle_drain(struct control *control, struct http_exchange *exchange)
 {
-	if (control->backend.state == BACKEND_NONE) {
+	struct backend_announcement *now = &control->backend.now;
+
+	if (now->state == BACKEND_NONE) {
 		http_exchange_respond_text(
 		    exchange, 409, "no backend server is announced\n");
 		return;
 	}
-	announce_set_state(control, BACKEND_DRAINING);
+	if (backend_leave(&control->backend, now, loop_now_us(control->loop)) ==
+	    BACKEND_CHANGED) {
+		log_backend(control, "drained by an operator");
+		announce_publish(control);
+	}
 	http_exchange_respond_text(exchange, 202, "draining\n");
 }
 
+static void
+respond_ready(struct control *control, struct http_exchange *exchange)
+{
+	if (control->floor.ready && !control->leaving)
+		http_exchange_respond_text(exchange, 200, "ready\n");
+	else
+		http_exchange_respond_text(exchange, 503,
+		    control->leaving ? "leaving\n" : "waiting for rules\n");
+}
+
 static void
 respond_status(struct control *control, struct http_exchange *exchange)
 {
@@ -140,7 +194,7 @@
 	    "name", self->name, "region", self->region, "dc", self->dc,
 	    "version", (json_int_t)self->version, "ready", control->floor.ready,
 	    "service", self->service, "backend",
-	    backend_state_name(control->backend.state), "members_alive",
+	    backend_state_name(control->backend.now.state), "members_alive",
 	    (int)membership_alive_count(&control->membership), "active",
 	    (int)traffic_active_count(control->traffic), "load_pct",
 	    (int)traffic_load_pct(control->traffic));
@@ -155,20 +209,31 @@
 on_admin_request(void *owner, struct http_exchange *exchange)
 {
 	struct control *control = owner;
-	const char *target = exchange->target;
-	bool get = strcmp(exchange->method, "GET") == 0;
-	bool put = strcmp(exchange->method, "PUT") == 0;
-
-	if (put && strcmp(target, "/announce") == 0)
-		handle_announce(control, exchange);
-	else if (put && strcmp(target, "/drain") == 0)
+	char id[BACKEND_ID_BYTES];
+	enum dialect_call call = control->settings.dialect->read_call(
+	    exchange->method, exchange->target, id);
+
+	switch (call) {
+	case DIALECT_ANNOUNCE:
+	case DIALECT_LEAVE:
+		handle_announcement(control, exchange, call, id);
+		break;
+	case DIALECT_DRAIN:
 		handle_drain(control, exchange);
-	else if (get && strcmp(target, "/counters") == 0)
-		counters_respond(exchange);
-	else if (get && strcmp(target, "/status") == 0)
+		break;
+	case DIALECT_READY:
+		respond_ready(control, exchange);
+		break;
+	case DIALECT_STATUS:
 		respond_status(control, exchange);
-	else
+		break;
+	case DIALECT_COUNTERS:
+		counters_respond(exchange);
+		break;
+	case DIALECT_OTHER:
 		http_exchange_respond_text(exchange, 404, "not found\n");
+		break;
+	}
 }
 
 const struct httpd_ops control_admin_ops = {
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -143,6 +143,8 @@
 	m->id = r->id;
 	m->egress_incarnation = r->endpoint->incarnation;
 	m->deadline_left_us = r->deadline_us - clock_now_us();
+	m->target_left_us = r->target_deadline_us - clock_now_us();
+	m->repeatable = r->safe;
 	m->rank = bytes_from(r->rank->name);
 	m->service = bytes_from(r->balancer->service);
 	m->method = bytes_from(x->method);
@@ -214,7 +216,7 @@
 {
 	struct ingress *ingress = r->ingress;
 	int64_t now_us = loop_now_us(ingress->loop);
-	const char *service = r->rules->services[r->route->service].name;
+	const char *service = r->rules->services[r->service].name;
 	struct balancer_choice choice;
 	uint32_t i;
 
@@ -278,7 +280,8 @@
 /// Turns the headers of a response into those of the HTTP server. Names and
 /// values are copied into text, which the caller frees.
 static size_t
-copy_headers(const struct list *from, struct http_header *out, char **text)
+copy_headers(const struct dialect *dialect, const struct list *from,
+    struct http_header *out, char **text)
 {
 	const struct message_header *h = from->items;
 	size_t text_bytes = 1;
@@ -291,7 +294,8 @@
 	at = *text = malloc(text_bytes);
 	assert(at != NULL);
 	for (i = 0; i < from->count && count < MAX_OUT_HEADERS; i++) {
-		if (headers_is_internal(h[i].name))
+		if (!dialect->answers_are_whole &&
+		    headers_is_internal(&dialect->headers, h[i].name))
 			continue;
 		memcpy(at, h[i].name.data, h[i].name.size_bytes);
 		at[h[i].name.size_bytes] = '\0';
@@ -310,7 +314,8 @@
 {
 	struct http_header headers[MAX_OUT_HEADERS];
 	char *text;
-	size_t count = copy_headers(&m->headers, headers, &text);
+	size_t count =
+	    copy_headers(r->ingress->dialect, &m->headers, headers, &text);
 
 	counter_add(&count_given, 1);
 	if (!m->more)
@@ -349,6 +354,7 @@
 	if (r->state == ATTEMPT_STREAMING)
 		return;
 	balancer_report(r->endpoint, m->running, m->queued);
+	r->arrivals += m->arrived;
 	failed = note_refusal(r, m);
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
 		r->state = ATTEMPT_STREAMING;
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -58,7 +58,7 @@
 	version_sync_adopted(&control->sync, rules->version);
 	membership_set_version(&control->membership, rules->version);
 	// The rules set the slots of the backend server beside.
-	if (control->backend.address[0] != '\0')
+	if (control->backend.known)
 		announce_publish(control);
 	control_publish_view(control);
 	distribution_send_report(control, false);
@@ -136,6 +136,7 @@
 	    .max_connections = ADMIN_MAX_CONNECTIONS,
 	    .idle_timeout_s = ADMIN_IDLE_S,
 	};
+	struct address ready_bound;
 	struct address udp_bound;
 
 	// TCP and UDP share the port, which the kernel may have chosen.
@@ -147,7 +148,13 @@
 		return -1;
 	control->admin = httpd_open(control->loop, &control->settings.admin,
 	    &control_admin_ops, control, &limits, &control->bound_admin, err);
-	return control->admin == NULL ? -1 : 0;
+	if (control->admin == NULL)
+		return -1;
+	if (!control->settings.has_ready)
+		return 0;
+	control->ready = httpd_open(control->loop, &control->settings.ready,
+	    &control_admin_ops, control, &limits, &ready_bound, err);
+	return control->ready == NULL ? -1 : 0;
 }
 
 int
@@ -189,6 +196,7 @@
 	if (control->loop == NULL)
 		return;
 	httpd_close(control->admin);
+	httpd_close(control->ready);
 	listener_close(&control->listener);
 	datagram_close(&control->udp);
 	membership_free(&control->membership);
@@ -249,10 +257,8 @@
 	control->drain_deadline_us = now_us +
 	    control->settings.drain_announce_us +
 	    control->settings.drain_limit_us;
-	if (control->backend.address[0] != '\0')
-		membership_set_backend(&control->membership,
-		    control->backend.service, BACKEND_DRAINING,
-		    control->membership.self.slots, now_us);
+	if (control->backend.known)
+		announce_publish(control);
 	control_publish_view(control);
 	control_tick(control);
 	start_timer(control, &control->drain_timer, stop_taking,
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -6,9 +6,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/backend.h"
 #include "core/membership.h"
 #include "core/rules.h"
 #include "core/version_sync.h"
+#include "io/dialect.h"
 #include "io/httpd.h"
 #include "io/loop.h"
 #include "io/net.h"
@@ -20,6 +22,10 @@
 	struct member self;	///< Without ports that the kernel chooses.
 	struct address control; ///< UDP gossip and TCP control.
 	struct address admin;
+	struct address ready; ///< For questions whether it takes requests.
+	bool has_ready;
+	const struct dialect *dialect;
+	int64_t lease_us; ///< Of announcements that name none.
 	struct membership_settings membership;
 	struct address sources[CONTROL_MAX_SOURCES];
 	uint32_t source_count;
@@ -50,6 +56,7 @@
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
+	struct httpd *ready; ///< NULL if it has no address of its own.
 	struct loop_timer tick_timer;
 	struct loop_timer report_timer;
 	struct loop_timer floor_timer;
@@ -60,7 +67,7 @@
 	/// since the settings were written.
 	struct address learned_sources[CONTROL_MAX_SOURCES];
 	uint32_t learned_count;
-	struct egress_backend backend;
+	struct backend backend;
 	struct address bound_control;
 	struct address bound_admin;
 	struct traffic_bound bound_traffic;
@@ -115,6 +122,7 @@
 extern const struct httpd_ops control_admin_ops;
 void announce_lease_expired(void *arg);
 void announce_publish(struct control *control);
-void announce_set_state(struct control *control, enum backend_state state);
+/// The traffic thread found that nothing listens at the server's address.
+void announce_backend_gone(struct control *control, const char *id);
 
 #endif
--- a/src/proxy/distribution.c
+++ b/src/proxy/distribution.c
@@ -104,6 +104,27 @@
 	control->learned_count = count;
 }
 
+/// Gets to know proxies that the sources name.
+static void
+meet_members(struct control *control, const struct list *members)
+{
+	const struct message_address *items = members->items;
+	char text[ADDRESS_TEXT_BYTES];
+	struct address address;
+	char *colon;
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		if (bytes_copy(items[i].text, text, sizeof(text)) != 0 ||
+		    address_parse(text, &address) != 0)
+			continue;
+		colon = strrchr(text, ':');
+		*colon = '\0';
+		membership_meet(
+		    &control->membership, text, ntohs(address.in.sin_port));
+	}
+}
+
 static bool
 is_in_settings(const struct control *control, const struct address *source)
 {
@@ -127,6 +148,7 @@
 	struct member at = {0};
 
 	learn_sources(control, &answer->sources);
+	meet_members(control, &answer->members);
 	if (answer->version_seen > control->membership.version_floor)
 		control->membership.version_floor = answer->version_seen;
 	if (answer->accepted_version == 0 ||
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -51,7 +51,7 @@
 void
 egress_send_refusal(struct egress *egress, struct egress_sink *sink,
     uint64_t id, uint32_t status, enum outcome outcome, int64_t retry_us,
-    const char *why)
+    bool arrived, const char *why)
 {
 	struct message_response response = {.id = id,
 	    .status = status,
@@ -59,6 +59,7 @@
 	    .retry_left_us = retry_us};
 
 	egress_fill_load(egress, &response);
+	response.arrived = arrived;
 	response.body = bytes_from(why);
 	counter_add(
 	    outcome_is_not_run(outcome) ? &count_refused : &count_failed, 1);
@@ -84,6 +85,7 @@
 	struct egress_sink *sink = r->sink;
 	struct egress *egress = r->egress;
 	uint64_t id = r->message->id;
+	bool arrived = r->arrived;
 	enum outcome outcome = not_run_outcome(r->message, r->key_was_free);
 
 	if (r->claim != NULL)
@@ -94,7 +96,8 @@
 		admission_finish(
 		    &egress->admission, &r->item, loop_now_us(egress->loop));
 	egress_request_free(r);
-	egress_send_refusal(egress, sink, id, status, outcome, retry_us, why);
+	egress_send_refusal(
+	    egress, sink, id, status, outcome, retry_us, arrived, why);
 }
 
 void
@@ -103,7 +106,7 @@
 	if (r->claim != NULL)
 		once_claim_abandon(r->claim);
 	egress_send_refusal(r->egress, r->sink, r->message->id, status,
-	    OUTCOME_UNKNOWN, 0, why);
+	    OUTCOME_UNKNOWN, 0, r->arrived, why);
 }
 
 /// Gives the recorded answer of the key again.
@@ -169,7 +172,7 @@
 			replay_answer(r, answer);
 		else
 			egress_send_refusal(egress, r->sink, r->message->id,
-			    409, OUTCOME_UNKNOWN, 0, in_use_text);
+			    409, OUTCOME_UNKNOWN, 0, false, in_use_text);
 		egress_request_free(r);
 	}
 	egress_run_waiting(egress);
@@ -287,7 +290,7 @@
 	fence_arrive(&egress->fence, key, now_us);
 	if (obstacle != NULL) {
 		egress_send_refusal(egress, sink, message->id, 503,
-		    not_run_outcome(message, false), 0, obstacle);
+		    not_run_outcome(message, false), 0, false, obstacle);
 		return NULL;
 	}
 	r = request_create(egress, sink, message);
@@ -422,24 +425,45 @@
 {
 	const struct rules *rules = egress->rules;
 	const struct rule_service *service;
+	uint32_t slots;
 	int at;
 
 	if (rules == NULL)
 		return;
 	at = rules_find_service(rules, egress->backend.service);
 	service = at < 0 ? NULL : &rules->services[at];
-	admission_configure(&egress->admission,
-	    service == NULL ? 1 : service->slots, rules->ranks,
-	    rules->rank_count);
+	slots = egress->backend.slots;
+	if (slots == 0 && service != NULL)
+		slots = service->slots;
+	admission_configure(&egress->admission, slots == 0 ? 1 : slots,
+	    rules->ranks, rules->rank_count);
 	if (service != NULL)
 		httpc_set_max_connections(egress->httpc, service->connections);
 }
 
+/// Sends what still waits elsewhere.
+static void
+refuse_waiting(struct egress *egress, const char *why)
+{
+	struct egress_request *r = egress->first;
+
+	while (r != NULL) {
+		struct egress_request *next = r->next;
+
+		if (r->state == REQUEST_WAITING && r->item.queued)
+			egress_end_not_run(r, 503, 0, why);
+		r = next;
+	}
+}
+
 void
 egress_set_backend(struct egress *egress, const struct egress_backend *backend)
 {
 	egress->backend = *backend;
 	configure(egress);
+	if (backend->state == BACKEND_DRAINING ||
+	    backend->state == BACKEND_NONE)
+		refuse_waiting(egress, "backend server takes no more work");
 }
 
 void
@@ -450,6 +474,12 @@
 	configure(egress);
 }
 
+const char *
+egress_service(const struct egress *egress)
+{
+	return egress->backend.service;
+}
+
 void
 egress_drain(struct egress *egress)
 {
@@ -470,6 +500,7 @@
 
 	assert(egress != NULL);
 	egress->loop = loop;
+	egress->dialect = settings->dialect;
 	egress->httpc = httpc_open(loop, 1, err);
 	if (egress->httpc == NULL) {
 		free(egress);
--- a/src/proxy/egress.h
+++ b/src/proxy/egress.h
@@ -7,8 +7,8 @@
 #include <stdint.h>
 
 #include "core/admission.h"
+#include "core/backend.h"
 #include "core/fence.h"
-#include "core/member.h"
 #include "core/rules.h"
 #include "io/loop.h"
 #include "wire/messages.h"
@@ -16,6 +16,7 @@
 struct egress;
 struct egress_request;
 struct egress_sink;
+struct dialect;
 struct once_client;
 
 /// Takes what the egress has to say of a request.
@@ -37,12 +38,17 @@
 
 /// The backend server beside this proxy, as it announced itself.
 struct egress_backend {
-	char address[32]; ///< "IP:port"; empty for none.
+	char id[BACKEND_ID_BYTES];
+	char address[BACKEND_ADDRESS_BYTES]; ///< "IP:port"; empty for none.
 	char service[MEMBER_NAME_BYTES];
 	enum backend_state state;
+	uint32_t slots; ///< 0: as the rules say.
+	uint64_t born;	///< Start of its process.
+	int64_t cold_deadline_us;
 };
 
 struct egress_settings {
+	const struct dialect *dialect;
 	uint32_t max_queued;
 	uint32_t max_queued_bytes;
 };
@@ -52,6 +58,9 @@
 
 void egress_destroy(struct egress *egress);
 
+/// Service of the backend server beside; "" while none is known.
+const char *egress_service(const struct egress *egress);
+
 /// Sets the client of the ledger; NULL while there is none.
 void egress_set_once_client(struct egress *egress, struct once_client *once);
 
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress_call.c
@@ -17,6 +17,7 @@
 #define UPLOAD_WINDOW_BYTES   (256u * 1024)
 #define RESPONSE_WINDOW_BYTES (256u * 1024)
 #define MAX_EXTRA_HEADERS     4
+#define STATUS_MISDIRECTED    421
 
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
 
@@ -50,6 +51,16 @@
 		r->sink->ops->body(r->sink, r->message->id, &body);
 }
 
+/// Tells whether the status alone would promise that the request did not
+/// run, which only the backend server's own word can.
+static bool
+is_false_promise(const struct egress_request *r)
+{
+	return r->egress->dialect->refusals_promise &&
+	    !r->message->repeatable &&
+	    (r->status == 408 || r->status == 429 || r->status == 503);
+}
+
 /// Ends a request whose call to the backend server ended.
 static void
 end_call(struct egress_request *r, const struct error *err)
@@ -65,6 +76,7 @@
 	if (r->streaming)
 		send_stream_end(r, err != NULL);
 	else if (r->shed || (err != NULL && !httpc_call_was_sent(&r->call))) {
+		r->arrived = r->shed;
 		egress_end_not_run(r, late ? 504 : 503, 0,
 		    r->shed ? "shed by the backend server"
 			    : "backend server cannot be reached");
@@ -73,6 +85,8 @@
 	} else if (err != NULL)
 		egress_send_unknown(r, late ? 504 : 502,
 		    late ? "deadline passed" : "backend connection failed");
+	else if (is_false_promise(r))
+		egress_send_unknown(r, 502, "backend server failed");
 	else
 		send_whole_response(r);
 	egress_request_free(r);
@@ -85,13 +99,34 @@
 	end_call(call->owner, err);
 }
 
+/// Learns what a header of the answer says of the request.
+static void
+note_answer_header(
+    struct egress_request *r, struct bytes name, struct bytes value)
+{
+	const struct dialect_headers *h = &r->egress->dialect->headers;
+	struct bytes sent;
+
+	if (headers_is(name, h->not_run))
+		r->shed = true;
+	else if (headers_is(name, h->signature))
+		r->signed_answer = true;
+	else if (headers_is(name, "Content-Encoding"))
+		r->encoded_answer = true;
+	else if (headers_is(name, h->attempt) &&
+	    header_list_find(&r->message->headers, h->attempt, &sent)) {
+		r->attempt_echoed = true;
+		r->crossed = sent.size_bytes != value.size_bytes ||
+		    memcmp(sent.data, value.data, sent.size_bytes) != 0;
+	}
+}
+
 static void
 on_header(struct httpc_call *call, struct bytes name, struct bytes value)
 {
 	struct egress_request *r = call->owner;
 
-	if (headers_is_shed(name, value))
-		r->shed = true;
+	note_answer_header(r, name, value);
 	if (!headers_is_hop_by_hop(name))
 		header_list_add(&r->response_headers, name, value);
 }
@@ -115,6 +150,20 @@
 		r->sink->ops->respond(r->sink, r->message->id, &response);
 }
 
+/// Tells whether an answer cannot be that of the request: it names another
+/// one, or is a success that no backend server vouches for.
+static bool
+is_misplaced(struct egress_request *r)
+{
+	const struct dialect *d = r->egress->dialect;
+	bool success = r->status >= 200 && r->status < 300;
+
+	if (success && d->headers.signature != NULL &&
+	    (!r->signed_answer || r->encoded_answer || !r->attempt_echoed))
+		r->crossed = true;
+	return r->crossed;
+}
+
 static void
 on_head(struct httpc_call *call, uint32_t status, int64_t total_bytes)
 {
@@ -122,6 +171,12 @@
 
 	r->status = status;
 	r->total_bytes = total_bytes;
+	r->arrived = true;
+	if (status == STATUS_MISDIRECTED &&
+	    r->egress->dialect->refusals_promise)
+		r->shed = true;
+	if (is_misplaced(r))
+		egress_mark_abort(r);
 }
 
 static bool
@@ -130,6 +185,8 @@
 	struct egress_request *r = call->owner;
 	struct message_body body = {.id = r->message->id};
 
+	if (r->crossed)
+		return true;
 	if (!r->streaming &&
 	    r->body_bytes + size_bytes <= WHOLE_RESPONSE_BYTES) {
 		r->body = realloc(r->body, r->body_bytes + size_bytes);
@@ -156,7 +213,8 @@
 {
 	struct error err;
 
-	error_set(&err, ERR_IO, "call", r->egress->backend.address, "aborted");
+	error_set(&err, ERR_IO, "call", r->egress->backend.address, "%s",
+	    r->crossed ? "the answer is not that of the request" : "aborted");
 	httpc_call_cancel(&r->call);
 	end_call(r, &err);
 }
@@ -223,6 +281,7 @@
 static void
 build_headers(struct egress_request *r)
 {
+	const struct dialect_headers *h = &r->egress->dialect->headers;
 	const struct message_header *from = r->message->headers.items;
 	uint32_t count = r->message->headers.count;
 	int64_t left_us = r->item.deadline_us - loop_now_us(r->egress->loop);
@@ -234,13 +293,20 @@
 		r->headers[i][0] = from[i].name;
 		r->headers[i][1] = from[i].value;
 	}
-	snprintf(r->rank_text, sizeof(r->rank_text), "%.*s",
-	    (int)r->message->rank.size_bytes, r->message->rank.data);
+	if (h->rank != NULL) {
+		snprintf(r->rank_text, sizeof(r->rank_text), "%.*s",
+		    (int)r->message->rank.size_bytes, r->message->rank.data);
+		r->headers[i][0] = bytes_from(h->rank);
+		r->headers[i++][1] = bytes_from(r->rank_text);
+	}
+	if (h->expected != NULL && r->egress->backend.id[0] != '\0') {
+		memcpy(r->expected, r->egress->backend.id, sizeof(r->expected));
+		r->headers[i][0] = bytes_from(h->expected);
+		r->headers[i++][1] = bytes_from(r->expected);
+	}
 	snprintf(r->deadline_text, sizeof(r->deadline_text), "%" PRId64,
 	    left_us > 0 ? left_us / US_PER_MS : 0);
-	r->headers[i][0] = bytes_from(HEADER_RANK);
-	r->headers[i++][1] = bytes_from(r->rank_text);
-	r->headers[i][0] = bytes_from(HEADER_DEADLINE);
+	r->headers[i][0] = bytes_from(h->deadline);
 	r->headers[i++][1] = bytes_from(r->deadline_text);
 	r->call.headers = (const struct bytes(*)[2])r->headers;
 	r->call.header_count = i;
@@ -268,7 +334,7 @@
 	r->call.body = m->body.data;
 	r->call.body_bytes = m->body.size_bytes;
 	r->call.deadline_us = r->item.deadline_us;
-	r->call.repeatable = retry_method_is_safe(method);
+	r->call.repeatable = m->repeatable != 0;
 	if (m->more) {
 		r->call.streamed = true;
 		r->call.total_bytes = m->total_bytes;
@@ -279,6 +345,7 @@
 		return;
 	}
 	fence_ran(&egress->fence, r->fence_key);
+	r->arrived = true;
 	counter_add(&count_run, 1);
 	if (m->more && r->sink != NULL)
 		r->sink->ops->window(r->sink, m->id, UPLOAD_WINDOW_BYTES);
--- a/src/proxy/egress_request.h
+++ b/src/proxy/egress_request.h
@@ -4,6 +4,7 @@
 #define MV_PROXY_EGRESS_REQUEST_H
 
 #include "core/outcome.h"
+#include "io/dialect.h"
 #include "io/httpc.h"
 #include "proxy/egress.h"
 #include "proxy/once_client.h"
@@ -29,6 +30,7 @@
 	uint64_t fence_key;
 	char *url;
 	char rank_text[RULES_NAME_BYTES];
+	char expected[BACKEND_ID_BYTES]; ///< Server that it is meant for.
 	char deadline_text[24];
 	struct bytes (*headers)[2];
 	// Request body beyond the first part.
@@ -44,13 +46,19 @@
 	size_t body_bytes;
 	int64_t window_bytes;
 	bool streaming;
-	bool shed; ///< The backend server said that it did not run it.
+	bool shed;    ///< The backend server said that it did not run it.
+	bool arrived; ///< The backend server got it, as far as is known.
+	bool signed_answer;
+	bool encoded_answer; ///< Not as the backend server made it.
+	bool attempt_echoed;
+	bool crossed; ///< The answer is that of another request.
 	bool abort_marked;
 	bool key_was_free; ///< The ledger said so to this attempt.
 };
 
 struct egress {
 	struct loop *loop;
+	const struct dialect *dialect;
 	struct httpc *httpc;
 	struct once_client *once;
 	struct admission admission;
@@ -76,7 +84,7 @@
 /// Answers on behalf of the egress, not of the backend server.
 void egress_send_refusal(struct egress *egress, struct egress_sink *sink,
     uint64_t id, uint32_t status, enum outcome outcome, int64_t retry_us,
-    const char *why);
+    bool arrived, const char *why);
 
 /// Ends a request that never got to the backend server.
 void egress_end_not_run(struct egress_request *r, uint32_t status,
--- a/src/proxy/headers.c
+++ b/src/proxy/headers.c
@@ -4,8 +4,6 @@
 
 #include "proxy/headers.h"
 
-#define INTERNAL_PREFIX "Magnolia-"
-
 static bool
 equals(struct bytes b, const char *text)
 {
@@ -30,18 +28,19 @@
 }
 
 bool
-headers_is_internal(struct bytes name)
+headers_is(struct bytes name, const char *header)
 {
-	size_t n = strlen(INTERNAL_PREFIX);
-
-	return name.size_bytes >= n &&
-	    strncasecmp(name.data, INTERNAL_PREFIX, n) == 0;
+	return header != NULL && equals(name, header);
 }
 
 bool
-headers_is_shed(struct bytes name, struct bytes value)
+headers_is_internal(const struct dialect_headers *headers, struct bytes name)
 {
-	return equals(name, HEADER_SHED) && equals(value, "1");
+	size_t n = strlen(headers->internal_prefix);
+
+	return name.size_bytes >= n &&
+	    strncasecmp(name.data, headers->internal_prefix, n) == 0 &&
+	    !headers_is(name, headers->attempt);
 }
 
 const char *
--- a/src/proxy/headers.h
+++ b/src/proxy/headers.h
@@ -6,24 +6,21 @@
 #include <stdbool.h>
 
 #include "core/retry.h"
+#include "io/dialect.h"
 #include "wire/codec.h"
 
-#define HEADER_RANK	"Magnolia-Rank"
-#define HEADER_DEADLINE "Magnolia-Deadline-Ms"
-#define HEADER_OUTCOME	"Magnolia-Outcome"
-#define HEADER_SHED	"Magnolia-Shed"
-#define HEADER_KEY	"Idempotency-Key"
-#define HEADER_RETRY	"Retry-After"
+#define HEADER_RETRY "Retry-After"
 
 /// Tells whether a header concerns one connection only.
 bool headers_is_hop_by_hop(struct bytes name);
 
-/// Tells whether a header is the proxy's own, which callers may not set.
-bool headers_is_internal(struct bytes name);
+/// Tells whether a name is that of a header; false if that is NULL.
+bool headers_is(struct bytes name, const char *header);
 
-/// Tells whether a response header proves that the backend server shed the
-/// request without running it.
-bool headers_is_shed(struct bytes name, struct bytes value);
+/// Tells whether a header is one that callers may not set: the mesh's own, but
+/// for the name of the caller's attempt.
+bool headers_is_internal(
+    const struct dialect_headers *headers, struct bytes name);
 
 /// Static string of a known method; NULL if it is not known.
 const char *headers_known_method(const char *method);
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -25,7 +25,8 @@
 	struct ingress_request *r = arg;
 	struct bytes n = bytes_from(name);
 
-	if (headers_is_hop_by_hop(n) || headers_is_internal(n))
+	if (headers_is_hop_by_hop(n) ||
+	    headers_is_internal(&r->ingress->dialect->headers, n))
 		return;
 	header_list_add(&r->headers, n, bytes_from(value));
 }
@@ -69,24 +70,37 @@
 }
 
 static void
-respond_own(struct http_exchange *exchange, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why)
+respond_own(const struct dialect *dialect, struct http_exchange *exchange,
+    uint32_t status, enum outcome outcome, int64_t retry_us, const char *why)
 {
 	char body[256];
-	char seconds[24];
+	char retry[DIALECT_RETRY_BYTES];
 	struct http_header headers[3] = {
 	    {"Content-Type", "text/plain; charset=utf-8"},
-	    {HEADER_OUTCOME, outcome_name(outcome)},
-	    {HEADER_RETRY, seconds},
 	};
+	size_t count = 1;
 
 	counter_add(
 	    outcome_is_not_run(outcome) ? &count_not_run : &count_unknown, 1);
-	snprintf(seconds, sizeof(seconds), "%" PRId64,
-	    (retry_us + US_PER_S - 1) / US_PER_S);
+	if (dialect->headers.outcome != NULL) {
+		headers[count].name = dialect->headers.outcome;
+		headers[count++].value = outcome_name(outcome);
+	}
+	if (retry_us > 0) {
+		dialect->write_retry(retry_us, retry);
+		headers[count].name = HEADER_RETRY;
+		headers[count++].value = retry;
+	}
 	snprintf(body, sizeof(body), "%s: %s\n", outcome_name(outcome), why);
-	http_exchange_respond(exchange, status, headers, retry_us > 0 ? 3 : 2,
-	    body, strlen(body));
+	http_exchange_respond(
+	    exchange, status, headers, count, body, strlen(body));
+}
+
+/// Value of a header that the dialect may not have; NULL if there is none.
+static const char *
+find_header(const struct ingress_request *r, const char *name)
+{
+	return name == NULL ? NULL : http_exchange_header(r->exchange, name);
 }
 
 enum outcome
@@ -94,7 +108,7 @@
 {
 	bool has_key = r->key[0] != '\0' ||
 	    (r->exchange != NULL &&
-		http_exchange_header(r->exchange, HEADER_KEY) != NULL);
+		find_header(r, r->ingress->dialect->headers.key) != NULL);
 
 	return has_key ? OUTCOME_REFUSED : OUTCOME_NOT_RUN;
 }
@@ -109,25 +123,34 @@
 		log_write(LOG_INFO, "ingress", "Answered %s %s: %u %s, %s.",
 		    r->exchange->method, r->exchange->target, status,
 		    outcome_name(outcome), why);
-		respond_own(r->exchange, status, outcome, retry_us, why);
+		respond_own(r->ingress->dialect, r->exchange, status, outcome,
+		    retry_us, why);
 	}
 	ingress_request_free(r);
 }
 
-/// Takes rank and deadline over from the request that this one is part of.
+/// Takes the rank over from the request that this one is part of.
 static void
-inherit(struct ingress_request *r)
+inherit_rank(struct ingress_request *r)
 {
-	const char *rank = http_exchange_header(r->exchange, HEADER_RANK);
-	const char *left = http_exchange_header(r->exchange, HEADER_DEADLINE);
-	int64_t deadline_us;
+	const char *rank = find_header(r, r->ingress->dialect->headers.rank);
 	int at;
 
-	if (rank != NULL) {
-		at = rules_find_rank(r->rules, rank);
-		if (at >= 0)
-			r->rank = &r->rules->ranks[at];
-	}
+	if (rank == NULL)
+		return;
+	at = rules_find_rank(r->rules, rank);
+	if (at >= 0)
+		r->rank = &r->rules->ranks[at];
+}
+
+/// Takes over how long the caller waits.
+static void
+read_deadline(struct ingress_request *r)
+{
+	const char *left =
+	    find_header(r, r->ingress->dialect->headers.deadline);
+	int64_t deadline_us;
+
 	if (left != NULL) {
 		deadline_us = r->exchange->arrival_us +
 		    strtoll(left, NULL, 10) * US_PER_MS;
@@ -139,7 +162,7 @@
 static int
 read_key(struct ingress_request *r)
 {
-	const char *key = http_exchange_header(r->exchange, HEADER_KEY);
+	const char *key = find_header(r, r->ingress->dialect->headers.key);
 
 	if (key == NULL)
 		return r->route->once ? -1 : 0;
@@ -149,6 +172,21 @@
 	return 0;
 }
 
+/// Tells backend servers which service the request began at.
+static void
+add_caller_service(struct ingress_request *r)
+{
+	const struct ingress *ingress = r->ingress;
+	const char *name = ingress->dialect->headers.caller_service;
+	const char *service = egress_service(ingress->egress);
+
+	if (name == NULL)
+		return;
+	if (service[0] == '\0')
+		service = ingress->settings.service;
+	header_list_add(&r->headers, bytes_from(name), bytes_from(service));
+}
+
 static void
 on_request(void *owner, struct http_exchange *exchange)
 {
@@ -163,7 +201,8 @@
 		return;
 	}
 	r->rules = rules_ref(ingress->rules);
-	r->route = rules_match(r->rules, exchange->method, exchange->target);
+	r->route = rules_match(r->rules, exchange->method,
+	    http_exchange_header(exchange, "Host"), exchange->target);
 	if (r->route == NULL ||
 	    headers_known_method(exchange->method) == NULL) {
 		ingress_conclude(
@@ -172,8 +211,12 @@
 	}
 	r->rank = &r->rules->ranks[r->route->rank];
 	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
+	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
+	r->service = rules_draw_target(r->route, random_next(&ingress->random));
 	if (door->trusted)
-		inherit(r);
+		inherit_rank(r);
+	if (door->trusted || ingress->dialect->callers_set_deadline)
+		read_deadline(r);
 	if (read_key(r) != 0) {
 		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
 		    "an Idempotency-Key of 1 to 255 characters is needed");
@@ -185,8 +228,11 @@
 		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
 		return;
 	}
-	r->repeatable = retry_method_is_safe(exchange->method) ||
-	    (r->route->once && r->key[0] != '\0');
+	add_caller_service(r);
+	r->safe = r->route->kind == RULE_KIND_METHOD
+	    ? retry_method_is_safe(exchange->method)
+	    : r->route->kind == RULE_KIND_SAFE;
+	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
 	r->upload_ended = !exchange->more;
 	retry_budget_earn(&ingress->budget);
 	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
@@ -321,6 +367,8 @@
 	ingress->loop = loop;
 	ingress->egress = egress;
 	ingress->settings = *settings;
+	ingress->dialect = settings->dialect;
+	ingress->random.seed = settings->seed + 1;
 	ingress->local_sink.ops = &ingress_sink_ops;
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
@@ -330,8 +378,9 @@
 	    settings->name, settings->incarnation);
 	if (open_door(&ingress->outer, ingress, &settings->outer, false,
 		bound_outer, err) != 0 ||
-	    open_door(&ingress->inner, ingress, &settings->inner, true,
-		bound_inner, err) != 0) {
+	    (settings->has_inner &&
+		open_door(&ingress->inner, ingress, &settings->inner, true,
+		    bound_inner, err) != 0)) {
 		ingress_close(ingress);
 		return NULL;
 	}
@@ -350,14 +399,18 @@
 ingress_drain(struct ingress *ingress)
 {
 	httpd_drain(ingress->outer.httpd);
-	httpd_drain(ingress->inner.httpd);
+	if (ingress->inner.httpd != NULL)
+		httpd_drain(ingress->inner.httpd);
 }
 
 uint32_t
 ingress_active_count(const struct ingress *ingress)
 {
-	return httpd_active_count(ingress->outer.httpd) +
-	    httpd_active_count(ingress->inner.httpd);
+	uint32_t count = httpd_active_count(ingress->outer.httpd);
+
+	if (ingress->inner.httpd != NULL)
+		count += httpd_active_count(ingress->inner.httpd);
+	return count;
 }
 
 void
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -12,10 +12,14 @@
 struct ingress;
 
 struct ingress_settings {
+	const struct dialect *dialect;
 	char name[MEMBER_NAME_BYTES];
+	/// Service of the backend server beside, until it announces itself.
+	char service[MEMBER_NAME_BYTES];
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
 	struct address inner; ///< For the backend server beside.
+	bool has_inner;
 	int64_t max_body_bytes;
 	int64_t max_connections;
 	int64_t warm_us;
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -39,13 +39,18 @@
 	const struct rule_rank *rank;
 	struct header_list headers;
 	char key[256];
-	bool repeatable;
+	const char *attempt; ///< The caller's name for it; "-" if it has none.
+	bool safe;	     ///< The backend server may run it again.
+	bool repeatable;     ///< It may be sent again.
 	bool upload_passed_on; ///< Parts of the body are no longer kept.
 	bool upload_ended;
 	bool cancel_sent;
 	bool may_have_run; ///< The outcome of an earlier attempt is unknown.
 	bool broken;	   ///< The stream of its attempt just broke.
 	int64_t deadline_us;
+	int64_t target_deadline_us; ///< Until then it earns its full worth.
+	uint32_t service;	    ///< Drawn from the targets of the route.
+	uint32_t arrivals;	    ///< Backend servers that it reached.
 	struct loop_timer timer;
 	// The attempt in progress.
 	enum attempt_state state;
@@ -66,6 +71,8 @@
 struct ingress {
 	struct egress_sink local_sink;
 	struct loop *loop;
+	const struct dialect *dialect;
+	struct random random;
 	struct egress *egress;
 	struct links *links;
 	struct ingress_settings settings;
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -12,10 +12,10 @@
 		path_, SETTINGS_TEXT, offsetof(S, member_), required_, 0, 0, \
 		    fallback_, help_                                         \
 	}
-#define ADDRESS(path_, member_, help_)                                     \
-	{                                                                  \
-		path_, SETTINGS_ADDRESS, offsetof(S, member_), true, 0, 0, \
-		    NULL, help_                                            \
+#define ADDRESS(path_, member_, required_, help_)                            \
+	{                                                                    \
+		path_, SETTINGS_ADDRESS, offsetof(S, member_), required_, 0, \
+		    0, NULL, help_                                           \
 	}
 #define LIST(path_, member_, help_)                                            \
 	{                                                                      \
@@ -30,17 +30,30 @@
 
 const struct settings_field proxy_fields[] = {
     PROGRAM_LOG_FIELDS(S),
+    TEXT("dialect", dialect, false, "\"own\"",
+	"names of headers and forms of announcements"),
     TEXT("name", name, true, NULL, "name of this VM, unique in the mesh"),
     TEXT("region", region, true, NULL, "region of this VM"),
     TEXT("dc", dc, true, NULL, "data centre of this VM"),
     TEXT("host", host, true, NULL, "IP number that others reach it by"),
-    ADDRESS("listen.outer", listen_outer, "HTTP for callers"),
-    ADDRESS("listen.inner", listen_inner,
+    ADDRESS("listen.outer", listen_outer, true, "HTTP for callers"),
+    ADDRESS("listen.inner", listen_inner, false,
 	"HTTP for the backend server beside; must be on loopback"),
-    ADDRESS("listen.peer", listen_peer, "streams from other proxies"),
-    ADDRESS("listen.control", listen_control, "gossip (UDP) and control (TCP)"),
-    ADDRESS("listen.admin", listen_admin,
+    ADDRESS("listen.peer", listen_peer, true, "streams from other proxies"),
+    ADDRESS("listen.control", listen_control, true,
+	"gossip (UDP) and control (TCP)"),
+    ADDRESS("listen.admin", listen_admin, true,
 	"announcements, counters, status; must be on loopback"),
+    ADDRESS("listen.ready", listen_ready, false,
+	"the same calls once more, for a load balancer's checks"),
+    {"admin_anywhere", SETTINGS_BOOL, offsetof(S, admin_anywhere), false, 0, 0,
+	"false", "listen.admin may be on another address than loopback"},
+    TEXT("service", service, false, "\"\"",
+	"service of the backend server beside, until it announces itself"),
+    INTEGER("lease_ms", lease_ms, 100, 60000, "5000",
+	"lease of an announcement that names none"),
+    INTEGER("source_port", source_port, 0, 65535, "0",
+	"port of the sources in place of those in `sources`; 0: as listed"),
     TEXT("bound_path", bound_path, false, "\"\"",
 	"file that receives the addresses in use"),
     LIST("seeds", seeds, "control addresses of some proxies, IP:port"),
@@ -139,7 +152,7 @@
 static int
 check_loopback(const char *key, const char *text)
 {
-	if (strncmp(text, "127.", 4) == 0)
+	if (text[0] == '\0' || strncmp(text, "127.", 4) == 0)
 		return 0;
 	fprintf(stderr, "settings: %s: must be on 127.0.0.0/8\n", key);
 	return 1;
@@ -166,23 +179,50 @@
 	return problems;
 }
 
+static int
+resolve_dialect(const struct proxy_settings *s,
+    struct control_settings *control, struct traffic_settings *traffic)
+{
+	const struct dialect *dialect = dialect_find(s->dialect);
+
+	if (dialect == NULL)
+		fprintf(stderr, "settings: dialect: '%s' is not known\n",
+		    s->dialect);
+	control->dialect = dialect;
+	traffic->ingress.dialect = dialect;
+	traffic->egress.dialect = dialect;
+	snprintf(traffic->ingress.service, sizeof(traffic->ingress.service),
+	    "%.*s", (int)sizeof(traffic->ingress.service) - 1, s->service);
+	return dialect == NULL ? 1 : 0;
+}
+
 int
 proxy_settings_resolve(const struct proxy_settings *s,
     struct control_settings *control, struct traffic_settings *traffic)
 {
 	struct membership_settings *m = &control->membership;
 	int problems = resolve_self(s, &control->self);
+	uint32_t i;
 
 	problems += check_loopback("listen.inner", s->listen_inner);
-	problems += check_loopback("listen.admin", s->listen_admin);
+	if (!s->admin_anywhere)
+		problems += check_loopback("listen.admin", s->listen_admin);
+	problems += resolve_dialect(s, control, traffic);
 	problems += parse_seeds(s, m);
 	problems += parse_addresses("sources", &s->sources, control->sources,
 	    CONTROL_MAX_SOURCES, &control->source_count);
 	problems += parse_addresses("ledgers", &s->ledgers, traffic->ledgers,
 	    ONCE_MAX_REPLICAS, &traffic->ledger_count);
+	for (i = 0; i < control->source_count && s->source_port != 0; i++)
+		control->sources[i].in.sin_port =
+		    htons((uint16_t)s->source_port);
 	address_parse(s->listen_control, &control->control);
+	control->has_ready = s->listen_ready[0] != '\0';
+	address_parse(s->listen_ready, &control->ready);
+	control->lease_us = s->lease_ms * US_PER_MS;
 	address_parse(s->listen_admin, &control->admin);
 	address_parse(s->listen_outer, &traffic->ingress.outer);
+	traffic->ingress.has_inner = s->listen_inner[0] != '\0';
 	address_parse(s->listen_inner, &traffic->ingress.inner);
 	address_parse(s->listen_peer, &traffic->peer);
 	m->probe_period_us = s->gossip_probe_ms * US_PER_MS;
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -9,6 +9,7 @@
 struct proxy_settings {
 	struct program_log log;
 	char name[SETTINGS_TEXT_BYTES];
+	char dialect[SETTINGS_TEXT_BYTES];
 	char region[SETTINGS_TEXT_BYTES];
 	char dc[SETTINGS_TEXT_BYTES];
 	char host[SETTINGS_TEXT_BYTES];
@@ -17,6 +18,11 @@
 	char listen_peer[SETTINGS_TEXT_BYTES];
 	char listen_control[SETTINGS_TEXT_BYTES];
 	char listen_admin[SETTINGS_TEXT_BYTES];
+	char listen_ready[SETTINGS_TEXT_BYTES];
+	bool admin_anywhere;
+	char service[SETTINGS_TEXT_BYTES];
+	int64_t lease_ms;
+	int64_t source_port;
 	char bound_path[SETTINGS_TEXT_BYTES];
 	struct settings_list seeds;
 	struct settings_list sources;
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -23,6 +23,8 @@
 
 static const struct settings_field source_fields[] = {
     REPLICA_PROGRAM_FIELDS,
+    ROW("dialect", SETTINGS_TEXT, dialect_name, false, 0, 0, "\"own\"",
+	"form of operators' calls and rule files"),
     ROW("region", SETTINGS_TEXT, region, true, 0, 0, NULL, "region of this VM"),
     ROW("dc", SETTINGS_TEXT, dc, true, 0, 0, NULL, "data centre of this VM"),
     ROW("host", SETTINGS_TEXT, host, true, 0, 0, NULL,
@@ -95,10 +97,21 @@
 
 static struct source source;
 
+static const char *
+own_address(void)
+{
+	return source.settings.listen_control;
+}
+
 static int
 open_source(struct loop *loop, struct error *err)
 {
+	source.dialect = dialect_find(source.settings.dialect_name);
+	if (source.dialect == NULL)
+		return error_set(err, ERR_INVALID, "find dialect",
+		    source.settings.dialect_name, "it is not known");
 	source.loop = loop;
+	source.random.seed = (uint64_t)clock_wall_us();
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
 	source.reports.forget_us = source.settings.forget_ms * US_PER_MS;
 	return open_sockets(&source, err);
@@ -139,6 +152,7 @@
 	    .fields = source_fields,
 	    .field_count = sizeof(source_fields) / sizeof(source_fields[0]),
 	    .settings = &source.settings.replica,
+	    .own_address = own_address,
 	    .open = open_source,
 	    .open_replica = open_replica,
 	    .close = close_source,
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -56,6 +56,7 @@
 	case RULE_STORE_CONFLICT:
 		return "conflict";
 	case RULE_STORE_OLD:
+	case RULE_STORE_SUPERSEDED:
 		return "old version";
 	case RULE_STORE_GAP:
 		return "version gap";
@@ -73,10 +74,7 @@
 	json_t *root;
 	char *text;
 
-	*status =
-	    verdict == RULE_STORE_ACCEPTED || verdict == RULE_STORE_ALREADY
-	    ? 200
-	    : 409;
+	*status = source->dialect->verdict_status(verdict);
 	if (*status != 200)
 		counter_add(&count_refused, 1);
 	snprintf(hash, sizeof(hash), "%016" PRIx64,
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -66,7 +66,7 @@
 {
 	struct source *source = p->source;
 	enum rule_store_verdict verdict =
-	    rule_store_check(&source->store, p->rules->version, p->rules->hash);
+	    rule_store_check(&source->store, p->rules);
 	struct error err;
 	uint32_t size_bytes;
 	uint32_t status;
@@ -81,7 +81,8 @@
 		free(body);
 		return;
 	}
-	entry = rule_store_encode(p->rules, clock_wall_us(), &size_bytes);
+	entry = rule_store_encode(
+	    &source->store, p->rules, clock_wall_us(), &size_bytes);
 	p->kind = PENDING_PROPOSED;
 	p->term = source->host.replica.term;
 	rc = replica_propose(&source->host.replica, entry, size_bytes,
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -1,5 +1,6 @@
 // Rules out to the proxies, and their reports in.
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +13,7 @@
 #include "wire/gossip_codec.h"
 
 #define NOTIFIED_IN_DC	2
+#define SAMPLED_MEMBERS 4 ///< Named in each answer, so that proxies meet.
 #define PULL_COST_MILLI 1000
 #define PULL_RETRY_US	(300 * US_PER_MS)
 
@@ -20,6 +22,35 @@
 COUNTER_DEFINE(count_busy, "source_pulls_put_off", "Pulls told to wait");
 COUNTER_DEFINE(gauge_members, "source_members", "Proxies that report");
 
+/// Some of the proxies that report now, from a random one on.
+static uint32_t
+sample_members(struct source *source,
+    char texts[SAMPLED_MEMBERS][ADDRESS_TEXT_BYTES],
+    struct message_address out[SAMPLED_MEMBERS])
+{
+	const struct report_table *table = &source->reports;
+	int64_t now_us = loop_now_us(source->loop);
+	uint32_t count = 0;
+	uint32_t from;
+	uint32_t i;
+
+	if (table->count == 0)
+		return 0;
+	from = random_below(&source->random, table->count);
+	for (i = 0; i < table->count && count < SAMPLED_MEMBERS; i++) {
+		const struct report *r =
+		    &table->items[(from + i) % table->count];
+
+		if (r->left || now_us - r->heard_us > table->stale_us)
+			continue;
+		snprintf(texts[count], ADDRESS_TEXT_BYTES, "%s:%u",
+		    r->member.host, r->member.control_port);
+		out[count].text = bytes_from(texts[count]);
+		count++;
+	}
+	return count;
+}
+
 static void
 send_answer(
     struct source *source, const struct address *to, uint64_t version_seen)
@@ -32,6 +63,8 @@
 	};
 	const struct replica_config *config = &source->host.replica.config;
 	struct message_address sources[REPLICA_MAX_VOTERS];
+	struct message_address members[SAMPLED_MEMBERS];
+	char texts[SAMPLED_MEMBERS][ADDRESS_TEXT_BYTES];
 	msgpack_sbuffer out;
 	uint32_t i;
 
@@ -39,6 +72,8 @@
 		sources[i].text = bytes_from(config->voters[i].address);
 	answer.sources.items = sources;
 	answer.sources.count = config->voter_count;
+	answer.members.items = members;
+	answer.members.count = sample_members(source, texts, members);
 	answer.host = bytes_from(source->settings.host);
 	answer.region = bytes_from(source->settings.region);
 	answer.dc = bytes_from(source->settings.dc);
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -101,10 +101,14 @@
 	struct stream *stream;
 	struct call *next;
 	struct source *source;
+	bool show; ///< The file is to be told in the form of the dialect.
 };
 
 static struct call *open_calls;
 
+static void on_reply(
+    void *arg, uint32_t status, int64_t retry_us, const char *body);
+
 static struct call *
 call_create(struct source *source)
 {
@@ -147,6 +151,71 @@
 	    body, strlen(body));
 }
 
+/// Answers with the accepted file in the form of the dialect.
+static void
+reply_rules(struct call *call, const char *text)
+{
+	struct rules_errors *errors = malloc(sizeof(*errors));
+	struct rules *rules;
+	char *document;
+
+	assert(errors != NULL);
+	rules = rules_parse(text, strlen(text), errors);
+	free(errors);
+	if (rules == NULL) {
+		reply_http(call->exchange, 503, US_PER_S,
+		    "{\"result\":\"unavailable\",\"why\":\"the accepted "
+		    "file cannot be read here\"}");
+		return;
+	}
+	document = call->source->dialect->render_rules(rules);
+	reply_http(call->exchange, 200, 0, document);
+	free(document);
+	rules_unref(rules);
+}
+
+/// Takes a call in the form of a dialect that has its own.
+///
+/// @return whether it was one
+static bool
+take_dialect_call(struct source *source, struct http_exchange *exchange)
+{
+	const struct dialect *d = source->dialect;
+	enum dialect_operation operation = DIALECT_NO_OPERATION;
+	struct error err;
+	struct call *call;
+	size_t text_bytes;
+	char body[ERROR_STEP_BYTES + ERROR_PEER_BYTES + ERROR_TEXT_BYTES + 4];
+	char *text;
+
+	if (d->read_operation != NULL)
+		operation =
+		    d->read_operation(exchange->method, exchange->target);
+	if (operation == DIALECT_NO_OPERATION)
+		return false;
+	call = call_create(source);
+	call->exchange = exchange;
+	exchange->state = call;
+	if (operation == DIALECT_SHOW) {
+		call->show = true;
+		operator_handle(
+		    source, "GET", "/rules", NULL, 0, false, on_reply, call);
+		return true;
+	}
+	if (d->read_rules(exchange->body, exchange->body_bytes, &text,
+		&text_bytes, &err) != 0) {
+		log_error(LOG_INFO, "source", "Refused a document", &err);
+		snprintf(body, sizeof(body), "%s %s: %s\n", err.peer, err.step,
+		    err.text);
+		on_reply(call, 400, 0, body);
+		return true;
+	}
+	operator_handle(
+	    source, "POST", "/rules", text, text_bytes, false, on_reply, call);
+	free(text);
+	return true;
+}
+
 static void
 on_reply(void *arg, uint32_t status, int64_t retry_us, const char *body)
 {
@@ -154,7 +223,9 @@
 	struct message_operator_answer answer = {
 	    .status = status, .retry_left_us = retry_us};
 
-	if (call->exchange != NULL)
+	if (call->exchange != NULL && call->show && status == 200)
+		reply_rules(call, body);
+	else if (call->exchange != NULL)
 		reply_http(call->exchange, status, retry_us, body);
 	if (call->stream != NULL) {
 		answer.body = bytes_from(body);
@@ -173,6 +244,8 @@
 		counters_respond(exchange);
 		return;
 	}
+	if (take_dialect_call(source, exchange))
+		return;
 	call = call_create(source);
 	call->exchange = exchange;
 	exchange->state = call;
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -5,12 +5,14 @@
 
 #include "core/report_table.h"
 #include "core/rule_store.h"
+#include "io/dialect.h"
 #include "io/httpd.h"
 #include "io/net.h"
 #include "io/replica_program.h"
 
 struct source_settings {
 	struct replica_program_settings replica;
+	char dialect_name[SETTINGS_TEXT_BYTES];
 	char region[SETTINGS_TEXT_BYTES];
 	char dc[SETTINGS_TEXT_BYTES];
 	char host[SETTINGS_TEXT_BYTES];
@@ -53,10 +55,12 @@
 
 struct source {
 	struct source_settings settings;
+	const struct dialect *dialect;
 	struct loop *loop;
 	struct replica_host host;
 	struct rule_store store;
 	struct report_table reports;
+	struct random random;
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *httpd;
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -65,6 +65,7 @@
     F(message_report_answer, BYTES, region),
     F(message_report_answer, BYTES, dc),
     N(message_report_answer, LIST, sources, &address_schema),
+    N(message_report_answer, LIST, members, &address_schema),
 };
 static const struct codec_schema report_answer_schema =
     CODEC_SCHEMA(struct message_report_answer, report_answer_fields);
@@ -130,6 +131,8 @@
     F(message_request, U64, id),
     F(message_request, U64, egress_incarnation),
     F(message_request, I64, deadline_left_us),
+    F(message_request, I64, target_left_us),
+    F(message_request, U32, repeatable),
     F(message_request, BYTES, rank),
     F(message_request, BYTES, service),
     F(message_request, BYTES, method),
@@ -151,6 +154,7 @@
     F(message_response, I64, retry_left_us),
     F(message_response, U32, queued),
     F(message_response, U32, running),
+    F(message_response, U32, arrived),
     F(message_response, U32, more),
     F(message_response, I64, total_bytes),
     N(message_response, LIST, headers, &header_schema),
@@ -246,6 +250,29 @@
 static const struct codec_schema replica_answer_schema =
     CODEC_SCHEMA(struct message_replica_answer, replica_answer_fields);
 
+static const struct codec_field peer_fields[] = {
+    F(message_peer, U64, id),
+    F(message_peer, BYTES, address),
+};
+static const struct codec_schema peer_schema =
+    CODEC_SCHEMA(struct message_peer, peer_fields);
+
+static const struct codec_field join_fields[] = {
+    F(message_join, U64, cluster),
+    N(message_join, STRUCT, self, &peer_schema),
+    F(message_join, U32, leaving),
+};
+static const struct codec_schema join_schema =
+    CODEC_SCHEMA(struct message_join, join_fields);
+
+static const struct codec_field join_answer_fields[] = {
+    F(message_join_answer, U64, cluster),
+    F(message_join_answer, U64, leader),
+    N(message_join_answer, LIST, peers, &peer_schema),
+};
+static const struct codec_schema join_answer_schema =
+    CODEC_SCHEMA(struct message_join_answer, join_answer_fields);
+
 static const struct codec_field operator_fields[] = {
     F(message_operator, BYTES, method),
     F(message_operator, BYTES, target),
@@ -358,6 +385,10 @@
 		return &replica_query_schema;
 	case MESSAGE_REPLICA_ANSWER:
 		return &replica_answer_schema;
+	case MESSAGE_JOIN:
+		return &join_schema;
+	case MESSAGE_JOIN_ANSWER:
+		return &join_answer_schema;
 	case MESSAGE_OPERATOR:
 		return &operator_schema;
 	case MESSAGE_OPERATOR_ANSWER:
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -44,6 +44,8 @@
 	MESSAGE_RAFT = 40,
 	MESSAGE_REPLICA_QUERY = 41,
 	MESSAGE_REPLICA_ANSWER = 42,
+	MESSAGE_JOIN = 43,
+	MESSAGE_JOIN_ANSWER = 44,
 	// Requests of operators, passed on to the leader.
 	MESSAGE_OPERATOR = 45,
 	MESSAGE_OPERATOR_ANSWER = 46,
@@ -103,6 +105,7 @@
 	struct bytes region;
 	struct bytes dc;
 	struct list sources; ///< of struct message_address: all replicas now.
+	struct list members; ///< of struct message_address: some proxies.
 };
 
 struct message_address {
@@ -159,6 +162,8 @@
 	uint64_t id;
 	uint64_t egress_incarnation; ///< The process this is meant for.
 	int64_t deadline_left_us;
+	int64_t target_left_us; ///< Until the caller expects the answer.
+	uint32_t repeatable;	///< The backend server may run it again.
 	struct bytes rank;
 	struct bytes service;
 	struct bytes method;
@@ -178,6 +183,7 @@
 	int64_t retry_left_us; ///< Not before; 0 for no hint.
 	uint32_t queued;       ///< Requests waiting at the egress.
 	uint32_t running;      ///< Requests executing at the egress.
+	uint32_t arrived;      ///< The backend server got the request.
 	uint32_t more;	       ///< Body frames follow.
 	int64_t total_bytes;   ///< Of a body that goes on; -1 if not known.
 	struct list headers;   ///< of struct message_header
@@ -256,6 +262,25 @@
 	uint64_t data_index; ///< Last data entry applied; 0 for none.
 };
 
+struct message_peer {
+	uint64_t id;
+	struct bytes address; ///< "IP:port"
+};
+
+/// A replica asks to be taken in, or says that it leaves.
+struct message_join {
+	uint64_t cluster;
+	struct message_peer self;
+	uint32_t leaving;
+};
+
+/// Who is a member, and which of them leads.
+struct message_join_answer {
+	uint64_t cluster;
+	uint64_t leader;   ///< Id; 0 if none is known.
+	struct list peers; ///< of struct message_peer
+};
+
 /// An operator's request; the same words as over HTTP.
 struct message_operator {
 	struct bytes method;
@@ -337,6 +362,8 @@
 		struct message_raft raft;
 		struct message_replica_query replica_query;
 		struct message_replica_answer replica_answer;
+		struct message_join join;
+		struct message_join_answer join_answer;
 		struct message_operator operator_request;
 		struct message_operator_answer operator_answer;
 		struct message_claim claim;
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -36,7 +36,7 @@
 	struct rules *rules = rules_parse(bytes, size_bytes, &errors);
 
 	if (rules != NULL) {
-		rules_match(rules, "GET", "/a/b?c");
+		rules_match(rules, "GET", "h.example", "/a/b?c");
 		rules_unref(rules);
 	}
 }
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -221,8 +221,9 @@
 
 		for (m = 0; rules != NULL && m < 3; m++)
 			for (p = 0; p < 9; p++) {
-				const struct rule_route *route = rules_match(
-				    rules, known_methods[m], known_paths[p]);
+				const struct rule_route *route =
+				    rules_match(rules, known_methods[m], NULL,
+					known_paths[p]);
 				uint32_t got_s = route == NULL
 				    ? 0
 				    : (uint32_t)(route->timeout_us / 1000000);
