feat(proxy): an HTTP client that skips answers of other requests; shared retry budget

SIGHUP ended the programs. Solution: io/httpc on http-parser: an answer that names another request is skipped; nothing is sent twice unless it may. Retries draw on a budget of each service that all proxies share; only what reached a backend server counts. Settings are read again on SIGHUP and when their file changes.

--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -3,7 +3,8 @@
 set -eu
 
 packages="libapr1-dev libmsgpack-dev libmicrohttpd-dev libjansson-dev \
-libxxhash-dev libcmocka-dev libgsl-dev libcurl4-openssl-dev"
+libxxhash-dev libcmocka-dev libgsl-dev libcurl4-openssl-dev \
+libhttp-parser-dev"
 tools="gcc make cmake pkg-config clang-format clang-tidy curl"
 
 missing=""
--- a/src/core/balancer.c
+++ b/src/core/balancer.c
@@ -23,6 +23,7 @@
 	strncpy(b->service, service, sizeof(b->service) - 1);
 	b->random.seed = seed;
 	b->warm_us = warm_us;
+	retry_budget_init(&b->retries);
 }
 
 void
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -10,6 +10,7 @@
 #include "core/membership.h"
 #include "core/outcome.h"
 #include "core/random.h"
+#include "core/retry.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -49,6 +50,7 @@
 	struct endpoint **endpoints;
 	uint32_t count;
 	uint32_t capacity;
+	struct retry_budget retries;
 	int64_t warm_us; ///< Length of the slow start.
 	bool warmed;	 ///< The first view is taken as warm.
 };
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -1,5 +1,9 @@
 /// @file
-/// HTTP client on an event loop, with streamed bodies in both directions.
+/// HTTP client on an event loop, with streamed bodies in both directions and
+/// kept connections.
+///
+/// It never sends a request twice by itself unless the request allows that,
+/// and tells whether any byte of one can have reached the server.
 #ifndef MV_IO_HTTPC_H
 #define MV_IO_HTTPC_H
 
@@ -8,23 +12,32 @@
 #include <stdint.h>
 
 #include "core/error.h"
+#include "io/address.h"
 #include "io/loop.h"
 #include "wire/codec.h"
 
 struct httpc;
 struct httpc_call;
+struct httpc_conn;
+
+/// What is done with a response.
+enum httpc_verdict {
+	HTTPC_TAKE,
+	HTTPC_SKIP, ///< It answers an earlier request: the own one follows.
+	HTTPC_FAIL, ///< Ends the call and the connection.
+};
 
 /// What the owner of a call is told.
 struct httpc_ops {
 	/// Status and headers have arrived.
 	/// @param total_bytes  length of the body, or -1 if not announced
-	void (*on_head)(
+	enum httpc_verdict (*on_head)(
 	    struct httpc_call *call, uint32_t status, int64_t total_bytes);
-	/// A header of the response; comes before on_head.
+	/// A header of the response; comes before on_head. May be NULL.
 	void (*on_header)(
 	    struct httpc_call *call, struct bytes name, struct bytes value);
 	/// A part of the response body.
-	/// @return false to pause; the same part comes again after
+	/// @return false to pause; what follows comes after
 	/// httpc_call_resume
 	bool (*on_body)(
 	    struct httpc_call *call, const char *data, size_t size_bytes);
@@ -43,7 +56,7 @@
 	const struct httpc_ops *ops;
 	void *owner;
 	const char *method;
-	const char *url;
+	const char *url;		  ///< "http://IP:port/target"
 	const struct bytes (*headers)[2]; ///< Name and value.
 	size_t header_count;
 	const char *body; ///< Whole body; must outlive the call.
@@ -51,20 +64,22 @@
 	bool streamed;	     ///< The body comes from on_read instead.
 	int64_t total_bytes; ///< Length of a streamed body, or -1.
 	int64_t deadline_us;
-	bool repeatable; ///< May be sent again by the library unasked.
+	bool repeatable; ///< May be sent again if a kept connection is dead.
+	uint32_t status; ///< Of the response; 0 until its head is in.
 	// Private.
 	struct httpc *httpc;
-	void *easy;
-	void *list;
-	size_t sent_bytes;
-	bool head_seen;
+	struct httpc_conn *conn; ///< NULL while it waits for one.
+	struct address to;
+	const char *target; ///< Inside url.
+	struct loop_timer timer;
+	bool active;   ///< Between its start and its end.
 	bool sent_any; ///< The request may have reached the server.
-	uint32_t last_status;
+	bool repeated;
 	struct httpc_call *next;
 	struct httpc_call *prev;
 };
 
-/// @param max_connections  to any one server
+/// @param max_connections  to any one server; 0: no bound
 /// @return the client, or NULL with err set
 struct httpc *httpc_open(
     struct loop *loop, uint32_t max_connections, struct error *err);
@@ -87,6 +102,9 @@
 /// Tells whether any byte of the request can have reached the server.
 bool httpc_call_was_sent(const struct httpc_call *call);
 
+/// Closes the kept connections that no call uses.
+void httpc_drop_idle(struct httpc *httpc);
+
 void httpc_close(struct httpc *httpc);
 
 #endif
--- /dev/null
+++ b/src/io/httpc_conn.c
@@ -0,0 +1,586 @@
+// Connections of the HTTP client.
+#include <assert.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/clock.h"
+#include "io/httpc_conn.h"
+
+#define READ_BYTES	 (32 * 1024)
+#define UPLOAD_BYTES	 (32 * 1024)
+#define CHUNK_HEAD_BYTES 12
+
+/// Longest wait for a connection: several lost opening packets.
+#define DIAL_TIMEOUT_US (2 * US_PER_S)
+
+/// A server that names no time keeps a connection at least for this long.
+#define IDLE_DEFAULT_US (5 * US_PER_S)
+
+static void
+conn_free(void *arg)
+{
+	struct httpc_conn *conn = arg;
+
+	msgpack_sbuffer_destroy(&conn->out);
+	msgpack_sbuffer_destroy(&conn->header);
+	msgpack_sbuffer_destroy(&conn->held);
+	free(conn);
+}
+
+void
+httpc_conn_close(struct httpc_conn *conn)
+{
+	int fd = conn->watch.fd;
+
+	if (conn->closed)
+		return;
+	conn->closed = true;
+	loop_timer_clear(conn->loop, &conn->timer);
+	loop_watch_set(conn->loop, &conn->watch, fd, 0);
+	close(fd);
+	loop_defer(conn->loop, conn_free, conn);
+}
+
+static void
+conn_fail(struct httpc_conn *conn, enum error_code code, const char *step,
+    const char *text)
+{
+	struct error err;
+	char peer[ADDRESS_TEXT_BYTES];
+
+	if (conn->closed)
+		return;
+	address_format(&conn->to, peer);
+	error_set(&err, code, step, peer, "%s", text);
+	conn->ops->on_failed(conn, &err);
+}
+
+static bool
+has_output(const struct httpc_conn *conn)
+{
+	const struct httpc_call *call = conn->call;
+
+	if (call == NULL)
+		return false;
+	return conn->out.size > conn->out_sent_bytes ||
+	    (!call->streamed && conn->body_sent_bytes < call->body_bytes);
+}
+
+static void
+update_watch(struct httpc_conn *conn)
+{
+	uint32_t events = conn->paused ? 0 : LOOP_READ;
+
+	if (conn->closed)
+		return;
+	if (conn->connecting || has_output(conn))
+		events |= LOOP_WRITE;
+	loop_watch_set(conn->loop, &conn->watch, conn->watch.fd, events);
+}
+
+/// Takes the next part of a streamed body into the buffer.
+static void
+fill_upload(struct httpc_conn *conn)
+{
+	struct httpc_call *call = conn->call;
+	char head[CHUNK_HEAD_BYTES];
+	char part[UPLOAD_BYTES];
+	bool last = false;
+	size_t n;
+	int h;
+
+	n = call->ops->on_read(call, part, sizeof(part), &last);
+	if (n > 0 && conn->chunked) {
+		h = snprintf(head, sizeof(head), "%zx\r\n", n);
+		msgpack_sbuffer_write(&conn->out, head, (size_t)h);
+	}
+	msgpack_sbuffer_write(&conn->out, part, n);
+	if (n > 0 && conn->chunked)
+		msgpack_sbuffer_write(&conn->out, "\r\n", 2);
+	if (last) {
+		conn->upload_ended = true;
+		if (conn->chunked)
+			msgpack_sbuffer_write(&conn->out, "0\r\n\r\n", 5);
+	}
+}
+
+/// Sends some bytes.
+///
+/// @return how many; 0 if the kernel takes none now, or -1 on failure
+static ssize_t
+send_some(struct httpc_conn *conn, const char *data, size_t size_bytes)
+{
+	ssize_t n = send(conn->watch.fd, data, size_bytes, MSG_NOSIGNAL);
+
+	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		return 0;
+	if (n < 0 && errno == EINTR)
+		return send_some(conn, data, size_bytes);
+	if (n < 0) {
+		// The response may have come before the connection broke.
+		if (errno == EPIPE || errno == ECONNRESET)
+			return 0;
+		conn_fail(conn, ERR_IO, "send request", strerror(errno));
+		return -1;
+	}
+	conn->call->sent_any = true;
+	return n;
+}
+
+/// Hands the next bytes of the request to the kernel.
+///
+/// @return 1 if it took some, 0 if there are none or it takes none now, or -1
+/// on failure
+static int
+send_next(struct httpc_conn *conn)
+{
+	struct httpc_call *call = conn->call;
+	size_t *sent_bytes = &conn->out_sent_bytes;
+	const char *data = conn->out.data;
+	size_t size_bytes = conn->out.size;
+	ssize_t n;
+
+	if (conn->out.size == conn->out_sent_bytes && !call->streamed) {
+		sent_bytes = &conn->body_sent_bytes;
+		data = call->body;
+		size_bytes = call->body_bytes;
+	}
+	if (*sent_bytes == size_bytes)
+		return 0;
+	n = send_some(conn, data + *sent_bytes, size_bytes - *sent_bytes);
+	if (n > 0)
+		*sent_bytes += (size_t)n;
+	return n > 0 ? 1 : (int)n;
+}
+
+static void
+send_request(struct httpc_conn *conn)
+{
+	int rc;
+
+	do {
+		if (conn->call->streamed && !conn->upload_ended &&
+		    conn->out.size == conn->out_sent_bytes) {
+			msgpack_sbuffer_clear(&conn->out);
+			conn->out_sent_bytes = 0;
+			fill_upload(conn);
+		}
+		rc = send_next(conn);
+	} while (rc > 0);
+	if (rc == 0)
+		update_watch(conn);
+}
+
+static bool
+has_header(const struct httpc_call *call, const char *name)
+{
+	size_t n = strlen(name);
+	size_t i;
+
+	for (i = 0; i < call->header_count; i++)
+		if (call->headers[i][0].size_bytes == n &&
+		    strncasecmp(call->headers[i][0].data, name, n) == 0)
+			return true;
+	return false;
+}
+
+static void
+put(struct httpc_conn *conn, const char *data, size_t size_bytes)
+{
+	msgpack_sbuffer_write(&conn->out, data, size_bytes);
+}
+
+static void
+put_text(struct httpc_conn *conn, const char *text)
+{
+	put(conn, text, strlen(text));
+}
+
+/// Length of the body, where the method or the body asks for one.
+static void
+put_framing(struct httpc_conn *conn, const struct httpc_call *call)
+{
+	char line[48];
+	int64_t total_bytes =
+	    call->streamed ? call->total_bytes : (int64_t)call->body_bytes;
+	bool bare = strcmp(call->method, "GET") == 0 ||
+	    strcmp(call->method, "HEAD") == 0;
+
+	conn->chunked = total_bytes < 0;
+	if (conn->chunked)
+		put_text(conn, "Transfer-Encoding: chunked\r\n");
+	else if (total_bytes > 0 || !bare) {
+		snprintf(line, sizeof(line), "Content-Length: %" PRId64 "\r\n",
+		    total_bytes);
+		put_text(conn, line);
+	}
+}
+
+static void
+put_head(struct httpc_conn *conn, const struct httpc_call *call)
+{
+	char host[ADDRESS_TEXT_BYTES];
+	size_t i;
+
+	put_text(conn, call->method);
+	put_text(conn, " ");
+	put_text(conn, call->target);
+	put_text(conn, " HTTP/1.1\r\n");
+	if (!has_header(call, "Host")) {
+		address_format(&conn->to, host);
+		put_text(conn, "Host: ");
+		put_text(conn, host);
+		put_text(conn, "\r\n");
+	}
+	for (i = 0; i < call->header_count; i++) {
+		put(conn, call->headers[i][0].data,
+		    call->headers[i][0].size_bytes);
+		put_text(conn, ": ");
+		put(conn, call->headers[i][1].data,
+		    call->headers[i][1].size_bytes);
+		put_text(conn, "\r\n");
+	}
+	put_framing(conn, call);
+	put_text(conn, "\r\n");
+}
+
+/// Reads "timeout=N" of a Keep-Alive header. The server's clock and the way
+/// there take a part of that time.
+static void
+read_keep_alive(struct httpc_conn *conn, struct bytes value)
+{
+	char text[64];
+	const char *at;
+	int64_t seconds;
+
+	if (bytes_copy(value, text, sizeof(text)) != 0)
+		return;
+	at = strstr(text, "timeout=");
+	if (at == NULL)
+		return;
+	seconds = strtoll(at + strlen("timeout="), NULL, 10);
+	conn->idle_deadline_us =
+	    loop_now_us(conn->loop) + seconds * US_PER_S * 3 / 4;
+}
+
+/// Tells of the header that has been read, if any.
+static void
+flush_header(struct httpc_conn *conn)
+{
+	struct bytes name = {
+	    conn->header.data, (uint32_t)conn->header_name_bytes};
+	struct bytes value;
+
+	if (conn->in_value) {
+		value.data = conn->header.data + conn->header_name_bytes;
+		value.size_bytes =
+		    (uint32_t)(conn->header.size - conn->header_name_bytes);
+		if (name.size_bytes == 10 &&
+		    strncasecmp(name.data, "Keep-Alive", 10) == 0)
+			read_keep_alive(conn, value);
+		if (conn->call->ops->on_header != NULL)
+			conn->call->ops->on_header(conn->call, name, value);
+	}
+	msgpack_sbuffer_clear(&conn->header);
+	conn->header_name_bytes = 0;
+	conn->in_value = false;
+}
+
+static int
+on_message_begin(http_parser *parser)
+{
+	struct httpc_conn *conn = parser->data;
+
+	// A message that begins when none is awaited belongs to no request.
+	if (conn->call == NULL || conn->whole)
+		return 1;
+	conn->idle_deadline_us = 0;
+	return 0;
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t size_bytes)
+{
+	struct httpc_conn *conn = parser->data;
+
+	if (conn->in_value)
+		flush_header(conn);
+	msgpack_sbuffer_write(&conn->header, at, size_bytes);
+	conn->header_name_bytes = conn->header.size;
+	return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t size_bytes)
+{
+	struct httpc_conn *conn = parser->data;
+
+	conn->in_value = true;
+	msgpack_sbuffer_write(&conn->header, at, size_bytes);
+	return 0;
+}
+
+/// @return 1 if the response has no body whatever it says
+static int
+on_headers_complete(http_parser *parser)
+{
+	struct httpc_conn *conn = parser->data;
+	int64_t total_bytes = -1;
+
+	flush_header(conn);
+	if (parser->status_code < 200) {
+		conn->verdict = HTTPC_SKIP;
+		return 0;
+	}
+	if (parser->content_length != UINT64_MAX)
+		total_bytes = (int64_t)parser->content_length;
+	conn->verdict = conn->call->ops->on_head(
+	    conn->call, parser->status_code, total_bytes);
+	if (conn->verdict == HTTPC_FAIL)
+		return -1;
+	if (conn->verdict == HTTPC_TAKE)
+		conn->call->status = parser->status_code;
+	return strcmp(conn->call->method, "HEAD") == 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t size_bytes)
+{
+	struct httpc_conn *conn = parser->data;
+
+	if (conn->verdict != HTTPC_TAKE)
+		return 0;
+	if (!conn->call->ops->on_body(conn->call, at, size_bytes)) {
+		conn->paused = true;
+		http_parser_pause(parser, 1);
+	}
+	return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+	struct httpc_conn *conn = parser->data;
+
+	if (conn->verdict != HTTPC_TAKE)
+		return 0;
+	conn->whole = true;
+	conn->reusable = http_should_keep_alive(parser) && !has_output(conn) &&
+	    (!conn->call->streamed || conn->upload_ended);
+	// What follows belongs to no request.
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_message_begin,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void
+finish(struct httpc_conn *conn, bool excess)
+{
+	int64_t now_us = loop_now_us(conn->loop);
+
+	conn->reusable &= !excess;
+	conn->idle_since_us = now_us;
+	if (conn->idle_deadline_us == 0)
+		conn->idle_deadline_us = now_us + IDLE_DEFAULT_US;
+	conn->ops->on_whole(conn);
+}
+
+/// Hands bytes to the parser; 0 bytes stand for the end of the connection.
+static void
+parse(struct httpc_conn *conn, const char *data, size_t size_bytes)
+{
+	size_t used = http_parser_execute(
+	    &conn->parser, &parser_settings, data, size_bytes);
+	enum http_errno code = HTTP_PARSER_ERRNO(&conn->parser);
+
+	if (conn->closed)
+		return;
+	if (conn->whole) {
+		finish(conn, used < size_bytes);
+		return;
+	}
+	if (conn->paused) {
+		msgpack_sbuffer_write(
+		    &conn->held, data + used, size_bytes - used);
+		update_watch(conn);
+		return;
+	}
+	if (code != HPE_OK)
+		conn_fail(conn, ERR_IO, "read response",
+		    conn->verdict == HTTPC_FAIL ? "it is refused"
+						: http_errno_description(code));
+	else if (size_bytes == 0)
+		conn_fail(conn, ERR_IO, "read response",
+		    "closed by the server before its end");
+}
+
+static void
+receive(struct httpc_conn *conn)
+{
+	char data[READ_BYTES];
+	ssize_t n = recv(conn->watch.fd, data, sizeof(data), 0);
+
+	if (n < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	if (n < 0 || conn->call == NULL) {
+		// An idle connection has nothing to say but that it ends.
+		conn_fail(conn, ERR_IO, "read response",
+		    n < 0 ? strerror(errno) : "closed by the server");
+		return;
+	}
+	conn->answered |= n > 0;
+	parse(conn, data, (size_t)n);
+}
+
+static void
+finish_connect(struct httpc_conn *conn)
+{
+	int so_error = 0;
+	socklen_t len = sizeof(so_error);
+
+	getsockopt(conn->watch.fd, SOL_SOCKET, SO_ERROR, &so_error, &len);
+	if (so_error != 0) {
+		conn_fail(conn, ERR_UNAVAILABLE, "connect", strerror(so_error));
+		return;
+	}
+	conn->connecting = false;
+	loop_timer_clear(conn->loop, &conn->timer);
+	send_request(conn);
+}
+
+static void
+on_ready(void *arg, uint32_t events)
+{
+	struct httpc_conn *conn = arg;
+
+	if (conn->connecting) {
+		if (events & (LOOP_WRITE | LOOP_ERROR))
+			finish_connect(conn);
+		return;
+	}
+	if (events & (LOOP_READ | LOOP_ERROR))
+		receive(conn);
+	if (!conn->closed && conn->call != NULL && (events & LOOP_WRITE))
+		send_request(conn);
+}
+
+/// Neither connected nor refused in time, or idle for too long.
+static void
+on_timeout(void *arg)
+{
+	struct httpc_conn *conn = arg;
+
+	conn_fail(conn, ERR_UNAVAILABLE, conn->connecting ? "connect" : "keep",
+	    "no answer in time");
+}
+
+struct httpc_conn *
+httpc_conn_dial(struct httpc *httpc, struct loop *loop,
+    const struct address *to, const struct httpc_conn_ops *ops,
+    struct error *err)
+{
+	struct httpc_conn *conn;
+	char peer[ADDRESS_TEXT_BYTES];
+	int one = 1;
+	int fd;
+
+	address_format(to, peer);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
+		return NULL;
+	}
+	if (connect(fd, (const struct sockaddr *)&to->in, sizeof(to->in)) !=
+		0 &&
+	    errno != EINPROGRESS) {
+		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
+		close(fd);
+		return NULL;
+	}
+	conn = calloc(1, sizeof(*conn));
+	assert(conn != NULL);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	conn->ops = ops;
+	conn->httpc = httpc;
+	conn->loop = loop;
+	conn->to = *to;
+	conn->connecting = true;
+	conn->watch.fn = on_ready;
+	conn->watch.arg = conn;
+	conn->watch.fd = fd;
+	conn->timer.fn = on_timeout;
+	conn->timer.arg = conn;
+	msgpack_sbuffer_init(&conn->out);
+	msgpack_sbuffer_init(&conn->header);
+	msgpack_sbuffer_init(&conn->held);
+	loop_timer_set(loop, &conn->timer, loop_now_us(loop) + DIAL_TIMEOUT_US);
+	update_watch(conn);
+	return conn;
+}
+
+void
+httpc_conn_begin(struct httpc_conn *conn, struct httpc_call *call)
+{
+	assert(conn->call == NULL && !conn->closed);
+	conn->call = call;
+	call->conn = conn;
+	conn->whole = conn->answered = conn->paused = false;
+	conn->upload_ended = conn->reusable = false;
+	conn->verdict = HTTPC_TAKE;
+	conn->body_sent_bytes = conn->out_sent_bytes = 0;
+	conn->idle_deadline_us = 0;
+	msgpack_sbuffer_clear(&conn->out);
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	put_head(conn, call);
+	if (conn->connecting)
+		return;
+	loop_timer_clear(conn->loop, &conn->timer);
+	send_request(conn);
+}
+
+void
+httpc_conn_resume(struct httpc_conn *conn)
+{
+	msgpack_sbuffer held = conn->held;
+
+	if (conn->closed || conn->connecting || conn->call == NULL)
+		return;
+	if (conn->paused) {
+		conn->paused = false;
+		http_parser_pause(&conn->parser, 0);
+		msgpack_sbuffer_init(&conn->held);
+		update_watch(conn);
+		if (held.size > 0)
+			parse(conn, held.data, held.size);
+		msgpack_sbuffer_destroy(&held);
+	}
+	if (!conn->closed && conn->call != NULL && !has_output(conn) &&
+	    conn->call->streamed && !conn->upload_ended)
+		send_request(conn);
+}
+
+bool
+httpc_conn_is_alive(const struct httpc_conn *conn)
+{
+	char byte;
+
+	return recv(conn->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK);
+}
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -6,11 +6,17 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
+#include "io/clock.h"
 #include "io/log.h"
 #include "io/program.h"
 
+/// Between looks at the settings file; an operator waits longer than that
+/// before asking whether a change has come through.
+#define SETTINGS_CHECK_US (2 * US_PER_S)
+
 #define MAX_FLAGS      8
 #define KEY_CHECK      1000
 #define KEY_DESCRIBE   1001
@@ -76,6 +82,18 @@
 	return 0;
 }
 
+/// What program_watch_settings needs to read the settings again.
+static struct {
+	const struct program *program;
+	const char *path;
+	void (*changed)(void *arg, const void *settings);
+	void *arg;
+	struct loop *loop;
+	struct loop_timer timer;
+	struct timespec modified;
+	off_t size_bytes;
+} reload;
+
 int
 program_start(const struct program *program, int argc, char **argv)
 {
@@ -99,8 +117,11 @@
 		options[i + 2].key = KEY_FIRST_FLAG + (int)i;
 		options[i + 2].doc = program->flags[i].help;
 	}
+	program_block_signals();
 	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &c);
+	reload.program = program;
+	reload.path = c.settings_path;
 	if (settings_load(c.settings_path, program->fields,
 		program->field_count, program->settings, stderr) > 0)
 		return EXIT_USAGE;
@@ -121,6 +142,7 @@
 	sigemptyset(set);
 	sigaddset(set, SIGTERM);
 	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
 }
 
 void
@@ -140,6 +162,68 @@
 	void *arg;
 } signals;
 
+/// Tells whether the settings file has changed since the last look.
+static bool
+settings_have_changed(void)
+{
+	struct stat st;
+
+	if (stat(reload.path, &st) != 0 ||
+	    (st.st_mtim.tv_sec == reload.modified.tv_sec &&
+		st.st_mtim.tv_nsec == reload.modified.tv_nsec &&
+		st.st_size == reload.size_bytes))
+		return false;
+	reload.modified = st.st_mtim;
+	reload.size_bytes = st.st_size;
+	return true;
+}
+
+/// Reads the settings again. An invalid file changes nothing.
+static void
+reload_settings(void)
+{
+	const struct program *p = reload.program;
+	void *fresh;
+
+	if (reload.changed == NULL)
+		return;
+	settings_have_changed();
+	fresh = calloc(1, p->settings_bytes);
+	if (fresh == NULL)
+		return;
+	if (settings_load(
+		reload.path, p->fields, p->field_count, fresh, stderr) > 0)
+		log_write(LOG_ERROR, "settings",
+		    "Kept the settings: %s is not valid.", reload.path);
+	else {
+		log_write(LOG_INFO, "settings", "Read %s again.", reload.path);
+		reload.changed(reload.arg, fresh);
+	}
+	free(fresh);
+}
+
+static void
+check_settings(void *arg)
+{
+	(void)arg;
+	if (settings_have_changed())
+		reload_settings();
+	loop_timer_set(reload.loop, &reload.timer,
+	    loop_now_us(reload.loop) + SETTINGS_CHECK_US);
+}
+
+void
+program_watch_settings(struct loop *loop,
+    void (*changed)(void *arg, const void *settings), void *arg)
+{
+	reload.changed = changed;
+	reload.arg = arg;
+	reload.loop = loop;
+	reload.timer.fn = check_settings;
+	settings_have_changed();
+	loop_timer_set(loop, &reload.timer, loop_now_us(loop));
+}
+
 static void
 on_signal(void *arg, uint32_t events)
 {
@@ -147,7 +231,11 @@
 
 	(void)arg;
 	(void)events;
-	if (read(signals.watch.fd, &info, sizeof(info)) == sizeof(info))
+	if (read(signals.watch.fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	if (info.ssi_signo == SIGHUP)
+		reload_settings();
+	else
 		signals.fn(signals.arg);
 }
 
--- a/src/io/program.h
+++ b/src/io/program.h
@@ -46,6 +46,7 @@
 	const struct settings_field *fields;
 	size_t field_count;
 	void *settings;
+	size_t settings_bytes;
 	struct program_log *log; ///< Inside settings.
 	/// Further checks of the settings; NULL for none.
 	/// @return 0, or -1 with a line for each problem on standard error
@@ -68,6 +69,13 @@
 int program_watch_signals(
     struct loop *loop, void (*fn)(void *arg), void *arg, struct error *err);
 
+/// Reads the settings again on SIGHUP and when their file has changed.
+///
+/// @param changed  gets the new settings, valid for the call; what it does not
+///                 take over waits for the next start
+void program_watch_settings(struct loop *loop,
+    void (*changed)(void *arg, const void *settings), void *arg);
+
 /// Writes the addresses in use to a file, for scripts; "" writes nothing.
 ///
 /// @param text  JSON text
--- a/src/io/replica_program.c
+++ b/src/io/replica_program.c
@@ -50,6 +50,19 @@
 	loop_stop(arg);
 }
 
+static void
+on_settings(void *arg, const void *settings)
+{
+	const struct replica_program_settings *s = settings;
+	struct replica_config seeds;
+
+	(void)arg;
+	if (running->set_seeds != NULL && s->seeds.count > 0 &&
+	    replica_settings_parse_seeds(
+		&s->seeds, (uint32_t)s->seed_port, &seeds) == 0)
+		running->set_seeds(&seeds);
+}
+
 static int
 run(void)
 {
@@ -64,6 +77,7 @@
 		log_error(LOG_ERROR, running->kind, "Cannot start", &err);
 		goto out;
 	}
+	program_watch_settings(loop, on_settings, NULL);
 	log_write(
 	    LOG_INFO, running->kind, "Started replica %" PRIu64 ".", host.id);
 	loop_run(loop);
@@ -89,6 +103,7 @@
 	    .fields = p->fields,
 	    .field_count = p->field_count,
 	    .settings = p->settings,
+	    .settings_bytes = p->settings_bytes,
 	    .log = &p->settings->log,
 	    .validate = validate,
 	    .flags = flags,
@@ -100,7 +115,6 @@
 	exit_code = program_start(&program, argc, argv);
 	if (exit_code >= 0)
 		return exit_code;
-	program_block_signals();
 	apr_initialize();
 	exit_code = run();
 	apr_terminate();
--- a/src/io/replica_program.h
+++ b/src/io/replica_program.h
@@ -74,6 +74,7 @@
 	const struct settings_field *fields;
 	size_t field_count;
 	struct replica_program_settings *settings;
+	size_t settings_bytes; ///< Of the whole struct that it begins.
 	/// Own control address, for a set that forms itself; NULL if the
 	/// program cannot be part of one.
 	const char *(*own_address)(void);
@@ -82,6 +83,8 @@
 	/// Starts the replica.
 	int (*open_replica)(struct loop *loop,
 	    const struct replica_host_settings *host, struct error *err);
+	/// Takes other seeds; NULL if the program never forms a set.
+	void (*set_seeds)(const struct replica_config *seeds);
 	/// Frees everything but the loop.
 	void (*close)(void);
 };
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -133,6 +133,7 @@
 	    .fields = settings_fields,
 	    .field_count = sizeof(settings_fields) / sizeof(settings_fields[0]),
 	    .settings = &ledger.settings.replica,
+	    .settings_bytes = sizeof(ledger.settings),
 	    .open = open_ledger,
 	    .open_replica = open_replica,
 	    .close = close_ledger,
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -81,7 +81,7 @@
 		return r->outcome;
 	if (err != NULL)
 		return LOAD_ERROR;
-	if (r->call.last_status != 200)
+	if (r->call.status != 200)
 		return LOAD_UNKNOWN;
 	if (strncmp(r->answer + strcspn(r->answer, " "), r->expected,
 		strlen(r->expected)) != 0)
@@ -128,12 +128,13 @@
 		loop_stop(load->loop);
 }
 
-static void
+static enum httpc_verdict
 on_head(struct httpc_call *call, uint32_t status, int64_t total_bytes)
 {
 	(void)call;
 	(void)status;
 	(void)total_bytes;
+	return HTTPC_TAKE;
 }
 
 static void
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -228,6 +228,8 @@
 		conclude_without_endpoint(r, INT64_MAX);
 		return;
 	}
+	if (r->attempts == 0)
+		retry_budget_earn(&r->balancer->retries);
 	choice = balancer_choose(r->balancer, r->rank->worth,
 	    (const char(*)[MEMBER_NAME_BYTES])r->tried, r->attempts, now_us);
 	if (choice.endpoint == NULL) {
@@ -246,16 +248,19 @@
 	send_attempt(r);
 }
 
-/// Tries again if that is safe and within the budget, else answers.
-static void
-retry_or_conclude(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why)
+/// Decides whether to try again, and counts it.
+static bool
+may_retry(struct ingress_request *r, uint32_t status, enum outcome outcome)
 {
 	struct retry_request q = {
 	    .outcome = outcome,
 	    .repeatable = r->repeatable,
 	    .body_kept = !r->upload_passed_on,
+	    .failed = status >= 500,
+	    .unseen = r->arrivals == 0,
 	    .attempts = r->attempts,
+	    .arrivals = r->arrivals,
+	    .max_arrivals = r->route->attempts,
 	    .deadline_us = r->deadline_us,
 	};
 
@@ -264,16 +269,34 @@
 	if (r->exchange == NULL || status == 409 || status == 422 ||
 	    status == 431 || status == 504 ||
 	    !retry_decide(
-		&r->ingress->budget, &q, loop_now_us(r->ingress->loop))) {
-		ingress_conclude(r, status, outcome, retry_us, why);
-		return;
-	}
+		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
+		return false;
 	counter_add(&count_retries, 1);
-	r->may_have_run |= outcome == OUTCOME_UNKNOWN;
+	return true;
+}
+
+/// Keeps what is told if no other attempt can be made.
+static void
+note_last(struct ingress_request *r, uint32_t status, enum outcome outcome,
+    int64_t retry_us, const char *why)
+{
 	r->refused_status = status;
 	r->refused_outcome = outcome;
 	r->refused_retry_us = retry_us;
 	snprintf(r->refused_why, sizeof(r->refused_why), "%s", why);
+}
+
+/// Tries again if that is safe and within the budget, else answers.
+static void
+retry_or_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why)
+{
+	if (!may_retry(r, status, outcome)) {
+		ingress_conclude(r, status, outcome, retry_us, why);
+		return;
+	}
+	r->may_have_run |= outcome == OUTCOME_UNKNOWN;
+	note_last(r, status, outcome, retry_us, why);
 	ingress_attempt_start(r);
 }
 
@@ -364,6 +387,14 @@
 	}
 	if (m->outcome == OUTCOME_ANSWERED) {
 		attempt_end(r, m->status >= 500);
+		if (m->status >= 500 &&
+		    may_retry(r, m->status, OUTCOME_ANSWERED)) {
+			r->may_have_run = true;
+			note_last(r, 502, OUTCOME_UNKNOWN, 0,
+			    "the backend server failed");
+			ingress_attempt_start(r);
+			return;
+		}
 		if (r->exchange != NULL)
 			give_response(r, m);
 		ingress_request_free(r);
@@ -472,6 +503,8 @@
 static void
 handle_broken(struct ingress_request *r)
 {
+	// What was under way there counts as seen by a backend server.
+	r->arrivals++;
 	switch (r->state) {
 	case ATTEMPT_NONE:
 		break;
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress_call.c
@@ -19,6 +19,8 @@
 #define MAX_EXTRA_HEADERS     4
 #define STATUS_MISDIRECTED    421
 
+COUNTER_DEFINE(count_alien, "egress_answers_skipped",
+    "Answers of the backend server to another request");
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
 
 static void
@@ -26,7 +28,8 @@
 {
 	struct message_response response = {.id = r->message->id,
 	    .status = r->status,
-	    .outcome = OUTCOME_ANSWERED};
+	    .outcome = OUTCOME_ANSWERED,
+	    .arrived = 1};
 
 	egress_fill_load(r->egress, &response);
 	response.headers = header_list_view(&r->response_headers);
@@ -137,6 +140,7 @@
 	struct message_response response = {.id = r->message->id,
 	    .status = r->status,
 	    .outcome = OUTCOME_ANSWERED,
+	    .arrived = 1,
 	    .more = 1,
 	    .total_bytes = r->total_bytes};
 
@@ -150,33 +154,52 @@
 		r->sink->ops->respond(r->sink, r->message->id, &response);
 }
 
-/// Tells whether an answer cannot be that of the request: it names another
-/// one, or is a success that no backend server vouches for.
+/// Tells whether an answer names another request.
+static bool
+is_of_another(const struct egress_request *r)
+{
+	return r->attempt_echoed && r->crossed;
+}
+
+/// Tells whether an answer is a success that no backend server vouches for.
 static bool
-is_misplaced(struct egress_request *r)
+is_unproved(const struct egress_request *r)
 {
 	const struct dialect *d = r->egress->dialect;
 	bool success = r->status >= 200 && r->status < 300;
 
-	if (success && d->headers.signature != NULL &&
-	    (!r->signed_answer || r->encoded_answer || !r->attempt_echoed))
-		r->crossed = true;
-	return r->crossed;
+	return success && d->headers.signature != NULL &&
+	    (!r->signed_answer || r->encoded_answer || !r->attempt_echoed);
 }
 
+/// Drops what was learned from the headers of an answer that is skipped.
 static void
+forget_answer(struct egress_request *r)
+{
+	header_list_free(&r->response_headers);
+	memset(&r->response_headers, 0, sizeof(r->response_headers));
+	r->attempt_echoed = r->crossed = r->signed_answer = false;
+	r->encoded_answer = r->shed = false;
+}
+
+static enum httpc_verdict
 on_head(struct httpc_call *call, uint32_t status, int64_t total_bytes)
 {
 	struct egress_request *r = call->owner;
 
+	if (is_of_another(r)) {
+		// A late answer to an earlier request; the own one follows.
+		counter_add(&count_alien, 1);
+		forget_answer(r);
+		return HTTPC_SKIP;
+	}
 	r->status = status;
 	r->total_bytes = total_bytes;
 	r->arrived = true;
 	if (status == STATUS_MISDIRECTED &&
 	    r->egress->dialect->refusals_promise)
 		r->shed = true;
-	if (is_misplaced(r))
-		egress_mark_abort(r);
+	return is_unproved(r) ? HTTPC_FAIL : HTTPC_TAKE;
 }
 
 static bool
@@ -185,8 +208,6 @@
 	struct egress_request *r = call->owner;
 	struct message_body body = {.id = r->message->id};
 
-	if (r->crossed)
-		return true;
 	if (!r->streaming &&
 	    r->body_bytes + size_bytes <= WHOLE_RESPONSE_BYTES) {
 		r->body = realloc(r->body, r->body_bytes + size_bytes);
@@ -213,8 +234,7 @@
 {
 	struct error err;
 
-	error_set(&err, ERR_IO, "call", r->egress->backend.address, "%s",
-	    r->crossed ? "the answer is not that of the request" : "aborted");
+	error_set(&err, ERR_IO, "call", r->egress->backend.address, "aborted");
 	httpc_call_cancel(&r->call);
 	end_call(r, &err);
 }
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -234,7 +234,6 @@
 	    : r->route->kind == RULE_KIND_SAFE;
 	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
 	r->upload_ended = !exchange->more;
-	retry_budget_earn(&ingress->budget);
 	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
 	ingress_attempt_start(r);
 }
@@ -334,8 +333,14 @@
 		balancer_add(get_balancer(ingress, e->member.service),
 		    &e->member, e->distance, now_us);
 	}
-	for (i = 0; i < ingress->balancer_count; i++)
-		balancer_end_view(ingress->balancers[i]);
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct balancer *b = ingress->balancers[i];
+
+		balancer_end_view(b);
+		retry_budget_configure(&b->retries,
+		    ingress->settings.retry_ratio_pct,
+		    ingress->settings.retry_burst, view->proxy_count);
+	}
 }
 
 static int
@@ -373,7 +378,6 @@
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
-	retry_budget_init(&ingress->budget);
 	ingress->links = links_create(loop, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_door(&ingress->outer, ingress, &settings->outer, false,
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -23,6 +23,8 @@
 	int64_t max_body_bytes;
 	int64_t max_connections;
 	int64_t warm_us;
+	uint32_t retry_ratio_pct;
+	uint32_t retry_burst; ///< Of all proxies together.
 	uint64_t seed;
 };
 
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -81,7 +81,6 @@
 	struct rules *rules;
 	struct balancer **balancers;
 	uint32_t balancer_count;
-	struct retry_budget budget;
 	struct ingress_request *buckets[INGRESS_BUCKETS];
 	struct ingress_request *all;
 	uint64_t next_id;
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -1,6 +1,5 @@
 // mvproxy: the proxy beside each backend server.
 #include <apr_general.h>
-#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -43,6 +42,14 @@
 	control_leave(arg);
 }
 
+static void
+on_settings(void *arg, const void *fresh)
+{
+	struct control *c = arg;
+
+	proxy_settings_resolve_sources(fresh, &c->settings);
+}
+
 static int
 run(void)
 {
@@ -59,6 +66,7 @@
 		log_error(LOG_ERROR, "proxy", "Cannot start", &err);
 		goto out;
 	}
+	program_watch_settings(control.loop, on_settings, &control);
 	log_write(LOG_INFO, "proxy", "Started %s in %s/%s.",
 	    control.settings.self.name, control.settings.self.region,
 	    control.settings.self.dc);
@@ -85,6 +93,7 @@
 	    .fields = proxy_fields,
 	    .field_count = proxy_field_count,
 	    .settings = &settings,
+	    .settings_bytes = sizeof(settings),
 	    .log = &settings.log,
 	    .validate = validate,
 	};
@@ -92,11 +101,8 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	program_block_signals();
 	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	exit_code = run();
-	curl_global_cleanup();
 	apr_terminate();
 	log_flush();
 	return exit_code;
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -81,6 +81,10 @@
 	"longest wait for requests in progress"),
     INTEGER("warm_ms", warm_ms, 0, 600000, "10000",
 	"slow start of a backend server"),
+    INTEGER("retry.ratio_pct", retry_ratio_pct, 0, 100, "20",
+	"retries for each hundred requests of a service"),
+    INTEGER("retry.burst", retry_burst, 0, 100000, "100",
+	"retries at once for a service, of all proxies together"),
     INTEGER("limits.body_bytes", max_body_bytes, 1024, 1099511627776,
 	"1073741824", "largest request body"),
     INTEGER("limits.connections", max_connections, 1, 100000, "2000",
@@ -196,26 +200,40 @@
 	return dialect == NULL ? 1 : 0;
 }
 
+int
+proxy_settings_resolve_sources(
+    const struct proxy_settings *s, struct control_settings *control)
+{
+	struct address sources[CONTROL_MAX_SOURCES];
+	uint32_t count;
+	uint32_t i;
+	int problems = parse_addresses(
+	    "sources", &s->sources, sources, CONTROL_MAX_SOURCES, &count);
+
+	if (problems > 0)
+		return problems;
+	for (i = 0; i < count && s->source_port != 0; i++)
+		sources[i].in.sin_port = htons((uint16_t)s->source_port);
+	memcpy(control->sources, sources, sizeof(sources));
+	control->source_count = count;
+	return 0;
+}
+
 int
 proxy_settings_resolve(const struct proxy_settings *s,
     struct control_settings *control, struct traffic_settings *traffic)
 {
 	struct membership_settings *m = &control->membership;
 	int problems = resolve_self(s, &control->self);
-	uint32_t i;
 
 	problems += check_loopback("listen.inner", s->listen_inner);
 	if (!s->admin_anywhere)
 		problems += check_loopback("listen.admin", s->listen_admin);
 	problems += resolve_dialect(s, control, traffic);
 	problems += parse_seeds(s, m);
-	problems += parse_addresses("sources", &s->sources, control->sources,
-	    CONTROL_MAX_SOURCES, &control->source_count);
+	problems += proxy_settings_resolve_sources(s, control);
 	problems += parse_addresses("ledgers", &s->ledgers, traffic->ledgers,
 	    ONCE_MAX_REPLICAS, &traffic->ledger_count);
-	for (i = 0; i < control->source_count && s->source_port != 0; i++)
-		control->sources[i].in.sin_port =
-		    htons((uint16_t)s->source_port);
 	address_parse(s->listen_control, &control->control);
 	control->has_ready = s->listen_ready[0] != '\0';
 	address_parse(s->listen_ready, &control->ready);
@@ -242,6 +260,8 @@
 	traffic->ingress.incarnation = control->self.incarnation;
 	traffic->ingress.max_body_bytes = s->max_body_bytes;
 	traffic->ingress.max_connections = s->max_connections;
+	traffic->ingress.retry_ratio_pct = (uint32_t)s->retry_ratio_pct;
+	traffic->ingress.retry_burst = (uint32_t)s->retry_burst;
 	traffic->ingress.warm_us = s->warm_ms * US_PER_MS;
 	traffic->ingress.seed = control->seed + 1;
 	traffic->egress.max_queued = (uint32_t)s->max_queued;
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -38,6 +38,8 @@
 	int64_t drain_announce_ms;
 	int64_t drain_limit_ms;
 	int64_t warm_ms;
+	int64_t retry_ratio_pct;
+	int64_t retry_burst;
 	int64_t max_body_bytes;
 	int64_t max_connections;
 	int64_t max_queued;
@@ -47,6 +49,13 @@
 extern const struct settings_field proxy_fields[];
 extern const size_t proxy_field_count;
 
+/// Turns the sources of the settings into those of the control thread; keeps
+/// those in use if any is not valid.
+///
+/// @return number of problems, each with a line on standard error
+int proxy_settings_resolve_sources(
+    const struct proxy_settings *s, struct control_settings *control);
+
 /// Turns settings into those of the two threads.
 ///
 /// @return 0, or -1 with a line for each problem on standard error
--- a/src/proxy/view.c
+++ b/src/proxy/view.c
@@ -26,6 +26,7 @@
 	uint32_t i;
 
 	assert(view != NULL);
+	view->proxy_count = membership_alive_count(m);
 	view->rules = rules == NULL ? NULL : rules_ref(rules);
 	add_member(view, &m->self, DISTANCE_DC);
 	for (i = 0; i < m->peer_count; i++)
--- a/src/proxy/view.h
+++ b/src/proxy/view.h
@@ -15,7 +15,8 @@
 };
 
 struct view {
-	struct rules *rules; ///< One reference; NULL before the first rules.
+	struct rules *rules;  ///< One reference; NULL before the first rules.
+	uint32_t proxy_count; ///< Proxies that are up, this one included.
 	uint32_t endpoint_count;
 	struct view_endpoint endpoints[];
 };
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -103,6 +103,12 @@
 	return source.settings.listen_control;
 }
 
+static void
+set_seeds(const struct replica_config *seeds)
+{
+	replica_host_set_seeds(&source.host, seeds);
+}
+
 static int
 open_source(struct loop *loop, struct error *err)
 {
@@ -152,7 +158,9 @@
 	    .fields = source_fields,
 	    .field_count = sizeof(source_fields) / sizeof(source_fields[0]),
 	    .settings = &source.settings.replica,
+	    .settings_bytes = sizeof(source.settings),
 	    .own_address = own_address,
+	    .set_seeds = set_seeds,
 	    .open = open_source,
 	    .open_replica = open_replica,
 	    .close = close_source,
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -8,7 +8,6 @@
 #include <apr_general.h>
 #include <argp.h>
 #include <assert.h>
-#include <curl/curl.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -215,12 +214,13 @@
 	    b->loop, &w->timer, loop_now_us(b->loop) + behaviour->service_us);
 }
 
-static void
+static enum httpc_verdict
 ignore_head(struct httpc_call *call, uint32_t status, int64_t total_bytes)
 {
 	(void)call;
 	(void)status;
 	(void)total_bytes;
+	return HTTPC_TAKE;
 }
 
 static bool
@@ -241,7 +241,7 @@
 		free(w);
 		return;
 	}
-	if (err != NULL || call->last_status != 200) {
+	if (err != NULL || call->status != 200) {
 		w->served = true;
 		http_exchange_respond_text(
 		    w->exchange, 502, "nested call failed\n");
@@ -448,7 +448,7 @@
 		w->backend->running--;
 	loop_timer_clear(w->backend->loop, &w->timer);
 	w->exchange = NULL;
-	if (w->nested.easy == NULL)
+	if (!w->nested.active)
 		free(w);
 }
 
@@ -602,9 +602,7 @@
 	assert(backend.keys != NULL);
 	program_block_signals();
 	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	exit_code = run(&backend);
-	curl_global_cleanup();
 	apr_terminate();
 	log_flush();
 	return exit_code;
