fix(proxy): close callers' connections in the round that finds nothing in progress

Solution: the traffic thread closes the doors in the round that finds nothing in progress; the control thread waits for that.

--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -222,7 +222,8 @@
 	int64_t now_us = loop_now_us(control->loop);
 	uint32_t active = traffic_active_count(control->traffic);
 
-	if (active > 0 && now_us < control->drain_deadline_us) {
+	if (!traffic_is_drained(control->traffic) &&
+	    now_us < control->drain_deadline_us) {
 		loop_timer_set(control->loop, &control->drain_timer,
 		    now_us + DRAIN_CHECK_US);
 		return;
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -402,16 +402,27 @@
 void
 ingress_drain(struct ingress *ingress)
 {
-	httpd_drain(ingress->outer.httpd);
+	if (ingress->outer.httpd != NULL)
+		httpd_drain(ingress->outer.httpd);
 	if (ingress->inner.httpd != NULL)
 		httpd_drain(ingress->inner.httpd);
 }
 
+void
+ingress_close_doors(struct ingress *ingress)
+{
+	httpd_close(ingress->outer.httpd);
+	httpd_close(ingress->inner.httpd);
+	ingress->outer.httpd = ingress->inner.httpd = NULL;
+}
+
 uint32_t
 ingress_active_count(const struct ingress *ingress)
 {
-	uint32_t count = httpd_active_count(ingress->outer.httpd);
+	uint32_t count = 0;
 
+	if (ingress->outer.httpd != NULL)
+		count += httpd_active_count(ingress->outer.httpd);
 	if (ingress->inner.httpd != NULL)
 		count += httpd_active_count(ingress->inner.httpd);
 	return count;
@@ -424,8 +435,7 @@
 
 	if (ingress == NULL)
 		return;
-	httpd_close(ingress->outer.httpd);
-	httpd_close(ingress->inner.httpd);
+	ingress_close_doors(ingress);
 	links_destroy(ingress->links);
 	while (ingress->all != NULL) {
 		ingress->all->state = ATTEMPT_NONE;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -26,6 +26,8 @@
 	struct ingress *ingress;
 	struct once_client *once;
 	struct loop_timer publish_timer;
+	bool draining;
+	atomic_bool drained;
 	atomic_uint load_pct;
 	atomic_uint active_count;
 };
@@ -114,6 +116,7 @@
 {
 	struct traffic *traffic = arg;
 
+	traffic->draining = true;
 	egress_drain(traffic->egress);
 	ingress_drain(traffic->ingress);
 }
@@ -136,6 +139,24 @@
 	return atomic_load(&traffic->active_count);
 }
 
+/// Ends a drain in the round that finds nothing in progress, so that no request
+/// is taken between the look and the end.
+static void
+end_drain_if_idle(struct traffic *traffic)
+{
+	if (!traffic->draining || atomic_load(&traffic->drained) ||
+	    atomic_load(&traffic->active_count) > 0)
+		return;
+	ingress_close_doors(traffic->ingress);
+	atomic_store(&traffic->drained, true);
+}
+
+bool
+traffic_is_drained(const struct traffic *traffic)
+{
+	return atomic_load(&traffic->drained);
+}
+
 /// Publishes load and work in progress to the control thread.
 static void
 publish(void *arg)
@@ -151,6 +172,7 @@
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
+	end_drain_if_idle(traffic);
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
 	    loop_now_us(traffic->loop) + PUBLISH_US);
 }
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -46,9 +46,14 @@
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
 
-/// Stops to take new requests. Any thread.
+/// Stops to take new requests, and closes all connections of callers once none
+/// has a request in progress. Any thread.
 void traffic_post_drain(struct traffic *traffic);
 
+/// Tells whether a drain has ended: nothing is in progress, and nothing can
+/// come in any more. Any thread.
+bool traffic_is_drained(const struct traffic *traffic);
+
 /// Load of the egress as a percentage of its slots. Any thread.
 uint32_t traffic_load_pct(const struct traffic *traffic);
 
