--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -444,7 +444,7 @@
 	r->synced = replica_last_index(r);
 	replica_find_config(r);
 	replica_progress_update(r, now_us);
-	replica_reset_election(r, now_us);
+	replica_start_elections(r, now_us);
 	if (r->snapshot.index > 0)
 		ops->restore(r, &r->snapshot);
 	return 0;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -308,6 +308,9 @@
 
 void replica_reset_election(struct replica *r, int64_t now_us);
 
+/// Sets the time of the first try after a start.
+void replica_start_elections(struct replica *r, int64_t now_us);
+
 void replica_save_vote(struct replica *r, uint64_t term, uint64_t vote);
 
 /// Queues a message until what it depends on is durable.
--- a/src/core/replica_election.c
+++ b/src/core/replica_election.c
@@ -5,6 +5,9 @@
 
 #include "core/replica.h"
 
+/// Tries of a candidate within the time that a leader is waited for.
+#define TRIES_IN_ELECTION 4
+
 static void start_election(struct replica *r, int64_t now_us);
 
 void
@@ -14,6 +17,24 @@
 	    random_time_us(&r->random, r->settings.election_us);
 }
 
+/// Time of the next try of a candidate, or of the first try after a start. A
+/// failed try costs the others nothing, since pre-votes come first; so tries
+/// follow each other faster than a leader is given up.
+static void
+schedule_try(struct replica *r, int64_t now_us)
+{
+	int64_t period_us = r->settings.election_us / TRIES_IN_ELECTION;
+
+	r->election_deadline_us =
+	    now_us + period_us + random_time_us(&r->random, period_us);
+}
+
+void
+replica_start_elections(struct replica *r, int64_t now_us)
+{
+	schedule_try(r, now_us);
+}
+
 void
 replica_save_vote(struct replica *r, uint64_t term, uint64_t vote)
 {
@@ -134,7 +155,7 @@
 {
 	r->progress_count = 0;
 	replica_progress_update(r, now_us);
-	replica_reset_election(r, now_us);
+	schedule_try(r, now_us);
 }
 
 void
--- a/src/core/rule_store.c
+++ b/src/core/rule_store.c
@@ -18,8 +18,8 @@
 void
 rule_store_free(struct rule_store *store)
 {
-	rules_unref(store->current);
-	rules_unref(store->previous);
+	rule_file_unref(store->current);
+	rule_files_free(&store->files);
 	free(store->since);
 	free(store->history);
 	memset(store, 0, sizeof(*store));
@@ -69,10 +69,10 @@
 }
 
 enum rule_store_verdict
-rule_store_check(const struct rule_store *store, const struct rules *rules)
+rule_store_check(const struct rule_store *store, const struct rule_file *file)
 {
 	struct candidate c = {
-	    {rules->version, rules->hash}, rules->has_base, rules->base};
+	    {file->version, file->hash}, file->has_base, file->base};
 
 	return judge(store, &c);
 }
@@ -100,10 +100,10 @@
 /// Entry: a head line, then for each step "copy FROM COUNT insert BYTES" and
 /// the inserted bytes.
 char *
-rule_store_encode(const struct rule_store *store, const struct rules *rules,
+rule_store_encode(const struct rule_store *store, const struct rule_file *file,
     int64_t accepted_us, uint32_t *size_bytes)
 {
-	const struct rules *old = store->current;
+	const struct rule_file *old = store->current;
 	struct text out = {NULL, 0, 0};
 	char line[LINE_BYTES];
 	struct delta delta;
@@ -111,10 +111,10 @@
 	int n;
 
 	delta_make(old == NULL ? "" : old->text,
-	    old == NULL ? 0 : old->text_bytes, rules->text, rules->text_bytes,
+	    old == NULL ? 0 : old->text_bytes, file->text, file->text_bytes,
 	    &delta);
-	n = snprintf(line, sizeof(line), CHANGE_FORMAT, rules->version,
-	    rules->hash, rules->has_base, rules->base, accepted_us);
+	n = snprintf(line, sizeof(line), CHANGE_FORMAT, file->version,
+	    file->hash, file->has_base, file->base, accepted_us);
 	text_append(&out, line, (size_t)n);
 	for (i = 0; i < delta.step_count; i++) {
 		const struct delta_step *step = &delta.steps[i];
@@ -174,29 +174,13 @@
 	return 0;
 }
 
-/// Parses a text that was checked before it was stored.
-static struct rules *
-parse_stored(const char *text, size_t text_bytes, struct error *err)
-{
-	struct rules_errors *errors = malloc(sizeof(*errors));
-	struct rules *rules;
-
-	assert(errors != NULL);
-	rules = rules_parse(text, text_bytes, errors);
-	if (rules == NULL)
-		error_set(err, ERR_CORRUPT, "decode rules", "", "line %u: %s",
-		    errors->items[0].line, errors->items[0].text);
-	free(errors);
-	return rules;
-}
-
 /// Builds the file of an entry from the accepted file.
-static struct rules *
+static struct rule_file *
 decode_rules(const struct rule_store *store, const char *at, const char *end,
     const struct rule_store_id *id, struct error *err)
 {
-	const struct rules *old = store->current;
-	struct rules *rules = NULL;
+	const struct rule_file *old = store->current;
+	struct rule_file *file = NULL;
 	struct delta delta;
 	size_t text_bytes;
 	char *text;
@@ -208,53 +192,54 @@
 		delta.step_count, RULES_MAX_BYTES, &text, &text_bytes,
 		err) != 0)
 		goto out;
-	rules = parse_stored(text, text_bytes, err);
+	file = rule_file_open(text, text_bytes);
 	free(text);
-	if (rules != NULL &&
-	    (rules->version != id->version || rules->hash != id->hash)) {
+	if (file == NULL || file->version != id->version ||
+	    file->hash != id->hash) {
 		error_set(err, ERR_CORRUPT, "decode rules", "",
 		    "version %" PRIu64 " does not match its hash", id->version);
-		rules_unref(rules);
-		rules = NULL;
+		rule_file_unref(file);
+		file = NULL;
 	}
 out:
 	free(delta.steps);
-	return rules;
+	return file;
 }
 
-/// Parses a head line "accepted N" and the rules behind it.
-static struct rules *
+/// Reads a head line "accepted N" and the file behind it.
+static struct rule_file *
 decode_snapshot(const char *bytes, uint32_t size_bytes, int64_t *accepted_us,
     struct error *err)
 {
 	const char *end = bytes + size_bytes;
+	struct rule_file *file = NULL;
 	char head[LINE_BYTES];
 
-	if (next_line(&bytes, end, head) != 0 ||
-	    sscanf(head, "accepted %" SCNd64, accepted_us) != 1) {
+	if (next_line(&bytes, end, head) == 0 &&
+	    sscanf(head, "accepted %" SCNd64, accepted_us) == 1)
+		file = rule_file_open(bytes, (size_t)(end - bytes));
+	if (file == NULL)
 		error_set(err, ERR_CORRUPT, "decode rules", "", "bad head");
-		return NULL;
-	}
-	return parse_stored(bytes, (size_t)(end - bytes), err);
+	return file;
 }
 
 static uint32_t
-count_lines(const struct rules *rules)
+count_lines(const struct rule_file *file)
 {
 	uint32_t count = 0;
 	size_t i;
 
-	for (i = 0; i < rules->text_bytes; i++)
-		count += rules->text[i] == '\n';
+	for (i = 0; i < file->text_bytes; i++)
+		count += file->text[i] == '\n';
 	return count + 1;
 }
 
 /// Start of each line, and the end of the text.
 static const char **
-find_lines(const struct rules *rules, uint32_t count)
+find_lines(const struct rule_file *file, uint32_t count)
 {
 	const char **lines = calloc(count + 1, sizeof(*lines));
-	const char *at = rules->text;
+	const char *at = file->text;
 	uint32_t i;
 
 	assert(lines != NULL);
@@ -262,7 +247,7 @@
 		const char *eol = strchr(at, '\n');
 
 		lines[i] = at;
-		at = eol == NULL ? rules->text + rules->text_bytes : eol + 1;
+		at = eol == NULL ? file->text + file->text_bytes : eol + 1;
 	}
 	lines[count] = at;
 	return lines;
@@ -289,7 +274,7 @@
 }
 
 static void
-update_since(struct rule_store *store, const struct rules *new)
+update_since(struct rule_store *store, const struct rule_file *new)
 {
 	uint32_t count = count_lines(new);
 	const char **lines = find_lines(new, count);
@@ -333,6 +318,15 @@
 	store->history[store->history_count++] = *id;
 }
 
+/// Takes the reference over.
+static void
+set_current(struct rule_store *store, struct rule_file *file)
+{
+	rule_file_unref(store->current);
+	store->current = file;
+	rule_files_add(&store->files, file);
+}
+
 int
 rule_store_apply(struct rule_store *store, const char *entry,
     uint32_t size_bytes, struct error *err)
@@ -342,7 +336,7 @@
 	enum rule_store_verdict verdict;
 	char head[LINE_BYTES];
 	int64_t accepted_us;
-	struct rules *rules;
+	struct rule_file *file;
 	int has_base;
 
 	if (next_line(&at, entry + size_bytes, head) != 0 ||
@@ -357,13 +351,11 @@
 	verdict = judge(store, &c);
 	if (verdict != RULE_STORE_ACCEPTED)
 		return verdict;
-	rules = decode_rules(store, at, entry + size_bytes, &c.id, err);
-	if (rules == NULL)
+	file = decode_rules(store, at, entry + size_bytes, &c.id, err);
+	if (file == NULL)
 		return -1;
-	update_since(store, rules);
-	rules_unref(store->previous);
-	store->previous = store->current;
-	store->current = rules;
+	update_since(store, file);
+	set_current(store, file);
 	store->accepted_us = accepted_us;
 	history_add(store, &c.id);
 	return verdict;
@@ -470,6 +462,7 @@
     struct rule_store *new, const char *at, const char *end, struct error *err)
 {
 	char *since = cut_line(&at, end, "since ", err);
+	struct rule_file *file;
 	char *history = NULL;
 	int rc = -1;
 
@@ -481,10 +474,11 @@
 	history = cut_line(&at, end, "history ", err);
 	if (history == NULL || decode_history(new, history, err) != 0)
 		goto out;
-	new->current =
+	file =
 	    decode_snapshot(at, (uint32_t)(end - at), &new->accepted_us, err);
-	if (new->current == NULL)
+	if (file == NULL)
 		goto out;
+	set_current(new, file);
 	if (new->line_count != count_lines(new->current)) {
 		error_set(err, ERR_CORRUPT, "restore", "",
 		    "line count does not match");
--- a/src/core/rule_store.h
+++ b/src/core/rule_store.h
@@ -35,9 +35,9 @@
 };
 
 struct rule_store {
-	struct rules *current; ///< NULL before the first file.
-	struct rules *previous;
-	int64_t accepted_us; ///< Wall clock of the leader.
+	struct rule_file *current; ///< NULL before the first file.
+	struct rule_files files;   ///< The accepted one and those before it.
+	int64_t accepted_us;	   ///< Wall clock of the leader.
 	/// For each line of the file, from 1: version since which it has
 	/// stood there unchanged. since[0] is not used.
 	uint64_t *since;
@@ -51,12 +51,12 @@
 
 /// Tells what would become of a file now.
 enum rule_store_verdict rule_store_check(
-    const struct rule_store *store, const struct rules *rules);
+    const struct rule_store *store, const struct rule_file *file);
 
 /// Builds the log entry of a file: its difference from the accepted file.
 /// Release it with free().
 char *rule_store_encode(const struct rule_store *store,
-    const struct rules *rules, int64_t accepted_us, uint32_t *size_bytes);
+    const struct rule_file *file, int64_t accepted_us, uint32_t *size_bytes);
 
 /// Applies a log entry.
 ///
--- a/src/core/rules.c
+++ b/src/core/rules.c
@@ -156,7 +156,7 @@
 	assert(atomic_load(&rules->refs) > 0);
 	if (atomic_fetch_sub(&rules->refs, 1) != 1)
 		return;
-	free(rules->text);
+	rule_file_unref(rules->file);
 	free(rules->ranks);
 	free(rules->services);
 	free(rules->routes);
@@ -166,12 +166,6 @@
 	free(rules);
 }
 
-uint64_t
-rules_hash(const char *text, size_t text_bytes)
-{
-	return XXH3_64bits(text, text_bytes);
-}
-
 static bool
 path_matches(
     const struct rule_route *route, const char *path, size_t path_bytes)
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -8,9 +8,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/rule_file.h"
+
 #define RULES_NAME_BYTES      32
 #define RULES_PATH_BYTES      160
-#define RULES_OWNER_BYTES     96
+#define RULES_OWNER_BYTES     RULE_FILE_OWNER_BYTES
 #define RULES_MAX_BYTES	      (4 * 1024 * 1024)
 #define RULES_MAX_RANKS	      16
 #define RULES_MAX_ERRORS      100
@@ -105,12 +107,7 @@
 struct rules {
 	atomic_uint refs;
 	uint64_t version;
-	uint64_t hash; ///< XXH3 of text.
-	char *text;
-	size_t text_bytes;
-	char owner[RULES_OWNER_BYTES]; ///< Comment of the version line.
-	bool has_base;
-	uint64_t base; ///< Version that this one builds on, if has_base.
+	struct rule_file *file; ///< One reference.
 	struct rule_limits limits;
 	struct rule_rank *ranks;
 	uint32_t rank_count;
@@ -150,9 +147,6 @@
 /// Drops a reference and frees the rules with the last one.
 void rules_unref(struct rules *rules);
 
-/// Hashes the text of a rule file.
-uint64_t rules_hash(const char *text, size_t text_bytes);
-
 /// Finds the route of a request: the match rule of its host with the longest
 /// prefix; without one, the route with the longest matching path; at equal
 /// length an exact path before a prefix and a named method before "*".
--- a/src/core/rules_parse.c
+++ b/src/core/rules_parse.c
@@ -18,13 +18,13 @@
 		    "unexpected word after version");
 		return false;
 	}
-	if (!parser_read_number(&v, INT64_MAX, &p->rules->base, &used) ||
-	    used != v.text_bytes || p->rules->base >= p->rules->version) {
+	if (!parser_read_number(&v, INT64_MAX, &p->base, &used) ||
+	    used != v.text_bytes || p->base >= p->rules->version) {
 		parser_fail(p, p->line, v.column,
 		    "base must be a whole number below the version");
 		return false;
 	}
-	p->rules->has_base = true;
+	p->has_base = true;
 	return true;
 }
 
@@ -57,7 +57,7 @@
 	if (p->word_count == 3 && !parse_base(p))
 		return;
 	p->has_version = true;
-	snprintf(p->rules->owner, sizeof(p->rules->owner), "%s", p->owner);
+	memcpy(p->version_owner, p->owner, sizeof(p->version_owner));
 }
 
 static void
@@ -343,6 +343,18 @@
 		    "match or limits");
 }
 
+/// Parses a line if it is the version, and skips any other.
+static void
+parse_version_line(struct parser *p, const char *line, uint32_t line_bytes)
+{
+	uint32_t rule_bytes = parser_take_owner(p, line, line_bytes);
+
+	p->line++;
+	if (parser_split_words(p, line, rule_bytes) && p->word_count > 0 &&
+	    parser_word_equals(&p->words[0], "version"))
+		parse_version(p);
+}
+
 static void
 parse_lines(struct parser *p, const char *text, size_t text_bytes)
 {
@@ -449,6 +461,39 @@
 	qsort(errors->items, count, sizeof(errors->items[0]), compare_errors);
 }
 
+static struct rule_file *
+make_file(const struct parser *p, const char *text, size_t text_bytes)
+{
+	struct rule_file *file = rule_file_create(text, text_bytes);
+
+	file->version = p->rules->version;
+	file->has_base = p->has_base;
+	file->base = p->base;
+	memcpy(file->owner, p->version_owner, sizeof(file->owner));
+	return file;
+}
+
+struct rule_file *
+rule_file_open(const char *text, size_t text_bytes)
+{
+	struct rules_errors *errors = calloc(1, sizeof(*errors));
+	struct rules rules = {0};
+	struct parser p = {.errors = errors, .rules = &rules};
+	const char *end = text + text_bytes;
+	const char *at = text;
+
+	assert(errors != NULL);
+	while (at < end && !p.has_version && errors->count == 0) {
+		const char *eol = memchr(at, '\n', (size_t)(end - at));
+
+		parse_version_line(
+		    &p, at, (uint32_t)((eol == NULL ? end : eol) - at));
+		at = eol == NULL ? end : eol + 1;
+	}
+	free(errors);
+	return p.has_version ? make_file(&p, text, text_bytes) : NULL;
+}
+
 struct rules *
 rules_parse(const char *text, size_t text_bytes, struct rules_errors *errors)
 {
@@ -480,11 +525,6 @@
 		    sizeof(p.rules->routes[0]), compare_routes);
 	if (p.rules->match_count > 0)
 		rules_index_build(p.rules);
-	p.rules->text = malloc(text_bytes + 1);
-	assert(p.rules->text != NULL);
-	memcpy(p.rules->text, text, text_bytes);
-	p.rules->text[text_bytes] = '\0';
-	p.rules->text_bytes = text_bytes;
-	p.rules->hash = rules_hash(text, text_bytes);
+	p.rules->file = make_file(&p, text, text_bytes);
 	return p.rules;
 }
--- a/src/core/rules_words.h
+++ b/src/core/rules_words.h
@@ -33,7 +33,11 @@
 	struct word words[MAX_WORDS];
 	uint32_t word_count;
 	char owner[RULES_OWNER_BYTES];
+	// What the version rule says.
 	bool has_version;
+	bool has_base;
+	uint64_t base;
+	char version_owner[RULES_OWNER_BYTES];
 };
 
 /// Notes an error at a line and column.
--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -16,7 +16,7 @@
 	struct rules_errors *errors;
 	struct rules *rules;
 
-	if (rules_hash(text, text_bytes) != hash) {
+	if (rule_file_hash(text, text_bytes) != hash) {
 		error_set(err, ERR_CORRUPT, "check rules", "",
 		    "version %" PRIu64 " does not match its hash", version);
 		return NULL;
@@ -51,7 +51,7 @@
 	uint32_t i;
 
 	if (have == NULL || have->version != m->from_version ||
-	    have->hash != m->from_hash) {
+	    have->file->hash != m->from_hash) {
 		error_set(err, ERR_INVALID, "apply delta", "",
 		    "it starts from version %" PRIu64
 		    ", which is not in force here",
@@ -66,8 +66,9 @@
 		steps[i].insert = from[i].insert.data;
 		steps[i].insert_bytes = from[i].insert.size_bytes;
 	}
-	if (delta_apply(have->text, have->text_bytes, steps, m->steps.count,
-		RULES_MAX_BYTES, &text, &text_bytes, err) == 0) {
+	if (delta_apply(have->file->text, have->file->text_bytes, steps,
+		m->steps.count, RULES_MAX_BYTES, &text, &text_bytes,
+		err) == 0) {
 		rules = check_text(text, text_bytes, m->version, m->hash, err);
 		free(text);
 	}
@@ -113,8 +114,8 @@
 }
 
 static void
-send_delta(
-    struct stream *stream, const struct rules *old, const struct rules *new)
+send_delta(struct stream *stream, const struct rule_file *old,
+    const struct rule_file *new)
 {
 	struct message_delta m = {.from_version = old->version,
 	    .from_hash = old->hash,
@@ -143,18 +144,18 @@
 
 void
 rules_send(struct stream *stream, const struct message_pull *pull,
-    const struct rules *newest, const struct rules *previous)
+    const struct rule_file *newest, const struct rule_files *kept)
 {
+	const struct rule_file *have;
 	struct message_rules m = {0};
 
 	if (newest == NULL || newest->version <= pull->have_version) {
 		stream_send(stream, MESSAGE_RULES, &m);
 		return;
 	}
-	if (pull->allow_delta && previous != NULL &&
-	    previous->version == pull->have_version &&
-	    previous->hash == pull->have_hash) {
-		send_delta(stream, previous, newest);
+	have = rule_files_find(kept, pull->have_version, pull->have_hash);
+	if (pull->allow_delta && have != NULL) {
+		send_delta(stream, have, newest);
 		return;
 	}
 	m.version = newest->version;
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -20,12 +20,12 @@
 /// Length of the rules or delta in a message.
 int64_t rules_message_bytes(const struct message *message);
 
-/// Answers a pull: nothing newer, a delta if the caller has the version
-/// before, or the whole file.
+/// Answers a pull: nothing newer, a delta if the caller's version is kept here,
+/// or the whole file.
 ///
-/// @param newest    may be NULL
-/// @param previous  may be NULL
+/// @param newest  may be NULL
+/// @param kept    versions to make a delta from
 void rules_send(struct stream *stream, const struct message_pull *pull,
-    const struct rules *newest, const struct rules *previous);
+    const struct rule_file *newest, const struct rule_files *kept);
 
 #endif
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -50,10 +50,10 @@
 	}
 	log_write(LOG_INFO, "config",
 	    "Adopted version %" PRIu64 " (hash %016" PRIx64 ").",
-	    rules->version, rules->hash);
-	rules_unref(control->previous);
-	control->previous = control->rules;
+	    rules->version, rules->file->hash);
+	rules_unref(control->rules);
 	control->rules = rules;
+	rule_files_add(&control->files, rules->file);
 	counter_set(&gauge_version, (int64_t)rules->version);
 	version_sync_adopted(&control->sync, rules->version);
 	membership_set_version(&control->membership, rules->version);
@@ -201,7 +201,7 @@
 	datagram_close(&control->udp);
 	membership_free(&control->membership);
 	rules_unref(control->rules);
-	rules_unref(control->previous);
+	rule_files_free(&control->files);
 	loop_destroy(control->loop);
 }
 
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -41,8 +41,9 @@
 	bool confirmed;	      ///< A quorum of sources confirmed our version.
 	uint32_t tables_read; ///< Tables got from other members.
 	int64_t started_us;
-	uint32_t next_source;
-	bool asking;
+	bool asking; ///< The source that leads.
+	bool has_leader;
+	struct address leader;
 };
 
 struct control {
@@ -52,7 +53,7 @@
 	struct membership membership;
 	struct version_sync sync;
 	struct rules *rules;
-	struct rules *previous; ///< Version before, to make deltas from.
+	struct rule_files files; ///< To make deltas from.
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
--- a/src/proxy/distribution.c
+++ b/src/proxy/distribution.c
@@ -14,8 +14,9 @@
 #include "wire/gossip_codec.h"
 
 #define PULL_TIMEOUT_US	    (3 * US_PER_S)
-#define CONFIRM_TIMEOUT_US  (1 * US_PER_S)
-#define FLOOR_CHECK_US	    (200 * US_PER_MS)
+#define CONFIRM_TIMEOUT_US  (200 * US_PER_MS)
+#define FLOOR_CHECK_US	    (100 * US_PER_MS)
+#define START_REPORT_US	    (100 * US_PER_MS)
 #define PEERS_ONLY_AFTER_US (1500 * US_PER_MS)
 #define PEERS_NEEDED	    3
 
@@ -66,7 +67,7 @@
 	pull.from = bytes_from(control->membership.self.name);
 	if (control->rules != NULL) {
 		pull.have_version = control->rules->version;
-		pull.have_hash = control->rules->hash;
+		pull.have_hash = control->rules->file->hash;
 	}
 	counter_add(&count_pulls, 1);
 	if (from->distance != DISTANCE_DC)
@@ -86,7 +87,9 @@
     const struct message_pull *pull)
 {
 	counter_add(&count_served, 1);
-	rules_send(stream, pull, control->rules, control->previous);
+	rules_send(stream, pull,
+	    control->rules == NULL ? NULL : control->rules->file,
+	    &control->files);
 }
 
 static void
@@ -104,6 +107,20 @@
 	control->learned_count = count;
 }
 
+static void
+learn_leader(struct control *control, struct bytes leader)
+{
+	struct floor *floor = &control->floor;
+	char text[ADDRESS_TEXT_BYTES];
+
+	if (floor->ready || bytes_copy(leader, text, sizeof(text)) != 0 ||
+	    address_parse(text, &floor->leader) != 0)
+		return;
+	floor->has_leader = true;
+	loop_timer_set(
+	    control->loop, &control->floor_timer, loop_now_us(control->loop));
+}
+
 /// Gets to know proxies that the sources name.
 static void
 meet_members(struct control *control, const struct list *members)
@@ -137,6 +154,24 @@
 	return false;
 }
 
+/// Sources of the settings, and those that the sources themselves name.
+///
+/// @return their number
+static uint32_t
+list_sources(
+    const struct control *control, struct address out[2 * CONTROL_MAX_SOURCES])
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		out[count++] = control->settings.sources[i];
+	for (i = 0; i < control->learned_count; i++)
+		if (!is_in_settings(control, &control->learned_sources[i]))
+			out[count++] = control->learned_sources[i];
+	return count;
+}
+
 void
 distribution_heard_source(
     struct control *control, const struct message_report_answer *answer)
@@ -148,6 +183,7 @@
 	struct member at = {0};
 
 	learn_sources(control, &answer->sources);
+	learn_leader(control, answer->leader);
 	meet_members(control, &answer->members);
 	if (answer->version_seen > control->membership.version_floor)
 		control->membership.version_floor = answer->version_seen;
@@ -170,19 +206,17 @@
 distribution_send_report(struct control *control, bool leaving)
 {
 	struct message_report report = {.leaving = leaving};
+	struct address sources[2 * CONTROL_MAX_SOURCES];
 	msgpack_sbuffer out;
+	uint32_t count;
 	uint32_t i;
 
 	member_to_message(&control->membership.self, &report.member);
 	msgpack_sbuffer_init(&out);
 	message_pack(&out, MESSAGE_REPORT, &report);
-	for (i = 0; i < control->settings.source_count; i++)
-		datagram_send(&control->udp, &control->settings.sources[i],
-		    out.data, out.size);
-	for (i = 0; i < control->learned_count; i++)
-		if (!is_in_settings(control, &control->learned_sources[i]))
-			datagram_send(&control->udp,
-			    &control->learned_sources[i], out.data, out.size);
+	count = list_sources(control, sources);
+	for (i = 0; i < count; i++)
+		datagram_send(&control->udp, &sources[i], out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
@@ -192,6 +226,13 @@
 	struct control *control = arg;
 	int64_t period_us = control->settings.report_period_us;
 
+	int64_t age_us = loop_now_us(control->loop) - control->floor.started_us;
+
+	// A proxy that has just started needs the sources to get to know
+	// others; a herd of them asks less and less often.
+	if (!control->floor.ready && period_us > START_REPORT_US + age_us / 4)
+		period_us = START_REPORT_US + age_us / 4;
+
 	distribution_send_report(control, false);
 	loop_timer_set(control->loop, &control->report_timer,
 	    loop_now_us(control->loop) + period_us - period_us / 8 +
@@ -218,8 +259,12 @@
 
 	(void)err;
 	floor->asking = false;
-	floor->next_source++;
-	if (answer == NULL || answer->type == MESSAGE_BUSY)
+	if (answer == NULL || answer->type == MESSAGE_BUSY) {
+		// It may lead no more: a report's answer names the next one.
+		floor->has_leader = false;
+		return;
+	}
+	if (floor->ready)
 		return;
 	rules = rules_from_message(answer, control->rules, &why);
 	if (rules != NULL)
@@ -227,27 +272,27 @@
 	else if (why.code != ERR_NONE)
 		return;
 	floor->confirmed = control->rules != NULL;
+	loop_timer_set(
+	    control->loop, &control->floor_timer, loop_now_us(control->loop));
 }
 
-/// Asks a source for what a quorum confirms to be the newest version.
+/// Asks the source that leads for what a quorum confirms to be the newest
+/// version.
 static void
 ask_confirmation(struct control *control)
 {
 	struct floor *floor = &control->floor;
 	struct message_pull pull = {.confirm = 1};
 
-	if (floor->asking || control->settings.source_count == 0)
+	if (floor->asking || !floor->has_leader)
 		return;
 	floor->asking = true;
 	pull.from = bytes_from(control->membership.self.name);
 	if (control->rules != NULL) {
 		pull.have_version = control->rules->version;
-		pull.have_hash = control->rules->hash;
+		pull.have_hash = control->rules->file->hash;
 	}
-	oneshot_call(control->loop,
-	    &control->settings
-		 .sources[floor->next_source % control->settings.source_count],
-	    MESSAGE_PULL, &pull,
+	oneshot_call(control->loop, &floor->leader, MESSAGE_PULL, &pull,
 	    loop_now_us(control->loop) + CONFIRM_TIMEOUT_US, on_confirmed,
 	    control);
 }
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -83,7 +83,7 @@
 	"slow start of a backend server"),
     INTEGER("retry.ratio_pct", retry_ratio_pct, 0, 100, "20",
 	"retries for each hundred requests of a service"),
-    INTEGER("retry.burst", retry_burst, 0, 100000, "100",
+    INTEGER("retry.burst", retry_burst, 0, 100000, "200",
 	"retries at once for a service, of all proxies together"),
     INTEGER("limits.body_bytes", max_body_bytes, 1024, 1099511627776,
 	"1073741824", "largest request body"),
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -66,10 +66,10 @@
 }
 
 char *
-operator_verdict_body(const struct source *source, const struct rules *rules,
+operator_verdict_body(const struct source *source, const struct rule_file *file,
     int verdict, uint32_t *status)
 {
-	const struct rules *current = source->store.current;
+	const struct rule_file *current = source->store.current;
 	char hash[20];
 	json_t *root;
 	char *text;
@@ -80,14 +80,14 @@
 	snprintf(hash, sizeof(hash), "%016" PRIx64,
 	    current == NULL ? 0 : current->hash);
 	root = json_pack("{s:s, s:I, s:{s:I, s:s, s:s}}", "result",
-	    verdict_name(verdict), "version", (json_int_t)rules->version,
+	    verdict_name(verdict), "version", (json_int_t)file->version,
 	    "accepted", "version",
 	    current == NULL ? (json_int_t)0 : (json_int_t)current->version,
 	    "hash", hash, "owner", current == NULL ? "" : current->owner);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	log_write(LOG_INFO, "source", "Version %" PRIu64 " by %s: %s.",
-	    rules->version, rules->owner, verdict_name(verdict));
+	    file->version, file->owner, verdict_name(verdict));
 	return text;
 }
 
@@ -160,14 +160,14 @@
 }
 
 static void
-start_read(struct source *source, int kind, struct rules *rules,
+start_read(struct source *source, int kind, struct rule_file *file,
     operator_reply_fn *fn, void *arg)
 {
 	struct pending *p = pending_read(source, kind);
 
 	p->fn = fn;
 	p->arg = arg;
-	p->rules = rules;
+	p->file = file;
 	replica_read(
 	    &source->host.replica, p->context, loop_now_us(source->loop));
 }
@@ -189,7 +189,9 @@
 		fn(arg, 400, 0, text);
 		free(text);
 	} else
-		start_read(source, PENDING_SUBMIT, rules, fn, arg);
+		start_read(source, PENDING_SUBMIT, rule_file_ref(rules->file),
+		    fn, arg);
+	rules_unref(rules);
 	free(errors);
 }
 
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -15,7 +15,7 @@
 		at = &(*at)->next;
 	*at = p->next;
 	p->source->pending_count--;
-	rules_unref(p->rules);
+	rule_file_unref(p->file);
 	free(p);
 }
 
@@ -66,7 +66,7 @@
 {
 	struct source *source = p->source;
 	enum rule_store_verdict verdict =
-	    rule_store_check(&source->store, p->rules);
+	    rule_store_check(&source->store, p->file);
 	struct error err;
 	uint32_t size_bytes;
 	uint32_t status;
@@ -75,14 +75,13 @@
 	int rc;
 
 	if (verdict != RULE_STORE_ACCEPTED) {
-		body =
-		    operator_verdict_body(source, p->rules, verdict, &status);
+		body = operator_verdict_body(source, p->file, verdict, &status);
 		reply(p, status, 0, body);
 		free(body);
 		return;
 	}
 	entry = rule_store_encode(
-	    &source->store, p->rules, clock_wall_us(), &size_bytes);
+	    &source->store, p->file, clock_wall_us(), &size_bytes);
 	p->kind = PENDING_PROPOSED;
 	p->term = source->host.replica.term;
 	rc = replica_propose(&source->host.replica, entry, size_bytes,
@@ -98,10 +97,13 @@
 answer_confirm(struct pending *p, bool ok)
 {
 	struct message_busy busy = {.retry_left_us = US_PER_S};
-	struct message_pull pull = {.have_version = p->have_version};
+	struct message_pull pull = {.have_version = p->have_version,
+	    .have_hash = p->have_hash,
+	    .allow_delta = 1};
 
 	if (p->stream != NULL && ok)
-		rules_send(p->stream, &pull, p->source->store.current, NULL);
+		rules_send(p->stream, &pull, p->source->store.current,
+		    &p->source->store.files);
 	else if (p->stream != NULL)
 		stream_send(p->stream, MESSAGE_BUSY, &busy);
 	pending_free(p);
@@ -110,7 +112,7 @@
 static void
 finish_read(struct pending *p, bool ok)
 {
-	const struct rules *current = p->source->store.current;
+	const struct rule_file *current = p->source->store.current;
 	char *body;
 
 	if (p->kind == PENDING_CONFIRM) {
@@ -173,7 +175,7 @@
 		reply(p, 503, US_PER_S, unknown_body);
 		return;
 	}
-	body = operator_verdict_body(source, p->rules, verdict, &status);
+	body = operator_verdict_body(source, p->file, verdict, &status);
 	reply(p, status, 0, body);
 	free(body);
 }
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -55,7 +55,7 @@
 send_answer(
     struct source *source, const struct address *to, uint64_t version_seen)
 {
-	const struct rules *current = source->store.current;
+	const struct rule_file *current = source->store.current;
 	struct message_report_answer answer = {
 	    .accepted_version = current == NULL ? 0 : current->version,
 	    .version_seen = version_seen,
@@ -72,6 +72,7 @@
 		sources[i].text = bytes_from(config->voters[i].address);
 	answer.sources.items = sources;
 	answer.sources.count = config->voter_count;
+	answer.leader = bytes_from(replica_host_leader_address(&source->host));
 	answer.members.items = members;
 	answer.members.count = sample_members(source, texts, members);
 	answer.host = bytes_from(source->settings.host);
@@ -176,6 +177,7 @@
 
 	p->stream = stream;
 	p->have_version = pull->have_version;
+	p->have_hash = pull->have_hash;
 	replica_read(
 	    &source->host.replica, p->context, loop_now_us(source->loop));
 }
@@ -196,6 +198,6 @@
 	if (pull->confirm)
 		start_confirm(source, stream, pull);
 	else
-		rules_send(stream, pull, source->store.current,
-		    source->store.previous);
+		rules_send(
+		    stream, pull, source->store.current, &source->store.files);
 }
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -46,11 +46,12 @@
 	uint64_t context; ///< Of the read.
 	uint64_t index;
 	uint64_t term;
-	struct rules *rules;
+	struct rule_file *file; ///< That was submitted.
 	operator_reply_fn *fn;
 	void *arg;
 	struct stream *stream; ///< PENDING_CONFIRM.
 	uint64_t have_version;
+	uint64_t have_hash;
 };
 
 struct source {
@@ -124,6 +125,6 @@
 
 /// Body of the answer to a submitted file. Release it with free().
 char *operator_verdict_body(const struct source *source,
-    const struct rules *rules, int verdict, uint32_t *status);
+    const struct rule_file *file, int verdict, uint32_t *status);
 
 #endif
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -12,7 +12,7 @@
 static json_t *
 render_accepted(const struct rule_store *store)
 {
-	const struct rules *r = store->current;
+	const struct rule_file *r = store->current;
 	char hash[20];
 
 	if (r == NULL)
@@ -129,7 +129,7 @@
 status_render(const struct source *source, bool confirmed)
 {
 	const struct replica *r = &source->host.replica;
-	const struct rules *current = source->store.current;
+	const struct rule_file *current = source->store.current;
 	uint64_t version = current == NULL ? 0 : current->version;
 	int64_t now_us = loop_now_us(source->loop);
 	struct report_sum sum =
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -64,6 +64,7 @@
     F(message_report_answer, U32, control_port),
     F(message_report_answer, BYTES, region),
     F(message_report_answer, BYTES, dc),
+    F(message_report_answer, BYTES, leader),
     N(message_report_answer, LIST, sources, &address_schema),
     N(message_report_answer, LIST, members, &address_schema),
 };
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -104,6 +104,7 @@
 	uint32_t control_port;
 	struct bytes region;
 	struct bytes dc;
+	struct bytes leader; ///< "IP:port" of the source that leads, or empty.
 	struct list sources; ///< of struct message_address: all replicas now.
 	struct list members; ///< of struct message_address: some proxies.
 };
--- a/test/functional/requests.sh
+++ b/test/functional/requests.sh
@@ -73,8 +73,13 @@
 echo "# one that fails: its answers are passed on, then it is avoided"
 mesh_fake 2 fail=1
 for i in $(seq 1 200); do
-	curl -s -o /dev/null -w '%{http_code}\n' "$(mesh_url 2 /get/$i)"
+	curl -s -o /dev/null -w '%{http_code}\n' -X PUT -d x \
+	    "$(mesh_url 2 /put/$i)"
 done | sort | uniq -c | awk '{ print $2, ($2 == 500 && $1 <= 30) || $2 == 200 }'
+echo "# safe requests that it fails are served by another"
+for i in $(seq 1 100); do
+	curl -s -o /dev/null -w '%{http_code}\n' "$(mesh_url 2 /get/$i)"
+done | sort | uniq -c | awk '{ print $2, $1 }'
 mesh_fake 2 fail=0
 
 echo "# a drain under load"
--- a/test/unit/test_distribution.c
+++ b/test/unit/test_distribution.c
@@ -137,7 +137,7 @@
 {
 	struct rules *rules = make_rules(version, owner);
 	uint32_t size_bytes;
-	char *entry = rule_store_encode(store, rules, 42, &size_bytes);
+	char *entry = rule_store_encode(store, rules->file, 42, &size_bytes);
 	struct error err;
 	int verdict = rule_store_apply(store, entry, size_bytes, &err);
 
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -16,8 +16,8 @@
 static size_t
 dump_rules(const struct rules *r, char *out)
 {
-	size_t n = (size_t)snprintf(
-	    out, MAX_DUMP, "version %" PRIu64 " by %s\n", r->version, r->owner);
+	size_t n = (size_t)snprintf(out, MAX_DUMP,
+	    "version %" PRIu64 " by %s\n", r->version, r->file->owner);
 	uint32_t i;
 
 	for (i = 0; i < r->rank_count; i++)
