feat(proxy): choose endpoints by expected loss; requests wait for a starting proxy

Problem: the balancer knew load only, not how long work takes where, nor which servers fail part of it; a proxy that had just started refused all that came until it had rules and had heard of backend servers (0.5 to 1.5 s after a fault), and its clients came back once at most. Solution: core/flow tells the mean time of work soon after it changes; egresses tell it; the balancer compares what a request is likely to lose at each endpoint by lateness, failure and distance. A starting proxy parks requests for up to a third of their time. A request on a stream that was never opened is told as not run.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -223,6 +223,7 @@
 	add_credit(r, -item->charged_us);
 	r->running++;
 	a->running++;
+	flow_enter(&a->slot_time, now_us);
 }
 
 /// Expected time between starts of a rank while its queue is not empty.
@@ -309,6 +310,7 @@
 	item->running = false;
 	r->running--;
 	a->running--;
+	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	if (item->charged_us > 0)
 		add_credit(r, item->charged_us - (now_us - item->start_us));
 	r->service_us = moving_mean(r->service_us, now_us - item->start_us + 1);
@@ -367,6 +369,12 @@
 	return item;
 }
 
+int64_t
+admission_service_us(struct admission *a, int64_t now_us)
+{
+	return flow_mean_us(&a->slot_time, now_us);
+}
+
 uint32_t
 admission_load_pct(const struct admission *a)
 {
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/flow.h"
 #include "core/rules.h"
 
 #define ADMISSION_MAX_RANKS 32
@@ -71,6 +72,7 @@
 	uint32_t queued_bytes;
 	uint32_t max_queued;
 	uint32_t max_queued_bytes;
+	struct flow slot_time;
 	int64_t credit_time_us; ///< When credits were last brought up to date.
 	uint32_t rank_count;
 	struct admission_rank ranks[ADMISSION_MAX_RANKS];
@@ -113,6 +115,9 @@
 /// Expected wait of a new request of a rank.
 int64_t admission_wait_us(const struct admission *a, uint32_t rank);
 
+/// Mean time of a request in a slot; 0 if nothing is known.
+int64_t admission_service_us(struct admission *a, int64_t now_us);
+
 /// Busy slots and queue as a percentage of the slots.
 uint32_t admission_load_pct(const struct admission *a);
 
--- a/src/core/balancer.c
+++ b/src/core/balancer.c
@@ -1,5 +1,6 @@
-// Two random choices by load, nearest first, with slow start and ejection.
+// Choice by expected loss, with slow start and ejection.
 #include <assert.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,11 +10,58 @@
 #define EJECT_FIRST_US	     2000000LL
 #define EJECT_MAX_SHIFT	     4
 #define FULL_PCT	     100
-#define COLD_CAPACITY_PCT    10
-#define SUSPECT_PENALTY_PCT  100
-
-/// Added to the score of an endpoint by its distance.
-static const uint32_t distance_penalty_pct[DISTANCE_COUNT] = {0, 30, 120};
+#define SLOW_START_PCT	     10
+#define PERMILLE	     1000
+#define KILOBYTE	     1024
+
+/// A backend server that says it is cold is taken for half as fast.
+#define COLD_PCT 50
+
+/// Failures are forgotten with this half-life: a server that failed is tried
+/// again after a few seconds.
+#define FAILURE_HALF_LIFE_US 2000000.0
+
+/// Failures of a server of which little is known: a few in a hundred, with the
+/// weight of three answers.
+#define FAILURE_PRIOR	     0.02
+#define FAILURE_PRIOR_WEIGHT 3.0
+
+/// Part of its worth that a request loses by a failure: some are repeated, by
+/// the mesh or by the caller.
+#define FAILURE_PERMILLE 700
+
+/// An answer is late with a likelihood that rises from none at half of the
+/// target to certainty at this part of it: times in a slot spread widely.
+#define LATE_FROM_PERMILLE 500
+#define LATE_TO_PERMILLE   1300
+
+/// A request that cannot meet its deadline costs more than a late one, since
+/// it takes a slot for nothing.
+#define HOPELESS_PERMILLE 1500
+
+/// A server that has few slots free answers more slowly.
+#define CROWDED_FROM_PCT 70
+#define CROWDED_PERMILLE 60
+
+#define SUSPECT_PERMILLE 500
+
+/// Choices that cost nearly the same are made at random, so that proxies that
+/// know the same do not all go to one place.
+#define JITTER_PERMILLE 10
+
+/// Loss by distance: links between data centres, and more so between regions,
+/// are slow and paid by volume. The part for each kilobyte is bounded, so that
+/// a request is sent far before it is lost.
+static const struct {
+	int64_t base_permille;
+	int64_t kilobyte_permille;
+	int64_t max_permille;
+	int64_t round_trip_us; ///< Typical.
+} distances[DISTANCE_COUNT] = {
+    [DISTANCE_DC] = {0, 0, 0, 300},
+    [DISTANCE_REGION] = {10, 10, 500, 2000},
+    [DISTANCE_FAR] = {40, 40, 900, 25000},
+};
 
 void
 balancer_init(
@@ -82,6 +130,8 @@
 	e->failures_in_row = 0;
 	e->ejections = 0;
 	e->ejected_until_deadline_us = 0;
+	e->failed = e->answered = 0;
+	e->service_us = 0;
 	e->reported = 0;
 	e->outstanding_at_report = 0;
 	e->warm_deadline_us = b->warmed ? now_us + b->warm_us : 0;
@@ -128,37 +178,146 @@
 }
 
 /// Slots that an endpoint can be given, fewer during a slow start.
-static uint32_t
-capacity_pct(const struct balancer *b, const struct endpoint *e, int64_t now_us)
+static int64_t
+usable_slots(const struct balancer *b, const struct endpoint *e, int64_t now_us)
 {
 	int64_t left_us = e->warm_deadline_us - now_us;
+	int64_t pct = FULL_PCT;
 
 	if (e->state == BACKEND_COLD)
-		return COLD_CAPACITY_PCT;
-	if (left_us <= 0 || b->warm_us <= 0)
-		return FULL_PCT;
-	return COLD_CAPACITY_PCT +
-	    (uint32_t)((FULL_PCT - COLD_CAPACITY_PCT) * (b->warm_us - left_us) /
-		b->warm_us);
+		pct = COLD_PCT;
+	else if (left_us > 0 && b->warm_us > 0)
+		pct = SLOW_START_PCT +
+		    (FULL_PCT - SLOW_START_PCT) * (b->warm_us - left_us) /
+			b->warm_us;
+	pct = (int64_t)e->slots * pct / FULL_PCT;
+	return pct > 0 ? pct : 1;
 }
 
 /// Load estimate: what was told, corrected by what was sent and answered
-/// since; as a percentage of the slots that can be given, with penalties.
-static uint32_t
-score_pct(const struct balancer *b, const struct endpoint *e, int64_t now_us)
+/// since.
+static int64_t
+current_load(const struct endpoint *e)
 {
 	int64_t load =
 	    (int64_t)e->reported + e->outstanding - e->outstanding_at_report;
-	uint32_t score;
 
-	if (load < (int64_t)e->outstanding)
-		load = e->outstanding;
-	score = (uint32_t)(load * FULL_PCT * FULL_PCT /
-	    ((int64_t)e->slots * capacity_pct(b, e, now_us)));
-	score += distance_penalty_pct[e->distance];
+	return load < (int64_t)e->outstanding ? e->outstanding : load;
+}
+
+/// Requests that would wait before a new one gets a slot.
+static int64_t
+count_ahead(int64_t load, int64_t slots)
+{
+	return load < slots ? 0 : load - slots + 1;
+}
+
+/// Expected time until the answer; 0 if nothing is known of it.
+static int64_t
+expect_us(struct endpoint *e, const struct balancer_request *q, int64_t load,
+    int64_t slots, int64_t now_us)
+{
+	int64_t length = q->length_permille > 0 ? q->length_permille : PERMILLE;
+	int64_t service_us = e->service_us;
+	int64_t model_us;
+	int64_t own_us;
+
+	if (service_us == 0)
+		return 0;
+	if (e->state == BACKEND_COLD)
+		service_us = service_us * FULL_PCT / COLD_PCT;
+	model_us = distances[e->distance].round_trip_us +
+	    count_ahead(load, slots) * service_us / slots;
+	own_us =
+	    flow_mean_expecting_us(&e->answers, model_us + service_us, now_us);
+	// What the model does not know of shows in the own answers.
+	if (own_us > 2 * (model_us + service_us))
+		model_us += own_us - model_us - service_us;
+	return model_us + service_us * length / PERMILLE;
+}
+
+static int64_t
+late_permille(const struct balancer_request *q, int64_t expected_us)
+{
+	int64_t part;
+
+	if (expected_us > q->deadline_left_us)
+		return HOPELESS_PERMILLE;
+	if (q->target_left_us <= 0)
+		return PERMILLE;
+	part = expected_us * PERMILLE / q->target_left_us;
+	if (part <= LATE_FROM_PERMILLE)
+		return part / 20;
+	part = (part - LATE_FROM_PERMILLE) * PERMILLE /
+	    (LATE_TO_PERMILLE - LATE_FROM_PERMILLE);
+	return part < PERMILLE ? part : PERMILLE;
+}
+
+static int64_t
+crowd_permille(int64_t load, int64_t slots)
+{
+	int64_t pct = load * FULL_PCT / slots;
+
+	if (pct <= CROWDED_FROM_PCT)
+		return 0;
+	if (pct >= FULL_PCT)
+		return CROWDED_PERMILLE;
+	return (pct - CROWDED_FROM_PCT) * CROWDED_PERMILLE /
+	    (FULL_PCT - CROWDED_FROM_PCT);
+}
+
+static void
+fade_failures(struct endpoint *e, int64_t now_us)
+{
+	double passed_us = (double)(now_us - e->faded_us);
+	double factor;
+
+	if (passed_us <= 0)
+		return;
+	factor = exp2(-passed_us / FAILURE_HALF_LIFE_US);
+	e->failed *= factor;
+	e->answered *= factor;
+	e->faded_us = now_us;
+}
+
+static int64_t
+failure_permille(struct endpoint *e, int64_t now_us)
+{
+	fade_failures(e, now_us);
+	return (int64_t)(FAILURE_PERMILLE *
+	    (e->failed + FAILURE_PRIOR * FAILURE_PRIOR_WEIGHT) /
+	    (e->answered + FAILURE_PRIOR_WEIGHT));
+}
+
+static int64_t
+distance_permille(const struct endpoint *e, const struct balancer_request *q)
+{
+	// Head and answer are about a kilobyte each.
+	int64_t kilobytes = 2 + q->size_bytes / KILOBYTE;
+	int64_t volume = distances[e->distance].kilobyte_permille * kilobytes;
+
+	if (volume > distances[e->distance].max_permille)
+		volume = distances[e->distance].max_permille;
+	return distances[e->distance].base_permille + volume;
+}
+
+/// Part of its worth that a request is likely to lose at an endpoint.
+static int64_t
+cost_permille(struct balancer *b, struct endpoint *e,
+    const struct balancer_request *q, int64_t now_us, int64_t *expected_us)
+{
+	int64_t slots = usable_slots(b, e, now_us);
+	int64_t load = current_load(e);
+	int64_t cost = distance_permille(e, q) + crowd_permille(load, slots) +
+	    failure_permille(e, now_us) +
+	    (int64_t)random_below(&b->random, JITTER_PERMILLE);
+
+	*expected_us = expect_us(e, q, load, slots, now_us);
 	if (e->suspect)
-		score += SUSPECT_PENALTY_PCT;
-	return score;
+		cost += SUSPECT_PERMILLE;
+	if (*expected_us == 0 || q->deadline_left_us == 0)
+		return cost + count_ahead(load, slots) * PERMILLE / slots;
+	return cost + late_permille(q, *expected_us);
 }
 
 static bool
@@ -196,77 +355,55 @@
 	return 0;
 }
 
-/// What a search looks for.
-struct query {
-	uint32_t worth;
-	const char (*tried)[MEMBER_NAME_BYTES];
-	uint32_t tried_count;
-	bool also_ejected;
-	int64_t now_us;
-};
-
-/// Picks two random endpoints at each distance and keeps the best of all.
+/// Looks at all endpoints and keeps the one that costs least.
 static struct balancer_choice
-search(struct balancer *b, const struct query *q)
+search(struct balancer *b, const struct balancer_request *q, bool also_ejected,
+    int64_t now_us)
 {
-	struct endpoint *sample[DISTANCE_COUNT][2] = {{NULL}};
-	uint32_t seen[DISTANCE_COUNT] = {0};
 	struct balancer_choice choice = {
-	    .score_pct = UINT32_MAX, .busy_until_deadline_us = INT64_MAX};
+	    .cost_permille = INT64_MAX, .busy_until_deadline_us = INT64_MAX};
 	uint32_t i;
 
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
+		int64_t expected_us;
 		int64_t busy_us;
-		uint32_t at;
+		int64_t cost;
 
-		if (!is_usable(e, q->also_ejected, q->now_us) ||
+		if (!is_usable(e, also_ejected, now_us) ||
 		    was_tried(e, q->tried, q->tried_count))
 			continue;
-		busy_us = busy_until_us(e, q->worth, q->now_us);
+		busy_us = busy_until_us(e, q->worth, now_us);
 		if (busy_us > 0) {
 			if (busy_us < choice.busy_until_deadline_us)
 				choice.busy_until_deadline_us = busy_us;
 			continue;
 		}
 		choice.candidates++;
-		at = seen[e->distance]++;
-		if (at >= 2)
-			at = random_below(&b->random, seen[e->distance]);
-		if (at < 2)
-			sample[e->distance][at] = e;
-	}
-	for (i = 0; i < 2 * DISTANCE_COUNT; i++) {
-		struct endpoint *e = sample[i / 2][i % 2];
-		uint32_t score;
-
-		if (e == NULL)
+		cost = cost_permille(b, e, q, now_us, &expected_us);
+		if (cost >= choice.cost_permille)
 			continue;
-		score = score_pct(b, e, q->now_us);
-		if (score < choice.score_pct) {
-			choice.endpoint = e;
-			choice.score_pct = score;
-		}
+		choice.endpoint = e;
+		choice.cost_permille = cost;
+		choice.expected_us = expected_us;
 	}
 	return choice;
 }
 
 struct balancer_choice
-balancer_choose(struct balancer *b, uint32_t worth,
-    const char (*tried)[MEMBER_NAME_BYTES], uint32_t tried_count,
-    int64_t now_us)
+balancer_choose(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us)
 {
-	struct query q = {worth, tried, tried_count, false, now_us};
-	struct balancer_choice choice = search(b, &q);
+	struct balancer_choice choice = search(b, q, false, now_us);
 
 	// An ejected endpoint is better than none; a busy one is not.
 	if (choice.endpoint == NULL &&
-	    choice.busy_until_deadline_us == INT64_MAX) {
-		q.also_ejected = true;
-		choice = search(b, &q);
-	}
-	if (choice.endpoint != NULL)
+	    choice.busy_until_deadline_us == INT64_MAX)
+		choice = search(b, q, true, now_us);
+	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
+		flow_enter(&choice.endpoint->answers, now_us);
+	}
 	return choice;
 }
 
@@ -287,13 +424,21 @@
 }
 
 void
-balancer_finish(
-    struct balancer *b, struct endpoint *e, bool failed, int64_t now_us)
+balancer_finish(struct balancer *b, struct endpoint *e, int64_t sent_us,
+    bool failed, int64_t now_us)
 {
 	uint32_t shift;
 
 	assert(e->outstanding > 0);
 	e->outstanding--;
+	// A failure tells nothing of the time that work takes.
+	if (failed)
+		flow_cancel(&e->answers, now_us);
+	else
+		flow_leave(&e->answers, now_us - sent_us, now_us);
+	fade_failures(e, now_us);
+	e->answered += 1;
+	e->failed += failed;
 	if (!failed) {
 		e->failures_in_row = 0;
 		if (e->ejected_until_deadline_us <= now_us)
@@ -312,8 +457,11 @@
 }
 
 void
-balancer_report(struct endpoint *e, uint32_t running, uint32_t queued)
+balancer_report(
+    struct endpoint *e, uint32_t running, uint32_t queued, int64_t service_us)
 {
+	if (service_us > 0)
+		e->service_us = service_us;
 	e->reported = running + queued;
 	e->outstanding_at_report = e->outstanding;
 }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -1,11 +1,14 @@
 /// @file
-/// Choice of a backend server among the endpoints of a service.
+/// Choice of a backend server among the endpoints of a service: by the part of
+/// a request's worth that is likely to be lost there, through lateness, failure
+/// or the way.
 #ifndef MV_CORE_BALANCER_H
 #define MV_CORE_BALANCER_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/flow.h"
 #include "core/member.h"
 #include "core/membership.h"
 #include "core/outcome.h"
@@ -32,10 +35,16 @@
 	uint32_t slots;
 	bool suspect;
 	bool present; ///< In the newest view.
+	// As last told by its egress.
+	uint32_t reported; ///< Running and queued there.
+	uint32_t outstanding_at_report;
+	int64_t service_us; ///< Mean time in a slot; 0: not known.
 	// Own observations.
 	uint32_t outstanding; ///< Requests sent and not answered.
-	uint32_t reported;    ///< Running and queued there, as last told.
-	uint32_t outstanding_at_report;
+	struct flow answers;  ///< Time from sending to the answer.
+	double failed;	      ///< Answers that were failures, faded.
+	double answered;      ///< All answers, faded.
+	int64_t faded_us;     ///< Up to when the two have faded.
 	uint32_t failures_in_row;
 	uint32_t ejections;
 	int64_t ejected_until_deadline_us;
@@ -55,12 +64,26 @@
 	bool warmed;	 ///< The first view is taken as warm.
 };
 
+/// What a choice depends on.
+struct balancer_request {
+	uint32_t worth;		  ///< Of its rank.
+	int64_t target_left_us;	  ///< Until it is late; 0: not known.
+	int64_t deadline_left_us; ///< Until it is worth nothing.
+	uint32_t size_bytes;	  ///< Of its body.
+	/// Its time in a slot against the mean of the service, in a thousand;
+	/// 0: not known.
+	uint32_t length_permille;
+	const char (*tried)[MEMBER_NAME_BYTES]; ///< Endpoints to avoid.
+	uint32_t tried_count;
+};
+
 /// Why an endpoint was chosen or not, for the log.
 struct balancer_choice {
 	struct endpoint *endpoint;	///< NULL if none can be used.
 	int64_t busy_until_deadline_us; ///< If all are busy: first one free.
 	uint32_t candidates;
-	uint32_t score_pct;
+	int64_t cost_permille; ///< Of its worth, likely to be lost.
+	int64_t expected_us;   ///< Until the answer.
 };
 
 void balancer_init(
@@ -79,24 +102,22 @@
 void balancer_end_view(struct balancer *b);
 
 /// Chooses an endpoint and counts a request as sent to it.
-///
-/// @param worth        worth of the request's rank
-/// @param tried        names of endpoints to avoid, may be NULL
-/// @param tried_count  their number
-struct balancer_choice balancer_choose(struct balancer *b, uint32_t worth,
-    const char (*tried)[MEMBER_NAME_BYTES], uint32_t tried_count,
-    int64_t now_us);
+struct balancer_choice balancer_choose(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us);
 
 /// Ends a request that balancer_choose counted.
 ///
-/// @param failed  the endpoint did not do its work: broken connection,
-///                silence, no backend server, or an error answer
-void balancer_finish(
-    struct balancer *b, struct endpoint *endpoint, bool failed, int64_t now_us);
+/// @param sent_us  when it was chosen
+/// @param failed   the endpoint did not do its work: broken connection,
+///                 silence, no backend server, or an error answer
+void balancer_finish(struct balancer *b, struct endpoint *endpoint,
+    int64_t sent_us, bool failed, int64_t now_us);
 
 /// Notes the load that an endpoint told.
-void balancer_report(
-    struct endpoint *endpoint, uint32_t running, uint32_t queued);
+///
+/// @param service_us  mean time in a slot; 0 if it is not known there
+void balancer_report(struct endpoint *endpoint, uint32_t running,
+    uint32_t queued, int64_t service_us);
 
 /// Avoids an endpoint until a time, for requests of the rank of a worth.
 void balancer_set_busy(
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -14,7 +14,16 @@
 #define CANCEL_GRACE_US (100 * US_PER_MS)
 #define BUSY_MAX_US	(100 * US_PER_MS)
 #define MAX_OUT_HEADERS 160
-#define MAX_TARGET_LOG	120
+
+/// Requests over which the length of a route's requests is learned.
+#define LENGTH_SAMPLES	32
+#define LENGTH_PERMILLE 1000
+
+/// After a proxy could not be reached, others know of that within about this
+/// time.
+#define UNREACHED_RETRY_US (200 * US_PER_MS)
+
+#define MAX_TARGET_LOG 120
 
 COUNTER_DEFINE(count_retries, "ingress_retries", "Attempts after the first");
 COUNTER_DEFINE(count_late, "ingress_late_answers", "Answers to no request");
@@ -65,8 +74,8 @@
 	*at = r->next;
 	if (r->link != NULL)
 		link_release(r->link);
-	balancer_finish(
-	    r->balancer, r->endpoint, failed, loop_now_us(r->ingress->loop));
+	balancer_finish(r->balancer, r->endpoint, r->sent_us, failed,
+	    loop_now_us(r->ingress->loop));
 	r->state = ATTEMPT_NONE;
 	r->link = NULL;
 	r->endpoint = NULL;
@@ -200,6 +209,8 @@
 {
 	int64_t now_us = loop_now_us(r->ingress->loop);
 
+	if (r->arrivals == 0 && busy_until_us == INT64_MAX && ingress_park(r))
+		return;
 	if (r->refused_status != 0)
 		ingress_conclude(r, r->refused_status, r->refused_outcome,
 		    r->refused_retry_us, r->refused_why);
@@ -211,12 +222,57 @@
 		    "no backend server can be had");
 }
 
+static struct route_length *
+length_of(struct ingress_request *r)
+{
+	const char *name =
+	    r->route->name[0] != '\0' ? r->route->name : r->route->path;
+	uint64_t key = rule_file_hash(name, strlen(name));
+	struct route_length *length =
+	    &r->ingress->lengths[key % INGRESS_LENGTHS];
+
+	if (length->key != key) {
+		length->key = key;
+		length->permille = 0;
+	}
+	return length;
+}
+
+/// Learns how long requests of a route take against the mean of the service.
+static void
+note_length(struct ingress_request *r, const struct message_response *m)
+{
+	struct route_length *length = length_of(r);
+	double sample = (double)m->run_us * LENGTH_PERMILLE / m->service_us;
+
+	if (length->permille <= 0)
+		length->permille = sample;
+	else
+		length->permille +=
+		    (sample - length->permille) / LENGTH_SAMPLES;
+}
+
+static void
+fill_query(
+    struct ingress_request *r, struct balancer_request *q, int64_t now_us)
+{
+	memset(q, 0, sizeof(*q));
+	q->worth = r->rank->worth;
+	q->target_left_us = r->target_deadline_us - now_us;
+	q->deadline_left_us = r->deadline_us - now_us;
+	q->size_bytes = (uint32_t)r->exchange->body_bytes;
+	q->length_permille = (uint32_t)length_of(r)->permille;
+	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
+	q->tried_count = r->attempts;
+}
+
 void
 ingress_attempt_start(struct ingress_request *r)
 {
 	struct ingress *ingress = r->ingress;
 	int64_t now_us = loop_now_us(ingress->loop);
 	const char *service = r->rules->services[r->service].name;
+	struct balancer_request query;
 	struct balancer_choice choice;
 	uint32_t i;
 
@@ -228,10 +284,11 @@
 		conclude_without_endpoint(r, INT64_MAX);
 		return;
 	}
-	if (r->attempts == 0)
+	if (!r->counted)
 		retry_budget_earn(&r->balancer->retries);
-	choice = balancer_choose(r->balancer, r->rank->worth,
-	    (const char(*)[MEMBER_NAME_BYTES])r->tried, r->attempts, now_us);
+	r->counted = true;
+	fill_query(r, &query, now_us);
+	choice = balancer_choose(r->balancer, &query, now_us);
 	if (choice.endpoint == NULL) {
 		conclude_without_endpoint(r, choice.busy_until_deadline_us);
 		return;
@@ -241,10 +298,11 @@
 	    r->tried[r->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
 	log_write(LOG_INFO, "route",
 	    "Sent %s %.*s (%s) to %s at %s, attempt %u, %u candidates, "
-	    "load %u%%.",
+	    "cost %d, %d us expected.",
 	    r->exchange->method, MAX_TARGET_LOG, r->exchange->target,
 	    r->rank->name, service, choice.endpoint->name, r->attempts,
-	    choice.candidates, choice.score_pct);
+	    choice.candidates, (int)choice.cost_permille,
+	    (int)choice.expected_us);
 	send_attempt(r);
 }
 
@@ -376,7 +434,9 @@
 
 	if (r->state == ATTEMPT_STREAMING)
 		return;
-	balancer_report(r->endpoint, m->running, m->queued);
+	balancer_report(r->endpoint, m->running, m->queued, m->service_us);
+	if (m->run_us > 0 && m->service_us > 0)
+		note_length(r, m);
 	r->arrivals += m->arrived;
 	failed = note_refusal(r, m);
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
@@ -451,7 +511,7 @@
 }
 
 static void
-on_load(void *owner, struct link *link, uint32_t running, uint32_t queued)
+on_load(void *owner, struct link *link, const struct message_heartbeat *load)
 {
 	const struct link_target *target = link_target(link);
 	struct ingress *ingress = owner;
@@ -462,7 +522,8 @@
 		    balancer_find(ingress->balancers[i], target->name);
 
 		if (e != NULL && e->incarnation == target->incarnation)
-			balancer_report(e, running, queued);
+			balancer_report(
+			    e, load->running, load->queued, load->service_us);
 	}
 }
 
@@ -531,6 +592,15 @@
 	}
 }
 
+/// The stream of a request never came to be: the request is still here.
+static void
+handle_unopened(struct ingress_request *r)
+{
+	attempt_end(r, true);
+	retry_or_conclude(r, 503, ingress_not_run_outcome(r),
+	    UNREACHED_RETRY_US, "the egress cannot be reached");
+}
+
 static struct ingress_request *
 find_broken(const struct ingress *ingress)
 {
@@ -544,7 +614,7 @@
 /// Handling one request can end others: marks all first, then looks anew
 /// after each.
 static void
-on_broken(void *owner, struct link *link)
+on_broken(void *owner, struct link *link, bool opened)
 {
 	struct ingress *ingress = owner;
 	struct ingress_request *r;
@@ -553,7 +623,12 @@
 		r->broken = r->link == link && r->state != ATTEMPT_NONE;
 	while ((r = find_broken(ingress)) != NULL) {
 		r->broken = false;
-		handle_broken(r);
+		// The fence of a request that went out on an earlier stream
+		// tells nothing of it.
+		if (opened || r->state != ATTEMPT_SENT)
+			handle_broken(r);
+		else
+			handle_unopened(r);
 	}
 }
 
@@ -607,6 +682,11 @@
 	struct ingress_request *r = arg;
 	struct ingress *ingress = r->ingress;
 
+	if (r->parked) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    UNREACHED_RETRY_US, "this proxy is starting");
+		return;
+	}
 	if (r->state == ATTEMPT_NONE) {
 		ingress_conclude(
 		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -42,8 +42,10 @@
 }
 
 void
-egress_fill_load(const struct egress *egress, struct message_response *response)
+egress_fill_load(struct egress *egress, struct message_response *response)
 {
+	response->service_us =
+	    admission_service_us(&egress->admission, loop_now_us(egress->loop));
 	response->queued = egress->admission.queued;
 	response->running = egress->admission.running;
 }
@@ -410,6 +412,13 @@
 	return &egress->fence;
 }
 
+int64_t
+egress_service_us(struct egress *egress)
+{
+	return admission_service_us(
+	    &egress->admission, loop_now_us(egress->loop));
+}
+
 void
 egress_load(const struct egress *egress, uint32_t *queued, uint32_t *running,
     uint32_t *load_pct)
--- a/src/proxy/egress.h
+++ b/src/proxy/egress.h
@@ -100,6 +100,9 @@
 /// Fence of this egress.
 struct fence *egress_fence(struct egress *egress);
 
+/// Mean time of a request in a slot; 0 if it is not known.
+int64_t egress_service_us(struct egress *egress);
+
 /// Requests waiting and running.
 void egress_load(const struct egress *egress, uint32_t *queued,
     uint32_t *running, uint32_t *load_pct);
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress_call.c
@@ -32,6 +32,7 @@
 	    .arrived = 1};
 
 	egress_fill_load(r->egress, &response);
+	response.run_us = loop_now_us(r->egress->loop) - r->item.start_us;
 	response.headers = header_list_view(&r->response_headers);
 	response.body.data = r->body;
 	response.body.size_bytes = (uint32_t)r->body_bytes;
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress_peer.c
@@ -180,6 +180,7 @@
 		return;
 	egress_load(
 	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
+	answer.service_us = egress_service_us(conn->server->egress);
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
--- a/src/proxy/egress_request.h
+++ b/src/proxy/egress_request.h
@@ -78,8 +78,7 @@
 
 void egress_request_free(struct egress_request *r);
 
-void egress_fill_load(
-    const struct egress *egress, struct message_response *response);
+void egress_fill_load(struct egress *egress, struct message_response *response);
 
 /// Answers on behalf of the egress, not of the backend server.
 void egress_send_refusal(struct egress *egress, struct egress_sink *sink,
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -14,9 +14,27 @@
 #define IDLE_TIMEOUT_S 60
 #define MAX_HEADERS    128
 
+/// A process that has just started gets to know rules and endpoints within a
+/// few seconds, or not at all.
+#define START_GRACE_US (5 * US_PER_S)
+
+/// Part of the time that a request has which it may wait for that. A caller
+/// that is then refused can still come back once or twice.
+#define PARK_PART 3
+
+/// Time that a request without a deadline is taken to have.
+#define UNROUTED_US (1 * US_PER_S)
+
+/// Between tries while requests are parked.
+#define PARK_RETRY_US (50 * US_PER_MS)
+
+/// When to come back to a proxy that is starting.
+#define STARTING_RETRY_US (200 * US_PER_MS)
+
 COUNTER_DEFINE(count_requests, "ingress_requests", "Requests taken");
 COUNTER_DEFINE(count_not_run, "ingress_not_run", "Answered: not run");
 COUNTER_DEFINE(count_unknown, "ingress_unknown", "Answered: unknown");
+COUNTER_DEFINE(count_parked, "ingress_parked", "Waited for the proxy's start");
 COUNTER_DEFINE(count_gone, "ingress_callers_gone", "Callers that left early");
 
 static void
@@ -187,19 +205,13 @@
 	header_list_add(&r->headers, bytes_from(name), bytes_from(service));
 }
 
+/// Finds what the rules say of a request, and lets it be served.
 static void
-on_request(void *owner, struct http_exchange *exchange)
+route_request(struct ingress_request *r)
 {
-	struct ingress_door *door = owner;
-	struct ingress *ingress = door->ingress;
-	struct ingress_request *r = request_create(door, exchange);
+	struct ingress *ingress = r->ingress;
+	struct http_exchange *exchange = r->exchange;
 
-	counter_add(&count_requests, 1);
-	if (ingress->rules == NULL) {
-		ingress_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
-		    "no rules are in force here yet");
-		return;
-	}
 	r->rules = rules_ref(ingress->rules);
 	r->route = rules_match(r->rules, exchange->method,
 	    http_exchange_header(exchange, "Host"), exchange->target);
@@ -213,9 +225,9 @@
 	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
 	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
 	r->service = rules_draw_target(r->route, random_next(&ingress->random));
-	if (door->trusted)
+	if (r->trusted)
 		inherit_rank(r);
-	if (door->trusted || ingress->dialect->callers_set_deadline)
+	if (r->trusted || ingress->dialect->callers_set_deadline)
 		read_deadline(r);
 	if (read_key(r) != 0) {
 		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
@@ -238,6 +250,84 @@
 	ingress_attempt_start(r);
 }
 
+static void
+on_request(void *owner, struct http_exchange *exchange)
+{
+	struct ingress_door *door = owner;
+	struct ingress_request *r = request_create(door, exchange);
+
+	counter_add(&count_requests, 1);
+	r->trusted = door->trusted;
+	if (door->ingress->rules != NULL) {
+		route_request(r);
+		return;
+	}
+	r->deadline_us = exchange->arrival_us + UNROUTED_US;
+	if (r->trusted || door->ingress->dialect->callers_set_deadline)
+		read_deadline(r);
+	if (!ingress_park(r))
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    STARTING_RETRY_US, "no rules are in force here yet");
+}
+
+bool
+ingress_park(struct ingress_request *r)
+{
+	struct ingress *ingress = r->ingress;
+	int64_t now_us = loop_now_us(ingress->loop);
+	int64_t arrival_us;
+	int64_t until_us;
+
+	if (r->exchange == NULL || now_us >= ingress->start_deadline_us)
+		return false;
+	arrival_us = r->exchange->arrival_us;
+	until_us = arrival_us + (r->deadline_us - arrival_us) / PARK_PART;
+	if (now_us >= until_us)
+		return false;
+	if (!r->parked)
+		counter_add(&count_parked, 1);
+	r->parked = true;
+	loop_timer_set(ingress->loop, &r->timer, until_us);
+	if (ingress->parked_timer.heap_index == 0)
+		loop_timer_set(ingress->loop, &ingress->parked_timer,
+		    now_us + PARK_RETRY_US);
+	return true;
+}
+
+static struct ingress_request *
+find_parked(const struct ingress *ingress)
+{
+	struct ingress_request *r = ingress->all;
+
+	while (r != NULL && !r->resuming)
+		r = r->all_next;
+	return r;
+}
+
+/// Tries again what waits for this proxy to know the mesh. One can end others:
+/// marks all first, then looks anew after each.
+static void
+resume_parked(void *arg)
+{
+	struct ingress *ingress = arg;
+	struct ingress_request *r;
+
+	if (ingress->rules == NULL)
+		return;
+	for (r = ingress->all; r != NULL; r = r->all_next)
+		r->resuming = r->parked;
+	while ((r = find_parked(ingress)) != NULL) {
+		r->resuming = r->parked = false;
+		r->attempts = 0;
+		if (r->rules == NULL) {
+			route_request(r);
+			continue;
+		}
+		loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
+		ingress_attempt_start(r);
+	}
+}
+
 static void
 on_body(struct http_exchange *exchange, const char *data, size_t size_bytes,
     bool last)
@@ -341,6 +431,7 @@
 		    ingress->settings.retry_ratio_pct,
 		    ingress->settings.retry_burst, view->proxy_count);
 	}
+	resume_parked(ingress);
 }
 
 static int
@@ -374,6 +465,9 @@
 	ingress->settings = *settings;
 	ingress->dialect = settings->dialect;
 	ingress->random.seed = settings->seed + 1;
+	ingress->start_deadline_us = loop_now_us(loop) + START_GRACE_US;
+	ingress->parked_timer.fn = resume_parked;
+	ingress->parked_timer.arg = ingress;
 	ingress->local_sink.ops = &ingress_sink_ops;
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
@@ -436,6 +530,7 @@
 	if (ingress == NULL)
 		return;
 	ingress_close_doors(ingress);
+	loop_timer_clear(ingress->loop, &ingress->parked_timer);
 	links_destroy(ingress->links);
 	while (ingress->all != NULL) {
 		ingress->all->state = ATTEMPT_NONE;
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -13,6 +13,7 @@
 
 #define INGRESS_BUCKETS	     1024
 #define INGRESS_MAX_ATTEMPTS 4
+#define INGRESS_LENGTHS	     1024 ///< Routes whose lengths are kept.
 
 enum attempt_state {
 	ATTEMPT_NONE,
@@ -47,6 +48,10 @@
 	bool cancel_sent;
 	bool may_have_run; ///< The outcome of an earlier attempt is unknown.
 	bool broken;	   ///< The stream of its attempt just broke.
+	bool counted;	   ///< It has earned its part of a retry.
+	bool trusted;	   ///< It came in by the trusted listener.
+	bool parked;	   ///< Waits for this proxy to know the mesh.
+	bool resuming;	   ///< Is to be tried again in this round.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< Until then it earns its full worth.
 	uint32_t service;	    ///< Drawn from the targets of the route.
@@ -68,11 +73,19 @@
 	char tried[INGRESS_MAX_ATTEMPTS][MEMBER_NAME_BYTES];
 };
 
+/// Time that requests of a route take against the mean of the service.
+struct route_length {
+	uint64_t key;	 ///< Hash of the route's name.
+	double permille; ///< 0: not known.
+};
+
 struct ingress {
 	struct egress_sink local_sink;
 	struct loop *loop;
 	const struct dialect *dialect;
 	struct random random;
+	int64_t start_deadline_us; ///< Until then requests may be parked.
+	struct loop_timer parked_timer;
 	struct egress *egress;
 	struct links *links;
 	struct ingress_settings settings;
@@ -81,6 +94,7 @@
 	struct rules *rules;
 	struct balancer **balancers;
 	uint32_t balancer_count;
+	struct route_length lengths[INGRESS_LENGTHS];
 	struct ingress_request *buckets[INGRESS_BUCKETS];
 	struct ingress_request *all;
 	uint64_t next_id;
@@ -89,6 +103,12 @@
 /// Sends the request to an endpoint, or answers it if there is none.
 void ingress_attempt_start(struct ingress_request *r);
 
+/// Lets a request wait while this process has just started and cannot serve it
+/// yet.
+///
+/// @return false if it has waited long enough, or the process has
+bool ingress_park(struct ingress_request *r);
+
 /// The request ended for this ingress: answers, unless the answer began.
 void ingress_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why);
--- a/src/proxy/link.c
+++ b/src/proxy/link.c
@@ -136,8 +136,7 @@
 		ops->on_fence_answer(owner, link, &message->u.fence_answer);
 		break;
 	case MESSAGE_HEARTBEAT:
-		ops->on_load(owner, link, message->u.heartbeat.running,
-		    message->u.heartbeat.queued);
+		ops->on_load(owner, link, &message->u.heartbeat);
 		break;
 	default:
 		log_write(LOG_WARN, "link", "Unexpected message %d from %s.",
@@ -149,10 +148,12 @@
 static void
 drop_stream(struct link *link)
 {
+	bool opened = !link->stream->connecting;
+
 	link->stream = NULL;
 	link->waiting_since_us = 0;
 	link->heartbeat_us = 0;
-	link->links->ops->on_broken(link->links->owner, link);
+	link->links->ops->on_broken(link->links->owner, link, opened);
 }
 
 static void
--- a/src/proxy/link.h
+++ b/src/proxy/link.h
@@ -24,10 +24,12 @@
 	void (*on_fence_answer)(void *owner, struct link *link,
 	    const struct message_fence_answer *answer);
 	/// The load that an egress told with a heartbeat.
-	void (*on_load)(
-	    void *owner, struct link *link, uint32_t running, uint32_t queued);
+	void (*on_load)(void *owner, struct link *link,
+	    const struct message_heartbeat *load);
 	/// The stream is gone; a new one is dialled with the next message.
-	void (*on_broken)(void *owner, struct link *link);
+	/// @param opened  whether it was open at all: else nothing that was
+	///                sent on it can have arrived
+	void (*on_broken)(void *owner, struct link *link, bool opened);
 };
 
 /// Where a link leads.
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -156,6 +156,8 @@
     F(message_response, U32, queued),
     F(message_response, U32, running),
     F(message_response, U32, arrived),
+    F(message_response, I64, service_us),
+    F(message_response, I64, run_us),
     F(message_response, U32, more),
     F(message_response, I64, total_bytes),
     N(message_response, LIST, headers, &header_schema),
@@ -205,6 +207,7 @@
     F(message_heartbeat, U32, answer),
     F(message_heartbeat, U32, queued),
     F(message_heartbeat, U32, running),
+    F(message_heartbeat, I64, service_us),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -185,6 +185,8 @@
 	uint32_t queued;       ///< Requests waiting at the egress.
 	uint32_t running;      ///< Requests executing at the egress.
 	uint32_t arrived;      ///< The backend server got the request.
+	int64_t service_us;    ///< Mean time in a slot there; 0: not known.
+	int64_t run_us;	       ///< Time of this request in its slot; 0: none.
 	uint32_t more;	       ///< Body frames follow.
 	int64_t total_bytes;   ///< Of a body that goes on; -1 if not known.
 	struct list headers;   ///< of struct message_header
@@ -225,6 +227,7 @@
 	uint32_t answer; ///< 0: asks for an answer; 1: is the answer.
 	uint32_t queued;
 	uint32_t running;
+	int64_t service_us; ///< Mean time in a slot; 0: not known.
 };
 
 struct message_raft_entry {
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -37,6 +37,14 @@
 	balancer_end_view(b);
 }
 
+static struct balancer_choice
+choose(struct balancer *b, uint32_t worth, int64_t now_us)
+{
+	struct balancer_request q = {.worth = worth};
+
+	return balancer_choose(b, &q, now_us);
+}
+
 static uint32_t
 count_chosen(
     struct balancer *b, const char *names, uint32_t tries, int64_t now_us)
@@ -45,12 +53,11 @@
 	uint32_t i;
 
 	for (i = 0; i < tries; i++) {
-		struct balancer_choice c =
-		    balancer_choose(b, 1, NULL, 0, now_us);
+		struct balancer_choice c = choose(b, 1, now_us);
 
 		assert_non_null(c.endpoint);
 		count += strchr(names, c.endpoint->name[0]) != NULL;
-		balancer_finish(b, c.endpoint, false, now_us);
+		balancer_finish(b, c.endpoint, now_us, false, now_us);
 	}
 	return count;
 }
@@ -67,7 +74,7 @@
 	assert_int_equal(count_chosen(&b, "ab", 200, SECOND_US), 200);
 	// Without answers the load grows until the others are better.
 	for (i = 0; i < 60; i++)
-		balancer_choose(&b, 1, NULL, 0, SECOND_US);
+		choose(&b, 1, SECOND_US);
 	assert_true(balancer_find(&b, "a")->outstanding >= 10);
 	assert_true(balancer_find(&b, "c")->outstanding > 0);
 	assert_true(balancer_find(&b, "a")->outstanding >
@@ -84,7 +91,7 @@
 	(void)state;
 	balancer_init(&b, "s", 1, 0);
 	fill(&b, SECOND_US);
-	balancer_report(balancer_find(&b, "a"), 10, 20);
+	balancer_report(balancer_find(&b, "a"), 10, 20, 0);
 	assert_int_equal(count_chosen(&b, "b", 200, SECOND_US), 200);
 	balancer_free(&b);
 }
@@ -126,10 +133,10 @@
 	balancer_add(&b, &back, DISTANCE_DC, 20 * SECOND_US);
 	balancer_end_view(&b);
 	for (early = 0; early < 11; early++)
-		balancer_choose(&b, 1, NULL, 0, 20 * SECOND_US);
+		choose(&b, 1, 20 * SECOND_US);
 	early = balancer_find(&b, "a")->outstanding;
 	for (late = 0; late < 11; late++)
-		balancer_choose(&b, 1, NULL, 0, 40 * SECOND_US);
+		choose(&b, 1, 40 * SECOND_US);
 	late = balancer_find(&b, "a")->outstanding - early;
 	assert_in_range(early, 0, 2);
 	assert_in_range(late, 5, 11);
@@ -143,7 +150,8 @@
 
 	while (times-- > 0) {
 		e->outstanding++;
-		balancer_finish(b, e, true, now_us);
+		flow_enter(&e->answers, now_us);
+		balancer_finish(b, e, now_us, true, now_us);
 	}
 }
 
@@ -187,14 +195,14 @@
 	for (i = 0; i < 6; i++)
 		balancer_set_busy(balancer_find(&b, known_names[i]), 5,
 		    SECOND_US + 1000 * (int64_t)(i + 1));
-	c = balancer_choose(&b, 5, NULL, 0, SECOND_US);
+	c = choose(&b, 5, SECOND_US);
 	assert_null(c.endpoint);
 	assert_int_equal(c.busy_until_deadline_us, SECOND_US + 1000);
-	c = balancer_choose(&b, 6, NULL, 0, SECOND_US);
+	c = choose(&b, 6, SECOND_US);
 	assert_non_null(c.endpoint);
-	c = balancer_choose(&b, 4, NULL, 0, SECOND_US);
+	c = choose(&b, 4, SECOND_US);
 	assert_non_null(c.endpoint);
-	c = balancer_choose(&b, 5, NULL, 0, SECOND_US + 1001);
+	c = choose(&b, 5, SECOND_US + 1001);
 	assert_string_equal(c.endpoint->name, "a");
 	balancer_free(&b);
 }
