--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -684,7 +684,9 @@
 
 	if (r->parked) {
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    UNREACHED_RETRY_US, "this proxy is starting");
+		    UNREACHED_RETRY_US,
+		    r->rules == NULL ? "no rules are in force here yet"
+				     : "no backend server can be had");
 		return;
 	}
 	if (r->state == ATTEMPT_NONE) {
