--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -31,6 +31,7 @@
 	uint32_t rank;
 	uint32_t size_bytes; ///< Memory that it holds while it waits.
 	int64_t deadline_us;
+	int64_t target_deadline_us; ///< Until then it earns its full worth.
 	int64_t arrival_us;
 	int64_t start_us;
 	int64_t charged_us; ///< Slot time taken off the credit at the start.
--- a/src/core/balancer.c
+++ b/src/core/balancer.c
@@ -21,6 +21,9 @@
 /// again after a few seconds.
 #define FAILURE_HALF_LIFE_US 2000000.0
 
+/// What a server told of its speed holds for about this time.
+#define SERVICE_HALF_LIFE_US 3000000.0
+
 /// Failures of a server of which little is known: a few in a hundred, with the
 /// weight of three answers.
 #define FAILURE_PRIOR	     0.02
@@ -58,9 +61,9 @@
 	int64_t max_permille;
 	int64_t round_trip_us; ///< Typical.
 } distances[DISTANCE_COUNT] = {
-    [DISTANCE_DC] = {0, 0, 0, 300},
-    [DISTANCE_REGION] = {10, 10, 500, 2000},
-    [DISTANCE_FAR] = {40, 40, 900, 25000},
+    [DISTANCE_DC] = {0, 2, 200, 300},
+    [DISTANCE_REGION] = {5, 12, 700, 2000},
+    [DISTANCE_FAR] = {60, 40, 1400, 25000},
 };
 
 void
@@ -154,6 +157,7 @@
 	e->distance = distance;
 	e->state = member->backend;
 	e->slots = member->slots > 0 ? member->slots : 1;
+	e->own = b->own_name != NULL && strcmp(b->own_name, e->name) == 0;
 	e->suspect = member->status == MEMBER_SUSPECT;
 	e->present = true;
 }
@@ -212,13 +216,65 @@
 	return load < slots ? 0 : load - slots + 1;
 }
 
+/// A request and what stands in for what is not known of an endpoint.
+struct query {
+	const struct balancer_request *request;
+	int64_t mean_service_us; ///< Of the endpoints of which it is known.
+};
+
+/// How far what an endpoint told of its speed still holds.
+static double
+service_weight(const struct endpoint *e, int64_t now_us)
+{
+	if (e->service_us == 0)
+		return 0;
+	return exp2(
+	    -(double)(now_us - e->service_told_us) / SERVICE_HALF_LIFE_US);
+}
+
+/// Mean time in a slot over the endpoints, those that told it last foremost.
+/// One that is new is taken for such a one, so that not all goes to it at once.
+static int64_t
+mean_service_us(const struct balancer *b, int64_t now_us)
+{
+	double sum_us = 0;
+	double sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++) {
+		double weight = service_weight(b->endpoints[i], now_us);
+
+		sum_us += weight * (double)b->endpoints[i]->service_us;
+		sum += weight;
+	}
+	return sum > 0 ? (int64_t)(sum_us / sum) : 0;
+}
+
+/// Mean time in a slot at an endpoint. What it told fades towards the mean of
+/// all, so that one that was slow is tried again.
+static int64_t
+effective_service_us(
+    const struct endpoint *e, const struct query *q, int64_t now_us)
+{
+	double weight;
+
+	if (e->service_us == 0)
+		return q->mean_service_us;
+	weight =
+	    exp2(-(double)(now_us - e->service_told_us) / SERVICE_HALF_LIFE_US);
+	return q->mean_service_us +
+	    (int64_t)(weight * (double)(e->service_us - q->mean_service_us));
+}
+
 /// Expected time until the answer; 0 if nothing is known of it.
 static int64_t
-expect_us(struct endpoint *e, const struct balancer_request *q, int64_t load,
+expect_us(struct endpoint *e, const struct query *q, int64_t load,
     int64_t slots, int64_t now_us)
 {
-	int64_t length = q->length_permille > 0 ? q->length_permille : PERMILLE;
-	int64_t service_us = e->service_us;
+	int64_t length = q->request->length_permille > 0
+	    ? q->request->length_permille
+	    : PERMILLE;
+	int64_t service_us = effective_service_us(e, q, now_us);
 	int64_t model_us;
 	int64_t own_us;
 
@@ -237,15 +293,15 @@
 }
 
 static int64_t
-late_permille(const struct balancer_request *q, int64_t expected_us)
+late_permille(const struct query *q, int64_t expected_us)
 {
 	int64_t part;
 
-	if (expected_us > q->deadline_left_us)
+	if (expected_us > q->request->deadline_left_us)
 		return HOPELESS_PERMILLE;
-	if (q->target_left_us <= 0)
+	if (q->request->target_left_us <= 0)
 		return PERMILLE;
-	part = expected_us * PERMILLE / q->target_left_us;
+	part = expected_us * PERMILLE / q->request->target_left_us;
 	if (part <= LATE_FROM_PERMILLE)
 		return part / 20;
 	part = (part - LATE_FROM_PERMILLE) * PERMILLE /
@@ -290,11 +346,15 @@
 }
 
 static int64_t
-distance_permille(const struct endpoint *e, const struct balancer_request *q)
+distance_permille(const struct endpoint *e, const struct query *q)
 {
 	// Head and answer are about a kilobyte each.
-	int64_t kilobytes = 2 + q->size_bytes / KILOBYTE;
-	int64_t volume = distances[e->distance].kilobyte_permille * kilobytes;
+	int64_t kilobytes = 2 + q->request->size_bytes / KILOBYTE;
+	int64_t volume;
+
+	if (e->own)
+		return 0;
+	volume = distances[e->distance].kilobyte_permille * kilobytes;
 
 	if (volume > distances[e->distance].max_permille)
 		volume = distances[e->distance].max_permille;
@@ -303,8 +363,8 @@
 
 /// Part of its worth that a request is likely to lose at an endpoint.
 static int64_t
-cost_permille(struct balancer *b, struct endpoint *e,
-    const struct balancer_request *q, int64_t now_us, int64_t *expected_us)
+cost_permille(struct balancer *b, struct endpoint *e, const struct query *q,
+    int64_t now_us, int64_t *expected_us)
 {
 	int64_t slots = usable_slots(b, e, now_us);
 	int64_t load = current_load(e);
@@ -315,7 +375,7 @@
 	*expected_us = expect_us(e, q, load, slots, now_us);
 	if (e->suspect)
 		cost += SUSPECT_PERMILLE;
-	if (*expected_us == 0 || q->deadline_left_us == 0)
+	if (*expected_us == 0 || q->request->deadline_left_us == 0)
 		return cost + count_ahead(load, slots) * PERMILLE / slots;
 	return cost + late_permille(q, *expected_us);
 }
@@ -357,7 +417,7 @@
 
 /// Looks at all endpoints and keeps the one that costs least.
 static struct balancer_choice
-search(struct balancer *b, const struct balancer_request *q, bool also_ejected,
+search(struct balancer *b, const struct query *q, bool also_ejected,
     int64_t now_us)
 {
 	struct balancer_choice choice = {
@@ -371,9 +431,9 @@
 		int64_t cost;
 
 		if (!is_usable(e, also_ejected, now_us) ||
-		    was_tried(e, q->tried, q->tried_count))
+		    was_tried(e, q->request->tried, q->request->tried_count))
 			continue;
-		busy_us = busy_until_us(e, q->worth, now_us);
+		busy_us = busy_until_us(e, q->request->worth, now_us);
 		if (busy_us > 0) {
 			if (busy_us < choice.busy_until_deadline_us)
 				choice.busy_until_deadline_us = busy_us;
@@ -394,12 +454,13 @@
 balancer_choose(
     struct balancer *b, const struct balancer_request *q, int64_t now_us)
 {
-	struct balancer_choice choice = search(b, q, false, now_us);
+	struct query query = {q, mean_service_us(b, now_us)};
+	struct balancer_choice choice = search(b, &query, false, now_us);
 
 	// An ejected endpoint is better than none; a busy one is not.
 	if (choice.endpoint == NULL &&
 	    choice.busy_until_deadline_us == INT64_MAX)
-		choice = search(b, q, true, now_us);
+		choice = search(b, &query, true, now_us);
 	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
 		flow_enter(&choice.endpoint->answers, now_us);
@@ -457,11 +518,13 @@
 }
 
 void
-balancer_report(
-    struct endpoint *e, uint32_t running, uint32_t queued, int64_t service_us)
+balancer_report(struct endpoint *e, uint32_t running, uint32_t queued,
+    int64_t service_us, int64_t now_us)
 {
-	if (service_us > 0)
+	if (service_us > 0) {
 		e->service_us = service_us;
+		e->service_told_us = now_us;
+	}
 	e->reported = running + queued;
 	e->outstanding_at_report = e->outstanding;
 }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -34,11 +34,13 @@
 	enum backend_state state;
 	uint32_t slots;
 	bool suspect;
+	bool own;     ///< Beside this ingress: no link on the way.
 	bool present; ///< In the newest view.
 	// As last told by its egress.
 	uint32_t reported; ///< Running and queued there.
 	uint32_t outstanding_at_report;
-	int64_t service_us; ///< Mean time in a slot; 0: not known.
+	int64_t service_us;	 ///< Mean time in a slot; 0: not known.
+	int64_t service_told_us; ///< When it was told.
 	// Own observations.
 	uint32_t outstanding; ///< Requests sent and not answered.
 	struct flow answers;  ///< Time from sending to the answer.
@@ -55,6 +57,7 @@
 /// Endpoints of one service.
 struct balancer {
 	char service[MEMBER_NAME_BYTES];
+	const char *own_name; ///< Of the endpoint beside; may be NULL.
 	struct random random;
 	struct endpoint **endpoints;
 	uint32_t count;
@@ -117,7 +120,7 @@
 ///
 /// @param service_us  mean time in a slot; 0 if it is not known there
 void balancer_report(struct endpoint *endpoint, uint32_t running,
-    uint32_t queued, int64_t service_us);
+    uint32_t queued, int64_t service_us, int64_t now_us);
 
 /// Avoids an endpoint until a time, for requests of the rank of a worth.
 void balancer_set_busy(
--- a/src/core/delta.h
+++ b/src/core/delta.h
@@ -25,6 +25,20 @@
 void delta_make(const char *old_text, size_t old_bytes, const char *new_text,
     size_t new_bytes, struct delta *delta);
 
+/// What is kept of a text to make deltas from it: the hashes of its lines.
+struct delta_outline {
+	uint32_t line_count;
+	uint64_t line_hashes[];
+};
+
+/// Release it with free().
+struct delta_outline *delta_outline_make(const char *text, size_t text_bytes);
+
+/// Computes a delta from a text of which only the outline is left. Two lines
+/// of equal hashes are taken for equal: the receiver has to check the result.
+void delta_make_from_outline(const struct delta_outline *old,
+    const char *new_text, size_t new_bytes, struct delta *delta);
+
 void delta_free(struct delta *delta);
 
 /// Builds the new text.
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -395,11 +395,30 @@
 	return false;
 }
 
+/// Members that are up and known; with these a table exchange brings the rest.
+#define ACQUAINTED 3
+
+static bool
+is_acquainted(const struct membership *m)
+{
+	uint32_t up = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->peer_count && up < ACQUAINTED; i++)
+		up += membership_is_up(&m->peers[i]->member);
+	return up == ACQUAINTED;
+}
+
 void
-membership_meet(struct membership *m, const char *host, uint32_t port)
+membership_meet(
+    struct membership *m, const char *host, uint32_t port, int64_t now_us)
 {
-	if (!is_known_address(m, host, port))
-		m->ops->sync(m, host, port);
+	if (now_us < m->meet_deadline_us || is_known_address(m, host, port))
+		return;
+	m->meet_deadline_us = now_us +
+	    (is_acquainted(m) ? m->settings.sync_period_us
+			      : m->settings.notice_period_us);
+	m->ops->sync(m, host, port);
 }
 
 /// Goes to the seeds that are not known to be up, each in its turn.
@@ -411,8 +430,10 @@
 	if (m->settings.seed_count == 0)
 		return;
 	at = m->retry_round % m->settings.seed_count;
-	membership_meet(
-	    m, m->settings.seeds[at].host, m->settings.seeds[at].port);
+	if (!is_known_address(
+		m, m->settings.seeds[at].host, m->settings.seeds[at].port))
+		m->ops->sync(
+		    m, m->settings.seeds[at].host, m->settings.seeds[at].port);
 }
 
 /// Time between tries: short at the start, when parts of the mesh may have
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -115,6 +115,7 @@
 	int64_t probe_deadline_us;
 	int64_t notice_deadline_us;
 	int64_t sync_deadline_us;
+	int64_t meet_deadline_us;   ///< No exchange with a stranger before.
 	int64_t repair_deadline_us; ///< No repair of a difference before.
 	int64_t retry_dead_deadline_us;
 	uint32_t retry_round;
@@ -139,13 +140,17 @@
     struct membership *m, const struct gossip *gossip, int64_t now_us);
 
 /// Exchanges tables with the member at an address, unless one is known to be
-/// up there.
-void membership_meet(struct membership *m, const char *host, uint32_t port);
+/// up there. Does so often while few members are known, and seldom later.
+void membership_meet(
+    struct membership *m, const char *host, uint32_t port, int64_t now_us);
 
 /// Merges one record of a table exchange.
 void membership_merge(
     struct membership *m, const struct member *record, int64_t now_us);
 
+/// Hashes a member's name, as in a table exchange.
+uint64_t membership_name_hash(const char *name);
+
 /// Hashes the records of all members that are up, but not their load and
 /// version.
 uint64_t membership_digest(const struct membership *m);
--- a/src/core/membership_spread.c
+++ b/src/core/membership_spread.c
@@ -138,6 +138,12 @@
 	return XXH3_64bits(&key, sizeof(key));
 }
 
+uint64_t
+membership_name_hash(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
 uint64_t
 membership_digest(const struct membership *m)
 {
--- a/src/core/rule_file.c
+++ b/src/core/rule_file.c
@@ -43,26 +43,31 @@
 }
 
 void
-rule_files_add(struct rule_files *files, struct rule_file *file)
+rule_files_add(struct rule_files *files, const struct rule_file *file)
 {
+	struct rule_outline *new;
+
 	if (files->count == RULE_FILES_KEPT) {
-		rule_file_unref(files->items[0]);
+		free(files->items[0].outline);
 		files->count--;
 		memmove(files->items, files->items + 1,
 		    files->count * sizeof(files->items[0]));
 	}
-	files->items[files->count++] = rule_file_ref(file);
+	new = &files->items[files->count++];
+	new->version = file->version;
+	new->hash = file->hash;
+	new->outline = delta_outline_make(file->text, file->text_bytes);
 }
 
-const struct rule_file *
+const struct delta_outline *
 rule_files_find(const struct rule_files *files, uint64_t version, uint64_t hash)
 {
 	uint32_t i;
 
 	for (i = 0; i < files->count; i++)
-		if (files->items[i]->version == version &&
-		    files->items[i]->hash == hash)
-			return files->items[i];
+		if (files->items[i].version == version &&
+		    files->items[i].hash == hash)
+			return files->items[i].outline;
 	return NULL;
 }
 
@@ -70,5 +75,5 @@
 rule_files_free(struct rule_files *files)
 {
 	while (files->count > 0)
-		rule_file_unref(files->items[--files->count]);
+		free(files->items[--files->count].outline);
 }
--- a/src/core/rule_file.h
+++ b/src/core/rule_file.h
@@ -9,8 +9,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/delta.h"
+
 #define RULE_FILE_OWNER_BYTES 96
-#define RULE_FILES_KEPT	      8
+
+/// Versions from which a difference can be made: a proxy that changes have
+/// passed by for ten seconds, at one each 0.2 s, needs no whole file.
+#define RULE_FILES_KEPT 64
 
 /// One version of the rule file. Immutable; reference-counted.
 struct rule_file {
@@ -24,9 +29,16 @@
 	char text[]; ///< Ends in NUL.
 };
 
-/// The newest versions, oldest first, to make differences from.
+/// What is kept of a version to make differences from it.
+struct rule_outline {
+	uint64_t version;
+	uint64_t hash;
+	struct delta_outline *outline;
+};
+
+/// The newest versions, oldest first.
 struct rule_files {
-	struct rule_file *items[RULE_FILES_KEPT];
+	struct rule_outline items[RULE_FILES_KEPT];
 	uint32_t count;
 };
 
@@ -47,12 +59,11 @@
 
 uint64_t rule_file_hash(const char *text, size_t text_bytes);
 
-/// Adds a version, of which a reference is taken, and drops the oldest if there
-/// is no room.
-void rule_files_add(struct rule_files *files, struct rule_file *file);
+/// Adds a version, and drops the oldest if there is no room.
+void rule_files_add(struct rule_files *files, const struct rule_file *file);
 
 /// Finds a version; NULL if it is not kept.
-const struct rule_file *rule_files_find(
+const struct delta_outline *rule_files_find(
     const struct rule_files *files, uint64_t version, uint64_t hash);
 
 void rule_files_free(struct rule_files *files);
--- a/src/core/version_sync.c
+++ b/src/core/version_sync.c
@@ -169,11 +169,17 @@
 	vs->failures++;
 }
 
+/// The newest version goes first: those in between are skipped.
 static bool
-is_better(const struct holder *a, const struct holder *b)
+is_better(const struct version_sync *vs, const struct holder *a,
+    const struct holder *b)
 {
-	if (b == NULL || a->distance != b->distance)
-		return b == NULL || a->distance < b->distance;
+	bool newest = a->version == vs->known_version;
+
+	if (b == NULL || newest != (b->version == vs->known_version))
+		return b == NULL || newest;
+	if (a->distance != b->distance)
+		return a->distance < b->distance;
 	// A proxy before a source, whose capacity does not grow with the fleet.
 	if (a->is_source != b->is_source)
 		return b->is_source;
@@ -200,7 +206,7 @@
 				*next_us = from_us;
 			continue;
 		}
-		if (is_better(h, best))
+		if (is_better(vs, h, best))
 			best = h;
 	}
 	return best;
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -12,7 +12,7 @@
 #include "wire/codec.h"
 
 /// Bodies up to this size are handed over whole, with the request.
-#define HTTPD_WHOLE_BODY_BYTES (64u * 1024)
+#define HTTPD_WHOLE_BODY_BYTES (512u * 1024)
 
 struct httpd;
 struct http_exchange;
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -13,7 +13,8 @@
 /// @param message   MESSAGE_RULES or MESSAGE_DELTA
 /// @param have      rules in force, which a delta starts from; may be NULL
 /// @return the rules; or NULL with err->code ERR_NONE if the sender has
-/// nothing newer, or any other code if what came is damaged
+/// nothing newer, ERR_CONFLICT if a delta does not start from what is in force,
+/// or any other code if what came is damaged
 struct rules *rules_from_message(
     const struct message *message, const struct rules *have, struct error *err);
 
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -15,6 +15,10 @@
 #define BUSY_MAX_US	(100 * US_PER_MS)
 #define MAX_OUT_HEADERS 160
 
+/// Longer bodies are sent as the egress asks for them, so that they do not fill
+/// the link to it before it wants them.
+#define INLINE_BYTES (8u * 1024)
+
 /// Requests over which the length of a route's requests is learned.
 #define LENGTH_SAMPLES	32
 #define LENGTH_PERMILLE 1000
@@ -88,9 +92,9 @@
 }
 
 void
-ingress_send_cancel(struct ingress_request *r)
+ingress_send_cancel(struct ingress_request *r, bool waiting_only)
 {
-	struct message_cancel cancel = {r->id};
+	struct message_cancel cancel = {r->id, waiting_only};
 	struct egress_request *local;
 
 	if (r->state == ATTEMPT_NONE) {
@@ -104,7 +108,7 @@
 	}
 	local = find_local(r);
 	if (local != NULL)
-		egress_request_cancel(local);
+		egress_request_cancel(local, waiting_only);
 }
 
 void
@@ -163,6 +167,13 @@
 	m->more = x->more;
 	m->total_bytes = -1;
 	m->headers = header_list_view(&r->headers);
+	r->bulk = r->link != NULL && !x->more && x->body_bytes > INLINE_BYTES;
+	r->bulk_sent_bytes = 0;
+	if (r->bulk) {
+		m->more = 1;
+		m->total_bytes = (int64_t)x->body_bytes;
+		return;
+	}
 	m->body.data = x->body;
 	m->body.size_bytes = (uint32_t)x->body_bytes;
 	length = http_exchange_header(x, "Content-Length");
@@ -324,8 +335,8 @@
 
 	// A key that is in use, or belongs to another request, is so everywhere,
 	// and time that is up is up everywhere.
-	if (r->exchange == NULL || status == 409 || status == 422 ||
-	    status == 431 || status == 504 ||
+	if (r->exchange == NULL || r->ingress->ending || status == 409 ||
+	    status == 422 || status == 431 || status == 504 ||
 	    !retry_decide(
 		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
 		return false;
@@ -434,7 +445,8 @@
 
 	if (r->state == ATTEMPT_STREAMING)
 		return;
-	balancer_report(r->endpoint, m->running, m->queued, m->service_us);
+	balancer_report(r->endpoint, m->running, m->queued, m->service_us,
+	    loop_now_us(r->ingress->loop));
 	if (m->run_us > 0 && m->service_us > 0)
 		note_length(r, m);
 	r->arrivals += m->arrived;
@@ -501,12 +513,33 @@
 		handle_body(r, m);
 }
 
+/// Sends as much of a kept body as the egress asks for.
+static void
+send_bulk(struct ingress_request *r, uint32_t credit_bytes)
+{
+	const struct http_exchange *x = r->exchange;
+	size_t left_bytes = x->body_bytes - r->bulk_sent_bytes;
+	struct message_body body = {0};
+
+	body.data.data = x->body + r->bulk_sent_bytes;
+	body.data.size_bytes =
+	    left_bytes < credit_bytes ? (uint32_t)left_bytes : credit_bytes;
+	r->bulk_sent_bytes += body.data.size_bytes;
+	body.last = r->bulk_sent_bytes == x->body_bytes;
+	if (body.data.size_bytes > 0)
+		ingress_send_body(r, &body);
+}
+
 static void
 on_window(void *owner, struct link *link, const struct message_window *m)
 {
 	struct ingress_request *r = find_request(owner, link, m->id);
 
-	if (r != NULL && r->exchange != NULL)
+	if (r == NULL || r->exchange == NULL)
+		return;
+	if (r->bulk)
+		send_bulk(r, m->credit_bytes);
+	else
 		http_exchange_grant(r->exchange, m->credit_bytes);
 }
 
@@ -522,8 +555,8 @@
 		    balancer_find(ingress->balancers[i], target->name);
 
 		if (e != NULL && e->incarnation == target->incarnation)
-			balancer_report(
-			    e, load->running, load->queued, load->service_us);
+			balancer_report(e, load->running, load->queued,
+			    load->service_us, loop_now_us(ingress->loop));
 	}
 }
 
@@ -698,7 +731,7 @@
 		r->cancel_sent = true;
 		loop_timer_set(ingress->loop, &r->timer,
 		    loop_now_us(ingress->loop) + CANCEL_GRACE_US);
-		ingress_send_cancel(r);
+		ingress_send_cancel(r, false);
 		return;
 	}
 	attempt_end(r, true);
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -9,7 +9,18 @@
 #include "io/log.h"
 #include "proxy/control.h"
 
-#define FLOOR_CHECK_US	      (100 * US_PER_MS)
+#define FLOOR_CHECK_US (100 * US_PER_MS)
+/// Before the end of a drain what still waits is refused, so that its callers
+/// hear of it: a few round trips between regions on a slow link.
+#define GIVE_UP_US (500 * US_PER_MS)
+
+/// Between members of a data centre that pull a version from elsewhere.
+#define PULL_STAGGER_US (300 * US_PER_MS)
+
+/// A holder that has not answered for this long is not waited for alone: a
+/// difference is a few hundred bytes.
+#define PULL_PATIENCE_US (300 * US_PER_MS)
+
 #define DRAIN_CHECK_US	      (50 * US_PER_MS)
 #define ADMIN_MAX_BODY_BYTES  65536
 #define ADMIN_MAX_CONNECTIONS 64
@@ -62,6 +73,9 @@
 		announce_publish(control);
 	control_publish_view(control);
 	distribution_send_report(control, false);
+	if (!control->floor.ready)
+		loop_timer_set(control->loop, &control->floor_timer,
+		    loop_now_us(control->loop));
 	return true;
 }
 
@@ -172,7 +186,7 @@
 	membership_init(&control->membership, &control_membership_ops, control,
 	    &s->membership, &s->self, s->seed, now_us);
 	version_sync_init(&control->sync, &control_sync_ops, control, s->seed,
-	    300 * US_PER_MS, 3 * US_PER_S);
+	    PULL_STAGGER_US, PULL_PATIENCE_US);
 	control->traffic_incarnation = s->self.incarnation;
 	control->floor.started_us = now_us;
 	start_timer(control, &control->tick_timer, control_tick, 0);
@@ -222,6 +236,11 @@
 	int64_t now_us = loop_now_us(control->loop);
 	uint32_t active = traffic_active_count(control->traffic);
 
+	if (!control->gave_up &&
+	    now_us >= control->drain_deadline_us - GIVE_UP_US) {
+		control->gave_up = true;
+		traffic_post_give_up(control->traffic);
+	}
 	if (!traffic_is_drained(control->traffic) &&
 	    now_us < control->drain_deadline_us) {
 		loop_timer_set(control->loop, &control->drain_timer,
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -38,7 +38,8 @@
 /// Progress of a start until the proxy may serve.
 struct floor {
 	bool ready;
-	bool confirmed;	      ///< A quorum of sources confirmed our version.
+	/// Newest version that a quorum of sources has confirmed; 0: none.
+	uint64_t confirmed_version;
 	uint32_t tables_read; ///< Tables got from other members.
 	int64_t started_us;
 	bool asking; ///< The source that leads.
@@ -52,6 +53,8 @@
 	struct traffic *traffic;
 	struct membership membership;
 	struct version_sync sync;
+	uint64_t pull_sequence;
+	bool refused_delta; ///< The last difference could not be applied.
 	struct rules *rules;
 	struct rule_files files; ///< To make deltas from.
 	struct datagram_socket udp;
@@ -75,6 +78,7 @@
 	uint64_t traffic_incarnation; ///< Known to the traffic thread.
 	bool view_deferred;
 	bool leaving;
+	bool gave_up; ///< Refused what waited, near the end of the drain.
 	int64_t drain_deadline_us;
 };
 
--- a/src/proxy/distribution.c
+++ b/src/proxy/distribution.c
@@ -14,7 +14,7 @@
 #include "wire/gossip_codec.h"
 
 #define PULL_TIMEOUT_US	    (3 * US_PER_S)
-#define CONFIRM_TIMEOUT_US  (200 * US_PER_MS)
+#define CONFIRM_TIMEOUT_US  (500 * US_PER_MS)
 #define FLOOR_CHECK_US	    (100 * US_PER_MS)
 #define START_REPORT_US	    (100 * US_PER_MS)
 #define PEERS_ONLY_AFTER_US (1500 * US_PER_MS)
@@ -27,10 +27,19 @@
 COUNTER_DEFINE(count_bytes, "config_received_bytes", "Bytes of rules pulled");
 COUNTER_DEFINE(count_refused, "config_refused", "Rules refused as damaged");
 
+/// A pull under way. One that is slow is not given up: its answer is still good
+/// if nothing newer has come by then.
+struct pull_call {
+	struct control *control;
+	uint64_t sequence; ///< Of the pulls of this process.
+};
+
 static void
 on_pulled(void *arg, const struct message *answer, const struct error *err)
 {
-	struct control *control = arg;
+	struct pull_call *call = arg;
+	struct control *control = call->control;
+	bool newest = call->sequence == control->pull_sequence;
 	int64_t now_us = loop_now_us(control->loop);
 	struct rules *rules;
 	struct error why;
@@ -45,13 +54,20 @@
 		rules = rules_from_message(answer, control->rules, &why);
 		if (rules != NULL) {
 			counter_add(&count_bytes, rules_message_bytes(answer));
+			control->refused_delta = false;
 			ok = control_adopt(control, rules);
-		} else if (why.code != ERR_NONE) {
+		} else if (why.code == ERR_CONFLICT)
+			// Other rules have come in since this was asked for.
+			log_error(LOG_DEBUG, "config", "Late rules", &why);
+		else if (why.code != ERR_NONE) {
 			counter_add(&count_refused, 1);
+			control->refused_delta = true;
 			log_error(LOG_ERROR, "config", "Refused rules", &why);
 		}
 	}
-	version_sync_done(&control->sync, ok, wait_us, now_us);
+	free(call);
+	if (newest)
+		version_sync_done(&control->sync, ok, wait_us, now_us);
 	control_tick(control);
 }
 
@@ -59,7 +75,8 @@
 start_pull(struct version_sync *vs, const struct holder *from)
 {
 	struct control *control = vs->owner;
-	struct message_pull pull = {.allow_delta = vs->failures == 0};
+	struct message_pull pull = {.allow_delta = !control->refused_delta};
+	struct pull_call *call;
 	struct address to;
 
 	if (address_make(from->host, from->port, &to) != 0)
@@ -74,8 +91,12 @@
 		counter_add(&count_far_pulls, 1);
 	log_write(LOG_INFO, "config", "Pulls version %" PRIu64 " from %s:%u.",
 	    from->version, from->host, from->port);
+	call = calloc(1, sizeof(*call));
+	assert(call != NULL);
+	call->control = control;
+	call->sequence = ++control->pull_sequence;
 	oneshot_call(control->loop, &to, MESSAGE_PULL, &pull,
-	    loop_now_us(control->loop) + PULL_TIMEOUT_US, on_pulled, control);
+	    loop_now_us(control->loop) + PULL_TIMEOUT_US, on_pulled, call);
 }
 
 const struct version_sync_ops control_sync_ops = {
@@ -137,8 +158,8 @@
 			continue;
 		colon = strrchr(text, ':');
 		*colon = '\0';
-		membership_meet(
-		    &control->membership, text, ntohs(address.in.sin_port));
+		membership_meet(&control->membership, text,
+		    ntohs(address.in.sin_port), loop_now_us(control->loop));
 	}
 }
 
@@ -254,24 +275,16 @@
 {
 	struct control *control = arg;
 	struct floor *floor = &control->floor;
-	struct rules *rules;
-	struct error why;
 
 	(void)err;
 	floor->asking = false;
-	if (answer == NULL || answer->type == MESSAGE_BUSY) {
+	if (answer == NULL || answer->type != MESSAGE_RULES) {
 		// It may lead no more: a report's answer names the next one.
 		floor->has_leader = false;
 		return;
 	}
-	if (floor->ready)
-		return;
-	rules = rules_from_message(answer, control->rules, &why);
-	if (rules != NULL)
-		control_adopt(control, rules);
-	else if (why.code != ERR_NONE)
-		return;
-	floor->confirmed = control->rules != NULL;
+	if (answer->u.rules.version > floor->confirmed_version)
+		floor->confirmed_version = answer->u.rules.version;
 	loop_timer_set(
 	    control->loop, &control->floor_timer, loop_now_us(control->loop));
 }
@@ -284,14 +297,10 @@
 	struct floor *floor = &control->floor;
 	struct message_pull pull = {.confirm = 1};
 
-	if (floor->asking || !floor->has_leader)
+	if (floor->asking || !floor->has_leader || floor->confirmed_version > 0)
 		return;
 	floor->asking = true;
 	pull.from = bytes_from(control->membership.self.name);
-	if (control->rules != NULL) {
-		pull.have_version = control->rules->version;
-		pull.have_hash = control->rules->file->hash;
-	}
 	oneshot_call(control->loop, &floor->leader, MESSAGE_PULL, &pull,
 	    loop_now_us(control->loop) + CONFIRM_TIMEOUT_US, on_confirmed,
 	    control);
@@ -320,7 +329,8 @@
 	const struct membership *m = &control->membership;
 	uint32_t at;
 
-	if (m->peer_count == 0)
+	// Nobody has heard of any rules: there is nothing to agree on.
+	if (m->peer_count == 0 || control->sync.known_version == 0)
 		return;
 	at = random_below(&control->membership.random, m->peer_count);
 	if (m->peers[at]->member.status <= MEMBER_SUSPECT)
@@ -336,7 +346,8 @@
 
 	if (floor->ready)
 		return;
-	if (control->rules != NULL && floor->confirmed &&
+	if (control->rules != NULL && floor->confirmed_version > 0 &&
+	    control->rules->version >= floor->confirmed_version &&
 	    control->rules->version >= control->membership.version_floor) {
 		become_ready(control, "a quorum of sources");
 		return;
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -14,6 +14,9 @@
 
 #define SWEEP_US (20 * US_PER_MS)
 
+/// Longer bodies go straight through to the backend server.
+#define MAX_COLLECTED_BYTES (1024 * 1024)
+
 COUNTER_DEFINE(count_refused, "egress_requests_refused", "Refused, not run");
 COUNTER_DEFINE(count_failed, "egress_requests_failed", "Outcome unknown");
 COUNTER_DEFINE(count_replayed, "egress_requests_replayed", "Answered again");
@@ -32,6 +35,8 @@
 		egress->first = r->next;
 	if (r->next != NULL)
 		r->next->prev = r->prev;
+	if (r->state == REQUEST_COLLECTING && r->upload_asked_bytes > 0)
+		egress->collecting--;
 	header_list_free(&r->response_headers);
 	free(r->headers);
 	free(r->url);
@@ -219,11 +224,31 @@
 	}
 }
 
+/// Drops requests whose bodies did not come in time.
+static void
+drop_uncollected(struct egress *egress)
+{
+	int64_t now_us = loop_now_us(egress->loop);
+	struct egress_request *r = egress->first;
+
+	while (r != NULL) {
+		struct egress_request *next = r->next;
+
+		if (r->state == REQUEST_COLLECTING &&
+		    r->item.deadline_us <= now_us)
+			egress_end_not_run(
+			    r, 504, 0, "deadline passed before its body came");
+		r = next;
+	}
+	egress_collect_bodies(egress);
+}
+
 static void
 sweep(void *arg)
 {
 	struct egress *egress = arg;
 
+	drop_uncollected(egress);
 	egress_run_waiting(egress);
 	loop_timer_set(egress->loop, &egress->sweep_timer,
 	    loop_now_us(egress->loop) + SWEEP_US);
@@ -269,6 +294,8 @@
 	r->item.size_bytes = message->body.size_bytes;
 	r->item.deadline_us =
 	    loop_now_us(egress->loop) + message->deadline_left_us;
+	r->item.target_deadline_us =
+	    loop_now_us(egress->loop) + message->target_left_us;
 	if (message->more) {
 		r->upload = malloc(message->body.size_bytes);
 		assert(r->upload != NULL);
@@ -278,6 +305,36 @@
 	return r;
 }
 
+/// A body that is announced whole and comes only as it is asked for.
+static bool
+is_collectable(const struct message_request *m)
+{
+	return m->more && m->body.size_bytes == 0 && m->total_bytes > 0 &&
+	    m->total_bytes <= MAX_COLLECTED_BYTES;
+}
+
+void
+egress_admit(struct egress_request *r)
+{
+	struct egress *egress = r->egress;
+	int64_t retry_us;
+
+	r->state = REQUEST_WAITING;
+	switch (admission_offer(&egress->admission, &r->item,
+	    loop_now_us(egress->loop), &retry_us)) {
+	case ADMISSION_RUN:
+		begin(r);
+		break;
+	case ADMISSION_QUEUED:
+		counter_add(&count_queued, 1);
+		break;
+	case ADMISSION_REFUSED:
+		egress_end_not_run(
+		    r, 503, retry_us, "too much work of this rank");
+		break;
+	}
+}
+
 struct egress_request *
 egress_submit(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
@@ -285,7 +342,6 @@
 	const char *obstacle = find_obstacle(egress, message);
 	int64_t now_us = loop_now_us(egress->loop);
 	struct egress_request *r;
-	int64_t retry_us;
 	uint64_t key =
 	    fence_key(sink->origin, sink->origin_incarnation, message->id);
 
@@ -297,20 +353,12 @@
 	}
 	r = request_create(egress, sink, message);
 	r->fence_key = key;
-	switch (
-	    admission_offer(&egress->admission, &r->item, now_us, &retry_us)) {
-	case ADMISSION_RUN:
-		begin(r);
-		return egress_find(egress, sink, message->id);
-	case ADMISSION_QUEUED:
-		counter_add(&count_queued, 1);
-		return r;
-	case ADMISSION_REFUSED:
-		egress_end_not_run(
-		    r, 503, retry_us, "too much work of this rank");
-		return NULL;
-	}
-	return NULL;
+	if (is_collectable(message)) {
+		r->state = REQUEST_COLLECTING;
+		egress_collect_bodies(egress);
+	} else
+		egress_admit(r);
+	return egress_find(egress, sink, message->id);
 }
 
 struct egress_request *
@@ -339,7 +387,12 @@
 	}
 	r->upload_last = body->last != 0;
 	r->upload_failed = body->failed != 0;
-	if (r->state != REQUEST_RUNNING)
+	if (r->state == REQUEST_COLLECTING) {
+		if (r->upload_asked_bytes > 0)
+			egress_collect_part(r, body);
+		return;
+	}
+	if (r->collected || r->state != REQUEST_RUNNING)
 		return;
 	if (r->upload_failed)
 		egress_mark_abort(r);
@@ -366,11 +419,13 @@
 }
 
 void
-egress_request_cancel(struct egress_request *r)
+egress_request_cancel(struct egress_request *r, bool waiting_only)
 {
 	struct egress *egress = r->egress;
 
 	if (r->state == REQUEST_RUNNING) {
+		if (waiting_only)
+			return;
 		// What may have effects runs to its end, so that its outcome
 		// can still be learned or recorded.
 		if (r->call.repeatable)
@@ -380,7 +435,8 @@
 	if (r->state == REQUEST_ATTENDING)
 		end_attending(r);
 	else
-		egress_end_not_run(r, 504, 0, "cancelled before it ran");
+		egress_end_not_run(
+		    r, waiting_only ? 503 : 504, 0, "cancelled before it ran");
 	egress_run_waiting(egress);
 }
 
@@ -459,12 +515,19 @@
 	while (r != NULL) {
 		struct egress_request *next = r->next;
 
-		if (r->state == REQUEST_WAITING && r->item.queued)
+		if (r->state == REQUEST_COLLECTING ||
+		    (r->state == REQUEST_WAITING && r->item.queued))
 			egress_end_not_run(r, 503, 0, why);
 		r = next;
 	}
 }
 
+void
+egress_refuse_waiting(struct egress *egress)
+{
+	refuse_waiting(egress, "this proxy is leaving");
+}
+
 void
 egress_set_backend(struct egress *egress, const struct egress_backend *backend)
 {
--- a/src/proxy/egress.h
+++ b/src/proxy/egress.h
@@ -91,7 +91,12 @@
     struct egress_request *request, uint32_t credit_bytes);
 
 /// The ingress gave up; the sink is told of the outcome.
-void egress_request_cancel(struct egress_request *request);
+///
+/// @param waiting_only  what runs goes on
+void egress_request_cancel(struct egress_request *request, bool waiting_only);
+
+/// Refuses all that waits.
+void egress_refuse_waiting(struct egress *egress);
 
 /// The way back is gone: ends all that waits, without a word. What runs is
 /// aborted if that is safe, and else runs to its end.
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress_call.c
@@ -356,7 +356,10 @@
 	r->call.body_bytes = m->body.size_bytes;
 	r->call.deadline_us = r->item.deadline_us;
 	r->call.repeatable = m->repeatable != 0;
-	if (m->more) {
+	if (r->collected) {
+		r->call.body = r->upload;
+		r->call.body_bytes = r->upload_bytes;
+	} else if (m->more) {
 		r->call.streamed = true;
 		r->call.total_bytes = m->total_bytes;
 	}
@@ -368,6 +371,6 @@
 	fence_ran(&egress->fence, r->fence_key);
 	r->arrived = true;
 	counter_add(&count_run, 1);
-	if (m->more && r->sink != NULL)
+	if (r->call.streamed && r->sink != NULL)
 		r->sink->ops->window(r->sink, m->id, UPLOAD_WINDOW_BYTES);
 }
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress_peer.c
@@ -217,7 +217,8 @@
 	case MESSAGE_CANCEL:
 		r = egress_find(egress, &conn->sink, message->u.cancel.id);
 		if (r != NULL)
-			egress_request_cancel(r);
+			egress_request_cancel(
+			    r, message->u.cancel.waiting_only != 0);
 		break;
 	case MESSAGE_FENCE:
 		on_fence(conn, &message->u.fence);
--- a/src/proxy/egress_request.h
+++ b/src/proxy/egress_request.h
@@ -11,10 +11,11 @@
 #include "wire/request_copy.h"
 
 enum request_state {
-	REQUEST_WAITING,   ///< In the admission's queue.
-	REQUEST_CLAIMING,  ///< Has a slot; its key is being claimed.
-	REQUEST_RUNNING,   ///< Sent to the backend server.
-	REQUEST_ATTENDING, ///< Its key is in progress; waits for the answer.
+	REQUEST_COLLECTING, ///< Its body is asked for, or soon will be.
+	REQUEST_WAITING,    ///< In the admission's queue.
+	REQUEST_CLAIMING,   ///< Has a slot; its key is being claimed.
+	REQUEST_RUNNING,    ///< Sent to the backend server.
+	REQUEST_ATTENDING,  ///< Its key is in progress; waits for the answer.
 };
 
 struct egress_request {
@@ -36,6 +37,8 @@
 	// Request body beyond the first part.
 	char *upload;
 	size_t upload_bytes;
+	uint32_t upload_asked_bytes; ///< While its body is collected.
+	bool collected; ///< The body was collected before it got a slot.
 	bool upload_last;
 	bool upload_failed;
 	// Response.
@@ -66,6 +69,7 @@
 	struct egress_backend backend;
 	struct rules *rules;
 	struct egress_request *first;
+	uint32_t collecting; ///< Bodies that are asked for now.
 	struct loop_timer sweep_timer;
 	bool draining;
 	bool abort_deferred;
@@ -92,6 +96,16 @@
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
 
+/// Asks for the bodies of further requests, those of the nearest target first.
+void egress_collect_bodies(struct egress *egress);
+
+/// Takes a part of a body that was asked for.
+void egress_collect_part(
+    struct egress_request *r, const struct message_body *body);
+
+/// Offers a request whose body is here to the admission.
+void egress_admit(struct egress_request *r);
+
 /// Gives out free slots and drops what can no longer be served in time.
 void egress_run_waiting(struct egress *egress);
 
--- a/src/proxy/gossip_io.c
+++ b/src/proxy/gossip_io.c
@@ -60,41 +60,212 @@
 	}
 }
 
-/// Fills a message with the whole table; free its items.
+// A table exchange: the asker sends its own record and the digest of its table.
+// If the digests differ the answer sums up each record in a few bytes; the
+// asker then sends the records that are newer here, and names those that are
+// newer there, which the second answer brings.
+
+/// Calls a function for each record, the own one included.
 static void
-fill_table(const struct control *control, struct message_sync *out)
+each_record(const struct membership *m,
+    void (*fn)(void *arg, const struct member *record), void *arg)
 {
-	const struct membership *m = &control->membership;
-	struct message_member *items =
-	    calloc(m->peer_count + 1, sizeof(*items));
 	uint32_t i;
 
-	assert(items != NULL);
-	member_to_message(&m->self, &items[0]);
+	fn(arg, &m->self);
 	for (i = 0; i < m->peer_count; i++)
-		member_to_message(&m->peers[i]->member, &items[i + 1]);
-	out->digest = membership_digest(m);
-	out->members.items = items;
-	out->members.count = m->peer_count + 1;
+		fn(arg, &m->peers[i]->member);
+}
+
+static void
+add_summary(void *arg, const struct member *record)
+{
+	struct list *list = arg;
+	struct message_summary *s = list->items;
+
+	s += list->count++;
+	s->name_hash = membership_name_hash(record->name);
+	s->incarnation = record->incarnation;
+	s->revision = record->revision;
+	s->status = record->status;
+}
+
+static void *
+make_items(const struct membership *m, size_t item_bytes)
+{
+	void *items = calloc(m->peer_count + 1, item_bytes);
+
+	assert(items != NULL);
+	return items;
+}
+
+/// Records by the hashes of their names.
+struct record_index {
+	uint64_t *hashes;
+	const struct member **records;
+	uint32_t count;
+};
+
+static void
+index_record(void *arg, const struct member *record)
+{
+	struct record_index *index = arg;
+
+	index->hashes[index->count] = membership_name_hash(record->name);
+	index->records[index->count++] = record;
+}
+
+static struct record_index
+index_create(const struct membership *m)
+{
+	struct record_index index = {.count = 0};
+
+	index.hashes = make_items(m, sizeof(*index.hashes));
+	index.records = make_items(m, sizeof(const struct member *));
+	each_record(m, index_record, &index);
+	return index;
+}
+
+static void
+index_free(struct record_index *index)
+{
+	free(index->hashes);
+	free(index->records);
+}
+
+static const struct member *
+index_find(const struct record_index *index, uint64_t name_hash)
+{
+	uint32_t i;
+
+	for (i = 0; i < index->count; i++)
+		if (index->hashes[i] == name_hash)
+			return index->records[i];
+	return NULL;
+}
+
+static const struct message_summary *
+find_summary(const struct list *summaries, uint64_t name_hash)
+{
+	const struct message_summary *items = summaries->items;
+	uint32_t i;
+
+	for (i = 0; i < summaries->count; i++)
+		if (items[i].name_hash == name_hash)
+			return &items[i];
+	return NULL;
+}
+
+/// Whether a record replaces one that is only summed up.
+static bool
+is_newer(const struct member *record, const struct message_summary *s)
+{
+	struct member other = {.incarnation = s->incarnation,
+	    .revision = s->revision,
+	    .status = (enum member_status)s->status};
+
+	return member_supersedes(record, &other);
+}
+
+static bool
+is_older(const struct member *record, const struct message_summary *s)
+{
+	struct member other = {.incarnation = s->incarnation,
+	    .revision = s->revision,
+	    .status = (enum member_status)s->status};
+
+	return member_supersedes(&other, record);
+}
+
+/// Fills the second step: the records that are newer here, and the names of
+/// those that are newer there. Free its items.
+static void
+fill_difference(const struct control *control, const struct list *summaries,
+    struct message_sync *out)
+{
+	const struct message_summary *theirs = summaries->items;
+	struct record_index index = index_create(&control->membership);
+	struct message_member *members =
+	    make_items(&control->membership, sizeof(*members));
+	struct message_summary *wanted =
+	    calloc(summaries->count + 1, sizeof(*wanted));
+	uint32_t i;
+
+	assert(wanted != NULL);
+	for (i = 0; i < summaries->count; i++) {
+		const struct member *record =
+		    index_find(&index, theirs[i].name_hash);
+
+		if (record == NULL || is_older(record, &theirs[i]))
+			wanted[out->wanted.count++] = theirs[i];
+	}
+	for (i = 0; i < index.count; i++) {
+		const struct message_summary *s =
+		    find_summary(summaries, index.hashes[i]);
+
+		if (s == NULL || is_newer(index.records[i], s))
+			member_to_message(
+			    index.records[i], &members[out->members.count++]);
+	}
+	out->members.items = members;
+	out->wanted.items = wanted;
+	index_free(&index);
+}
+
+/// Fills the records that were asked for. Free its items.
+static void
+fill_wanted(const struct control *control, const struct list *wanted,
+    struct message_sync *out)
+{
+	const struct message_summary *names = wanted->items;
+	struct record_index index = index_create(&control->membership);
+	struct message_member *members =
+	    calloc(wanted->count + 1, sizeof(*members));
+	uint32_t i;
+
+	assert(members != NULL);
+	for (i = 0; i < wanted->count; i++) {
+		const struct member *record =
+		    index_find(&index, names[i].name_hash);
+
+		if (record != NULL)
+			member_to_message(
+			    record, &members[out->members.count++]);
+	}
+	out->members.items = members;
+	index_free(&index);
+}
+
+static void
+free_sync(struct message_sync *sync)
+{
+	free(sync->members.items);
+	free(sync->summaries.items);
+	free(sync->wanted.items);
 }
 
 void
 gossip_io_answer_sync(struct control *control, struct stream *stream,
     const struct message_sync *sync)
 {
+	const struct membership *m = &control->membership;
 	struct message_sync answer = {0};
 
 	merge_table(control, &sync->members);
-	answer.digest = membership_digest(&control->membership);
-	if (answer.digest != sync->digest && sync->members.count <= 1)
-		fill_table(control, &answer);
+	answer.digest = membership_digest(m);
+	if (sync->wanted.count > 0)
+		fill_wanted(control, &sync->wanted, &answer);
+	else if (answer.digest != sync->digest) {
+		answer.summaries.items =
+		    make_items(m, sizeof(struct message_summary));
+		each_record(m, add_summary, &answer.summaries);
+	}
 	stream_send(stream, MESSAGE_SYNC_ANSWER, &answer);
-	free(answer.members.items);
+	free_sync(&answer);
 	control_tick(control);
 }
 
-/// One table exchange: own record and digest first, the table only if the
-/// other end's differs.
+/// One table exchange.
 struct exchange {
 	struct control *control;
 	struct address to;
@@ -105,17 +276,43 @@
     void *arg, const struct message *answer, const struct error *err);
 
 static void
-ask(struct exchange *x)
+send_step(struct exchange *x, const struct message_sync *step)
 {
 	struct control *control = x->control;
-	struct message_sync sync = {0};
 
-	fill_table(control, &sync);
-	if (!x->second)
-		sync.members.count = 1;
-	oneshot_call(control->loop, &x->to, MESSAGE_SYNC, &sync,
+	oneshot_call(control->loop, &x->to, MESSAGE_SYNC, step,
 	    loop_now_us(control->loop) + SYNC_TIMEOUT_US, on_sync_answer, x);
-	free(sync.members.items);
+}
+
+static void
+ask(struct exchange *x)
+{
+	const struct membership *m = &x->control->membership;
+	struct message_sync step = {.digest = membership_digest(m)};
+	struct message_member self;
+
+	member_to_message(&m->self, &self);
+	step.members.items = &self;
+	step.members.count = 1;
+	send_step(x, &step);
+}
+
+/// Goes on with the second step if the tables differ.
+static bool
+ask_difference(struct exchange *x, const struct list *summaries)
+{
+	struct message_sync step = {
+	    .digest = membership_digest(&x->control->membership)};
+	bool differs;
+
+	fill_difference(x->control, summaries, &step);
+	differs = step.members.count + step.wanted.count > 0;
+	if (differs) {
+		x->second = true;
+		send_step(x, &step);
+	}
+	free_sync(&step);
+	return differs;
 }
 
 static void
@@ -131,14 +328,11 @@
 		return;
 	}
 	merge_table(control, &answer->u.sync.members);
+	if (!x->second && answer->u.sync.summaries.count > 0 &&
+	    ask_difference(x, &answer->u.sync.summaries))
+		return;
 	counter_add(&count_syncs, 1);
 	control->floor.tables_read++;
-	if (!x->second && answer->u.sync.members.count > 0 &&
-	    answer->u.sync.digest != membership_digest(&control->membership)) {
-		x->second = true;
-		ask(x);
-		return;
-	}
 	free(x);
 	control_tick(control);
 }
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -295,11 +295,11 @@
 }
 
 static struct ingress_request *
-find_parked(const struct ingress *ingress)
+find_marked(const struct ingress *ingress)
 {
 	struct ingress_request *r = ingress->all;
 
-	while (r != NULL && !r->resuming)
+	while (r != NULL && !r->marked)
 		r = r->all_next;
 	return r;
 }
@@ -315,9 +315,9 @@
 	if (ingress->rules == NULL)
 		return;
 	for (r = ingress->all; r != NULL; r = r->all_next)
-		r->resuming = r->parked;
-	while ((r = find_parked(ingress)) != NULL) {
-		r->resuming = r->parked = false;
+		r->marked = r->parked;
+	while ((r = find_marked(ingress)) != NULL) {
+		r->marked = r->parked = false;
 		r->attempts = 0;
 		if (r->rules == NULL) {
 			route_request(r);
@@ -367,7 +367,7 @@
 	r->exchange = NULL;
 	if (!r->upload_ended)
 		ingress_send_body(r, &cut);
-	ingress_send_cancel(r);
+	ingress_send_cancel(r, false);
 }
 
 static const struct httpd_ops httpd_ops = {
@@ -390,6 +390,7 @@
 	assert(b != NULL);
 	balancer_init(
 	    b, service, ingress->settings.seed + i, ingress->settings.warm_us);
+	b->own_name = ingress->settings.name;
 	ingress->balancers = realloc(
 	    ingress->balancers, (ingress->balancer_count + 1) * sizeof(b));
 	assert(ingress->balancers != NULL);
@@ -502,6 +503,24 @@
 		httpd_drain(ingress->inner.httpd);
 }
 
+void
+ingress_give_up_waiting(struct ingress *ingress)
+{
+	struct ingress_request *r;
+
+	ingress->ending = true;
+	for (r = ingress->all; r != NULL; r = r->all_next)
+		r->marked = r->exchange != NULL;
+	while ((r = find_marked(ingress)) != NULL) {
+		r->marked = false;
+		if (r->state != ATTEMPT_NONE)
+			ingress_send_cancel(r, true);
+		else
+			ingress_conclude(r, 503, ingress_not_run_outcome(r),
+			    STARTING_RETRY_US, "this proxy is leaving");
+	}
+}
+
 void
 ingress_close_doors(struct ingress *ingress)
 {
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -42,6 +42,9 @@
 /// Stops to accept connections; requests in progress go on.
 void ingress_drain(struct ingress *ingress);
 
+/// Ends what no backend server runs yet, with a refusal.
+void ingress_give_up_waiting(struct ingress *ingress);
+
 /// Closes all connections of callers; none may have a request in progress.
 void ingress_close_doors(struct ingress *ingress);
 
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -43,7 +43,9 @@
 	const char *attempt; ///< The caller's name for it; "-" if it has none.
 	bool safe;	     ///< The backend server may run it again.
 	bool repeatable;     ///< It may be sent again.
-	bool upload_passed_on; ///< Parts of the body are no longer kept.
+	size_t bulk_sent_bytes; ///< Of a body that the egress asks for.
+	bool bulk;		///< The body goes only as the egress asks.
+	bool upload_passed_on;	///< Parts of the body are no longer kept.
 	bool upload_ended;
 	bool cancel_sent;
 	bool may_have_run; ///< The outcome of an earlier attempt is unknown.
@@ -51,7 +53,7 @@
 	bool counted;	   ///< It has earned its part of a retry.
 	bool trusted;	   ///< It came in by the trusted listener.
 	bool parked;	   ///< Waits for this proxy to know the mesh.
-	bool resuming;	   ///< Is to be tried again in this round.
+	bool marked;	   ///< Is to be looked at in this round.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< Until then it earns its full worth.
 	uint32_t service;	    ///< Drawn from the targets of the route.
@@ -86,6 +88,7 @@
 	struct random random;
 	int64_t start_deadline_us; ///< Until then requests may be parked.
 	struct loop_timer parked_timer;
+	bool ending; ///< Nothing is tried again.
 	struct egress *egress;
 	struct links *links;
 	struct ingress_settings settings;
@@ -121,7 +124,9 @@
 void ingress_request_free(struct ingress_request *r);
 
 /// Tells the egress of the attempt in progress to give up.
-void ingress_send_cancel(struct ingress_request *r);
+///
+/// @param waiting_only  unless it runs already
+void ingress_send_cancel(struct ingress_request *r, bool waiting_only);
 
 /// Sends a part of the body to the egress of the attempt in progress.
 void ingress_send_body(
--- a/src/proxy/link.c
+++ b/src/proxy/link.c
@@ -11,9 +11,12 @@
 #include "proxy/link.h"
 
 #define SCAN_US		   (50 * US_PER_MS)
-#define HEARTBEAT_AFTER_US (100 * US_PER_MS)
-#define SILENCE_LIMIT_US   (500 * US_PER_MS)
-#define IDLE_LIMIT_US	   (15 * US_PER_S)
+#define HEARTBEAT_AFTER_US (250 * US_PER_MS)
+#define SILENCE_LIMIT_US   (750 * US_PER_MS)
+
+/// Time that a byte may take on the way: of a link of 4 Mbit/s, there and back.
+#define BYTE_US	      4
+#define IDLE_LIMIT_US (15 * US_PER_S)
 
 COUNTER_DEFINE(count_silent, "link_silent", "Streams dropped for silence");
 COUNTER_DEFINE(count_dialled, "link_dialled", "Streams dialled");
@@ -26,6 +29,7 @@
 	uint32_t held;
 	int64_t idle_since_us;
 	int64_t waiting_since_us; ///< Oldest message without any answer; 0.
+	uint64_t sent_at_answer;  ///< Bytes sent up to the last answer.
 	int64_t heartbeat_us;	  ///< Last heartbeat sent.
 };
 
@@ -122,6 +126,7 @@
 	void *owner = link->links->owner;
 
 	link->waiting_since_us = 0;
+	link->sent_at_answer = stream->sent_bytes;
 	switch (message->type) {
 	case MESSAGE_RESPONSE:
 		ops->on_response(owner, link, &message->u.response);
@@ -152,6 +157,7 @@
 
 	link->stream = NULL;
 	link->waiting_since_us = 0;
+	link->sent_at_answer = 0;
 	link->heartbeat_us = 0;
 	link->links->ops->on_broken(link->links->owner, link, opened);
 }
@@ -178,8 +184,11 @@
 	struct stream *stream = link->stream;
 	int64_t quiet_us = now_us - stream->last_received_us;
 
+	int64_t limit_us = SILENCE_LIMIT_US +
+	    BYTE_US * (int64_t)(stream->sent_bytes - link->sent_at_answer);
+
 	if (link->waiting_since_us != 0 &&
-	    now_us - link->waiting_since_us > SILENCE_LIMIT_US) {
+	    now_us - link->waiting_since_us > limit_us) {
 		log_write(LOG_WARN, "link",
 		    "Dropped the stream to %s: silent for %d ms.",
 		    link->target.name,
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -127,6 +127,21 @@
 	loop_post(traffic->loop, take_drain, traffic);
 }
 
+static void
+take_give_up(void *arg)
+{
+	struct traffic *traffic = arg;
+
+	egress_refuse_waiting(traffic->egress);
+	ingress_give_up_waiting(traffic->ingress);
+}
+
+void
+traffic_post_give_up(struct traffic *traffic)
+{
+	loop_post(traffic->loop, take_give_up, traffic);
+}
+
 uint32_t
 traffic_load_pct(const struct traffic *traffic)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -50,6 +50,9 @@
 /// has a request in progress. Any thread.
 void traffic_post_drain(struct traffic *traffic);
 
+/// Refuses what waits, here and for this proxy elsewhere. Any thread.
+void traffic_post_give_up(struct traffic *traffic);
+
 /// Tells whether a drain has ended: nothing is in progress, and nothing can
 /// come in any more. Any thread.
 bool traffic_is_drained(const struct traffic *traffic);
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -93,17 +93,21 @@
 		    "its limits\"}");
 }
 
+/// Tells which version is the newest; its text is pulled from the nearest
+/// holder.
 static void
 answer_confirm(struct pending *p, bool ok)
 {
+	const struct rule_file *current = p->source->store.current;
 	struct message_busy busy = {.retry_left_us = US_PER_S};
-	struct message_pull pull = {.have_version = p->have_version,
-	    .have_hash = p->have_hash,
-	    .allow_delta = 1};
+	struct message_rules m = {0};
 
+	if (current != NULL) {
+		m.version = current->version;
+		m.hash = current->hash;
+	}
 	if (p->stream != NULL && ok)
-		rules_send(p->stream, &pull, p->source->store.current,
-		    &p->source->store.files);
+		stream_send(p->stream, MESSAGE_RULES, &m);
 	else if (p->stream != NULL)
 		stream_send(p->stream, MESSAGE_BUSY, &busy);
 	pending_free(p);
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -170,14 +170,11 @@
 }
 
 static void
-start_confirm(struct source *source, struct stream *stream,
-    const struct message_pull *pull)
+start_confirm(struct source *source, struct stream *stream)
 {
 	struct pending *p = pending_read(source, PENDING_CONFIRM);
 
 	p->stream = stream;
-	p->have_version = pull->have_version;
-	p->have_hash = pull->have_hash;
 	replica_read(
 	    &source->host.replica, p->context, loop_now_us(source->loop));
 }
@@ -196,7 +193,7 @@
 	}
 	counter_add(&count_pulls, 1);
 	if (pull->confirm)
-		start_confirm(source, stream, pull);
+		start_confirm(source, stream);
 	else
 		rules_send(
 		    stream, pull, source->store.current, &source->store.files);
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -50,8 +50,6 @@
 	operator_reply_fn *fn;
 	void *arg;
 	struct stream *stream; ///< PENDING_CONFIRM.
-	uint64_t have_version;
-	uint64_t have_hash;
 };
 
 struct source {
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -37,9 +37,20 @@
 static const struct codec_schema gossip_schema =
     CODEC_SCHEMA(struct message_gossip, gossip_fields);
 
+static const struct codec_field summary_fields[] = {
+    F(message_summary, U64, name_hash),
+    F(message_summary, U64, incarnation),
+    F(message_summary, U32, revision),
+    F(message_summary, U32, status),
+};
+static const struct codec_schema summary_schema =
+    CODEC_SCHEMA(struct message_summary, summary_fields);
+
 static const struct codec_field sync_fields[] = {
     F(message_sync, U64, digest),
     N(message_sync, LIST, members, &message_member_schema),
+    N(message_sync, LIST, summaries, &summary_schema),
+    N(message_sync, LIST, wanted, &summary_schema),
 };
 static const struct codec_schema sync_schema =
     CODEC_SCHEMA(struct message_sync, sync_fields);
@@ -84,7 +95,8 @@
 static const struct codec_field rules_fields[] = {
     F(message_rules, U64, version),
     F(message_rules, U64, hash),
-    F(message_rules, BYTES, text),
+    F(message_rules, U32, plain_bytes),
+    F(message_rules, BYTES, deflated),
 };
 static const struct codec_schema rules_schema =
     CODEC_SCHEMA(struct message_rules, rules_fields);
@@ -184,6 +196,7 @@
 
 static const struct codec_field cancel_fields[] = {
     F(message_cancel, U64, id),
+    F(message_cancel, U32, waiting_only),
 };
 static const struct codec_schema cancel_schema =
     CODEC_SCHEMA(struct message_cancel, cancel_fields);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -85,10 +85,21 @@
 	struct list updates; ///< of struct message_member
 };
 
-/// Whole table of one member; the answer has the same shape.
+/// What one table holds of a member, in short.
+struct message_summary {
+	uint64_t name_hash;
+	uint64_t incarnation;
+	uint32_t revision;
+	uint32_t status;
+};
+
+/// Step of a table exchange; the answer has the same shape. See
+/// proxy/gossip_io.c.
 struct message_sync {
-	uint64_t digest;     ///< Of the sender's whole table.
-	struct list members; ///< of struct message_member
+	uint64_t digest;       ///< Of the sender's whole table.
+	struct list members;   ///< of struct message_member
+	struct list summaries; ///< of struct message_summary
+	struct list wanted;    ///< of struct message_summary: names only.
 };
 
 /// Tells a source which version a proxy has in force.
@@ -119,13 +130,16 @@
 	uint64_t have_version;
 	uint64_t have_hash;
 	uint32_t allow_delta;
-	uint32_t confirm; ///< Answer only with what a quorum confirms.
+	/// Only asks which version is the newest, as a quorum confirms. The
+	/// answer has no text.
+	uint32_t confirm;
 };
 
 struct message_rules {
 	uint64_t version; ///< 0: nothing newer here.
 	uint64_t hash;
-	struct bytes text;
+	uint32_t plain_bytes;  ///< Length of the text.
+	struct bytes deflated; ///< The text, in zlib's format.
 };
 
 /// One step of a line delta: copy lines of the old text, or insert new ones.
@@ -209,6 +223,7 @@
 
 struct message_cancel {
 	uint64_t id;
+	uint32_t waiting_only; ///< What runs goes on.
 };
 
 /// Asks what became of a request, and shuts out older streams.
