perf(wire): deflate large frames of text; refuse what a drain would cut off

A proxy took requests on kept connections up to the end of its drain and cut them (LOST 1). Solution: streams deflate frames over 2 KB of messages that are text; a draining proxy refuses at once what may outlast the drain.

--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -3,7 +3,6 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <zlib.h>
 
 #include "core/delta.h"
 #include "io/net.h"
@@ -77,34 +76,6 @@
 	return rules;
 }
 
-/// Inflates and checks a whole file.
-static struct rules *
-inflate_rules(const struct message_rules *m, struct error *err)
-{
-	uLongf size_bytes = m->plain_bytes;
-	struct rules *rules = NULL;
-	char *text;
-
-	if (m->plain_bytes > RULES_MAX_BYTES) {
-		error_set(err, ERR_TOO_LARGE, "inflate rules", "",
-		    "version %" PRIu64 " has %u bytes", m->version,
-		    m->plain_bytes);
-		return NULL;
-	}
-	text = malloc(size_bytes + 1);
-	assert(text != NULL);
-	if (uncompress((Bytef *)text, &size_bytes,
-		(const Bytef *)m->deflated.data,
-		m->deflated.size_bytes) != Z_OK ||
-	    size_bytes != m->plain_bytes)
-		error_set(err, ERR_CORRUPT, "inflate rules", "",
-		    "version %" PRIu64 " is damaged", m->version);
-	else
-		rules = check_text(text, size_bytes, m->version, m->hash, err);
-	free(text);
-	return rules;
-}
-
 struct rules *
 rules_from_message(
     const struct message *message, const struct rules *have, struct error *err)
@@ -121,7 +92,8 @@
 	}
 	if (m->version == 0)
 		return NULL;
-	return inflate_rules(m, err);
+	return check_text(
+	    m->text.data, m->text.size_bytes, m->version, m->hash, err);
 }
 
 int64_t
@@ -132,7 +104,7 @@
 	uint32_t i;
 
 	if (message->type == MESSAGE_RULES)
-		return message->u.rules.deflated.size_bytes;
+		return message->u.rules.text.size_bytes;
 	if (message->type != MESSAGE_DELTA)
 		return 0;
 	steps = message->u.delta.steps.items;
@@ -169,26 +141,6 @@
 	delta_free(&delta);
 }
 
-/// Sends a whole file, deflated: its lines are much alike.
-static void
-send_whole(struct stream *stream, const struct rule_file *file)
-{
-	struct message_rules m = {.version = file->version,
-	    .hash = file->hash,
-	    .plain_bytes = (uint32_t)file->text_bytes};
-	uLongf size_bytes = compressBound(file->text_bytes);
-	char *deflated = malloc(size_bytes);
-
-	assert(deflated != NULL);
-	if (compress2((Bytef *)deflated, &size_bytes, (const Bytef *)file->text,
-		file->text_bytes, Z_BEST_SPEED) != Z_OK)
-		abort();
-	m.deflated.data = deflated;
-	m.deflated.size_bytes = (uint32_t)size_bytes;
-	stream_send(stream, MESSAGE_RULES, &m);
-	free(deflated);
-}
-
 void
 rules_send(struct stream *stream, const struct message_pull *pull,
     const struct rule_file *newest, const struct rule_files *kept)
@@ -205,5 +157,9 @@
 		send_delta(stream, pull, have, newest);
 		return;
 	}
-	send_whole(stream, newest);
+	m.version = newest->version;
+	m.hash = newest->hash;
+	m.text.data = newest->text;
+	m.text.size_bytes = (uint32_t)newest->text_bytes;
+	stream_send(stream, MESSAGE_RULES, &m);
 }
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "io/deflate.h"
 #include "io/log.h"
 #include "io/net.h"
 
@@ -16,6 +17,9 @@
 #define MAX_QUEUED_BYTES  (16u * 1024 * 1024)
 #define ACCEPT_BATCH	  64
 
+/// Shorter frames gain too little to be deflated.
+#define DEFLATE_FROM_BYTES 2048
+
 static void
 stream_free(void *arg)
 {
@@ -142,12 +146,37 @@
 	return stream->out.size - stream->out_sent_bytes;
 }
 
+/// Replaces the frame at the end of a buffer by a deflated one: the length with
+/// its top bit set, the plain length, the deflated message.
+static void
+deflate_frame(msgpack_sbuffer *out, size_t start)
+{
+	const char *message = out->data + start + FRAME_HEADER_BYTES;
+	size_t plain_bytes = out->size - start - FRAME_HEADER_BYTES;
+	uint32_t head[2];
+	char *deflated;
+	size_t n = deflate_bytes(message, plain_bytes, &deflated);
+
+	head[0] = htonl((uint32_t)(n + sizeof(uint32_t)) | FRAME_DEFLATED);
+	head[1] = htonl((uint32_t)plain_bytes);
+	out->size = start;
+	msgpack_sbuffer_write(out, (const char *)head, sizeof(head));
+	msgpack_sbuffer_write(out, deflated, n);
+	free(deflated);
+}
+
 int
 stream_send(struct stream *stream, enum message_type type, const void *value)
 {
+	size_t start;
+
 	if (stream->closed || stream_queued_bytes(stream) > MAX_QUEUED_BYTES)
 		return -1;
+	start = stream->out.size;
 	message_pack_frame(&stream->out, type, value);
+	if (stream->out.size - start > DEFLATE_FROM_BYTES &&
+	    message_is_text(type))
+		deflate_frame(&stream->out, start);
 	if (stream->flush_deferred)
 		return 0;
 	stream->flush_deferred = true;
@@ -168,7 +197,7 @@
 }
 
 static void
-deliver_frame(struct stream *stream, const char *bytes, uint32_t size_bytes)
+deliver_message(struct stream *stream, const char *bytes, size_t size_bytes)
 {
 	struct message message;
 	struct error err;
@@ -181,13 +210,52 @@
 	message_free(&message);
 }
 
+static uint32_t
+read_u32(const char *bytes)
+{
+	uint32_t n;
+
+	memcpy(&n, bytes, sizeof(n));
+	return ntohl(n);
+}
+
+static void
+deliver_deflated(struct stream *stream, const char *bytes, uint32_t size_bytes)
+{
+	uint32_t plain_bytes;
+	struct error err;
+	char *plain;
+
+	plain_bytes = size_bytes < sizeof(uint32_t) ? 0 : read_u32(bytes);
+	if (plain_bytes == 0 || plain_bytes > stream->max_frame_bytes) {
+		stream_fail(stream, "receive", "deflated frame is too large");
+		return;
+	}
+	if (inflate_bytes(bytes + sizeof(uint32_t),
+		size_bytes - sizeof(uint32_t), plain_bytes, &plain,
+		&err) != 0) {
+		stream_fail(stream, err.step, err.text);
+		return;
+	}
+	deliver_message(stream, plain, plain_bytes);
+	free(plain);
+}
+
 static uint32_t
 frame_size(const char *header)
 {
-	uint32_t size_bytes;
+	return read_u32(header) & ~FRAME_DEFLATED;
+}
+
+static void
+deliver_frame(struct stream *stream, const char *header)
+{
+	const char *bytes = header + FRAME_HEADER_BYTES;
 
-	memcpy(&size_bytes, header, sizeof(size_bytes));
-	return ntohl(size_bytes);
+	if (read_u32(header) & FRAME_DEFLATED)
+		deliver_deflated(stream, bytes, frame_size(header));
+	else
+		deliver_message(stream, bytes, frame_size(header));
 }
 
 /// Hands over every whole frame and keeps the rest.
@@ -207,8 +275,7 @@
 		if (stream->in_used_bytes - at - FRAME_HEADER_BYTES <
 		    size_bytes)
 			break;
-		deliver_frame(
-		    stream, stream->in + at + FRAME_HEADER_BYTES, size_bytes);
+		deliver_frame(stream, stream->in + at);
 		at += FRAME_HEADER_BYTES + size_bytes;
 	}
 	if (stream->closed)
--- a/src/proxy/control.c
+++ b/src/proxy/control.c
@@ -260,7 +260,7 @@
 {
 	struct control *control = arg;
 
-	traffic_post_drain(control->traffic);
+	traffic_post_drain(control->traffic, control->drain_deadline_us);
 	start_timer(
 	    control, &control->drain_timer, check_drained, 2 * DRAIN_CHECK_US);
 }
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -28,6 +28,12 @@
 /// Between tries while requests are parked.
 #define PARK_RETRY_US (50 * US_PER_MS)
 
+/// Before the end of a drain no request may still be in progress.
+#define DRAIN_MARGIN_US (500 * US_PER_MS)
+
+/// A caller that is turned away by a proxy that leaves finds another at once.
+#define LEAVING_RETRY_US (20 * US_PER_MS)
+
 /// When to come back to a proxy that is starting.
 #define STARTING_RETRY_US (200 * US_PER_MS)
 
@@ -240,6 +246,12 @@
 		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
 		return;
 	}
+	if (ingress->drain_deadline_us != 0 &&
+	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    LEAVING_RETRY_US, "this proxy is leaving");
+		return;
+	}
 	add_caller_service(r);
 	r->safe = r->route->kind == RULE_KIND_METHOD
 	    ? retry_method_is_safe(exchange->method)
@@ -495,8 +507,9 @@
 }
 
 void
-ingress_drain(struct ingress *ingress)
+ingress_drain(struct ingress *ingress, int64_t deadline_us)
 {
+	ingress->drain_deadline_us = deadline_us;
 	if (ingress->outer.httpd != NULL)
 		httpd_drain(ingress->outer.httpd);
 	if (ingress->inner.httpd != NULL)
@@ -517,7 +530,7 @@
 			ingress_send_cancel(r, true);
 		else
 			ingress_conclude(r, 503, ingress_not_run_outcome(r),
-			    STARTING_RETRY_US, "this proxy is leaving");
+			    LEAVING_RETRY_US, "this proxy is leaving");
 	}
 }
 
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -40,7 +40,9 @@
 void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
 
 /// Stops to accept connections; requests in progress go on.
-void ingress_drain(struct ingress *ingress);
+///
+/// @param deadline_us  new requests that may last longer are refused
+void ingress_drain(struct ingress *ingress, int64_t deadline_us);
 
 /// Ends what no backend server runs yet, with a refusal.
 void ingress_give_up_waiting(struct ingress *ingress);
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -88,7 +88,8 @@
 	struct random random;
 	int64_t start_deadline_us; ///< Until then requests may be parked.
 	struct loop_timer parked_timer;
-	bool ending; ///< Nothing is tried again.
+	int64_t drain_deadline_us; ///< End of the drain; 0 for none.
+	bool ending;		   ///< Nothing is tried again.
 	struct egress *egress;
 	struct links *links;
 	struct ingress_settings settings;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -38,6 +38,7 @@
 	struct view *view;
 	struct egress_backend backend;
 	uint64_t incarnation;
+	int64_t deadline_us;
 };
 
 static struct order *
@@ -114,17 +115,22 @@
 static void
 take_drain(void *arg)
 {
-	struct traffic *traffic = arg;
+	struct order *order = arg;
+	struct traffic *traffic = order->traffic;
 
 	traffic->draining = true;
 	egress_drain(traffic->egress);
-	ingress_drain(traffic->ingress);
+	ingress_drain(traffic->ingress, order->deadline_us);
+	free(order);
 }
 
 void
-traffic_post_drain(struct traffic *traffic)
+traffic_post_drain(struct traffic *traffic, int64_t deadline_us)
 {
-	loop_post(traffic->loop, take_drain, traffic);
+	struct order *order = order_create(traffic);
+
+	order->deadline_us = deadline_us;
+	loop_post(traffic->loop, take_drain, order);
 }
 
 static void
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -48,7 +48,9 @@
 
 /// Stops to take new requests, and closes all connections of callers once none
 /// has a request in progress. Any thread.
-void traffic_post_drain(struct traffic *traffic);
+///
+/// @param deadline_us  end of the drain: what would last longer is refused
+void traffic_post_drain(struct traffic *traffic, int64_t deadline_us);
 
 /// Refuses what waits, here and for this proxy elsewhere. Any thread.
 void traffic_post_give_up(struct traffic *traffic);
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -95,8 +95,7 @@
 static const struct codec_field rules_fields[] = {
     F(message_rules, U64, version),
     F(message_rules, U64, hash),
-    F(message_rules, U32, plain_bytes),
-    F(message_rules, BYTES, deflated),
+    F(message_rules, BYTES, text),
 };
 static const struct codec_schema rules_schema =
     CODEC_SCHEMA(struct message_rules, rules_fields);
@@ -425,6 +424,23 @@
 	}
 }
 
+bool
+message_is_text(enum message_type type)
+{
+	switch (type) {
+	case MESSAGE_SYNC:
+	case MESSAGE_SYNC_ANSWER:
+	case MESSAGE_RULES:
+	case MESSAGE_DELTA:
+	case MESSAGE_RAFT:
+	case MESSAGE_OPERATOR:
+	case MESSAGE_OPERATOR_ANSWER:
+		return true;
+	default:
+		return false;
+	}
+}
+
 void
 message_pack(msgpack_sbuffer *out, enum message_type type, const void *value)
 {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -7,6 +7,7 @@
 #define MV_WIRE_MESSAGES_H
 
 #include <msgpack.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -15,6 +16,10 @@
 
 /// Length prefix of a frame, big-endian.
 #define FRAME_HEADER_BYTES 4
+
+/// Bit of the length: the frame is deflated.
+#define FRAME_DEFLATED 0x80000000u
+
 #define FRAME_MAX_BYTES	   (8u * 1024 * 1024)
 #define DATAGRAM_MAX_BYTES 1400
 
@@ -138,8 +143,7 @@
 struct message_rules {
 	uint64_t version; ///< 0: nothing newer here.
 	uint64_t hash;
-	uint32_t plain_bytes;  ///< Length of the text.
-	struct bytes deflated; ///< The text, in zlib's format.
+	struct bytes text; ///< Empty in the answer to a question to confirm.
 };
 
 /// One step of a line delta: copy lines of the old text, or insert new ones.
@@ -394,6 +398,10 @@
 	struct codec_decoder decoder;
 };
 
+/// Tells whether messages of a type consist of text that deflates well. Bodies
+/// of requests do not count: they are their callers' own.
+bool message_is_text(enum message_type type);
+
 /// Appends an encoded message, without a frame header, to a buffer.
 void message_pack(
     msgpack_sbuffer *out, enum message_type type, const void *value);
