fix(wal): a write that a loss of power tears in its middle; bodies that cannot come in time are refused

Problem: a replica found damage in its log after a loss of power and would not start: several records of one sync are torn independently, and a whole record behind a torn one was taken for proof that the torn one had been synced. Solution: each record says up to which one the log was synced when it was written; only what is behind that is damage. What a killed process left is synced when it is loaded. core/collector estimates the rate of bodies; an egress refuses at once what cannot come within its target, and an ingress takes an attempt back whose body has not left it.

--- a/src/io/wal.c
+++ b/src/io/wal.c
@@ -69,7 +69,18 @@
 	if (write_buffer(wal, err) != 0)
 		return -1;
 	wal_segment_name(current_segment(wal)->number, name);
-	return wal->disk->ops->sync(wal->disk, name, err);
+	if (wal->disk->ops->sync(wal->disk, name, err) != 0)
+		return -1;
+	wal->synced = wal->sequence;
+	return 0;
+}
+
+static void
+put_record(struct wal *wal, enum wal_kind kind, const void *head,
+    uint32_t head_bytes, const char *body, size_t body_bytes)
+{
+	wal_record_put(&wal->buffer, wal->sequence++, wal->synced, kind, head,
+	    head_bytes, body, body_bytes);
 }
 
 static void
@@ -77,8 +88,7 @@
 {
 	struct wal_vote vote = {wal->term, wal->vote};
 
-	wal_record_put(&wal->buffer, wal->sequence++, WAL_VOTE, &vote,
-	    sizeof(vote), NULL, 0);
+	put_record(wal, WAL_VOTE, &vote, sizeof(vote), NULL, 0);
 }
 
 /// Ends the segment; the next begins with the vote, so that it needs no
@@ -124,8 +134,8 @@
 			wal->max_segment_bytes &&
 		    start_segment(wal, err) != 0)
 			return -1;
-		wal_record_put(&wal->buffer, wal->sequence++, WAL_ENTRY, &head,
-		    sizeof(head), e->data, e->size_bytes);
+		put_record(wal, WAL_ENTRY, &head, sizeof(head), e->data,
+		    e->size_bytes);
 		if (e->index > current_segment(wal)->last_index)
 			current_segment(wal)->last_index = e->index;
 	}
@@ -139,8 +149,7 @@
 	struct wal *wal = wal_of(storage);
 
 	(void)err;
-	wal_record_put(&wal->buffer, wal->sequence++, WAL_TRUNCATE, &from_index,
-	    sizeof(from_index), NULL, 0);
+	put_record(wal, WAL_TRUNCATE, &from_index, sizeof(from_index), NULL, 0);
 	return 0;
 }
 
@@ -186,8 +195,8 @@
 	if (snapshot->size_bytes > 0)
 		msgpack_sbuffer_write(
 		    &payload, snapshot->data, snapshot->size_bytes);
-	wal_record_put(&out, 0, WAL_SNAPSHOT, &head, sizeof(head), payload.data,
-	    payload.size);
+	wal_record_put(&out, 0, 0, WAL_SNAPSHOT, &head, sizeof(head),
+	    payload.data, payload.size);
 	rc = wal->disk->ops->replace(
 	    wal->disk, WAL_SNAPSHOT_NAME, out.data, out.size, err);
 	msgpack_sbuffer_destroy(&payload);
@@ -195,8 +204,8 @@
 	if (rc != 0 || start_segment(wal, err) != 0)
 		return -1;
 	// Entries before the snapshot no longer count, even if read again.
-	wal_record_put(&wal->buffer, wal->sequence++, WAL_RESTORED,
-	    &snapshot->index, sizeof(snapshot->index), NULL, 0);
+	put_record(wal, WAL_RESTORED, &snapshot->index, sizeof(snapshot->index),
+	    NULL, 0);
 	if (sync_segment(wal, err) != 0)
 		return -1;
 	return remove_old_segments(wal, snapshot->index, err);
--- a/src/io/wal.h
+++ b/src/io/wal.h
@@ -2,9 +2,11 @@
 /// Durable state of a replica: segments of checksummed records, a snapshot,
 /// and the identity of the replica.
 ///
-/// A record is: magic u32, payload size u32, sequence u64, kind u32, checksum
-/// u64 (XXH3 of the rest), payload; little-endian. The end of the last segment
-/// may be torn by a crash and is cut. Damage anywhere else stops the program.
+/// A record is: magic u32, payload size u32, sequence u64, sequence of the
+/// first record that was not synced when it was written u64, kind u32, checksum
+/// u64 (XXH3 of the rest), payload; little-endian. A crash may tear anything
+/// that was written to the last segment since the last sync: such an end is
+/// cut. Damage anywhere else stops the program.
 #ifndef MV_IO_WAL_H
 #define MV_IO_WAL_H
 
@@ -35,6 +37,7 @@
 	uint32_t segment_count;
 	uint32_t segment_capacity;
 	uint64_t sequence; ///< Of the next record.
+	uint64_t synced;   ///< Records before this sequence are synced.
 	uint64_t term;
 	uint64_t vote;
 	size_t segment_bytes; ///< Written to the last segment.
--- a/src/io/wal_load.c
+++ b/src/io/wal_load.c
@@ -14,6 +14,7 @@
 	uint32_t magic;
 	uint32_t payload_bytes;
 	uint64_t sequence;
+	uint64_t synced;
 	uint32_t kind;
 };
 
@@ -22,20 +23,22 @@
 {
 	struct {
 		uint64_t sequence;
+		uint64_t synced;
 		uint32_t kind;
 		uint32_t payload_bytes;
-	} covered = {h->sequence, h->kind, h->payload_bytes};
+	} covered = {h->sequence, h->synced, h->kind, h->payload_bytes};
 	uint64_t seed = XXH3_64bits(&covered, sizeof(covered));
 
 	return XXH3_64bits_withSeed(payload, h->payload_bytes, seed);
 }
 
 void
-wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
-    const void *head, uint32_t head_bytes, const char *body, size_t body_bytes)
+wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint64_t synced,
+    uint32_t kind, const void *head, uint32_t head_bytes, const char *body,
+    size_t body_bytes)
 {
-	struct record_header h = {
-	    WAL_MAGIC, (uint32_t)(head_bytes + body_bytes), sequence, kind};
+	struct record_header h = {WAL_MAGIC,
+	    (uint32_t)(head_bytes + body_bytes), sequence, synced, kind};
 	size_t start = out->size;
 	char fixed[WAL_HEADER_BYTES];
 	uint64_t sum;
@@ -49,8 +52,9 @@
 	memcpy(fixed, &h.magic, 4);
 	memcpy(fixed + 4, &h.payload_bytes, 4);
 	memcpy(fixed + 8, &h.sequence, 8);
-	memcpy(fixed + 16, &h.kind, 4);
-	memcpy(fixed + 20, &sum, 8);
+	memcpy(fixed + 16, &h.synced, 8);
+	memcpy(fixed + 24, &h.kind, 4);
+	memcpy(fixed + 28, &sum, 8);
 	memcpy(out->data + start, fixed, sizeof(fixed));
 }
 
@@ -65,14 +69,16 @@
 	memcpy(&h.magic, bytes, 4);
 	memcpy(&h.payload_bytes, bytes + 4, 4);
 	memcpy(&h.sequence, bytes + 8, 8);
-	memcpy(&h.kind, bytes + 16, 4);
-	memcpy(&sum, bytes + 20, 8);
+	memcpy(&h.synced, bytes + 16, 8);
+	memcpy(&h.kind, bytes + 24, 4);
+	memcpy(&sum, bytes + 28, 8);
 	if (h.magic != WAL_MAGIC || h.payload_bytes > WAL_MAX_PAYLOAD_BYTES ||
 	    h.payload_bytes > size_bytes - WAL_HEADER_BYTES)
 		return -1;
 	if (checksum(&h, bytes + WAL_HEADER_BYTES) != sum)
 		return -1;
 	record->sequence = h.sequence;
+	record->synced = h.synced;
 	record->kind = h.kind;
 	record->payload = bytes + WAL_HEADER_BYTES;
 	record->payload_bytes = h.payload_bytes;
@@ -178,10 +184,10 @@
 	}
 }
 
-/// Tells whether a valid record follows somewhere after a bad one, which a
-/// torn write cannot explain.
+/// Tells whether a bad record had been synced, by a valid one that was written
+/// after that. What was written since the last sync may be torn anywhere.
 static bool
-has_record_after(const char *bytes, size_t size_bytes, uint64_t sequence)
+is_synced(const char *bytes, size_t size_bytes, uint64_t sequence)
 {
 	struct wal_record record;
 	size_t at;
@@ -192,7 +198,7 @@
 		memcpy(&magic, bytes + at, sizeof(magic));
 		if (magic == WAL_MAGIC &&
 		    wal_record_get(bytes + at, size_bytes - at, &record) == 0 &&
-		    record.sequence >= sequence)
+		    record.synced > sequence)
 			return true;
 	}
 	return false;
@@ -237,8 +243,7 @@
 	wal->segment_bytes = at;
 	if (at < size_bytes) {
 		if (!last ||
-		    has_record_after(
-			bytes + at, size_bytes - at, wal->sequence)) {
+		    is_synced(bytes + at, size_bytes - at, wal->sequence)) {
 			report_damage(l, name, at);
 			goto out;
 		}
@@ -342,6 +347,19 @@
 	return i;
 }
 
+/// What a killed process left unsynced is taken for stored from now on.
+static int
+sync_loaded(struct wal *wal, struct error *err)
+{
+	char name[WAL_NAME_BYTES];
+
+	wal_segment_name(wal->segments[wal->segment_count - 1].number, name);
+	if (wal->disk->ops->sync(wal->disk, name, err) != 0)
+		return -1;
+	wal->synced = wal->sequence;
+	return 0;
+}
+
 int
 wal_load(struct wal *wal, struct disk *disk, struct replica_stored *stored,
     struct error *err)
@@ -366,6 +384,8 @@
 			goto out;
 	if (wal->segment_count == 0)
 		wal_add_segment(wal, 1);
+	else if (sync_loaded(wal, err) != 0)
+		goto out;
 	rc = 0;
 out:
 	free(numbers.items);
--- a/src/io/wal_record.h
+++ b/src/io/wal_record.h
@@ -11,8 +11,8 @@
 
 #define WAL_SNAPSHOT_NAME     "snapshot"
 #define WAL_NAME_BYTES	      32
-#define WAL_MAGIC	      0x4c57564du
-#define WAL_HEADER_BYTES      28
+#define WAL_MAGIC	      0x3257564du
+#define WAL_HEADER_BYTES      36
 #define WAL_MAX_PAYLOAD_BYTES (64u * 1024 * 1024)
 
 enum wal_kind {
@@ -45,6 +45,7 @@
 /// A record found in a file.
 struct wal_record {
 	uint64_t sequence;
+	uint64_t synced; ///< Records before this one were synced by then.
 	uint32_t kind;
 	const char *payload;
 	uint32_t payload_bytes;
@@ -52,8 +53,11 @@
 };
 
 /// Appends a record whose payload is a head and a body.
-void wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint32_t kind,
-    const void *head, uint32_t head_bytes, const char *body, size_t body_bytes);
+///
+/// @param synced  sequence of the first record that is not synced yet
+void wal_record_put(msgpack_sbuffer *out, uint64_t sequence, uint64_t synced,
+    uint32_t kind, const void *head, uint32_t head_bytes, const char *body,
+    size_t body_bytes);
 
 /// Reads the record at the start of some bytes.
 ///
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -709,6 +709,18 @@
     .window = sink_window,
 };
 
+bool
+ingress_withdraw(struct ingress_request *r)
+{
+	if (r->state != ATTEMPT_SENT || !r->bulk ||
+	    r->bulk_sent_bytes == r->exchange->body_bytes)
+		return false;
+	// An egress begins no work before it has the whole body.
+	ingress_send_cancel(r, false);
+	attempt_end(r, false);
+	return true;
+}
+
 void
 ingress_on_deadline(void *arg)
 {
@@ -727,6 +739,11 @@
 		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
 		return;
 	}
+	if (r->exchange != NULL && ingress_withdraw(r)) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    UNREACHED_RETRY_US, "its body could not be sent in time");
+		return;
+	}
 	if (!r->cancel_sent) {
 		r->cancel_sent = true;
 		loop_timer_set(ingress->loop, &r->timer,
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -8,14 +8,18 @@
 #include "core/outcome.h"
 #include "io/clock.h"
 #include "io/counters.h"
+#include "io/httpd.h"
 #include "io/log.h"
 #include "proxy/egress_request.h"
 #include "proxy/headers.h"
 
 #define SWEEP_US (20 * US_PER_MS)
 
-/// Longer bodies go straight through to the backend server.
+/// Longer bodies go straight through to the backend server. Those that an
+/// ingress keeps whole are never longer: it takes attempts back on that ground.
 #define MAX_COLLECTED_BYTES (1024 * 1024)
+_Static_assert(
+    MAX_COLLECTED_BYTES >= HTTPD_WHOLE_BODY_BYTES, "kept bodies are collected");
 
 COUNTER_DEFINE(count_refused, "egress_requests_refused", "Refused, not run");
 COUNTER_DEFINE(count_failed, "egress_requests_failed", "Outcome unknown");
@@ -35,8 +39,8 @@
 		egress->first = r->next;
 	if (r->next != NULL)
 		r->next->prev = r->prev;
-	if (r->state == REQUEST_COLLECTING && r->upload_asked_bytes > 0)
-		egress->collecting--;
+	if (r->state == REQUEST_COLLECTING)
+		egress_collect_end(r);
 	header_list_free(&r->response_headers);
 	free(r->headers);
 	free(r->url);
@@ -342,6 +346,7 @@
 	const char *obstacle = find_obstacle(egress, message);
 	int64_t now_us = loop_now_us(egress->loop);
 	struct egress_request *r;
+	int64_t retry_us;
 	uint64_t key =
 	    fence_key(sink->origin, sink->origin_incarnation, message->id);
 
@@ -351,12 +356,18 @@
 		    not_run_outcome(message, false), 0, false, obstacle);
 		return NULL;
 	}
+	if (is_collectable(message) &&
+	    !egress_can_collect(egress, message, &retry_us)) {
+		egress_send_refusal(egress, sink, message->id, 503,
+		    not_run_outcome(message, false), retry_us, false,
+		    "too many bodies are on their way here");
+		return NULL;
+	}
 	r = request_create(egress, sink, message);
 	r->fence_key = key;
-	if (is_collectable(message)) {
-		r->state = REQUEST_COLLECTING;
-		egress_collect_bodies(egress);
-	} else
+	if (is_collectable(message))
+		egress_collect_begin(r);
+	else
 		egress_admit(r);
 	return egress_find(egress, sink, message->id);
 }
--- a/src/proxy/egress_collect.c
+++ b/src/proxy/egress_collect.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/clock.h"
 #include "io/counters.h"
 #include "proxy/egress_request.h"
 
@@ -18,6 +19,13 @@
 /// comes in a round trip between regions on a fast one.
 #define PART_BYTES (16u * 1024)
 
+/// Part of the time until the target that a body may take to come: the rate is
+/// an estimate, and other traffic shares the link.
+#define TARGET_PCT 60
+
+/// Shortest time after which a caller may come back with a body.
+#define MIN_RETRY_US (100 * US_PER_MS)
+
 /// Parts asked for ahead.
 #define PARTS_AHEAD 2
 
@@ -41,7 +49,7 @@
 void
 egress_collect_bodies(struct egress *egress)
 {
-	while (egress->collecting < MAX_COLLECTING) {
+	while (egress->collector.asked < MAX_COLLECTING) {
 		struct egress_request *best = NULL;
 		struct egress_request *r;
 
@@ -54,22 +62,58 @@
 				best = r;
 		if (best == NULL)
 			return;
-		egress->collecting++;
+		collector_begin(&egress->collector, loop_now_us(egress->loop));
 		ask(best, PARTS_AHEAD * PART_BYTES);
 	}
 }
 
+bool
+egress_can_collect(
+    struct egress *egress, const struct message_request *m, int64_t *retry_us)
+{
+	int64_t service_us = egress_service_us(egress);
+	int64_t wait_us;
+
+	// A body that comes after its target holds up others that would not.
+	if (collector_can_take(&egress->collector, m->total_bytes,
+		(m->target_left_us - service_us) * TARGET_PCT / 100,
+		loop_now_us(egress->loop), &wait_us))
+		return true;
+	*retry_us = wait_us - m->target_left_us / 2;
+	if (*retry_us < MIN_RETRY_US)
+		*retry_us = MIN_RETRY_US;
+	return false;
+}
+
+void
+egress_collect_begin(struct egress_request *r)
+{
+	r->state = REQUEST_COLLECTING;
+	collector_add(&r->egress->collector, r->message->total_bytes);
+	egress_collect_bodies(r->egress);
+}
+
+void
+egress_collect_end(struct egress_request *r)
+{
+	collector_end(&r->egress->collector,
+	    r->message->total_bytes - (int64_t)r->upload_bytes,
+	    r->upload_asked_bytes > 0, loop_now_us(r->egress->loop));
+}
+
 void
 egress_collect_part(struct egress_request *r, const struct message_body *body)
 {
 	struct egress *egress = r->egress;
 
+	collector_part(&egress->collector, body->data.size_bytes,
+	    loop_now_us(egress->loop));
 	if (r->upload_bytes < (size_t)r->message->total_bytes) {
 		ask(r, body->data.size_bytes);
 		return;
 	}
+	egress_collect_end(r);
 	r->collected = true;
-	egress->collecting--;
 	counter_add(&count_collected, 1);
 	egress_admit(r);
 	egress_collect_bodies(egress);
--- a/src/proxy/egress_request.h
+++ b/src/proxy/egress_request.h
@@ -3,6 +3,7 @@
 #ifndef MV_PROXY_EGRESS_REQUEST_H
 #define MV_PROXY_EGRESS_REQUEST_H
 
+#include "core/collector.h"
 #include "core/outcome.h"
 #include "io/dialect.h"
 #include "io/httpc.h"
@@ -69,7 +70,7 @@
 	struct egress_backend backend;
 	struct rules *rules;
 	struct egress_request *first;
-	uint32_t collecting; ///< Bodies that are asked for now.
+	struct collector collector;
 	struct loop_timer sweep_timer;
 	bool draining;
 	bool abort_deferred;
@@ -99,6 +100,18 @@
 /// Asks for the bodies of further requests, those of the nearest target first.
 void egress_collect_bodies(struct egress *egress);
 
+/// Tells whether the body of a request can be here in time.
+///
+/// @param retry_us  if not: time after which it may come back
+bool egress_can_collect(
+    struct egress *egress, const struct message_request *m, int64_t *retry_us);
+
+/// Lets the body of a request be asked for when it is its turn.
+void egress_collect_begin(struct egress_request *r);
+
+/// Ends the collection of a body, before the request leaves that state.
+void egress_collect_end(struct egress_request *r);
+
 /// Takes a part of a body that was asked for.
 void egress_collect_part(
     struct egress_request *r, const struct message_body *body);
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress.c
@@ -526,7 +526,7 @@
 		r->marked = r->exchange != NULL;
 	while ((r = find_marked(ingress)) != NULL) {
 		r->marked = false;
-		if (r->state != ATTEMPT_NONE)
+		if (r->state != ATTEMPT_NONE && !ingress_withdraw(r))
 			ingress_send_cancel(r, true);
 		else
 			ingress_conclude(r, 503, ingress_not_run_outcome(r),
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress_request.h
@@ -129,6 +129,11 @@
 /// @param waiting_only  unless it runs already
 void ingress_send_cancel(struct ingress_request *r, bool waiting_only);
 
+/// Takes an attempt back that cannot have run, since its body has not been sent.
+///
+/// @return whether it was one
+bool ingress_withdraw(struct ingress_request *r);
+
 /// Sends a part of the body to the egress of the attempt in progress.
 void ingress_send_body(
     struct ingress_request *r, const struct message_body *body);
--- a/test/unit/test_wal.c
+++ b/test/unit/test_wal.c
@@ -36,9 +36,11 @@
 	assert_int_equal(wal_load(wal, &disk->disk, &stored, &err), 0);
 	wal->max_segment_bytes = 400;
 	wal->storage.ops->save_vote(&wal->storage, 3, 2, &err);
-	for (i = 1; i <= ENTRIES; i++)
+	for (i = 1; i <= ENTRIES; i++) {
 		append_entry(wal, i, 3);
-	assert_int_equal(wal->storage.ops->sync(&wal->storage, &err), 0);
+		assert_int_equal(
+		    wal->storage.ops->sync(&wal->storage, &err), 0);
+	}
 }
 
 static void
@@ -128,6 +130,44 @@
 	fake_disk_free(&disk);
 }
 
+/// Power is lost while several records are written in one go: any part of them
+/// may be missing, the first as well as the last. Nothing of that was synced, so
+/// it is cut, and what was synced stays.
+static void
+test_torn_batch(void **state)
+{
+	struct fake_disk disk;
+	struct wal wal;
+	struct error err;
+	size_t synced;
+	size_t i;
+
+	(void)state;
+	write_log(&disk, &wal);
+	wal.max_segment_bytes = 100000;
+	synced = last_segment(&disk)->size_bytes;
+	for (i = 1; i <= 3; i++)
+		append_entry(&wal, ENTRIES + i, 3);
+	disk.sync_fails = true;
+	assert_int_equal(wal.storage.ops->sync(&wal.storage, &err), -1);
+	disk.sync_fails = false;
+	wal_free(&wal);
+	for (i = synced; i + 8 <= last_segment(&disk)->size_bytes; i += 8) {
+		struct fake_file *file = last_segment(&disk);
+		size_t size = file->size_bytes;
+		char *saved = malloc(size);
+
+		memcpy(saved, file->bytes, size);
+		memset(file->bytes + i, 0, 8);
+		assert_in_range(load_count(&disk, &err), ENTRIES, ENTRIES + 3);
+		memcpy(file->bytes, saved, size);
+		file->size_bytes = size;
+		free(saved);
+	}
+	assert_int_equal(load_count(&disk, &err), ENTRIES + 3);
+	fake_disk_free(&disk);
+}
+
 /// One flipped byte anywhere: what follows a damaged record is never lost
 /// without a word. In the last record damage looks like a torn write.
 static void
@@ -249,6 +289,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_reload),
 	    cmocka_unit_test(test_torn_tail),
+	    cmocka_unit_test(test_torn_batch),
 	    cmocka_unit_test(test_damaged_byte),
 	    cmocka_unit_test(test_damaged_snapshot),
 	    cmocka_unit_test(test_full_disk),
