fix(replica): a source whose disk was full comes back by itself

Problem: a replica whose disk refused a write took no part any more until somebody restarted it. Solution: after a failed write the disk is probed; once it takes writes the process ends with exit code 1, and starts from what the disk holds. A file that may not grow is an error of the write, not the end of the process. Ruled out: going on in the same process, whose memory may hold entries that the disk does not.

--- a/src/io/program.c
+++ b/src/io/program.c
@@ -66,16 +66,18 @@
 open_log(const struct program *program, const char *path)
 {
 	const struct program_log *log = program->log;
-	enum log_level level;
+	struct log_settings settings = {.path = log->path,
+	    .json = log->json,
+	    .lines_per_s = (uint32_t)log->lines_per_s};
 	struct error err;
 
-	if (log_parse_level(log->level, &level) != 0) {
+	if (log_parse_level(log->level, &settings.level) != 0) {
 		fprintf(stderr,
 		    "%s: log.level: must be debug, info, warn or error\n",
 		    path);
 		return -1;
 	}
-	if (log_open(log->path, level, log->json, &err) != 0) {
+	if (log_open(&settings, &err) != 0) {
 		fprintf(stderr, "%s: log.path: %s\n", path, err.text);
 		return -1;
 	}
@@ -153,6 +155,8 @@
 	fill_signals(&set);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	// A file that may not grow is an error of the write, as a full disk is.
+	signal(SIGXFSZ, SIG_IGN);
 }
 
 /// The one watch of a process for its termination signals.
--- a/src/io/replica_host.c
+++ b/src/io/replica_host.c
@@ -10,15 +10,21 @@
 #include "io/replica_host.h"
 #include "io/replica_message.h"
 
+/// Between tries of a disk that failed; a write costs next to nothing.
+#define PROBE_US   (250 * US_PER_MS)
+#define PROBE_NAME "probe"
+
 #define REDIAL_US	      (200 * US_PER_MS)
 #define MAX_APPEND_BYTES      (512u * 1024)
 #define MAX_UNCOMMITTED_BYTES (32u * 1024 * 1024)
 #define KEEP_ENTRIES	      1000
 #define CATCH_UP_ENTRIES      16
 
-COUNTER_DEFINE(gauge_term, "replica_term", "Term of the replicated log");
-COUNTER_DEFINE(gauge_commit, "replica_commit", "Last committed entry");
-COUNTER_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
+GAUGE_DEFINE(gauge_term, "replica_term", "Term of the replicated log");
+GAUGE_DEFINE(gauge_commit, "replica_commit", "Last committed entry");
+GAUGE_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
+GAUGE_DEFINE(
+    gauge_failed, "replica_storage_failed", "1 while the disk takes no writes");
 COUNTER_DEFINE(count_flushes, "replica_flushes", "Rounds with a sync");
 
 static struct replica_host *
@@ -132,15 +138,28 @@
 	host->ops->read_done(host, context, ok);
 }
 
+static void
+log_role(const struct replica *r)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_INFO, "replica",
+	    r->leader == 0 ? "Knows no leader: no quorum can be had yet."
+			   : "Knows the leader.");
+	log_number(&line, "replica", (int64_t)r->settings.id);
+	log_text(&line, "role", replica_role_name(r->role));
+	log_number(&line, "term", (int64_t)r->term);
+	log_number(&line, "leader", (int64_t)r->leader);
+	log_number(&line, "commit", (int64_t)r->commit);
+	log_end(&line);
+}
+
 static void
 on_role_changed(struct replica *r)
 {
 	struct replica_host *host = host_of(r);
 
-	log_write(LOG_INFO, "replica",
-	    "Replica %" PRIu64 " is %s in term %" PRIu64 "; leader is %" PRIu64
-	    ".",
-	    r->settings.id, replica_role_name(r->role), r->term, r->leader);
+	log_role(r);
 	counter_set(&gauge_leader, r->role == REPLICA_LEADER);
 	if (r->role != REPLICA_LEADER)
 		host->change_pending = false;
@@ -204,6 +223,26 @@
 		loop_timer_set(host->loop, &host->tick_timer, next_us);
 }
 
+/// Tries to write to a disk that failed: it was full, perhaps, and has room now.
+static void
+probe_disk(void *arg)
+{
+	struct replica_host *host = arg;
+	struct disk *disk = host->disk;
+	struct error err;
+
+	if (disk->ops->replace(
+		disk, PROBE_NAME, PROBE_NAME, strlen(PROBE_NAME), &err) != 0 ||
+	    disk->ops->remove(disk, PROBE_NAME, &err) != 0) {
+		loop_timer_set(host->loop, &host->probe_timer,
+		    loop_now_us(host->loop) + PROBE_US);
+		return;
+	}
+	log_write(LOG_WARN, "replica",
+	    "The disk takes writes again: ends, to start from what it holds.");
+	host->restart(host->restart_arg);
+}
+
 /// Once in a round of the loop: one sync for all that came in.
 static int64_t
 before_wait(void *arg)
@@ -216,10 +255,16 @@
 	replica_flush(&host->replica, loop_now_us(host->loop));
 	counter_set(&gauge_term, (int64_t)host->replica.term);
 	counter_set(&gauge_commit, (int64_t)host->replica.commit);
-	if (!failed && replica_has_failed(&host->replica))
-		log_error(LOG_ERROR, "replica",
-		    "Storage failed; this replica takes no part any more",
-		    &host->replica.failure);
+	if (failed || !replica_has_failed(&host->replica))
+		return DEADLINE_NEVER_US;
+	log_error(LOG_ERROR, "replica",
+	    "Storage failed; this replica takes no part any more",
+	    &host->replica.failure);
+	counter_set(&gauge_failed, 1);
+	// Damage does not mend itself.
+	if (host->replica.failure.code == ERR_IO && host->restart != NULL)
+		loop_timer_set(host->loop, &host->probe_timer,
+		    loop_now_us(host->loop) + PROBE_US);
 	return DEADLINE_NEVER_US;
 }
 
@@ -353,6 +398,10 @@
 	host->flush_hook.fn = before_wait;
 	host->flush_hook.arg = host;
 	loop_hook_add(loop, &host->flush_hook);
+	host->restart = s->restart;
+	host->restart_arg = s->restart_arg;
+	host->probe_timer.fn = probe_disk;
+	host->probe_timer.arg = host;
 	host->tick_timer.fn = on_tick;
 	host->tick_timer.arg = host;
 	loop_timer_set(loop, &host->tick_timer, loop_now_us(loop));
--- a/src/io/replica_host.h
+++ b/src/io/replica_host.h
@@ -34,6 +34,10 @@
 	uint32_t target_voters;
 	int64_t election_us;
 	int64_t heartbeat_us;
+	/// The disk had failed, and takes writes again: only a process that
+	/// starts anew knows what is on it.
+	void (*restart)(void *arg);
+	void *restart_arg;
 };
 
 /// Stream to another replica.
@@ -59,6 +63,9 @@
 	uint32_t stream_count;
 	struct loop_hook flush_hook;
 	struct loop_timer tick_timer;
+	struct loop_timer probe_timer; ///< Runs while the disk fails.
+	void (*restart)(void *arg);
+	void *restart_arg;
 	struct replica_join joining;
 	// A replacement asked for by an operator.
 	struct replica_config target;
--- a/src/io/replica_program.c
+++ b/src/io/replica_program.c
@@ -11,6 +11,7 @@
 /// The program of this process, and the settings of its replica.
 static const struct replica_program *running;
 static struct replica_host_settings host;
+static bool must_restart;
 
 static int
 validate(void)
@@ -50,6 +51,13 @@
 	loop_stop(arg);
 }
 
+static void
+on_restart(void *arg)
+{
+	must_restart = true;
+	loop_stop(arg);
+}
+
 static void
 on_settings(void *arg, const void *settings)
 {
@@ -70,6 +78,8 @@
 	struct loop *loop = loop_create(&err);
 	int exit_code = EXIT_FAILED;
 
+	host.restart = on_restart;
+	host.restart_arg = loop;
 	if (loop == NULL || replica_host_check_bootstrap(&host, &err) != 0 ||
 	    running->open(loop, &err) != 0 ||
 	    running->open_replica(loop, &host, &err) != 0 ||
@@ -81,7 +91,7 @@
 	log_write(
 	    LOG_INFO, running->kind, "Started replica %" PRIu64 ".", host.id);
 	loop_run(loop);
-	exit_code = EXIT_OK;
+	exit_code = must_restart ? EXIT_FAILED : EXIT_OK;
 out:
 	running->close();
 	loop_destroy(loop);
@@ -118,6 +128,6 @@
 	apr_initialize();
 	exit_code = run();
 	apr_terminate();
-	log_flush();
+	log_close();
 	return exit_code;
 }
