--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -299,9 +299,8 @@
 	return ADMISSION_QUEUED;
 }
 
-void
-admission_finish(
-    struct admission *a, struct admission_item *item, int64_t now_us)
+static void
+release_slot(struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	struct admission_rank *r = &a->ranks[item->rank];
 
@@ -310,28 +309,48 @@
 	item->running = false;
 	r->running--;
 	a->running--;
-	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	if (item->charged_us > 0)
 		add_credit(r, item->charged_us - (now_us - item->start_us));
+}
+
+void
+admission_finish(
+    struct admission *a, struct admission_item *item, int64_t now_us)
+{
+	struct admission_rank *r = &a->ranks[item->rank];
+
+	release_slot(a, item, now_us);
+	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	r->service_us = moving_mean(r->service_us, now_us - item->start_us + 1);
 }
 
+void
+admission_abandon(
+    struct admission *a, struct admission_item *item, int64_t now_us)
+{
+	release_slot(a, item, now_us);
+	flow_cancel(&a->slot_time, now_us);
+}
+
 void
 admission_cancel(struct admission *a, struct admission_item *item)
 {
 	queue_remove(a, item);
 }
 
-/// First item of any queue that cannot meet its deadline any more.
+/// First item of any queue that cannot meet its deadline any more: half of the
+/// work takes longer than half of the mean.
 static struct admission_item *
 find_hopeless(const struct admission *a, int64_t now_us)
 {
 	uint32_t i;
 
 	for (i = 0; i < a->rank_count; i++) {
-		struct admission_item *item = a->ranks[i].head;
+		const struct admission_rank *r = &a->ranks[i];
+		struct admission_item *item = r->head;
 
-		if (item != NULL && item->deadline_us <= now_us)
+		if (item != NULL &&
+		    item->deadline_us <= now_us + r->service_us / 2)
 			return item;
 	}
 	return NULL;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -102,13 +102,18 @@
 void admission_finish(
     struct admission *a, struct admission_item *item, int64_t now_us);
 
+/// The same for an item that did not run: its time in the slot tells nothing of
+/// the time that work takes.
+void admission_abandon(
+    struct admission *a, struct admission_item *item, int64_t now_us);
+
 /// Takes a waiting item out.
 void admission_cancel(struct admission *a, struct admission_item *item);
 
 /// Next waiting item to act on, if a slot is free or an item's time is up.
 ///
-/// @param verdict  ADMISSION_RUN, or ADMISSION_REFUSED if it cannot meet its
-///                 deadline any more
+/// @param verdict   ADMISSION_RUN, or ADMISSION_REFUSED if it cannot meet its
+///                  deadline any more
 /// @return the item, or NULL if there is none now
 struct admission_item *admission_next(
     struct admission *a, int64_t now_us, enum admission_verdict *verdict);
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -205,6 +205,8 @@
 	start_line(&told, LOG_WARN, "log", text);
 	log_number(&told, "lines", (int64_t)lines);
 	log_end(&told);
+	// If this line is left out itself, so is what it told.
+	mine.lines += (uint32_t)lines - 1;
 }
 
 bool
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -104,7 +104,7 @@
 	if (r->item.queued)
 		admission_cancel(&egress->admission, &r->item);
 	if (r->item.running)
-		admission_finish(
+		admission_abandon(
 		    &egress->admission, &r->item, loop_now_us(egress->loop));
 	egress_request_free(r);
 	egress_send_refusal(
@@ -225,8 +225,10 @@
 		if (verdict == ADMISSION_RUN)
 			begin(r);
 		else
-			egress_end_not_run(
-			    r, 504, 0, "deadline passed in the queue");
+			egress_end_not_run(r, 503,
+			    admission_wait_us(
+				&egress->admission, item->rank),
+			    "it cannot meet its deadline any more");
 	}
 }
 
@@ -243,7 +245,7 @@
 		if (r->state == REQUEST_COLLECTING &&
 		    r->item.deadline_us <= now_us)
 			egress_end_not_run(
-			    r, 504, 0, "deadline passed before its body came");
+			    r, 503, 0, "its body did not come in time");
 		r = next;
 	}
 	egress_collect_bodies(egress);
@@ -459,8 +461,9 @@
 	if (r->state == REQUEST_ATTENDING)
 		end_attending(r);
 	else
-		egress_end_not_run(
-		    r, waiting_only ? 503 : 504, 0, "cancelled before it ran");
+		egress_end_not_run(r, 503,
+		    admission_wait_us(&egress->admission, r->item.rank),
+		    "cancelled before it ran");
 	egress_run_waiting(egress);
 }
 
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress_call.c
@@ -66,6 +66,15 @@
 	    (r->status == 408 || r->status == 429 || r->status == 503);
 }
 
+/// Tells whether a call ended without the request having run, for sure.
+static bool
+did_not_run(const struct egress_request *r, const struct error *err)
+{
+	if (r->streaming)
+		return false;
+	return r->shed || (err != NULL && !httpc_call_was_sent(&r->call));
+}
+
 /// Ends a request whose call to the backend server ended.
 static void
 end_call(struct egress_request *r, const struct error *err)
@@ -75,18 +84,19 @@
 	bool late = now_us >= r->item.deadline_us ||
 	    (err != NULL && err->code == ERR_TIMEOUT);
 
-	admission_finish(&egress->admission, &r->item, now_us);
 	egress_log_ended(r, err);
-	if (r->streaming)
-		send_stream_end(r, err != NULL);
-	else if (r->shed || (err != NULL && !httpc_call_was_sent(&r->call))) {
+	if (did_not_run(r, err)) {
 		r->arrived = r->shed;
-		egress_end_not_run(r, late ? 504 : 503, 0,
+		egress_end_not_run(r, 503, 0,
 		    r->shed ? "shed by the backend server"
 			    : "backend server cannot be reached");
 		egress_run_waiting(egress);
 		return;
-	} else if (err != NULL)
+	}
+	admission_finish(&egress->admission, &r->item, now_us);
+	if (r->streaming)
+		send_stream_end(r, err != NULL);
+	else if (err != NULL)
 		egress_send_unknown(r, late ? 504 : 502,
 		    late ? "deadline passed" : "backend connection failed");
 	else if (is_false_promise(r))
