test(soak): random faults on the real programs; fix(replica): silent streams are dropped

Problem: no test brought faults from outside to running programs. Solution: mvsoak starts 18 programs, relays that delay, reset, silence and cut one way, signals, full disks and changes of rules, by seed; mvload and an operator check what callers and backend servers see. A replica answers each message of another by a sign on the same stream; one without a sign for 0.5 s is dropped and dialled anew. mvload counts the runs of requests by their names. Ruled out: TCP_USER_TIMEOUT alone (a relay, or a host that is frozen, still acknowledges).

--- a/src/io/replica_host.c
+++ b/src/io/replica_host.c
@@ -14,7 +14,12 @@
 #define PROBE_US   (250 * US_PER_MS)
 #define PROBE_NAME "probe"
 
-#define REDIAL_US	      (200 * US_PER_MS)
+#define REDIAL_US (200 * US_PER_MS)
+
+/// A sign comes back within a round trip; a replica that waits for its disk
+/// gives none, but longer than this it is of no use either.
+#define SILENCE_LIMIT_US (500 * US_PER_MS)
+
 #define MAX_APPEND_BYTES      (512u * 1024)
 #define MAX_UNCOMMITTED_BYTES (32u * 1024 * 1024)
 #define KEEP_ENTRIES	      1000
@@ -25,6 +30,7 @@
 GAUGE_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
 GAUGE_DEFINE(
     gauge_failed, "replica_storage_failed", "1 while the disk takes no writes");
+COUNTER_DEFINE(count_silent, "replica_silent", "Streams dropped for silence");
 COUNTER_DEFINE(count_flushes, "replica_flushes", "Rounds with a sync");
 
 static struct replica_host *
@@ -38,7 +44,9 @@
 {
 	struct replica_stream *rs = stream->owner;
 
-	replica_host_receive(rs->host, stream, message);
+	rs->waiting_since_us = 0;
+	if (message->type != MESSAGE_HEARTBEAT)
+		replica_host_receive(rs->host, stream, message);
 }
 
 static void
@@ -74,12 +82,33 @@
 	return rs;
 }
 
+/// Drops a stream on which nothing came back: something on the way may have lost
+/// track of it, and new ones work.
+static void
+drop_if_silent(struct replica_stream *rs, int64_t now_us)
+{
+	struct log_line line;
+
+	if (rs->stream == NULL || rs->waiting_since_us == 0 ||
+	    now_us - rs->waiting_since_us <= SILENCE_LIMIT_US)
+		return;
+	log_begin(&line, LOG_WARN, "replica", "Dropped a silent stream.");
+	log_number(&line, "to", (int64_t)rs->id);
+	log_ms(&line, "silent_ms", now_us - rs->waiting_since_us);
+	log_end(&line);
+	counter_add(&count_silent, 1);
+	stream_close(rs->stream);
+	rs->stream = NULL;
+	rs->waiting_since_us = 0;
+}
+
 static struct stream *
-get_stream(struct replica_host *host, uint64_t id)
+get_stream(struct replica_stream *rs)
 {
+	struct replica_host *host = rs->host;
+	uint64_t id = rs->id;
 	const struct replica_peer *peer =
 	    replica_config_find(&host->replica.config, id);
-	struct replica_stream *rs = find_stream(host, id);
 	struct address to;
 	struct error err;
 
@@ -88,7 +117,7 @@
 		peer = replica_config_find(&host->initial, id);
 	if (peer == NULL)
 		peer = replica_join_find(&host->joining, id);
-	if (rs == NULL || peer == NULL)
+	if (peer == NULL)
 		return NULL;
 	if (rs->stream != NULL ||
 	    loop_now_us(host->loop) < rs->redial_deadline_us)
@@ -96,6 +125,7 @@
 	if (address_parse(peer->address, &to) != 0)
 		return NULL;
 	rs->stream = stream_dial(host->loop, &to, &peer_ops, rs, &err);
+	rs->waiting_since_us = 0;
 	rs->redial_deadline_us = loop_now_us(host->loop) + REDIAL_US;
 	return rs->stream;
 }
@@ -104,10 +134,19 @@
 send_message(struct replica *r, const struct replica_message *m)
 {
 	struct replica_host *host = host_of(r);
-	struct stream *stream = get_stream(host, m->to);
+	struct replica_stream *rs = find_stream(host, m->to);
+	struct stream *stream;
 
-	if (stream != NULL)
-		replica_message_send(stream, host->cluster, m);
+	if (rs == NULL)
+		return;
+	drop_if_silent(rs, loop_now_us(host->loop));
+	stream = get_stream(rs);
+
+	if (stream == NULL)
+		return;
+	if (rs->waiting_since_us == 0)
+		rs->waiting_since_us = loop_now_us(host->loop);
+	replica_message_send(stream, host->cluster, m);
 }
 
 static void
@@ -446,6 +485,7 @@
 replica_host_receive(struct replica_host *host, struct stream *stream,
     const struct message *message)
 {
+	const struct message_heartbeat sign = {.answer = 1};
 	struct replica_inbound in;
 	struct error err;
 
@@ -462,6 +502,8 @@
 	if (message->u.raft.cluster != host->cluster ||
 	    message->u.raft.to != host->replica.settings.id)
 		return true;
+	// Replicas answer on streams of their own: a sign that this one lives.
+	stream_send(stream, MESSAGE_HEARTBEAT, &sign);
 	if (replica_message_read(&message->u.raft, &in, &err) != 0) {
 		log_error(LOG_WARN, "replica", "Dropped a message", &err);
 		return true;
--- a/src/io/replica_host.h
+++ b/src/io/replica_host.h
@@ -47,6 +47,7 @@
 	char address[REPLICA_ADDRESS_BYTES];
 	struct stream *stream;
 	int64_t redial_deadline_us;
+	int64_t waiting_since_us; ///< Oldest message without a sign; 0: none.
 };
 
 struct replica_host {
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -37,7 +37,8 @@
 	int64_t target_us;
 	int64_t timeout_us;
 	uint32_t body_bytes;
-	bool once; ///< Sends an Idempotency-Key.
+	bool once;  ///< Sends an Idempotency-Key.
+	bool named; ///< Sends a Magnolia-Request-Id, and is never resent.
 	// Filled by the run.
 	int64_t next_arrival_us;
 	uint64_t sent;
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -16,8 +16,10 @@
 static const char program_doc[] =
     "Open-loop load for magnoliavalve, with checked answers.\v"
     "A class is name=N,method=M,path=P,rate=R[,target=MS][,timeout=MS]"
-    "[,body=BYTES][,query=Q][,once]. Each request adds a number of its own "
-    "to the path, and expects an answer that names it.\n"
+    "[,body=BYTES][,query=Q][,once][,named]. Each request adds a number of its "
+    "own "
+    "to the path, and expects an answer that names it. The runs of once "
+    "(by key) and of named requests (by request id) are counted.\n"
     "\n"
     "Exit codes: 0 nothing doubled, lost, crossed or misreported; 1 "
     "something was; 2 usage.";
@@ -42,6 +44,10 @@
 		c->once = true;
 		return;
 	}
+	if (strcmp(name, "named") == 0) {
+		c->named = true;
+		return;
+	}
 	if (value == NULL) {
 		argp_error(state, "class option '%s' needs a value", name);
 		return;
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -197,11 +197,12 @@
 	r->call.owner = r;
 	r->call.method = c->method;
 	r->call.url = r->url;
-	r->call.repeatable = !c->once;
+	r->call.repeatable = !c->once && !c->named;
 	r->call.body = load->body;
 	r->call.body_bytes = c->body_bytes;
 	r->call.deadline_us = clock_now_us() + c->timeout_us;
-	r->headers[0][0] = bytes_from("Idempotency-Key");
+	r->headers[0][0] =
+	    bytes_from(c->named ? "Magnolia-Request-Id" : "Idempotency-Key");
 	r->headers[0][1] = bytes_from(r->key);
 	r->call.headers = (const struct bytes(*)[2])r->headers;
 	r->call.header_count = r->key[0] == '\0' ? 0 : 1;
@@ -222,11 +223,11 @@
 	r->counted = arrival_us >= load->warm_us;
 	r->target =
 	    (uint32_t)gsl_rng_uniform_int(load->rng, load->target_count);
-	r->resends_left = load->resend;
+	r->resends_left = c->named ? 0 : load->resend;
 	snprintf(r->expected, sizeof(r->expected),
 	    " %s %s%s-%" PRIu64 "%s bytes=%u ", c->method, c->path,
 	    load->run_id, number, c->query, c->body_bytes);
-	if (c->once)
+	if (c->once || c->named)
 		snprintf(r->key, sizeof(r->key), "%s-%" PRIu64, load->run_id,
 		    number);
 	c->sent += r->counted;
--- a/src/proxy/control.h
+++ b/src/proxy/control.h
@@ -22,7 +22,8 @@
 	struct member self;	///< Without ports that the kernel chooses.
 	struct address control; ///< UDP gossip and TCP control.
 	struct address admin;
-	struct address ready; ///< For questions whether it takes requests.
+	uint32_t told_peer_port; ///< In place of the one in use; 0: none.
+	struct address ready;	 ///< For questions whether it takes requests.
 	bool has_ready;
 	const struct dialect *dialect;
 	int64_t lease_us; ///< Of announcements that name none.
--- a/src/proxy/egress.c
+++ b/src/proxy/egress.c
@@ -226,8 +226,7 @@
 			begin(r);
 		else
 			egress_end_not_run(r, 503,
-			    admission_wait_us(
-				&egress->admission, item->rank),
+			    admission_wait_us(&egress->admission, item->rank),
 			    "it cannot meet its deadline any more");
 	}
 }
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -58,6 +58,7 @@
 	char name[SETTINGS_TEXT_BYTES];
 	char service[SETTINGS_TEXT_BYTES];
 	char listen[SETTINGS_TEXT_BYTES];
+	char told[SETTINGS_TEXT_BYTES];
 	char proxy_admin[SETTINGS_TEXT_BYTES];
 	char proxy_inner[SETTINGS_TEXT_BYTES];
 	char bound_path[SETTINGS_TEXT_BYTES];
@@ -123,6 +124,8 @@
 	const char *key = http_exchange_header(w->exchange, "Idempotency-Key");
 
 	b->runs++;
+	if (key == NULL && strcmp(w->exchange->method, "POST") == 0)
+		key = http_exchange_header(w->exchange, "Magnolia-Request-Id");
 	if (key != NULL)
 		find_key(b, key)->runs++;
 	log_write(LOG_INFO, "fake", "Ran %s %s key %s rank %s deadline %s.",
@@ -487,6 +490,9 @@
 	if (b->announcing || b->draining)
 		return;
 	address_format(&b->bound, address);
+	if (b->settings.told[0] != '\0')
+		snprintf(address, sizeof(address), "%.*s",
+		    (int)sizeof(address) - 1, b->settings.told);
 	snprintf(b->announce_url, sizeof(b->announce_url), "http://%s/announce",
 	    b->settings.proxy_admin);
 	snprintf(b->announce_body, sizeof(b->announce_body),
@@ -517,6 +523,8 @@
     ROW("name", SETTINGS_TEXT, name, true, NULL, "name of this server"),
     ROW("service", SETTINGS_TEXT, service, true, NULL, "service it is of"),
     ROW("listen", SETTINGS_ADDRESS, listen, true, NULL, "HTTP"),
+    ROW("told", SETTINGS_ADDRESS, told, false, NULL,
+	"address to announce, if another one leads here"),
     ROW("proxy.admin", SETTINGS_TEXT, proxy_admin, false, "\"\"",
 	"admin address of the proxy beside; empty: do not announce"),
     ROW("proxy.inner", SETTINGS_TEXT, proxy_inner, false, "\"\"",
--- /dev/null
+++ b/test/soak/fleet.c
@@ -0,0 +1,332 @@
+// Processes of the soak.
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "io/clock.h"
+#include "soak/fleet.h"
+
+/// Programs of each kind, as they are called by name.
+static const struct {
+	const char *program;
+	const char *name;
+	uint32_t first_host;
+	uint32_t count;
+} kinds[] = {
+    [KIND_SOURCE] = {"mvsource", "source", 201, FLEET_SOURCES},
+    [KIND_LEDGER] = {"mvledger", "ledger", 211, FLEET_LEDGERS},
+    [KIND_PROXY] = {"mvproxy", "proxy", 1, FLEET_PROXIES},
+    [KIND_BACKEND] = {"fake-backend", "backend", 1, FLEET_BACKENDS},
+};
+
+/// First three numbers of the hosts, so that runs side by side never meet.
+static const char *
+net_of(void)
+{
+	static char net[FLEET_HOST_BYTES];
+
+	snprintf(net, sizeof(net), "127.%d.%d", 1 + (int)(getpid() / 250 % 250),
+	    1 + (int)(getpid() % 250));
+	return net;
+}
+
+struct fleet_process *
+fleet_get(struct fleet *fleet, enum fleet_kind kind, uint32_t number)
+{
+	uint32_t i;
+
+	for (i = 0; i < FLEET_SIZE; i++)
+		if (fleet->processes[i].kind == kind &&
+		    fleet->processes[i].number == number)
+			return &fleet->processes[i];
+	abort();
+}
+
+/// Writes `"IP:port"` of all of a kind, or `"N=IP:port"`.
+static void
+write_list(FILE *f, enum fleet_kind kind, bool numbered, int port)
+{
+	uint32_t i;
+
+	fprintf(f, "[");
+	for (i = 0; i < kinds[kind].count; i++) {
+		fprintf(f, "%s\"", i == 0 ? "" : ", ");
+		if (numbered)
+			fprintf(f, "%u=", i + 1);
+		fprintf(f, "%s.%u:%d\"", net_of(), kinds[kind].first_host + i,
+		    port);
+	}
+	fprintf(f, "]");
+}
+
+static void
+write_replica(FILE *f, const struct fleet *fleet, const struct fleet_process *p)
+{
+	fprintf(f,
+	    "\"data_path\": \"%s/%s.data\", \"cluster\": \"soak\", \"id\": %u,"
+	    " \"election_ms\": 400, \"heartbeat_ms\": 60, \"replicas\": ",
+	    fleet->folder, p->name, p->number);
+	write_list(f, p->kind, true, PORT_CONTROL + PORT_RELAYED);
+	if (p->kind == KIND_LEDGER)
+		fprintf(f,
+		    ", \"listen\": {\"control\": \"%s:%d\", \"admin\": "
+		    "\"%s:%d\"}",
+		    p->host, PORT_CONTROL, p->host, PORT_ADMIN);
+	else
+		fprintf(f,
+		    ", \"region\": \"r0\", \"dc\": \"r0-0\", \"host\": \"%s\", "
+		    "\"listen\": {\"control\": \"%s:%d\", \"operators\": "
+		    "\"%s:%d\"}",
+		    p->host, p->host, PORT_CONTROL, p->host, PORT_HTTP);
+}
+
+static void
+write_proxy(FILE *f, const struct fleet_process *p)
+{
+	fprintf(f,
+	    "\"name\": \"n%u\", \"region\": \"r%u\", \"dc\": \"r%u-%u\", "
+	    "\"host\": \"%s\", \"listen\": {\"outer\": \"%s:%d\", \"inner\": "
+	    "\"%s:%d\", \"peer\": \"%s:%d\", \"control\": \"%s:%d\", "
+	    "\"admin\": \"%s:%d\"}, \"tell\": {\"peer_port\": %d}, "
+	    "\"report_ms\": 500, \"gossip\": {\"probe_ms\": 300, "
+	    "\"retry_dead_ms\": 1000}, \"drain\": {\"announce_ms\": 300, "
+	    "\"limit_ms\": 4000}, \"seeds\": [\"%s.1:%d\", \"%s.2:%d\"], "
+	    "\"sources\": ",
+	    p->number, p->number % 3, p->number % 3, p->number / 3 % 2, p->host,
+	    p->host, PORT_OUTER, p->host, PORT_INNER, p->host, PORT_PEER,
+	    p->host, PORT_CONTROL, p->host, PORT_ADMIN,
+	    PORT_PEER + PORT_RELAYED, net_of(), PORT_CONTROL, net_of(),
+	    PORT_CONTROL);
+	write_list(f, KIND_SOURCE, false, PORT_CONTROL);
+	fprintf(f, ", \"ledgers\": ");
+	write_list(f, KIND_LEDGER, false, PORT_CONTROL + PORT_RELAYED);
+}
+
+static void
+write_settings(const struct fleet *fleet, const struct fleet_process *p)
+{
+	char path[2 * FLEET_PATH_BYTES];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/%s.json", fleet->folder, p->name);
+	f = fopen(path, "w");
+	assert(f != NULL);
+	fprintf(f, "{\"log\": {\"json\": true, \"lines_per_s\": 0}, ");
+	if (p->kind == KIND_PROXY)
+		write_proxy(f, p);
+	else if (p->kind == KIND_BACKEND)
+		fprintf(f,
+		    "\"name\": \"b%u\", \"service\": \"s%u\", \"listen\": "
+		    "\"%s:%d\", \"told\": \"%s:%d\", \"service_us\": 20000, "
+		    "\"proxy\": {\"admin\": \"%s:%d\"}",
+		    p->number, p->number % 2, p->host, PORT_HTTP, p->host,
+		    PORT_HTTP + PORT_RELAYED, p->host, PORT_ADMIN);
+	else
+		write_replica(f, fleet, p);
+	fprintf(f, "}\n");
+	fclose(f);
+}
+
+static void
+add_relay(struct fleet *fleet, const struct fleet_process *p, int port)
+{
+	struct address at;
+	struct address to;
+
+	address_make(p->host, (uint32_t)(port + PORT_RELAYED), &at);
+	address_make(p->host, (uint32_t)port, &to);
+	relays_add(fleet->relays, &at, &to);
+	fleet->relay_count++;
+}
+
+static void
+add_process(struct fleet *fleet, struct fleet_process *p, enum fleet_kind kind,
+    uint32_t number)
+{
+	p->kind = kind;
+	p->number = number;
+	p->first = true;
+	snprintf(p->name, sizeof(p->name), "%s-%u", kinds[kind].name, number);
+	snprintf(p->host, sizeof(p->host), "%.11s.%u", net_of(),
+	    kinds[kind].first_host + number - 1);
+	write_settings(fleet, p);
+	switch (kind) {
+	case KIND_SOURCE:
+	case KIND_LEDGER:
+		add_relay(fleet, p, PORT_CONTROL);
+		break;
+	case KIND_PROXY:
+		add_relay(fleet, p, PORT_OUTER);
+		add_relay(fleet, p, PORT_PEER);
+		break;
+	case KIND_BACKEND:
+		add_relay(fleet, p, PORT_HTTP);
+		break;
+	}
+}
+
+void
+fleet_create(struct fleet *fleet, const char *bin, const char *folder)
+{
+	uint32_t count = 0;
+	uint32_t kind;
+	uint32_t i;
+
+	memset(fleet, 0, sizeof(*fleet));
+	snprintf(fleet->bin, sizeof(fleet->bin), "%s", bin);
+	snprintf(fleet->folder, sizeof(fleet->folder), "%s", folder);
+	fleet->relays = relays_create();
+	for (kind = KIND_SOURCE; kind <= KIND_BACKEND; kind++)
+		for (i = 1; i <= kinds[kind].count; i++)
+			add_process(fleet, &fleet->processes[count++],
+			    (enum fleet_kind)kind, i);
+	relays_start(fleet->relays);
+}
+
+pid_t
+fleet_spawn(struct fleet *fleet, const char *log_name, char *const argv[])
+{
+	char path[2 * FLEET_PATH_BYTES];
+	sigset_t none;
+	pid_t pid;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/%s.log", fleet->folder, log_name);
+	pid = fork();
+	assert(pid >= 0);
+	if (pid > 0)
+		return pid;
+	fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0640);
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
+void
+fleet_start(struct fleet *fleet, struct fleet_process *p)
+{
+	char program[2 * FLEET_PATH_BYTES];
+	char settings[2 * FLEET_PATH_BYTES];
+	char *argv[4] = {program, settings, NULL, NULL};
+	bool replica = p->kind == KIND_SOURCE || p->kind == KIND_LEDGER;
+
+	snprintf(program, sizeof(program), "%s/%s", fleet->bin,
+	    kinds[p->kind].program);
+	snprintf(
+	    settings, sizeof(settings), "%s/%s.json", fleet->folder, p->name);
+	if (replica && p->first)
+		argv[2] = "--bootstrap";
+	p->pid = fleet_spawn(fleet, p->name, argv);
+	p->first = false;
+	p->may_end = p->stopped = p->full = false;
+	p->start_deadline_us = p->continue_deadline_us = 0;
+	p->free_deadline_us = 0;
+	p->starts++;
+}
+
+void
+fleet_signal(struct fleet_process *p, int signal)
+{
+	if (p->pid == 0)
+		return;
+	if (signal == SIGKILL || signal == SIGTERM)
+		p->may_end = true;
+	if (signal == SIGSTOP)
+		p->stopped = true;
+	if (signal == SIGCONT)
+		p->stopped = false;
+	kill(p->pid, signal);
+}
+
+void
+fleet_set_full(struct fleet_process *p, bool full)
+{
+	struct rlimit limit = {full ? 1 : RLIM_INFINITY, RLIM_INFINITY};
+
+	if (p->pid == 0)
+		return;
+	p->full = full;
+	p->may_end |= full;
+	prlimit(p->pid, RLIMIT_FSIZE, &limit, NULL);
+}
+
+/// A process ended: one that was not told to is a fault.
+static void
+note_end(struct fleet *fleet, struct fleet_process *p, int status)
+{
+	if (!p->may_end) {
+		printf("%s ended by itself: %s %d\n", p->name,
+		    WIFSIGNALED(status) ? "signal" : "exit code",
+		    WIFSIGNALED(status) ? WTERMSIG(status)
+					: WEXITSTATUS(status));
+		fleet->unexpected_ends++;
+	}
+	p->pid = 0;
+	// What ends by itself is started again, as a supervisor does.
+	if (p->start_deadline_us == 0)
+		p->start_deadline_us = clock_now_us();
+}
+
+void
+fleet_tick(struct fleet *fleet, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < FLEET_SIZE; i++) {
+		struct fleet_process *p = &fleet->processes[i];
+		int status;
+
+		if (p->pid != 0 && waitpid(p->pid, &status, WNOHANG) == p->pid)
+			note_end(fleet, p, status);
+		if (p->stopped && p->continue_deadline_us <= now_us)
+			fleet_signal(p, SIGCONT);
+		if (p->full && p->free_deadline_us <= now_us)
+			fleet_set_full(p, false);
+		if (p->pid == 0 && p->start_deadline_us != 0 &&
+		    p->start_deadline_us <= now_us)
+			fleet_start(fleet, p);
+	}
+}
+
+void
+fleet_heal(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->relay_count; i++)
+		relays_set(fleet->relays, i, RELAY_CLEAR);
+	for (i = 0; i < FLEET_SIZE; i++) {
+		struct fleet_process *p = &fleet->processes[i];
+
+		p->continue_deadline_us = p->free_deadline_us = 0;
+		if (p->start_deadline_us != 0)
+			p->start_deadline_us = 1;
+	}
+	fleet_tick(fleet, clock_now_us());
+}
+
+void
+fleet_destroy(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < FLEET_SIZE; i++) {
+		struct fleet_process *p = &fleet->processes[i];
+
+		if (p->pid == 0)
+			continue;
+		kill(p->pid, SIGKILL);
+		waitpid(p->pid, NULL, 0);
+	}
+	relays_destroy(fleet->relays);
+}
--- /dev/null
+++ b/test/soak/operator.c
@@ -0,0 +1,190 @@
+// Operator of the soak.
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak/operator.h"
+
+#define RULES_BYTES    1024
+#define ANSWER_BYTES   8192
+#define SUBMIT_MS      2000L
+#define LOOK_MS	       150L
+#define STATUS_UNCLEAR 0
+
+struct answer {
+	char bytes[ANSWER_BYTES];
+	size_t size_bytes;
+};
+
+static size_t
+collect(char *data, size_t size, size_t count, void *arg)
+{
+	struct answer *a = arg;
+	size_t n = size * count;
+
+	if (n > sizeof(a->bytes) - 1 - a->size_bytes)
+		n = sizeof(a->bytes) - 1 - a->size_bytes;
+	memcpy(a->bytes + a->size_bytes, data, n);
+	a->size_bytes += n;
+	a->bytes[a->size_bytes] = '\0';
+	return size * count;
+}
+
+/// @param body  to be posted; NULL for GET
+/// @return the status, or STATUS_UNCLEAR
+static long
+call(const char *host, int port, const char *path, const char *body,
+    long timeout_ms, struct answer *answer)
+{
+	CURL *easy = curl_easy_init();
+	char url[128];
+	long status = STATUS_UNCLEAR;
+
+	answer->size_bytes = 0;
+	answer->bytes[0] = '\0';
+	snprintf(url, sizeof(url), "http://%s:%d%s", host, port, path);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	if (body != NULL)
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	if (curl_easy_perform(easy) == CURLE_OK)
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	return status;
+}
+
+static void
+write_rules(uint64_t version, char out[RULES_BYTES])
+{
+	snprintf(out, RULES_BYTES,
+	    "version %" PRIu64 " # soak\n"
+	    "rank money worth=100 target=500ms keep=20%% # soak\n"
+	    "rank rest worth=1 target=2s keep=5%% # soak\n"
+	    "service s0 slots=20 connections=100 # soak\n"
+	    "service s1 slots=20 connections=100 # soak\n"
+	    "route GET /log/* s%u rank=rest deadline=4s # soak\n"
+	    "route POST /book/* s0 rank=money once deadline=5s # soak\n"
+	    "route POST /plain/* s1 rank=money deadline=4s # soak\n"
+	    "route POST /up/* s1 rank=rest deadline=4s # soak\n",
+	    version, (unsigned int)(version % 2));
+}
+
+void
+operator_init(struct soak_operator *op, struct fleet *fleet)
+{
+	memset(op, 0, sizeof(*op));
+	op->fleet = fleet;
+}
+
+static void
+note_fault(struct soak_operator *op, const char *what, const char *detail)
+{
+	printf("%s: %.200s\n", what, detail);
+	op->faults++;
+}
+
+void
+operator_change(struct soak_operator *op, struct random *random)
+{
+	const struct fleet_process *source = fleet_get(
+	    op->fleet, KIND_SOURCE, 1 + random_below(random, FLEET_SOURCES));
+	char rules[RULES_BYTES];
+	struct answer answer;
+	long status;
+
+	if (op->sent == op->accepted)
+		op->sent++;
+	write_rules(op->sent, rules);
+	status =
+	    call(source->host, PORT_HTTP, "/rules", rules, SUBMIT_MS, &answer);
+	if (status == 200)
+		op->accepted = op->sent;
+	else if (status == 400 || status == 409)
+		note_fault(op, "a proper version was refused", answer.bytes);
+}
+
+/// @return the version that a proxy serves from; 0 if it does not serve
+static uint64_t
+read_version(const struct fleet_process *proxy)
+{
+	struct answer answer;
+	uint64_t version = 0;
+	json_t *root;
+
+	if (proxy->pid == 0 || proxy->stopped ||
+	    call(proxy->host, PORT_ADMIN, "/status", NULL, LOOK_MS, &answer) !=
+		200)
+		return 0;
+	root = json_loads(answer.bytes, 0, NULL);
+	if (json_is_true(json_object_get(root, "ready")))
+		version = (uint64_t)json_integer_value(
+		    json_object_get(root, "version"));
+	json_decref(root);
+	return version;
+}
+
+uint32_t
+operator_watch(struct soak_operator *op)
+{
+	uint32_t up_to_date = 0;
+	uint32_t i;
+
+	for (i = 0; i < FLEET_PROXIES; i++) {
+		const struct fleet_process *p =
+		    fleet_get(op->fleet, KIND_PROXY, i + 1);
+		uint32_t starts = p->starts;
+		uint64_t version = read_version(p);
+
+		if (op->seen_starts[i] != starts) {
+			op->seen_starts[i] = starts;
+			op->seen[i] = 0;
+		}
+		if (version == 0 || p->starts != starts)
+			continue;
+		if (version < op->seen[i])
+			note_fault(op, "a proxy went back", p->name);
+		op->seen[i] = version;
+		up_to_date += version >= op->accepted;
+	}
+	return up_to_date;
+}
+
+bool
+operator_read_back(struct soak_operator *op)
+{
+	char wanted[RULES_BYTES];
+	struct answer answer;
+	uint64_t version;
+	uint32_t i;
+
+	for (i = 1; i <= FLEET_SOURCES; i++) {
+		if (call(fleet_get(op->fleet, KIND_SOURCE, i)->host, PORT_HTTP,
+			"/rules", NULL, SUBMIT_MS, &answer) != 200)
+			continue;
+		for (version = op->accepted; version <= op->sent; version++) {
+			write_rules(version, wanted);
+			if (strcmp(wanted, answer.bytes) == 0)
+				return true;
+		}
+		note_fault(op, "not what was accepted", answer.bytes);
+		return false;
+	}
+	return false;
+}
+
+void
+operator_set_behaviour(const struct fleet_process *backend, const char *what)
+{
+	struct answer answer;
+	char path[64];
+
+	snprintf(path, sizeof(path), "/_fake/set?%.40s", what);
+	call(backend->host, PORT_HTTP, path, "", LOOK_MS, &answer);
+}
