feat(ctl): trace a request through logs; report a fleet's counters and latencies

Problem: lines of a request lie in the logs of several processes with clocks of their own; counters had to be read one process at a time. Solution: mvctl trace puts the lines of a request, and of the calls made for it, in order of time, with the clocks of the egresses estimated from the way there and back; mvctl report prints a table and plots.

--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -100,8 +100,8 @@
 }
 
 mesh_log_json() {
-	printf '"log":{"path":"%s/%s.log","level":"%s"}' "$MESH_DIR" "$1" \
-	    "$MESH_LOG_LEVEL"
+	printf '"log":{"path":"%s/%s.log","level":"%s","json":%s}' \
+	    "$MESH_DIR" "$1" "$MESH_LOG_LEVEL" "${MESH_LOG_JSON:-false}"
 }
 
 mesh_source_settings() { # ID
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #define CTL_MAX_SOURCES 7
+#define CTL_MAX_ARGS	512
 
 /// Exit codes of mvctl.
 enum ctl_exit {
@@ -27,7 +28,7 @@
 	int64_t wait_deadline_us;
 	int64_t wait_s;
 	const char *command;
-	const char *args[4];
+	const char *args[CTL_MAX_ARGS];
 	uint32_t arg_count;
 	uint64_t remove_id;
 	uint64_t add_id;
@@ -64,5 +65,7 @@
 int ctl_diff(struct ctl *ctl);
 int ctl_forget(struct ctl *ctl);
 int ctl_replace(struct ctl *ctl);
+int ctl_trace(struct ctl *ctl);
+int ctl_report(struct ctl *ctl);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -28,6 +28,12 @@
     "  diff FILE      compare a file with the accepted one\n"
     "  forget NAME    drop a proxy that will not come back\n"
     "  replace        replace a replica: --remove ID --add ID=IP:port\n"
+    "  trace ID FILE...\n"
+    "                 the way of a request through logs in JSON; asks no "
+    "source\n"
+    "  report IP:port...\n"
+    "                 counters and latencies, from admin addresses; asks no "
+    "source\n"
     "\n"
     "Sources are given by --source or by " SOURCES_VARIABLE
     ", as IP:port,IP:port.\n"
@@ -39,17 +45,20 @@
 struct command {
 	const char *name;
 	uint32_t arg_count;
+	bool more_args; ///< It takes more than that, too.
 	int (*fn)(struct ctl *ctl);
 };
 
 static const struct command commands[] = {
-    {"check", 1, ctl_check},
-    {"apply", 1, ctl_apply},
-    {"status", 0, ctl_status},
-    {"show", 0, ctl_show},
-    {"diff", 1, ctl_diff},
-    {"forget", 1, ctl_forget},
-    {"replace", 0, ctl_replace},
+    {"check", 1, false, ctl_check},
+    {"apply", 1, false, ctl_apply},
+    {"status", 0, false, ctl_status},
+    {"show", 0, false, ctl_show},
+    {"diff", 1, false, ctl_diff},
+    {"forget", 1, false, ctl_forget},
+    {"replace", 0, false, ctl_replace},
+    {"trace", 2, true, ctl_trace},
+    {"report", 1, true, ctl_report},
 };
 
 static void
@@ -108,7 +117,7 @@
 	case ARGP_KEY_ARG:
 		if (ctl->command == NULL)
 			ctl->command = arg;
-		else if (ctl->arg_count < 4)
+		else if (ctl->arg_count < CTL_MAX_ARGS)
 			ctl->args[ctl->arg_count++] = arg;
 		else
 			argp_usage(state);
@@ -140,7 +149,9 @@
 	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
 		if (strcmp(commands[i].name, ctl->command) != 0)
 			continue;
-		if (ctl->arg_count != commands[i].arg_count) {
+		if (ctl->arg_count < commands[i].arg_count ||
+		    (ctl->arg_count > commands[i].arg_count &&
+			!commands[i].more_args)) {
 			fprintf(stderr, "mvctl: %s takes %u argument%s\n",
 			    ctl->command, commands[i].arg_count,
 			    commands[i].arg_count == 1 ? "" : "s");
--- a/src/ctl/request.c
+++ b/src/ctl/request.c
@@ -1,14 +1,13 @@
 // Requests to the sources over HTTP.
-#include <curl/curl.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "ctl/ctl.h"
+#include "fetch/fetch.h"
 
 #define REQUEST_TIMEOUT_MS 5000L
-#define DIAL_TIMEOUT_MS	   1000L
 #define STATUS_UNAVAILABLE 503
 
 void
@@ -18,55 +17,29 @@
 	memset(answer, 0, sizeof(*answer));
 }
 
-static size_t
-collect(char *data, size_t size, size_t count, void *arg)
-{
-	struct ctl_answer *a = arg;
-	size_t n = size * count;
-	char *grown = realloc(a->body, a->body_bytes + n + 1);
-
-	if (grown == NULL)
-		return 0;
-	memcpy(grown + a->body_bytes, data, n);
-	a->body = grown;
-	a->body_bytes += n;
-	a->body[a->body_bytes] = '\0';
-	return n;
-}
-
 static bool
 ask_source(const char *source, const char *method, const char *target,
     const char *body, size_t body_bytes, struct ctl_answer *a)
 {
-	CURL *easy = curl_easy_init();
-	char url[512];
-	CURLcode rc;
+	struct fetch_request request = {.address = source,
+	    .target = target,
+	    .body_bytes = body_bytes,
+	    .timeout_ms = REQUEST_TIMEOUT_MS};
+	struct fetch_answer answer;
+	struct error err;
 
-	if (easy == NULL)
-		return false;
-	snprintf(url, sizeof(url), "http://%s%s", source, target);
+	if (strcmp(method, "POST") == 0)
+		request.body = body == NULL ? "" : body;
 	snprintf(a->source, sizeof(a->source), "%s", source);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, DIAL_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, REQUEST_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, a);
-	if (strcmp(method, "POST") == 0) {
-		curl_easy_setopt(easy, CURLOPT_POST, 1L);
-		curl_easy_setopt(
-		    easy, CURLOPT_POSTFIELDS, body == NULL ? "" : body);
-		curl_easy_setopt(
-		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_bytes);
+	if (fetch(&request, &answer, &err) != 0) {
+		snprintf(
+		    a->failure, sizeof(a->failure), "%s: %s", source, err.text);
+		return false;
 	}
-	rc = curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &a->status);
-	curl_easy_cleanup(easy);
-	if (rc != CURLE_OK)
-		snprintf(a->failure, sizeof(a->failure), "%s: %s", source,
-		    curl_easy_strerror(rc));
-	return rc == CURLE_OK;
+	a->status = answer.status;
+	a->body = answer.body;
+	a->body_bytes = answer.body_bytes;
+	return true;
 }
 
 bool
--- a/src/load/report.c
+++ b/src/load/report.c
@@ -1,37 +1,19 @@
 // Report of a run, and its check against the backend servers.
-#include <curl/curl.h>
 #include <gsl/gsl_sort.h>
 #include <gsl/gsl_statistics_double.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "fetch/fetch.h"
 #include "load/load.h"
 
+/// A stand-in may have been paused a moment ago.
+#define RUNS_TIMEOUT_MS 5000L
+
 static const char *const result_names[LOAD_RESULTS] = {
     "in_time", "late", "not_run", "refused", "unknown", "wrong", "error"};
 
-struct text {
-	char *bytes;
-	size_t size_bytes;
-};
-
-static size_t
-collect(char *data, size_t size, size_t count, void *arg)
-{
-	struct text *t = arg;
-	size_t n = size * count;
-	char *grown = realloc(t->bytes, t->size_bytes + n + 1);
-
-	if (grown == NULL)
-		return 0;
-	memcpy(grown + t->size_bytes, data, n);
-	t->bytes = grown;
-	t->size_bytes += n;
-	t->bytes[t->size_bytes] = '\0';
-	return n;
-}
-
 static int
 compare_keys(const void *a, const void *b)
 {
@@ -63,25 +45,15 @@
 static int
 fetch_runs(struct load *load, const char *backend, struct error *err)
 {
-	CURL *easy = curl_easy_init();
-	struct text text = {NULL, 0};
-	char url[2 * LOAD_TEXT_BYTES];
-	CURLcode rc;
-
-	snprintf(url, sizeof(url), "http://%s/_fake/runs", backend);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 5000L);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &text);
-	rc = curl_easy_perform(easy);
-	curl_easy_cleanup(easy);
-	if (rc == CURLE_OK && text.bytes != NULL)
-		add_runs(load, text.bytes);
-	free(text.bytes);
-	if (rc != CURLE_OK)
-		return error_set(err, ERR_IO, "count runs", backend, "%s",
-		    curl_easy_strerror(rc));
+	struct fetch_request request = {.address = backend,
+	    .target = "/_fake/runs",
+	    .timeout_ms = RUNS_TIMEOUT_MS};
+	struct fetch_answer answer;
+
+	if (fetch(&request, &answer, err) != 0)
+		return -1;
+	add_runs(load, answer.body);
+	fetch_answer_free(&answer);
 	return 0;
 }
 
--- /dev/null
+++ b/test/functional/trace.sh
@@ -0,0 +1,63 @@
+# From the name of a request to its way through the mesh, by the logs alone; and
+# the counters of a fleet.
+. scripts/mesh.sh
+MESH_LOG_JSON=true
+mesh_init "$BUILD"
+mesh_start test/functional/plain.mv 2 log
+
+ask() { # NAME PATH [CURL ARG ...]
+	name=$1
+	path=$2
+	shift 2
+	curl -s -o /dev/null -w '%{http_code}\n' -H "Magnolia-Request-Id: $name" \
+	    "$@" "$(mesh_url 1 "$path")"
+}
+
+# Lines of a request that were written out, at least COUNT.
+has_lines() { # NAME COUNT
+	[ "$(cat "$MESH_DIR"/proxy-*.log | grep -c "\"$1\"")" -ge "$2" ]
+}
+
+# Times, loads and processes differ from run to run.
+show() { # NAME COUNT
+	mesh_wait 5 has_lines "$1" "$2" || echo "lines are missing"
+	"$MESH_BIN/mvctl" trace "$1" "$MESH_DIR"/proxy-*.log | sed -E \
+	    -e 's/backend=[0-9.:]+/backend=A/' -e 's/^ +-?[0-9.]+ ms/T ms/' -e 's/proxy-[0-9].log/PROXY/' \
+	    -e 's/(to|from|tried)=n[0-9]/\1=N/g' -e 's/ +/ /g' \
+	    -e 's/from [0-9T:.Z-]+$/from T/' -e 's/=-?[0-9]+\.[0-9]/=N/g' \
+	    -e 's/(cost_permille|load|running|queued|own_requests_there)=[0-9]+/\1=N/g' \
+	    -e 's/ load_age_ms=N//' -e '/^clock of/d'
+}
+
+echo "== served"
+ask served-1 /log/today
+show served-1 3
+echo "== no route"
+ask lost-1 /nowhere
+show lost-1 1
+echo "== every backend server sheds"
+for n in 1 2; do mesh_fake $n shed=1; done
+ask shed-1 /log/today
+show shed-1 7
+for n in 1 2; do mesh_fake $n shed=0; done
+echo "== a name that no log knows"
+"$MESH_BIN/mvctl" trace nobody "$MESH_DIR"/proxy-*.log
+echo "exit $?"
+echo "== a log that is not there"
+"$MESH_BIN/mvctl" trace served-1 /nowhere.log
+echo "exit $?"
+echo "== counters of the fleet"
+"$MESH_BIN/mvctl" report "$(mesh_host 1):$PORT_ADMIN" \
+    "$(mesh_host 2):$PORT_ADMIN" >"$MESH_DIR/report"
+echo "exit $?"
+sed -n '1p' "$MESH_DIR/report"
+grep -c '^127' "$MESH_DIR/report"
+grep '^rank log' "$MESH_DIR/report"
+echo "== a process that does not answer"
+"$MESH_BIN/mvctl" report "$(mesh_host 99):$PORT_ADMIN" >/dev/null
+echo "exit $?"
+echo "== exposition"
+curl -s "http://$(mesh_host 1):$PORT_ADMIN/metrics" |
+    grep -E '^(# TYPE )?magnolia_(ingress_requests|config_version|request_seconds_count)'
+curl -s "http://$(mesh_host 201):$PORT_HTTP/metrics" |
+    grep -E '^magnolia_source_version'
--- a/test/soak/operator.c
+++ b/test/soak/operator.c
@@ -1,11 +1,11 @@
 // Operator of the soak.
-#include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "fetch/fetch.h"
 #include "soak/operator.h"
 
 #define RULES_BYTES    1024
@@ -14,50 +14,23 @@
 #define LOOK_MS	       150L
 #define STATUS_UNCLEAR 0
 
-struct answer {
-	char bytes[ANSWER_BYTES];
-	size_t size_bytes;
-};
-
-static size_t
-collect(char *data, size_t size, size_t count, void *arg)
-{
-	struct answer *a = arg;
-	size_t n = size * count;
-
-	if (n > sizeof(a->bytes) - 1 - a->size_bytes)
-		n = sizeof(a->bytes) - 1 - a->size_bytes;
-	memcpy(a->bytes + a->size_bytes, data, n);
-	a->size_bytes += n;
-	a->bytes[a->size_bytes] = '\0';
-	return size * count;
-}
-
 /// @param body  to be posted; NULL for GET
-/// @return the status, or STATUS_UNCLEAR
+/// @return the status, or STATUS_UNCLEAR; free the answer in both cases
 static long
 call(const char *host, int port, const char *path, const char *body,
-    long timeout_ms, struct answer *answer)
+    long timeout_ms, struct fetch_answer *answer)
 {
-	CURL *easy = curl_easy_init();
-	char url[128];
-	long status = STATUS_UNCLEAR;
-
-	answer->size_bytes = 0;
-	answer->bytes[0] = '\0';
-	snprintf(url, sizeof(url), "http://%s:%d%s", host, port, path);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
-	if (body != NULL)
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-	if (curl_easy_perform(easy) == CURLE_OK)
-		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_cleanup(easy);
-	return status;
+	char address[32];
+	struct fetch_request request = {.address = address,
+	    .target = path,
+	    .body = body,
+	    .body_bytes = body == NULL ? 0 : strlen(body),
+	    .timeout_ms = timeout_ms};
+	struct error err;
+
+	snprintf(address, sizeof(address), "%s:%d", host, port);
+	return fetch(&request, answer, &err) == 0 ? answer->status
+						  : STATUS_UNCLEAR;
 }
 
 static void
@@ -96,7 +69,7 @@
 	const struct fleet_process *source = fleet_get(
 	    op->fleet, KIND_SOURCE, 1 + random_below(random, FLEET_SOURCES));
 	char rules[RULES_BYTES];
-	struct answer answer;
+	struct fetch_answer answer;
 	long status;
 
 	if (op->sent == op->accepted)
@@ -107,26 +80,27 @@
 	if (status == 200)
 		op->accepted = op->sent;
 	else if (status == 400 || status == 409)
-		note_fault(op, "a proper version was refused", answer.bytes);
+		note_fault(op, "a proper version was refused", answer.body);
+	fetch_answer_free(&answer);
 }
 
 /// @return the version that a proxy serves from; 0 if it does not serve
 static uint64_t
 read_version(const struct fleet_process *proxy)
 {
-	struct answer answer;
+	struct fetch_answer answer = {0};
 	uint64_t version = 0;
-	json_t *root;
+	json_t *root = NULL;
 
-	if (proxy->pid == 0 || proxy->stopped ||
-	    call(proxy->host, PORT_ADMIN, "/status", NULL, LOOK_MS, &answer) !=
+	if (proxy->pid != 0 && !proxy->stopped &&
+	    call(proxy->host, PORT_ADMIN, "/status", NULL, LOOK_MS, &answer) ==
 		200)
-		return 0;
-	root = json_loads(answer.bytes, 0, NULL);
+		root = json_loads(answer.body, 0, NULL);
 	if (json_is_true(json_object_get(root, "ready")))
 		version = (uint64_t)json_integer_value(
 		    json_object_get(root, "version"));
 	json_decref(root);
+	fetch_answer_free(&answer);
 	return version;
 }
 
@@ -156,35 +130,48 @@
 	return up_to_date;
 }
 
-bool
-operator_read_back(struct soak_operator *op)
+/// Tells whether a text is the acknowledged file or a later one that was sent.
+static bool
+is_current(const struct soak_operator *op, const char *text)
 {
 	char wanted[RULES_BYTES];
-	struct answer answer;
 	uint64_t version;
+
+	for (version = op->accepted; version <= op->sent; version++) {
+		write_rules(version, wanted);
+		if (strcmp(wanted, text) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+operator_read_back(struct soak_operator *op)
+{
+	struct fetch_answer answer;
+	bool found = false;
 	uint32_t i;
 
-	for (i = 1; i <= FLEET_SOURCES; i++) {
+	for (i = 1; i <= FLEET_SOURCES && !found; i++) {
 		if (call(fleet_get(op->fleet, KIND_SOURCE, i)->host, PORT_HTTP,
-			"/rules", NULL, SUBMIT_MS, &answer) != 200)
-			continue;
-		for (version = op->accepted; version <= op->sent; version++) {
-			write_rules(version, wanted);
-			if (strcmp(wanted, answer.bytes) == 0)
-				return true;
+			"/rules", NULL, SUBMIT_MS, &answer) == 200) {
+			found = is_current(op, answer.body);
+			if (!found)
+				note_fault(
+				    op, "not what was accepted", answer.body);
 		}
-		note_fault(op, "not what was accepted", answer.bytes);
-		return false;
+		fetch_answer_free(&answer);
 	}
-	return false;
+	return found;
 }
 
 void
 operator_set_behaviour(const struct fleet_process *backend, const char *what)
 {
-	struct answer answer;
+	struct fetch_answer answer;
 	char path[64];
 
 	snprintf(path, sizeof(path), "/_fake/set?%.40s", what);
 	call(backend->host, PORT_HTTP, path, "", LOOK_MS, &answer);
+	fetch_answer_free(&answer);
 }
