--- a/test/unit/test_log.c
+++ b/test/unit/test_log.c
@@ -198,8 +198,7 @@
 	assert_true(clock_now_us() - start_us < 5 * US_PER_S);
 	take_all(&seen, fd, 1 * US_PER_S);
 	tell_rest(&seen, fd, 2);
-	assert_int_equal(
-	    seen.lines + seen.left_out, 2 * LINES_PER_THREAD + 2);
+	assert_int_equal(seen.lines + seen.left_out, 2 * LINES_PER_THREAD + 2);
 	assert_true(seen.left_out > 0);
 }
 
