--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,374 @@
+// The platform's dialect: documents to rule files and back, announcements, calls.
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/rules.h"
+#include "io/clock.h"
+#include "io/dialect.h"
+#include "unit/support.h"
+
+#define MANY_ROUTES 700
+#define NOW_US	    (1000 * US_PER_S)
+
+static const struct dialect *
+platform(void)
+{
+	const struct dialect *d = dialect_find("platform");
+
+	assert_non_null(d);
+	return d;
+}
+
+/// Turns a document into rules, or into the error that it gets.
+static struct rules *
+read_document(const char *document, char *problem, size_t problem_bytes)
+{
+	struct rules_errors *errors = malloc(sizeof(*errors));
+	struct rules *rules = NULL;
+	struct error err;
+	size_t text_bytes;
+	char *text;
+
+	assert_non_null(errors);
+	problem[0] = '\0';
+	if (platform()->read_rules(
+		document, strlen(document), &text, &text_bytes, &err) != 0) {
+		snprintf(problem, problem_bytes, "%s %s: %s", err.peer,
+		    err.step, err.text);
+		free(errors);
+		return NULL;
+	}
+	rules = rules_parse(text, text_bytes, errors);
+	if (rules == NULL)
+		snprintf(problem, problem_bytes, "%s", errors->items[0].text);
+	free(text);
+	free(errors);
+	return rules;
+}
+
+/// The document that is read back is the one that was sent.
+static void
+check_round_trip(const char *document)
+{
+	json_t *sent = json_loads(document, 0, NULL);
+	struct rules *rules;
+	char problem[512];
+	json_t *back;
+	char *text;
+
+	rules = read_document(document, problem, sizeof(problem));
+	assert_string_equal(problem, "");
+	assert_non_null(rules);
+	text = platform()->render_rules(rules);
+	back = json_loads(text, 0, NULL);
+	assert_true(json_equal(sent, back));
+	free(text);
+	json_decref(sent);
+	json_decref(back);
+	rules_unref(rules);
+}
+
+static json_t *
+make_document(uint32_t routes)
+{
+	json_t *root = json_pack(
+	    "{s:i, s:i, s:{}, s:{s:{s:s,s:i,s:s,s:b}, s:{s:s,s:i,s:s,s:b}}, "
+	    "s:{s:i,s:i,s:i,s:i}}",
+	    "version", 7, "baseVersion", 5, "routes", "services", "huvo11a",
+	    "healthPath", "/healthz", "maxConnections", 110, "protocol", "h1",
+	    "tls", 0, "kafi81c", "healthPath", "/healthz", "maxConnections",
+	    110, "protocol", "h1", "tls", 1, "limits", "maxHeaderBytes", 16384,
+	    "maxBodyBytes", 67108864, "headerTimeoutMs", 3000, "idleTimeoutMs",
+	    15000);
+	json_t *table = json_object_get(root, "routes");
+	static const char *const kinds[] = {"safe", "unsafe", "upload"};
+	uint32_t i;
+
+	for (i = 0; i < routes; i++) {
+		char name[32];
+		char prefix[64];
+		json_t *route;
+
+		snprintf(name, sizeof(name), "r-%x", i * 7919);
+		snprintf(prefix, sizeof(prefix), "/xapu%u/ny%u/", i, i % 13);
+		route = json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "host",
+		    i % 2 == 0 ? "hulo84.example" : "jepu9.example",
+		    "pathPrefix", prefix, "kind", kinds[i % 3], "timeoutMs",
+		    1000 + (int)i, "targetLatencyMs", 200 + (int)i % 50,
+		    "priority", (int)i % 3, "maxAttempts", 1 + (int)i % 3);
+		if (i % 4 == 0)
+			json_object_set_new(route, "weightedServices",
+			    json_pack("[{s:s,s:i},{s:s,s:i}]", "service",
+				"huvo11a", "weight", 90, "service", "kafi81c",
+				"weight", 10));
+		else
+			json_object_set_new(
+			    route, "service", json_string("huvo11a"));
+		json_object_set_new(table, name, route);
+	}
+	return root;
+}
+
+static void
+test_round_trip(void **state)
+{
+	static const uint32_t sizes[] = {0, 1, 2, 60, MANY_ROUTES};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		json_t *root = make_document(sizes[i]);
+		char *text = json_dumps(root, JSON_COMPACT);
+
+		check_round_trip(text);
+		free(text);
+		json_decref(root);
+	}
+}
+
+/// The rule file that a document becomes: a line a rule, each with its owner.
+static void
+test_rule_file(void **state)
+{
+	json_t *root = make_document(2);
+	char *document = json_dumps(root, JSON_COMPACT);
+	size_t golden_bytes;
+	char *golden =
+	    test_read_file("golden/platform_rules.mv", &golden_bytes);
+	struct error err;
+	size_t text_bytes;
+	char *text;
+
+	(void)state;
+	assert_int_equal(platform()->read_rules(document, strlen(document),
+			     &text, &text_bytes, &err),
+	    0);
+	assert_string_equal(text, golden);
+	free(text);
+	free(golden);
+	free(document);
+	json_decref(root);
+}
+
+static void
+set_route(json_t *root, const char *field, json_t *value)
+{
+	json_t *routes = json_object_get(root, "routes");
+	json_t *route = json_object_iter_value(json_object_iter(routes));
+
+	if (value == NULL)
+		json_object_del(route, field);
+	else
+		json_object_set_new(route, field, value);
+}
+
+/// Changes one thing in a good document and expects an error.
+static void
+expect_refused(const char *field, json_t *value, const char *expected)
+{
+	json_t *root = make_document(1);
+	char problem[512];
+	struct rules *rules;
+	char *text;
+
+	set_route(root, field, value);
+	text = json_dumps(root, JSON_COMPACT);
+	rules = read_document(text, problem, sizeof(problem));
+	assert_null(rules);
+	if (strstr(problem, expected) == NULL)
+		assert_string_equal(problem, expected);
+	free(text);
+	json_decref(root);
+}
+
+/// Documents that are not valid are refused with the place and the cause.
+static void
+test_refused(void **state)
+{
+	char problem[512];
+
+	(void)state;
+	expect_refused("host", NULL, "routes.r-0 host");
+	expect_refused("host", json_string(""), "routes.r-0 host");
+	expect_refused("pathPrefix", json_string("xapu/"), "prefix");
+	expect_refused("kind", json_string("odd"), "kind");
+	expect_refused("timeoutMs", json_integer(0), "routes.r-0 timeoutMs");
+	expect_refused("timeoutMs", json_integer(600001), "timeout");
+	expect_refused("timeoutMs", json_string("1000"), "timeoutMs");
+	expect_refused("targetLatencyMs", NULL, "targetLatencyMs");
+	expect_refused("priority", json_integer(-1), "priority");
+	expect_refused("weightedServices", json_array(), "weightedServices");
+	expect_refused("weightedServices",
+	    json_pack("[{s:s,s:i}]", "service", "huvo11a", "weight", 0),
+	    "weights");
+	expect_refused("weightedServices",
+	    json_pack("[{s:s,s:i}]", "service", "nowhere", "weight", 1),
+	    "nowhere");
+	expect_refused("service", json_string("huvo11a"), "weightedServices");
+	assert_null(read_document("{\"version\":", problem, sizeof(problem)));
+	assert_non_null(strstr(problem, "line 1"));
+	assert_null(read_document("[]", problem, sizeof(problem)));
+	assert_null(read_document("", problem, sizeof(problem)));
+	assert_null(read_document(
+	    "{\"version\":1,\"version\":2}", problem, sizeof(problem)));
+	assert_null(read_document("{\"version\":0,\"baseVersion\":0,"
+				  "\"routes\":{},\"services\":{}}",
+	    problem, sizeof(problem)));
+}
+
+static int
+read_announcement(enum dialect_call call, const char *body,
+    struct backend_announcement *out, struct error *err)
+{
+	return platform()->read_announcement(call, "i-7f3a91c2", body,
+	    body == NULL ? 0 : strlen(body), NOW_US, 5 * US_PER_S, out, err);
+}
+
+static void
+test_announcement(void **state)
+{
+	static const char good[] =
+	    "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","
+	    "\"zone\":\"walu-bay\",\"version\":\"v1\",\"slots\":9,"
+	    "\"state\":\"ready\",\"coldRemainingMs\":1500,\"sequence\":4,"
+	    "\"born\":1784830949000}";
+	struct backend_announcement a;
+	struct error err;
+
+	(void)state;
+	assert_int_equal(
+	    read_announcement(DIALECT_ANNOUNCE, good, &a, &err), 0);
+	assert_string_equal(a.id, "i-7f3a91c2");
+	assert_string_equal(a.service, "huvo11a");
+	assert_string_equal(a.address, "10.128.0.9:8080");
+	assert_int_equal(a.state, BACKEND_READY);
+	assert_int_equal(a.slots, 9);
+	assert_int_equal(a.sequence, 4);
+	assert_int_equal(a.born, 1784830949000);
+	assert_int_equal(a.cold_deadline_us, NOW_US + 1500 * US_PER_MS);
+	assert_int_equal(a.lease_deadline_us, NOW_US + 5 * US_PER_S);
+	// A server that leaves without a word of its own says no more than that.
+	assert_int_equal(read_announcement(DIALECT_LEAVE, NULL, &a, &err), 0);
+	assert_int_equal(a.state, BACKEND_DRAINING);
+	assert_int_equal(
+	    read_announcement(DIALECT_LEAVE,
+		"{\"born\":1784830949000,\"sequence\":9}", &a, &err),
+	    0);
+	assert_int_equal(a.born, 1784830949000);
+	assert_int_equal(a.sequence, 9);
+}
+
+/// Words of another writer name no server, and say where they are wrong.
+static void
+test_announcement_refused(void **state)
+{
+	static const char *const bad[][2] = {
+	    {"", "body"},
+	    {"[]", "body"},
+	    {"{\"service\":", "body"},
+	    {"{\"address\":\"1.2.3.4:1\",\"state\":\"ready\",\"born\":1,"
+	     "\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
+		"service"},
+	    {"{\"service\":\"s\",\"address\":\"here\",\"state\":\"ready\","
+	     "\"born\":1,\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
+		"address"},
+	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":\"up\","
+	     "\"born\":1,\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
+		"state"},
+	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
+	     "\"ready\",\"born\":\"1\",\"sequence\":1,\"slots\":1,"
+	     "\"coldRemainingMs\":0}",
+		"born"},
+	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
+	     "\"ready\",\"born\":1.5,\"sequence\":1,\"slots\":1,"
+	     "\"coldRemainingMs\":0}",
+		"born"},
+	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
+	     "\"ready\",\"born\":1,\"sequence\":-1,\"slots\":1,"
+	     "\"coldRemainingMs\":0}",
+		"sequence"},
+	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
+	     "\"ready\",\"born\":1,\"sequence\":1,\"slots\":1000000,"
+	     "\"coldRemainingMs\":0}",
+		"slots"},
+	};
+	struct backend_announcement a;
+	struct error err;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		assert_int_equal(
+		    read_announcement(DIALECT_ANNOUNCE, bad[i][0], &a, &err),
+		    -1);
+		assert_string_equal(err.step, bad[i][1]);
+	}
+}
+
+static void
+test_calls(void **state)
+{
+	static const struct {
+		const char *method;
+		const char *target;
+		enum dialect_call call;
+		const char *id;
+	} calls[] = {
+	    {"GET", "/api/ready", DIALECT_READY, ""},
+	    {"POST", "/api/instances/i-1/heartbeat", DIALECT_ANNOUNCE, "i-1"},
+	    {"POST", "/api/instances/i-1/deregister", DIALECT_LEAVE, "i-1"},
+	    {"GET", "/metrics", DIALECT_METRICS, ""},
+	    {"GET", "/api/instances/i-1/heartbeat", DIALECT_OTHER, ""},
+	    {"POST", "/api/instances//heartbeat", DIALECT_OTHER, ""},
+	    {"POST", "/api/instances/i-1", DIALECT_OTHER, ""},
+	    {"POST", "/api/instances/i-1/other", DIALECT_OTHER, "i-1"},
+	    {"POST", "/api/ready", DIALECT_OTHER, ""},
+	};
+	char id[BACKEND_ID_BYTES];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++) {
+		assert_int_equal(
+		    platform()->read_call(calls[i].method, calls[i].target, id),
+		    calls[i].call);
+		assert_string_equal(id, calls[i].id);
+	}
+	assert_int_equal(
+	    platform()->read_operation("POST", "/api/config/replace"),
+	    DIALECT_SUBMIT);
+	assert_int_equal(
+	    platform()->read_operation("GET", "/api/config/get"), DIALECT_SHOW);
+	assert_int_equal(
+	    platform()->read_operation("GET", "/rules"), DIALECT_NO_OPERATION);
+}
+
+static void
+test_retry(void **state)
+{
+	char text[DIALECT_RETRY_BYTES];
+
+	(void)state;
+	platform()->write_retry(123456, text);
+	assert_string_equal(text, "0.123");
+	platform()->write_retry(2500 * US_PER_MS, text);
+	assert_string_equal(text, "2.500");
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_round_trip),
+	    cmocka_unit_test(test_rule_file),
+	    cmocka_unit_test(test_refused),
+	    cmocka_unit_test(test_announcement),
+	    cmocka_unit_test(test_announcement_refused),
+	    cmocka_unit_test(test_calls),
+	    cmocka_unit_test(test_retry),
+	};
+
+	return cmocka_run_group_tests_name("platform", tests, NULL, NULL);
+}
