perf(replica): candidates try in turn after a start

Solution: the tries of candidates follow each other by id, another first in each term, one turn (62 ms, two round trips between regions and two syncs) apart.

--- a/src/core/replica_election.c
+++ b/src/core/replica_election.c
@@ -5,8 +5,10 @@
 
 #include "core/replica.h"
 
-/// Tries of a candidate within the time that a leader is waited for.
-#define TRIES_IN_ELECTION 4
+/// Parts of the time that a leader is waited for: a candidate waits for one and
+/// a half of them before it tries, and for one more for each voter before it. An
+/// election takes two round trips and two syncs, so a part is enough for it.
+#define TURNS_IN_ELECTION 12
 
 static void start_election(struct replica *r, int64_t now_us);
 
@@ -17,16 +19,32 @@
 	    random_time_us(&r->random, r->settings.election_us);
 }
 
+/// Voters whose turn comes before this one's: by id, another first each term.
+static uint32_t
+count_before(const struct replica *r)
+{
+	uint32_t count = r->config.voter_count;
+	uint32_t lower = 0;
+	uint32_t i;
+
+	if (count == 0)
+		return 0;
+	for (i = 0; i < count; i++)
+		lower += r->config.voters[i].id < r->settings.id;
+	return (uint32_t)((lower + r->term) % count);
+}
+
 /// Time of the next try of a candidate, or of the first try after a start. A
 /// failed try costs the others nothing, since pre-votes come first; so tries
-/// follow each other faster than a leader is given up.
+/// follow each other faster than a leader is given up. Replicas that start at
+/// the same moment try in turn: at random two of them often split the votes.
 static void
 schedule_try(struct replica *r, int64_t now_us)
 {
-	int64_t period_us = r->settings.election_us / TRIES_IN_ELECTION;
+	int64_t turn_us = r->settings.election_us / TURNS_IN_ELECTION;
 
-	r->election_deadline_us =
-	    now_us + period_us + random_time_us(&r->random, period_us);
+	r->election_deadline_us = now_us + turn_us * 3 / 2 +
+	    count_before(r) * turn_us + random_time_us(&r->random, turn_us / 4);
 }
 
 void
