--- a/bench/policies.c
+++ b/bench/policies.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/admission.h"
 #include "core/random.h"
+#include "core/requests/admission.h"
 
 #define SLOTS	      20
 #define SERVICE_US    10000
--- a/src/core/member.c
+++ b/src/core/membership/member.c
@@ -1,5 +1,5 @@
 // Order between member records, and names of their states.
-#include "core/member.h"
+#include "core/membership/member.h"
 
 bool
 member_supersedes(const struct member *a, const struct member *b)
--- a/src/core/member.h
+++ b/src/core/membership/member.h
@@ -1,7 +1,7 @@
 /// @file
 /// Record of one member of the mesh, and the order between two records.
-#ifndef MV_CORE_MEMBER_H
-#define MV_CORE_MEMBER_H
+#ifndef MV_CORE_MEMBERSHIP_MEMBER_H
+#define MV_CORE_MEMBERSHIP_MEMBER_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/membership.c
+++ b/src/core/membership/membership.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/membership_internal.h"
+#include "core/membership/membership_internal.h"
 
 #define NOTICE_FANOUT	   3
 #define VERSION_FANOUT	   4
--- a/src/core/membership.h
+++ b/src/core/membership/membership.h
@@ -8,13 +8,13 @@
 /// the bytes between regions do not grow with the fleet. Probes compare
 /// digests of the tables, and a difference that is no news is repaired by a
 /// table exchange.
-#ifndef MV_CORE_MEMBERSHIP_H
-#define MV_CORE_MEMBERSHIP_H
+#ifndef MV_CORE_MEMBERSHIP_MEMBERSHIP_H
+#define MV_CORE_MEMBERSHIP_MEMBERSHIP_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/member.h"
+#include "core/membership/member.h"
 #include "core/random.h"
 
 #define GOSSIP_MAX_UPDATES 8
--- a/src/core/membership_internal.h
+++ b/src/core/membership/membership_internal.h
@@ -1,9 +1,9 @@
 /// @file
 /// Shared by the files of the membership.
-#ifndef MV_CORE_MEMBERSHIP_INTERNAL_H
-#define MV_CORE_MEMBERSHIP_INTERNAL_H
+#ifndef MV_CORE_MEMBERSHIP_MEMBERSHIP_INTERNAL_H
+#define MV_CORE_MEMBERSHIP_MEMBERSHIP_INTERNAL_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /// Times that a change is sent so that it reaches all with high probability.
 uint32_t membership_transmit_limit(const struct membership *m);
--- a/src/core/membership_spread.c
+++ b/src/core/membership/membership_spread.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/membership_internal.h"
+#include "core/membership/membership_internal.h"
 
 #define TRANSMIT_FACTOR	 3
 #define CROSSING_MEMBERS 3
--- a/src/core/report_table.c
+++ b/src/core/membership/report_table.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/report_table.h"
+#include "core/membership/report_table.h"
 
 void
 report_table_free(struct report_table *table)
--- a/src/core/report_table.h
+++ b/src/core/membership/report_table.h
@@ -1,12 +1,12 @@
 /// @file
 /// What a source knows of the versions in force at the proxies.
-#ifndef MV_CORE_REPORT_TABLE_H
-#define MV_CORE_REPORT_TABLE_H
+#ifndef MV_CORE_MEMBERSHIP_REPORT_TABLE_H
+#define MV_CORE_MEMBERSHIP_REPORT_TABLE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/member.h"
+#include "core/membership/member.h"
 
 struct report {
 	struct member member;  ///< version: in force now at that process.
--- a/src/core/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/version_sync.h"
+#include "core/membership/version_sync.h"
 
 #define DEADLINE_NONE	  INT64_MAX
 #define BACKOFF_FIRST_US  100000LL
--- a/src/core/version_sync.h
+++ b/src/core/membership/version_sync.h
@@ -5,13 +5,13 @@
 /// If only members elsewhere hold it, the members of the data centre wait by
 /// their rank under rendezvous hashing, so that about one copy crosses the
 /// paid links.
-#ifndef MV_CORE_VERSION_SYNC_H
-#define MV_CORE_VERSION_SYNC_H
+#ifndef MV_CORE_MEMBERSHIP_VERSION_SYNC_H
+#define MV_CORE_MEMBERSHIP_VERSION_SYNC_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "core/random.h"
 
 #define VERSION_SYNC_HOLDERS 8
--- a/src/core/replica.c
+++ b/src/core/replica/replica.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/replica.h"
+#include "core/replica/replica.h"
 
 const char *
 replica_role_name(enum replica_role role)
--- a/src/core/replica.h
+++ b/src/core/replica/replica.h
@@ -4,15 +4,15 @@
 ///
 /// The core does no I/O. Storage writes are buffered; replica_flush syncs
 /// them and only then lets out the messages that depend on them.
-#ifndef MV_CORE_REPLICA_H
-#define MV_CORE_REPLICA_H
+#ifndef MV_CORE_REPLICA_REPLICA_H
+#define MV_CORE_REPLICA_REPLICA_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "core/error.h"
 #include "core/random.h"
-#include "core/replica_config.h"
+#include "core/replica/replica_config.h"
 
 #define REPLICA_MAX_READS 256
 
--- a/src/core/replica_config.c
+++ b/src/core/replica/replica_config.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/replica_config.h"
+#include "core/replica/replica_config.h"
 
 static size_t
 encode_set(char *out, size_t used, const char *role,
--- a/src/core/replica_config.h
+++ b/src/core/replica/replica_config.h
@@ -1,7 +1,7 @@
 /// @file
 /// Members of a replicated log, and its quorums.
-#ifndef MV_CORE_REPLICA_CONFIG_H
-#define MV_CORE_REPLICA_CONFIG_H
+#ifndef MV_CORE_REPLICA_REPLICA_CONFIG_H
+#define MV_CORE_REPLICA_REPLICA_CONFIG_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/core/replica_election.c
+++ b/src/core/replica/replica_election.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/replica.h"
+#include "core/replica/replica.h"
 
 /// Parts of the time that a leader is waited for: a candidate waits for one and
 /// a half of them before it tries, and for one more for each voter before it. An
--- a/src/core/replica_leader.c
+++ b/src/core/replica/replica_leader.c
@@ -2,7 +2,7 @@
 #include <assert.h>
 #include <string.h>
 
-#include "core/replica.h"
+#include "core/replica/replica.h"
 
 /// Heartbeats that are answered while a snapshot is not: one or two may have
 /// been under way before it.
--- a/src/core/replica_log.c
+++ b/src/core/replica/replica_log.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/replica.h"
+#include "core/replica/replica.h"
 
 uint64_t
 replica_last_index(const struct replica *r)
--- a/src/core/roster.c
+++ b/src/core/replica/roster.c
@@ -1,7 +1,7 @@
 // Changes of members of a replicated log.
 #include <string.h>
 
-#include "core/roster.h"
+#include "core/replica/roster.h"
 
 /// Entries that a learner may lack when it becomes a voter: what commits while
 /// the change itself is under way.
--- a/src/core/roster.h
+++ b/src/core/replica/roster.h
@@ -6,10 +6,10 @@
 /// address of a member therefore proves that the member's disk is lost. A
 /// member that is only silent is replaced when a replica stands ready that
 /// holds its log; the number of voters never shrinks.
-#ifndef MV_CORE_ROSTER_H
-#define MV_CORE_ROSTER_H
+#ifndef MV_CORE_REPLICA_ROSTER_H
+#define MV_CORE_REPLICA_ROSTER_H
 
-#include "core/replica.h"
+#include "core/replica/replica.h"
 
 #define ROSTER_MAX_CANDIDATES 16
 
--- a/src/core/admission.c
+++ b/src/core/requests/admission.c
@@ -2,7 +2,7 @@
 #include <assert.h>
 #include <string.h>
 
-#include "core/admission.h"
+#include "core/requests/admission.h"
 
 #define MEAN_WEIGHT	 16
 #define IDLE_CREDITS	 2
--- a/src/core/admission.h
+++ b/src/core/requests/admission.h
@@ -5,14 +5,14 @@
 /// rank that has got less than its kept share of slot time, then to the rank of
 /// highest worth. A rank may queue no more than
 /// there is room left, so that no flood takes the whole queue.
-#ifndef MV_CORE_ADMISSION_H
-#define MV_CORE_ADMISSION_H
+#ifndef MV_CORE_REQUESTS_ADMISSION_H
+#define MV_CORE_REQUESTS_ADMISSION_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/flow.h"
-#include "core/rules.h"
+#include "core/requests/flow.h"
+#include "core/rules/rules.h"
 
 #define ADMISSION_MAX_RANKS 32
 
--- a/src/core/backend.c
+++ b/src/core/requests/backend.c
@@ -1,7 +1,7 @@
 // Order of the announcements of a backend server.
 #include <string.h>
 
-#include "core/backend.h"
+#include "core/requests/backend.h"
 
 /// Lease of a server that left without one: longer than its announcements can
 /// be under way.
--- a/src/core/backend.h
+++ b/src/core/requests/backend.h
@@ -2,13 +2,13 @@
 /// What is known of the backend server beside a proxy: the newest of its
 /// announcements, which may come late, twice, out of order, or from a process
 /// that has ended since.
-#ifndef MV_CORE_BACKEND_H
-#define MV_CORE_BACKEND_H
+#ifndef MV_CORE_REQUESTS_BACKEND_H
+#define MV_CORE_REQUESTS_BACKEND_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/member.h"
+#include "core/membership/member.h"
 
 #define BACKEND_ID_BYTES      80
 #define BACKEND_ADDRESS_BYTES 32
--- a/src/core/balancer.c
+++ b/src/core/requests/balancer.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/balancer.h"
+#include "core/requests/balancer.h"
 
 #define EJECT_AFTER_FAILURES 5
 #define EJECT_FIRST_US	     2000000LL
--- a/src/core/balancer.h
+++ b/src/core/requests/balancer.h
@@ -2,18 +2,18 @@
 /// Choice of a backend server among the endpoints of a service: by the part of
 /// a request's worth that is likely to be lost there, through lateness, failure
 /// or the way.
-#ifndef MV_CORE_BALANCER_H
-#define MV_CORE_BALANCER_H
+#ifndef MV_CORE_REQUESTS_BALANCER_H
+#define MV_CORE_REQUESTS_BALANCER_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/flow.h"
-#include "core/member.h"
-#include "core/membership.h"
-#include "core/outcome.h"
+#include "core/membership/member.h"
+#include "core/membership/membership.h"
 #include "core/random.h"
-#include "core/retry.h"
+#include "core/requests/flow.h"
+#include "core/requests/outcome.h"
+#include "core/requests/retry.h"
 
 #define BALANCER_BUSY_MARKS 8
 
--- a/src/core/collector.c
+++ b/src/core/requests/collector.c
@@ -2,7 +2,7 @@
 #include <assert.h>
 #include <math.h>
 
-#include "core/collector.h"
+#include "core/requests/collector.h"
 
 /// Half of the weight is of the last second: as long as some bodies take on a
 /// narrow link, short enough to notice that others fill it.
--- a/src/core/collector.h
+++ b/src/core/requests/collector.h
@@ -1,8 +1,8 @@
 /// @file
 /// Order in which an egress asks for the bodies of requests, and which of them
 /// it can take at all: its link is the measure.
-#ifndef MV_CORE_COLLECTOR_H
-#define MV_CORE_COLLECTOR_H
+#ifndef MV_CORE_REQUESTS_COLLECTOR_H
+#define MV_CORE_REQUESTS_COLLECTOR_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/fence.c
+++ b/src/core/requests/fence.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/fence.h"
+#include "core/requests/fence.h"
 
 /// Allowance for the difference between the clock rates of two VMs.
 #define CLOCK_MARGIN_US 1000000LL
--- a/src/core/fence.h
+++ b/src/core/requests/fence.h
@@ -5,14 +5,14 @@
 /// newer stream; it shuts out every older one, so that a request still on its
 /// way there can no longer run. What is not among the requests seen, and can
 /// not have been evicted, then did not run.
-#ifndef MV_CORE_FENCE_H
-#define MV_CORE_FENCE_H
+#ifndef MV_CORE_REQUESTS_FENCE_H
+#define MV_CORE_REQUESTS_FENCE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/member.h"
-#include "core/outcome.h"
+#include "core/membership/member.h"
+#include "core/requests/outcome.h"
 
 #define FENCE_SEEN_COUNT 16384
 
--- a/src/core/flow.c
+++ b/src/core/requests/flow.c
@@ -2,7 +2,7 @@
 #include <assert.h>
 #include <math.h>
 
-#include "core/flow.h"
+#include "core/requests/flow.h"
 
 /// Half of the weight is of the last second: a slow server is to be noticed
 /// within a second or two, and a second holds enough requests of a busy one.
--- a/src/core/flow.h
+++ b/src/core/requests/flow.h
@@ -5,8 +5,8 @@
 /// came out, is the mean time of one. Work that is still inside counts too, so
 /// that a server that stalls is seen before any of its work ends. Old time
 /// fades out, and a mean of the long run stands in where there is little of it.
-#ifndef MV_CORE_FLOW_H
-#define MV_CORE_FLOW_H
+#ifndef MV_CORE_REQUESTS_FLOW_H
+#define MV_CORE_REQUESTS_FLOW_H
 
 #include <stdint.h>
 
--- a/src/core/once.c
+++ b/src/core/requests/once.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/once.h"
+#include "core/requests/once.h"
 
 #define FIRST_BUCKETS	   1024
 #define KEY_OVERHEAD_BYTES (sizeof(struct once_key) + 32)
--- a/src/core/once.h
+++ b/src/core/requests/once.h
@@ -7,8 +7,8 @@
 /// log of the last retention period, and older entries can be dropped. Time
 /// comes from the entries alone, so that all replicas agree on what has
 /// expired.
-#ifndef MV_CORE_ONCE_H
-#define MV_CORE_ONCE_H
+#ifndef MV_CORE_REQUESTS_ONCE_H
+#define MV_CORE_REQUESTS_ONCE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/outcome.h
+++ b/src/core/requests/outcome.h
@@ -1,7 +1,7 @@
 /// @file
 /// What is known of a request once its handling ended.
-#ifndef MV_CORE_OUTCOME_H
-#define MV_CORE_OUTCOME_H
+#ifndef MV_CORE_REQUESTS_OUTCOME_H
+#define MV_CORE_REQUESTS_OUTCOME_H
 
 #include <stdbool.h>
 
--- a/src/core/retry.c
+++ b/src/core/requests/retry.c
@@ -1,7 +1,7 @@
 // Retry policy.
 #include <string.h>
 
-#include "core/retry.h"
+#include "core/requests/retry.h"
 
 #define RETRY_COST_MILLI   1000
 #define RETRY_EARN_MILLI   200
--- a/src/core/retry.h
+++ b/src/core/requests/retry.h
@@ -1,12 +1,12 @@
 /// @file
 /// Retry policy: one layer, within a budget, only where it is safe.
-#ifndef MV_CORE_RETRY_H
-#define MV_CORE_RETRY_H
+#ifndef MV_CORE_REQUESTS_RETRY_H
+#define MV_CORE_REQUESTS_RETRY_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/outcome.h"
+#include "core/requests/outcome.h"
 
 /// Share of recent requests that may reach a second backend server. Each
 /// ingress spends its own part of what the whole mesh may.
--- a/src/core/delta.c
+++ b/src/core/rules/delta.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/delta.h"
+#include "core/rules/delta.h"
 
 /// Lines of a text, each with its newline; or of one of which only the hashes
 /// of its lines are left.
--- a/src/core/delta.h
+++ b/src/core/rules/delta.h
@@ -1,7 +1,7 @@
 /// @file
 /// Line deltas between two versions of a rule file.
-#ifndef MV_CORE_DELTA_H
-#define MV_CORE_DELTA_H
+#ifndef MV_CORE_RULES_DELTA_H
+#define MV_CORE_RULES_DELTA_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/core/rule_file.c
+++ b/src/core/rules/rule_file.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/rule_file.h"
+#include "core/rules/rule_file.h"
 
 uint64_t
 rule_file_hash(const char *text, size_t text_bytes)
--- a/src/core/rule_file.h
+++ b/src/core/rules/rule_file.h
@@ -1,15 +1,15 @@
 /// @file
 /// Text of a rule file, and what its first rule says. Reading the rules
 /// themselves is core/rules.h.
-#ifndef MV_CORE_RULE_FILE_H
-#define MV_CORE_RULE_FILE_H
+#ifndef MV_CORE_RULES_RULE_FILE_H
+#define MV_CORE_RULES_RULE_FILE_H
 
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core/delta.h"
+#include "core/rules/delta.h"
 
 #define RULE_FILE_OWNER_BYTES 96
 
--- a/src/core/rule_store.c
+++ b/src/core/rules/rule_store.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/delta.h"
-#include "core/rule_store.h"
+#include "core/rules/delta.h"
+#include "core/rules/rule_store.h"
 
 #define HEAD_BYTES 64
 #define LINE_BYTES 192
--- a/src/core/rule_store.h
+++ b/src/core/rules/rule_store.h
@@ -5,13 +5,13 @@
 /// when its log entry is applied; one without, if its version is the accepted
 /// one plus 1. So of two files that race exactly one wins. Log entries hold the
 /// lines that differ from the accepted file, not the whole file.
-#ifndef MV_CORE_RULE_STORE_H
-#define MV_CORE_RULE_STORE_H
+#ifndef MV_CORE_RULES_RULE_STORE_H
+#define MV_CORE_RULES_RULE_STORE_H
 
 #include <stdint.h>
 
 #include "core/error.h"
-#include "core/rules.h"
+#include "core/rules/rules.h"
 
 enum rule_store_verdict {
 	RULE_STORE_ACCEPTED,
--- a/src/core/rules.c
+++ b/src/core/rules/rules.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/rules.h"
+#include "core/rules/rules.h"
 
 /// Match rules by the hash of host and prefix. A lookup tries each length of
 /// a prefix that occurs, longest first.
--- a/src/core/rules.h
+++ b/src/core/rules/rules.h
@@ -1,14 +1,14 @@
 /// @file
 /// Rule file: the parsed, validated and immutable form of one version.
-#ifndef MV_CORE_RULES_H
-#define MV_CORE_RULES_H
+#ifndef MV_CORE_RULES_RULES_H
+#define MV_CORE_RULES_RULES_H
 
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core/rule_file.h"
+#include "core/rules/rule_file.h"
 
 #define RULES_NAME_BYTES      32
 #define RULES_PATH_BYTES      160
--- a/src/core/rules_match.c
+++ b/src/core/rules/rules_match.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/rules_words.h"
+#include "core/rules/rules_words.h"
 
 static const char match_usage[] =
     "match NAME host=HOST prefix=PATH kind=KIND timeout=TIME target=TIME "
--- a/src/core/rules_parse.c
+++ b/src/core/rules/rules_parse.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/rules_words.h"
+#include "core/rules/rules_words.h"
 
 /// Parses the option base=N of the version.
 static bool
--- a/src/core/rules_words.c
+++ b/src/core/rules/rules_words.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/rules_words.h"
+#include "core/rules/rules_words.h"
 
 void
 parser_fail(
--- a/src/core/rules_words.h
+++ b/src/core/rules/rules_words.h
@@ -1,11 +1,11 @@
 /// @file
 /// State of the rule parser, and its words, names and numbers.
-#ifndef MV_CORE_RULES_WORDS_H
-#define MV_CORE_RULES_WORDS_H
+#ifndef MV_CORE_RULES_RULES_WORDS_H
+#define MV_CORE_RULES_RULES_WORDS_H
 
 #include <stdbool.h>
 
-#include "core/rules.h"
+#include "core/rules/rules.h"
 
 #define MAX_WORDS 16
 
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "core/delta.h"
-#include "core/rules.h"
+#include "core/rules/delta.h"
+#include "core/rules/rules.h"
 #include "ctl/ctl.h"
 #include "io/clock.h"
 
--- a/src/io/dialect.c
+++ b/src/io/dialect.c
@@ -4,9 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "io/address.h"
 #include "io/clock.h"
 #include "io/dialect.h"
+#include "io/net/address.h"
 
 #define LEASE_MIN_MS 100
 #define LEASE_MAX_MS 60000
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -11,9 +11,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core/backend.h"
 #include "core/error.h"
-#include "core/rule_store.h"
+#include "core/requests/backend.h"
+#include "core/rules/rule_store.h"
 
 #define DIALECT_RETRY_BYTES 24
 
--- a/src/io/disk.c
+++ b/src/io/disk/disk.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "io/disk.h"
+#include "io/disk/disk.h"
 
 #define LOCK_NAME "lock"
 
--- a/src/io/disk.h
+++ b/src/io/disk/disk.h
@@ -1,7 +1,7 @@
 /// @file
 /// Files under one data folder, behind a vtable so that tests can fail them.
-#ifndef MV_IO_DISK_H
-#define MV_IO_DISK_H
+#ifndef MV_IO_DISK_DISK_H
+#define MV_IO_DISK_DISK_H
 
 #include <stddef.h>
 
--- a/src/io/wal.c
+++ b/src/io/disk/wal.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "io/wal.h"
-#include "io/wal_record.h"
+#include "io/disk/wal.h"
+#include "io/disk/wal_record.h"
 
 #define WAL_SNAPSHOT_NAME "snapshot"
 #define IDENTITY_NAME	  "identity"
--- a/src/io/wal.h
+++ b/src/io/disk/wal.h
@@ -7,14 +7,14 @@
 /// u64 (XXH3 of the rest), payload; little-endian. A crash may tear anything
 /// that was written to the last segment since the last sync: such an end is
 /// cut. Damage anywhere else stops the program.
-#ifndef MV_IO_WAL_H
-#define MV_IO_WAL_H
+#ifndef MV_IO_DISK_WAL_H
+#define MV_IO_DISK_WAL_H
 
 #include <msgpack/sbuffer.h>
 #include <stdbool.h>
 
-#include "core/replica.h"
-#include "io/disk.h"
+#include "core/replica/replica.h"
+#include "io/disk/disk.h"
 
 #define WAL_SEGMENT_BYTES (16u * 1024 * 1024)
 
--- a/src/io/wal_load.c
+++ b/src/io/disk/wal_load.c
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "io/wal.h"
-#include "io/wal_record.h"
+#include "io/disk/wal.h"
+#include "io/disk/wal_record.h"
 
 /// Fixed part of a record, as it lies on the disk.
 struct record_header {
--- a/src/io/wal_record.h
+++ b/src/io/disk/wal_record.h
@@ -1,13 +1,13 @@
 /// @file
 /// Records of the write-ahead log, shared by its writer and its loader.
-#ifndef MV_IO_WAL_RECORD_H
-#define MV_IO_WAL_RECORD_H
+#ifndef MV_IO_DISK_WAL_RECORD_H
+#define MV_IO_DISK_WAL_RECORD_H
 
 #include <msgpack/sbuffer.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "io/wal.h"
+#include "io/disk/wal.h"
 
 #define WAL_SNAPSHOT_NAME     "snapshot"
 #define WAL_NAME_BYTES	      32
--- a/src/io/counters_http.c
+++ b/src/io/http/counters_http.c
@@ -1,7 +1,7 @@
 // Answers to GET /counters and GET /metrics.
-#include "io/counters_http.h"
-#include "io/counters.h"
-#include "io/histogram.h"
+#include "io/http/counters_http.h"
+#include "io/log/counters.h"
+#include "io/log/histogram.h"
 
 void
 counters_respond(struct http_exchange *exchange)
--- a/src/io/counters_http.h
+++ b/src/io/http/counters_http.h
@@ -1,9 +1,9 @@
 /// @file
 /// Answers to GET /counters and GET /metrics.
-#ifndef MV_IO_COUNTERS_HTTP_H
-#define MV_IO_COUNTERS_HTTP_H
+#ifndef MV_IO_HTTP_COUNTERS_HTTP_H
+#define MV_IO_HTTP_COUNTERS_HTTP_H
 
-#include "io/httpd.h"
+#include "io/http/httpd.h"
 
 void counters_respond(struct http_exchange *exchange);
 
--- a/src/io/httpc.c
+++ b/src/io/http/httpc.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/httpc_conn.h"
+#include "io/http/httpc_conn.h"
 
 #define URL_SCHEME "http://"
 
--- a/src/io/httpc.h
+++ b/src/io/http/httpc.h
@@ -4,16 +4,16 @@
 ///
 /// It never sends a request twice by itself unless the request allows that,
 /// and tells whether any byte of one can have reached the server.
-#ifndef MV_IO_HTTPC_H
-#define MV_IO_HTTPC_H
+#ifndef MV_IO_HTTP_HTTPC_H
+#define MV_IO_HTTP_HTTPC_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "core/error.h"
-#include "io/address.h"
 #include "io/loop.h"
+#include "io/net/address.h"
 #include "wire/codec.h"
 
 struct httpc;
--- a/src/io/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/httpc_conn.h"
+#include "io/http/httpc_conn.h"
 
 #define READ_BYTES	 (32 * 1024)
 #define UPLOAD_BYTES	 (32 * 1024)
--- a/src/io/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -1,12 +1,12 @@
 /// @file
 /// One connection of the HTTP client: a request out, responses in.
-#ifndef MV_IO_HTTPC_CONN_H
-#define MV_IO_HTTPC_CONN_H
+#ifndef MV_IO_HTTP_HTTPC_CONN_H
+#define MV_IO_HTTP_HTTPC_CONN_H
 
 #include <http_parser.h>
 #include <msgpack/sbuffer.h>
 
-#include "io/httpc.h"
+#include "io/http/httpc.h"
 
 /// What the pool is told of a connection. It may free it inside.
 struct httpc_conn_ops {
--- a/src/io/httpd.c
+++ b/src/io/http/httpd.c
@@ -8,8 +8,8 @@
 #include <sys/socket.h>
 
 #include "io/clock.h"
-#include "io/httpd.h"
-#include "io/log.h"
+#include "io/http/httpd.h"
+#include "io/log/log.h"
 
 #define CONNECTION_MEMORY_BYTES (32 * 1024)
 #define LOST_CALLER_SCAN_US	(100 * US_PER_MS)
--- a/src/io/httpd.h
+++ b/src/io/http/httpd.h
@@ -1,14 +1,14 @@
 /// @file
 /// HTTP server on an event loop, with streamed bodies in both directions.
-#ifndef MV_IO_HTTPD_H
-#define MV_IO_HTTPD_H
+#ifndef MV_IO_HTTP_HTTPD_H
+#define MV_IO_HTTP_HTTPD_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "io/address.h"
 #include "io/loop.h"
+#include "io/net/address.h"
 #include "wire/codec.h"
 
 /// Bodies up to this size are handed over whole, with the request.
--- a/src/io/counters.c
+++ b/src/io/log/counters.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "io/counters.h"
+#include "io/log/counters.h"
 
 static struct counter *first;
 
--- a/src/io/counters.h
+++ b/src/io/log/counters.h
@@ -1,8 +1,8 @@
 /// @file
 /// Counters of a process, read at GET /counters and GET /metrics on its admin
 /// address.
-#ifndef MV_IO_COUNTERS_H
-#define MV_IO_COUNTERS_H
+#ifndef MV_IO_LOG_COUNTERS_H
+#define MV_IO_LOG_COUNTERS_H
 
 #include <msgpack/sbuffer.h>
 #include <stdatomic.h>
--- a/src/io/histogram.c
+++ b/src/io/log/histogram.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/histogram.h"
+#include "io/log/histogram.h"
 
 /// Series of a family: a few ranks, and the routes of a large rule file.
 #define MAX_SERIES 1024
--- a/src/io/histogram.h
+++ b/src/io/log/histogram.h
@@ -3,8 +3,8 @@
 ///
 /// One thread observes, any thread renders. The bounds are fixed, so that the
 /// histograms of a fleet can be added up.
-#ifndef MV_IO_HISTOGRAM_H
-#define MV_IO_HISTOGRAM_H
+#ifndef MV_IO_LOG_HISTOGRAM_H
+#define MV_IO_LOG_HISTOGRAM_H
 
 #include <msgpack/sbuffer.h>
 #include <stdatomic.h>
--- a/src/io/log.c
+++ b/src/io/log/log.c
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/log.h"
-#include "io/log_writer.h"
+#include "io/log/log.h"
+#include "io/log/log_writer.h"
 
 #define BUFFER_BYTES (64 * 1024)
 
--- a/src/io/log.h
+++ b/src/io/log/log.h
@@ -6,8 +6,8 @@
 /// of the logger, which alone writes. A reader that does not read therefore
 /// delays nobody: what does not fit is left out and counted. So is what exceeds
 /// the number of lines that a thread may write in a second.
-#ifndef MV_IO_LOG_H
-#define MV_IO_LOG_H
+#ifndef MV_IO_LOG_LOG_H
+#define MV_IO_LOG_LOG_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/io/log_writer.c
+++ b/src/io/log/log_writer.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/log_writer.h"
+#include "io/log/log_writer.h"
 
 /// About a second of lines at the default limit of two threads.
 #define RING_BYTES (256u * 1024)
--- a/src/io/log_writer.h
+++ b/src/io/log/log_writer.h
@@ -1,7 +1,7 @@
 /// @file
 /// The thread that writes log lines out, so that no other waits for it.
-#ifndef MV_IO_LOG_WRITER_H
-#define MV_IO_LOG_WRITER_H
+#ifndef MV_IO_LOG_LOG_WRITER_H
+#define MV_IO_LOG_LOG_WRITER_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/log.h"
+#include "io/log/log.h"
 #include "io/loop.h"
 
 #define POLL_BATCH	256
--- a/src/io/address.c
+++ b/src/io/net/address.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "io/address.h"
+#include "io/net/address.h"
 
 int
 address_make(const char *host, uint32_t port, struct address *address)
--- a/src/io/address.h
+++ b/src/io/net/address.h
@@ -1,7 +1,7 @@
 /// @file
 /// IPv4 addresses with a port, as "IP:port".
-#ifndef MV_IO_ADDRESS_H
-#define MV_IO_ADDRESS_H
+#ifndef MV_IO_NET_ADDRESS_H
+#define MV_IO_NET_ADDRESS_H
 
 #include <netinet/in.h>
 #include <stdint.h>
--- a/src/io/datagram.c
+++ b/src/io/net/datagram.c
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "io/net.h"
+#include "io/net/net.h"
 
 #define RECEIVE_BATCH	    64
 #define SOCKET_BUFFER_BYTES (1024 * 1024)
--- a/src/io/deflate.c
+++ b/src/io/net/deflate.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <zlib.h>
 
-#include "io/deflate.h"
+#include "io/net/deflate.h"
 
 size_t
 deflate_bytes(const char *bytes, size_t size_bytes, char **out)
--- a/src/io/deflate.h
+++ b/src/io/net/deflate.h
@@ -1,7 +1,7 @@
 /// @file
 /// Bytes in zlib's format, for frames that are large and much alike inside.
-#ifndef MV_IO_DEFLATE_H
-#define MV_IO_DEFLATE_H
+#ifndef MV_IO_NET_DEFLATE_H
+#define MV_IO_NET_DEFLATE_H
 
 #include <stddef.h>
 
--- a/src/io/net.h
+++ b/src/io/net/net.h
@@ -1,14 +1,14 @@
 /// @file
 /// TCP listeners, framed TCP streams and UDP sockets on an event loop.
-#ifndef MV_IO_NET_H
-#define MV_IO_NET_H
+#ifndef MV_IO_NET_NET_H
+#define MV_IO_NET_NET_H
 
 #include <msgpack/sbuffer.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "io/address.h"
 #include "io/loop.h"
+#include "io/net/address.h"
 #include "wire/messages.h"
 
 struct stream;
--- a/src/io/oneshot.c
+++ b/src/io/net/oneshot.c
@@ -2,7 +2,7 @@
 #include <assert.h>
 #include <stdlib.h>
 
-#include "io/oneshot.h"
+#include "io/net/oneshot.h"
 
 struct oneshot {
 	struct loop *loop;
--- a/src/io/oneshot.h
+++ b/src/io/net/oneshot.h
@@ -1,9 +1,9 @@
 /// @file
 /// A question to another process on a stream of its own, and the answer.
-#ifndef MV_IO_ONESHOT_H
-#define MV_IO_ONESHOT_H
+#ifndef MV_IO_NET_ONESHOT_H
+#define MV_IO_NET_ONESHOT_H
 
-#include "io/net.h"
+#include "io/net/net.h"
 
 /// Told of the answer, or of the failure with answer NULL. Called once.
 typedef void oneshot_fn(
--- a/src/io/stream.c
+++ b/src/io/net/stream.c
@@ -8,9 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "io/deflate.h"
-#include "io/log.h"
-#include "io/net.h"
+#include "io/log/log.h"
+#include "io/net/deflate.h"
+#include "io/net/net.h"
 
 #define READ_BYTES	  (64 * 1024)
 #define IDLE_BUFFER_BYTES (16 * 1024)
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/log.h"
+#include "io/log/log.h"
 #include "io/program.h"
 
 /// Between looks at the settings file; an operator waits longer than that
--- a/src/io/replica_admin.c
+++ b/src/io/replica/replica_admin.c
@@ -2,7 +2,7 @@
 #include <jansson.h>
 #include <stdio.h>
 
-#include "io/replica_admin.h"
+#include "io/replica/replica_admin.h"
 
 /// @return 0, or -1 if the body is not a replacement
 static int
--- a/src/io/replica_admin.h
+++ b/src/io/replica/replica_admin.h
@@ -1,9 +1,9 @@
 /// @file
 /// Operators' requests to a replicated log.
-#ifndef MV_IO_REPLICA_ADMIN_H
-#define MV_IO_REPLICA_ADMIN_H
+#ifndef MV_IO_REPLICA_REPLICA_ADMIN_H
+#define MV_IO_REPLICA_REPLICA_ADMIN_H
 
-#include "io/replica_host.h"
+#include "io/replica/replica_host.h"
 
 #define REPLICA_ADMIN_TEXT_BYTES 320
 
--- a/src/io/replica_bootstrap.c
+++ b/src/io/replica/replica_bootstrap.c
@@ -8,8 +8,8 @@
 #include <xxhash.h>
 
 #include "io/clock.h"
-#include "io/oneshot.h"
-#include "io/replica_host.h"
+#include "io/net/oneshot.h"
+#include "io/replica/replica_host.h"
 
 #define QUERY_TIMEOUT_US (500 * US_PER_MS)
 
--- a/src/io/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -5,10 +5,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/replica_host.h"
-#include "io/replica_message.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/replica/replica_host.h"
+#include "io/replica/replica_message.h"
 
 /// Between tries of a disk that failed; a write costs next to nothing.
 #define PROBE_US   (250 * US_PER_MS)
--- a/src/io/replica_host.h
+++ b/src/io/replica/replica_host.h
@@ -1,13 +1,13 @@
 /// @file
 /// A replica on an event loop: its disk, its streams, its timer.
-#ifndef MV_IO_REPLICA_HOST_H
-#define MV_IO_REPLICA_HOST_H
+#ifndef MV_IO_REPLICA_REPLICA_HOST_H
+#define MV_IO_REPLICA_REPLICA_HOST_H
 
-#include "core/replica.h"
-#include "io/net.h"
-#include "io/replica_join.h"
+#include "core/replica/replica.h"
+#include "io/disk/wal.h"
+#include "io/net/net.h"
+#include "io/replica/replica_join.h"
 #include "io/settings.h"
-#include "io/wal.h"
 
 struct replica_host;
 
--- a/src/io/replica_join.c
+++ b/src/io/replica/replica_join.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/log.h"
-#include "io/oneshot.h"
-#include "io/replica_host.h"
+#include "io/log/log.h"
+#include "io/net/oneshot.h"
+#include "io/replica/replica_host.h"
 
 /// Between two questions while there is no leader, and two looks of a leader
 /// at its members: several within the time that an election takes.
--- a/src/io/replica_join.h
+++ b/src/io/replica/replica_join.h
@@ -1,11 +1,11 @@
 /// @file
 /// How replicas of a set that forms itself find each other: a replica without
 /// a leader asks all that it knows of, and the leader decides whom to take in.
-#ifndef MV_IO_REPLICA_JOIN_H
-#define MV_IO_REPLICA_JOIN_H
+#ifndef MV_IO_REPLICA_REPLICA_JOIN_H
+#define MV_IO_REPLICA_REPLICA_JOIN_H
 
-#include "core/roster.h"
-#include "io/net.h"
+#include "core/replica/roster.h"
+#include "io/net/net.h"
 
 #define REPLICA_MAX_SEEDS    16
 #define REPLICA_MAX_CONTACTS 32
--- a/src/io/replica_message.c
+++ b/src/io/replica/replica_message.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "io/replica_message.h"
+#include "io/replica/replica_message.h"
 
 /// Packs a snapshot as the length of its config, the config, the data.
 static void
--- a/src/io/replica_message.h
+++ b/src/io/replica/replica_message.h
@@ -1,10 +1,10 @@
 /// @file
 /// Messages of the replicated log on the wire.
-#ifndef MV_IO_REPLICA_MESSAGE_H
-#define MV_IO_REPLICA_MESSAGE_H
+#ifndef MV_IO_REPLICA_REPLICA_MESSAGE_H
+#define MV_IO_REPLICA_REPLICA_MESSAGE_H
 
-#include "core/replica.h"
-#include "io/net.h"
+#include "core/replica/replica.h"
+#include "io/net/net.h"
 
 /// A message read from the wire, with what it borrows.
 struct replica_inbound {
--- a/src/io/replica_program.c
+++ b/src/io/replica/replica_program.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/log.h"
-#include "io/replica_program.h"
+#include "io/log/log.h"
+#include "io/replica/replica_program.h"
 
 /// The program of this process, and the settings of its replica.
 static const struct replica_program *running;
--- a/src/io/replica_program.h
+++ b/src/io/replica/replica_program.h
@@ -1,10 +1,10 @@
 /// @file
 /// What the programs that run a replica share: settings, start, end.
-#ifndef MV_IO_REPLICA_PROGRAM_H
-#define MV_IO_REPLICA_PROGRAM_H
+#ifndef MV_IO_REPLICA_REPLICA_PROGRAM_H
+#define MV_IO_REPLICA_REPLICA_PROGRAM_H
 
 #include "io/program.h"
-#include "io/replica_host.h"
+#include "io/replica/replica_host.h"
 
 /// Settings of any replica; first member of a program's settings.
 struct replica_program_settings {
--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/delta.h"
-#include "io/net.h"
+#include "core/rules/delta.h"
+#include "io/net/net.h"
 #include "io/rules_message.h"
 
 /// Parses a text and checks that it is what the sender says.
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -3,7 +3,7 @@
 #ifndef MV_IO_RULES_MESSAGE_H
 #define MV_IO_RULES_MESSAGE_H
 
-#include "core/rules.h"
+#include "core/rules/rules.h"
 #include "wire/messages.h"
 
 struct stream;
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "io/address.h"
+#include "io/net/address.h"
 #include "io/settings.h"
 
 struct loader {
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -3,10 +3,10 @@
 #ifndef MV_LEDGER_LEDGER_H
 #define MV_LEDGER_LEDGER_H
 
-#include "core/once.h"
-#include "io/httpd.h"
-#include "io/net.h"
-#include "io/replica_program.h"
+#include "core/requests/once.h"
+#include "io/http/httpd.h"
+#include "io/net/net.h"
+#include "io/replica/replica_program.h"
 
 #define LEDGER_PENDING_BUCKETS 4096
 
--- a/src/ledger/main.c
+++ b/src/ledger/main.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters_http.h"
-#include "io/replica_admin.h"
+#include "io/http/counters_http.h"
+#include "io/replica/replica_admin.h"
 #include "ledger/ledger.h"
 
 static const char program_purpose[] =
--- a/src/ledger/service.c
+++ b/src/ledger/service.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "ledger/ledger.h"
 
 COUNTER_DEFINE(count_claims, "ledger_claims", "Claims and polls received");
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#include "io/httpc.h"
+#include "io/http/httpc.h"
 #include "io/loop.h"
 
 #define LOAD_MAX_TARGETS 64
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/log.h"
+#include "io/log/log.h"
 #include "io/program.h"
 #include "load/load.h"
 
--- a/src/proxy/announce.c
+++ b/src/proxy/control/announce.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters_http.h"
-#include "io/log.h"
-#include "proxy/control.h"
+#include "io/http/counters_http.h"
+#include "io/log/log.h"
+#include "proxy/control/control.h"
 
 /// Slots of the backend server: as it says, or as the rules say.
 static uint32_t
--- a/src/proxy/control.c
+++ b/src/proxy/control/control.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "proxy/control.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "proxy/control/control.h"
 
 #define FLOOR_CHECK_US (100 * US_PER_MS)
 /// Before the end of a drain what still waits is refused, so that its callers
--- a/src/proxy/control.h
+++ b/src/proxy/control/control.h
@@ -1,19 +1,19 @@
 /// @file
 /// Control thread of a proxy: membership, rules, the backend server's lease.
-#ifndef MV_PROXY_CONTROL_H
-#define MV_PROXY_CONTROL_H
+#ifndef MV_PROXY_CONTROL_CONTROL_H
+#define MV_PROXY_CONTROL_CONTROL_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/backend.h"
-#include "core/membership.h"
-#include "core/rules.h"
-#include "core/version_sync.h"
+#include "core/membership/membership.h"
+#include "core/membership/version_sync.h"
+#include "core/requests/backend.h"
+#include "core/rules/rules.h"
 #include "io/dialect.h"
-#include "io/httpd.h"
+#include "io/http/httpd.h"
 #include "io/loop.h"
-#include "io/net.h"
+#include "io/net/net.h"
 #include "proxy/traffic.h"
 
 #define CONTROL_MAX_SOURCES 7
--- a/src/proxy/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -4,13 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/delta.h"
+#include "core/rules/delta.h"
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/oneshot.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/oneshot.h"
 #include "io/rules_message.h"
-#include "proxy/control.h"
+#include "proxy/control/control.h"
 #include "wire/gossip_codec.h"
 
 #define PULL_TIMEOUT_US	    (3 * US_PER_S)
--- a/src/proxy/gossip_io.c
+++ b/src/proxy/control/gossip_io.c
@@ -5,10 +5,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/oneshot.h"
-#include "proxy/control.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/oneshot.h"
+#include "proxy/control/control.h"
 #include "wire/gossip_codec.h"
 
 #define SYNC_TIMEOUT_US (2 * US_PER_S)
--- a/src/proxy/egress.c
+++ b/src/proxy/egress/egress.c
@@ -5,12 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/outcome.h"
+#include "core/requests/outcome.h"
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/httpd.h"
-#include "io/log.h"
-#include "proxy/egress_log.h"
+#include "io/http/httpd.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "proxy/egress/egress_log.h"
 #include "proxy/headers.h"
 
 #define SWEEP_US (20 * US_PER_MS)
--- a/src/proxy/egress.h
+++ b/src/proxy/egress/egress.h
@@ -1,15 +1,15 @@
 /// @file
 /// Egress: the only door to the backend server beside this proxy.
-#ifndef MV_PROXY_EGRESS_H
-#define MV_PROXY_EGRESS_H
+#ifndef MV_PROXY_EGRESS_EGRESS_H
+#define MV_PROXY_EGRESS_EGRESS_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/admission.h"
-#include "core/backend.h"
-#include "core/fence.h"
-#include "core/rules.h"
+#include "core/requests/admission.h"
+#include "core/requests/backend.h"
+#include "core/requests/fence.h"
+#include "core/rules/rules.h"
 #include "io/loop.h"
 #include "wire/messages.h"
 
--- a/src/proxy/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -5,12 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/outcome.h"
-#include "core/retry.h"
+#include "core/requests/outcome.h"
+#include "core/requests/retry.h"
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "proxy/egress_log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "proxy/egress/egress_log.h"
 #include "proxy/headers.h"
 
 #define WHOLE_RESPONSE_BYTES  (64u * 1024)
--- a/src/proxy/egress_collect.c
+++ b/src/proxy/egress/egress_collect.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "proxy/egress_request.h"
+#include "io/log/counters.h"
+#include "proxy/egress/egress_request.h"
 
 /// Bodies asked for at a time: one fills a link, another covers the time that a
 /// part is asked for.
--- a/src/proxy/egress_log.c
+++ b/src/proxy/egress/egress_log.c
@@ -1,9 +1,9 @@
 // Log lines and times of requests at the egress.
 #include <stdio.h>
 
-#include "io/histogram.h"
-#include "io/log.h"
-#include "proxy/egress_log.h"
+#include "io/log/histogram.h"
+#include "io/log/log.h"
+#include "proxy/egress/egress_log.h"
 
 HISTOGRAM_FAMILY_DEFINE(egress_times, "egress_seconds",
     "By stage and rank: in the queue, and in a slot of the backend server");
--- a/src/proxy/egress_log.h
+++ b/src/proxy/egress/egress_log.h
@@ -1,9 +1,9 @@
 /// @file
 /// Log lines and times of requests at the egress.
-#ifndef MV_PROXY_EGRESS_LOG_H
-#define MV_PROXY_EGRESS_LOG_H
+#ifndef MV_PROXY_EGRESS_EGRESS_LOG_H
+#define MV_PROXY_EGRESS_EGRESS_LOG_H
 
-#include "proxy/egress_request.h"
+#include "proxy/egress/egress_request.h"
 
 /// The egress does not let a request run.
 ///
--- a/src/proxy/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/log.h"
-#include "proxy/egress_peer.h"
+#include "io/log/log.h"
+#include "proxy/egress/egress_peer.h"
 
 #define SILENCE_LIMIT_US (3 * US_PER_S)
 #define IDLE_LIMIT_US	 (60 * US_PER_S)
--- a/src/proxy/egress_peer.h
+++ b/src/proxy/egress/egress_peer.h
@@ -1,10 +1,10 @@
 /// @file
 /// Streams from ingresses to this egress.
-#ifndef MV_PROXY_EGRESS_PEER_H
-#define MV_PROXY_EGRESS_PEER_H
+#ifndef MV_PROXY_EGRESS_EGRESS_PEER_H
+#define MV_PROXY_EGRESS_EGRESS_PEER_H
 
-#include "io/net.h"
-#include "proxy/egress.h"
+#include "io/net/net.h"
+#include "proxy/egress/egress.h"
 
 struct egress_server;
 
--- a/src/proxy/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -1,14 +1,14 @@
 /// @file
 /// State of one request at the egress, shared by the files of the egress.
-#ifndef MV_PROXY_EGRESS_REQUEST_H
-#define MV_PROXY_EGRESS_REQUEST_H
+#ifndef MV_PROXY_EGRESS_EGRESS_REQUEST_H
+#define MV_PROXY_EGRESS_EGRESS_REQUEST_H
 
-#include "core/collector.h"
-#include "core/outcome.h"
+#include "core/requests/collector.h"
+#include "core/requests/outcome.h"
 #include "io/dialect.h"
-#include "io/httpc.h"
-#include "proxy/egress.h"
-#include "proxy/once_client.h"
+#include "io/http/httpc.h"
+#include "proxy/egress/egress.h"
+#include "proxy/egress/once_client.h"
 #include "wire/request_copy.h"
 
 enum request_state {
--- a/src/proxy/once_client.c
+++ b/src/proxy/egress/once_client.c
@@ -6,10 +6,10 @@
 
 #include "core/random.h"
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/net.h"
-#include "proxy/once_client.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/net.h"
+#include "proxy/egress/once_client.h"
 
 #define RESEND_US	 (150 * US_PER_MS)
 #define POLL_US		 (40 * US_PER_MS)
--- a/src/proxy/once_client.h
+++ b/src/proxy/egress/once_client.h
@@ -1,13 +1,13 @@
 /// @file
 /// Client of the ledger of idempotency keys.
-#ifndef MV_PROXY_ONCE_CLIENT_H
-#define MV_PROXY_ONCE_CLIENT_H
+#ifndef MV_PROXY_EGRESS_ONCE_CLIENT_H
+#define MV_PROXY_EGRESS_ONCE_CLIENT_H
 
 #include <stdint.h>
 
-#include "core/once.h"
-#include "io/address.h"
+#include "core/requests/once.h"
 #include "io/loop.h"
+#include "io/net/address.h"
 #include "wire/messages.h"
 
 #define ONCE_MAX_REPLICAS 7
--- a/src/proxy/headers.h
+++ b/src/proxy/headers.h
@@ -5,7 +5,7 @@
 
 #include <stdbool.h>
 
-#include "core/retry.h"
+#include "core/requests/retry.h"
 #include "io/dialect.h"
 #include "wire/codec.h"
 
--- a/src/proxy/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -6,10 +6,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "proxy/headers.h"
-#include "proxy/ingress_log.h"
+#include "proxy/ingress/ingress_log.h"
 
 #define CANCEL_GRACE_US (100 * US_PER_MS)
 #define BUSY_MAX_US	(100 * US_PER_MS)
--- a/src/proxy/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -6,10 +6,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "proxy/headers.h"
-#include "proxy/ingress_log.h"
+#include "proxy/ingress/ingress_log.h"
 
 #define IDLE_TIMEOUT_S 60
 #define MAX_HEADERS    128
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -1,12 +1,12 @@
 /// @file
 /// Ingress: takes HTTP requests of callers and gets them served.
-#ifndef MV_PROXY_INGRESS_H
-#define MV_PROXY_INGRESS_H
+#ifndef MV_PROXY_INGRESS_INGRESS_H
+#define MV_PROXY_INGRESS_INGRESS_H
 
-#include "core/rules.h"
-#include "io/address.h"
+#include "core/rules/rules.h"
 #include "io/loop.h"
-#include "proxy/egress.h"
+#include "io/net/address.h"
+#include "proxy/egress/egress.h"
 #include "proxy/view.h"
 
 struct ingress;
--- a/src/proxy/ingress_log.c
+++ b/src/proxy/ingress/ingress_log.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include "io/dialect.h"
-#include "io/histogram.h"
-#include "io/log.h"
-#include "proxy/ingress_log.h"
+#include "io/log/histogram.h"
+#include "io/log/log.h"
+#include "proxy/ingress/ingress_log.h"
 
 HISTOGRAM_FAMILY_DEFINE(request_times, "request_seconds",
     "From a request's arrival to its answer, by route and rank");
--- a/src/proxy/ingress_log.h
+++ b/src/proxy/ingress/ingress_log.h
@@ -1,9 +1,9 @@
 /// @file
 /// Log lines and times of requests at the ingress.
-#ifndef MV_PROXY_INGRESS_LOG_H
-#define MV_PROXY_INGRESS_LOG_H
+#ifndef MV_PROXY_INGRESS_INGRESS_LOG_H
+#define MV_PROXY_INGRESS_INGRESS_LOG_H
 
-#include "proxy/ingress_request.h"
+#include "proxy/ingress/ingress_request.h"
 
 /// Keeps the caller's name of a request, or gives it one.
 void ingress_name_request(struct ingress_request *r);
--- a/src/proxy/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -1,14 +1,14 @@
 /// @file
 /// State of one request at the ingress, shared by the files of the ingress.
-#ifndef MV_PROXY_INGRESS_REQUEST_H
-#define MV_PROXY_INGRESS_REQUEST_H
-
-#include "core/balancer.h"
-#include "core/retry.h"
-#include "io/httpd.h"
-#include "proxy/egress.h"
-#include "proxy/ingress.h"
-#include "proxy/link.h"
+#ifndef MV_PROXY_INGRESS_INGRESS_REQUEST_H
+#define MV_PROXY_INGRESS_INGRESS_REQUEST_H
+
+#include "core/requests/balancer.h"
+#include "core/requests/retry.h"
+#include "io/http/httpd.h"
+#include "proxy/egress/egress.h"
+#include "proxy/ingress/ingress.h"
+#include "proxy/ingress/link.h"
 #include "wire/request_copy.h"
 
 #define INGRESS_BUCKETS	     1024
--- a/src/proxy/link.c
+++ b/src/proxy/ingress/link.c
@@ -5,10 +5,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/net.h"
-#include "proxy/link.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/net.h"
+#include "proxy/ingress/link.h"
 
 #define SCAN_US		   (50 * US_PER_MS)
 #define HEARTBEAT_AFTER_US (250 * US_PER_MS)
--- a/src/proxy/link.h
+++ b/src/proxy/ingress/link.h
@@ -1,12 +1,12 @@
 /// @file
 /// Streams from this ingress to egresses, one for each in use.
-#ifndef MV_PROXY_LINK_H
-#define MV_PROXY_LINK_H
+#ifndef MV_PROXY_INGRESS_LINK_H
+#define MV_PROXY_INGRESS_LINK_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/member.h"
+#include "core/membership/member.h"
 #include "io/loop.h"
 #include "wire/messages.h"
 
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "io/log.h"
+#include "io/log/log.h"
 #include "proxy/settings.h"
 
 static const char program_purpose[] =
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -4,7 +4,7 @@
 #define MV_PROXY_SETTINGS_H
 
 #include "io/program.h"
-#include "proxy/control.h"
+#include "proxy/control/control.h"
 
 struct proxy_settings {
 	struct program_log log;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -6,10 +6,10 @@
 #include <stdlib.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "io/loop.h"
-#include "proxy/egress_peer.h"
+#include "proxy/egress/egress_peer.h"
 #include "proxy/traffic.h"
 
 #define PUBLISH_US (20 * US_PER_MS)
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -6,10 +6,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "io/address.h"
-#include "proxy/egress.h"
-#include "proxy/ingress.h"
-#include "proxy/once_client.h"
+#include "io/net/address.h"
+#include "proxy/egress/egress.h"
+#include "proxy/egress/once_client.h"
+#include "proxy/ingress/ingress.h"
 #include "proxy/view.h"
 
 struct traffic;
--- a/src/proxy/view.h
+++ b/src/proxy/view.h
@@ -6,8 +6,8 @@
 
 #include <stdint.h>
 
-#include "core/membership.h"
-#include "core/rules.h"
+#include "core/membership/membership.h"
+#include "core/rules/rules.h"
 
 struct view_endpoint {
 	struct member member;
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -7,10 +7,10 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
-#include "io/oneshot.h"
-#include "io/replica_admin.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/oneshot.h"
+#include "io/replica/replica_admin.h"
 #include "source/source.h"
 
 #define MAX_PENDING	   64
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/version_sync.h"
+#include "core/membership/version_sync.h"
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/log.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "io/rules_message.h"
 #include "source/source.h"
 #include "wire/gossip_codec.h"
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "io/counters.h"
-#include "io/counters_http.h"
-#include "io/log.h"
+#include "io/http/counters_http.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "source/source.h"
 
 GAUGE_DEFINE(gauge_accepted, "source_version", "Accepted version");
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -3,12 +3,12 @@
 #ifndef MV_SOURCE_SOURCE_H
 #define MV_SOURCE_SOURCE_H
 
-#include "core/report_table.h"
-#include "core/rule_store.h"
+#include "core/membership/report_table.h"
+#include "core/rules/rule_store.h"
 #include "io/dialect.h"
-#include "io/httpd.h"
-#include "io/net.h"
-#include "io/replica_program.h"
+#include "io/http/httpd.h"
+#include "io/net/net.h"
+#include "io/replica/replica_program.h"
 
 struct source_settings {
 	struct replica_program_settings replica;
--- a/src/wire/gossip_codec.h
+++ b/src/wire/gossip_codec.h
@@ -3,7 +3,7 @@
 #ifndef MV_WIRE_GOSSIP_CODEC_H
 #define MV_WIRE_GOSSIP_CODEC_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "wire/messages.h"
 
 /// Fills a message that borrows the strings of a member.
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -15,9 +15,9 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/httpc.h"
-#include "io/httpd.h"
-#include "io/log.h"
+#include "io/http/httpc.h"
+#include "io/http/httpd.h"
+#include "io/log/log.h"
 #include "io/program.h"
 
 #define MAX_KEYS 200000
--- a/test/fakes/fake_disk.h
+++ b/test/fakes/fake_disk.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "io/disk.h"
+#include "io/disk/disk.h"
 
 #define FAKE_DISK_FILES 64
 
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -12,13 +12,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include "core/once.h"
 #include "core/random.h"
-#include "core/replica_config.h"
-#include "core/rules.h"
+#include "core/replica/replica_config.h"
+#include "core/requests/once.h"
+#include "core/rules/rules.h"
 #include "fakes/fake_disk.h"
+#include "io/disk/wal.h"
 #include "io/settings.h"
-#include "io/wal.h"
 #include "wire/gossip_codec.h"
 #include "wire/messages.h"
 
--- a/test/soak/relay.h
+++ b/test/soak/relay.h
@@ -5,7 +5,7 @@
 
 #include <stdint.h>
 
-#include "io/address.h"
+#include "io/net/address.h"
 
 struct relays;
 
--- a/test/unit/replica_cluster.h
+++ b/test/unit/replica_cluster.h
@@ -10,9 +10,9 @@
 #define MV_TEST_UNIT_REPLICA_CLUSTER_H
 
 #include "core/random.h"
-#include "core/replica.h"
+#include "core/replica/replica.h"
 #include "fakes/fake_disk.h"
-#include "io/wal.h"
+#include "io/disk/wal.h"
 #include "unit/support.h"
 
 #define MAX_NODES     40
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -2,8 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/admission.h"
 #include "core/random.h"
+#include "core/requests/admission.h"
 #include "unit/support.h"
 
 #define ITEMS	  4000
--- a/test/unit/test_collector.c
+++ b/test/unit/test_collector.c
@@ -1,7 +1,7 @@
 // Collection of bodies over a link that is narrower than what is wanted.
 #include <string.h>
 
-#include "core/collector.h"
+#include "core/requests/collector.h"
 #include "unit/support.h"
 
 #define MS_US	   1000LL
--- a/test/unit/test_distribution.c
+++ b/test/unit/test_distribution.c
@@ -4,9 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/report_table.h"
-#include "core/rule_store.h"
-#include "core/version_sync.h"
+#include "core/membership/report_table.h"
+#include "core/membership/version_sync.h"
+#include "core/rules/rule_store.h"
 #include "unit/support.h"
 
 #define SECOND_US  1000000LL
--- a/test/unit/test_log.c
+++ b/test/unit/test_log.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
-#include "io/log.h"
+#include "io/log/log.h"
 #include "unit/support.h"
 
 #define THREADS		 3
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "unit/support.h"
 
 #define MAX_NODES   128
--- a/test/unit/test_once.c
+++ b/test/unit/test_once.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once.h"
 #include "core/random.h"
+#include "core/requests/once.h"
 #include "unit/support.h"
 
 #define RETENTION_US 1000000LL
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/rules.h"
+#include "core/rules/rules.h"
 #include "io/clock.h"
 #include "io/dialect.h"
 #include "unit/support.h"
@@ -136,7 +136,7 @@
 	char *document = json_dumps(root, JSON_COMPACT);
 	size_t golden_bytes;
 	char *golden =
-	    test_read_file("golden/platform_rules.mv", &golden_bytes);
+	    test_read_file("golden_platform/rules.mv", &golden_bytes);
 	struct error err;
 	size_t text_bytes;
 	char *text;
--- a/test/unit/test_roster.c
+++ b/test/unit/test_roster.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/roster.h"
+#include "core/replica/roster.h"
 #include "unit/replica_cluster.h"
 
 #define REAL_ELECTION_US  750000LL
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/balancer.h"
-#include "core/fence.h"
-#include "core/retry.h"
+#include "core/requests/balancer.h"
+#include "core/requests/fence.h"
+#include "core/requests/retry.h"
 #include "unit/support.h"
 
 #define SECOND_US 1000000LL
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -6,9 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/delta.h"
 #include "core/random.h"
-#include "core/rules.h"
+#include "core/rules/delta.h"
+#include "core/rules/rules.h"
 #include "unit/support.h"
 
 #define MAX_DUMP 65536
--- a/test/unit/test_wal.c
+++ b/test/unit/test_wal.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #include "fakes/fake_disk.h"
-#include "io/wal.h"
-#include "io/wal_record.h"
+#include "io/disk/wal.h"
+#include "io/disk/wal_record.h"
 #include "unit/support.h"
 
 #define ENTRIES 20
