refactor(proxy): attempts, answers, broken streams, waiting and taking in files of their own

Solution: ingress/{answer,broken,waiting}.c, egress/submit.c, http/httpd_exchange.c; functions moved, those that another file now calls got their module's prefix.

--- /dev/null
+++ b/src/io/http/httpd_exchange.c
@@ -0,0 +1,192 @@
+// Requests and responses of the HTTP server.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/http/httpd_exchange.h"
+
+#define STREAM_BLOCK_BYTES (32 * 1024)
+
+struct exchange *
+exchange_of(struct http_exchange *pub)
+{
+	return (struct exchange *)pub;
+}
+
+void
+exchange_suspend(struct exchange *x)
+{
+	assert(!x->suspended);
+	x->suspended = true;
+	MHD_suspend_connection(x->connection);
+}
+
+void
+exchange_resume(struct exchange *x)
+{
+	if (!x->suspended)
+		return;
+	x->suspended = false;
+	x->pub.httpd->ready = true;
+	loop_wake_hooks(x->pub.httpd->loop);
+	MHD_resume_connection(x->connection);
+}
+
+const char *
+http_exchange_header(const struct http_exchange *exchange, const char *name)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+
+	return MHD_lookup_connection_value(
+	    x->connection, MHD_HEADER_KIND, name);
+}
+
+struct visit {
+	void (*fn)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result
+visit_header(
+    void *cls, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+	struct visit *visit = cls;
+
+	(void)kind;
+	visit->fn(visit->arg, key, value == NULL ? "" : value);
+	return MHD_YES;
+}
+
+void
+http_exchange_each_header(const struct http_exchange *exchange,
+    void (*fn)(void *arg, const char *name, const char *value), void *arg)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+	struct visit visit = {fn, arg};
+
+	MHD_get_connection_values(
+	    x->connection, MHD_HEADER_KIND, visit_header, &visit);
+}
+
+/// Stores the response; the library takes it when it next runs the
+/// connection.
+static void
+set_response(struct exchange *x, uint32_t status, struct MHD_Response *response,
+    const struct http_header *headers, size_t header_count)
+{
+	size_t i;
+
+	assert(response != NULL);
+	if (x->response != NULL) {
+		// The caller has gone, and the response was set for that.
+		MHD_destroy_response(response);
+		return;
+	}
+	for (i = 0; i < header_count; i++)
+		MHD_add_response_header(
+		    response, headers[i].name, headers[i].value);
+	if (x->pub.httpd->draining)
+		MHD_add_response_header(response, "Connection", "close");
+	x->response = response;
+	x->status = status;
+	if (!x->upload_done)
+		x->discarding = true;
+	exchange_resume(x);
+}
+
+void
+http_exchange_respond(struct http_exchange *exchange, uint32_t status,
+    const struct http_header *headers, size_t header_count, const char *body,
+    size_t body_bytes)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+
+	set_response(
+	    exchange_of(exchange), status, response, headers, header_count);
+}
+
+void
+http_exchange_respond_text(
+    struct http_exchange *exchange, uint32_t status, const char *text)
+{
+	static const struct http_header plain_text = {
+	    "Content-Type", "text/plain; charset=utf-8"};
+
+	http_exchange_respond(
+	    exchange, status, &plain_text, 1, text, strlen(text));
+}
+
+/// Gives the library bytes of a streamed response.
+static ssize_t
+read_out(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct exchange *x = cls;
+	size_t n = x->out_bytes < max ? x->out_bytes : max;
+
+	(void)pos;
+	if (n == 0 && x->out_ended)
+		return x->out_complete ? MHD_CONTENT_READER_END_OF_STREAM
+				       : MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n == 0) {
+		if (!x->suspended)
+			exchange_suspend(x);
+		return 0;
+	}
+	memcpy(buf, x->out, n);
+	memmove(x->out, x->out + n, x->out_bytes - n);
+	x->out_bytes -= n;
+	if (x->pub.httpd->ops->on_drained != NULL)
+		x->pub.httpd->ops->on_drained(&x->pub, n);
+	return (ssize_t)n;
+}
+
+void
+http_exchange_respond_start(struct http_exchange *exchange, uint32_t status,
+    const struct http_header *headers, size_t header_count, int64_t total_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+	uint64_t size_bytes =
+	    total_bytes < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)total_bytes;
+
+	set_response(x, status,
+	    MHD_create_response_from_callback(
+		size_bytes, STREAM_BLOCK_BYTES, read_out, x, NULL),
+	    headers, header_count);
+}
+
+void
+http_exchange_respond_body(
+    struct http_exchange *exchange, const char *data, size_t size_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	if (x->out_bytes + size_bytes > x->out_capacity_bytes) {
+		x->out_capacity_bytes = x->out_bytes + size_bytes;
+		x->out = realloc(x->out, x->out_capacity_bytes);
+		assert(x->out != NULL);
+	}
+	memcpy(x->out + x->out_bytes, data, size_bytes);
+	x->out_bytes += size_bytes;
+	exchange_resume(x);
+}
+
+void
+http_exchange_respond_end(struct http_exchange *exchange, bool complete)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	x->out_ended = true;
+	x->out_complete = complete;
+	exchange_resume(x);
+}
+
+void
+http_exchange_grant(struct http_exchange *exchange, size_t size_bytes)
+{
+	struct exchange *x = exchange_of(exchange);
+
+	x->credit_bytes += (int64_t)size_bytes;
+	if (!x->upload_done)
+		exchange_resume(x);
+}
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -7,7 +7,6 @@
 
 #include "core/requests/outcome.h"
 #include "io/clock.h"
-#include "io/http/httpd.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "proxy/egress/egress_log.h"
@@ -15,16 +14,9 @@
 
 #define SWEEP_US (20 * US_PER_MS)
 
-/// Longer bodies go straight through to the backend server. Those that an
-/// ingress keeps whole are never longer: it takes attempts back on that ground.
-#define MAX_COLLECTED_BYTES (1024 * 1024)
-_Static_assert(
-    MAX_COLLECTED_BYTES >= HTTPD_WHOLE_BODY_BYTES, "kept bodies are collected");
-
 COUNTER_DEFINE(count_refused, "egress_requests_refused", "Refused, not run");
 COUNTER_DEFINE(count_failed, "egress_requests_failed", "Outcome unknown");
 COUNTER_DEFINE(count_replayed, "egress_requests_replayed", "Answered again");
-COUNTER_DEFINE(count_queued, "egress_requests_queued", "Waited for a slot");
 
 static const char in_use_text[] = "key is in use and its outcome is not known";
 
@@ -80,8 +72,8 @@
 
 /// Outcome of a request that did not run here. If its key was not claimed
 /// for it, an earlier attempt may have run.
-static enum outcome
-not_run_outcome(const struct message_request *m, bool claimed)
+enum outcome
+egress_not_run_outcome(const struct message_request *m, bool claimed)
 {
 	return m->key.size_bytes > 0 && !claimed ? OUTCOME_REFUSED
 						 : OUTCOME_NOT_RUN;
@@ -95,7 +87,8 @@
 	struct egress *egress = r->egress;
 	uint64_t id = r->message->id;
 	bool arrived = r->arrived;
-	enum outcome outcome = not_run_outcome(r->message, r->key_was_free);
+	enum outcome outcome =
+	    egress_not_run_outcome(r->message, r->key_was_free);
 
 	egress_log_refused(egress, r->message,
 	    sink == NULL ? NULL : sink->origin, status, outcome, retry_us, why);
@@ -192,8 +185,8 @@
 }
 
 /// Begins the work of a request that got a slot.
-static void
-begin(struct egress_request *r)
+void
+egress_begin(struct egress_request *r)
 {
 	const struct message_request *m = r->message;
 	struct egress *egress = r->egress;
@@ -223,7 +216,7 @@
 		struct egress_request *r = (struct egress_request *)item;
 
 		if (verdict == ADMISSION_RUN)
-			begin(r);
+			egress_begin(r);
 		else
 			egress_end_not_run(r, 503,
 			    admission_wait_us(&egress->admission, item->rank),
@@ -261,131 +254,6 @@
 	    loop_now_us(egress->loop) + SWEEP_US);
 }
 
-/// Why a request cannot be taken at all; NULL if it can.
-static const char *
-find_obstacle(const struct egress *egress, const struct message_request *m)
-{
-	const struct egress_backend *b = &egress->backend;
-
-	if (egress->draining)
-		return "this proxy is leaving";
-	if (b->address[0] == '\0' || b->state == BACKEND_NONE)
-		return "no backend server";
-	if (b->state == BACKEND_DRAINING)
-		return "backend server is draining";
-	if (strlen(b->service) != m->service.size_bytes ||
-	    memcmp(b->service, m->service.data, m->service.size_bytes) != 0)
-		return "another service is here";
-	if (egress->rules == NULL || egress->admission.rank_count == 0)
-		return "no rules yet";
-	return NULL;
-}
-
-static struct egress_request *
-request_create(struct egress *egress, struct egress_sink *sink,
-    const struct message_request *message)
-{
-	struct egress_request *r = calloc(1, sizeof(*r));
-	char rank[RULES_NAME_BYTES] = "";
-
-	assert(r != NULL);
-	r->egress = egress;
-	r->sink = sink;
-	r->message = message_request_copy(message);
-	r->next = egress->first;
-	if (r->next != NULL)
-		r->next->prev = r;
-	egress->first = r;
-	bytes_copy(message->rank, rank, sizeof(rank));
-	r->item.rank = admission_find_rank(&egress->admission, rank);
-	r->item.size_bytes = message->body.size_bytes;
-	r->item.deadline_us =
-	    loop_now_us(egress->loop) + message->deadline_left_us;
-	r->item.target_deadline_us =
-	    loop_now_us(egress->loop) + message->target_left_us;
-	if (message->more) {
-		r->upload = malloc(message->body.size_bytes);
-		assert(r->upload != NULL);
-		memcpy(r->upload, message->body.data, message->body.size_bytes);
-		r->upload_bytes = message->body.size_bytes;
-	}
-	return r;
-}
-
-/// A body that is announced whole and comes only as it is asked for.
-static bool
-is_collectable(const struct message_request *m)
-{
-	return m->more && m->body.size_bytes == 0 && m->total_bytes > 0 &&
-	    m->total_bytes <= MAX_COLLECTED_BYTES;
-}
-
-void
-egress_admit(struct egress_request *r)
-{
-	struct egress *egress = r->egress;
-	int64_t retry_us;
-
-	r->state = REQUEST_WAITING;
-	switch (admission_offer(&egress->admission, &r->item,
-	    loop_now_us(egress->loop), &retry_us)) {
-	case ADMISSION_RUN:
-		begin(r);
-		break;
-	case ADMISSION_QUEUED:
-		counter_add(&count_queued, 1);
-		break;
-	case ADMISSION_REFUSED:
-		egress_end_not_run(
-		    r, 503, retry_us, "too much work of this rank");
-		break;
-	}
-}
-
-/// Refuses a request that was never taken.
-static void
-refuse(struct egress *egress, struct egress_sink *sink,
-    const struct message_request *m, int64_t retry_us, const char *why)
-{
-	enum outcome outcome = not_run_outcome(m, false);
-
-	egress_log_refused(
-	    egress, m, sink->origin, 503, outcome, retry_us, why);
-	egress_send_refusal(
-	    egress, sink, m->id, 503, outcome, retry_us, false, why);
-}
-
-struct egress_request *
-egress_submit(struct egress *egress, struct egress_sink *sink,
-    const struct message_request *message)
-{
-	const char *obstacle = find_obstacle(egress, message);
-	int64_t now_us = loop_now_us(egress->loop);
-	struct egress_request *r;
-	int64_t retry_us;
-	uint64_t key =
-	    fence_key(sink->origin, sink->origin_incarnation, message->id);
-
-	fence_arrive(&egress->fence, key, now_us);
-	if (obstacle != NULL) {
-		refuse(egress, sink, message, 0, obstacle);
-		return NULL;
-	}
-	if (is_collectable(message) &&
-	    !egress_can_collect(egress, message, &retry_us)) {
-		refuse(egress, sink, message, retry_us,
-		    "too many bodies are on their way here");
-		return NULL;
-	}
-	r = request_create(egress, sink, message);
-	r->fence_key = key;
-	if (is_collectable(message))
-		egress_collect_begin(r);
-	else
-		egress_admit(r);
-	return egress_find(egress, sink, message->id);
-}
-
 struct egress_request *
 egress_find(struct egress *egress, const struct egress_sink *sink, uint64_t id)
 {
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -90,6 +90,14 @@
     uint64_t id, uint32_t status, enum outcome outcome, int64_t retry_us,
     bool arrived, const char *why);
 
+/// Outcome of a request that did not run here. If its key was not claimed
+/// for it, an earlier attempt may have run.
+enum outcome egress_not_run_outcome(
+    const struct message_request *m, bool claimed);
+
+/// Begins the work of a request that got a slot.
+void egress_begin(struct egress_request *r);
+
 /// Ends a request that never got to the backend server.
 void egress_end_not_run(struct egress_request *r, uint32_t status,
     int64_t retry_us, const char *why);
--- /dev/null
+++ b/src/proxy/egress/submit.c
@@ -0,0 +1,141 @@
+// Taking of requests: what can be taken at all, bodies, admission.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/http/httpd.h"
+#include "io/log/counters.h"
+#include "proxy/egress/egress_log.h"
+
+/// Longer bodies go straight through to the backend server. Those that an
+/// ingress keeps whole are never longer: it takes attempts back on that ground.
+#define MAX_COLLECTED_BYTES (1024 * 1024)
+_Static_assert(
+    MAX_COLLECTED_BYTES >= HTTPD_WHOLE_BODY_BYTES, "kept bodies are collected");
+
+COUNTER_DEFINE(count_queued, "egress_requests_queued", "Waited for a slot");
+
+/// Why a request cannot be taken at all; NULL if it can.
+static const char *
+find_obstacle(const struct egress *egress, const struct message_request *m)
+{
+	const struct egress_backend *b = &egress->backend;
+
+	if (egress->draining)
+		return "this proxy is leaving";
+	if (b->address[0] == '\0' || b->state == BACKEND_NONE)
+		return "no backend server";
+	if (b->state == BACKEND_DRAINING)
+		return "backend server is draining";
+	if (strlen(b->service) != m->service.size_bytes ||
+	    memcmp(b->service, m->service.data, m->service.size_bytes) != 0)
+		return "another service is here";
+	if (egress->rules == NULL || egress->admission.rank_count == 0)
+		return "no rules yet";
+	return NULL;
+}
+
+static struct egress_request *
+request_create(struct egress *egress, struct egress_sink *sink,
+    const struct message_request *message)
+{
+	struct egress_request *r = calloc(1, sizeof(*r));
+	char rank[RULES_NAME_BYTES] = "";
+
+	assert(r != NULL);
+	r->egress = egress;
+	r->sink = sink;
+	r->message = message_request_copy(message);
+	r->next = egress->first;
+	if (r->next != NULL)
+		r->next->prev = r;
+	egress->first = r;
+	bytes_copy(message->rank, rank, sizeof(rank));
+	r->item.rank = admission_find_rank(&egress->admission, rank);
+	r->item.size_bytes = message->body.size_bytes;
+	r->item.deadline_us =
+	    loop_now_us(egress->loop) + message->deadline_left_us;
+	r->item.target_deadline_us =
+	    loop_now_us(egress->loop) + message->target_left_us;
+	if (message->more) {
+		r->upload = malloc(message->body.size_bytes);
+		assert(r->upload != NULL);
+		memcpy(r->upload, message->body.data, message->body.size_bytes);
+		r->upload_bytes = message->body.size_bytes;
+	}
+	return r;
+}
+
+/// A body that is announced whole and comes only as it is asked for.
+static bool
+is_collectable(const struct message_request *m)
+{
+	return m->more && m->body.size_bytes == 0 && m->total_bytes > 0 &&
+	    m->total_bytes <= MAX_COLLECTED_BYTES;
+}
+
+void
+egress_admit(struct egress_request *r)
+{
+	struct egress *egress = r->egress;
+	int64_t retry_us;
+
+	r->state = REQUEST_WAITING;
+	switch (admission_offer(&egress->admission, &r->item,
+	    loop_now_us(egress->loop), &retry_us)) {
+	case ADMISSION_RUN:
+		egress_begin(r);
+		break;
+	case ADMISSION_QUEUED:
+		counter_add(&count_queued, 1);
+		break;
+	case ADMISSION_REFUSED:
+		egress_end_not_run(
+		    r, 503, retry_us, "too much work of this rank");
+		break;
+	}
+}
+
+/// Refuses a request that was never taken.
+static void
+refuse(struct egress *egress, struct egress_sink *sink,
+    const struct message_request *m, int64_t retry_us, const char *why)
+{
+	enum outcome outcome = egress_not_run_outcome(m, false);
+
+	egress_log_refused(
+	    egress, m, sink->origin, 503, outcome, retry_us, why);
+	egress_send_refusal(
+	    egress, sink, m->id, 503, outcome, retry_us, false, why);
+}
+
+struct egress_request *
+egress_submit(struct egress *egress, struct egress_sink *sink,
+    const struct message_request *message)
+{
+	const char *obstacle = find_obstacle(egress, message);
+	int64_t now_us = loop_now_us(egress->loop);
+	struct egress_request *r;
+	int64_t retry_us;
+	uint64_t key =
+	    fence_key(sink->origin, sink->origin_incarnation, message->id);
+
+	fence_arrive(&egress->fence, key, now_us);
+	if (obstacle != NULL) {
+		refuse(egress, sink, message, 0, obstacle);
+		return NULL;
+	}
+	if (is_collectable(message) &&
+	    !egress_can_collect(egress, message, &retry_us)) {
+		refuse(egress, sink, message, retry_us,
+		    "too many bodies are on their way here");
+		return NULL;
+	}
+	r = request_create(egress, sink, message);
+	r->fence_key = key;
+	if (is_collectable(message))
+		egress_collect_begin(r);
+	else
+		egress_admit(r);
+	return egress_find(egress, sink, message->id);
+}
--- /dev/null
+++ b/src/proxy/ingress/answer.c
@@ -0,0 +1,272 @@
+// Answers of egresses: to the caller, or to another attempt.
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/log/counters.h"
+#include "proxy/headers.h"
+#include "proxy/ingress/ingress_log.h"
+
+/// Longest time for which an endpoint is avoided after it had no room: what it
+/// knew of its queue is old by then.
+#define BUSY_MAX_US	(100 * US_PER_MS)
+#define MAX_OUT_HEADERS 160
+
+COUNTER_DEFINE(count_given, "ingress_responses", "Responses passed on");
+
+/// Turns the headers of a response into those of the HTTP server. Names and
+/// values are copied into text, which the caller frees.
+static size_t
+copy_headers(const struct dialect *dialect, const struct list *from,
+    struct http_header *out, char **text)
+{
+	const struct message_header *h = from->items;
+	size_t text_bytes = 1;
+	size_t count = 0;
+	uint32_t i;
+	char *at;
+
+	for (i = 0; i < from->count; i++)
+		text_bytes += h[i].name.size_bytes + h[i].value.size_bytes + 2;
+	at = *text = malloc(text_bytes);
+	assert(at != NULL);
+	for (i = 0; i < from->count && count < MAX_OUT_HEADERS; i++) {
+		if (!dialect->answers_are_whole &&
+		    headers_is_internal(&dialect->headers, h[i].name))
+			continue;
+		memcpy(at, h[i].name.data, h[i].name.size_bytes);
+		at[h[i].name.size_bytes] = '\0';
+		out[count].name = at;
+		at += h[i].name.size_bytes + 1;
+		memcpy(at, h[i].value.data, h[i].value.size_bytes);
+		at[h[i].value.size_bytes] = '\0';
+		out[count++].value = at;
+		at += h[i].value.size_bytes + 1;
+	}
+	return count;
+}
+
+static void
+give_response(struct ingress_request *r, const struct message_response *m)
+{
+	struct http_header headers[MAX_OUT_HEADERS];
+	char *text;
+	size_t count =
+	    copy_headers(r->ingress->dialect, &m->headers, headers, &text);
+
+	counter_add(&count_given, 1);
+	ingress_log_passed_on(r, m);
+	if (!m->more)
+		http_exchange_respond(r->exchange, m->status, headers, count,
+		    m->body.data, m->body.size_bytes);
+	else {
+		http_exchange_respond_start(
+		    r->exchange, m->status, headers, count, m->total_bytes);
+		http_exchange_respond_body(
+		    r->exchange, m->body.data, m->body.size_bytes);
+	}
+	free(text);
+}
+
+/// Learns from a refusal: a full queue is no failure of the endpoint.
+static bool
+note_refusal(struct ingress_request *r, const struct message_response *m)
+{
+	int64_t wait_us = m->retry_left_us;
+
+	if (!outcome_is_not_run((enum outcome)m->outcome) || wait_us <= 0)
+		return m->outcome != OUTCOME_ANSWERED;
+	if (wait_us > BUSY_MAX_US)
+		wait_us = BUSY_MAX_US;
+	balancer_set_busy(r->endpoint, r->rank->worth,
+	    loop_now_us(r->ingress->loop) + wait_us);
+	return false;
+}
+
+static void
+handle_response(struct ingress_request *r, const struct message_response *m)
+{
+	char why[128];
+	bool failed;
+
+	if (r->state == ATTEMPT_STREAMING)
+		return;
+	balancer_report(r->endpoint, m->running, m->queued, m->service_us,
+	    loop_now_us(r->ingress->loop));
+	if (m->run_us > 0 && m->service_us > 0)
+		ingress_note_length(r, m);
+	r->arrivals += m->arrived;
+	failed = note_refusal(r, m);
+	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
+		r->state = ATTEMPT_STREAMING;
+		loop_timer_clear(r->ingress->loop, &r->timer);
+		give_response(r, m);
+		return;
+	}
+	if (m->outcome == OUTCOME_ANSWERED) {
+		ingress_attempt_end(r, m->status >= 500);
+		if (m->status >= 500 &&
+		    ingress_may_retry(r, m->status, OUTCOME_ANSWERED)) {
+			r->may_have_run = true;
+			ingress_log_retry(r, m->status, OUTCOME_ANSWERED,
+			    "the backend server failed");
+			ingress_note_last(r, 502, OUTCOME_UNKNOWN, 0,
+			    "the backend server failed");
+			ingress_attempt_start(r);
+			return;
+		}
+		if (r->exchange != NULL)
+			give_response(r, m);
+		ingress_request_free(r);
+		return;
+	}
+	ingress_attempt_end(r, failed);
+	snprintf(
+	    why, sizeof(why), "%.*s", (int)m->body.size_bytes, m->body.data);
+	ingress_retry_or_conclude(
+	    r, m->status, (enum outcome)m->outcome, m->retry_left_us, why);
+}
+
+static void
+handle_body(struct ingress_request *r, const struct message_body *m)
+{
+	if (r->state != ATTEMPT_STREAMING)
+		return;
+	if (r->exchange != NULL && m->data.size_bytes > 0)
+		http_exchange_respond_body(
+		    r->exchange, m->data.data, m->data.size_bytes);
+	if (!m->last)
+		return;
+	ingress_attempt_end(r, m->failed);
+	if (r->exchange != NULL)
+		http_exchange_respond_end(r->exchange, !m->failed);
+	ingress_request_free(r);
+}
+
+static void
+on_response(void *owner, struct link *link, const struct message_response *m)
+{
+	struct ingress_request *r = ingress_find_attempt(owner, link, m->id);
+
+	if (r != NULL)
+		handle_response(r, m);
+}
+
+static void
+on_body(void *owner, struct link *link, const struct message_body *m)
+{
+	struct ingress_request *r = ingress_find_attempt(owner, link, m->id);
+
+	if (r != NULL)
+		handle_body(r, m);
+}
+
+/// Sends as much of a kept body as the egress asks for.
+static void
+send_bulk(struct ingress_request *r, uint32_t credit_bytes)
+{
+	const struct http_exchange *x = r->exchange;
+	size_t left_bytes = x->body_bytes - r->bulk_sent_bytes;
+	struct message_body body = {0};
+
+	body.data.data = x->body + r->bulk_sent_bytes;
+	body.data.size_bytes =
+	    left_bytes < credit_bytes ? (uint32_t)left_bytes : credit_bytes;
+	r->bulk_sent_bytes += body.data.size_bytes;
+	body.last = r->bulk_sent_bytes == x->body_bytes;
+	if (body.data.size_bytes > 0)
+		ingress_send_body(r, &body);
+}
+
+static void
+on_window(void *owner, struct link *link, const struct message_window *m)
+{
+	struct ingress_request *r = ingress_find_attempt(owner, link, m->id);
+
+	if (r == NULL || r->exchange == NULL)
+		return;
+	if (r->bulk)
+		send_bulk(r, m->credit_bytes);
+	else
+		http_exchange_grant(r->exchange, m->credit_bytes);
+}
+
+static void
+on_load(void *owner, struct link *link, const struct message_heartbeat *load)
+{
+	const struct link_target *target = link_target(link);
+	struct ingress *ingress = owner;
+	uint32_t i;
+
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct endpoint *e =
+		    balancer_find(ingress->balancers[i], target->name);
+
+		if (e != NULL && e->incarnation == target->incarnation)
+			balancer_report(e, load->running, load->queued,
+			    load->service_us, loop_now_us(ingress->loop));
+	}
+}
+
+static void
+on_fence_answer(
+    void *owner, struct link *link, const struct message_fence_answer *m)
+{
+	struct ingress_request *r = ingress_find_attempt(owner, link, m->id);
+
+	if (r == NULL || r->state != ATTEMPT_FENCED)
+		return;
+	ingress_attempt_end(r, true);
+	if (m->outcome == OUTCOME_NOT_RUN)
+		ingress_retry_or_conclude(r, 503, ingress_not_run_outcome(r),
+		    US_PER_S, "the connection broke before it ran");
+	else
+		ingress_retry_or_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+		    "the connection broke while it may have run");
+}
+
+const struct links_ops ingress_links_ops = {
+    .on_response = on_response,
+    .on_body = on_body,
+    .on_window = on_window,
+    .on_fence_answer = on_fence_answer,
+    .on_load = on_load,
+    .on_broken = ingress_on_broken,
+};
+
+static struct ingress *
+ingress_of(struct egress_sink *sink)
+{
+	return (struct ingress *)sink;
+}
+
+static void
+sink_respond(
+    struct egress_sink *sink, uint64_t id, const struct message_response *m)
+{
+	(void)id;
+	on_response(ingress_of(sink), NULL, m);
+}
+
+static void
+sink_body(struct egress_sink *sink, uint64_t id, const struct message_body *m)
+{
+	(void)id;
+	on_body(ingress_of(sink), NULL, m);
+}
+
+static void
+sink_window(struct egress_sink *sink, uint64_t id, uint32_t credit_bytes)
+{
+	struct message_window m = {id, credit_bytes};
+
+	on_window(ingress_of(sink), NULL, &m);
+}
+
+const struct egress_sink_ops ingress_sink_ops = {
+    .respond = sink_respond,
+    .body = sink_body,
+    .window = sink_window,
+};
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -18,29 +18,18 @@
 /// few seconds, or not at all.
 #define START_GRACE_US (5 * US_PER_S)
 
-/// Part of the time that a request has which it may wait for that. A caller
-/// that is then refused can still come back once or twice.
-#define PARK_PART 3
-
 /// Time that a request without a deadline is taken to have.
 #define UNROUTED_US (1 * US_PER_S)
 
-/// Between tries while requests are parked.
-#define PARK_RETRY_US (50 * US_PER_MS)
-
 /// Before the end of a drain no request may still be in progress.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
 
-/// A caller that is turned away by a proxy that leaves finds another at once.
-#define LEAVING_RETRY_US (20 * US_PER_MS)
-
 /// When to come back to a proxy that is starting.
 #define STARTING_RETRY_US (200 * US_PER_MS)
 
 COUNTER_DEFINE(count_requests, "ingress_requests", "Requests taken");
 COUNTER_DEFINE(count_not_run, "ingress_not_run", "Answered: not run");
 COUNTER_DEFINE(count_unknown, "ingress_unknown", "Answered: unknown");
-COUNTER_DEFINE(count_parked, "ingress_parked", "Waited for the proxy's start");
 COUNTER_DEFINE(count_gone, "ingress_callers_gone", "Callers that left early");
 
 static void
@@ -210,8 +199,8 @@
 }
 
 /// Finds what the rules say of a request, and lets it be served.
-static void
-route_request(struct ingress_request *r)
+void
+ingress_route(struct ingress_request *r)
 {
 	struct ingress *ingress = r->ingress;
 	struct http_exchange *exchange = r->exchange;
@@ -270,7 +259,7 @@
 	r->trusted = door->trusted;
 	ingress_name_request(r);
 	if (door->ingress->rules != NULL) {
-		route_request(r);
+		ingress_route(r);
 		return;
 	}
 	r->deadline_us = exchange->arrival_us + UNROUTED_US;
@@ -281,64 +270,6 @@
 		    STARTING_RETRY_US, "no rules are in force here yet");
 }
 
-bool
-ingress_park(struct ingress_request *r)
-{
-	struct ingress *ingress = r->ingress;
-	int64_t now_us = loop_now_us(ingress->loop);
-	int64_t arrival_us;
-	int64_t until_us;
-
-	if (r->exchange == NULL || now_us >= ingress->start_deadline_us)
-		return false;
-	arrival_us = r->exchange->arrival_us;
-	until_us = arrival_us + (r->deadline_us - arrival_us) / PARK_PART;
-	if (now_us >= until_us)
-		return false;
-	if (!r->parked)
-		counter_add(&count_parked, 1);
-	r->parked = true;
-	loop_timer_set(ingress->loop, &r->timer, until_us);
-	if (ingress->parked_timer.heap_index == 0)
-		loop_timer_set(ingress->loop, &ingress->parked_timer,
-		    now_us + PARK_RETRY_US);
-	return true;
-}
-
-static struct ingress_request *
-find_marked(const struct ingress *ingress)
-{
-	struct ingress_request *r = ingress->all;
-
-	while (r != NULL && !r->marked)
-		r = r->all_next;
-	return r;
-}
-
-/// Tries again what waits for this proxy to know the mesh. One can end others:
-/// marks all first, then looks anew after each.
-static void
-resume_parked(void *arg)
-{
-	struct ingress *ingress = arg;
-	struct ingress_request *r;
-
-	if (ingress->rules == NULL)
-		return;
-	for (r = ingress->all; r != NULL; r = r->all_next)
-		r->marked = r->parked;
-	while ((r = find_marked(ingress)) != NULL) {
-		r->marked = r->parked = false;
-		r->attempts = 0;
-		if (r->rules == NULL) {
-			route_request(r);
-			continue;
-		}
-		loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
-		ingress_attempt_start(r);
-	}
-}
-
 static void
 on_body(struct http_exchange *exchange, const char *data, size_t size_bytes,
     bool last)
@@ -481,7 +412,7 @@
 		    ingress->settings.retry_ratio_pct,
 		    ingress->settings.retry_burst, view->proxy_count);
 	}
-	resume_parked(ingress);
+	ingress_resume_parked(ingress);
 }
 
 static int
@@ -512,7 +443,7 @@
 	ingress->dialect = settings->dialect;
 	ingress->random.seed = settings->seed + 1;
 	ingress->start_deadline_us = loop_now_us(loop) + START_GRACE_US;
-	ingress->parked_timer.fn = resume_parked;
+	ingress->parked_timer.fn = ingress_resume_parked;
 	ingress->parked_timer.arg = ingress;
 	ingress->local_sink.ops = &ingress_sink_ops;
 	memcpy(ingress->local_sink.origin, settings->name,
@@ -549,24 +480,6 @@
 		httpd_drain(ingress->inner.httpd);
 }
 
-void
-ingress_give_up_waiting(struct ingress *ingress)
-{
-	struct ingress_request *r;
-
-	ingress->ending = true;
-	for (r = ingress->all; r != NULL; r = r->all_next)
-		r->marked = r->exchange != NULL;
-	while ((r = find_marked(ingress)) != NULL) {
-		r->marked = false;
-		if (r->state != ATTEMPT_NONE && !ingress_withdraw(r))
-			ingress_send_cancel(r, true);
-		else
-			ingress_conclude(r, 503, ingress_not_run_outcome(r),
-			    LEAVING_RETRY_US, "this proxy is leaving");
-	}
-}
-
 void
 ingress_close_doors(struct ingress *ingress)
 {
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -5,12 +5,20 @@
 
 #include "core/requests/balancer.h"
 #include "core/requests/retry.h"
+#include "io/clock.h"
 #include "io/http/httpd.h"
 #include "proxy/egress/egress.h"
 #include "proxy/ingress/ingress.h"
 #include "proxy/ingress/link.h"
 #include "wire/request_copy.h"
 
+/// After a proxy could not be reached, others know of that within about this
+/// time.
+#define UNREACHED_RETRY_US (200 * US_PER_MS)
+
+/// A caller that is turned away by a proxy that leaves finds another at once.
+#define LEAVING_RETRY_US (20 * US_PER_MS)
+
 #define INGRESS_BUCKETS	     1024
 #define INGRESS_MAX_ATTEMPTS 4
 #define INGRESS_LENGTHS	     1024 ///< Routes whose lengths are kept.
@@ -115,6 +123,40 @@
 /// Sends the request to an endpoint, or answers it if there is none.
 void ingress_attempt_start(struct ingress_request *r);
 
+/// Request whose attempt in progress has an id on a link; NULL if none has.
+struct ingress_request *ingress_find_attempt(
+    struct ingress *ingress, const struct link *link, uint64_t id);
+
+/// Ends the attempt in progress; answers to it are dropped from now on.
+void ingress_attempt_end(struct ingress_request *r, bool failed);
+
+/// Decides whether to try again, and counts it.
+bool ingress_may_retry(
+    struct ingress_request *r, uint32_t status, enum outcome outcome);
+
+/// Keeps what is told if no other attempt can be made.
+void ingress_note_last(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
+
+/// Tries again if that is safe and within the budget, else answers.
+void ingress_retry_or_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
+
+/// Learns how long requests of a route take against the mean of the service.
+void ingress_note_length(
+    struct ingress_request *r, const struct message_response *m);
+
+/// A stream ended: handles all attempts on it.
+///
+/// @param opened  whether it ever came to be
+void ingress_on_broken(void *owner, struct link *link, bool opened);
+
+/// Finds what the rules say of a request, and lets it be served.
+void ingress_route(struct ingress_request *r);
+
+/// Tries again what waits for this proxy to know the mesh.
+void ingress_resume_parked(void *arg);
+
 /// Lets a request wait while this process has just started and cannot serve it
 /// yet.
 ///
