fix(source): an operator's request waits for the next leader

Solution: a request that another source must answer is tried with whoever leads, 0.7 s at a time, for 3 s (questions for 1 s); a file that was accepted is accepted again, so that a second try costs nothing.

--- a/src/source/main.c
+++ b/src/source/main.c
@@ -143,6 +143,7 @@
 	httpd_close(source.httpd);
 	listener_close(&source.listener);
 	datagram_close(&source.udp);
+	operator_close(&source);
 	replica_host_close(&source.host);
 	rule_store_free(&source.store);
 	report_table_free(&source.reports);
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -13,8 +13,21 @@
 #include "io/replica/replica_admin.h"
 #include "source/source.h"
 
-#define MAX_PENDING	   64
-#define FORWARD_TIMEOUT_US (3 * US_PER_S)
+#define MAX_PENDING 64
+
+/// Longest time for which a source looks for a leader that answers: two
+/// elections.
+#define FORWARD_LIMIT_US (3 * US_PER_S)
+
+/// The same for a question, which costs nothing to ask again.
+#define READ_LIMIT_US (1 * US_PER_S)
+
+/// Longest wait for the answer of one leader: a read round and a write to the
+/// disks of a quorum, between regions. One that is gone does not hold longer.
+#define FORWARD_TRY_US (700 * US_PER_MS)
+
+/// Between looks for a leader.
+#define FORWARD_PAUSE_US (50 * US_PER_MS)
 
 COUNTER_DEFINE(count_submits, "source_submits", "Files submitted");
 COUNTER_DEFINE(count_refused, "source_submits_refused", "Files refused");
@@ -91,72 +104,149 @@
 	return text;
 }
 
-/// A request on its way to the leader.
+/// A request on its way to the leader, which may be lost meanwhile.
 struct forward {
+	struct source *source;
+	struct forward *next; ///< Among those of the source.
+	char *method;
+	char *target;
+	char *body;
+	size_t body_bytes;
 	operator_reply_fn *fn;
 	void *arg;
-	bool submit;
+	int64_t deadline_us;
+	struct loop_timer timer; ///< Of the next try.
+	bool repeatable;	 ///< The same request twice is as good as once.
+	bool sent;		 ///< A leader may have got it.
 };
 
+static void try_forward(void *arg);
+
+static void
+forward_free(struct forward *f)
+{
+	struct forward **at = &f->source->forwards;
+
+	while (*at != f)
+		at = &(*at)->next;
+	*at = f->next;
+	loop_timer_clear(f->source->loop, &f->timer);
+	free(f->method);
+	free(f->target);
+	free(f->body);
+	free(f);
+}
+
+/// No leader answered in time.
+static void
+give_up_forward(struct forward *f)
+{
+	char *text = NULL;
+
+	if (strcmp(f->target, "/status") == 0)
+		text = status_render(f->source, false);
+	f->fn(f->arg, 503, US_PER_S,
+	    text != NULL ? text
+		: f->sent && strcmp(f->target, "/rules") == 0
+		? "{\"result\":\"unknown\",\"why\":\"the leader did not "
+		  "answer; send the same file again\"}"
+		: no_leader);
+	free(text);
+	forward_free(f);
+}
+
 static void
 on_forwarded(void *arg, const struct message *answer, const struct error *err)
 {
-	struct forward *forward = arg;
+	struct forward *f = arg;
 	const struct message_operator_answer *a;
 	char *body;
 
-	(void)err;
-	if (answer == NULL || answer->type != MESSAGE_OPERATOR_ANSWER) {
-		forward->fn(forward->arg, 503, US_PER_S,
-		    forward->submit ? "{\"result\":\"unknown\",\"why\":\"the "
-				      "leader did not "
-				      "answer; send the same file again\"}"
-				    : no_leader);
-		free(forward);
+	if (answer != NULL && answer->type == MESSAGE_OPERATOR_ANSWER) {
+		a = &answer->u.operator_answer;
+		body = strndup(a->body.data, a->body.size_bytes);
+		assert(body != NULL);
+		f->fn(f->arg, a->status, a->retry_left_us, body);
+		free(body);
+		forward_free(f);
+		return;
+	}
+	log_error(
+	    LOG_INFO, "source", "The leader did not answer an operator", err);
+	if (!f->repeatable) {
+		give_up_forward(f);
 		return;
 	}
-	a = &answer->u.operator_answer;
-	body = strndup(a->body.data, a->body.size_bytes);
-	assert(body != NULL);
-	forward->fn(forward->arg, a->status, a->retry_left_us, body);
-	free(body);
-	free(forward);
+	loop_timer_set(f->source->loop, &f->timer,
+	    loop_now_us(f->source->loop) + FORWARD_PAUSE_US);
 }
 
-/// Passes a request on to the leader.
+/// Sends the request to whoever leads now; while nobody does, looks again soon:
+/// an election takes less time than operators wait.
 static void
-forward_request(struct source *source, const char *method, const char *target,
-    const char *body, size_t body_bytes, operator_reply_fn *fn, void *arg)
+try_forward(void *arg)
 {
+	struct forward *f = arg;
+	struct source *source = f->source;
+	const struct replica *r = &source->host.replica;
+	int64_t now_us = loop_now_us(source->loop);
 	struct message_operator m;
-	struct forward *forward;
 	struct address to;
-	char *text;
 
-	if (source->host.replica.leader == source->host.replica.settings.id ||
+	if (now_us >= f->deadline_us) {
+		give_up_forward(f);
+		return;
+	}
+	if (replica_is_leader(r)) {
+		operator_handle(source, f->method, f->target, f->body,
+		    f->body_bytes, true, f->fn, f->arg);
+		forward_free(f);
+		return;
+	}
+	if (r->leader == r->settings.id ||
 	    address_parse(replica_host_leader_address(&source->host), &to) !=
 		0) {
-		if (strcmp(target, "/status") != 0) {
-			fn(arg, 503, US_PER_S, no_leader);
-			return;
-		}
-		text = status_render(source, false);
-		fn(arg, 503, US_PER_S, text);
-		free(text);
+		loop_timer_set(
+		    source->loop, &f->timer, now_us + FORWARD_PAUSE_US);
 		return;
 	}
-	forward = calloc(1, sizeof(*forward));
-	assert(forward != NULL);
-	forward->fn = fn;
-	forward->arg = arg;
-	forward->submit = strcmp(target, "/rules") == 0;
-	m.method = bytes_from(method);
-	m.target = bytes_from(target);
-	m.body.data = body;
-	m.body.size_bytes = (uint32_t)body_bytes;
+	f->sent = true;
+	m.method = bytes_from(f->method);
+	m.target = bytes_from(f->target);
+	m.body.data = f->body;
+	m.body.size_bytes = (uint32_t)f->body_bytes;
 	oneshot_call(source->loop, &to, MESSAGE_OPERATOR, &m,
-	    loop_now_us(source->loop) + FORWARD_TIMEOUT_US, on_forwarded,
-	    forward);
+	    now_us + FORWARD_TRY_US, on_forwarded, f);
+}
+
+/// Passes a request on to the leader.
+static void
+forward_request(struct source *source, const char *method, const char *target,
+    const char *body, size_t body_bytes, operator_reply_fn *fn, void *arg)
+{
+	struct forward *f = calloc(1, sizeof(*f));
+
+	assert(f != NULL);
+	f->source = source;
+	f->next = source->forwards;
+	source->forwards = f;
+	f->method = strdup(method);
+	f->target = strdup(target);
+	f->body = malloc(body_bytes + 1);
+	assert(f->method != NULL && f->target != NULL && f->body != NULL);
+	if (body_bytes > 0)
+		memcpy(f->body, body, body_bytes);
+	f->body_bytes = body_bytes;
+	f->fn = fn;
+	f->arg = arg;
+	f->deadline_us = loop_now_us(source->loop) +
+	    (strcmp(method, "GET") == 0 ? READ_LIMIT_US : FORWARD_LIMIT_US);
+	f->timer.fn = try_forward;
+	f->timer.arg = f;
+	// A file that was accepted is accepted again.
+	f->repeatable =
+	    strcmp(method, "GET") == 0 || strcmp(target, "/rules") == 0;
+	try_forward(f);
 }
 
 static void
@@ -251,3 +341,10 @@
 	else
 		fn(arg, 404, 0, "{\"result\":\"not found\"}");
 }
+
+void
+operator_close(struct source *source)
+{
+	while (source->forwards != NULL)
+		forward_free(source->forwards);
+}
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -52,6 +52,8 @@
 	struct stream *stream; ///< PENDING_CONFIRM.
 };
 
+struct forward;
+
 struct source {
 	struct source_settings settings;
 	const struct dialect *dialect;
@@ -73,6 +75,7 @@
 	int64_t pull_tokens_us; ///< When the tokens were last counted.
 	int64_t started_us;
 	struct loop_timer expire_timer;
+	struct forward *forwards; ///< On their way to the leader.
 };
 
 /// Handles an operator's request; the reply may come from inside.
@@ -82,6 +85,9 @@
     const char *target, const char *body, size_t body_bytes, bool forwarded,
     operator_reply_fn *fn, void *arg);
 
+/// Drops the requests that are on their way to the leader.
+void operator_close(struct source *source);
+
 /// State machine callbacks for the replica.
 extern const struct replica_host_ops source_replica_ops;
 
--- /dev/null
+++ b/test/functional/operator_failover.sh
@@ -0,0 +1,55 @@
+# An operator's change reaches a follower right after the leader was lost: it is
+# held until there is another leader, instead of sent back.
+. scripts/mesh.sh
+MESH_SOURCES=3
+mesh_init "$BUILD"
+
+version=0
+next_file() {
+	version=$((version + 1))
+	sed "s/^version 1 .*/version $version # op $version/" \
+	    test/functional/plain.mv >"$MESH_DIR/v$version.mv"
+}
+
+operators() { echo "$(mesh_host $((200 + $1))):$PORT_HTTP"; }
+
+leader() {
+	for i in 1 2 3; do
+		[ "$(mesh_counter "$(operators $i)" replica_is_leader)" = 1 ] &&
+		    echo "$i"
+	done | head -1
+}
+
+# Submits through a follower of the leader given, which was just lost.
+apply_at_follower() { # LEADER
+	next_file
+	"$MESH_BIN/mvctl" --source "$(operators $(($1 % 3 + 1)))" \
+	    apply "$MESH_DIR/v$version.mv"
+	echo "exit $?"
+}
+
+for i in 1 2 3; do mesh_source $i --bootstrap; done
+mesh_wait 20 mesh_reported 0 || echo "not up"
+next_file
+mesh_ctl apply "$MESH_DIR/v$version.mv"
+
+echo "== the leader is killed"
+lost=$(leader)
+mesh_stop "source-$lost" KILL
+apply_at_follower "$lost"
+mesh_source "$lost"
+mesh_wait 20 mesh_reported 0 || echo "no quorum"
+
+echo "== the leader is frozen"
+lost=$(leader)
+kill -STOP "$(mesh_pid "source-$lost")"
+apply_at_follower "$lost"
+kill -CONT "$(mesh_pid "source-$lost")"
+
+echo "== a follower alone says so, and does not wait for ever"
+last=$(leader)
+for i in 1 2 3; do
+	[ $i = "$last" ] || [ $i = $((last % 3 + 1)) ] || mesh_stop "source-$i" KILL
+done
+mesh_stop "source-$last" KILL
+apply_at_follower "$last" | tail -1
