--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,16 @@
 	$(MAKE) test BUILD=build-asan SANITIZE=address,undefined
 	$(MAKE) test BUILD=build-tsan SANITIZE=thread
 
+# Unit and fuzz tests of leaks and of undefined behaviour, with few seeds.
+memory:
+	$(MAKE) build BUILD=build-asan SANITIZE=address,undefined
+	TEST_SEEDS=15 ctest --test-dir build-asan -j 4 --output-on-failure \
+	    -R '^(unit|fuzz)'
+
 bench: build
 	./bench/run.sh $(BUILD)
 
 clean:
 	rm -rf build build-asan build-tsan
 
-.PHONY: all deps build demo test lint sanitize bench clean
+.PHONY: all deps build demo test lint memory sanitize bench clean
--- a/src/core/rules/delta.c
+++ b/src/core/rules/delta.c
@@ -252,7 +252,7 @@
 	uint32_t i;
 
 	if (size > max_bytes) {
-		free(old.start);
+		free_lines(&old);
 		return error_set(err, ERR_INVALID, "apply delta", "",
 		    "a step copies lines that do not exist or too many");
 	}
@@ -270,6 +270,6 @@
 	}
 	(*out)[used] = '\0';
 	*out_bytes = used;
-	free(old.start);
+	free_lines(&old);
 	return 0;
 }
--- a/src/core/rules/rule_store.c
+++ b/src/core/rules/rule_store.c
@@ -92,7 +92,8 @@
 		t->bytes = realloc(t->bytes, t->capacity);
 		assert(t->bytes != NULL);
 	}
-	memcpy(t->bytes + t->used, bytes, size_bytes);
+	if (size_bytes > 0)
+		memcpy(t->bytes + t->used, bytes, size_bytes);
 	t->used += size_bytes;
 	t->bytes[t->used] = '\0';
 }
--- a/src/io/log/log_writer.c
+++ b/src/io/log/log_writer.c
@@ -154,6 +154,8 @@
 {
 	int64_t deadline_us = clock_now_us() + STOP_WAIT_US;
 	int64_t left_us;
+	apr_status_t rc;
+	bool drained;
 
 	if (writer.thread == NULL)
 		return;
@@ -167,5 +169,9 @@
 			writer.emptied, writer.mutex, left_us) != APR_SUCCESS)
 			break;
 	}
+	drained = writer.used_bytes == 0;
 	apr_thread_mutex_unlock(writer.mutex);
+	// A reader that is still behind is not waited for any longer.
+	if (drained)
+		apr_thread_join(&rc, writer.thread);
 }
