refactor: one way to dial; what members learn in a file of its own

Solution: io/net/dial, membership_receive.c, mesh_version_file. A function that is not declared is an error of the build.

--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -196,6 +196,13 @@
 
 mesh_ctl() { "$MESH_BIN/mvctl" --source "$(mesh_operators)" "$@"; }
 
+# Writes the plain rules as version V and prints the file's name.
+mesh_version_file() { # V
+	sed "s/^version 1 .*/version $1 # op $1/" test/functional/plain.mv \
+	    >"$MESH_DIR/v$1.mv"
+	echo "$MESH_DIR/v$1.mv"
+}
+
 # Waits until a command succeeds, at most SECONDS.
 mesh_wait() { # SECONDS COMMAND ...
 	mesh_wait_left=$(($1 * 20))
--- a/src/core/membership/membership_internal.h
+++ b/src/core/membership/membership_internal.h
@@ -5,6 +5,8 @@
 
 #include "core/membership/membership.h"
 
+#define DEADLINE_NONE INT64_MAX
+
 /// Times that a change is sent so that it reaches all with high probability.
 uint32_t membership_transmit_limit(const struct membership *m);
 
@@ -17,6 +19,16 @@
 
 void membership_peer_remove(struct membership *m, uint32_t at);
 
+/// Tells others, and the owner, of a change of a member.
+void membership_mark_changed(struct membership *m, struct peer *peer);
+
+/// Raises the own revision, which overrides what others say of this member.
+void membership_bump_self(struct membership *m);
+
+/// Sets what follows from the state of a member.
+void membership_set_deadlines(
+    struct membership *m, struct peer *peer, int64_t now_us);
+
 bool membership_is_up(const struct member *member);
 
 void membership_send_gossip(
--- /dev/null
+++ b/src/core/membership/membership_receive.c
@@ -0,0 +1,215 @@
+// What members learn from each other's messages.
+#include <string.h>
+
+#include "core/membership/membership_internal.h"
+
+void
+membership_mark_changed(struct membership *m, struct peer *peer)
+{
+	peer->transmits_left = membership_transmit_limit(m);
+	peer->sends = 0;
+	if (peer->distance == DISTANCE_DC && membership_draw_crossing(m))
+		membership_push_across(m, &peer->member);
+	m->ops->changed(m, &peer->member);
+}
+
+void
+membership_bump_self(struct membership *m)
+{
+	m->self.revision++;
+	m->self_transmits_left = membership_transmit_limit(m);
+	m->push_self = true;
+}
+
+/// Refutes a record that calls this member anything but alive.
+static void
+merge_self(struct membership *m, const struct member *record)
+{
+	if (record->version > m->version_floor)
+		m->version_floor = record->version;
+	if (record->incarnation > m->self.incarnation)
+		m->self.incarnation = record->incarnation + 1;
+	if (m->leaving || !member_supersedes(record, &m->self))
+		return;
+	if (record->revision > m->self.revision)
+		m->self.revision = record->revision;
+	membership_bump_self(m);
+}
+
+void
+membership_set_deadlines(
+    struct membership *m, struct peer *peer, int64_t now_us)
+{
+	uint32_t digits = 1;
+	uint32_t n;
+
+	for (n = m->peer_count; n >= 10; n /= 10)
+		digits++;
+	peer->suspect_deadline_us = DEADLINE_NONE;
+	peer->forget_deadline_us = DEADLINE_NONE;
+	if (peer->member.status == MEMBER_SUSPECT)
+		peer->suspect_deadline_us = now_us +
+		    m->settings.probe_period_us *
+			m->settings.suspicion_periods * digits;
+	if (!membership_is_up(&peer->member))
+		peer->forget_deadline_us = now_us + m->settings.forget_us;
+}
+
+static void
+raise_version(struct membership *m, struct peer *peer, uint64_t version)
+{
+	if (version <= peer->member.version)
+		return;
+	peer->member.version = version;
+	m->ops->version_heard(m, &peer->member);
+}
+
+void
+membership_merge(
+    struct membership *m, const struct member *record, int64_t now_us)
+{
+	struct peer *peer;
+	uint64_t version;
+
+	if (strcmp(record->name, m->self.name) == 0) {
+		merge_self(m, record);
+		return;
+	}
+	peer = membership_peer_find(m, record->name);
+	if (peer == NULL) {
+		if (!membership_is_up(record))
+			return;
+		peer = membership_peer_insert(m, record->name);
+		peer->member = *record;
+		peer->member.version = 0;
+	} else {
+		if (!member_supersedes(record, &peer->member)) {
+			raise_version(m, peer, record->version);
+			return;
+		}
+		version = peer->member.version;
+		peer->member = *record;
+		peer->member.version = version;
+	}
+	peer->distance = membership_distance(m, &peer->member);
+	membership_set_deadlines(m, peer, now_us);
+	membership_mark_changed(m, peer);
+	raise_version(m, peer, record->version);
+}
+
+/// Takes what a member says of itself, its load included.
+static void
+hear_sender(struct membership *m, const struct member *from, int64_t now_us)
+{
+	struct peer *peer;
+
+	membership_merge(m, from, now_us);
+	peer = membership_peer_find(m, from->name);
+	if (peer == NULL)
+		return;
+	if (peer->member.incarnation == from->incarnation &&
+	    peer->member.revision == from->revision)
+		peer->member.load_pct = from->load_pct;
+	// A member thought dead must learn it, or it cannot refute.
+	if (peer->member.status != MEMBER_ALIVE &&
+	    peer->member.incarnation == from->incarnation &&
+	    peer->transmits_left == 0)
+		peer->transmits_left = 1;
+}
+
+static void
+probe_succeeded(struct membership *m)
+{
+	m->probe_name[0] = '\0';
+	m->indirect_deadline_us = DEADLINE_NONE;
+}
+
+static void
+answer_relays(struct membership *m, uint64_t sequence, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < GOSSIP_MAX_RELAYS; i++) {
+		struct relay *r = &m->relays[i];
+		struct gossip g = {.kind = GOSSIP_ACK};
+
+		if (r->deadline_us < now_us || r->sequence != sequence)
+			continue;
+		r->deadline_us = 0;
+		g.sequence = r->origin_sequence;
+		membership_send_gossip(m, r->origin_host, r->origin_port, &g);
+	}
+}
+
+static void
+receive_ack(struct membership *m, uint64_t sequence, int64_t now_us)
+{
+	if (m->probe_name[0] != '\0' && sequence == m->probe_sequence)
+		probe_succeeded(m);
+	answer_relays(m, sequence, now_us);
+}
+
+static void
+receive_probe_request(
+    struct membership *m, const struct gossip *g, int64_t now_us)
+{
+	const struct peer *target = membership_peer_find(m, g->target);
+	uint32_t i;
+
+	if (target == NULL)
+		return;
+	for (i = 0; i < GOSSIP_MAX_RELAYS; i++) {
+		struct relay *r = &m->relays[i];
+
+		if (r->deadline_us >= now_us)
+			continue;
+		r->sequence = ++m->next_sequence;
+		r->origin_sequence = g->sequence;
+		memcpy(r->origin_host, g->from.host, sizeof(r->origin_host));
+		r->origin_port = g->from.control_port;
+		r->deadline_us = now_us + m->settings.probe_period_us;
+		membership_send_simple(
+		    m, &target->member, GOSSIP_PROBE, r->sequence);
+		return;
+	}
+}
+
+/// Exchanges tables with a member whose table differs although neither this
+/// one nor, by the messages that went between, that one has news to tell.
+static void
+repair_difference(struct membership *m, const struct gossip *g, int64_t now_us)
+{
+	if (g->digest == membership_digest(m) || membership_has_news(m) ||
+	    g->update_count > 0 || now_us < m->repair_deadline_us)
+		return;
+	m->repair_deadline_us = now_us + m->settings.probe_period_us +
+	    random_time_us(&m->random, m->settings.probe_period_us);
+	m->ops->sync(m, g->from.host, g->from.control_port);
+}
+
+void
+membership_receive(struct membership *m, const struct gossip *g, int64_t now_us)
+{
+	uint32_t i;
+
+	if (strcmp(g->from.name, m->self.name) != 0)
+		hear_sender(m, &g->from, now_us);
+	else
+		merge_self(m, &g->from);
+	for (i = 0; i < g->update_count; i++)
+		membership_merge(m, &g->updates[i], now_us);
+	switch (g->kind) {
+	case GOSSIP_PROBE:
+		membership_send_simple(m, &g->from, GOSSIP_ACK, g->sequence);
+		break;
+	case GOSSIP_ACK:
+		receive_ack(m, g->sequence, now_us);
+		repair_difference(m, g, now_us);
+		break;
+	case GOSSIP_PROBE_REQUEST:
+		receive_probe_request(m, g, now_us);
+		break;
+	case GOSSIP_NOTICE:
+		break;
+	}
+}
--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -12,6 +12,7 @@
 
 #include "io/clock.h"
 #include "io/http/httpc_conn.h"
+#include "io/net/dial.h"
 
 #define READ_BYTES	 (32 * 1024)
 #define UPLOAD_BYTES	 (32 * 1024)
@@ -451,12 +452,10 @@
 static void
 finish_connect(struct httpc_conn *conn)
 {
-	int so_error = 0;
-	socklen_t len = sizeof(so_error);
+	int problem = dial_result(conn->watch.fd);
 
-	getsockopt(conn->watch.fd, SOL_SOCKET, SO_ERROR, &so_error, &len);
-	if (so_error != 0) {
-		conn_fail(conn, ERR_UNAVAILABLE, "connect", strerror(so_error));
+	if (problem != 0) {
+		conn_fail(conn, ERR_UNAVAILABLE, "connect", strerror(problem));
 		return;
 	}
 	conn->connecting = false;
@@ -495,27 +494,13 @@
     const struct address *to, const struct httpc_conn_ops *ops,
     struct error *err)
 {
+	int fd = dial_start(to, err);
 	struct httpc_conn *conn;
-	char peer[ADDRESS_TEXT_BYTES];
-	int one = 1;
-	int fd;
 
-	address_format(to, peer);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0) {
-		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
-		return NULL;
-	}
-	if (connect(fd, (const struct sockaddr *)&to->in, sizeof(to->in)) !=
-		0 &&
-	    errno != EINPROGRESS) {
-		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
-		close(fd);
+	if (fd < 0)
 		return NULL;
-	}
 	conn = calloc(1, sizeof(*conn));
 	assert(conn != NULL);
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	conn->ops = ops;
 	conn->httpc = httpc;
 	conn->loop = loop;
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -10,6 +10,7 @@
 
 #include "io/log/log.h"
 #include "io/net/deflate.h"
+#include "io/net/dial.h"
 #include "io/net/net.h"
 
 #define READ_BYTES	  (64 * 1024)
@@ -339,12 +340,10 @@
 static void
 finish_connect(struct stream *stream)
 {
-	int so_error = 0;
-	socklen_t len = sizeof(so_error);
+	int problem = dial_result(stream->watch.fd);
 
-	getsockopt(stream->watch.fd, SOL_SOCKET, SO_ERROR, &so_error, &len);
-	if (so_error != 0) {
-		stream_fail(stream, "connect", strerror(so_error));
+	if (problem != 0) {
+		stream_fail(stream, "connect", strerror(problem));
 		return;
 	}
 	stream->connecting = false;
@@ -394,23 +393,11 @@
 stream_dial(struct loop *loop, const struct address *to,
     const struct stream_ops *ops, void *owner, struct error *err)
 {
+	int fd = dial_start(to, err);
 	struct stream *stream;
-	char peer[ADDRESS_TEXT_BYTES];
-	int fd;
 
-	address_format(to, peer);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0) {
-		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
-		return NULL;
-	}
-	if (connect(fd, (const struct sockaddr *)&to->in, sizeof(to->in)) !=
-		0 &&
-	    errno != EINPROGRESS) {
-		error_set(err, ERR_IO, "connect", peer, "%s", strerror(errno));
-		close(fd);
+	if (fd < 0)
 		return NULL;
-	}
 	stream = stream_create(loop, fd, to, ops, owner);
 	stream->connecting = true;
 	update_watch(stream);
--- a/test/functional/disk_full.sh
+++ b/test/functional/disk_full.sh
@@ -9,9 +9,7 @@
 # Submits the next version, again while the set has no leader with a disk.
 apply_next() {
 	version=$((version + 1))
-	sed "s/^version 1 .*/version $version # op $version/" \
-	    test/functional/plain.mv >"$MESH_DIR/v$version.mv"
-	mesh_wait 15 mesh_ctl apply "$MESH_DIR/v$version.mv" &&
+	mesh_wait 15 mesh_ctl apply "$(mesh_version_file $version)" &&
 	    echo "version $version is accepted"
 }
 
--- a/test/functional/operator_failover.sh
+++ b/test/functional/operator_failover.sh
@@ -4,13 +4,7 @@
 MESH_SOURCES=3
 mesh_init "$BUILD"
 
-version=0
-next_file() {
-	version=$((version + 1))
-	sed "s/^version 1 .*/version $version # op $version/" \
-	    test/functional/plain.mv >"$MESH_DIR/v$version.mv"
-}
-
+version=1
 operators() { echo "$(mesh_host $((200 + $1))):$PORT_HTTP"; }
 
 leader() {
@@ -22,16 +16,15 @@
 
 # Submits through a follower of the leader given, which was just lost.
 apply_at_follower() { # LEADER
-	next_file
+	version=$((version + 1))
 	"$MESH_BIN/mvctl" --source "$(operators $(($1 % 3 + 1)))" \
-	    apply "$MESH_DIR/v$version.mv"
+	    apply "$(mesh_version_file $version)"
 	echo "exit $?"
 }
 
 for i in 1 2 3; do mesh_source $i --bootstrap; done
 mesh_wait 20 mesh_reported 0 || echo "not up"
-next_file
-mesh_ctl apply "$MESH_DIR/v$version.mv"
+mesh_ctl apply "$(mesh_version_file 1)"
 
 echo "== the leader is killed"
 lost=$(leader)
--- a/test/soak/relay.c
+++ b/test/soak/relay.c
@@ -11,6 +11,7 @@
 
 #include "io/clock.h"
 #include "io/loop.h"
+#include "io/net/dial.h"
 #include "soak/relay.h"
 
 #define MAX_RELAYS   128
@@ -237,6 +238,7 @@
 {
 	struct relay *relay = arg;
 	struct pair *pair;
+	struct error err;
 	int out_fd;
 	int fd;
 
@@ -244,12 +246,8 @@
 	fd = accept4(relay->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (fd < 0)
 		return;
-	out_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	assert(out_fd >= 0);
-	if (connect(out_fd, (const struct sockaddr *)&relay->to.in,
-		sizeof(relay->to.in)) != 0 &&
-	    errno != EINPROGRESS) {
-		close(out_fd);
+	out_fd = dial_start(&relay->to, &err);
+	if (out_fd < 0) {
 		close(fd);
 		return;
 	}
