--- /dev/null
+++ b/test/fakes/fake_work.c
@@ -0,0 +1,280 @@
+// Work of the stand-in: counts, serves, sheds and calls on.
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fakes/fake_backend.h"
+#include "io/clock.h"
+#include "io/log/log.h"
+
+/// A request at work.
+struct work {
+	struct fake_backend *backend;
+	struct http_exchange *exchange;
+	struct loop_timer timer;
+	struct httpc_call nested;
+	char nested_url[512];
+	struct bytes headers[2][2];
+	char rank[64];
+	char deadline[32];
+	size_t body_bytes;
+	uint64_t body_sum;
+	bool body_done;
+	bool served;
+	bool counted;
+};
+
+static struct fake_key_count *
+find_key(struct fake_backend *b, const char *key)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->key_count; i++)
+		if (strcmp(b->keys[i].key, key) == 0)
+			return &b->keys[i];
+	assert(b->key_count < FAKE_MAX_KEYS);
+	snprintf(b->keys[b->key_count].key, sizeof(b->keys[0].key), "%s", key);
+	return &b->keys[b->key_count++];
+}
+
+static void
+count_run(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	const char *key = http_exchange_header(w->exchange, "Idempotency-Key");
+
+	b->runs++;
+	if (key == NULL && strcmp(w->exchange->method, "POST") == 0)
+		key = http_exchange_header(w->exchange, "Magnolia-Request-Id");
+	if (key != NULL)
+		find_key(b, key)->runs++;
+	log_write(LOG_INFO, "fake", "Ran %s %s key %s rank %s deadline %s.",
+	    w->exchange->method, w->exchange->target, key == NULL ? "-" : key,
+	    w->rank, w->deadline);
+	if (b->settings.behaviour.die_after_run > 0 &&
+	    --b->settings.behaviour.die_after_run == 0) {
+		log_flush();
+		_exit(9);
+	}
+}
+
+static void
+respond_long(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	int64_t total = b->settings.behaviour.response_bytes;
+	int64_t cut = b->settings.behaviour.cut_at_bytes;
+	int64_t n = cut > 0 && cut < total ? cut : total;
+	char *body = malloc((size_t)n);
+	int64_t i;
+
+	assert(body != NULL);
+	for (i = 0; i < n; i++)
+		body[i] = (char)('a' + i % 23);
+	http_exchange_respond_start(w->exchange, 200, NULL, 0, total);
+	http_exchange_respond_body(w->exchange, body, (size_t)n);
+	http_exchange_respond_end(w->exchange, n == total);
+	free(body);
+}
+
+/// Answers with what the caller can check: who ran what with which body.
+static void
+respond(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	char text[1024];
+
+	if (w->exchange == NULL)
+		return;
+	w->served = true;
+	if (b->settings.behaviour.fail) {
+		http_exchange_respond_text(w->exchange, 500, "failed\n");
+		return;
+	}
+	if (b->settings.behaviour.response_bytes > 0) {
+		respond_long(w);
+		return;
+	}
+	snprintf(text, sizeof(text),
+	    "%s %s %s bytes=%zu sum=%" PRIu64 " rank=%s\n", b->settings.service,
+	    w->exchange->method, w->exchange->target, w->body_bytes,
+	    w->body_sum, w->rank);
+	http_exchange_respond_text(w->exchange, 200, text);
+}
+
+static void
+on_service_end(void *arg)
+{
+	struct work *w = arg;
+
+	respond(w);
+}
+
+static void
+start_service(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	const struct fake_behaviour *behaviour = &b->settings.behaviour;
+	struct http_header shed = {"Magnolia-Shed", "1"};
+
+	if (behaviour->shed || b->running >= behaviour->slots) {
+		w->served = true;
+		http_exchange_respond(w->exchange, 503, &shed, 1, "shed\n", 5);
+		return;
+	}
+	b->running++;
+	w->counted = true;
+	count_run(w);
+	if (behaviour->stall)
+		return;
+	if (behaviour->service_us == 0) {
+		respond(w);
+		return;
+	}
+	w->timer.fn = on_service_end;
+	w->timer.arg = w;
+	loop_timer_set(
+	    b->loop, &w->timer, loop_now_us(b->loop) + behaviour->service_us);
+}
+
+static void
+on_nested_done(struct httpc_call *call, const struct error *err)
+{
+	struct work *w = call->owner;
+
+	if (w->exchange == NULL) {
+		free(w);
+		return;
+	}
+	if (err != NULL || call->status != 200) {
+		w->served = true;
+		http_exchange_respond_text(
+		    w->exchange, 502, "nested call failed\n");
+		return;
+	}
+	start_service(w);
+}
+
+static const struct httpc_ops nested_ops = {
+    .on_head = fake_ignore_head,
+    .on_body = fake_ignore_body,
+    .on_done = on_nested_done,
+};
+
+/// Calls on through the proxy beside, as "?call=PATH" asks, before it serves.
+static bool
+start_nested(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	const char *call = strstr(w->exchange->target, "?call=");
+	struct error err;
+
+	if (call == NULL || b->settings.proxy_inner[0] == '\0')
+		return false;
+	snprintf(w->nested_url, sizeof(w->nested_url), "http://%s%s",
+	    b->settings.proxy_inner, call + strlen("?call="));
+	w->headers[0][0] = bytes_from("Magnolia-Rank");
+	w->headers[0][1] = bytes_from(w->rank);
+	w->headers[1][0] = bytes_from("Magnolia-Deadline-Ms");
+	w->headers[1][1] = bytes_from(w->deadline);
+	w->nested.ops = &nested_ops;
+	w->nested.owner = w;
+	w->nested.method = "GET";
+	w->nested.url = w->nested_url;
+	w->nested.headers = (const struct bytes(*)[2])w->headers;
+	w->nested.header_count = 2;
+	w->nested.deadline_us = clock_now_us() + 10 * US_PER_S;
+	w->nested.repeatable = true;
+	return httpc_call_start(b->httpc, &w->nested, &err) == 0;
+}
+
+static void
+add_body(struct work *w, const char *data, size_t size_bytes)
+{
+	size_t i;
+
+	for (i = 0; i < size_bytes; i++)
+		w->body_sum = w->body_sum * 31 + (unsigned char)data[i];
+	w->body_bytes += size_bytes;
+}
+
+static void
+copy_header(const struct http_exchange *x, const char *name, char *out,
+    size_t out_bytes)
+{
+	const char *value = http_exchange_header(x, name);
+
+	snprintf(out, out_bytes, "%s", value == NULL ? "-" : value);
+}
+
+static void
+begin_work(struct work *w)
+{
+	if (!start_nested(w))
+		start_service(w);
+}
+
+static void
+on_request(void *owner, struct http_exchange *exchange)
+{
+	struct fake_backend *b = owner;
+	struct work *w;
+
+	if (strncmp(exchange->target, "/_fake/", 7) == 0) {
+		fake_control_handle(b, exchange);
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	assert(w != NULL);
+	w->backend = b;
+	w->exchange = exchange;
+	exchange->state = w;
+	copy_header(exchange, "Magnolia-Rank", w->rank, sizeof(w->rank));
+	copy_header(
+	    exchange, "Magnolia-Deadline-Ms", w->deadline, sizeof(w->deadline));
+	add_body(w, exchange->body, exchange->body_bytes);
+	if (exchange->more)
+		http_exchange_grant(exchange, 1u << 20);
+	else
+		begin_work(w);
+}
+
+static void
+on_body(struct http_exchange *exchange, const char *data, size_t size_bytes,
+    bool last)
+{
+	struct work *w = exchange->state;
+
+	add_body(w, data, size_bytes);
+	http_exchange_grant(exchange, size_bytes);
+	if (last)
+		begin_work(w);
+}
+
+static void
+on_end(struct http_exchange *exchange, bool complete)
+{
+	struct work *w = exchange->state;
+
+	(void)complete;
+	if (w == NULL)
+		return;
+	if (!w->served && w->counted)
+		log_write(LOG_INFO, "fake", "Cancelled %s %s.",
+		    exchange->method, exchange->target);
+	if (w->counted)
+		w->backend->running--;
+	loop_timer_clear(w->backend->loop, &w->timer);
+	w->exchange = NULL;
+	if (!w->nested.active)
+		free(w);
+}
+
+const struct httpd_ops fake_httpd_ops = {
+    .on_request = on_request,
+    .on_body = on_body,
+    .on_end = on_end,
+};
