refactor: files call one way only; lint looks for circles

Problem: ingress, egress, control, source and log had files that called each other in a circle (four to nine files each), so none could be read alone. Solution: layers, lowest first, in the headers ingress_request.h and egress_request.h; the end of a call gives its slot out through a callback that the egress sets; a collected body is told by a return value; rules are adopted where they are distributed; wal_load hands its files to the loader; answers to submitted files in a file of their own. scripts/layers.sh, part of lint, reads the calls from the object files and refuses a circle; calls through a vtable do not count.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks the format and runs the linter over all sources.
+# Checks the format, runs the linter over all sources, and looks for circles.
 #
 #   lint.sh BUILD
 set -u
@@ -14,5 +14,6 @@
 echo "$files" | grep '\.c$' |
     xargs -P "${JOBS:-$(nproc)}" -n 4 clang-tidy -p "$build" --quiet \
 	2>/dev/null || rc=1
+./scripts/layers.sh "$build" || rc=1
 [ $rc = 0 ] && echo "lint: clean"
 exit $rc
--- a/src/io/disk/wal.c
+++ b/src/io/disk/wal.c
@@ -24,26 +24,6 @@
 	return &wal->segments[wal->segment_count - 1];
 }
 
-void
-wal_segment_name(uint64_t number, char out[WAL_NAME_BYTES])
-{
-	snprintf(out, WAL_NAME_BYTES, "log-%010" PRIu64, number);
-}
-
-void
-wal_add_segment(struct wal *wal, uint64_t number)
-{
-	if (wal->segment_count == wal->segment_capacity) {
-		wal->segment_capacity =
-		    wal->segment_capacity ? wal->segment_capacity * 2 : 8;
-		wal->segments = realloc(wal->segments,
-		    wal->segment_capacity * sizeof(*wal->segments));
-		assert(wal->segments != NULL);
-	}
-	wal->segments[wal->segment_count].number = number;
-	wal->segments[wal->segment_count++].last_index = 0;
-}
-
 /// Hands buffered records to the disk, without syncing them.
 static int
 write_buffer(struct wal *wal, struct error *err)
@@ -225,7 +205,7 @@
     .sync = wal_sync,
 };
 
-void
+static void
 wal_init(struct wal *wal, struct disk *disk)
 {
 	memset(wal, 0, sizeof(*wal));
@@ -236,6 +216,14 @@
 	msgpack_sbuffer_init(&wal->buffer);
 }
 
+int
+wal_load(struct wal *wal, struct disk *disk, struct replica_stored *stored,
+    struct error *err)
+{
+	wal_init(wal, disk);
+	return wal_load_files(wal, stored, err);
+}
+
 void
 wal_free(struct wal *wal)
 {
--- a/src/io/disk/wal_record.h
+++ b/src/io/disk/wal_record.h
@@ -65,10 +65,16 @@
 int wal_record_get(
     const char *bytes, size_t size_bytes, struct wal_record *record);
 
-void wal_init(struct wal *wal, struct disk *disk);
-
+/// Name of the file of a segment.
 void wal_segment_name(uint64_t number, char out[WAL_NAME_BYTES]);
 
+/// Appends a segment to those known; its file need not exist.
 void wal_add_segment(struct wal *wal, uint64_t number);
 
+/// Reads all files of the disk into a log that knows none yet.
+///
+/// @return 0, or -1 with err set if stored state is damaged
+int wal_load_files(
+    struct wal *wal, struct replica_stored *stored, struct error *err);
+
 #endif
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -104,11 +104,6 @@
 /// Hands a new view to the traffic thread at the end of the round.
 void control_publish_view(struct control *control);
 
-/// Puts newer rules in force. Takes over the reference.
-///
-/// @return whether they were newer
-bool control_adopt(struct control *control, struct rules *rules);
-
 // Gossip, in gossip_io.c.
 extern const struct membership_ops control_membership_ops;
 void gossip_io_receive(
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -29,6 +29,7 @@
 COUNTER_DEFINE(count_served, "config_pulls_served", "Pulls answered");
 COUNTER_DEFINE(count_bytes, "config_received_bytes", "Bytes of rules pulled");
 COUNTER_DEFINE(count_refused, "config_refused", "Rules refused as damaged");
+GAUGE_DEFINE(gauge_version, "config_version", "Version in force");
 
 /// A pull under way. One that is slow is not given up: its answer is still good
 /// if nothing newer has come by then.
@@ -37,6 +38,37 @@
 	uint64_t sequence; ///< Of the pulls of this process.
 };
 
+/// Puts newer rules in force. Takes over the reference.
+///
+/// @return whether they were newer
+static bool
+adopt(struct control *control, struct rules *rules)
+{
+	if (control->rules != NULL &&
+	    rules->version <= control->rules->version) {
+		rules_unref(rules);
+		return false;
+	}
+	log_write(LOG_INFO, "config",
+	    "Adopted version %" PRIu64 " (hash %016" PRIx64 ").",
+	    rules->version, rules->file->hash);
+	rules_unref(control->rules);
+	control->rules = rules;
+	rule_files_add(&control->files, rules->file);
+	counter_set(&gauge_version, (int64_t)rules->version);
+	version_sync_adopted(&control->sync, rules->version);
+	membership_set_version(&control->membership, rules->version);
+	// The rules set the slots of the backend server beside.
+	if (control->backend.known)
+		announce_publish(control);
+	control_publish_view(control);
+	distribution_send_report(control, false);
+	if (!control->floor.ready)
+		loop_timer_set(control->loop, &control->floor_timer,
+		    loop_now_us(control->loop));
+	return true;
+}
+
 static void
 on_pulled(void *arg, const struct message *answer, const struct error *err)
 {
@@ -58,7 +90,7 @@
 		if (rules != NULL) {
 			counter_add(&count_bytes, rules_message_bytes(answer));
 			control->refused_delta = false;
-			ok = control_adopt(control, rules);
+			ok = adopt(control, rules);
 		} else if (why.code == ERR_CONFLICT)
 			// Other rules have come in since this was asked for.
 			log_error(LOG_DEBUG, "config", "Late rules", &why);
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -90,7 +90,7 @@
 		egress_end_not_run(r, 503, 0,
 		    r->shed ? "shed by the backend server"
 			    : "backend server cannot be reached");
-		egress_run_waiting(egress);
+		egress->on_slot_free(egress);
 		return;
 	}
 	admission_finish(&egress->admission, &r->item, now_us);
@@ -104,7 +104,7 @@
 	else
 		send_whole_response(r);
 	egress_request_free(r);
-	egress_run_waiting(egress);
+	egress->on_slot_free(egress);
 }
 
 static void
@@ -265,7 +265,7 @@
 			abort_call(r);
 		r = next;
 	}
-	egress_run_waiting(egress);
+	egress->on_slot_free(egress);
 }
 
 void
--- a/src/proxy/egress/egress_collect.c
+++ b/src/proxy/egress/egress_collect.c
@@ -68,10 +68,9 @@
 }
 
 bool
-egress_can_collect(
-    struct egress *egress, const struct message_request *m, int64_t *retry_us)
+egress_can_collect(struct egress *egress, const struct message_request *m,
+    int64_t service_us, int64_t *retry_us)
 {
-	int64_t service_us = egress_service_us(egress);
 	int64_t wait_us;
 
 	// A body that comes after its target holds up others that would not.
@@ -101,7 +100,7 @@
 	    r->upload_asked_bytes > 0, loop_now_us(r->egress->loop));
 }
 
-void
+bool
 egress_collect_part(struct egress_request *r, const struct message_body *body)
 {
 	struct egress *egress = r->egress;
@@ -110,11 +109,10 @@
 	    loop_now_us(egress->loop));
 	if (r->upload_bytes < (size_t)r->message->total_bytes) {
 		ask(r, body->data.size_bytes);
-		return;
+		return false;
 	}
 	egress_collect_end(r);
 	r->collected = true;
 	counter_add(&count_collected, 1);
-	egress_admit(r);
-	egress_collect_bodies(egress);
+	return true;
 }
--- /dev/null
+++ b/src/proxy/egress/egress_request.c
@@ -0,0 +1,70 @@
+// State of requests at the egress.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "proxy/egress/egress_request.h"
+
+struct egress_request *
+egress_request_create(struct egress *egress, struct egress_sink *sink,
+    const struct message_request *message)
+{
+	struct egress_request *r = calloc(1, sizeof(*r));
+	char rank[RULES_NAME_BYTES] = "";
+
+	assert(r != NULL);
+	r->egress = egress;
+	r->sink = sink;
+	r->message = message_request_copy(message);
+	r->next = egress->first;
+	if (r->next != NULL)
+		r->next->prev = r;
+	egress->first = r;
+	bytes_copy(message->rank, rank, sizeof(rank));
+	r->item.rank = admission_find_rank(&egress->admission, rank);
+	r->item.size_bytes = message->body.size_bytes;
+	r->item.deadline_us =
+	    loop_now_us(egress->loop) + message->deadline_left_us;
+	r->item.target_deadline_us =
+	    loop_now_us(egress->loop) + message->target_left_us;
+	if (message->more) {
+		r->upload = malloc(message->body.size_bytes);
+		assert(r->upload != NULL);
+		memcpy(r->upload, message->body.data, message->body.size_bytes);
+		r->upload_bytes = message->body.size_bytes;
+	}
+	return r;
+}
+
+void
+egress_request_free(struct egress_request *r)
+{
+	struct egress *egress = r->egress;
+
+	if (r->prev != NULL)
+		r->prev->next = r->next;
+	else
+		egress->first = r->next;
+	if (r->next != NULL)
+		r->next->prev = r->prev;
+	if (r->state == REQUEST_COLLECTING)
+		egress_collect_end(r);
+	header_list_free(&r->response_headers);
+	free(r->headers);
+	free(r->url);
+	free(r->message);
+	free(r->upload);
+	free(r->body);
+	free(r);
+}
+
+struct egress_request *
+egress_find(struct egress *egress, const struct egress_sink *sink, uint64_t id)
+{
+	struct egress_request *r;
+
+	for (r = egress->first; r != NULL; r = r->next)
+		if (r->sink == sink && r->message->id == id)
+			return r;
+	return NULL;
+}
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -71,18 +71,49 @@
 	struct rules *rules;
 	struct egress_request *first;
 	struct collector collector;
+	/// A call ended: what waits may have its slot.
+	void (*on_slot_free)(struct egress *egress);
 	struct loop_timer sweep_timer;
 	bool draining;
 	bool abort_deferred;
 };
 
-void egress_mark_abort(struct egress_request *r);
+// Layers of the egress, lowest first: a file calls only what stands above it.
 
-/// Sends a request that holds a slot, and its claim if it needs one.
-void egress_start_call(struct egress_request *r);
+// egress_collect.c
+
+/// Asks for the bodies of further requests, those of the nearest target first.
+void egress_collect_bodies(struct egress *egress);
+
+/// Tells whether the body of a request can be here in time.
+///
+/// @param service_us  mean time of a request in a slot
+/// @param retry_us    if not: time after which it may come back
+bool egress_can_collect(struct egress *egress, const struct message_request *m,
+    int64_t service_us, int64_t *retry_us);
+
+/// Lets the body of a request be asked for when it is its turn.
+void egress_collect_begin(struct egress_request *r);
+
+/// Ends the collection of a body, before the request leaves that state.
+void egress_collect_end(struct egress_request *r);
+
+/// Takes a part of a body that was asked for.
+///
+/// @return whether the body is whole now, and its collection has ended
+bool egress_collect_part(
+    struct egress_request *r, const struct message_body *body);
+
+// egress_request.c
+
+/// Takes up a request of an ingress.
+struct egress_request *egress_request_create(struct egress *egress,
+    struct egress_sink *sink, const struct message_request *message);
 
 void egress_request_free(struct egress_request *r);
 
+// refuse.c
+
 void egress_fill_load(struct egress *egress, struct message_response *response);
 
 /// Answers on behalf of the egress, not of the backend server.
@@ -95,9 +126,6 @@
 enum outcome egress_not_run_outcome(
     const struct message_request *m, bool claimed);
 
-/// Begins the work of a request that got a slot.
-void egress_begin(struct egress_request *r);
-
 /// Ends a request that never got to the backend server.
 void egress_end_not_run(struct egress_request *r, uint32_t status,
     int64_t retry_us, const char *why);
@@ -105,24 +133,15 @@
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
 
-/// Asks for the bodies of further requests, those of the nearest target first.
-void egress_collect_bodies(struct egress *egress);
-
-/// Tells whether the body of a request can be here in time.
-///
-/// @param retry_us  if not: time after which it may come back
-bool egress_can_collect(
-    struct egress *egress, const struct message_request *m, int64_t *retry_us);
+// egress_call.c
 
-/// Lets the body of a request be asked for when it is its turn.
-void egress_collect_begin(struct egress_request *r);
+/// Sends a request that holds a slot to the backend server.
+void egress_start_call(struct egress_request *r);
 
-/// Ends the collection of a body, before the request leaves that state.
-void egress_collect_end(struct egress_request *r);
+/// Ends a call soon, outside of its callbacks.
+void egress_mark_abort(struct egress_request *r);
 
-/// Takes a part of a body that was asked for.
-void egress_collect_part(
-    struct egress_request *r, const struct message_body *body);
+// work.c
 
 /// Offers a request whose body is here to the admission.
 void egress_admit(struct egress_request *r);
@@ -130,4 +149,7 @@
 /// Gives out free slots and drops what can no longer be served in time.
 void egress_run_waiting(struct egress *egress);
 
+/// Ends a request that waits for the answer of another attempt.
+void egress_end_attending(struct egress_request *r);
+
 #endif
--- a/src/proxy/egress/submit.c
+++ b/src/proxy/egress/submit.c
@@ -13,8 +13,6 @@
 _Static_assert(
     MAX_COLLECTED_BYTES >= HTTPD_WHOLE_BODY_BYTES, "kept bodies are collected");
 
-COUNTER_DEFINE(count_queued, "egress_requests_queued", "Waited for a slot");
-
 /// Why a request cannot be taken at all; NULL if it can.
 static const char *
 find_obstacle(const struct egress *egress, const struct message_request *m)
@@ -35,37 +33,6 @@
 	return NULL;
 }
 
-static struct egress_request *
-request_create(struct egress *egress, struct egress_sink *sink,
-    const struct message_request *message)
-{
-	struct egress_request *r = calloc(1, sizeof(*r));
-	char rank[RULES_NAME_BYTES] = "";
-
-	assert(r != NULL);
-	r->egress = egress;
-	r->sink = sink;
-	r->message = message_request_copy(message);
-	r->next = egress->first;
-	if (r->next != NULL)
-		r->next->prev = r;
-	egress->first = r;
-	bytes_copy(message->rank, rank, sizeof(rank));
-	r->item.rank = admission_find_rank(&egress->admission, rank);
-	r->item.size_bytes = message->body.size_bytes;
-	r->item.deadline_us =
-	    loop_now_us(egress->loop) + message->deadline_left_us;
-	r->item.target_deadline_us =
-	    loop_now_us(egress->loop) + message->target_left_us;
-	if (message->more) {
-		r->upload = malloc(message->body.size_bytes);
-		assert(r->upload != NULL);
-		memcpy(r->upload, message->body.data, message->body.size_bytes);
-		r->upload_bytes = message->body.size_bytes;
-	}
-	return r;
-}
-
 /// A body that is announced whole and comes only as it is asked for.
 static bool
 is_collectable(const struct message_request *m)
@@ -74,28 +41,6 @@
 	    m->total_bytes <= MAX_COLLECTED_BYTES;
 }
 
-void
-egress_admit(struct egress_request *r)
-{
-	struct egress *egress = r->egress;
-	int64_t retry_us;
-
-	r->state = REQUEST_WAITING;
-	switch (admission_offer(&egress->admission, &r->item,
-	    loop_now_us(egress->loop), &retry_us)) {
-	case ADMISSION_RUN:
-		egress_begin(r);
-		break;
-	case ADMISSION_QUEUED:
-		counter_add(&count_queued, 1);
-		break;
-	case ADMISSION_REFUSED:
-		egress_end_not_run(
-		    r, 503, retry_us, "too much work of this rank");
-		break;
-	}
-}
-
 /// Refuses a request that was never taken.
 static void
 refuse(struct egress *egress, struct egress_sink *sink,
@@ -126,12 +71,13 @@
 		return NULL;
 	}
 	if (is_collectable(message) &&
-	    !egress_can_collect(egress, message, &retry_us)) {
+	    !egress_can_collect(
+		egress, message, egress_service_us(egress), &retry_us)) {
 		refuse(egress, sink, message, retry_us,
 		    "too many bodies are on their way here");
 		return NULL;
 	}
-	r = request_create(egress, sink, message);
+	r = egress_request_create(egress, sink, message);
 	r->fence_key = key;
 	if (is_collectable(message))
 		egress_collect_begin(r);
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -1,27 +1,16 @@
-// Attempts of the ingress: choice of an endpoint, sending, retries, deadlines.
+// Attempts of the ingress: their ids, and what is sent for them.
 #include <assert.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "io/clock.h"
 #include "io/log/counters.h"
-#include "io/log/log.h"
-#include "proxy/headers.h"
-#include "proxy/ingress/ingress_log.h"
-
-#define CANCEL_GRACE_US (100 * US_PER_MS)
+#include "proxy/ingress/ingress_request.h"
 
 /// Longer bodies are sent as the egress asks for them, so that they do not fill
 /// the link to it before it wants them.
 #define INLINE_BYTES (8u * 1024)
 
-/// Requests over which the length of a route's requests is learned.
-#define LENGTH_SAMPLES	32
-#define LENGTH_PERMILLE 1000
-
-COUNTER_DEFINE(count_retries, "ingress_retries", "Attempts after the first");
 COUNTER_DEFINE(count_late, "ingress_late_answers", "Answers to no request");
 
 static struct ingress_request **
@@ -30,7 +19,6 @@
 	return &ingress->buckets[id % INGRESS_BUCKETS];
 }
 
-/// Request whose attempt in progress has an id on a link; NULL if none has.
 struct ingress_request *
 ingress_find_attempt(
     struct ingress *ingress, const struct link *link, uint64_t id)
@@ -57,7 +45,6 @@
 		link_hold(r->link);
 }
 
-/// Ends the attempt in progress; answers to it are dropped from now on.
 void
 ingress_attempt_end(struct ingress_request *r, bool failed)
 {
@@ -179,8 +166,8 @@
 	    strcmp(r->endpoint->name, r->ingress->settings.name) == 0;
 }
 
-static void
-send_attempt(struct ingress_request *r)
+int
+ingress_attempt_send(struct ingress_request *r)
 {
 	struct ingress *ingress = r->ingress;
 	struct message_request m;
@@ -197,164 +184,10 @@
 	r->state = ATTEMPT_SENT;
 	r->sent_us = loop_now_us(ingress->loop);
 	fill_request(r, &m);
-	if (r->link == NULL)
-		egress_submit(ingress->egress, &ingress->local_sink, &m);
-	else if (link_send(r->link, MESSAGE_REQUEST, &m) != 0) {
-		ingress_attempt_end(r, true);
-		ingress_attempt_start(r);
-	}
-}
-
-/// No endpoint is left: repeats the last refusal, if there was an attempt.
-static void
-conclude_without_endpoint(struct ingress_request *r, int64_t busy_until_us)
-{
-	int64_t now_us = loop_now_us(r->ingress->loop);
-
-	if (r->arrivals == 0 && busy_until_us == INT64_MAX && ingress_park(r))
-		return;
-	if (r->refused_status != 0)
-		ingress_conclude(r, r->refused_status, r->refused_outcome,
-		    r->refused_retry_us, r->refused_why);
-	else if (busy_until_us != INT64_MAX)
-		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    busy_until_us - now_us, "all backend servers are busy");
-	else
-		ingress_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
-		    "no backend server can be had");
-}
-
-struct route_length *
-ingress_length_of(struct ingress_request *r)
-{
-	const char *name =
-	    r->route->name[0] != '\0' ? r->route->name : r->route->path;
-	uint64_t key = rule_file_hash(name, strlen(name));
-	struct route_length *length =
-	    &r->ingress->lengths[key % INGRESS_LENGTHS];
-
-	if (length->key != key) {
-		length->key = key;
-		length->permille = 0;
-		length->times = NULL;
-	}
-	return length;
-}
-
-/// Learns how long requests of a route take against the mean of the service.
-void
-ingress_note_length(struct ingress_request *r, const struct message_response *m)
-{
-	struct route_length *length = ingress_length_of(r);
-	double sample = (double)m->run_us * LENGTH_PERMILLE / m->service_us;
-
-	if (length->permille <= 0)
-		length->permille = sample;
-	else
-		length->permille +=
-		    (sample - length->permille) / LENGTH_SAMPLES;
-}
-
-static void
-fill_query(
-    struct ingress_request *r, struct balancer_request *q, int64_t now_us)
-{
-	memset(q, 0, sizeof(*q));
-	q->worth = r->rank->worth;
-	q->target_left_us = r->target_deadline_us - now_us;
-	q->deadline_left_us = r->deadline_us - now_us;
-	q->size_bytes = (uint32_t)r->exchange->body_bytes;
-	q->length_permille = (uint32_t)ingress_length_of(r)->permille;
-	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
-	q->tried_count = r->attempts;
-}
-
-void
-ingress_attempt_start(struct ingress_request *r)
-{
-	struct ingress *ingress = r->ingress;
-	int64_t now_us = loop_now_us(ingress->loop);
-	const char *service = r->rules->services[r->service].name;
-	struct balancer_request query;
-	struct balancer_choice choice;
-	uint32_t i;
-
-	r->balancer = NULL;
-	for (i = 0; i < ingress->balancer_count; i++)
-		if (strcmp(ingress->balancers[i]->service, service) == 0)
-			r->balancer = ingress->balancers[i];
-	if (r->balancer == NULL || r->attempts >= INGRESS_MAX_ATTEMPTS) {
-		conclude_without_endpoint(r, INT64_MAX);
-		return;
-	}
-	if (!r->counted)
-		retry_budget_earn(&r->balancer->retries);
-	r->counted = true;
-	fill_query(r, &query, now_us);
-	choice = balancer_choose(r->balancer, &query, now_us);
-	if (choice.endpoint == NULL) {
-		conclude_without_endpoint(r, choice.busy_until_deadline_us);
-		return;
-	}
-	r->endpoint = choice.endpoint;
-	memcpy(
-	    r->tried[r->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
-	ingress_log_sent(r, &choice, &query);
-	send_attempt(r);
-}
-
-/// Decides whether to try again, and counts it.
-bool
-ingress_may_retry(
-    struct ingress_request *r, uint32_t status, enum outcome outcome)
-{
-	struct retry_request q = {
-	    .outcome = outcome,
-	    .repeatable = r->repeatable,
-	    .body_kept = !r->upload_passed_on,
-	    .failed = status >= 500,
-	    .unseen = r->arrivals == 0,
-	    .attempts = r->attempts,
-	    .arrivals = r->arrivals,
-	    .max_arrivals = r->route->attempts,
-	    .deadline_us = r->deadline_us,
-	};
-
-	// A key that is in use, or belongs to another request, is so everywhere,
-	// and time that is up is up everywhere.
-	if (r->exchange == NULL || r->ingress->ending || status == 409 ||
-	    status == 422 || status == 431 || status == 504 ||
-	    !retry_decide(
-		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
-		return false;
-	counter_add(&count_retries, 1);
-	return true;
-}
-
-/// Keeps what is told if no other attempt can be made.
-void
-ingress_note_last(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why)
-{
-	r->refused_status = status;
-	r->refused_outcome = outcome;
-	r->refused_retry_us = retry_us;
-	snprintf(r->refused_why, sizeof(r->refused_why), "%s", why);
-}
-
-/// Tries again if that is safe and within the budget, else answers.
-void
-ingress_retry_or_conclude(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why)
-{
-	if (!ingress_may_retry(r, status, outcome)) {
-		ingress_conclude(r, status, outcome, retry_us, why);
-		return;
-	}
-	r->may_have_run |= outcome == OUTCOME_UNKNOWN;
-	ingress_log_retry(r, status, outcome, why);
-	ingress_note_last(r, status, outcome, retry_us, why);
-	ingress_attempt_start(r);
+	if (r->link != NULL)
+		return link_send(r->link, MESSAGE_REQUEST, &m);
+	egress_submit(ingress->egress, &ingress->local_sink, &m);
+	return 0;
 }
 
 bool
@@ -368,37 +201,3 @@
 	ingress_attempt_end(r, false);
 	return true;
 }
-
-void
-ingress_on_deadline(void *arg)
-{
-	struct ingress_request *r = arg;
-	struct ingress *ingress = r->ingress;
-
-	if (r->parked) {
-		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    UNREACHED_RETRY_US,
-		    r->rules == NULL ? "no rules are in force here yet"
-				     : "no backend server can be had");
-		return;
-	}
-	if (r->state == ATTEMPT_NONE) {
-		ingress_conclude(
-		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
-		return;
-	}
-	if (r->exchange != NULL && ingress_withdraw(r)) {
-		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    UNREACHED_RETRY_US, "its body could not be sent in time");
-		return;
-	}
-	if (!r->cancel_sent) {
-		r->cancel_sent = true;
-		loop_timer_set(ingress->loop, &r->timer,
-		    loop_now_us(ingress->loop) + CANCEL_GRACE_US);
-		ingress_send_cancel(r, false);
-		return;
-	}
-	ingress_attempt_end(r, true);
-	ingress_conclude(r, 504, OUTCOME_UNKNOWN, 0, "deadline passed");
-}
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -12,7 +12,6 @@
 #include "proxy/ingress/ingress_log.h"
 
 #define IDLE_TIMEOUT_S 60
-#define MAX_HEADERS    128
 
 /// A process that has just started gets to know rules and endpoints within a
 /// few seconds, or not at all.
@@ -21,242 +20,22 @@
 /// Time that a request without a deadline is taken to have.
 #define UNROUTED_US (1 * US_PER_S)
 
-/// Before the end of a drain no request may still be in progress.
-#define DRAIN_MARGIN_US (500 * US_PER_MS)
-
 /// When to come back to a proxy that is starting.
 #define STARTING_RETRY_US (200 * US_PER_MS)
 
 COUNTER_DEFINE(count_requests, "ingress_requests", "Requests taken");
-COUNTER_DEFINE(count_not_run, "ingress_not_run", "Answered: not run");
-COUNTER_DEFINE(count_unknown, "ingress_unknown", "Answered: unknown");
 COUNTER_DEFINE(count_gone, "ingress_callers_gone", "Callers that left early");
 
-static void
-collect_header(void *arg, const char *name, const char *value)
-{
-	struct ingress_request *r = arg;
-	struct bytes n = bytes_from(name);
-
-	if (headers_is_hop_by_hop(n) ||
-	    headers_is_internal(&r->ingress->dialect->headers, n))
-		return;
-	header_list_add(&r->headers, n, bytes_from(value));
-}
-
-static struct ingress_request *
-request_create(struct ingress_door *door, struct http_exchange *exchange)
-{
-	struct ingress_request *r = calloc(1, sizeof(*r));
-
-	assert(r != NULL);
-	r->ingress = door->ingress;
-	r->exchange = exchange;
-	r->timer.fn = ingress_on_deadline;
-	r->timer.arg = r;
-	r->all_next = door->ingress->all;
-	if (r->all_next != NULL)
-		r->all_next->all_prev = r;
-	door->ingress->all = r;
-	exchange->state = r;
-	return r;
-}
-
-void
-ingress_request_free(struct ingress_request *r)
-{
-	struct ingress *ingress = r->ingress;
-
-	assert(r->state == ATTEMPT_NONE);
-	if (r->all_prev != NULL)
-		r->all_prev->all_next = r->all_next;
-	else
-		ingress->all = r->all_next;
-	if (r->all_next != NULL)
-		r->all_next->all_prev = r->all_prev;
-	loop_timer_clear(ingress->loop, &r->timer);
-	if (r->exchange != NULL)
-		r->exchange->state = NULL;
-	header_list_free(&r->headers);
-	rules_unref(r->rules);
-	free(r);
-}
-
-static void
-respond_own(const struct dialect *dialect, struct http_exchange *exchange,
-    uint32_t status, enum outcome outcome, int64_t retry_us, const char *why)
-{
-	char body[256];
-	char retry[DIALECT_RETRY_BYTES];
-	struct http_header headers[3] = {
-	    {"Content-Type", "text/plain; charset=utf-8"},
-	};
-	size_t count = 1;
-
-	counter_add(
-	    outcome_is_not_run(outcome) ? &count_not_run : &count_unknown, 1);
-	if (dialect->headers.outcome != NULL) {
-		headers[count].name = dialect->headers.outcome;
-		headers[count++].value = outcome_name(outcome);
-	}
-	if (retry_us > 0) {
-		dialect->write_retry(retry_us, retry);
-		headers[count].name = HEADER_RETRY;
-		headers[count++].value = retry;
-	}
-	snprintf(body, sizeof(body), "%s: %s\n", outcome_name(outcome), why);
-	http_exchange_respond(
-	    exchange, status, headers, count, body, strlen(body));
-}
-
-/// Value of a header that the dialect may not have; NULL if there is none.
-static const char *
-find_header(const struct ingress_request *r, const char *name)
-{
-	return name == NULL ? NULL : http_exchange_header(r->exchange, name);
-}
-
-enum outcome
-ingress_not_run_outcome(const struct ingress_request *r)
-{
-	bool has_key = r->key[0] != '\0' ||
-	    (r->exchange != NULL &&
-		find_header(r, r->ingress->dialect->headers.key) != NULL);
-
-	return has_key ? OUTCOME_REFUSED : OUTCOME_NOT_RUN;
-}
-
-void
-ingress_conclude(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why)
-{
-	if (r->may_have_run)
-		outcome = OUTCOME_UNKNOWN;
-	if (r->exchange != NULL) {
-		ingress_log_answered(r, status, outcome, retry_us, why);
-		respond_own(r->ingress->dialect, r->exchange, status, outcome,
-		    retry_us, why);
-	}
-	ingress_request_free(r);
-}
-
-/// Takes the rank over from the request that this one is part of.
-static void
-inherit_rank(struct ingress_request *r)
-{
-	const char *rank = find_header(r, r->ingress->dialect->headers.rank);
-	int at;
-
-	if (rank == NULL)
-		return;
-	at = rules_find_rank(r->rules, rank);
-	if (at >= 0)
-		r->rank = &r->rules->ranks[at];
-}
-
-/// Takes over how long the caller waits.
-static void
-read_deadline(struct ingress_request *r)
-{
-	const char *left =
-	    find_header(r, r->ingress->dialect->headers.deadline);
-	int64_t deadline_us;
-
-	if (left != NULL) {
-		deadline_us = r->exchange->arrival_us +
-		    strtoll(left, NULL, 10) * US_PER_MS;
-		if (deadline_us < r->deadline_us)
-			r->deadline_us = deadline_us;
-	}
-}
-
-static int
-read_key(struct ingress_request *r)
-{
-	const char *key = find_header(r, r->ingress->dialect->headers.key);
-
-	if (key == NULL)
-		return r->route->once ? -1 : 0;
-	if (key[0] == '\0' || strlen(key) >= sizeof(r->key))
-		return -1;
-	snprintf(r->key, sizeof(r->key), "%s", key);
-	return 0;
-}
-
-/// Tells backend servers which service the request began at.
-static void
-add_caller_service(struct ingress_request *r)
-{
-	const struct ingress *ingress = r->ingress;
-	const char *name = ingress->dialect->headers.caller_service;
-	const char *service = egress_service(ingress->egress);
-
-	if (name == NULL)
-		return;
-	if (service[0] == '\0')
-		service = ingress->settings.service;
-	header_list_add(&r->headers, bytes_from(name), bytes_from(service));
-}
-
-/// Finds what the rules say of a request, and lets it be served.
-void
-ingress_route(struct ingress_request *r)
-{
-	struct ingress *ingress = r->ingress;
-	struct http_exchange *exchange = r->exchange;
-
-	r->rules = rules_ref(ingress->rules);
-	r->route = rules_match(r->rules, exchange->method,
-	    http_exchange_header(exchange, "Host"), exchange->target);
-	if (r->route == NULL ||
-	    headers_known_method(exchange->method) == NULL) {
-		ingress_conclude(
-		    r, 404, ingress_not_run_outcome(r), 0, "no route");
-		return;
-	}
-	r->rank = &r->rules->ranks[r->route->rank];
-	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
-	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
-	r->service = rules_draw_target(r->route, random_next(&ingress->random));
-	if (r->trusted)
-		inherit_rank(r);
-	if (r->trusted || ingress->dialect->callers_set_deadline)
-		read_deadline(r);
-	if (read_key(r) != 0) {
-		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
-		    "an Idempotency-Key of 1 to 255 characters is needed");
-		return;
-	}
-	http_exchange_each_header(exchange, collect_header, r);
-	if (r->headers.count > MAX_HEADERS) {
-		ingress_conclude(
-		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
-		return;
-	}
-	if (ingress->drain_deadline_us != 0 &&
-	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
-		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    LEAVING_RETRY_US, "this proxy is leaving");
-		return;
-	}
-	add_caller_service(r);
-	r->safe = r->route->kind == RULE_KIND_METHOD
-	    ? retry_method_is_safe(exchange->method)
-	    : r->route->kind == RULE_KIND_SAFE;
-	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
-	r->upload_ended = !exchange->more;
-	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
-	ingress_attempt_start(r);
-}
-
 static void
 on_request(void *owner, struct http_exchange *exchange)
 {
 	struct ingress_door *door = owner;
-	struct ingress_request *r = request_create(door, exchange);
+	struct ingress_request *r = ingress_request_create(door, exchange);
 
 	counter_add(&count_requests, 1);
 	r->trusted = door->trusted;
+	r->timer.fn = ingress_on_deadline;
+	r->timer.arg = r;
 	ingress_name_request(r);
 	if (door->ingress->rules != NULL) {
 		ingress_route(r);
@@ -264,7 +43,7 @@
 	}
 	r->deadline_us = exchange->arrival_us + UNROUTED_US;
 	if (r->trusted || door->ingress->dialect->callers_set_deadline)
-		read_deadline(r);
+		ingress_read_deadline(r);
 	if (!ingress_park(r))
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
 		    STARTING_RETRY_US, "no rules are in force here yet");
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -117,45 +117,39 @@
 	uint64_t named; ///< Requests that were given a name.
 };
 
-/// What is known of the requests of a route.
-struct route_length *ingress_length_of(struct ingress_request *r);
+// Layers of the ingress, lowest first: a file calls only what stands above it.
 
-/// Sends the request to an endpoint, or answers it if there is none.
-void ingress_attempt_start(struct ingress_request *r);
+// ingress_request.c
 
-/// Request whose attempt in progress has an id on a link; NULL if none has.
-struct ingress_request *ingress_find_attempt(
-    struct ingress *ingress, const struct link *link, uint64_t id);
+/// Takes up a request of a listener.
+struct ingress_request *ingress_request_create(
+    struct ingress_door *door, struct http_exchange *exchange);
 
-/// Ends the attempt in progress; answers to it are dropped from now on.
-void ingress_attempt_end(struct ingress_request *r, bool failed);
+/// Frees a request whose exchange has ended or been answered.
+void ingress_request_free(struct ingress_request *r);
 
-/// Decides whether to try again, and counts it.
-bool ingress_may_retry(
-    struct ingress_request *r, uint32_t status, enum outcome outcome);
+/// Value of a header that the dialect may not have; NULL if there is none.
+const char *ingress_find_header(
+    const struct ingress_request *r, const char *name);
 
-/// Keeps what is told if no other attempt can be made.
-void ingress_note_last(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why);
+/// Outcome of a request that this proxy did not let run: with a key, only
+/// the ledger could tell whether an earlier attempt did.
+enum outcome ingress_not_run_outcome(const struct ingress_request *r);
 
-/// Tries again if that is safe and within the budget, else answers.
-void ingress_retry_or_conclude(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why);
+/// What is known of the requests of a route.
+struct route_length *ingress_length_of(struct ingress_request *r);
 
 /// Learns how long requests of a route take against the mean of the service.
 void ingress_note_length(
     struct ingress_request *r, const struct message_response *m);
 
-/// A stream ended: handles all attempts on it.
-///
-/// @param opened  whether it ever came to be
-void ingress_on_broken(void *owner, struct link *link, bool opened);
+// conclude.c
 
-/// Finds what the rules say of a request, and lets it be served.
-void ingress_route(struct ingress_request *r);
+/// The request ended for this ingress: answers, unless the answer began.
+void ingress_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
 
-/// Tries again what waits for this proxy to know the mesh.
-void ingress_resume_parked(void *arg);
+// park.c
 
 /// Lets a request wait while this process has just started and cannot serve it
 /// yet.
@@ -163,16 +157,20 @@
 /// @return false if it has waited long enough, or the process has
 bool ingress_park(struct ingress_request *r);
 
-/// The request ended for this ingress: answers, unless the answer began.
-void ingress_conclude(struct ingress_request *r, uint32_t status,
-    enum outcome outcome, int64_t retry_us, const char *why);
+// attempt.c
 
-/// Outcome of a request that this proxy did not let run: with a key, only
-/// the ledger could tell whether an earlier attempt did.
-enum outcome ingress_not_run_outcome(const struct ingress_request *r);
+/// Request whose attempt in progress has an id on a link; NULL if none has.
+struct ingress_request *ingress_find_attempt(
+    struct ingress *ingress, const struct link *link, uint64_t id);
 
-/// Frees a request whose exchange has ended or been answered.
-void ingress_request_free(struct ingress_request *r);
+/// Sends the request to the endpoint chosen for it. Its answer may come, and
+/// the request end, before this returns.
+///
+/// @return 0, or -1 if nothing could be sent
+int ingress_attempt_send(struct ingress_request *r);
+
+/// Ends the attempt in progress; answers to it are dropped from now on.
+void ingress_attempt_end(struct ingress_request *r, bool failed);
 
 /// Tells the egress of the attempt in progress to give up.
 ///
@@ -191,11 +189,50 @@
 /// Lets the egress send more of the response.
 void ingress_send_window(struct ingress_request *r, uint32_t credit_bytes);
 
+// tries.c
+
+/// Sends the request to an endpoint, or answers it if there is none.
+void ingress_attempt_start(struct ingress_request *r);
+
+/// Decides whether to try again, and counts it.
+bool ingress_may_retry(
+    struct ingress_request *r, uint32_t status, enum outcome outcome);
+
+/// Keeps what is told if no other attempt can be made.
+void ingress_note_last(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
+
+/// Tries again if that is safe and within the budget, else answers.
+void ingress_retry_or_conclude(struct ingress_request *r, uint32_t status,
+    enum outcome outcome, int64_t retry_us, const char *why);
+
 /// The deadline of the request, or the grace after it, passed.
 void ingress_on_deadline(void *arg);
 
+// broken.c
+
+/// A stream ended: handles all attempts on it.
+///
+/// @param opened  whether it ever came to be
+void ingress_on_broken(void *owner, struct link *link, bool opened);
+
+// answer.c
+
 /// Callbacks of the links and of the own egress.
 extern const struct links_ops ingress_links_ops;
 extern const struct egress_sink_ops ingress_sink_ops;
 
+// route.c
+
+/// Finds what the rules say of a request, and lets it be served.
+void ingress_route(struct ingress_request *r);
+
+/// Takes over how long the caller waits.
+void ingress_read_deadline(struct ingress_request *r);
+
+// waiting.c
+
+/// Tries again what waits for this proxy to know the mesh.
+void ingress_resume_parked(void *arg);
+
 #endif
--- /dev/null
+++ b/src/proxy/ingress/route.c
@@ -0,0 +1,134 @@
+// What the rules, and its headers, say of a request.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "proxy/headers.h"
+#include "proxy/ingress/ingress_request.h"
+
+#define MAX_HEADERS 128
+
+/// Before the end of a drain no request may still be in progress.
+#define DRAIN_MARGIN_US (500 * US_PER_MS)
+
+static void
+collect_header(void *arg, const char *name, const char *value)
+{
+	struct ingress_request *r = arg;
+	struct bytes n = bytes_from(name);
+
+	if (headers_is_hop_by_hop(n) ||
+	    headers_is_internal(&r->ingress->dialect->headers, n))
+		return;
+	header_list_add(&r->headers, n, bytes_from(value));
+}
+
+/// Takes the rank over from the request that this one is part of.
+static void
+inherit_rank(struct ingress_request *r)
+{
+	const char *rank =
+	    ingress_find_header(r, r->ingress->dialect->headers.rank);
+	int at;
+
+	if (rank == NULL)
+		return;
+	at = rules_find_rank(r->rules, rank);
+	if (at >= 0)
+		r->rank = &r->rules->ranks[at];
+}
+
+void
+ingress_read_deadline(struct ingress_request *r)
+{
+	const char *left =
+	    ingress_find_header(r, r->ingress->dialect->headers.deadline);
+	int64_t deadline_us;
+
+	if (left != NULL) {
+		deadline_us = r->exchange->arrival_us +
+		    strtoll(left, NULL, 10) * US_PER_MS;
+		if (deadline_us < r->deadline_us)
+			r->deadline_us = deadline_us;
+	}
+}
+
+static int
+read_key(struct ingress_request *r)
+{
+	const char *key =
+	    ingress_find_header(r, r->ingress->dialect->headers.key);
+
+	if (key == NULL)
+		return r->route->once ? -1 : 0;
+	if (key[0] == '\0' || strlen(key) >= sizeof(r->key))
+		return -1;
+	snprintf(r->key, sizeof(r->key), "%s", key);
+	return 0;
+}
+
+/// Tells backend servers which service the request began at.
+static void
+add_caller_service(struct ingress_request *r)
+{
+	const struct ingress *ingress = r->ingress;
+	const char *name = ingress->dialect->headers.caller_service;
+	const char *service = egress_service(ingress->egress);
+
+	if (name == NULL)
+		return;
+	if (service[0] == '\0')
+		service = ingress->settings.service;
+	header_list_add(&r->headers, bytes_from(name), bytes_from(service));
+}
+
+void
+ingress_route(struct ingress_request *r)
+{
+	struct ingress *ingress = r->ingress;
+	struct http_exchange *exchange = r->exchange;
+
+	r->rules = rules_ref(ingress->rules);
+	r->route = rules_match(r->rules, exchange->method,
+	    http_exchange_header(exchange, "Host"), exchange->target);
+	if (r->route == NULL ||
+	    headers_known_method(exchange->method) == NULL) {
+		ingress_conclude(
+		    r, 404, ingress_not_run_outcome(r), 0, "no route");
+		return;
+	}
+	r->rank = &r->rules->ranks[r->route->rank];
+	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
+	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
+	r->service = rules_draw_target(r->route, random_next(&ingress->random));
+	if (r->trusted)
+		inherit_rank(r);
+	if (r->trusted || ingress->dialect->callers_set_deadline)
+		ingress_read_deadline(r);
+	if (read_key(r) != 0) {
+		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
+		    "an Idempotency-Key of 1 to 255 characters is needed");
+		return;
+	}
+	http_exchange_each_header(exchange, collect_header, r);
+	if (r->headers.count > MAX_HEADERS) {
+		ingress_conclude(
+		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
+		return;
+	}
+	if (ingress->drain_deadline_us != 0 &&
+	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    LEAVING_RETRY_US, "this proxy is leaving");
+		return;
+	}
+	add_caller_service(r);
+	r->safe = r->route->kind == RULE_KIND_METHOD
+	    ? retry_method_is_safe(exchange->method)
+	    : r->route->kind == RULE_KIND_SAFE;
+	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
+	r->upload_ended = !exchange->more;
+	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
+	ingress_attempt_start(r);
+}
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -30,80 +30,11 @@
 #define FORWARD_PAUSE_US (50 * US_PER_MS)
 
 COUNTER_DEFINE(count_submits, "source_submits", "Files submitted");
-COUNTER_DEFINE(count_refused, "source_submits_refused", "Files refused");
 
 static const char no_leader[] =
     "{\"result\":\"unavailable\",\"why\":\"no leader is known to this "
     "replica: it cannot reach a quorum of the sources\"}";
 
-/// Body for a file that does not parse. Release it with free().
-static char *
-render_errors(const struct rules_errors *errors)
-{
-	json_t *root = json_pack("{s:s, s:i, s:[]}", "result", "invalid",
-	    "count", (int)errors->count, "errors");
-	uint32_t shown =
-	    errors->count < RULES_MAX_ERRORS ? errors->count : RULES_MAX_ERRORS;
-	uint32_t i;
-	char *text;
-
-	for (i = 0; i < shown; i++)
-		json_array_append_new(json_object_get(root, "errors"),
-		    json_pack("{s:i, s:i, s:s}", "line",
-			(int)errors->items[i].line, "column",
-			(int)errors->items[i].column, "text",
-			errors->items[i].text));
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return text;
-}
-
-static const char *
-verdict_name(int verdict)
-{
-	switch (verdict) {
-	case RULE_STORE_ACCEPTED:
-		return "accepted";
-	case RULE_STORE_ALREADY:
-		return "already accepted";
-	case RULE_STORE_CONFLICT:
-		return "conflict";
-	case RULE_STORE_OLD:
-	case RULE_STORE_SUPERSEDED:
-		return "old version";
-	case RULE_STORE_GAP:
-		return "version gap";
-	default:
-		return "unknown";
-	}
-}
-
-char *
-operator_verdict_body(const struct source *source, const struct rule_file *file,
-    int verdict, uint32_t *status)
-{
-	const struct rule_file *current = source->store.current;
-	char hash[20];
-	json_t *root;
-	char *text;
-
-	*status = source->dialect->verdict_status(verdict);
-	if (*status != 200)
-		counter_add(&count_refused, 1);
-	snprintf(hash, sizeof(hash), "%016" PRIx64,
-	    current == NULL ? 0 : current->hash);
-	root = json_pack("{s:s, s:I, s:{s:I, s:s, s:s}}", "result",
-	    verdict_name(verdict), "version", (json_int_t)file->version,
-	    "accepted", "version",
-	    current == NULL ? (json_int_t)0 : (json_int_t)current->version,
-	    "hash", hash, "owner", current == NULL ? "" : current->owner);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	log_write(LOG_INFO, "source", "Version %" PRIu64 " by %s: %s.",
-	    file->version, file->owner, verdict_name(verdict));
-	return text;
-}
-
 /// A request on its way to the leader, which may be lost meanwhile.
 struct forward {
 	struct source *source;
@@ -274,8 +205,7 @@
 	counter_add(&count_submits, 1);
 	rules = rules_parse(body == NULL ? "" : body, body_bytes, errors);
 	if (rules == NULL) {
-		counter_add(&count_refused, 1);
-		text = render_errors(errors);
+		text = verdict_render_errors(errors);
 		fn(arg, 400, 0, text);
 		free(text);
 	} else
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -75,7 +75,7 @@
 	int rc;
 
 	if (verdict != RULE_STORE_ACCEPTED) {
-		body = operator_verdict_body(source, p->file, verdict, &status);
+		body = verdict_render(source, p->file, verdict, &status);
 		reply(p, status, 0, body);
 		free(body);
 		return;
@@ -179,7 +179,7 @@
 		reply(p, 503, US_PER_S, unknown_body);
 		return;
 	}
-	body = operator_verdict_body(source, p->file, verdict, &status);
+	body = verdict_render(source, p->file, verdict, &status);
 	reply(p, status, 0, body);
 	free(body);
 }
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -128,7 +128,12 @@
 void pending_drop_stream(struct source *source, const struct stream *stream);
 
 /// Body of the answer to a submitted file. Release it with free().
-char *operator_verdict_body(const struct source *source,
-    const struct rule_file *file, int verdict, uint32_t *status);
+///
+/// @param status  receives the HTTP status that goes with it
+char *verdict_render(const struct source *source, const struct rule_file *file,
+    int verdict, uint32_t *status);
+
+/// Body of the answer to a file that does not parse. Release it with free().
+char *verdict_render_errors(const struct rules_errors *errors);
 
 #endif
