--- /dev/null
+++ b/src/core/requests/balancer_view.c
@@ -0,0 +1,121 @@
+// Endpoints of a balancer, as views of the mesh name them.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/requests/balancer.h"
+
+void
+balancer_init(
+    struct balancer *b, const char *service, uint64_t seed, int64_t warm_us)
+{
+	memset(b, 0, sizeof(*b));
+	strncpy(b->service, service, sizeof(b->service) - 1);
+	b->random.seed = seed;
+	b->warm_us = warm_us;
+	retry_budget_init(&b->retries);
+}
+
+void
+balancer_free(struct balancer *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		free(b->endpoints[i]);
+	free(b->endpoints);
+	b->endpoints = NULL;
+	b->count = 0;
+}
+
+struct endpoint *
+balancer_find(const struct balancer *b, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (strcmp(b->endpoints[i]->name, name) == 0)
+			return b->endpoints[i];
+	return NULL;
+}
+
+void
+balancer_begin_view(struct balancer *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		b->endpoints[i]->present = false;
+}
+
+static struct endpoint *
+endpoint_create(struct balancer *b, const char *name)
+{
+	struct endpoint *e = calloc(1, sizeof(*e));
+
+	assert(e != NULL);
+	memcpy(e->name, name, strnlen(name, sizeof(e->name) - 1));
+	if (b->count == b->capacity) {
+		b->capacity = b->capacity ? b->capacity * 2 : 8;
+		b->endpoints =
+		    realloc(b->endpoints, b->capacity * sizeof(*b->endpoints));
+		assert(b->endpoints != NULL);
+	}
+	b->endpoints[b->count++] = e;
+	return e;
+}
+
+/// Forgets what was seen of an earlier process or of a cold backend server.
+static void
+endpoint_restart(struct balancer *b, struct endpoint *e, int64_t now_us)
+{
+	e->failures_in_row = 0;
+	e->ejections = 0;
+	e->ejected_until_deadline_us = 0;
+	e->failed = e->answered = 0;
+	e->service_us = 0;
+	e->reported = 0;
+	e->outstanding_at_report = 0;
+	e->warm_deadline_us = b->warmed ? now_us + b->warm_us : 0;
+}
+
+void
+balancer_add(struct balancer *b, const struct member *member,
+    enum distance distance, int64_t now_us)
+{
+	struct endpoint *e = balancer_find(b, member->name);
+
+	if (e == NULL)
+		e = endpoint_create(b, member->name);
+	if (e->incarnation != member->incarnation ||
+	    (e->state != BACKEND_READY && member->backend == BACKEND_READY))
+		endpoint_restart(b, e, now_us);
+	memcpy(e->host, member->host, sizeof(e->host));
+	e->peer_port = member->peer_port;
+	e->incarnation = member->incarnation;
+	e->distance = distance;
+	e->state = member->backend;
+	e->slots = member->slots > 0 ? member->slots : 1;
+	e->own = b->own_name != NULL && strcmp(b->own_name, e->name) == 0;
+	e->suspect = member->status == MEMBER_SUSPECT;
+	e->present = true;
+}
+
+void
+balancer_end_view(struct balancer *b)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++) {
+		struct endpoint *e = b->endpoints[i];
+
+		if (e->present || e->outstanding > 0)
+			b->endpoints[kept++] = e;
+		else
+			free(e);
+	}
+	b->count = kept;
+	if (kept > 0)
+		b->warmed = true;
+}
--- a/src/core/rules/rule_store.c
+++ b/src/core/rules/rule_store.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "core/rules/delta.h"
+#include "core/rules/rule_since.h"
 #include "core/rules/rule_store.h"
 
 #define HEAD_BYTES 64
@@ -224,85 +225,6 @@
 	return file;
 }
 
-static uint32_t
-count_lines(const struct rule_file *file)
-{
-	uint32_t count = 0;
-	size_t i;
-
-	for (i = 0; i < file->text_bytes; i++)
-		count += file->text[i] == '\n';
-	return count + 1;
-}
-
-/// Start of each line, and the end of the text.
-static const char **
-find_lines(const struct rule_file *file, uint32_t count)
-{
-	const char **lines = calloc(count + 1, sizeof(*lines));
-	const char *at = file->text;
-	uint32_t i;
-
-	assert(lines != NULL);
-	for (i = 0; i < count; i++) {
-		const char *eol = strchr(at, '\n');
-
-		lines[i] = at;
-		at = eol == NULL ? file->text + file->text_bytes : eol + 1;
-	}
-	lines[count] = at;
-	return lines;
-}
-
-/// Version since which a line stands; lines mostly keep their order, so the
-/// search goes on from the last match.
-static uint64_t
-inherited_since(const struct rule_store *store, const char **old,
-    const char *line, size_t line_bytes, uint32_t *from)
-{
-	uint32_t i;
-
-	for (i = 0; i < store->line_count; i++) {
-		uint32_t at = (*from + i) % store->line_count;
-
-		if ((size_t)(old[at + 1] - old[at]) != line_bytes ||
-		    memcmp(old[at], line, line_bytes) != 0)
-			continue;
-		*from = at + 1;
-		return store->since[at + 1];
-	}
-	return 0;
-}
-
-static void
-update_since(struct rule_store *store, const struct rule_file *new)
-{
-	uint32_t count = count_lines(new);
-	const char **lines = find_lines(new, count);
-	const char **old = store->current == NULL
-	    ? NULL
-	    : find_lines(store->current, store->line_count);
-	uint64_t *since = calloc(count + 1, sizeof(*since));
-	uint32_t from = 0;
-	uint32_t i;
-
-	assert(since != NULL);
-	for (i = 0; i < count; i++) {
-		size_t n = (size_t)(lines[i + 1] - lines[i]);
-
-		if (old != NULL)
-			since[i + 1] =
-			    inherited_since(store, old, lines[i], n, &from);
-		if (since[i + 1] == 0)
-			since[i + 1] = new->version;
-	}
-	free(old);
-	free(lines);
-	free(store->since);
-	store->since = since;
-	store->line_count = count;
-}
-
 static void
 history_add(struct rule_store *store, const struct rule_store_id *id)
 {
@@ -328,6 +250,17 @@
 	rule_files_add(&store->files, file);
 }
 
+static void
+update_since(struct rule_store *store, const struct rule_file *new)
+{
+	struct rule_since old = {store->since, store->line_count};
+	uint64_t *since =
+	    rule_since_create(new, store->current, &old, &store->line_count);
+
+	free(store->since);
+	store->since = since;
+}
+
 int
 rule_store_apply(struct rule_store *store, const char *entry,
     uint32_t size_bytes, struct error *err)
@@ -480,7 +413,7 @@
 	if (file == NULL)
 		goto out;
 	set_current(new, file);
-	if (new->line_count != count_lines(new->current)) {
+	if (new->line_count != rule_since_count_lines(new->current)) {
 		error_set(err, ERR_CORRUPT, "restore", "",
 		    "line count does not match");
 		goto out;
--- a/src/core/rules/rules_words.h
+++ b/src/core/rules/rules_words.h
@@ -104,4 +104,16 @@
 /// Reports match rules that have the same name or the same place.
 void parser_check_matches(struct parser *p);
 
+/// Resolves the names that routes refer to.
+void parser_resolve_routes(struct parser *p);
+
+/// Reports ranks that are promised more than there is.
+void parser_check_shares(struct parser *p);
+
+/// Puts the routes in the order in which they are tried.
+void rules_sort_routes(struct rules *rules);
+
+/// Puts the errors in the order of their places.
+void rules_sort_errors(struct rules_errors *errors);
+
 #endif
--- a/src/io/http/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -67,6 +67,10 @@
 /// Tells whether an idle connection still looks open and has no bytes waiting.
 bool httpc_conn_is_alive(const struct httpc_conn *conn);
 
+/// Appends the head of a call's request to the output.
+void httpc_conn_put_head(
+    struct httpc_conn *conn, const struct httpc_call *call);
+
 /// Closes and frees it at the end of the round; nothing more is told.
 void httpc_conn_close(struct httpc_conn *conn);
 
--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -7,7 +7,7 @@
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
-#include "io/replica/replica_host.h"
+#include "io/replica/replica_folder.h"
 #include "io/replica/replica_message.h"
 
 /// Between tries of a disk that failed; a write costs next to nothing.
@@ -23,7 +23,6 @@
 #define MAX_APPEND_BYTES      (512u * 1024)
 #define MAX_UNCOMMITTED_BYTES (32u * 1024 * 1024)
 #define KEEP_ENTRIES	      1000
-#define CATCH_UP_ENTRIES      16
 
 GAUGE_DEFINE(gauge_term, "replica_term", "Term of the replicated log");
 GAUGE_DEFINE(gauge_commit, "replica_commit", "Last committed entry");
@@ -213,43 +212,6 @@
     .role_changed = on_role_changed,
 };
 
-static bool
-has_caught_up(const struct replica_host *host)
-{
-	const struct replica *r = &host->replica;
-	uint32_t i;
-
-	for (i = 0; i < host->target.voter_count; i++) {
-		uint64_t id = host->target.voters[i].id;
-		const struct replica_progress *p;
-
-		if (id == r->settings.id ||
-		    replica_config_is_voter(&r->config, id))
-			continue;
-		p = replica_progress_get((struct replica *)(uintptr_t)r, id);
-		if (p == NULL ||
-		    p->match + CATCH_UP_ENTRIES < replica_last_index(r))
-			return false;
-	}
-	return true;
-}
-
-/// Goes on with a replacement once its learner has caught up.
-static void
-advance_change(struct replica_host *host)
-{
-	struct error err;
-
-	if (!host->change_pending || !has_caught_up(host) ||
-	    host->replica.config_index > host->replica.commit)
-		return;
-	if (replica_change_config(&host->replica, &host->target,
-		loop_now_us(host->loop), &err) != 0)
-		return;
-	host->change_pending = false;
-	log_write(LOG_INFO, "replica", "Changes the voters.");
-}
-
 static void
 on_tick(void *arg)
 {
@@ -257,7 +219,7 @@
 	int64_t now_us = loop_now_us(host->loop);
 	int64_t next_us = replica_tick(&host->replica, now_us);
 
-	advance_change(host);
+	replica_host_advance_change(host);
 	if (next_us != INT64_MAX)
 		loop_timer_set(host->loop, &host->tick_timer, next_us);
 }
@@ -307,67 +269,6 @@
 	return DEADLINE_NEVER_US;
 }
 
-/// Checks whose folder this is, and writes the identity of a new replica.
-static int
-settle_identity(struct replica_host *host, struct replica_host_settings *s,
-    bool *is_new, struct error *err)
-{
-	struct wal_identity identity;
-
-	if (wal_read_identity(host->disk, &identity, err) != 0)
-		return -1;
-	*is_new = identity.replica == 0;
-	if (!*is_new && s->forms && identity.cluster == host->cluster)
-		s->id = identity.replica;
-	if (!*is_new) {
-		if (identity.cluster != host->cluster ||
-		    identity.replica != s->id)
-			return error_set(err, ERR_INVALID, "open data folder",
-			    s->data_path,
-			    "it belongs to replica %" PRIu64
-			    " or to another cluster",
-			    identity.replica);
-		return 0;
-	}
-	if (s->forms)
-		s->id = replica_host_choose_id(s);
-	else if (!s->bootstrap && !s->join)
-		return error_set(err, ERR_INVALID, "open data folder",
-		    s->data_path,
-		    "it is empty: give --bootstrap once in a cluster's life, "
-		    "or --join with a replica id never used before");
-	identity.cluster = host->cluster;
-	identity.replica = s->id;
-	return wal_write_identity(host->disk, &identity, err);
-}
-
-/// Puts the initial config into the log of a bootstrapped replica. All
-/// replicas write the same entry.
-static int
-write_initial_config(struct replica_host *host,
-    const struct replica_host_settings *s, struct replica_stored *stored,
-    struct error *err)
-{
-	char text[REPLICA_CONFIG_TEXT_BYTES];
-	struct replica_entry e = {
-	    .index = 1, .term = 1, .kind = REPLICA_ENTRY_CONFIG, .data = text};
-	const struct replica_storage_ops *ops = host->wal.storage.ops;
-
-	e.size_bytes = (uint32_t)replica_config_encode(&s->initial, text);
-	if (ops->save_vote(&host->wal.storage, 1, 0, err) != 0 ||
-	    ops->append(&host->wal.storage, &e, 1, err) != 0 ||
-	    ops->sync(&host->wal.storage, err) != 0)
-		return -1;
-	stored->term = 1;
-	stored->entries = calloc(1, sizeof(e));
-	assert(stored->entries != NULL);
-	e.data = strdup(text);
-	assert(e.data != NULL);
-	stored->entries[0] = e;
-	stored->entry_count = 1;
-	return 0;
-}
-
 void
 replica_host_set_seeds(
     struct replica_host *host, const struct replica_config *seeds)
@@ -418,7 +319,7 @@
 	host->disk = disk_open(s->data_path, err);
 	if (host->disk == NULL)
 		return -1;
-	if (settle_identity(host, s, &is_new, err) != 0 ||
+	if (replica_folder_settle(host, s, &is_new, err) != 0 ||
 	    wal_load(&host->wal, host->disk, &stored, err) != 0)
 		return -1;
 	if (host->wal.cut_bytes > 0)
@@ -427,7 +328,7 @@
 		    host->wal.cut_bytes);
 	settings.id = s->id;
 	if (is_new && s->bootstrap &&
-	    write_initial_config(host, s, &stored, err) != 0)
+	    replica_folder_write_config(host, s, &stored, err) != 0)
 		return -1;
 	host->opened = true;
 	if (replica_init(&host->replica, &replica_ops, host, &host->wal.storage,
@@ -527,57 +428,3 @@
 
 	return peer == NULL ? "" : peer->address;
 }
-
-static bool
-remove_voter(struct replica_config *c, uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < c->voter_count; i++) {
-		if (c->voters[i].id != id)
-			continue;
-		c->voters[i] = c->voters[--c->voter_count];
-		memset(&c->voters[c->voter_count], 0, sizeof(c->voters[0]));
-		return true;
-	}
-	return false;
-}
-
-int
-replica_host_replace(struct replica_host *host, uint64_t remove_id,
-    const struct replica_peer *add, struct error *err)
-{
-	struct replica_config learners = host->replica.config;
-
-	if (host->change_pending)
-		return error_set(err, ERR_CONFLICT, "replace", "",
-		    "a replacement is in progress");
-	host->target = host->replica.config;
-	if (remove_id != 0 && !remove_voter(&host->target, remove_id))
-		return error_set(err, ERR_INVALID, "replace", "",
-		    "replica %" PRIu64 " is not a voter", remove_id);
-	if (add->id != 0) {
-		if (replica_config_find(&host->replica.config, add->id) !=
-			NULL ||
-		    add->id == remove_id)
-			return error_set(err, ERR_INVALID, "replace", "",
-			    "replica id %" PRIu64 " is in use", add->id);
-		if (host->target.voter_count == REPLICA_MAX_VOTERS ||
-		    learners.learner_count == REPLICA_MAX_LEARNERS)
-			return error_set(err, ERR_INVALID, "replace", "",
-			    "too many replicas");
-		host->target.voters[host->target.voter_count++] = *add;
-		learners.learners[learners.learner_count++] = *add;
-	}
-	if (host->target.voter_count == 0)
-		return error_set(
-		    err, ERR_INVALID, "replace", "", "no voter would be left");
-	if (add->id != 0 &&
-	    replica_change_config(
-		&host->replica, &learners, loop_now_us(host->loop), err) != 0)
-		return -1;
-	host->change_pending = true;
-	log_write(LOG_INFO, "replica",
-	    "Replaces replica %" PRIu64 " by %" PRIu64 ".", remove_id, add->id);
-	return 0;
-}
--- a/src/io/replica/replica_host.h
+++ b/src/io/replica/replica_host.h
@@ -104,6 +104,9 @@
 int replica_host_replace(struct replica_host *host, uint64_t remove_id,
     const struct replica_peer *add, struct error *err);
 
+/// Goes on with a replacement once its learner has caught up.
+void replica_host_advance_change(struct replica_host *host);
+
 /// Number that stands for a cluster's name in messages and files.
 uint64_t replica_cluster_number(const char *name);
 
--- a/src/proxy/egress/once_client.c
+++ b/src/proxy/egress/once_client.c
@@ -2,7 +2,6 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "core/random.h"
 #include "io/clock.h"
@@ -10,6 +9,7 @@
 #include "io/log/log.h"
 #include "io/net/net.h"
 #include "proxy/egress/once_client.h"
+#include "wire/request_copy.h"
 
 #define RESEND_US	 (150 * US_PER_MS)
 #define POLL_US		 (40 * US_PER_MS)
@@ -372,24 +372,6 @@
     .on_closed = on_closed,
 };
 
-/// Identity of the request behind a key: same key, other request: refused.
-static uint64_t
-hash_request(const struct message_request *m)
-{
-	XXH3_state_t *state = XXH3_createState();
-	uint64_t hash;
-
-	XXH3_64bits_reset(state);
-	XXH3_64bits_update(state, m->method.data, m->method.size_bytes);
-	XXH3_64bits_update(state, " ", 1);
-	XXH3_64bits_update(state, m->target.data, m->target.size_bytes);
-	XXH3_64bits_update(state, "\n", 1);
-	XXH3_64bits_update(state, m->body.data, m->body.size_bytes);
-	hash = XXH3_64bits_digest(state);
-	XXH3_freeState(state);
-	return hash;
-}
-
 static char *
 copy_bytes(struct bytes b)
 {
@@ -415,7 +397,7 @@
 		c->next->prev = c;
 	client->first = c;
 	c->id = random_next(&client->random) | 1;
-	c->body_hash = hash_request(request);
+	c->body_hash = message_request_hash(request);
 	c->request_deadline_us = deadline_us - CLAIM_MARGIN_US;
 	c->deadline_us = loop_now_us(client->loop) + CLAIM_LIMIT_US;
 	if (c->deadline_us > c->request_deadline_us)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -421,6 +421,11 @@
 
 void message_free(struct message *message);
 
+/// Finds the schema of a type as it came in.
+///
+/// @return NULL if the type is not known
+const struct codec_schema *message_find_schema(int64_t type);
+
 /// Schema of the records that durable state reuses.
 extern const struct codec_schema message_member_schema;
 
--- a/src/wire/request_copy.c
+++ b/src/wire/request_copy.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #include "wire/request_copy.h"
 
@@ -134,3 +135,20 @@
 	free(list->text);
 	memset(list, 0, sizeof(*list));
 }
+
+uint64_t
+message_request_hash(const struct message_request *m)
+{
+	XXH3_state_t *state = XXH3_createState();
+	uint64_t hash;
+
+	XXH3_64bits_reset(state);
+	XXH3_64bits_update(state, m->method.data, m->method.size_bytes);
+	XXH3_64bits_update(state, " ", 1);
+	XXH3_64bits_update(state, m->target.data, m->target.size_bytes);
+	XXH3_64bits_update(state, "\n", 1);
+	XXH3_64bits_update(state, m->body.data, m->body.size_bytes);
+	hash = XXH3_64bits_digest(state);
+	XXH3_freeState(state);
+	return hash;
+}
--- a/src/wire/request_copy.h
+++ b/src/wire/request_copy.h
@@ -13,6 +13,9 @@
 struct message_request *message_request_copy(
     const struct message_request *request);
 
+/// Hash of method, target and body: tells requests of one key apart.
+uint64_t message_request_hash(const struct message_request *m);
+
 /// Growing list of headers with its own storage.
 struct header_list {
 	struct message_header *items;
