--- /dev/null
+++ b/bench/model/policies.c
@@ -0,0 +1,120 @@
+// Policies to compare with the product's.
+#include <string.h>
+
+#include "model/model.h"
+
+static int
+pick_arrival(struct admission *a, int64_t now_us)
+{
+	int best = -1;
+	uint32_t i;
+
+	(void)now_us;
+	for (i = 0; i < a->rank_count; i++)
+		if (a->ranks[i].head != NULL &&
+		    (best < 0 ||
+			a->ranks[i].head->arrival_us <
+			    a->ranks[best].head->arrival_us))
+			best = (int)i;
+	return best;
+}
+
+static const struct admission_policy admission_arrival = {
+    pick_arrival, "arrival"};
+
+static bool
+is_candidate(const struct endpoint *e, const struct balancer_request *q)
+{
+	uint32_t i;
+
+	if (!e->present ||
+	    (e->state != BACKEND_READY && e->state != BACKEND_COLD))
+		return false;
+	for (i = 0; i < q->tried_count; i++)
+		if (strcmp(q->tried[i], e->name) == 0)
+			return false;
+	return true;
+}
+
+static double
+load_of(const struct endpoint *e)
+{
+	return ((double)e->reported + e->outstanding -
+		   e->outstanding_at_report) /
+	    e->slots;
+}
+
+static struct balancer_choice
+take(struct endpoint *e, int64_t now_us)
+{
+	struct balancer_choice choice = {
+	    .endpoint = e, .busy_until_deadline_us = INT64_MAX};
+
+	if (e != NULL) {
+		e->outstanding++;
+		flow_enter(&e->answers, now_us);
+	}
+	return choice;
+}
+
+/// The nearest, whatever its load.
+static struct balancer_choice
+choose_nearest(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+{
+	struct endpoint *best = NULL;
+	uint32_t ties = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++) {
+		struct endpoint *e = b->endpoints[i];
+
+		if (!is_candidate(e, q) ||
+		    (best != NULL && e->distance > best->distance))
+			continue;
+		ties = best != NULL && e->distance == best->distance ? ties + 1
+								     : 1;
+		if (random_below(&b->random, ties) == 0 || ties == 1)
+			best = e;
+	}
+	return take(best, now_us);
+}
+
+/// The one of less load of two drawn at random.
+static struct balancer_choice
+choose_of_two(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+{
+	struct endpoint *best = NULL;
+	uint32_t drawn;
+	uint32_t tries;
+
+	for (drawn = tries = 0; drawn < 2 && tries < 4 * b->count; tries++) {
+		struct endpoint *e =
+		    b->endpoints[random_below(&b->random, b->count)];
+
+		if (!is_candidate(e, q) || e == best)
+			continue;
+		drawn++;
+		if (best == NULL || load_of(e) < load_of(best))
+			best = e;
+	}
+	return take(best, now_us);
+}
+
+const struct model_policy model_product = {
+    "rank, expected loss", &admission_keep, balancer_choose, true};
+
+const struct model_policy model_policies[] = {
+    {"arrival, nearest", &admission_arrival, choose_nearest, true},
+    {"arrival, best of two", &admission_arrival, choose_of_two, true},
+    {"arrival, expected loss", &admission_arrival, balancer_choose, true},
+    {"rank, nearest", &admission_keep, choose_nearest, true},
+    {"rank, best of two", &admission_keep, choose_of_two, true},
+    {"rank, expected loss, no repeats", &admission_keep, balancer_choose,
+	false},
+    {"rank, expected loss", &admission_keep, balancer_choose, true},
+};
+
+const uint32_t model_policy_count =
+    sizeof(model_policies) / sizeof(model_policies[0]);
