fix(source): one malformed message no longer ends a process

Problem: a rule file whose owner is not UTF-8 (version 2 # Z\377) ended mvsource with SIGSEGV: json_pack returned NULL and the reply used it; mvctl check accepted the file. A peer could also reach assert() in record_leader_contact by claiming the leader's own term, and acknowledge entries that no log has; a learner that had acknowledged nothing counted as caught up while the log was short; a replacement of nothing by nothing was taken. Owners are cut between characters. Texts of other processes become JSON by json_text, which cannot fail, and answers are rendered by json_render. replica_step returns an error for messages that no correct replica sends; the host logs it. The rest of the tests was not run for this commit.

--- a/src/core/replica/replica.c
+++ b/src/core/replica/replica.c
@@ -1,5 +1,6 @@
 // Message dispatch, timers, and the follower's side of replication.
 #include <assert.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -192,6 +193,13 @@
 	send_append_response(r, m->from, r->snapshot.index, false);
 }
 
+static bool
+is_from_leader(const struct replica_message *m)
+{
+	return m->kind == REPLICA_APPEND || m->kind == REPLICA_HEARTBEAT ||
+	    m->kind == REPLICA_SNAPSHOT;
+}
+
 /// Compares a message's term with the current one, and follows a newer term.
 ///
 /// @return whether the message is to be handled further
@@ -199,8 +207,7 @@
 check_message_term(
     struct replica *r, const struct replica_message *m, int64_t now_us)
 {
-	bool from_leader = m->kind == REPLICA_APPEND ||
-	    m->kind == REPLICA_HEARTBEAT || m->kind == REPLICA_SNAPSHOT;
+	bool from_leader = is_from_leader(m);
 
 	if (m->kind == REPLICA_PRE_VOTE)
 		return true;
@@ -226,18 +233,38 @@
 record_leader_contact(
     struct replica *r, const struct replica_message *m, int64_t now_us)
 {
-	assert(r->role != REPLICA_LEADER);
 	if (r->role != REPLICA_FOLLOWER || r->leader != m->from)
 		replica_set_role(r, REPLICA_FOLLOWER, m->from);
 	r->leader_contact_us = now_us;
 	replica_reset_election_timer(r, now_us);
 }
 
-void
-replica_step(struct replica *r, const struct replica_message *m, int64_t now_us)
+/// Refuses messages that no correct replica sends: they would break what the
+/// handlers rely on.
+static int
+check_message(const struct replica *r, const struct replica_message *m,
+    struct error *err)
+{
+	if (m->term == r->term && r->role == REPLICA_LEADER &&
+	    is_from_leader(m))
+		return error_set(err, ERR_INVALID, "replica message", "",
+		    "replica %" PRIu64 " claims to lead term %" PRIu64
+		    ", which this one leads",
+		    m->from, m->term);
+	if (m->term == r->term && r->role == REPLICA_LEADER &&
+	    m->kind == REPLICA_APPEND_RESPONSE && !m->reject &&
+	    m->index > replica_last_index(r))
+		return error_set(err, ERR_INVALID, "replica message", "",
+		    "replica %" PRIu64 " acknowledges entry %" PRIu64
+		    " of a log that ends at %" PRIu64,
+		    m->from, m->index, replica_last_index(r));
+	return 0;
+}
+
+static void
+handle_message(
+    struct replica *r, const struct replica_message *m, int64_t now_us)
 {
-	if (replica_has_failed(r) || !check_message_term(r, m, now_us))
-		return;
 	switch (m->kind) {
 	case REPLICA_PRE_VOTE:
 		replica_handle_pre_vote(r, m, now_us);
@@ -274,6 +301,19 @@
 	}
 }
 
+int
+replica_step(struct replica *r, const struct replica_message *m, int64_t now_us,
+    struct error *err)
+{
+	if (replica_has_failed(r))
+		return 0;
+	if (check_message(r, m, err) != 0)
+		return -1;
+	if (check_message_term(r, m, now_us))
+		handle_message(r, m, now_us);
+	return 0;
+}
+
 /// Steps down if a quorum was not in contact for two election timeouts: another
 /// leader may have been elected.
 static void
--- a/src/core/replica/replica.h
+++ b/src/core/replica/replica.h
@@ -207,8 +207,11 @@
 void replica_free(struct replica *r);
 
 /// Handles a message from another replica.
-void replica_step(
-    struct replica *r, const struct replica_message *message, int64_t now_us);
+///
+/// @return 0, or -1 with err set if no correct replica sends such a message in
+///         the state of this one; it then has no effect
+int replica_step(struct replica *r, const struct replica_message *message,
+    int64_t now_us, struct error *err);
 
 /// Runs the election, heartbeat and check-quorum timers that are due.
 ///
@@ -229,6 +232,11 @@
 int replica_change_config(struct replica *r, const struct replica_config *new,
     int64_t now_us, struct error *err);
 
+/// Tells whether all voters of a config that are not voters yet have nearly the
+/// whole log.
+bool replica_has_caught_up(
+    struct replica *r, const struct replica_config *config);
+
 /// Starts a read index round, which confirms that this replica is still the
 /// leader; ends in read_done.
 void replica_start_read(struct replica *r, uint64_t context, int64_t now_us);
--- a/src/core/replica/replica_leader.c
+++ b/src/core/replica/replica_leader.c
@@ -10,6 +10,9 @@
 
 #define MAX_APPEND_ENTRIES 1024
 
+/// Entries that a learner may lack when it becomes a voter.
+#define MAX_LEARNER_LAG_ENTRIES 16
+
 struct replica_progress *
 replica_progress_get(struct replica *r, uint64_t id)
 {
@@ -342,6 +345,26 @@
 	replica_broadcast_append(r, now_us);
 }
 
+bool
+replica_has_caught_up(struct replica *r, const struct replica_config *config)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->voter_count; i++) {
+		uint64_t id = config->voters[i].id;
+		const struct replica_progress *p;
+
+		if (id == r->settings.id ||
+		    replica_config_is_voter(&r->config, id))
+			continue;
+		p = replica_progress_get(r, id);
+		if (p == NULL || p->match == 0 ||
+		    p->match + MAX_LEARNER_LAG_ENTRIES < replica_last_index(r))
+			return false;
+	}
+	return true;
+}
+
 int
 replica_change_config(struct replica *r, const struct replica_config *new,
     int64_t now_us, struct error *err)
--- a/src/core/rules/rules_words.c
+++ b/src/core/rules/rules_words.c
@@ -4,9 +4,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistr.h>
 
 #include "core/rules/rules_words.h"
 
+/// Bits that mark the second and later bytes of a character in UTF-8.
+#define UTF8_TAIL_MASK 0xc0
+#define UTF8_TAIL      0x80
+
 void
 parser_fail(
     struct parser *p, uint32_t line, uint32_t column, const char *fmt, ...)
@@ -164,6 +169,17 @@
 	return true;
 }
 
+/// Returns the largest length up to max_bytes that ends between two characters
+/// of a longer UTF-8 text.
+static uint32_t
+cut_text(const char *text, uint32_t max_bytes)
+{
+	while (max_bytes > 0 &&
+	    ((unsigned char)text[max_bytes] & UTF8_TAIL_MASK) == UTF8_TAIL)
+		max_bytes--;
+	return max_bytes;
+}
+
 uint32_t
 parser_split_comment(struct parser *p, const char *line, uint32_t line_bytes)
 {
@@ -181,7 +197,7 @@
 		end--;
 	owner_bytes = (uint32_t)(end - hash);
 	if (owner_bytes >= RULES_OWNER_BYTES)
-		owner_bytes = RULES_OWNER_BYTES - 1;
+		owner_bytes = cut_text(hash, RULES_OWNER_BYTES - 1);
 	memcpy(p->owner, hash, owner_bytes);
 	p->owner[owner_bytes] = '\0';
 	return line_bytes;
@@ -217,8 +233,15 @@
 bool
 parser_check_bytes(struct parser *p, const char *line, uint32_t line_bytes)
 {
+	const uint8_t *invalid = u8_check((const uint8_t *)line, line_bytes);
 	uint32_t i;
 
+	if (invalid != NULL) {
+		parser_fail(p, p->line,
+		    (uint32_t)((const char *)invalid - line) + 1,
+		    "byte 0x%02x is not part of UTF-8 text", *invalid);
+		return false;
+	}
 	for (i = 0; i < line_bytes; i++) {
 		unsigned char c = (unsigned char)line[i];
 
--- a/src/core/rules/rules_words.h
+++ b/src/core/rules/rules_words.h
@@ -83,7 +83,8 @@
 bool parser_split_words(
     struct parser *p, const char *line, uint32_t line_bytes);
 
-/// Reports the first control character of a line; tabs are allowed.
+/// Reports the first byte of a line that is not UTF-8 text, or else the first
+/// control character; tabs are allowed.
 bool parser_check_bytes(
     struct parser *p, const char *line, uint32_t line_bytes);
 
--- a/src/io/replica/replica_change.c
+++ b/src/io/replica/replica_change.c
@@ -5,36 +5,13 @@
 #include "io/log/log.h"
 #include "io/replica/replica_host.h"
 
-/// Entries that a learner may lack when it becomes a voter.
-#define MAX_LEARNER_LAG_ENTRIES 16
-
-static bool
-has_caught_up(const struct replica_host *host)
-{
-	const struct replica *r = &host->replica;
-	uint32_t i;
-
-	for (i = 0; i < host->target.voter_count; i++) {
-		uint64_t id = host->target.voters[i].id;
-		const struct replica_progress *p;
-
-		if (id == r->settings.id ||
-		    replica_config_is_voter(&r->config, id))
-			continue;
-		p = replica_progress_get((struct replica *)(uintptr_t)r, id);
-		if (p == NULL ||
-		    p->match + MAX_LEARNER_LAG_ENTRIES < replica_last_index(r))
-			return false;
-	}
-	return true;
-}
-
 void
 replica_host_advance_change(struct replica_host *host)
 {
 	struct error err;
 
-	if (!host->change_pending || !has_caught_up(host) ||
+	if (!host->change_pending ||
+	    !replica_has_caught_up(&host->replica, &host->target) ||
 	    host->replica.config_index > host->replica.commit)
 		return;
 	if (replica_change_config(&host->replica, &host->target,
@@ -65,6 +42,9 @@
 {
 	struct replica_config learners = host->replica.config;
 
+	if (remove_id == 0 && add->id == 0)
+		return error_set(err, ERR_INVALID, "replace", "",
+		    "neither a replica to remove nor one to add is given");
 	if (host->change_pending)
 		return error_set(err, ERR_CONFLICT, "replace", "",
 		    "a replacement is in progress");
--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -416,7 +416,10 @@
 		    "Dropped an invalid message from a replica", &err);
 		return true;
 	}
-	replica_step(&host->replica, &in.message, loop_now_us(host->loop));
+	if (replica_step(&host->replica, &in.message, loop_now_us(host->loop),
+		&err) != 0)
+		log_error(LOG_WARN, "replica",
+		    "Refused a message of another replica", &err);
 	replica_inbound_free(&in);
 	if (replica_is_leader(&host->replica))
 		loop_timer_set(
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -6,6 +6,7 @@
 
 #include "io/clock.h"
 #include "io/http/counters_http.h"
+#include "io/json_text.h"
 #include "io/log/log.h"
 #include "proxy/control/control.h"
 
@@ -217,20 +218,20 @@
 	static const struct http_header json_type = {
 	    "Content-Type", "application/json"};
 	const struct member *self = &control->membership.self;
-	json_t *root = json_pack("{s:s, s:s, s:s, s:I, s:b, s:s, s:s, s:i, "
+	json_t *root = json_pack("{s:o, s:o, s:o, s:I, s:b, s:o, s:s, s:i, "
 				 "s:i, s:i}",
-	    "name", self->name, "region", self->region, "dc", self->dc,
+	    "name", json_text(self->name), "region", json_text(self->region),
+	    "dc", json_text(self->dc),
 	    "version", (json_int_t)self->version, "ready", control->floor.ready,
-	    "service", self->service, "backend",
+	    "service", json_text(self->service), "backend",
 	    backend_state_name(control->backend.latest.state), "members_alive",
 	    (int)membership_alive_count(&control->membership), "active",
 	    (int)traffic_active_count(control->traffic), "load_pct",
 	    (int)traffic_load_pct(control->traffic));
-	char *text = json_dumps(root, JSON_INDENT(2));
+	char *text = json_render(root, JSON_INDENT(2));
 
 	http_exchange_respond(exchange, 200, &json_type, 1, text, strlen(text));
 	free(text);
-	json_decref(root);
 }
 
 static void
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "io/clock.h"
+#include "io/json_text.h"
 #include "source/source.h"
 
 #define MAX_STRAGGLERS 100
@@ -18,8 +19,8 @@
 	if (r == NULL)
 		return json_null();
 	snprintf(hash, sizeof(hash), "%016" PRIx64, r->hash);
-	return json_pack("{s:I, s:s, s:s, s:I}", "version",
-	    (json_int_t)r->version, "hash", hash, "owner", r->owner,
+	return json_pack("{s:I, s:s, s:o, s:I}", "version",
+	    (json_int_t)r->version, "hash", hash, "owner", json_text(r->owner),
 	    "accepted_at_ms", (json_int_t)(store->accepted_us / US_PER_MS));
 }
 
@@ -53,8 +54,8 @@
 		if (version == 0)
 			sum.in_force = 0;
 		json_array_append_new(regions,
-		    json_pack("{s:s, s:i, s:i}", "region", name, "in_force",
-			(int)sum.in_force, "members", (int)sum.members));
+		    json_pack("{s:o, s:i, s:i}", "region", json_text(name),
+			"in_force", (int)sum.in_force, "members", (int)sum.members));
 	}
 	return regions;
 }
@@ -74,8 +75,9 @@
 		    json_array_size(stragglers) == MAX_STRAGGLERS)
 			continue;
 		json_array_append_new(stragglers,
-		    json_pack("{s:s, s:s, s:I, s:I}", "name", r->member.name,
-			"region", r->member.region, "version",
+		    json_pack("{s:o, s:o, s:I, s:I}", "name",
+			json_text(r->member.name), "region",
+			json_text(r->member.region), "version",
 			(json_int_t)r->member.version, "silent_ms",
 			(json_int_t)((now_us - r->reported_us) / US_PER_MS)));
 	}
@@ -102,8 +104,9 @@
 			    &source->reports, NULL, since, now_us);
 
 			json_array_append_new(rules,
-			    json_pack("{s:i, s:s%, s:I, s:i}", "line",
-				(int)line, "rule", at, n, "since_version",
+			    json_pack("{s:i, s:o, s:I, s:i}", "line",
+				(int)line, "rule", json_text_n(at, n),
+				"since_version",
 				(json_int_t)since, "in_force",
 				(int)sum.in_force));
 		}
@@ -120,9 +123,9 @@
 
 	for (i = 0; i < config->voter_count; i++)
 		json_array_append_new(replicas,
-		    json_pack("{s:I, s:s}", "id",
+		    json_pack("{s:I, s:o}", "id",
 			(json_int_t)config->voters[i].id, "address",
-			config->voters[i].address));
+			json_text(config->voters[i].address)));
 	return replicas;
 }
 
@@ -136,7 +139,7 @@
 	struct report_sum sum =
 	    report_table_sum(&source->reports, NULL, version, now_us);
 	json_t *root = json_pack(
-	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:I, s:I, s:s}",
+	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:I, s:I, s:o}",
 	    "confirmed", confirmed, "accepted", render_accepted(&source->store),
 	    "in_force", current == NULL ? 0 : (int)sum.in_force, "members",
 	    (int)sum.members, "heard_for_ms",
@@ -146,9 +149,7 @@
 	    render_rules(source, now_us), "replicas",
 	    render_replicas(&r->config), "replica", (json_int_t)r->settings.id,
 	    "leader", (json_int_t)r->leader, "storage",
-	    replica_has_failed(r) ? r->failure.text : "ok");
-	char *text = json_dumps(root, JSON_COMPACT);
+	    json_text(replica_has_failed(r) ? r->failure.text : "ok"));
 
-	json_decref(root);
-	return text;
+	return json_render(root, JSON_COMPACT);
 }
--- a/test/unit/replica_cluster.c
+++ b/test/unit/replica_cluster.c
@@ -250,6 +250,7 @@
 		struct in_flight_message f = c->in_flight[i];
 		struct node *to = &c->nodes[f.m.to - 1];
 		const struct node *from = &c->nodes[f.m.from - 1];
+		struct error err;
 
 		if (f.due_us > c->now_us) {
 			i++;
@@ -260,7 +261,10 @@
 		f.m.snapshot =
 		    f.m.kind == REPLICA_SNAPSHOT ? &f.snapshot : NULL;
 		if (to->up && !to->partitioned && !from->partitioned) {
-			replica_step(&to->replica, &f.m, c->now_us);
+			// Correct replicas send nothing that is refused.
+			assert_int_equal(replica_step(&to->replica, &f.m,
+					     c->now_us, &err),
+			    0);
 			// Several messages may share one sync.
 			if (random_below(&c->random, 2) == 0)
 				flush(c, to);
--- a/test/unit/test_replica.c
+++ b/test/unit/test_replica.c
@@ -170,7 +170,10 @@
 	struct replica_message m = {
 	    .kind = kind, .from = 2, .to = n->id, .term = term, .index = index};
 
-	replica_step(&n->replica, &m, n->cluster->now_us);
+	struct error err;
+
+	assert_int_equal(
+	    replica_step(&n->replica, &m, n->cluster->now_us, &err), 0);
 	replica_flush(&n->replica, n->cluster->now_us);
 }
 
@@ -192,9 +195,11 @@
 	    .log_term = 1,
 	    .entries = &e,
 	    .entry_count = 1};
+	struct error err;
 
 	(void)state;
-	replica_step(&n->replica, &append, c->now_us);
+	assert_int_equal(
+	    replica_step(&n->replica, &append, c->now_us, &err), 0);
 	replica_flush(&n->replica, c->now_us);
 	c->now_us += 3 * ELECTION_US;
 	replica_tick(&n->replica, c->now_us);
@@ -239,10 +244,74 @@
 	assert_true(noticed);
 }
 
+/// Messages that no correct replica sends are refused with a reason, and the
+/// leader goes on: one that claims its own term, and one that acknowledges
+/// entries which the leader does not have.
+static void
+test_impossible_messages_are_refused(void **state)
+{
+	static const enum replica_message_kind kinds[] = {
+	    REPLICA_APPEND, REPLICA_HEARTBEAT};
+	struct cluster *c = create_running_cluster(12);
+	struct node *leader = find_leader(c);
+	struct replica *r = &leader->replica;
+	struct replica_message m = {.from = leader->id % 3 + 1,
+	    .to = leader->id,
+	    .term = r->term,
+	    .index = replica_last_index(r) + 100};
+	struct error err;
+	uint64_t acknowledged;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		m.kind = kinds[i];
+		assert_int_equal(replica_step(r, &m, c->now_us, &err), -1);
+		assert_true(replica_is_leader(r));
+	}
+	m.kind = REPLICA_APPEND_RESPONSE;
+	assert_int_equal(replica_step(r, &m, c->now_us, &err), -1);
+	assert_true(replica_progress_get(r, m.from)->match <=
+	    replica_last_index(r));
+	acknowledged = cluster_highest_acknowledged(c);
+	cluster_run_steps(c, 300, false);
+	assert_true(cluster_highest_acknowledged(c) > acknowledged);
+	cluster_check_agreement(c);
+	cluster_free(c);
+}
+
+/// A learner that has acknowledged nothing is not caught up, however short the
+/// log is.
+static void
+test_silent_learner_is_not_caught_up(void **state)
+{
+	struct cluster *c = create_running_cluster(13);
+	struct replica *r = &find_leader(c)->replica;
+	struct replica_config target = r->config;
+	struct replica_progress *p = &r->progress[0];
+
+	(void)state;
+	target.voters[target.voter_count].id = 99;
+	target.voter_count++;
+	assert_false(replica_has_caught_up(r, &target));
+	p->id = 99;
+	p->match = 0;
+	r->config.voter_count = 1;
+	r->entry_count = 1;
+	r->first_index = 1;
+	assert_false(replica_has_caught_up(r, &target));
+	p->match = 1;
+	target.voter_count = 1;
+	target.voters[0].id = 99;
+	assert_true(replica_has_caught_up(r, &target));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_impossible_messages_are_refused),
+	    cmocka_unit_test(test_silent_learner_is_not_caught_up),
 	    cmocka_unit_test(test_chaos),
 	    cmocka_unit_test(test_chaos_with_replacements),
 	    cmocka_unit_test(test_isolated_leader),
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -312,11 +312,32 @@
 	    -1);
 }
 
+/// A long owner is cut between characters, so that it stays valid text.
+static void
+test_long_owner_is_cut_between_characters(void **state)
+{
+	static struct rules_errors errors;
+	char text[400] = "version 1 # ";
+	struct rules *rules;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 70; i++)
+		strcat(text, "\xc3\xa9");
+	strcat(text, "\nrank a worth=1 target=1s # o\n");
+	rules = rules_parse(text, strlen(text), &errors);
+	assert_non_null(rules);
+	assert_int_equal(
+	    strlen(rules->file->owner), (RULES_OWNER_BYTES - 1) / 2 * 2);
+	rules_unref(rules);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_golden_files),
+	    cmocka_unit_test(test_long_owner_is_cut_between_characters),
 	    cmocka_unit_test(test_match_equals_naive),
 	    cmocka_unit_test(test_delta_chain),
 	    cmocka_unit_test(test_bad_deltas),
