feat(admission): a request waits by its own target; calls of begun work go first

A call of a request that a server runs was queued and refused like a fresh one, which wastes its parent. A refusal marked the endpoint busy for all requests of the rank. Solution: the expected wait may take half of what is left until the request's own target beside its own service time (mean of the server, times the usual ratio of the route, which the ingress knows). Calls of running work, known by the trusted listener or by an id that extends that of a request running on this VM, are queued first and refused by their deadline only. Busy marks apply to requests with no more time than the refused one.

--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -210,7 +210,7 @@
 	double work_factor = FIXED_WORK_SHARE -
 	    (1 - FIXED_WORK_SHARE) * log(1 - simulation_random(c->sim));
 	double time_us = (double)call_get_kind(c)->work_us * work_factor *
-	    node->slowdown / node->speed;
+	    node->slowdown * node->neighbours / node->speed;
 
 	if (call_now_us(c) < node->slow_start_deadline_us)
 		time_us *= 2;
@@ -293,6 +293,7 @@
 	c->item.rank = call_get_kind(c)->rank;
 	c->item.deadline_us = c->deadline_us;
 	c->item.target_deadline_us = c->target_deadline_us;
+	c->item.begun = c->parent != NULL;
 	switch (admission_offer(
 	    &node->admission, &c->item, call_now_us(c), &retry_us)) {
 	case ADMISSION_RUN:
@@ -378,6 +379,10 @@
 {
 	struct call *c = arg;
 	int64_t now_us = call_now_us(c);
+	struct balancer_request refused = {
+	    .worth = c->sim->ranks[c->item.rank].worth,
+	    .begun = c->parent != NULL,
+	    .target_left_us = c->target_deadline_us - now_us};
 	struct retry_request q = {.outcome = c->outcome,
 	    .repeatable = call_get_kind(c)->safe,
 	    .body_kept = true,
@@ -394,8 +399,7 @@
 	balancer_finish(
 	    c->balancer, c->endpoint, c->sent_us, c->failed, now_us);
 	if (c->outcome == OUTCOME_NOT_RUN && c->retry_us > 0)
-		balancer_set_busy(c->endpoint,
-		    c->sim->ranks[c->item.rank].worth,
+		balancer_set_busy(c->endpoint, &refused,
 		    now_us +
 			(c->retry_us < MAX_BUSY_US ? c->retry_us
 						   : MAX_BUSY_US));
@@ -506,6 +510,7 @@
 	if (c->attempts == 0)
 		retry_budget_earn(&c->balancer->retries);
 	q.worth = sim->ranks[call_get_kind(c)->rank].worth;
+	q.begun = c->parent != NULL;
 	q.target_left_us = c->target_deadline_us - now_us;
 	q.deadline_left_us = c->deadline_us - now_us;
 	q.tried = (const char(*)[MEMBER_NAME_BYTES])c->tried;
--- a/bench/model/mix.c
+++ b/bench/model/mix.c
@@ -48,19 +48,26 @@
 {
 	struct mix_service *s = &r->mix->services[r->mix->service_count];
 	const char *name = "";
+	int period_ms = 0;
 	json_error_t json_err;
 
 	if (r->mix->service_count == MIX_MAX_SERVICES)
 		return set_error(r, "too many services", "");
 	if (json_unpack_ex(object, &json_err, JSON_STRICT,
-		"{s:s, s:i, s:i, s:i, s:i}", "name", &name, "servers",
-		&s->servers, "slots", &s->slots, "slowest_pct", &s->slowest_pct,
-		"fastest_pct", &s->fastest_pct) != 0)
+		"{s:s, s:i, s:i, s:i, s:i, s?i, s?i, s?F}", "name", &name,
+		"servers", &s->servers, "slots", &s->slots, "slowest_pct",
+		&s->slowest_pct, "fastest_pct", &s->fastest_pct, "neighbour_ms",
+		&period_ms, "neighbour_pct", &s->neighbour_pct,
+		"neighbour_factor", &s->neighbour_factor) != 0)
 		return set_error(r, json_err.text, name);
 	if (s->servers == 0 || s->slots == 0 || s->slowest_pct == 0 ||
 	    s->fastest_pct < s->slowest_pct)
 		return set_error(r,
 		    "servers, slots or speeds out of range for service", name);
+	if (period_ms < 0 || (period_ms > 0 && s->neighbour_factor < 1))
+		return set_error(
+		    r, "neighbours out of range for service", name);
+	s->neighbour_period_us = period_ms * (int64_t)US_PER_MS;
 	snprintf(s->name, sizeof(s->name), "%s", name);
 	r->mix->service_count++;
 	return 0;
--- a/bench/model/mix.h
+++ b/bench/model/mix.h
@@ -23,6 +23,11 @@
 	/// Bounds of the servers' speeds, which are evenly spaced.
 	uint32_t slowest_pct;
 	uint32_t fastest_pct;
+	/// Neighbours on the servers' VMs: in each period a server is slowed by
+	/// the factor with a probability. A period of 0: no neighbours.
+	int64_t neighbour_period_us;
+	uint32_t neighbour_pct;
+	double neighbour_factor;
 };
 
 /// A kind of request.
--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -119,6 +119,24 @@
 		    node);
 }
 
+/// Draws anew whether neighbours slow the VM.
+static void
+draw_neighbours(void *arg)
+{
+	struct node *node = arg;
+	struct simulation *sim = node->sim;
+	const struct mix_service *s = &sim->mix->services[node->service];
+
+	node->neighbours =
+	    simulation_random(sim) * 100 < (double)s->neighbour_pct
+	    ? s->neighbour_factor
+	    : 1;
+	if (sim->events.now_us < sim->mix->run_us)
+		events_add(&sim->events,
+		    sim->events.now_us + s->neighbour_period_us,
+		    draw_neighbours, node);
+}
+
 static void
 add_node(struct simulation *sim, uint32_t service, uint32_t i)
 {
@@ -134,7 +152,7 @@
 	if (s->servers > 1)
 		node->speed += (s->fastest_pct - s->slowest_pct) * i /
 		    (100.0 * (s->servers - 1));
-	node->slowdown = 1;
+	node->slowdown = node->neighbours = 1;
 	node->member.incarnation = 1;
 	node->member.backend = BACKEND_READY;
 	node->member.slots = s->slots;
@@ -149,6 +167,11 @@
 	}
 	start_admission(node);
 	scan_queue(node);
+	if (s->neighbour_period_us > 0)
+		events_add(&sim->events,
+		    (int64_t)(simulation_random(sim) *
+			(double)s->neighbour_period_us),
+		    draw_neighbours, node);
 }
 
 // Events of the mix.
@@ -333,8 +356,8 @@
 	    (double)(sim->runs - sim->first_runs) / (double)sim->completed;
 }
 
-/// Sets up ranks without reserved shares. The target of a rank is the shortest
-/// of its kinds.
+/// Sets up ranks without reserved shares. As in parsed rules, the target of a
+/// rank is the longest of its kinds.
 static void
 configure_ranks(struct simulation *sim)
 {
@@ -349,7 +372,7 @@
 		const struct mix_kind *k = &sim->mix->kinds[i];
 		int64_t *target_us = &sim->ranks[k->rank].target_us;
 
-		if (*target_us == 0 || k->target_us < *target_us)
+		if (k->target_us > *target_us)
 			*target_us = k->target_us;
 	}
 }
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -19,6 +19,7 @@
 	uint32_t service;
 	double speed;	     ///< 1: work takes as long as the mix states.
 	double slowdown;     ///< Factor of a MIX_SLOW event; 1: none.
+	double neighbours;   ///< Factor by which neighbours slow it; 1: none.
 	double failure_rate; ///< Probability from 0 to 1.
 	bool down;
 	int64_t slow_start_deadline_us;
--- a/src/core/replica/replica.c
+++ b/src/core/replica/replica.c
@@ -242,8 +242,8 @@
 /// Refuses messages that no correct replica sends: they would break what the
 /// handlers rely on.
 static int
-check_message(const struct replica *r, const struct replica_message *m,
-    struct error *err)
+check_message(
+    const struct replica *r, const struct replica_message *m, struct error *err)
 {
 	if (m->term == r->term && r->role == REPLICA_LEADER &&
 	    is_from_leader(m))
--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -10,6 +10,9 @@
 #define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
 
+/// A request may wait for the time left beside its service, divided by this.
+#define WAIT_DIVISOR 2
+
 void
 admission_init(struct admission *a, const struct admission_policy *policy,
     uint32_t max_queued, uint32_t max_queued_bytes)
@@ -100,13 +103,19 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	item->queued = true;
-	item->next = NULL;
-	item->prev = r->tail;
-	if (r->tail != NULL)
-		r->tail->next = item;
+	item->prev = item->begun ? r->begun_tail : r->tail;
+	item->next = item->prev == NULL ? r->head : item->prev->next;
+	if (item->prev != NULL)
+		item->prev->next = item;
 	else
 		r->head = item;
-	r->tail = item;
+	if (item->next != NULL)
+		item->next->prev = item;
+	else
+		r->tail = item;
+	if (item->begun)
+		r->begun_tail = item;
+	r->begun_queued += item->begun;
 	r->queued++;
 	r->queued_bytes += item->size_bytes;
 	a->queued++;
@@ -119,6 +128,9 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	assert(item->queued);
+	if (r->begun_tail == item)
+		r->begun_tail = item->prev;
+	r->begun_queued -= item->begun;
 	if (item->prev != NULL)
 		item->prev->next = item->next;
 	else
@@ -246,17 +258,44 @@
 	return (int64_t)(r->queued + 1) * estimate_interval_us(a, r);
 }
 
-/// Longest expected wait with which a request is accepted: half of its target
-/// less its service time, since the estimate is only a mean, and no more than
-/// its deadline allows.
+/// Estimates the wait of a new item: begun ones go ahead of the others.
+static int64_t
+estimate_wait_us(const struct admission *a, const struct admission_item *item)
+{
+	const struct admission_rank *r = &a->ranks[item->rank];
+
+	if (!item->begun)
+		return admission_wait_us(a, item->rank);
+	return (int64_t)(r->begun_queued + 1) * estimate_interval_us(a, r);
+}
+
+static int64_t
+estimate_item_service_us(
+    const struct admission_rank *r, const struct admission_item *item)
+{
+	return item->service_us > 0 ? item->service_us : estimate_service_us(r);
+}
+
+/// Longest expected wait with which an item is accepted: a part of the time that
+/// is left beside its service, since the estimate is only a mean. A begun item
+/// has until its deadline, since its own target earns nothing.
 static int64_t
 max_wait_us(const struct admission_rank *r, const struct admission_item *item,
     int64_t now_us)
 {
-	int64_t left_us = item->deadline_us - now_us - estimate_service_us(r);
-	int64_t target_us = (r->target_us - estimate_service_us(r)) / 2;
-
-	return r->target_us > 0 && target_us < left_us ? target_us : left_us;
+	int64_t service_us = estimate_item_service_us(r, item);
+	int64_t left_us = item->deadline_us - now_us - service_us;
+	int64_t target_left_us;
+
+	if (item->begun)
+		return left_us / WAIT_DIVISOR;
+	target_left_us = item->target_deadline_us > 0
+	    ? item->target_deadline_us - now_us
+	    : r->target_us;
+	if (target_left_us <= 0)
+		return left_us;
+	target_left_us = (target_left_us - service_us) / WAIT_DIVISOR;
+	return target_left_us < left_us ? target_left_us : left_us;
 }
 
 static bool
@@ -287,7 +326,7 @@
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
-	wait_us = admission_wait_us(a, item->rank);
+	wait_us = estimate_wait_us(a, item);
 	// An empty queue always accepts one, so that the estimate of the wait
 	// stays current.
 	if (!has_room(a, item) ||
@@ -341,7 +380,7 @@
 }
 
 /// Finds a head of a queue that can no longer meet its deadline. The limit is
-/// half of the mean service time, since half of the requests take longer.
+/// half of the expected service time, since half of the requests take longer.
 static struct admission_item *
 find_unmeetable(const struct admission *a, int64_t now_us)
 {
@@ -352,7 +391,10 @@
 		struct admission_item *item = r->head;
 
 		if (item != NULL &&
-		    item->deadline_us <= now_us + r->service_us / 2)
+		    item->deadline_us <= now_us +
+			    (item->service_us > 0 ? item->service_us
+						  : r->service_us) /
+				2)
 			return item;
 	}
 	return NULL;
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -1,10 +1,15 @@
 /// @file
 /// Admission to the slots of one backend server, by rank.
 ///
-/// Each rank has a FIFO queue. A free slot goes first to a rank that has used
-/// less than its reserved share of slot time, then to the rank of the highest
-/// worth. A rank may queue no more than the free space that is left, so that a
-/// flood of one rank cannot fill the whole queue.
+/// Each rank has a queue: first the calls of work that is begun already, then
+/// the other requests, each in order of arrival. A free slot goes first to a
+/// rank that has used less than its reserved share of slot time, then to the
+/// rank of the highest worth. A rank may queue no more than the free space that
+/// is left, so that a flood of one rank cannot fill the whole queue.
+///
+/// Answers the load of more requests than the slots can serve in time: a
+/// request waits only if it is likely to meet its own target, and is refused at
+/// once otherwise.
 #ifndef MV_CORE_REQUESTS_ADMISSION_H
 #define MV_CORE_REQUESTS_ADMISSION_H
 
@@ -31,7 +36,12 @@
 	uint32_t rank;
 	uint32_t size_bytes; ///< Memory that it uses while it is queued.
 	int64_t deadline_us;
-	int64_t target_deadline_us; ///< Until then it has its full worth.
+	/// Until then it has its full worth; 0: the target of its rank applies.
+	int64_t target_deadline_us;
+	int64_t service_us; ///< Its expected time in a slot; 0: not known.
+	/// A call of a request that a backend server has begun: refusing it
+	/// wastes that work as well.
+	bool begun;
 	int64_t arrival_us;
 	int64_t start_us;
 	int64_t charged_us; ///< Slot time charged to the credit at start.
@@ -45,9 +55,11 @@
 	uint32_t worth;
 	uint32_t keep_pct;
 	int64_t target_us;
-	struct admission_item *head;
+	struct admission_item *head; ///< Begun items first, else by arrival.
 	struct admission_item *tail;
+	struct admission_item *begun_tail; ///< Last begun item, or NULL.
 	uint32_t queued;
+	uint32_t begun_queued;
 	uint32_t queued_bytes;
 	uint32_t running;
 	int64_t credit_us;  ///< Unused slot time of the reserved share.
@@ -95,7 +107,7 @@
 /// Returns the index of a rank by name; that of the lowest worth if unknown.
 uint32_t admission_find_rank(const struct admission *a, const char *name);
 
-/// Offers a request whose rank, size and deadline are set.
+/// Offers a request whose rank, size and deadlines are set.
 ///
 /// @param retry_us  if refused: time after which a free place is expected, or
 ///                  0 if the deadline has passed
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -50,6 +50,10 @@
 
 #define SUSPECT_PERMILLE 500
 
+/// A busy mark also applies to requests with slightly more time than the
+/// refused one, by this part: requests of a kind differ by their way here.
+#define BUSY_MARGIN_DIVISOR 8
+
 /// Random part of the cost. Endpoints of nearly the same cost are chosen at
 /// random, so that proxies with the same view do not all choose the same one.
 #define JITTER_PERMILLE 10
@@ -292,17 +296,22 @@
 	return include_ejected || e->ejected_until_deadline_us <= now_us;
 }
 
-/// Time until which an endpoint is marked busy for the rank of a worth; 0 if
-/// it is not.
+/// Time until which an endpoint is marked busy for a request; 0 if it is not.
 static int64_t
-busy_until_us(const struct endpoint *e, uint32_t worth, int64_t now_us)
+busy_until_us(
+    const struct endpoint *e, const struct balancer_request *q, int64_t now_us)
 {
 	uint32_t i;
 
-	for (i = 0; i < BALANCER_BUSY_MARKS; i++)
-		if (e->busy[i].worth == worth &&
-		    e->busy[i].until_deadline_us > now_us)
-			return e->busy[i].until_deadline_us;
+	for (i = 0; i < BALANCER_BUSY_MARKS; i++) {
+		const struct busy_mark *mark = &e->busy[i];
+
+		if (mark->worth == q->worth && mark->begun == q->begun &&
+		    mark->until_deadline_us > now_us &&
+		    q->target_left_us <= mark->target_left_us +
+			    mark->target_left_us / BUSY_MARGIN_DIVISOR)
+			return mark->until_deadline_us;
+	}
 	return 0;
 }
 
@@ -324,7 +333,7 @@
 		if (!is_usable(e, include_ejected, now_us) ||
 		    was_tried(e, q->request->tried, q->request->tried_count))
 			continue;
-		busy_us = busy_until_us(e, q->request->worth, now_us);
+		busy_us = busy_until_us(e, q->request, now_us);
 		if (busy_us > 0) {
 			if (busy_us < choice.busy_until_deadline_us)
 				choice.busy_until_deadline_us = busy_us;
@@ -425,20 +434,23 @@
 }
 
 void
-balancer_set_busy(struct endpoint *e, uint32_t worth, int64_t until_deadline_us)
+balancer_set_busy(struct endpoint *e, const struct balancer_request *refused,
+    int64_t until_deadline_us)
 {
-	uint32_t oldest = 0;
+	struct busy_mark *mark = &e->busy[0];
 	uint32_t i;
 
 	for (i = 0; i < BALANCER_BUSY_MARKS; i++) {
-		if (e->busy[i].worth == worth) {
-			oldest = i;
+		if (e->busy[i].worth == refused->worth &&
+		    e->busy[i].begun == refused->begun) {
+			mark = &e->busy[i];
 			break;
 		}
-		if (e->busy[i].until_deadline_us <
-		    e->busy[oldest].until_deadline_us)
-			oldest = i;
+		if (e->busy[i].until_deadline_us < mark->until_deadline_us)
+			mark = &e->busy[i];
 	}
-	e->busy[oldest].worth = worth;
-	e->busy[oldest].until_deadline_us = until_deadline_us;
+	mark->worth = refused->worth;
+	mark->begun = refused->begun;
+	mark->target_left_us = refused->target_left_us;
+	mark->until_deadline_us = until_deadline_us;
 }
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -17,10 +17,12 @@
 
 #define BALANCER_BUSY_MARKS 8
 
-/// A rank for which an egress has no room until a time. Each rank has its own
-/// queue and share there, so a mark does not affect other ranks.
+/// Requests for which an egress has no room until a time: those of a rank, as
+/// each has its own queue there, with no more time than one that was refused.
 struct busy_mark {
 	uint32_t worth;
+	bool begun;
+	int64_t target_left_us;
 	int64_t until_deadline_us;
 };
 
@@ -71,7 +73,8 @@
 
 /// Properties of a request that the choice depends on.
 struct balancer_request {
-	uint32_t worth;		  ///< Worth of its rank.
+	uint32_t worth; ///< Worth of its rank.
+	bool begun;	///< A call of a request that a backend server runs.
 	int64_t target_left_us;	  ///< Time until it is late; 0: not known.
 	int64_t deadline_left_us; ///< Time until its deadline; 0: not known.
 	uint32_t size_bytes;	  ///< Size of its body.
@@ -125,9 +128,9 @@
 void balancer_report(struct endpoint *endpoint, uint32_t running,
     uint32_t queued, int64_t service_us, int64_t now_us);
 
-/// Marks an endpoint as busy until a time, for requests of the rank of a worth.
-void balancer_set_busy(
-    struct endpoint *endpoint, uint32_t worth, int64_t until_deadline_us);
+/// Marks an endpoint as busy until a time, for requests like a refused one.
+void balancer_set_busy(struct endpoint *endpoint,
+    const struct balancer_request *refused, int64_t until_deadline_us);
 
 /// Finds an endpoint by name; NULL if unknown.
 struct endpoint *balancer_find(const struct balancer *b, const char *name);
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -86,6 +86,10 @@
 	    int64_t lease_us, struct backend_announcement *out,
 	    struct error *err);
 
+	/// Returns the length of the id of the request that a request is a call
+	/// of, as its own id states it; 0: it states none. NULL: ids state none.
+	size_t (*parent_id_bytes)(const char *id);
+
 	/// Classifies a request of an operator. NULL: the built-in paths only.
 	enum dialect_operation (*read_operation)(
 	    const char *method, const char *target);
--- a/src/io/json_text.c
+++ b/src/io/json_text.c
@@ -14,8 +14,8 @@
 	const uint8_t *end = (const uint8_t *)text + text_bytes;
 	uint8_t *at = (uint8_t *)text;
 
-	while ((at = (uint8_t *)(uintptr_t)u8_check(
-		    at, (size_t)(end - at))) != NULL)
+	while ((at = (uint8_t *)(uintptr_t)u8_check(at, (size_t)(end - at))) !=
+	    NULL)
 		*at++ = '?';
 }
 
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -221,12 +221,11 @@
 	json_t *root = json_pack("{s:o, s:o, s:o, s:I, s:b, s:o, s:s, s:i, "
 				 "s:i, s:i}",
 	    "name", json_text(self->name), "region", json_text(self->region),
-	    "dc", json_text(self->dc),
-	    "version", (json_int_t)self->version, "ready", control->floor.ready,
-	    "service", json_text(self->service), "backend",
-	    backend_state_name(control->backend.latest.state), "members_alive",
-	    (int)membership_alive_count(&control->membership), "active",
-	    (int)traffic_active_count(control->traffic), "load_pct",
+	    "dc", json_text(self->dc), "version", (json_int_t)self->version,
+	    "ready", control->floor.ready, "service", json_text(self->service),
+	    "backend", backend_state_name(control->backend.latest.state),
+	    "members_alive", (int)membership_alive_count(&control->membership),
+	    "active", (int)traffic_active_count(control->traffic), "load_pct",
 	    (int)traffic_load_pct(control->traffic));
 	char *text = json_render(root, JSON_INDENT(2));
 
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -5,6 +5,8 @@
 
 #include "proxy/egress/egress_request.h"
 
+#define PERMILLE 1000
+
 struct egress_request *
 egress_request_create(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
@@ -21,8 +23,14 @@
 		r->next->prev = r;
 	egress->first = r;
 	bytes_copy(message->rank, rank, sizeof(rank));
+	if (egress->dialect->headers.attempt != NULL)
+		header_list_find(&r->message->headers,
+		    egress->dialect->headers.attempt, &r->caller_id);
 	r->item.rank = admission_find_rank(&egress->admission, rank);
 	r->item.size_bytes = message->body.size_bytes;
+	r->item.begun = message->begun != 0;
+	r->item.service_us = egress_get_service_us(egress) *
+	    (int64_t)message->service_permille / PERMILLE;
 	r->item.deadline_us =
 	    loop_now_us(egress->loop) + message->deadline_left_us;
 	r->item.target_deadline_us =
@@ -69,3 +77,17 @@
 			return r;
 	return NULL;
 }
+
+bool
+egress_is_running(
+    const struct egress *egress, const char *request_id, size_t id_bytes)
+{
+	const struct egress_request *r;
+
+	for (r = egress->first; r != NULL; r = r->next)
+		if (r->state == REQUEST_RUNNING &&
+		    r->caller_id.size_bytes == id_bytes &&
+		    memcmp(r->caller_id.data, request_id, id_bytes) == 0)
+			return true;
+	return false;
+}
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -30,6 +30,7 @@
 	struct once_claim *claim;
 	enum request_state state;
 	uint64_t fence_key;
+	struct bytes caller_id; ///< The caller's id of the request, or empty.
 	char *url;
 	char rank_text[RULES_NAME_BYTES];
 	char expected[BACKEND_ID_BYTES]; ///< Id of the target backend server.
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -70,7 +70,7 @@
 	free(text);
 }
 
-/// Marks an endpoint that refused for lack of room as busy for the rank.
+/// Marks an endpoint that refused for lack of room as busy for such requests.
 ///
 /// @return whether the response counts as a failure of the endpoint; a full
 ///         queue does not
@@ -78,14 +78,16 @@
 record_endpoint_refusal(
     struct ingress_request *r, const struct message_response *m)
 {
+	int64_t now_us = loop_now_us(r->ingress->loop);
 	int64_t wait_us = m->retry_left_us;
+	struct balancer_request refused;
 
 	if (!outcome_is_not_run((enum outcome)m->outcome) || wait_us <= 0)
 		return m->outcome != OUTCOME_ANSWERED;
 	if (wait_us > BUSY_MAX_US)
 		wait_us = BUSY_MAX_US;
-	balancer_set_busy(r->endpoint, r->rank->worth,
-	    loop_now_us(r->ingress->loop) + wait_us);
+	ingress_fill_query(r, &refused, now_us);
+	balancer_set_busy(r->endpoint, &refused, now_us + wait_us);
 	return false;
 }
 
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -137,6 +137,9 @@
 	m->deadline_left_us = r->deadline_us - clock_now_us();
 	m->target_left_us = r->target_deadline_us - clock_now_us();
 	m->repeatable = r->safe;
+	m->begun = r->begun;
+	m->service_permille =
+	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
 	m->rank = bytes_from_string(r->rank->name);
 	m->service = bytes_from_string(r->balancer->service);
 	m->method = bytes_from_string(x->method);
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -62,8 +62,9 @@
 	bool stream_lost;     ///< Still to visit in ingress_on_stream_lost.
 	bool budget_credited; ///< It has been added to the retry budget.
 	bool trusted;	      ///< It came from the trusted listener.
-	bool parked;	      ///< Waits for rules or endpoints after a start.
-	bool visit_pending;   ///< Still to visit in a loop of waiting.c.
+	bool begun;	    ///< A call of a request that a backend server runs.
+	bool parked;	    ///< Waits for rules or endpoints after a start.
+	bool visit_pending; ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	uint32_t service;	    ///< Index; drawn from the route's targets.
@@ -202,6 +203,10 @@
 
 // tries.c
 
+/// Fills in what the choice of an endpoint depends on.
+void ingress_fill_query(
+    struct ingress_request *r, struct balancer_request *q, int64_t now_us);
+
 /// Chooses an endpoint and sends the request to it. Without an endpoint, parks
 /// the request or responds.
 void ingress_attempt_start(struct ingress_request *r);
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -84,6 +84,23 @@
 	    &r->headers, bytes_from_string(name), bytes_from_string(service));
 }
 
+/// Tells whether the request is a call of one that the local backend server
+/// runs. An id alone proves nothing: any caller chooses its own.
+static bool
+is_call_of_running(const struct ingress_request *r)
+{
+	const struct ingress *ingress = r->ingress;
+	size_t parent_bytes;
+
+	if (r->trusted)
+		return true;
+	if (ingress->dialect->parent_id_bytes == NULL)
+		return false;
+	parent_bytes = ingress->dialect->parent_id_bytes(r->request_id);
+	return parent_bytes > 0 &&
+	    egress_is_running(ingress->egress, r->request_id, parent_bytes);
+}
+
 void
 ingress_route(struct ingress_request *r)
 {
@@ -99,6 +116,7 @@
 		return;
 	}
 	r->rank = &r->rules->ranks[r->route->rank];
+	r->begun = is_call_of_running(r);
 	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
 	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
 	r->service = rules_draw_target(r->route, random_next(&ingress->random));
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -30,15 +30,18 @@
 		    "no backend server can be had");
 }
 
-static void
-fill_query(
+void
+ingress_fill_query(
     struct ingress_request *r, struct balancer_request *q, int64_t now_us)
 {
 	memset(q, 0, sizeof(*q));
 	q->worth = r->rank->worth;
+	q->begun = r->begun;
 	q->target_left_us = r->target_deadline_us - now_us;
 	q->deadline_left_us = r->deadline_us - now_us;
-	q->size_bytes = (uint32_t)r->exchange->body_bytes;
+	// The caller may have left.
+	if (r->exchange != NULL)
+		q->size_bytes = (uint32_t)r->exchange->body_bytes;
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
 	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
@@ -66,7 +69,7 @@
 	if (!r->budget_credited)
 		retry_budget_earn(&r->balancer->retries);
 	r->budget_credited = true;
-	fill_query(r, &query, now_us);
+	ingress_fill_query(r, &query, now_us);
 	choice = balancer_choose(r->balancer, &query, now_us);
 	if (choice.endpoint == NULL) {
 		conclude_without_endpoint(r, choice.busy_until_deadline_us);
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -55,7 +55,8 @@
 			sum.in_force = 0;
 		json_array_append_new(regions,
 		    json_pack("{s:o, s:i, s:i}", "region", json_text(name),
-			"in_force", (int)sum.in_force, "members", (int)sum.members));
+			"in_force", (int)sum.in_force, "members",
+			(int)sum.members));
 	}
 	return regions;
 }
@@ -104,9 +105,8 @@
 			    &source->reports, NULL, since, now_us);
 
 			json_array_append_new(rules,
-			    json_pack("{s:i, s:o, s:I, s:i}", "line",
-				(int)line, "rule", json_text_n(at, n),
-				"since_version",
+			    json_pack("{s:i, s:o, s:I, s:i}", "line", (int)line,
+				"rule", json_text_n(at, n), "since_version",
 				(json_int_t)since, "in_force",
 				(int)sum.in_force));
 		}
--- a/test/unit/replica_cluster.c
+++ b/test/unit/replica_cluster.c
@@ -262,8 +262,8 @@
 		    f.m.kind == REPLICA_SNAPSHOT ? &f.snapshot : NULL;
 		if (to->up && !to->partitioned && !from->partitioned) {
 			// Correct replicas send nothing that is refused.
-			assert_int_equal(replica_step(&to->replica, &f.m,
-					     c->now_us, &err),
+			assert_int_equal(
+			    replica_step(&to->replica, &f.m, c->now_us, &err),
 			    0);
 			// Several messages may share one sync.
 			if (random_below(&c->random, 2) == 0)
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -460,6 +460,162 @@
 	assert_int_equal(verdict, ADMISSION_RUN);
 }
 
+/// Requests of two kinds in one rank: quick ones, and patient ones with a far
+/// target, which sets the target of the rank.
+struct mixed_load {
+	const char *name;
+	double load; ///< Offered, in slots.
+	int64_t target_us;
+	int64_t service_us;
+	bool begun;
+	// Results.
+	uint32_t offered;
+	uint32_t in_target;
+	uint32_t refused;
+};
+
+#define MIXED_SLOTS 9
+
+struct mixed_item {
+	struct admission_item item;
+	struct mixed_load *load;
+	int64_t end_us;
+};
+
+static void
+start_mixed(struct mixed_item *m, struct random *random, int64_t now_us)
+{
+	int64_t service_us = m->load->service_us;
+
+	m->end_us = now_us + service_us * 6 / 10 +
+	    random_time_us(random, service_us * 8 / 10);
+	m->load->in_target += m->end_us <= m->item.target_deadline_us;
+}
+
+/// Plays the loads on the rank "log" for 30 s.
+static void
+play_mixed(struct mixed_load *loads, uint32_t count)
+{
+	struct mixed_item *running[MIXED_SLOTS] = {NULL};
+	struct random random = {9, 0};
+	enum admission_verdict verdict;
+	struct admission_item *next;
+	struct admission a;
+	int64_t step_us = 500;
+	int64_t now_us;
+	uint32_t i;
+
+	init(&a, MIXED_SLOTS);
+	for (now_us = SECOND_US; now_us < 31 * SECOND_US; now_us += step_us) {
+		for (i = 0; i < MIXED_SLOTS; i++)
+			if (running[i] != NULL &&
+			    running[i]->end_us <= now_us) {
+				admission_finish(&a, &running[i]->item, now_us);
+				free(running[i]);
+				running[i] = NULL;
+			}
+		for (i = 0; i < count; i++) {
+			struct mixed_load *l = &loads[i];
+			struct mixed_item *m;
+			int64_t retry_us;
+
+			if (random_below(&random, 1000000) >= l->load *
+				(double)step_us / (double)l->service_us *
+				1000000)
+				continue;
+			m = calloc(1, sizeof(*m));
+			m->load = l;
+			m->item.rank = 2;
+			m->item.begun = l->begun;
+			m->item.service_us = l->service_us;
+			m->item.target_deadline_us = now_us + l->target_us;
+			m->item.deadline_us = now_us + 4 * l->target_us;
+			l->offered++;
+			verdict =
+			    admission_offer(&a, &m->item, now_us, &retry_us);
+			if (verdict == ADMISSION_REFUSED) {
+				l->refused++;
+				free(m);
+				continue;
+			}
+			if (verdict == ADMISSION_QUEUED)
+				continue;
+			start_mixed(m, &random, now_us);
+			for (uint32_t s = 0; s < MIXED_SLOTS; s++)
+				if (running[s] == NULL) {
+					running[s] = m;
+					break;
+				}
+		}
+		while ((next = admission_next(&a, now_us, &verdict)) != NULL) {
+			struct mixed_item *m = (struct mixed_item *)next;
+
+			if (verdict == ADMISSION_REFUSED) {
+				m->load->refused++;
+				free(m);
+				continue;
+			}
+			start_mixed(m, &random, now_us);
+			for (uint32_t s = 0; s < MIXED_SLOTS; s++)
+				if (running[s] == NULL) {
+					running[s] = m;
+					break;
+				}
+		}
+	}
+	while ((next = admission_next(
+		    &a, now_us + 100 * SECOND_US, &verdict)) != NULL)
+		free(next);
+	for (i = 0; i < MIXED_SLOTS; i++)
+		free(running[i]);
+}
+
+/// Half as many requests again as the slots can serve, with a target of four
+/// service times in a rank whose target is twenty: what is served is served in
+/// time, and the slots do not idle.
+static void
+test_own_target_limits_the_queue(void **state)
+{
+	struct mixed_load quick = {
+	    "quick", 1.5 * MIXED_SLOTS, 400 * MS, 100 * MS, false, 0, 0, 0};
+	uint32_t possible = 30 * MIXED_SLOTS * 10;
+
+	(void)state;
+	play_mixed(&quick, 1);
+	assert_true(quick.in_target >= possible * 90 / 100);
+	assert_true(quick.refused >= quick.offered * 25 / 100);
+}
+
+/// The same with a load that fits: nothing is refused that had room.
+static void
+test_own_target_spares_a_fitting_load(void **state)
+{
+	struct mixed_load quick = {
+	    "quick", 0.8 * MIXED_SLOTS, 400 * MS, 100 * MS, false, 0, 0, 0};
+
+	(void)state;
+	play_mixed(&quick, 1);
+	assert_true(quick.refused <= quick.offered / 100);
+	assert_true(quick.in_target >= quick.offered * 98 / 100);
+}
+
+/// In an overload of its rank a call of work that is begun is not refused, and
+/// hardly waits.
+static void
+test_begun_work_goes_first(void **state)
+{
+	struct mixed_load loads[] = {
+	    {"call", 0.2 * MIXED_SLOTS, 120 * MS, 30 * MS, true, 0, 0, 0},
+	    {"fresh", 1.5 * MIXED_SLOTS, 500 * MS, 140 * MS, false, 0, 0, 0},
+	};
+
+	(void)state;
+	play_mixed(loads, 2);
+	assert_int_equal(loads[0].refused, 0);
+	assert_true(loads[0].in_target >= loads[0].offered * 95 / 100);
+	assert_true(loads[1].refused > 0);
+}
+
 int
 main(void)
 {
@@ -472,6 +628,9 @@
 	    cmocka_unit_test(test_bounds),
 	    cmocka_unit_test(test_unmeetable_deadline),
 	    cmocka_unit_test(test_reconfigure),
+	    cmocka_unit_test(test_own_target_limits_the_queue),
+	    cmocka_unit_test(test_own_target_spares_a_fitting_load),
+	    cmocka_unit_test(test_begun_work_goes_first),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/test_replica.c
+++ b/test/unit/test_replica.c
@@ -271,8 +271,8 @@
 	}
 	m.kind = REPLICA_APPEND_RESPONSE;
 	assert_int_equal(replica_step(r, &m, c->now_us, &err), -1);
-	assert_true(replica_progress_get(r, m.from)->match <=
-	    replica_last_index(r));
+	assert_true(
+	    replica_progress_get(r, m.from)->match <= replica_last_index(r));
 	acknowledged = cluster_highest_acknowledged(c);
 	cluster_run_steps(c, 300, false);
 	assert_true(cluster_highest_acknowledged(c) > acknowledged);
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -182,6 +182,37 @@
 	balancer_free(&b);
 }
 
+/// An endpoint that refused a request for lack of time to wait still gets
+/// requests of the same rank that can wait longer, and calls of work in
+/// progress, which go ahead of others there.
+static void
+test_busy_spares_the_patient(void **state)
+{
+	static const char *const endpoint_names[] = {
+	    "a", "b", "c", "d", "e", "f"};
+	struct balancer_request q = {.worth = 5, .target_left_us = 300000};
+	struct balancer b;
+	size_t i;
+
+	(void)state;
+	balancer_init(&b, "s", 1, 0);
+	add_endpoints(&b, SECOND_US);
+	for (i = 0; i < 6; i++)
+		balancer_set_busy(
+		    balancer_find(&b, endpoint_names[i]), &q, 2 * SECOND_US);
+	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	q.target_left_us = 305000;
+	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	q.target_left_us = 100000;
+	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	q.target_left_us = 1500000;
+	assert_non_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	q.target_left_us = 100000;
+	q.begun = true;
+	assert_non_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	balancer_free(&b);
+}
+
 /// An endpoint that is busy for one rank is still used for others, which have
 /// their own share there. If all are busy, the choice says until when.
 static void
@@ -189,6 +220,7 @@
 {
 	static const char *const endpoint_names[] = {
 	    "a", "b", "c", "d", "e", "f"};
+	struct balancer_request refused = {.worth = 5};
 	struct balancer_choice c;
 	struct balancer b;
 	size_t i;
@@ -197,8 +229,8 @@
 	balancer_init(&b, "s", 1, 0);
 	add_endpoints(&b, SECOND_US);
 	for (i = 0; i < 6; i++)
-		balancer_set_busy(balancer_find(&b, endpoint_names[i]), 5,
-		    SECOND_US + 1000 * (int64_t)(i + 1));
+		balancer_set_busy(balancer_find(&b, endpoint_names[i]),
+		    &refused, SECOND_US + 1000 * (int64_t)(i + 1));
 	c = choose(&b, 5, SECOND_US);
 	assert_null(c.endpoint);
 	assert_int_equal(c.busy_until_deadline_us, SECOND_US + 1000);
@@ -335,6 +367,7 @@
 	    cmocka_unit_test(test_slow_start),
 	    cmocka_unit_test(test_ejection_is_bounded),
 	    cmocka_unit_test(test_busy_by_worth),
+	    cmocka_unit_test(test_busy_spares_the_patient),
 	    cmocka_unit_test(test_retry_safety),
 	    cmocka_unit_test(test_retry_budget),
 	    cmocka_unit_test(test_fence),
