feat(requests): a share for calls of begun work; their repeats are counted; returns spread

Requests that a server shed were answered without a time to come back. Solution: calls of begun work go before all ranks for a quarter of the slot time. A request says whether its run repeats one, and the ingress next to the server charges that server's calls to the budget of the service called; so four fifths of the ratio are used. Refused callers come back at a random time in which they can still be in time (core/requests/retry_after).

--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/requests/retry.h"
+#include "core/requests/retry_after.h"
 #include "model/world.h"
 
 #define US_PER_MS 1000
@@ -353,7 +354,14 @@
     struct call *c, enum outcome outcome, bool failed, int64_t retry_us)
 {
 	struct call *parent = c->parent;
+	int64_t now_us = call_now_us(c);
+	struct retry_after_request q = {
+	    .target_left_us = c->target_deadline_us - now_us,
+	    .deadline_left_us = c->deadline_us - now_us,
+	    .service_us = call_get_kind(c)->work_us};
 
+	if (outcome == OUTCOME_NOT_RUN)
+		retry_us = retry_after_draw_us(&c->sim->random, &q);
 	c->concluded = true;
 	c->outcome = outcome;
 	c->failed = failed;
--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -7,9 +7,14 @@
 #define EMA_DIVISOR	     16
 #define IDLE_CREDIT_REQUESTS 2
 #define CREDIT_MAX_US	     2000000LL
+#define BEGUN_CREDIT_MAX_US  500000LL
 #define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
 
+/// Share of slot time for which calls of begun work go before all ranks. More
+/// could starve a rank of high worth.
+#define BEGUN_SHARE_PCT 25
+
 /// A request may wait for the time left beside its service, divided by this.
 #define WAIT_DIVISOR 2
 
@@ -153,6 +158,13 @@
 	return r->service_us > 0 ? r->service_us : DEFAULT_SERVICE_US;
 }
 
+static int64_t
+estimate_item_service_us(
+    const struct admission_rank *r, const struct admission_item *item)
+{
+	return item->service_us > 0 ? item->service_us : estimate_service_us(r);
+}
+
 /// Adds to a credit within its limits. Slot time used beyond the share is not
 /// a debt. While a rank has no queue, it saves up two requests' worth at most.
 static void
@@ -169,6 +181,17 @@
 		r->credit_us = max_us;
 }
 
+/// Adds to the credit of begun work within its limits.
+static void
+add_begun_credit(struct admission *a, int64_t time_us)
+{
+	a->begun_credit_us += time_us;
+	if (a->begun_credit_us < 0)
+		a->begun_credit_us = 0;
+	if (a->begun_credit_us > BEGUN_CREDIT_MAX_US)
+		a->begun_credit_us = BEGUN_CREDIT_MAX_US;
+}
+
 /// Updates the slot-time credit of each rank. A rank earns its reserved share
 /// of all slot time, and pays for each request that it starts.
 static void
@@ -180,6 +203,7 @@
 	a->credits_updated_us = now_us;
 	if (elapsed_us <= 0)
 		return;
+	add_begun_credit(a, elapsed_us * BEGUN_SHARE_PCT * a->slots / PERCENT);
 	for (i = 0; i < a->rank_count; i++) {
 		struct admission_rank *r = &a->ranks[i];
 
@@ -187,14 +211,36 @@
 	}
 }
 
+/// Picks the rank of the highest worth that has begun work queued while that
+/// is below its share; -1 if there is none.
 static int
-pick_by_share(struct admission *a, int64_t now_us)
+pick_begun(const struct admission *a)
 {
 	int best = -1;
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++) {
+		const struct admission_rank *r = &a->ranks[i];
+
+		if (r->begun_queued > 0 &&
+		    a->begun_credit_us >=
+			estimate_item_service_us(r, r->head) &&
+		    (best < 0 || r->worth > a->ranks[best].worth))
+			best = (int)i;
+	}
+	return best;
+}
+
+static int
+pick_by_share(struct admission *a, int64_t now_us)
+{
+	int best = pick_begun(a);
 	bool best_below_share = false;
 	uint32_t i;
 
 	(void)now_us;
+	if (best >= 0)
+		return best;
 	for (i = 0; i < a->rank_count; i++) {
 		const struct admission_rank *r = &a->ranks[i];
 		bool below_share = r->credit_us >= estimate_service_us(r);
@@ -234,6 +280,12 @@
 	    ? r->credit_us
 	    : estimate_service_us(r);
 	add_credit(r, -item->charged_us);
+	if (item->begun) {
+		item->begun_charged_us = estimate_item_service_us(r, item);
+		if (item->begun_charged_us > a->begun_credit_us)
+			item->begun_charged_us = a->begun_credit_us;
+		add_begun_credit(a, -item->begun_charged_us);
+	}
 	r->running++;
 	a->running++;
 	flow_enter(&a->slot_time, now_us);
@@ -269,13 +321,6 @@
 	return (int64_t)(r->begun_queued + 1) * estimate_interval_us(a, r);
 }
 
-static int64_t
-estimate_item_service_us(
-    const struct admission_rank *r, const struct admission_item *item)
-{
-	return item->service_us > 0 ? item->service_us : estimate_service_us(r);
-}
-
 /// Longest expected wait with which an item is accepted: a part of the time that
 /// is left beside its service, since the estimate is only a mean. A begun item
 /// has until its deadline, since its own target earns nothing.
@@ -352,6 +397,9 @@
 	a->running--;
 	if (item->charged_us > 0)
 		add_credit(r, item->charged_us - (now_us - item->start_us));
+	if (item->begun_charged_us > 0)
+		add_begun_credit(
+		    a, item->begun_charged_us - (now_us - item->start_us));
 }
 
 void
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -2,9 +2,10 @@
 /// Admission to the slots of one backend server, by rank.
 ///
 /// Each rank has a queue: first the calls of work that is begun already, then
-/// the other requests, each in order of arrival. A free slot goes first to a
-/// rank that has used less than its reserved share of slot time, then to the
-/// rank of the highest worth. A rank may queue no more than the free space that
+/// the other requests, each in order of arrival. A free slot goes first to calls
+/// of begun work while these have used less than their share of slot time, then
+/// to a rank that has used less than its reserved share, then to the rank of the
+/// highest worth. A rank may queue no more than the free space that
 /// is left, so that a flood of one rank cannot fill the whole queue.
 ///
 /// Answers the load of more requests than the slots can serve in time: a
@@ -44,7 +45,8 @@
 	bool begun;
 	int64_t arrival_us;
 	int64_t start_us;
-	int64_t charged_us; ///< Slot time charged to the credit at start.
+	int64_t charged_us;	  ///< Slot time charged to the credit at start.
+	int64_t begun_charged_us; ///< The same, to that of begun work.
 	bool queued;
 	bool running;
 };
@@ -89,6 +91,7 @@
 	uint32_t max_queued_bytes;
 	struct flow slot_time;
 	int64_t credits_updated_us; ///< Time of the last update of credits.
+	int64_t begun_credit_us;    ///< Unused slot time of begun work's share.
 	uint32_t rank_count;
 	struct admission_rank ranks[ADMISSION_MAX_RANKS];
 };
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -111,7 +111,9 @@
 /// A request, and defaults for endpoints without a report.
 struct choice_context {
 	const struct balancer_request *request;
-	int64_t mean_service_us; ///< Of all endpoints that reported it.
+	/// Of all endpoints that reported it. One without a report is assumed to
+	/// take as long, so that it does not attract all requests at once.
+	int64_t mean_service_us;
 };
 
 /// Weight of the reported service time of an endpoint: decays with its age.
@@ -124,11 +126,8 @@
 	    -(double)(now_us - e->service_reported_us) / SERVICE_HALF_LIFE_US);
 }
 
-/// Mean service time over all endpoints, weighted by the age of their reports.
-/// A new endpoint is assumed to take as long, so that it does not attract all
-/// requests at once.
-static int64_t
-mean_service_us(const struct balancer *b, int64_t now_us)
+int64_t
+balancer_mean_service_us(const struct balancer *b, int64_t now_us)
 {
 	double sum_us = 0;
 	double sum = 0;
@@ -354,7 +353,8 @@
 balancer_choose(
     struct balancer *b, const struct balancer_request *q, int64_t now_us)
 {
-	struct choice_context choice_context = {q, mean_service_us(b, now_us)};
+	struct choice_context choice_context = {
+	    q, balancer_mean_service_us(b, now_us)};
 	struct balancer_choice choice =
 	    find_cheapest(b, &choice_context, false, now_us);
 
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -132,6 +132,10 @@
 void balancer_set_busy(struct endpoint *endpoint,
     const struct balancer_request *refused, int64_t until_deadline_us);
 
+/// Returns the mean service time over all endpoints; 0 if none is known. Newer
+/// reports weigh more.
+int64_t balancer_mean_service_us(const struct balancer *b, int64_t now_us);
+
 /// Finds an endpoint by name; NULL if unknown.
 struct endpoint *balancer_find(const struct balancer *b, const char *name);
 
--- a/src/core/requests/retry.c
+++ b/src/core/requests/retry.c
@@ -7,7 +7,11 @@
 #define RETRY_EARN_MILLI   200
 #define RETRY_MAX_MILLI	   20000
 #define RETRY_MAX_ATTEMPTS 3
-#define PERCENT		   100
+
+/// Longest debt: after it the calls of repeated runs are not counted, so that
+/// retries resume within a moderate time.
+#define RETRY_MAX_DEBT_MILLI 20000
+#define PERCENT		     100
 
 void
 retry_budget_init(struct retry_budget *budget)
@@ -44,6 +48,14 @@
 	clamp_tokens(budget);
 }
 
+void
+retry_budget_charge(struct retry_budget *budget)
+{
+	budget->tokens_milli -= RETRY_COST_MILLI;
+	if (budget->tokens_milli < -RETRY_MAX_DEBT_MILLI)
+		budget->tokens_milli = -RETRY_MAX_DEBT_MILLI;
+}
+
 /// Tells whether the outcome of the last attempt allows a retry.
 static bool
 is_safe_to_retry(const struct retry_request *request)
--- a/src/core/requests/retry.h
+++ b/src/core/requests/retry.h
@@ -11,8 +11,8 @@
 /// Token bucket that limits retries to a share of recent requests. Each ingress
 /// has its own part of the budget of the whole mesh.
 struct retry_budget {
-	int64_t tokens_milli;
-	int64_t earn_milli; ///< Added by each first attempt.
+	int64_t tokens_milli; ///< Below zero: a debt.
+	int64_t earn_milli;   ///< Added by each first attempt.
 	int64_t max_milli;
 };
 
@@ -44,6 +44,10 @@
 /// Adds the tokens that a first attempt earns.
 void retry_budget_earn(struct retry_budget *budget);
 
+/// Takes the tokens of a call that a repeated run makes. It is sent in any case,
+/// so that tokens may fall below zero.
+void retry_budget_charge(struct retry_budget *budget);
+
 /// Decides whether to retry, and takes the tokens of a retry if so. The first
 /// delivery to a backend server takes none.
 bool retry_decide(struct retry_budget *budget,
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -84,8 +84,10 @@
     struct egress *egress, const struct egress_sink *sink, uint64_t id);
 
 /// Tells whether the backend server runs the request with an id now.
-bool egress_is_running(
-    const struct egress *egress, const char *request_id, size_t id_bytes);
+///
+/// @param is_repeat  set if so: whether that run repeats an earlier one
+bool egress_is_running(const struct egress *egress, const char *request_id,
+    size_t id_bytes, bool *is_repeat);
 
 /// Receives a further part of a request body.
 void egress_request_receive_body(
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -79,8 +79,8 @@
 }
 
 bool
-egress_is_running(
-    const struct egress *egress, const char *request_id, size_t id_bytes)
+egress_is_running(const struct egress *egress, const char *request_id,
+    size_t id_bytes, bool *is_repeat)
 {
 	const struct egress_request *r;
 
@@ -88,6 +88,7 @@
 		if (r->state == REQUEST_RUNNING &&
 		    r->caller_id.size_bytes == id_bytes &&
 		    memcmp(r->caller_id.data, request_id, id_bytes) == 0)
-			return true;
-	return false;
+			break;
+	*is_repeat = r != NULL && r->message->repeat != 0;
+	return r != NULL;
 }
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -62,9 +62,10 @@
 	bool stream_lost;     ///< Still to visit in ingress_on_stream_lost.
 	bool budget_credited; ///< It has been added to the retry budget.
 	bool trusted;	      ///< It came from the trusted listener.
-	bool begun;	    ///< A call of a request that a backend server runs.
-	bool parked;	    ///< Waits for rules or endpoints after a start.
-	bool visit_pending; ///< Still to visit in a loop of waiting.c.
+	bool begun; ///< A call of a request that a backend server runs.
+	bool parent_repeats; ///< That run repeats an earlier one.
+	bool parked;	     ///< Waits for rules or endpoints after a start.
+	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	uint32_t service;	    ///< Index; drawn from the route's targets.
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -87,7 +87,7 @@
 /// Tells whether the request is a call of one that the local backend server
 /// runs. An id alone proves nothing: any caller chooses its own.
 static bool
-is_call_of_running(const struct ingress_request *r)
+is_call_of_running(struct ingress_request *r)
 {
 	const struct ingress *ingress = r->ingress;
 	size_t parent_bytes;
@@ -98,7 +98,8 @@
 		return false;
 	parent_bytes = ingress->dialect->parent_id_bytes(r->request_id);
 	return parent_bytes > 0 &&
-	    egress_is_running(ingress->egress, r->request_id, parent_bytes);
+	    egress_is_running(ingress->egress, r->request_id, parent_bytes,
+		&r->parent_repeats);
 }
 
 void
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -2,21 +2,39 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/requests/retry_after.h"
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "proxy/ingress/ingress_log.h"
 
 #define CANCEL_GRACE_US (100 * US_PER_MS)
+#define PERMILLE	1000
 
 COUNTER_DEFINE(count_retries, "ingress_retries", "Attempts after the first");
 
+/// Draws when the caller of a request that was refused for lack of room should
+/// come back.
+static int64_t
+draw_retry_after_us(struct ingress_request *r)
+{
+	int64_t now_us = loop_now_us(r->ingress->loop);
+	struct retry_after_request q = {
+	    .target_left_us = r->target_deadline_us - now_us,
+	    .deadline_left_us = r->deadline_us - now_us};
+
+	if (r->balancer != NULL)
+		q.service_us = balancer_mean_service_us(r->balancer, now_us) *
+		    (int64_t)ingress_get_route_stats(r)
+			->service_ratio_permille /
+		    PERMILLE;
+	return retry_after_draw_us(&r->ingress->random, &q);
+}
+
 /// Parks the request or responds, since no endpoint is left. Sends the response
 /// kept from the last attempt if there was one.
 static void
 conclude_without_endpoint(struct ingress_request *r, int64_t busy_until_us)
 {
-	int64_t now_us = loop_now_us(r->ingress->loop);
-
 	if (r->arrivals == 0 && busy_until_us == INT64_MAX && ingress_park(r))
 		return;
 	if (r->last_status != 0)
@@ -24,7 +42,7 @@
 		    r->last_retry_us, r->last_why);
 	else if (busy_until_us != INT64_MAX)
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
-		    busy_until_us - now_us, "all backend servers are busy");
+		    draw_retry_after_us(r), "all backend servers are busy");
 	else
 		ingress_conclude(r, 503, ingress_not_run_outcome(r), US_PER_S,
 		    "no backend server can be had");
@@ -66,8 +84,11 @@
 		conclude_without_endpoint(r, INT64_MAX);
 		return;
 	}
-	if (!r->budget_credited)
+	if (!r->budget_credited) {
 		retry_budget_earn(&r->balancer->retries);
+		if (r->parent_repeats)
+			retry_budget_charge(&r->balancer->retries);
+	}
 	r->budget_credited = true;
 	ingress_fill_query(r, &query, now_us);
 	choice = balancer_choose(r->balancer, &query, now_us);
@@ -127,6 +148,10 @@
 ingress_retry_or_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why)
 {
+	// The other members need a while to notice an unreachable egress.
+	if (status == 503 && outcome_is_not_run(outcome) &&
+	    retry_us != UNREACHABLE_RETRY_US)
+		retry_us = draw_retry_after_us(r);
 	if (!ingress_may_retry(r, status, outcome)) {
 		ingress_conclude(r, status, outcome, retry_us, why);
 		return;
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -46,9 +46,11 @@
 /// The process ends this long before it would be killed.
 #define STOP_MARGIN_US (250 * US_PER_MS)
 
-/// Share of the allowed retries that is used here: a request that is retried
-/// repeats its own calls, which count as well.
-#define RETRY_SHARE 0.5
+/// Share of the allowed retries that is used. The rest covers arrivals that the
+/// proxies cannot count: after a restart, and of requests whose outcome is
+/// unknown.
+#define RETRY_RATIO_SHARE 0.8
+#define RETRY_BURST_SHARE 0.5
 
 const struct settings_field proxy_fields[] = {
     PROGRAM_LOG_FIELDS(S),
@@ -285,10 +287,10 @@
 		    (int64_t)(s->drain_stop_s * (double)US_PER_S), control);
 	if (s->retry_allowed > 0)
 		ingress->retry_ratio_pct =
-		    (uint32_t)(s->retry_allowed * RETRY_SHARE * PERCENT);
+		    (uint32_t)(s->retry_allowed * RETRY_RATIO_SHARE * PERCENT);
 	if (s->retry_allowed_burst > 0)
 		ingress->retry_burst =
-		    (uint32_t)(s->retry_allowed_burst * RETRY_SHARE);
+		    (uint32_t)(s->retry_allowed_burst * RETRY_BURST_SHARE);
 }
 
 int
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -185,6 +185,8 @@
 	int64_t target_left_us; ///< Until the target response time.
 	uint32_t repeatable;	///< May be executed more than once.
 	uint32_t begun; ///< A call of a request that a backend server runs.
+	/// Not its first arrival at a backend server, or a call of such a run.
+	uint32_t repeat;
 	/// Usual service time relative to the mean of the service; 0: unknown.
 	uint32_t service_permille;
 	struct bytes rank;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -143,6 +143,7 @@
     F(message_request, I64, target_left_us),
     F(message_request, U32, repeatable),
     F(message_request, U32, begun),
+    F(message_request, U32, repeat),
     F(message_request, U32, service_permille),
     F(message_request, BYTES, rank),
     F(message_request, BYTES, service),
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -463,11 +463,11 @@
 /// Requests of two kinds in one rank: quick ones, and patient ones with a far
 /// target, which sets the target of the rank.
 struct mixed_load {
-	const char *name;
 	double load; ///< Offered, in slots.
 	int64_t target_us;
 	int64_t service_us;
 	bool begun;
+	uint32_t rank;
 	// Results.
 	uint32_t offered;
 	uint32_t in_target;
@@ -492,7 +492,7 @@
 	m->load->in_target += m->end_us <= m->item.target_deadline_us;
 }
 
-/// Plays the loads on the rank "log" for 30 s.
+/// Plays the loads for 30 s.
 static void
 play_mixed(struct mixed_load *loads, uint32_t count)
 {
@@ -525,7 +525,7 @@
 				continue;
 			m = calloc(1, sizeof(*m));
 			m->load = l;
-			m->item.rank = 2;
+			m->item.rank = l->rank;
 			m->item.begun = l->begun;
 			m->item.service_us = l->service_us;
 			m->item.target_deadline_us = now_us + l->target_us;
@@ -570,14 +570,18 @@
 		free(running[i]);
 }
 
+#define LOG_RANK 2
+
 /// Half as many requests again as the slots can serve, with a target of four
 /// service times in a rank whose target is twenty: what is served is served in
 /// time, and the slots do not idle.
 static void
 test_own_target_limits_the_queue(void **state)
 {
-	struct mixed_load quick = {
-	    "quick", 1.5 * MIXED_SLOTS, 400 * MS, 100 * MS, false, 0, 0, 0};
+	struct mixed_load quick = {.load = 1.5 * MIXED_SLOTS,
+	    .target_us = 400 * MS,
+	    .service_us = 100 * MS,
+	    .rank = LOG_RANK};
 	uint32_t possible = 30 * MIXED_SLOTS * 10;
 
 	(void)state;
@@ -590,8 +594,10 @@
 static void
 test_own_target_spares_a_fitting_load(void **state)
 {
-	struct mixed_load quick = {
-	    "quick", 0.8 * MIXED_SLOTS, 400 * MS, 100 * MS, false, 0, 0, 0};
+	struct mixed_load quick = {.load = 0.8 * MIXED_SLOTS,
+	    .target_us = 400 * MS,
+	    .service_us = 100 * MS,
+	    .rank = LOG_RANK};
 
 	(void)state;
 	play_mixed(&quick, 1);
@@ -605,8 +611,15 @@
 test_begun_work_goes_first(void **state)
 {
 	struct mixed_load loads[] = {
-	    {"call", 0.2 * MIXED_SLOTS, 120 * MS, 30 * MS, true, 0, 0, 0},
-	    {"fresh", 1.5 * MIXED_SLOTS, 500 * MS, 140 * MS, false, 0, 0, 0},
+	    {.load = 0.2 * MIXED_SLOTS,
+		.target_us = 120 * MS,
+		.service_us = 30 * MS,
+		.begun = true,
+		.rank = LOG_RANK},
+	    {.load = 1.5 * MIXED_SLOTS,
+		.target_us = 500 * MS,
+		.service_us = 140 * MS,
+		.rank = LOG_RANK},
 	};
 
 	(void)state;
@@ -616,6 +629,33 @@
 	assert_true(loads[1].refused > 0);
 }
 
+/// In an overload of a rank of higher worth, calls of begun work get a share of
+/// the slots; beyond it the rank of higher worth keeps the slots.
+static void
+test_begun_work_has_a_share(void **state)
+{
+	struct mixed_load loads[] = {
+	    {.load = 0.15 * MIXED_SLOTS,
+		.target_us = 120 * MS,
+		.service_us = 30 * MS,
+		.begun = true,
+		.rank = LOG_RANK},
+	    {.load = 1.5 * MIXED_SLOTS,
+		.target_us = 500 * MS,
+		.service_us = 100 * MS},
+	};
+	uint32_t possible = 30 * MIXED_SLOTS * 10;
+
+	(void)state;
+	play_mixed(loads, 2);
+	assert_true(loads[0].refused <= loads[0].offered / 100);
+	assert_true(loads[0].in_target >= loads[0].offered * 95 / 100);
+	loads[0].load = 2 * MIXED_SLOTS;
+	loads[1].in_target = 0;
+	play_mixed(loads, 2);
+	assert_true(loads[1].in_target >= possible * 70 / 100);
+}
+
 int
 main(void)
 {
@@ -631,6 +671,7 @@
 	    cmocka_unit_test(test_own_target_limits_the_queue),
 	    cmocka_unit_test(test_own_target_spares_a_fitting_load),
 	    cmocka_unit_test(test_begun_work_goes_first),
+	    cmocka_unit_test(test_begun_work_has_a_share),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
