--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -5,8 +5,12 @@
 
 #include "core/membership/membership_internal.h"
 
-#define NOTICE_FANOUT	   3
-#define VERSION_FANOUT	   4
+#define NOTICE_FANOUT  3
+#define VERSION_FANOUT 4
+
+/// Members of a data centre that announce a new version to the others. The
+/// leading source notifies each data centre as well.
+#define VERSION_SENDERS	   1
 #define REGION_PROBE_EVERY 4
 #define FAR_PROBE_EVERY	   8
 
@@ -390,7 +394,7 @@
 			membership_send_to_member(
 			    m, &peer->member, GOSSIP_NOTICE, 0);
 	}
-	if (membership_draw_dc_push(m))
+	if (membership_draw_dc_push(m, VERSION_SENDERS))
 		membership_push_to_dcs(m, NULL);
 }
 
--- a/src/core/membership/membership_internal.h
+++ b/src/core/membership/membership_internal.h
@@ -47,6 +47,8 @@
 
 /// Draws at random whether this member is one of the few that send a change in
 /// their data centre to the other data centres.
-bool membership_draw_dc_push(struct membership *m);
+///
+/// @param senders  their mean number
+bool membership_draw_dc_push(struct membership *m, uint32_t senders);
 
 #endif
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -3,12 +3,17 @@
 
 #include "core/membership/membership_internal.h"
 
+/// Members of a data centre that send a change in it to the others, beside the
+/// changed one.
+#define CHANGE_SENDERS 1
+
 void
 membership_mark_changed(struct membership *m, struct peer *peer)
 {
 	peer->transmits_left = membership_transmit_limit(m);
 	peer->transmits = 0;
-	if (peer->distance == DISTANCE_DC && membership_draw_dc_push(m))
+	if (peer->distance == DISTANCE_DC &&
+	    membership_draw_dc_push(m, CHANGE_SENDERS))
 		membership_push_to_dcs(m, &peer->member);
 	m->ops->changed(m, &peer->member);
 }
--- a/src/core/membership/membership_spread.c
+++ b/src/core/membership/membership_spread.c
@@ -7,7 +7,6 @@
 #include "core/membership/membership_internal.h"
 
 #define TRANSMIT_FACTOR 3
-#define DC_PUSH_MEMBERS 3
 #define MAX_DCS		32
 #define DEADLINE_NONE	INT64_MAX
 
@@ -290,7 +289,7 @@
 }
 
 bool
-membership_draw_dc_push(struct membership *m)
+membership_draw_dc_push(struct membership *m, uint32_t senders)
 {
 	uint32_t dc_members = 1;
 	uint32_t i;
@@ -298,5 +297,5 @@
 	for (i = 0; i < m->peer_count; i++)
 		dc_members += m->peers[i]->distance == DISTANCE_DC &&
 		    membership_is_up(&m->peers[i]->member);
-	return random_below(&m->random, dc_members) < DC_PUSH_MEMBERS;
+	return random_below(&m->random, dc_members) < senders;
 }
--- a/src/core/replica/replica.h
+++ b/src/core/replica/replica.h
@@ -122,7 +122,10 @@
 	uint64_t id;
 	uint64_t match; ///< Highest entry known to be durable there.
 	uint64_t next;	///< First entry to send.
-	uint64_t match_at_heartbeat;
+	/// Until then entries that were sent are not sent again. Heartbeats also
+	/// start with reads, which may follow each other faster than entries
+	/// are synced.
+	int64_t repeat_deadline_us;
 	bool probing; ///< Sends one append at a time until one is accepted.
 	bool in_snapshot;
 	/// Heartbeats acknowledged since the snapshot was sent.
--- a/src/core/replica/replica_leader.c
+++ b/src/core/replica/replica_leader.c
@@ -130,6 +130,7 @@
 		m.entries = replica_log_get(r, p->next);
 	if (!p->probing)
 		p->next += m.entry_count;
+	p->repeat_deadline_us = now_us + r->settings.heartbeat_us;
 	r->ops->send(r, &m);
 }
 
@@ -199,8 +200,10 @@
 	}
 	p->in_snapshot = false;
 	p->probing = false;
-	if (m->index > p->match)
+	if (m->index > p->match) {
 		p->match = m->index;
+		p->repeat_deadline_us = now_us + r->settings.heartbeat_us;
+	}
 	if (p->next <= p->match)
 		p->next = p->match + 1;
 	replica_advance_commit(r, now_us);
@@ -274,14 +277,13 @@
 	if (p->in_snapshot &&
 	    ++p->snapshot_heartbeats >= SNAPSHOT_LOST_HEARTBEATS)
 		p->in_snapshot = false;
-	// No progress since the last heartbeat: the appends may be lost.
+	// No progress for a heartbeat period: the appends may be lost.
 	if (p->match < replica_last_index(r) &&
-	    p->match == p->match_at_heartbeat) {
+	    now_us >= p->repeat_deadline_us) {
 		if (!p->probing)
 			p->next = p->match + 1;
 		replica_send_append(r, p, now_us);
 	}
-	p->match_at_heartbeat = p->match;
 	complete_reads(r);
 }
 
--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -388,6 +388,34 @@
 	stream_send(stream, MESSAGE_REPLICA_ANSWER, &answer);
 }
 
+static bool
+is_response(enum replica_message_kind kind)
+{
+	return kind == REPLICA_APPEND_RESPONSE ||
+	    kind == REPLICA_HEARTBEAT_RESPONSE;
+}
+
+/// Tells whether a message needs an acknowledgement of its own: the stream that
+/// it came on carries no response, and the message gets none on another one.
+static bool
+needs_ack(const struct replica_host *host, const struct message_raft *m)
+{
+	return replica_has_failed(&host->replica) ||
+	    (m->kind != REPLICA_APPEND && m->kind != REPLICA_HEARTBEAT);
+}
+
+/// Counts a response as an acknowledgement of the stream to its sender, which
+/// sends it only after a message from here.
+static void
+note_response(struct replica_host *host, uint64_t from)
+{
+	uint32_t i;
+
+	for (i = 0; i < host->stream_count; i++)
+		if (host->streams[i].id == from)
+			host->streams[i].unacked_since_us = 0;
+}
+
 bool
 replica_host_receive(struct replica_host *host, struct stream *stream,
     const struct message *message)
@@ -409,13 +437,15 @@
 	if (message->u.raft.cluster != host->cluster ||
 	    message->u.raft.to != host->replica.settings.id)
 		return true;
-	// Responses use the other direction's stream, so acknowledge here.
-	stream_send(stream, MESSAGE_HEARTBEAT, &ack);
+	if (needs_ack(host, &message->u.raft))
+		stream_send(stream, MESSAGE_HEARTBEAT, &ack);
 	if (replica_message_decode(&message->u.raft, &in, &err) != 0) {
 		log_error(LOG_WARN, "replica",
 		    "Dropped an invalid message from a replica", &err);
 		return true;
 	}
+	if (is_response(in.message.kind))
+		note_response(host, in.message.from);
 	if (replica_step(&host->replica, &in.message, loop_now_us(host->loop),
 		&err) != 0)
 		log_error(LOG_WARN, "replica",
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -44,8 +44,6 @@
 	uint32_t tables_read; ///< Table exchanges completed since the start.
 	int64_t started_us;
 	bool confirmation_pending; ///< A request to the leader is in progress.
-	bool has_leader;
-	struct address leader; ///< Leader of the sources.
 };
 
 struct control {
@@ -72,6 +70,12 @@
 	/// those in the settings.
 	struct address discovered_sources[CONTROL_MAX_SOURCES];
 	uint32_t discovered_count;
+	uint64_t discovered_hash; ///< Of their list, as received.
+	/// Leader of the sources, as they state it.
+	struct address leader;
+	bool has_leader;
+	int64_t leader_answered_us; ///< Time of its last answer to a report.
+	uint32_t report_turn;	    ///< Source that gets the next report too.
 	int64_t source_answered_us; ///< Time of the last answer from a source.
 	bool sources_reachable;
 	struct backend backend;
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -23,6 +23,10 @@
 /// Report periods without an answer after which no source counts as reachable.
 #define SOURCE_TIMEOUT_REPORTS 3
 
+/// Report periods without an answer of the leader after which all sources get
+/// reports again.
+#define LEADER_TIMEOUT_REPORTS 2
+
 COUNTER_DEFINE(count_pulls, "config_pulls", "Pulls of rules begun");
 COUNTER_DEFINE(
     count_far_pulls, "config_far_pulls", "Pulls from another data centre");
@@ -150,6 +154,13 @@
 	    &control->signatures);
 }
 
+static bool
+same_address(const struct address *a, const struct address *b)
+{
+	return a->in.sin_addr.s_addr == b->in.sin_addr.s_addr &&
+	    a->in.sin_port == b->in.sin_port;
+}
+
 static void
 update_sources(struct control *control, const struct list *sources)
 {
@@ -158,6 +169,9 @@
 	uint32_t count = 0;
 	uint32_t i;
 
+	if (sources->count == 0)
+		return;
+	control->discovered_hash = message_addresses_hash(sources);
 	for (i = 0; i < sources->count && count < CONTROL_MAX_SOURCES; i++)
 		if (bytes_copy(items[i].text, text, sizeof(text)) == 0 &&
 		    address_parse(text, &control->discovered_sources[count]) ==
@@ -169,15 +183,21 @@
 static void
 update_leader(struct control *control, struct bytes leader)
 {
-	struct floor *floor = &control->floor;
 	char text[ADDRESS_TEXT_BYTES];
+	struct address at;
 
-	if (floor->ready || bytes_copy(leader, text, sizeof(text)) != 0 ||
-	    address_parse(text, &floor->leader) != 0)
+	if (bytes_copy(leader, text, sizeof(text)) != 0 ||
+	    address_parse(text, &at) != 0)
 		return;
-	floor->has_leader = true;
-	loop_timer_set(
-	    control->loop, &control->floor_timer, loop_now_us(control->loop));
+	if (!control->has_leader || !same_address(&at, &control->leader)) {
+		control->leader = at;
+		control->has_leader = true;
+		control->leader_answered_us = loop_now_us(control->loop);
+		distribution_send_report(control, false);
+	}
+	if (!control->floor.ready)
+		loop_timer_set(control->loop, &control->floor_timer,
+		    loop_now_us(control->loop));
 }
 
 /// Exchanges tables with proxies that a source lists.
@@ -207,8 +227,7 @@
 	uint32_t i;
 
 	for (i = 0; i < control->settings.source_count; i++)
-		if (memcmp(&control->settings.sources[i].in, &source->in,
-			sizeof(source->in)) == 0)
+		if (same_address(&control->settings.sources[i], source))
 			return true;
 	return false;
 }
@@ -232,9 +251,18 @@
 }
 
 static void
-note_source_answer(struct control *control)
+note_source_answer(
+    struct control *control, const struct message_report_answer *answer)
 {
+	char host[MEMBER_HOST_BYTES];
+	struct address at;
+
 	control->source_answered_us = loop_now_us(control->loop);
+	if (control->has_leader &&
+	    bytes_copy(answer->host, host, sizeof(host)) == 0 &&
+	    address_make(host, answer->control_port, &at) == 0 &&
+	    same_address(&at, &control->leader))
+		control->leader_answered_us = control->source_answered_us;
 	if (control->sources_reachable)
 		return;
 	control->sources_reachable = true;
@@ -271,7 +299,7 @@
 	    .is_source = true};
 	struct member at = {0};
 
-	note_source_answer(control);
+	note_source_answer(control, answer);
 	update_sources(control, &answer->sources);
 	update_leader(control, answer->leader);
 	sync_reported_members(control, &answer->members);
@@ -292,21 +320,42 @@
 	loop_timer_set(control->loop, &control->tick_timer, now_us);
 }
 
+/// Tells whether a report to the leader and one other source is enough: the
+/// leader notifies the proxies of new versions and answers operators. The others
+/// get a report in turn, so that each knows the proxies when it becomes leader.
+static bool
+leader_suffices(const struct control *control, bool leaving)
+{
+	return !leaving && control->floor.ready && control->has_leader &&
+	    loop_now_us(control->loop) - control->leader_answered_us <=
+	    LEADER_TIMEOUT_REPORTS * control->settings.report_period_us;
+}
+
 void
 distribution_send_report(struct control *control, bool leaving)
 {
-	struct message_report report = {.leaving = leaving};
+	struct message_report report = {.leaving = leaving,
+	    .members_known = membership_alive_count(&control->membership),
+	    .sources_hash = control->discovered_hash};
 	struct address sources[2 * CONTROL_MAX_SOURCES];
+	bool to_all = !leader_suffices(control, leaving);
 	msgpack_sbuffer out;
 	uint32_t count;
+	uint32_t turn;
 	uint32_t i;
 
 	member_to_message(&control->membership.self, &report.member);
 	msgpack_sbuffer_init(&out);
 	message_pack(&out, MESSAGE_REPORT, &report);
 	count = list_sources(control, sources);
+	// Every second report also goes to one of the others.
+	turn = control->report_turn++ / 2;
 	for (i = 0; i < count; i++)
-		datagram_send(&control->udp, &sources[i], out.data, out.size);
+		if (to_all ||
+		    (control->report_turn % 2 == 0 && i == turn % count) ||
+		    same_address(&sources[i], &control->leader))
+			datagram_send(
+			    &control->udp, &sources[i], out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
@@ -355,7 +404,7 @@
 	floor->confirmation_pending = false;
 	if (answer == NULL || answer->type != MESSAGE_RULES) {
 		// It may have lost leadership; report answers name the leader.
-		floor->has_leader = false;
+		control->has_leader = false;
 		return;
 	}
 	if (answer->u.rules.version > floor->confirmed_version)
@@ -371,12 +420,12 @@
 	struct floor *floor = &control->floor;
 	struct message_pull pull = {.confirm = 1};
 
-	if (floor->confirmation_pending || !floor->has_leader ||
+	if (floor->confirmation_pending || !control->has_leader ||
 	    floor->confirmed_version > 0)
 		return;
 	floor->confirmation_pending = true;
 	pull.from = bytes_from_string(control->membership.self.name);
-	oneshot_call(control->loop, &floor->leader, MESSAGE_PULL, &pull,
+	oneshot_call(control->loop, &control->leader, MESSAGE_PULL, &pull,
 	    loop_now_us(control->loop) + CONFIRM_TIMEOUT_US, on_confirmed,
 	    control);
 }
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -48,6 +48,7 @@
 	struct loop_timer timer; ///< Next attempt.
 	bool idempotent;	 ///< Executing it twice equals once.
 	bool sent;		 ///< A leader may have received it.
+	bool read_moved; ///< A read that the leader answers with the text.
 };
 
 static void forward_attempt(void *arg);
@@ -113,6 +114,46 @@
 	    loop_now_us(f->source->loop) + FORWARD_RETRY_DELAY_US);
 }
 
+static bool
+is_rules_read(const struct forward *f)
+{
+	return strcmp(f->method, "GET") == 0 &&
+	    strcmp(f->target, "/rules") == 0;
+}
+
+/// The leader confirmed the newest version, as a quorum has it. If it is the
+/// one here, its text need not come from the leader.
+static void
+on_confirmed(void *arg, const struct message *answer, const struct error *err)
+{
+	struct forward *f = arg;
+	const struct rule_file *current = f->source->store.current;
+
+	if (answer != NULL && answer->type == MESSAGE_RULES &&
+	    current != NULL && answer->u.rules.version == current->version &&
+	    answer->u.rules.hash == current->hash) {
+		f->fn(f->arg, 200, 0, current->text);
+		forward_free(f);
+		return;
+	}
+	if (answer == NULL)
+		log_error(LOG_INFO, "source",
+		    "The leader did not confirm the newest version", err);
+	f->read_moved = true;
+	loop_timer_set(
+	    f->source->loop, &f->timer, loop_now_us(f->source->loop));
+}
+
+static void
+request_confirmation(struct forward *f, const struct address *leader)
+{
+	struct message_pull pull = {.confirm = 1};
+
+	oneshot_call(f->source->loop, leader, MESSAGE_PULL, &pull,
+	    loop_now_us(f->source->loop) + FORWARD_ATTEMPT_TIMEOUT_US,
+	    on_confirmed, f);
+}
+
 /// Sends the request to the current leader. Without one, retries after a short
 /// delay: an election takes less time than operators wait.
 static void
@@ -142,6 +183,10 @@
 		    source->loop, &f->timer, now_us + FORWARD_RETRY_DELAY_US);
 		return;
 	}
+	if (is_rules_read(f) && !f->read_moved) {
+		request_confirmation(f, &to);
+		return;
+	}
 	f->sent = true;
 	m.method = bytes_from_string(f->method);
 	m.target = bytes_from_string(f->target);
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -23,6 +23,25 @@
 COUNTER_DEFINE(count_deferred, "source_pulls_put_off", "Pulls told to wait");
 GAUGE_DEFINE(gauge_members, "source_members", "Proxies that report");
 
+static bool
+is_fresh(const struct source *source, const struct report *r, int64_t now_us)
+{
+	return !r->left && now_us - r->reported_us <= source->reports.stale_us;
+}
+
+static uint32_t
+count_fresh(const struct source *source)
+{
+	const struct report_table *table = &source->reports;
+	int64_t now_us = loop_now_us(source->loop);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++)
+		count += is_fresh(source, &table->items[i], now_us);
+	return count;
+}
+
 /// Picks some of the proxies that report, from a random one on.
 ///
 /// @param texts  storage of the addresses in out
@@ -45,7 +64,7 @@
 		const struct report *r =
 		    &table->items[(from + i) % table->count];
 
-		if (r->left || now_us - r->reported_us > table->stale_us)
+		if (!is_fresh(source, r, now_us))
 			continue;
 		snprintf(texts[count], ADDRESS_TEXT_BYTES, "%s:%u",
 		    r->member.host, r->member.control_port);
@@ -55,9 +74,12 @@
 	return count;
 }
 
+/// Sends an answer to a report, or a notice that a version was accepted.
+///
+/// @param report  NULL for a notice, whose receiver lacks nothing else
 static void
-send_answer(
-    struct source *source, const struct address *to, uint64_t version_seen)
+send_answer(struct source *source, const struct address *to,
+    uint64_t version_seen, const struct message_report *report)
 {
 	const struct rule_file *current = source->store.current;
 	struct message_report_answer answer = {
@@ -76,10 +98,14 @@
 		sources[i].text = bytes_from_string(config->voters[i].address);
 	answer.sources.items = sources;
 	answer.sources.count = config->voter_count;
+	if (report == NULL ||
+	    message_addresses_hash(&answer.sources) == report->sources_hash)
+		answer.sources.count = 0;
 	answer.leader =
 	    bytes_from_string(replica_host_get_leader_address(&source->host));
 	answer.members.items = members;
-	answer.members.count = sample_members(source, texts, members);
+	if (report != NULL && report->members_known < count_fresh(source))
+		answer.members.count = sample_members(source, texts, members);
 	answer.host = bytes_from_string(source->settings.host);
 	answer.region = bytes_from_string(source->settings.region);
 	answer.dc = bytes_from_string(source->settings.dc);
@@ -113,7 +139,7 @@
 	    report_table_sum(
 		&source->reports, NULL, 0, loop_now_us(source->loop))
 		.members);
-	send_answer(source, from, report->version_seen);
+	send_answer(source, from, report->version_seen, &message->u.report);
 }
 
 /// Position of a proxy in its data centre, from 0, under rendezvous hashing of
@@ -154,7 +180,7 @@
 		    address_make(r->member.host, r->member.control_port, &to) !=
 			0)
 			continue;
-		send_answer(source, &to, r->version_seen);
+		send_answer(source, &to, r->version_seen, NULL);
 	}
 }
 
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -2,8 +2,23 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "wire/messages.h"
 
+uint64_t
+message_addresses_hash(const struct list *addresses)
+{
+	const struct message_address *items = addresses->items;
+	uint64_t hash = addresses->count;
+	uint32_t i;
+
+	for (i = 0; i < addresses->count; i++)
+		hash = XXH3_64bits_withSeed(
+		    items[i].text.data, items[i].text.size_bytes, hash);
+	return hash;
+}
+
 bool
 message_is_compressible(enum message_type type)
 {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -111,6 +111,8 @@
 struct message_report {
 	struct message_member member;
 	uint32_t leaving;
+	uint32_t members_known; ///< Proxies that it knows to be up.
+	uint64_t sources_hash;	///< Of the sources that it knows.
 };
 
 struct message_report_answer {
@@ -121,14 +123,21 @@
 	struct bytes region;
 	struct bytes dc;
 	struct bytes leader; ///< "IP:port" of the leading source, or empty.
-	struct list sources; ///< of struct message_address: all replicas.
-	struct list members; ///< of struct message_address: some proxies.
+	/// Of struct message_address: all replicas. Empty if the reporter has
+	/// the same list.
+	struct list sources;
+	/// Of struct message_address: some proxies. Empty if the reporter knows
+	/// as many as the source.
+	struct list members;
 };
 
 struct message_address {
 	struct bytes text; ///< "IP:port"
 };
 
+/// Returns the hash of a list of struct message_address, in its order.
+uint64_t message_addresses_hash(const struct list *addresses);
+
 /// Requests the rules if they are newer than those of the caller.
 struct message_pull {
 	struct bytes from;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -55,6 +55,8 @@
 static const struct codec_field report_fields[] = {
     N(message_report, STRUCT, member, &message_member_schema),
     F(message_report, U32, leaving),
+    F(message_report, U32, members_known),
+    F(message_report, U64, sources_hash),
 };
 static const struct codec_schema report_schema =
     CODEC_SCHEMA(struct message_report, report_fields);
--- a/test/functional/operator_failover.sh
+++ b/test/functional/operator_failover.sh
@@ -39,6 +39,19 @@
 apply_at_follower "$lost"
 kill -CONT "$(mesh_pid "source-$lost")"
 
+mesh_wait 20 mesh_reported 0 || echo "no quorum"
+echo "== every replica shows the newest file"
+shown() { curl -s -m 3 "http://$(operators "$1")/rules" | head -1; }
+for i in 1 2 3; do shown $i; done
+echo "== a follower that missed a version while it was paused does not show an older one"
+behind=$(($(leader) % 3 + 1))
+kill -STOP "$(mesh_pid "source-$behind")"
+version=$((version + 1))
+mesh_ctl apply "$(mesh_version_file $version)" >"$MESH_DIR/apply" ||
+    cat "$MESH_DIR/apply"
+kill -CONT "$(mesh_pid "source-$behind")"
+shown $behind
+
 echo "== a follower without a quorum refuses after a limited time"
 last=$(leader)
 for i in 1 2 3; do
