perf(memory): routes keep packed texts, idle streams keep no buffers

Problem: a proxy with 1,930 routes after 30 more versions held 6.1 MB of its own (peak 11.3 MB with shared pages). Each route took 570 bytes for texts of at most 64 to 160; each idle stream kept two buffers of 8 KB; glibc raised its threshold for mapped blocks with each rule file, so that the heap never shrank. Solution: texts of routes live in a pool, shared with the neighbour if equal; streams receive into the stack and keep only the start of a frame; the allocator's thresholds are fixed, with one arena; hashes of lines have 32 bits. Unit, fuzz and functional session, requests and limits green; the rest not run for this commit.

--- a/src/core/rules/delta.c
+++ b/src/core/rules/delta.c
@@ -11,8 +11,8 @@
 struct lines {
 	/// count + 1 entries, the last is the end of the text; or NULL.
 	const char **start;
-	const uint64_t *hashes;
-	uint64_t *own_hashes; ///< Allocated hashes; NULL if borrowed.
+	const uint32_t *hashes;
+	uint32_t *own_hashes; ///< Allocated hashes; NULL if borrowed.
 	uint32_t count;
 };
 
@@ -40,7 +40,7 @@
 		eol = memchr(text, '\n', (size_t)(end - text));
 		text = eol == NULL ? end : eol + 1;
 		lines.own_hashes[lines.count] =
-		    XXH3_64bits(lines.start[lines.count],
+		    (uint32_t)XXH3_64bits(lines.start[lines.count],
 			(size_t)(text - lines.start[lines.count]));
 		lines.count++;
 	}
--- a/src/core/rules/delta.h
+++ b/src/core/rules/delta.h
@@ -28,7 +28,7 @@
 /// Line hashes of a text; enough to compute deltas from it.
 struct delta_signature {
 	uint32_t line_count;
-	uint64_t line_hashes[];
+	uint32_t line_hashes[]; ///< Equal lines have equal ones.
 };
 
 /// Computes the signature of a text. Release it with free().
--- a/src/core/rules/rules.c
+++ b/src/core/rules/rules.c
@@ -162,6 +162,7 @@
 	free(rules->ranks);
 	free(rules->services);
 	free(rules->routes);
+	text_pool_free(&rules->texts);
 	if (rules->index != NULL)
 		free(rules->index->slots);
 	free(rules->index);
--- a/src/core/rules/rules.h
+++ b/src/core/rules/rules.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "core/rules/rule_file.h"
+#include "core/rules/text_pool.h"
 
 #define RULES_NAME_BYTES      32
 #define RULES_PATH_BYTES      160
@@ -81,8 +82,12 @@
 /// A mapping of requests to a service: by method and path (route), or by host
 /// and path prefix (match).
 struct rule_route {
-	char name[RULES_LABEL_BYTES]; ///< Of a match rule; "" for a route rule.
-	char host[RULES_HOST_BYTES];  ///< Of a match rule, in lower case.
+	// Texts in the pool of the rules.
+	const char *name;   ///< Of a match rule; "" for a route rule.
+	const char *host;   ///< Of a match rule, in lower case.
+	const char *method; ///< "*" matches every method.
+	const char *path;   ///< Without the trailing "*".
+	const char *owner;
 	enum rule_kind kind;
 	uint32_t rank_number; ///< Rank of a match rule; 0 is the highest.
 	uint32_t attempts;    ///< Most backend servers tried; 0: unlimited.
@@ -91,9 +96,6 @@
 	uint32_t target_count;
 	uint32_t weight_sum;
 	struct rule_target targets[RULES_MAX_TARGETS];
-	char method[RULES_METHOD_BYTES]; ///< "*" matches every method.
-	char path[RULES_PATH_BYTES];	 ///< Without the trailing "*".
-	char owner[RULES_OWNER_BYTES];
 	uint32_t path_bytes;
 	bool prefix;	    ///< The path ended in "*".
 	bool once;	    ///< At most one execution for each idempotency key.
@@ -115,6 +117,7 @@
 	uint32_t service_count;
 	struct rule_route *routes; ///< Most specific path first.
 	uint32_t route_count;
+	struct text_pool texts;	  ///< Of the routes.
 	uint32_t match_count;	  ///< Number of match rules in routes.
 	struct rule_index *index; ///< Of the match rules; NULL for none.
 };
--- a/src/core/rules/rules_match.c
+++ b/src/core/rules/rules_match.c
@@ -67,19 +67,20 @@
 }
 
 static bool
-read_host(struct parser *p, const struct word *w, struct rule_route *route)
+read_host(struct parser *p, const struct word *w, struct route_texts *texts)
 {
 	char *c;
 
-	if (!read_label(p, w, "host", route->host, sizeof(route->host)))
+	if (!read_label(p, w, "host", texts->host, sizeof(texts->host)))
 		return false;
-	for (c = route->host; *c != '\0'; c++)
+	for (c = texts->host; *c != '\0'; c++)
 		*c = (char)tolower((unsigned char)*c);
 	return true;
 }
 
 static bool
-read_prefix(struct parser *p, const struct word *w, struct rule_route *route)
+read_prefix(struct parser *p, const struct word *w, struct rule_route *route,
+    struct route_texts *texts)
 {
 	if (w->text_bytes == 0 || w->text[0] != '/' ||
 	    w->text_bytes >= RULES_PATH_BYTES ||
@@ -92,7 +93,7 @@
 	}
 	route->prefix = true;
 	route->path_bytes = w->text_bytes;
-	memcpy(route->path, w->text, w->text_bytes);
+	memcpy(texts->path, w->text, w->text_bytes);
 	return true;
 }
 
@@ -209,14 +210,15 @@
 
 static bool
 read_option(struct parser *p, const struct word *w, struct match_seen *seen,
-    struct rule_route *route, struct pending_route *pending)
+    struct rule_route *route, struct route_texts *texts,
+    struct pending_route *pending)
 {
 	struct word v;
 
 	if (!seen->host && parser_word_option(w, "host", &v))
-		return seen->host = read_host(p, &v, route);
+		return seen->host = read_host(p, &v, texts);
 	if (!seen->prefix && parser_word_option(w, "prefix", &v))
-		return seen->prefix = read_prefix(p, &v, route);
+		return seen->prefix = read_prefix(p, &v, route, texts);
 	if (!seen->kind && parser_word_option(w, "kind", &v))
 		return seen->kind = read_kind(p, &v, route);
 	if (!seen->timeout && parser_word_option(w, "timeout", &v))
@@ -241,6 +243,7 @@
 	struct rules *r = p->rules;
 	struct rule_route route = {.line = p->line};
 	struct pending_route pending = {.is_match = true};
+	struct route_texts texts = {.method = "*"};
 	struct match_seen seen = {0};
 	bool ok;
 	uint32_t i;
@@ -248,9 +251,10 @@
 	if (!parser_need_words(p, 3, match_usage))
 		return;
 	ok = read_label(
-	    p, &p->words[1], "match name", route.name, sizeof(route.name));
+	    p, &p->words[1], "match name", texts.name, sizeof(texts.name));
 	for (i = 2; i < p->word_count; i++)
-		ok &= read_option(p, &p->words[i], &seen, &route, &pending);
+		ok &= read_option(
+		    p, &p->words[i], &seen, &route, &texts, &pending);
 	if (!ok)
 		return;
 	if (!seen.host || !seen.prefix || !seen.kind || !seen.timeout ||
@@ -259,8 +263,7 @@
 		    match_usage);
 		return;
 	}
-	snprintf(route.method, sizeof(route.method), "*");
-	parser_add_route(p, &route, &pending);
+	parser_add_route(p, &route, &texts, &pending);
 	r->match_count++;
 }
 
@@ -344,7 +347,7 @@
 		    p, route->line, 1, "more than %d ranks", RULES_MAX_RANKS);
 		return 0;
 	}
-	memcpy(rank.owner, route->owner, sizeof(rank.owner));
+	strcpy(rank.owner, route->owner);
 	r->ranks = parser_grow(r->ranks, r->rank_count, sizeof(*r->ranks));
 	r->ranks[r->rank_count] = rank;
 	return (int)r->rank_count++;
--- a/src/core/rules/rules_parse.c
+++ b/src/core/rules/rules_parse.c
@@ -203,7 +203,8 @@
 }
 
 static bool
-parse_path(struct parser *p, const struct word *w, struct rule_route *route)
+parse_path(struct parser *p, const struct word *w, struct rule_route *route,
+    struct route_texts *texts)
 {
 	const char *star = memchr(w->text, '*', w->text_bytes);
 
@@ -222,12 +223,13 @@
 	}
 	route->prefix = star != NULL;
 	route->path_bytes = w->text_bytes - (star != NULL ? 1 : 0);
-	memcpy(route->path, w->text, route->path_bytes);
+	memcpy(texts->path, w->text, route->path_bytes);
 	return true;
 }
 
 static const struct rule_route *
-find_same_route(const struct rules *r, const struct rule_route *route)
+find_same_route(const struct rules *r, const struct rule_route *route,
+    const struct route_texts *texts)
 {
 	uint32_t i;
 
@@ -235,8 +237,8 @@
 		const struct rule_route *other = &r->routes[i];
 
 		if (other->name[0] == '\0' && other->prefix == route->prefix &&
-		    strcmp(other->path, route->path) == 0 &&
-		    strcmp(other->method, route->method) == 0)
+		    strcmp(other->path, texts->path) == 0 &&
+		    strcmp(other->method, texts->method) == 0)
 			return other;
 	}
 	return NULL;
@@ -278,14 +280,15 @@
 	struct rules *r = p->rules;
 	struct rule_route route = {.line = p->line};
 	struct pending_route pending = {0};
+	struct route_texts texts = {{0}};
 	const struct rule_route *same;
 	bool ok;
 
 	if (!parser_need_words(p, 4,
 		"route METHOD PATH SERVICE rank=NAME deadline=TIME [once]"))
 		return;
-	ok = parse_method(p, &p->words[1], route.method);
-	ok &= parse_path(p, &p->words[2], &route);
+	ok = parse_method(p, &p->words[1], texts.method);
+	ok &= parse_path(p, &p->words[2], &route, &texts);
 	pending.service = p->words[3];
 	ok &=
 	    parser_read_name(p, &p->words[3], "service", pending.service_name);
@@ -297,14 +300,14 @@
 		    "route needs rank= and deadline=");
 		return;
 	}
-	same = find_same_route(r, &route);
+	same = find_same_route(r, &route, &texts);
 	if (same != NULL) {
 		parser_fail(p, p->line, p->words[1].column,
 		    "route repeats line %u", same->line);
 		return;
 	}
 	route.target_count = route.weight_sum = route.targets[0].weight = 1;
-	parser_add_route(p, &route, &pending);
+	parser_add_route(p, &route, &texts, &pending);
 }
 
 static void
--- a/src/core/rules/rules_words.c
+++ b/src/core/rules/rules_words.c
@@ -286,11 +286,21 @@
 
 void
 parser_add_route(struct parser *p, struct rule_route *route,
-    const struct pending_route *pending)
+    const struct route_texts *texts, const struct pending_route *pending)
 {
 	struct rules *r = p->rules;
-
-	memcpy(route->owner, p->owner, sizeof(route->owner));
+	// Neighbours often have the same texts.
+	const struct rule_route *last =
+	    r->route_count > 0 ? &r->routes[r->route_count - 1] : NULL;
+
+	route->owner = text_pool_copy(
+	    &r->texts, p->owner, last == NULL ? NULL : last->owner);
+	route->host = text_pool_copy(
+	    &r->texts, texts->host, last == NULL ? NULL : last->host);
+	route->method = text_pool_copy(
+	    &r->texts, texts->method, last == NULL ? NULL : last->method);
+	route->name = text_pool_copy(&r->texts, texts->name, NULL);
+	route->path = text_pool_copy(&r->texts, texts->path, NULL);
 	r->routes = parser_grow(r->routes, r->route_count, sizeof(*r->routes));
 	p->pending =
 	    parser_grow(p->pending, r->route_count, sizeof(*p->pending));
--- a/src/core/rules/rules_words.h
+++ b/src/core/rules/rules_words.h
@@ -26,6 +26,14 @@
 	char rank_name[RULES_NAME_BYTES];
 };
 
+/// Texts of a route while it is parsed.
+struct route_texts {
+	char name[RULES_LABEL_BYTES];
+	char host[RULES_HOST_BYTES];
+	char method[RULES_METHOD_BYTES];
+	char path[RULES_PATH_BYTES];
+};
+
 struct parser {
 	struct rules *rules;
 	struct rules_errors *errors;
@@ -98,9 +106,9 @@
 /// Reports a rule of fewer than count words, with its usage.
 bool parser_need_words(struct parser *p, uint32_t count, const char *usage);
 
-/// Adds a route; its references are resolved later.
+/// Adds a route with its texts; its references are resolved later.
 void parser_add_route(struct parser *p, struct rule_route *route,
-    const struct pending_route *pending);
+    const struct route_texts *texts, const struct pending_route *pending);
 
 // Match rules and limits, implemented in rules_match.c.
 
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -13,10 +13,10 @@
 #include "io/net/dial.h"
 #include "io/net/net.h"
 
-#define READ_BYTES	  (64 * 1024)
-#define IDLE_BUFFER_BYTES (16 * 1024)
-#define MAX_QUEUED_BYTES  (16u * 1024 * 1024)
-#define ACCEPT_BATCH	  64
+#define READ_BYTES	 (64 * 1024)
+#define MORE_BYTES	 (8 * 1024)
+#define MAX_QUEUED_BYTES (16u * 1024 * 1024)
+#define ACCEPT_BATCH	 64
 
 /// Smaller frames are not compressed: they gain too little.
 #define DEFLATE_MIN_BYTES 2048
@@ -95,15 +95,13 @@
 	loop_watch_set(stream->loop, &stream->watch, stream->watch.fd, events);
 }
 
+/// Most streams are idle most of the time, so that they keep no buffer.
 static void
 reset_out(struct stream *stream)
 {
 	stream->out_sent_bytes = 0;
-	if (stream->out.alloc > IDLE_BUFFER_BYTES) {
-		msgpack_sbuffer_destroy(&stream->out);
-		msgpack_sbuffer_init(&stream->out);
-	} else
-		msgpack_sbuffer_clear(&stream->out);
+	msgpack_sbuffer_destroy(&stream->out);
+	msgpack_sbuffer_init(&stream->out);
 }
 
 static void
@@ -263,36 +261,27 @@
 		deliver_message(stream, bytes, frame_size(header));
 }
 
-/// Delivers all complete frames and keeps the remaining bytes.
-static void
-deliver_frames(struct stream *stream)
+/// Delivers all complete frames.
+///
+/// @return their number of bytes
+static size_t
+deliver_frames(struct stream *stream, const char *bytes, size_t size_bytes)
 {
 	size_t at = 0;
 
-	while (!stream->closed &&
-	    stream->in_used_bytes - at >= FRAME_HEADER_BYTES) {
-		uint32_t size_bytes = frame_size(stream->in + at);
+	while (!stream->closed && size_bytes - at >= FRAME_HEADER_BYTES) {
+		uint32_t frame_bytes = frame_size(bytes + at);
 
-		if (size_bytes > stream->max_frame_bytes) {
+		if (frame_bytes > stream->max_frame_bytes) {
 			stream_fail(stream, "receive", "frame is too large");
-			return;
+			break;
 		}
-		if (stream->in_used_bytes - at - FRAME_HEADER_BYTES <
-		    size_bytes)
+		if (size_bytes - at - FRAME_HEADER_BYTES < frame_bytes)
 			break;
-		deliver_frame(stream, stream->in + at);
-		at += FRAME_HEADER_BYTES + size_bytes;
-	}
-	if (stream->closed)
-		return;
-	memmove(stream->in, stream->in + at, stream->in_used_bytes - at);
-	stream->in_used_bytes -= at;
-	if (stream->in_used_bytes == 0 &&
-	    stream->in_capacity_bytes > IDLE_BUFFER_BYTES) {
-		free(stream->in);
-		stream->in = NULL;
-		stream->in_capacity_bytes = 0;
+		deliver_frame(stream, bytes + at);
+		at += FRAME_HEADER_BYTES + frame_bytes;
 	}
+	return at;
 }
 
 /// Grows the input buffer for the current frame, by at most READ_BYTES, or for
@@ -300,7 +289,7 @@
 static void
 reserve_input(struct stream *stream)
 {
-	size_t needed_bytes = stream->in_used_bytes + IDLE_BUFFER_BYTES / 2;
+	size_t needed_bytes = stream->in_used_bytes + MORE_BYTES;
 
 	if (stream->in_used_bytes >= FRAME_HEADER_BYTES) {
 		size_t frame_bytes =
@@ -319,30 +308,82 @@
 	stream->in_capacity_bytes = needed_bytes;
 }
 
-static void
-stream_receive(struct stream *stream)
+/// Receives bytes at the end of those kept.
+///
+/// @return their number; 0 if there are none now or the stream has failed
+static size_t
+receive_bytes(struct stream *stream, char *to, size_t to_bytes)
 {
-	ssize_t n;
+	ssize_t n = recv(stream->watch.fd, to, to_bytes, 0);
 
-	reserve_input(stream);
-	n = recv(stream->watch.fd, stream->in + stream->in_used_bytes,
-	    stream->in_capacity_bytes - stream->in_used_bytes, 0);
 	if (n < 0 &&
 	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
-		return;
+		return 0;
 	if (n < 0) {
 		stream_fail(stream, "receive", strerror(errno));
-		return;
+		return 0;
 	}
 	if (n == 0) {
 		stream_fail(
 		    stream, "receive", "the peer closed the connection");
-		return;
+		return 0;
 	}
-	stream->in_used_bytes += (size_t)n;
 	stream->received_bytes += (uint64_t)n;
 	stream->last_received_us = loop_now_us(stream->loop);
-	deliver_frames(stream);
+	return (size_t)n;
+}
+
+/// Receives the rest of a frame into the buffer of the stream, which lasts until
+/// the frame is complete.
+static void
+receive_more(struct stream *stream)
+{
+	size_t delivered_bytes;
+
+	reserve_input(stream);
+	stream->in_used_bytes +=
+	    receive_bytes(stream, stream->in + stream->in_used_bytes,
+		stream->in_capacity_bytes - stream->in_used_bytes);
+	if (stream->closed)
+		return;
+	delivered_bytes =
+	    deliver_frames(stream, stream->in, stream->in_used_bytes);
+	if (stream->closed)
+		return;
+	stream->in_used_bytes -= delivered_bytes;
+	memmove(
+	    stream->in, stream->in + delivered_bytes, stream->in_used_bytes);
+	if (stream->in_used_bytes > 0)
+		return;
+	free(stream->in);
+	stream->in = NULL;
+	stream->in_capacity_bytes = 0;
+}
+
+/// Receives into a buffer on the stack: there are many streams, and most get
+/// whole frames.
+static void
+stream_receive(struct stream *stream)
+{
+	char bytes[READ_BYTES];
+	size_t size_bytes;
+	size_t delivered_bytes;
+
+	if (stream->in_used_bytes > 0) {
+		receive_more(stream);
+		return;
+	}
+	size_bytes = receive_bytes(stream, bytes, sizeof(bytes));
+	if (size_bytes == 0)
+		return;
+	delivered_bytes = deliver_frames(stream, bytes, size_bytes);
+	size_bytes -= delivered_bytes;
+	if (stream->closed || size_bytes == 0)
+		return;
+	stream->in = malloc(size_bytes);
+	assert(stream->in != NULL);
+	memcpy(stream->in, bytes + delivered_bytes, size_bytes);
+	stream->in_used_bytes = stream->in_capacity_bytes = size_bytes;
 }
 
 static void
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -1,6 +1,7 @@
 // Start-up, settings reload and termination signals of a program.
 #include <argp.h>
 #include <errno.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,12 @@
 
 /// Interval between checks of the settings file. Operators wait longer before
 /// they check whether a change took effect.
+/// Size from which the allocator maps a block on its own.
+#define LARGE_BLOCK_BYTES (64 * 1024)
+
+/// Free memory that the allocator keeps at the end of its heap.
+#define KEPT_FREE_BYTES (64 * 1024)
+
 #define SETTINGS_POLL_US (2 * US_PER_S)
 
 #define MAX_FLAGS      8
@@ -96,6 +103,17 @@
 	off_t size_bytes;
 } reload;
 
+/// Bounds what the allocator keeps. Rule files and their parsed forms are large
+/// and short-lived: each gets pages of its own, which go back when it is freed.
+/// (By default glibc raises the threshold with each such block.)
+static void
+limit_allocator(void)
+{
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+	mallopt(M_TRIM_THRESHOLD, KEPT_FREE_BYTES);
+	mallopt(M_ARENA_MAX, 1);
+}
+
 int
 program_start(const struct program *program, int argc, char **argv)
 {
@@ -114,6 +132,7 @@
 	struct command_line c = {.program = program};
 	size_t i;
 
+	limit_allocator();
 	for (i = 0; i < program->flag_count && i < MAX_FLAGS; i++) {
 		options[i + 2].name = program->flags[i].name;
 		options[i + 2].key = KEY_FIRST_FLAG + (int)i;
