feat(egress): the pace that backend servers state scales what was learnt

Problem: X-Magnoliavalve-Server-Load was read by nobody. Its fourth figure says how long work takes on the server's VM at this moment, which neighbours change by a factor of 2.5 for 600 ms; a learnt mean follows within a second. Solution: platform/load.c decodes the header into struct server_load; malformed ones are counted and ignored. core/requests/pace scales estimates of wait and service time by the pace now over its mean, for 300 ms after a statement. A marked change is sent to the ingresses that use the server at present.

--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -187,6 +187,9 @@
 	struct node *node = c->egress;
 
 	slot_release(c);
+	if (c->sim->mix->services[node->service].neighbour_period_us > 0)
+		pace_record(&node->admission.pace,
+		    (uint32_t)(node->neighbours * 100), call_now_us(c));
 	admission_finish(&node->admission, &c->item, call_now_us(c));
 	send_response(c, OUTCOME_ANSWERED, failed, 0);
 	call_unref(c);
--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -10,6 +10,7 @@
 #define BEGUN_CREDIT_MAX_US  500000LL
 #define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
+#define PERMILLE	     1000
 
 /// Share of slot time for which calls of begun work go before all ranks. More
 /// could starve a rank of high worth.
@@ -310,6 +311,13 @@
 	return (int64_t)(r->queued + 1) * estimate_interval_us(a, r);
 }
 
+/// Scales a learnt time to the pace of the backend server now.
+static int64_t
+scale_by_pace(const struct admission *a, int64_t time_us, int64_t now_us)
+{
+	return time_us * pace_ratio_permille(&a->pace, now_us) / PERMILLE;
+}
+
 /// Estimates the wait of a new item: begun ones go ahead of the others.
 static int64_t
 estimate_wait_us(const struct admission *a, const struct admission_item *item)
@@ -325,10 +333,13 @@
 /// is left beside its service, since the estimate is only a mean. A begun item
 /// has until its deadline, since its own target earns nothing.
 static int64_t
-max_wait_us(const struct admission_rank *r, const struct admission_item *item,
+max_wait_us(const struct admission *a, const struct admission_item *item,
     int64_t now_us)
 {
-	int64_t service_us = estimate_item_service_us(r, item);
+	const struct admission_rank *r = &a->ranks[item->rank];
+	int64_t service_us = item->service_us > 0
+	    ? item->service_us
+	    : scale_by_pace(a, estimate_service_us(r), now_us);
 	int64_t left_us = item->deadline_us - now_us - service_us;
 	int64_t target_left_us;
 
@@ -371,11 +382,11 @@
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
-	wait_us = estimate_wait_us(a, item);
+	wait_us = scale_by_pace(a, estimate_wait_us(a, item), now_us);
 	// An empty queue always accepts one, so that the estimate of the wait
 	// stays current.
 	if (!has_room(a, item) ||
-	    (r->queued > 0 && wait_us > max_wait_us(r, item, now_us))) {
+	    (r->queued > 0 && wait_us > max_wait_us(a, item, now_us))) {
 		*retry_us = wait_us;
 		return ADMISSION_REFUSED;
 	}
@@ -484,7 +495,7 @@
 int64_t
 admission_service_us(struct admission *a, int64_t now_us)
 {
-	return flow_mean_us(&a->slot_time, now_us);
+	return scale_by_pace(a, flow_mean_us(&a->slot_time, now_us), now_us);
 }
 
 uint32_t
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "core/requests/flow.h"
+#include "core/requests/pace.h"
 #include "core/rules/rules.h"
 
 #define ADMISSION_MAX_RANKS 32
@@ -90,6 +91,7 @@
 	uint32_t max_queued;
 	uint32_t max_queued_bytes;
 	struct flow slot_time;
+	struct pace pace;	    ///< Set by the owner.
 	int64_t credits_updated_us; ///< Time of the last update of credits.
 	int64_t begun_credit_us;    ///< Unused slot time of begun work's share.
 	uint32_t rank_count;
@@ -141,7 +143,7 @@
 /// Estimates the wait of a new request of a rank.
 int64_t admission_wait_us(const struct admission *a, uint32_t rank);
 
-/// Returns the mean service time of a request; 0 if it is not known.
+/// Returns the expected service time of a request now; 0 if it is not known.
 int64_t admission_service_us(struct admission *a, int64_t now_us);
 
 /// Returns the running and queued items as a percentage of the slots.
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -13,6 +13,7 @@
 
 #include "core/error.h"
 #include "core/requests/backend.h"
+#include "core/requests/pace.h"
 #include "core/rules/rule_store.h"
 
 #define DIALECT_RETRY_AFTER_BYTES 24
@@ -29,7 +30,7 @@
 	const char *instance;	    ///< Id of the responding server.
 	const char *not_run; ///< On a response: the server did not run it.
 	const char *outcome; ///< On responses of a proxy.
-	const char *load;    ///< "running,waiting,slots" of the server.
+	const char *load;    ///< Load of the server; see read_load.
 	/// On responses of a backend server; a successful response without it
 	/// is invalid.
 	const char *signature;
@@ -86,6 +87,12 @@
 	    int64_t lease_us, struct backend_announcement *out,
 	    struct error *err);
 
+	/// Parses the value of the load header. NULL: servers state no load.
+	///
+	/// @return 0, or -1 with err set
+	int (*read_load)(const char *value, size_t value_bytes,
+	    struct server_load *out, struct error *err);
+
 	/// Returns the length of the id of the request that a request is a call
 	/// of, as its own id states it; 0: it states none. NULL: ids state none.
 	size_t (*parent_id_bytes)(const char *id);
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -116,6 +116,11 @@
 /// Returns the mean time of a request in a slot; 0 if unknown.
 int64_t egress_get_service_us(struct egress *egress);
 
+/// Sets the callback for a marked change of the pace of the backend server,
+/// which ingresses should know of at once.
+void egress_set_pace_listener(
+    struct egress *egress, void (*fn)(void *arg), void *arg);
+
 /// Reports queued and running requests, and the load on the slots.
 void egress_get_load(const struct egress *egress, uint32_t *queued,
     uint32_t *running, uint32_t *load_pct);
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -22,6 +22,10 @@
 COUNTER_DEFINE(count_mismatched, "egress_answers_skipped",
     "Answers of the backend server to another request");
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
+COUNTER_DEFINE(count_bad_loads, "egress_bad_loads",
+    "Statements of load of the backend server that could not be read");
+GAUGE_DEFINE(gauge_pace, "egress_pace_pct",
+    "Time that work takes at the backend server, in per cent of the usual");
 
 static void
 send_whole_response(struct egress_request *r)
@@ -114,6 +118,29 @@
 	finish_call(call->owner, err);
 }
 
+/// Records the load that the backend server states. A malformed statement is
+/// ignored.
+static void
+record_load(struct egress *egress, struct bytes value)
+{
+	int64_t now_us = loop_now_us(egress->loop);
+	struct server_load load;
+	struct error err;
+
+	if (egress->dialect->read_load == NULL)
+		return;
+	if (egress->dialect->read_load(
+		value.data, value.size_bytes, &load, &err) != 0) {
+		counter_add(&count_bad_loads, 1);
+		log_error(LOG_DEBUG, "egress",
+		    "Ignored the load that the backend server states", &err);
+		return;
+	}
+	pace_record(&egress->admission.pace, load.pace_pct, now_us);
+	counter_set(&gauge_pace, load.pace_pct);
+	egress_announce_pace(egress, now_us);
+}
+
 /// Records what a response header says about the request.
 static void
 parse_response_header(
@@ -126,6 +153,8 @@
 		r->shed = true;
 	else if (headers_name_equals(name, h->signature))
 		r->has_signature = true;
+	else if (headers_name_equals(name, h->load))
+		record_load(r->egress, value);
 	else if (headers_name_equals(name, "Content-Encoding"))
 		r->has_content_encoding = true;
 	else if (headers_name_equals(name, h->attempt) &&
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -12,6 +12,9 @@
 #define IDLE_TIMEOUT_US	   (60 * US_PER_S)
 #define SCAN_INTERVAL_US   (500 * US_PER_MS)
 
+/// An ingress whose last request is older chooses by its next responses.
+#define RECENT_REQUEST_US (1 * US_PER_S)
+
 /// A stream from an ingress.
 struct egress_conn {
 	struct egress_sink sink;
@@ -20,7 +23,8 @@
 	struct egress_conn *next;
 	struct egress_conn *prev;
 	uint64_t sequence;
-	uint32_t active; ///< Requests in progress.
+	uint32_t active;      ///< Requests in progress.
+	int64_t requested_us; ///< Time of the last request.
 	bool hello_received;
 };
 
@@ -133,6 +137,7 @@
 on_request(struct egress_conn *conn, const struct message_request *request)
 {
 	conn->active++;
+	conn->requested_us = loop_now_us(conn->server->loop);
 	if (request->egress_incarnation != conn->server->incarnation)
 		refuse_stale_incarnation(conn, request);
 	else
@@ -173,20 +178,40 @@
 	stream_send(conn->stream, MESSAGE_FENCE_ANSWER, &answer);
 }
 
+/// Reports the load to an ingress.
 static void
-on_heartbeat(struct egress_conn *conn, const struct message_heartbeat *m)
+send_load(struct egress_conn *conn)
 {
 	struct message_heartbeat answer = {.answer = 1};
 	uint32_t load_pct;
 
-	if (m->answer)
-		return;
 	egress_get_load(
 	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
 	answer.service_us = egress_get_service_us(conn->server->egress);
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
+static void
+on_heartbeat(struct egress_conn *conn, const struct message_heartbeat *m)
+{
+	if (!m->answer)
+		send_load(conn);
+}
+
+/// Reports the load to the ingresses that send requests at present.
+static void
+on_pace_changed(void *arg)
+{
+	struct egress_server *server = arg;
+	int64_t now_us = loop_now_us(server->loop);
+	struct egress_conn *conn;
+
+	for (conn = server->first; conn != NULL; conn = conn->next)
+		if (conn->hello_received &&
+		    now_us - conn->requested_us < RECENT_REQUEST_US)
+			send_load(conn);
+}
+
 static void
 on_message(struct stream *stream, struct message *message)
 {
@@ -309,6 +334,7 @@
 		free(server);
 		return NULL;
 	}
+	egress_set_pace_listener(egress, on_pace_changed, server);
 	server->scan_timer.fn = on_scan;
 	server->scan_timer.arg = server;
 	loop_timer_set(
@@ -328,6 +354,7 @@
 {
 	if (server == NULL)
 		return;
+	egress_set_pace_listener(server->egress, NULL, NULL);
 	loop_timer_clear(server->loop, &server->scan_timer);
 	while (server->first != NULL)
 		conn_close(server->first);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -75,6 +75,10 @@
 	/// Called when a call ends and frees its slot.
 	void (*on_slot_free)(struct egress *egress);
 	struct loop_timer sweep_timer;
+	void (*on_pace_changed)(void *arg); ///< May be NULL.
+	void *pace_arg;
+	int64_t announced_pace_permille;   ///< 0: none yet.
+	int64_t announce_pace_deadline_us; ///< Earliest next announcement.
 	bool draining;
 	bool abort_deferred;
 };
@@ -117,6 +121,9 @@
 
 // refuse.c
 
+/// Calls the pace listener after a marked change, at a limited rate.
+void egress_announce_pace(struct egress *egress, int64_t now_us);
+
 /// Fills in the load that each response reports to the ingress.
 void egress_fill_load(struct egress *egress, struct message_response *response);
 
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -656,6 +656,52 @@
 	assert_true(loads[1].in_target >= possible * 70 / 100);
 }
 
+/// A server whose neighbours slow it refuses at once what it would have taken at
+/// its usual pace, and takes it again when they are gone or nothing is known.
+static void
+test_pace_scales_the_wait(void **state)
+{
+	static struct admission_item items[64];
+	int64_t now_us = SECOND_US;
+	struct admission a;
+	int64_t retry_us;
+	uint32_t i;
+
+	(void)state;
+	memset(items, 0, sizeof(items));
+	init(&a, 1);
+	// Ten requests of 100 ms, at the usual pace.
+	for (i = 0; i < 10; i++) {
+		items[i].rank = LOG_RANK;
+		items[i].deadline_us = now_us + 10 * SECOND_US;
+		admission_offer(&a, &items[i], now_us, &retry_us);
+		now_us += 100 * MS;
+		pace_record(&a.pace, 100, now_us);
+		admission_finish(&a, &items[i], now_us);
+	}
+	assert_in_range(admission_service_us(&a, now_us), 90 * MS, 110 * MS);
+	items[10].rank = items[11].rank = LOG_RANK;
+	items[10].deadline_us = items[11].deadline_us = now_us + SECOND_US;
+	admission_offer(&a, &items[10], now_us, &retry_us);
+	admission_offer(&a, &items[11], now_us, &retry_us);
+	// One runs and one waits: 200 ms, and then 100 ms of its own.
+	for (i = 12; i < 15; i++) {
+		items[i].rank = LOG_RANK;
+		items[i].deadline_us = now_us + 3 * SECOND_US;
+		items[i].target_deadline_us = now_us + 600 * MS;
+	}
+	pace_record(&a.pace, 300, now_us);
+	assert_in_range(admission_service_us(&a, now_us), 220 * MS, 310 * MS);
+	assert_int_equal(admission_offer(&a, &items[12], now_us, &retry_us),
+	    ADMISSION_REFUSED);
+	pace_record(&a.pace, 100, now_us);
+	assert_int_equal(admission_offer(&a, &items[13], now_us, &retry_us),
+	    ADMISSION_QUEUED);
+	pace_record(&a.pace, 300, now_us);
+	now_us += SECOND_US / 2;
+	assert_int_equal(pace_ratio_permille(&a.pace, now_us), 1000);
+}
+
 int
 main(void)
 {
@@ -672,6 +718,7 @@
 	    cmocka_unit_test(test_own_target_spares_a_fitting_load),
 	    cmocka_unit_test(test_begun_work_goes_first),
 	    cmocka_unit_test(test_begun_work_has_a_share),
+	    cmocka_unit_test(test_pace_scales_the_wait),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -360,6 +360,45 @@
 	assert_string_equal(text, "2.500");
 }
 
+/// Reads a load; -1 if it is refused, else its pace.
+static int64_t
+read_pace(const char *value)
+{
+	struct server_load load;
+	struct error err;
+
+	if (platform()->read_load(value, strlen(value), &load, &err) != 0)
+		return -1;
+	return load.pace_pct;
+}
+
+static void
+test_load(void **state)
+{
+	static const char *const malformed[] = {"", ",", "1", "1,2", "1,2,",
+	    "1,2,3,", "1,2,3,4,5", "a,2,3", "1,-2,3", "1, 2,3", "1,2,0",
+	    "1,2,3,100001", "99999999999999999999,1,9,100", "1,2,3,1e2"};
+	struct server_load load;
+	struct error err;
+	char *long_value = malloc(1 << 20);
+	size_t i;
+
+	(void)state;
+	assert_non_null(long_value);
+	assert_int_equal(platform()->read_load("3,0,8", 5, &load, &err), 0);
+	assert_int_equal(load.running, 3);
+	assert_int_equal(load.waiting, 0);
+	assert_int_equal(load.slots, 8);
+	assert_int_equal(load.pace_pct, 0);
+	assert_int_equal(read_pace("9,36,9,250"), 250);
+	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		assert_int_equal(read_pace(malformed[i]), -1);
+	memset(long_value, '1', 1 << 20);
+	assert_int_equal(
+	    platform()->read_load(long_value, 1 << 20, &load, &err), -1);
+	free(long_value);
+}
+
 int
 main(void)
 {
@@ -370,6 +409,7 @@
 	    cmocka_unit_test(test_announcement),
 	    cmocka_unit_test(test_announcement_rejected),
 	    cmocka_unit_test(test_calls),
+	    cmocka_unit_test(test_load),
 	    cmocka_unit_test(test_retry),
 	};
 
