perf(source): one notice after a start, not one for each version in the log

Solution: the notice is sent once all entries of an iteration are applied. Result: functional.sources_restart: the number of notices was above 2 with the old call.

--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -19,6 +19,7 @@
 #define PULL_RETRY_US	(300 * US_PER_MS)
 
 COUNTER_DEFINE(count_reports, "source_reports", "Reports of proxies");
+COUNTER_DEFINE(count_notices, "source_notices", "Notices of new versions");
 COUNTER_DEFINE(count_pulls, "source_pulls", "Pulls answered");
 COUNTER_DEFINE(count_deferred, "source_pulls_put_off", "Pulls told to wait");
 GAUGE_DEFINE(gauge_members, "source_members", "Proxies that report");
@@ -163,13 +164,15 @@
 }
 
 void
-publish_notify_accepted(struct source *source)
+publish_notify_accepted(void *arg)
 {
+	struct source *source = arg;
 	const struct report_table *table = &source->reports;
 	uint64_t version = source->store.current->version;
 	struct address to;
 	uint32_t i;
 
+	source->notice_deferred = false;
 	if (!replica_is_leader(&source->host.replica))
 		return;
 	for (i = 0; i < table->count; i++) {
@@ -180,6 +183,7 @@
 		    address_make(r->member.host, r->member.control_port, &to) !=
 			0)
 			continue;
+		counter_add(&count_notices, 1);
 		send_answer(source, &to, r->version_seen, NULL);
 	}
 }
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -34,6 +34,17 @@
 	free(data);
 }
 
+/// Notifies proxies once after all entries of this iteration are applied: after
+/// a start these are many, and only the last one matters.
+static void
+defer_notice(struct source *source)
+{
+	if (source->notice_deferred)
+		return;
+	source->notice_deferred = true;
+	loop_defer(source->loop, publish_notify_accepted, source);
+}
+
 static void
 on_apply(struct replica_host *host, const struct replica_entry *entry)
 {
@@ -52,7 +63,7 @@
 		    "Accepted version %" PRIu64 " (hash %016" PRIx64 ").",
 		    source->store.current->version,
 		    source->store.current->hash);
-		publish_notify_accepted(source);
+		defer_notice(source);
 	}
 	pending_complete_proposal(source, entry, verdict);
 	compact_if_due(source, entry->index);
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -71,6 +71,7 @@
 	uint32_t pending_count;
 	uint64_t next_context;
 	uint32_t applied_since_snapshot;
+	bool notice_deferred; ///< A version was accepted in this iteration.
 	int64_t pull_tokens_milli;
 	int64_t pull_refill_us; ///< Time of the last refill.
 	int64_t started_us;
@@ -104,7 +105,7 @@
 
 /// Notifies some proxies of each data centre of the accepted version, if this
 /// replica is the leader.
-void publish_notify_accepted(struct source *source);
+void publish_notify_accepted(void *source);
 
 /// Answers a pull. Sends a retry time instead if there are too many, or if the
 /// pull asks for a confirmed version and this replica is not the leader.
