--- a/src/io/log/log.c
+++ b/src/io/log/log.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
+#include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/log/log_writer.h"
 
@@ -20,6 +21,9 @@
 
 #define MESSAGE_BYTES 512
 
+COUNTER_DEFINE(count_dropped, "log_lines_limited",
+    "Log lines dropped over the rate limit");
+
 /// Interval between two reports of dropped lines.
 #define DROP_REPORT_INTERVAL_US (1 * US_PER_S)
 
@@ -98,6 +102,7 @@
 		thread_log.tokens = state.lines_per_s;
 	if (thread_log.tokens < 1) {
 		thread_log.dropped++;
+		counter_add(&count_dropped, 1);
 		return false;
 	}
 	thread_log.tokens -= 1;
--- a/src/io/log/log_writer.c
+++ b/src/io/log/log_writer.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
+#include "io/log/counters.h"
 #include "io/log/log_writer.h"
 
 /// Holds about one second of lines from two threads at the default rate limit.
@@ -21,6 +22,9 @@
 /// Maximum wait at shutdown for a slow reader.
 #define STOP_TIMEOUT_US (300 * US_PER_MS)
 
+COUNTER_DEFINE(count_dropped, "log_lines_dropped",
+    "Log lines dropped since the reader of the log was too slow");
+
 static struct {
 	apr_pool_t *pool;
 	apr_thread_mutex_t *mutex;
@@ -147,6 +151,7 @@
 		writer.dropped = 0;
 	} else
 		writer.dropped += count;
+	counter_add(&count_dropped, (int64_t)count);
 	apr_thread_mutex_unlock(writer.mutex);
 	return reported;
 }
