feat(metrics): bytes sent by kind of message and distance

Solution: sent_bytes{message,distance} on the metrics address of proxies and sources, packet heads included; the distance of a VM comes from gossip, reports and their answers.

--- a/src/io/log/counters.h
+++ b/src/io/log/counters.h
@@ -14,6 +14,9 @@
 struct counter {
 	const char *name;
 	const char *help;
+	/// `name="value",...` of one series of several; NULL: the only one. Such
+	/// series are left out while they are 0.
+	const char *labels;
 	bool gauge; ///< The value can also decrease.
 	_Atomic int64_t value;
 	struct counter *next;
--- a/src/io/net/datagram.c
+++ b/src/io/net/datagram.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "io/net/net.h"
+#include "io/net/volume.h"
 
 #define RECEIVE_BATCH	    64
 #define SOCKET_BUFFER_BYTES (1024 * 1024)
@@ -89,7 +90,7 @@
 
 void
 datagram_send(struct datagram_socket *sock, const struct address *to,
-    const char *bytes, size_t size_bytes)
+    enum message_type type, const char *bytes, size_t size_bytes)
 {
 	ssize_t n = sendto(sock->watch.fd, bytes, size_bytes, MSG_NOSIGNAL,
 	    (const struct sockaddr *)&to->in, sizeof(to->in));
@@ -97,5 +98,6 @@
 	if (n > 0) {
 		sock->sent_bytes += (uint64_t)n;
 		sock->sent_count++;
+		volume_count(type, to, (size_t)n + VOLUME_UDP_HEAD_BYTES);
 	}
 }
--- a/src/io/net/net.h
+++ b/src/io/net/net.h
@@ -29,6 +29,7 @@
 	struct loop *loop;
 	struct loop_watch watch;
 	char peer[ADDRESS_TEXT_BYTES];
+	struct address peer_address;
 	msgpack_sbuffer out;
 	size_t out_sent_bytes;
 	char *in;
@@ -116,8 +117,9 @@
 /// Closes the socket. Does nothing if it is not open.
 void datagram_close(struct datagram_socket *socket);
 
-/// Sends an encoded message. A full send buffer drops it, as a network may.
+/// Sends an encoded message of a type. A full send buffer drops it, as a network
+/// may.
 void datagram_send(struct datagram_socket *socket, const struct address *to,
-    const char *bytes, size_t size_bytes);
+    enum message_type type, const char *bytes, size_t size_bytes);
 
 #endif
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -12,6 +12,7 @@
 #include "io/net/deflate.h"
 #include "io/net/dial.h"
 #include "io/net/net.h"
+#include "io/net/volume.h"
 
 #define READ_BYTES	 (64 * 1024)
 #define MORE_BYTES	 (8 * 1024)
@@ -177,6 +178,8 @@
 	if (stream->out.size - start > DEFLATE_MIN_BYTES &&
 	    message_is_compressible(type))
 		deflate_frame(&stream->out, start);
+	volume_count(type, &stream->peer_address,
+	    stream->out.size - start + VOLUME_TCP_HEAD_BYTES);
 	if (stream->flush_deferred)
 		return 0;
 	stream->flush_deferred = true;
@@ -434,6 +437,7 @@
 	stream->watch.fd = fd;
 	msgpack_sbuffer_init(&stream->out);
 	address_format(peer, stream->peer);
+	stream->peer_address = *peer;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	return stream;
 }
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -9,6 +9,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/net/oneshot.h"
+#include "io/net/volume.h"
 #include "io/rules_message.h"
 #include "proxy/control/control.h"
 #include "wire/gossip_codec.h"
@@ -298,6 +299,7 @@
 	    .version = answer->accepted_version,
 	    .is_source = true};
 	struct member at = {0};
+	struct address source;
 
 	note_source_answer(control, answer);
 	update_sources(control, &answer->sources);
@@ -309,6 +311,10 @@
 	    bytes_copy(answer->host, holder.host, sizeof(holder.host)) != 0 ||
 	    bytes_copy(answer->region, at.region, sizeof(at.region)) != 0)
 		return;
+	bytes_copy(answer->dc, at.dc, sizeof(at.dc));
+	if (address_make(holder.host, holder.port, &source) == 0)
+		volume_set_distance(
+		    &source, membership_distance(&control->membership, &at));
 	// A source never counts as local, so that about one member of each data
 	// centre pulls from a source.
 	holder.distance =
@@ -354,8 +360,8 @@
 		if (to_all ||
 		    (control->report_turn % 2 == 0 && i == turn % count) ||
 		    same_address(&sources[i], &control->leader))
-			datagram_send(
-			    &control->udp, &sources[i], out.data, out.size);
+			datagram_send(&control->udp, &sources[i],
+			    MESSAGE_REPORT, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
--- a/src/proxy/control/gossip_io.c
+++ b/src/proxy/control/gossip_io.c
@@ -8,6 +8,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/net/oneshot.h"
+#include "io/net/volume.h"
 #include "proxy/control/control.h"
 #include "wire/gossip_codec.h"
 
@@ -36,7 +37,8 @@
 	msgpack_sbuffer_init(&out);
 	gossip_pack(&out, gossip);
 	if (out.size <= DATAGRAM_MAX_BYTES) {
-		datagram_send(&control->udp, &to, out.data, out.size);
+		datagram_send(
+		    &control->udp, &to, MESSAGE_GOSSIP, out.data, out.size);
 		counter_add(&count_sent, (int64_t)out.size);
 	}
 	msgpack_sbuffer_destroy(&out);
@@ -359,8 +361,11 @@
 static void
 on_changed(struct membership *m, const struct member *member)
 {
+	struct address vm;
 	struct log_line line;
 
+	if (address_make(member->host, member->control_port, &vm) == 0)
+		volume_set_distance(&vm, membership_distance(m, member));
 	log_begin(&line, LOG_INFO, "gossip", "A member changed.");
 	log_text(&line, "member", member->name);
 	log_text(&line, "dc", member->dc);
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -8,6 +8,7 @@
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
+#include "io/net/volume.h"
 #include "io/rules_message.h"
 #include "source/source.h"
 #include "wire/gossip_codec.h"
@@ -112,7 +113,8 @@
 	answer.dc = bytes_from_string(source->settings.dc);
 	msgpack_sbuffer_init(&out);
 	message_pack(&out, MESSAGE_REPORT_ANSWER, &answer);
-	datagram_send(&source->udp, to, out.data, out.size);
+	datagram_send(
+	    &source->udp, to, MESSAGE_REPORT_ANSWER, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
@@ -134,6 +136,10 @@
 		return;
 	}
 	counter_add(&count_reports, 1);
+	volume_set_distance(from,
+	    strcmp(member.region, source->settings.region) != 0 ? DISTANCE_FAR
+		: strcmp(member.dc, source->settings.dc) != 0 ? DISTANCE_REGION
+							      : DISTANCE_DC);
 	report = report_table_update(&source->reports, &member,
 	    message->u.report.leaving != 0, loop_now_us(source->loop));
 	counter_set(&gauge_members,
