fix(config): the rest between adoptions follows their cost

Problem: two adoptions in 0.8 s at each hop from a source to a proxy could add up to more than the time in which a version must be in force on a large fleet. Solution: the rest is ten times what the last adoption took, 0.4 s at most; so files that are cheap to parse are adopted as before.

--- a/src/core/membership/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -151,9 +151,11 @@
 }
 
 void
-version_sync_finish_pull(
-    struct version_sync *vs, bool ok, int64_t wait_us, int64_t now_us)
+version_sync_finish_pull(struct version_sync *vs, bool ok, int64_t cost_us,
+    int64_t wait_us, int64_t now_us)
 {
+	int64_t rest_us = cost_us * VERSION_SYNC_REST_FACTOR;
+
 	if (!vs->pulling)
 		return;
 	vs->pulling = false;
@@ -161,8 +163,9 @@
 	vs->retry_deadline_us = now_us;
 	if (ok) {
 		vs->failures = 0;
-		vs->adopted_us[vs->adopted_count++ % VERSION_SYNC_BURST] =
-		    now_us;
+		if (rest_us > VERSION_SYNC_REST_MAX_US)
+			rest_us = VERSION_SYNC_REST_MAX_US;
+		vs->adoption_deadline_us = now_us + rest_us;
 		return;
 	}
 	if (wait_us <= 0)
@@ -190,22 +193,11 @@
 	return a->version > b->version;
 }
 
-/// Returns the earliest time of the next adoption.
-static int64_t
-next_adoption_us(const struct version_sync *vs)
-{
-	int64_t oldest_us =
-	    vs->adopted_us[vs->adopted_count % VERSION_SYNC_BURST];
-
-	return oldest_us == 0 ? 0 : oldest_us + VERSION_SYNC_WINDOW_US;
-}
-
 /// Returns the holder to pull from now, or NULL and the time of the next check.
 static const struct holder *
 choose_holder(const struct version_sync *vs, int64_t now_us, int64_t *next_us)
 {
 	const struct holder *best = NULL;
-	int64_t adoption_us = next_adoption_us(vs);
 	uint32_t i;
 
 	*next_us = DEADLINE_NONE;
@@ -216,8 +208,8 @@
 		if (h->distance != DISTANCE_DC &&
 		    from_us < vs->remote_deadline_us)
 			from_us = vs->remote_deadline_us;
-		if (from_us < adoption_us)
-			from_us = adoption_us;
+		if (from_us < vs->adoption_deadline_us)
+			from_us = vs->adoption_deadline_us;
 		if (from_us > now_us) {
 			if (from_us < *next_us)
 				*next_us = from_us;
@@ -236,7 +228,7 @@
 	int64_t next_us;
 
 	if (vs->pulling && now_us >= vs->pull_deadline_us)
-		version_sync_finish_pull(vs, false, 0, now_us);
+		version_sync_finish_pull(vs, false, 0, 0, now_us);
 	if (vs->pulling)
 		return vs->pull_deadline_us;
 	holder = choose_holder(vs, now_us, &next_us);
--- a/src/core/membership/version_sync.h
+++ b/src/core/membership/version_sync.h
@@ -19,10 +19,11 @@
 
 #define VERSION_SYNC_HOLDERS 8
 
-/// Versions that may be adopted within VERSION_SYNC_WINDOW_US. The window bounds
-/// the delay at each hop from a source to a proxy, of which there are two.
-#define VERSION_SYNC_BURST     2
-#define VERSION_SYNC_WINDOW_US 800000LL
+/// After an adoption the next one waits for this many times what it cost, so
+/// that adoptions take about a tenth of the time at most. The wait is bounded,
+/// since it adds up over the hops from a source to a proxy.
+#define VERSION_SYNC_REST_FACTOR 10
+#define VERSION_SYNC_REST_MAX_US 400000LL
 
 struct version_sync;
 
@@ -57,10 +58,8 @@
 	bool pulling;
 	int64_t pull_deadline_us;
 	struct holder pulling_from;
-	/// Times of the last adoptions, as a ring; 0: none.
-	int64_t adopted_us[VERSION_SYNC_BURST];
-	uint32_t adopted_count;
-	uint32_t failures; ///< Consecutive.
+	int64_t adoption_deadline_us; ///< Earliest next adoption.
+	uint32_t failures;	      ///< Consecutive.
 	int64_t retry_deadline_us;
 };
 
@@ -80,9 +79,10 @@
 /// Ends the pull in progress.
 ///
 /// @param ok       whether newer rules arrived and were adopted
+/// @param cost_us  time that parsing and adopting them took
 /// @param wait_us  retry delay requested by the holder; 0: default backoff
-void version_sync_finish_pull(
-    struct version_sync *vs, bool ok, int64_t wait_us, int64_t now_us);
+void version_sync_finish_pull(struct version_sync *vs, bool ok, int64_t cost_us,
+    int64_t wait_us, int64_t now_us);
 
 /// Starts a pull if one is due.
 ///
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -80,7 +80,7 @@
 	struct pull_call *call = arg;
 	struct control *control = call->control;
 	bool newest = call->sequence == control->pull_sequence;
-	int64_t now_us = loop_now_us(control->loop);
+	int64_t started_us = clock_now_us();
 	struct rules *rules;
 	struct error rules_err;
 	int64_t wait_us = 0;
@@ -109,7 +109,9 @@
 	}
 	free(call);
 	if (newest)
-		version_sync_finish_pull(&control->sync, ok, wait_us, now_us);
+		version_sync_finish_pull(&control->sync, ok,
+		    clock_now_us() - started_us, wait_us,
+		    loop_now_us(control->loop));
 	control_tick(control);
 }
 
