refactor(egress): load and pace in a file of their own

Problem: egress_request.c and refuse.c needed each other. Solution: egress_load.c holds what ingresses learn of the load.

--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -86,6 +86,14 @@
 // Layers of the egress, lowest first: a file calls only functions listed above
 // its own.
 
+// egress_load.c
+
+/// Calls the pace listener after a marked change, at a limited rate.
+void egress_announce_pace(struct egress *egress, int64_t now_us);
+
+/// Fills in the load that each response reports to the ingress.
+void egress_fill_load(struct egress *egress, struct message_response *response);
+
 // egress_collect.c
 
 /// Starts the transfer of further bodies, those of the nearest target first.
@@ -121,12 +129,6 @@
 
 // refuse.c
 
-/// Calls the pace listener after a marked change, at a limited rate.
-void egress_announce_pace(struct egress *egress, int64_t now_us);
-
-/// Fills in the load that each response reports to the ingress.
-void egress_fill_load(struct egress *egress, struct message_response *response);
-
 /// Sends a response that the egress produces itself.
 void egress_send_error(struct egress *egress, struct egress_sink *sink,
     uint64_t id, uint32_t status, enum outcome outcome, int64_t retry_us,
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -105,7 +105,9 @@
 
 /// Notifies some proxies of each data centre of the accepted version, if this
 /// replica is the leader.
-void publish_notify_accepted(void *source);
+///
+/// @param arg  the source
+void publish_notify_accepted(void *arg);
 
 /// Answers a pull. Sends a retry time instead if there are too many, or if the
 /// pull asks for a confirmed version and this replica is not the leader.
