--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -7,7 +7,6 @@
 #define EMA_DIVISOR	     16
 #define IDLE_CREDIT_REQUESTS 2
 #define CREDIT_MAX_US	     2000000LL
-#define BEGUN_CREDIT_MAX_US  500000LL
 #define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
 #define PERMILLE	     1000
@@ -16,6 +15,9 @@
 /// could starve a rank of high worth.
 #define BEGUN_SHARE_PCT 25
 
+/// Slot time that begun work may save up while it needs less than its share.
+#define BEGUN_CREDIT_MAX_US 500000LL
+
 /// A request may wait for the time left beside its service, divided by this.
 #define WAIT_DIVISOR 2
 
@@ -331,7 +333,8 @@
 
 /// Longest expected wait with which an item is accepted: a part of the time that
 /// is left beside its service, since the estimate is only a mean. A begun item
-/// has until its deadline, since its own target earns nothing.
+/// has until its deadline, since its own target earns nothing. One that is late
+/// already may wait as long as its deadline allows.
 static int64_t
 max_wait_us(const struct admission *a, const struct admission_item *item,
     int64_t now_us)
@@ -448,12 +451,13 @@
 	for (i = 0; i < a->rank_count; i++) {
 		const struct admission_rank *r = &a->ranks[i];
 		struct admission_item *item = r->head;
+		int64_t service_us;
 
-		if (item != NULL &&
-		    item->deadline_us <= now_us +
-			    (item->service_us > 0 ? item->service_us
-						  : r->service_us) /
-				2)
+		if (item == NULL)
+			continue;
+		service_us =
+		    item->service_us > 0 ? item->service_us : r->service_us;
+		if (item->deadline_us <= now_us + service_us / 2)
 			return item;
 	}
 	return NULL;
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -5,8 +5,8 @@
 /// the other requests, each in order of arrival. A free slot goes first to calls
 /// of begun work while these have used less than their share of slot time, then
 /// to a rank that has used less than its reserved share, then to the rank of the
-/// highest worth. A rank may queue no more than the free space that
-/// is left, so that a flood of one rank cannot fill the whole queue.
+/// highest worth. A rank may queue no more than the free space that is left, so
+/// that a flood of one rank cannot fill the whole queue.
 ///
 /// Answers the load of more requests than the slots can serve in time: a
 /// request waits only if it is likely to meet its own target, and is refused at
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -113,7 +113,7 @@
 /// Returns the fence that knows the requests of this egress.
 struct fence *egress_get_fence(struct egress *egress);
 
-/// Returns the mean time of a request in a slot; 0 if unknown.
+/// Returns the expected time of a request in a slot now; 0 if unknown.
 int64_t egress_get_service_us(struct egress *egress);
 
 /// Sets the callback for a marked change of the pace of the backend server,
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -482,92 +482,118 @@
 	int64_t end_us;
 };
 
+/// State of a play of mixed loads.
+struct mixed_play {
+	struct admission a;
+	struct random random;
+	struct mixed_item *running[MIXED_SLOTS];
+	int64_t now_us;
+};
+
+/// Starts an item in a free slot.
 static void
-start_mixed(struct mixed_item *m, struct random *random, int64_t now_us)
+start_mixed(struct mixed_play *play, struct mixed_item *m)
 {
 	int64_t service_us = m->load->service_us;
+	uint32_t i = 0;
 
-	m->end_us = now_us + service_us * 6 / 10 +
-	    random_time_us(random, service_us * 8 / 10);
+	m->end_us = play->now_us + service_us * 6 / 10 +
+	    random_time_us(&play->random, service_us * 8 / 10);
 	m->load->in_target += m->end_us <= m->item.target_deadline_us;
+	while (play->running[i] != NULL)
+		i++;
+	assert_true(i < MIXED_SLOTS);
+	play->running[i] = m;
+}
+
+static void
+offer_mixed(struct mixed_play *play, struct mixed_load *l)
+{
+	struct mixed_item *m = calloc(1, sizeof(*m));
+	int64_t retry_us;
+
+	assert_non_null(m);
+	m->load = l;
+	m->item.rank = l->rank;
+	m->item.begun = l->begun;
+	m->item.service_us = l->service_us;
+	m->item.target_deadline_us = play->now_us + l->target_us;
+	m->item.deadline_us = play->now_us + 4 * l->target_us;
+	l->offered++;
+	switch (admission_offer(&play->a, &m->item, play->now_us, &retry_us)) {
+	case ADMISSION_RUN:
+		start_mixed(play, m);
+		break;
+	case ADMISSION_QUEUED:
+		break;
+	case ADMISSION_REFUSED:
+		l->refused++;
+		free(m);
+		break;
+	}
+}
+
+static void
+finish_mixed(struct mixed_play *play)
+{
+	uint32_t i;
+
+	for (i = 0; i < MIXED_SLOTS; i++) {
+		struct mixed_item *m = play->running[i];
+
+		if (m == NULL || m->end_us > play->now_us)
+			continue;
+		admission_finish(&play->a, &m->item, play->now_us);
+		free(m);
+		play->running[i] = NULL;
+	}
+}
+
+static void
+start_queued_mixed(struct mixed_play *play)
+{
+	enum admission_verdict verdict;
+	struct admission_item *next;
+
+	while (
+	    (next = admission_next(&play->a, play->now_us, &verdict)) != NULL) {
+		struct mixed_item *m = (struct mixed_item *)next;
+
+		if (verdict == ADMISSION_RUN) {
+			start_mixed(play, m);
+			continue;
+		}
+		m->load->refused++;
+		free(m);
+	}
 }
 
 /// Plays the loads for 30 s.
 static void
 play_mixed(struct mixed_load *loads, uint32_t count)
 {
-	struct mixed_item *running[MIXED_SLOTS] = {NULL};
-	struct random random = {9, 0};
+	struct mixed_play play = {.random = {9, 0}};
 	enum admission_verdict verdict;
 	struct admission_item *next;
-	struct admission a;
 	int64_t step_us = 500;
-	int64_t now_us;
 	uint32_t i;
 
-	init(&a, MIXED_SLOTS);
-	for (now_us = SECOND_US; now_us < 31 * SECOND_US; now_us += step_us) {
-		for (i = 0; i < MIXED_SLOTS; i++)
-			if (running[i] != NULL &&
-			    running[i]->end_us <= now_us) {
-				admission_finish(&a, &running[i]->item, now_us);
-				free(running[i]);
-				running[i] = NULL;
-			}
-		for (i = 0; i < count; i++) {
-			struct mixed_load *l = &loads[i];
-			struct mixed_item *m;
-			int64_t retry_us;
-
-			if (random_below(&random, 1000000) >= l->load *
-				(double)step_us / (double)l->service_us *
-				1000000)
-				continue;
-			m = calloc(1, sizeof(*m));
-			m->load = l;
-			m->item.rank = l->rank;
-			m->item.begun = l->begun;
-			m->item.service_us = l->service_us;
-			m->item.target_deadline_us = now_us + l->target_us;
-			m->item.deadline_us = now_us + 4 * l->target_us;
-			l->offered++;
-			verdict =
-			    admission_offer(&a, &m->item, now_us, &retry_us);
-			if (verdict == ADMISSION_REFUSED) {
-				l->refused++;
-				free(m);
-				continue;
-			}
-			if (verdict == ADMISSION_QUEUED)
-				continue;
-			start_mixed(m, &random, now_us);
-			for (uint32_t s = 0; s < MIXED_SLOTS; s++)
-				if (running[s] == NULL) {
-					running[s] = m;
-					break;
-				}
-		}
-		while ((next = admission_next(&a, now_us, &verdict)) != NULL) {
-			struct mixed_item *m = (struct mixed_item *)next;
-
-			if (verdict == ADMISSION_REFUSED) {
-				m->load->refused++;
-				free(m);
-				continue;
-			}
-			start_mixed(m, &random, now_us);
-			for (uint32_t s = 0; s < MIXED_SLOTS; s++)
-				if (running[s] == NULL) {
-					running[s] = m;
-					break;
-				}
-		}
+	init(&play.a, MIXED_SLOTS);
+	for (play.now_us = SECOND_US; play.now_us < 31 * SECOND_US;
+	     play.now_us += step_us) {
+		finish_mixed(&play);
+		for (i = 0; i < count; i++)
+			if (random_below(&play.random, 1000000) <
+			    loads[i].load * (double)step_us /
+				(double)loads[i].service_us * 1000000)
+				offer_mixed(&play, &loads[i]);
+		start_queued_mixed(&play);
 	}
-	while ((next = admission_next(
-		    &a, now_us + 100 * SECOND_US, &verdict)) != NULL)
+	play.now_us += 100 * SECOND_US;
+	while ((next = admission_next(&play.a, play.now_us, &verdict)) != NULL)
 		free(next);
 	for (i = 0; i < MIXED_SLOTS; i++)
-		free(running[i]);
+		free(play.running[i]);
 }
 
 #define LOG_RANK 2
