--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -17,6 +17,7 @@
 #include "core/requests/once.h"
 #include "core/rules/rules.h"
 #include "fakes/fake_disk.h"
+#include "io/dialect.h"
 #include "io/disk/wal.h"
 #include "io/settings.h"
 #include "wire/gossip_codec.h"
@@ -130,7 +131,66 @@
 	once_op_decode(bytes, (uint32_t)size_bytes, &op, &err);
 }
 
+/// Announcements and deregistrations, in the formats of all dialects.
+static void
+run_announcement(const char *bytes, size_t size_bytes)
+{
+	static const char *const dialects[] = {"own", "platform"};
+	struct backend_announcement a;
+	struct error err;
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		const struct dialect *d = dialect_find(dialects[i]);
+
+		d->read_announcement(DIALECT_ANNOUNCE, "i-1", bytes, size_bytes,
+		    1000, 1000, &a, &err);
+		d->read_announcement(DIALECT_DEREGISTER, "i-1", bytes,
+		    size_bytes, 1000, 1000, &a, &err);
+	}
+}
+
+/// Operators' documents: what is accepted must be rendered again.
+static void
+run_document(const char *bytes, size_t size_bytes)
+{
+	const struct dialect *d = dialect_find("platform");
+	static struct rules_errors errors;
+	struct rules *rules;
+	struct error err;
+	size_t text_bytes;
+	char *text;
+
+	if (d->read_rules(bytes, size_bytes, &text, &text_bytes, &err) != 0)
+		return;
+	rules = rules_parse(text, text_bytes, &errors);
+	free(text);
+	if (rules == NULL)
+		return;
+	text = d->render_rules(rules);
+	if (text == NULL || strcmp(text, "{}") == 0)
+		abort();
+	free(text);
+	rules_unref(rules);
+}
+
+/// The load that backend servers state.
+static void
+run_load(const char *bytes, size_t size_bytes)
+{
+	struct server_load load;
+	struct error err;
+
+	if (dialect_find("platform")
+		    ->read_load(bytes, size_bytes, &load, &err) == 0 &&
+	    load.slots == 0)
+		abort();
+}
+
 static const struct target targets[] = {
+    {"announcement", run_announcement},
+    {"document", run_document},
+    {"load", run_load},
     {"rules", run_rules},
     {"message", run_message},
     {"wal", run_wal},
