--- a/test/unit/test_replica.c
+++ b/test/unit/test_replica.c
@@ -285,25 +285,31 @@
 static void
 test_silent_learner_is_not_caught_up(void **state)
 {
-	struct cluster *c = create_running_cluster(13);
-	struct replica *r = &find_leader(c)->replica;
-	struct replica_config target = r->config;
-	struct replica_progress *p = &r->progress[0];
+	struct cluster *c = cluster_create(13, 3);
+	struct replica_config learners;
+	struct replica_config target;
+	struct replica *r = NULL;
+	struct error err;
+	uint32_t steps;
 
 	(void)state;
-	target.voters[target.voter_count].id = 99;
-	target.voter_count++;
-	assert_false(replica_has_caught_up(r, &target));
-	p->id = 99;
-	p->match = 0;
-	r->config.voter_count = 1;
-	r->entry_count = 1;
-	r->first_index = 1;
+	for (steps = 0; steps < 1000 && r == NULL; steps++) {
+		cluster_run_steps(c, 1, false);
+		if (replica_is_leader(&c->nodes[steps % 3].replica) &&
+		    c->nodes[steps % 3].replica.commit > 0)
+			r = &c->nodes[steps % 3].replica;
+	}
+	assert_non_null(r);
+	learners = target = r->config;
+	learners.learners[learners.learner_count++].id = 4;
+	target.voters[target.voter_count++].id = 4;
+	assert_int_equal(
+	    replica_change_config(r, &learners, c->now_us, &err), 0);
+	assert_true(replica_last_index(r) <= 16);
 	assert_false(replica_has_caught_up(r, &target));
-	p->match = 1;
-	target.voter_count = 1;
-	target.voters[0].id = 99;
+	replica_progress_get(r, 4)->match = 1;
 	assert_true(replica_has_caught_up(r, &target));
+	cluster_free(c);
 }
 
 int
