--- a/src/io/net/volume.c
+++ b/src/io/net/volume.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "io/log/counters.h"
 #include "io/net/volume.h"
@@ -66,7 +67,7 @@
 
 	for (i = 0; i < MAX_VMS; i++) {
 		_Atomic uint64_t *slot =
-		    &vms[(key * 2654435761u / 4096 + i) % MAX_VMS];
+		    &vms[(XXH3_64bits(&key, sizeof(key)) + i) % MAX_VMS];
 		uint64_t entry = atomic_load(slot);
 
 		if (entry == 0 || entry >> 8 == key)
--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -388,6 +388,8 @@
 	stream_send(stream, MESSAGE_REPLICA_ANSWER, &answer);
 }
 
+/// Tells whether a message is the response to one that gets no acknowledgement
+/// of its own.
 static bool
 is_response(enum replica_message_kind kind)
 {
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -48,7 +48,8 @@
 	struct loop_timer timer; ///< Next attempt.
 	bool idempotent;	 ///< Executing it twice equals once.
 	bool sent;		 ///< A leader may have received it.
-	bool read_moved; ///< A read that the leader answers with the text.
+	/// A read of the rules whose text is not that of this replica.
+	bool leader_sends_text;
 };
 
 static void forward_attempt(void *arg);
@@ -139,7 +140,7 @@
 	if (answer == NULL)
 		log_error(LOG_INFO, "source",
 		    "The leader did not confirm the newest version", err);
-	f->read_moved = true;
+	f->leader_sends_text = true;
 	loop_timer_set(
 	    f->source->loop, &f->timer, loop_now_us(f->source->loop));
 }
@@ -183,7 +184,7 @@
 		    source->loop, &f->timer, now_us + FORWARD_RETRY_DELAY_US);
 		return;
 	}
-	if (is_rules_read(f) && !f->read_moved) {
+	if (is_rules_read(f) && !f->leader_sends_text) {
 		request_confirmation(f, &to);
 		return;
 	}
