--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -598,16 +598,25 @@
 
 #define LOG_RANK 2
 
+/// Requests of a target far shorter than that of their rank.
+///
+/// @param share  service time offered, as a part of what the slots can serve
+static struct mixed_load
+quick_load(double share)
+{
+	return (struct mixed_load){.load = share * MIXED_SLOTS,
+	    .target_us = 400 * MS,
+	    .service_us = 100 * MS,
+	    .rank = LOG_RANK};
+}
+
 /// Half as many requests again as the slots can serve, with a target of four
 /// service times in a rank whose target is twenty: what is served is served in
 /// time, and the slots do not idle.
 static void
 test_own_target_limits_the_queue(void **state)
 {
-	struct mixed_load quick = {.load = 1.5 * MIXED_SLOTS,
-	    .target_us = 400 * MS,
-	    .service_us = 100 * MS,
-	    .rank = LOG_RANK};
+	struct mixed_load quick = quick_load(1.5);
 	uint32_t possible = 30 * MIXED_SLOTS * 10;
 
 	(void)state;
@@ -620,10 +629,7 @@
 static void
 test_own_target_spares_a_fitting_load(void **state)
 {
-	struct mixed_load quick = {.load = 0.8 * MIXED_SLOTS,
-	    .target_us = 400 * MS,
-	    .service_us = 100 * MS,
-	    .rank = LOG_RANK};
+	struct mixed_load quick = quick_load(0.8);
 
 	(void)state;
 	play_mixed(&quick, 1);
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -182,24 +182,36 @@
 	balancer_free(&b);
 }
 
+/// Marks each endpoint of add_endpoints() as one that refused a request.
+///
+/// @param until_deadline_us  when the first may be asked again
+/// @param step_us            how much later each next one may
+static void
+set_all_busy(struct balancer *b, const struct balancer_request *refused,
+    int64_t until_deadline_us, int64_t step_us)
+{
+	static const char *const endpoint_names[] = {
+	    "a", "b", "c", "d", "e", "f"};
+	size_t i;
+
+	for (i = 0; i < 6; i++)
+		balancer_set_busy(balancer_find(b, endpoint_names[i]), refused,
+		    until_deadline_us + step_us * (int64_t)i);
+}
+
 /// An endpoint that refused a request for lack of time to wait still gets
 /// requests of the same rank that can wait longer, and calls of work in
 /// progress, which go ahead of others there.
 static void
 test_busy_spares_the_patient(void **state)
 {
-	static const char *const endpoint_names[] = {
-	    "a", "b", "c", "d", "e", "f"};
 	struct balancer_request q = {.worth = 5, .target_left_us = 300000};
 	struct balancer b;
-	size_t i;
 
 	(void)state;
 	balancer_init(&b, "s", 1, 0);
 	add_endpoints(&b, SECOND_US);
-	for (i = 0; i < 6; i++)
-		balancer_set_busy(
-		    balancer_find(&b, endpoint_names[i]), &q, 2 * SECOND_US);
+	set_all_busy(&b, &q, 2 * SECOND_US, 0);
 	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
 	q.target_left_us = 305000;
 	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
@@ -218,19 +230,14 @@
 static void
 test_busy_by_worth(void **state)
 {
-	static const char *const endpoint_names[] = {
-	    "a", "b", "c", "d", "e", "f"};
 	struct balancer_request refused = {.worth = 5};
 	struct balancer_choice c;
 	struct balancer b;
-	size_t i;
 
 	(void)state;
 	balancer_init(&b, "s", 1, 0);
 	add_endpoints(&b, SECOND_US);
-	for (i = 0; i < 6; i++)
-		balancer_set_busy(balancer_find(&b, endpoint_names[i]),
-		    &refused, SECOND_US + 1000 * (int64_t)(i + 1));
+	set_all_busy(&b, &refused, SECOND_US + 1000, 1000);
 	c = choose(&b, 5, SECOND_US);
 	assert_null(c.endpoint);
 	assert_int_equal(c.busy_until_deadline_us, SECOND_US + 1000);
