feat(metrics): delays of the event loop, backlogs of the link, whole files sent

Problem: logs could not tell a full link from a thread that gets no processor, the first two hypotheses for GONE on the large site (docs/incidents/callers-left-gone.md). Solution: a line when events waited for 250 ms or more (busy or overslept), one when more was sent in 200 ms than the link carries (setting limits.link_mbps, from the platform's limits), by kind of message; counters of whole rule files and of differences sent. No other behaviour changes.

--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "io/clock.h"
+#include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
 
@@ -17,6 +18,12 @@
 #define MAX_HOOK_PASSES	      16
 #define LOG_FLUSH_INTERVAL_US (20 * US_PER_MS)
 
+/// Callers notice a delay of this length.
+#define LOGGED_DELAY_US (250 * US_PER_MS)
+
+COUNTER_DEFINE(count_delays, "loop_delays",
+    "Times that events waited for 250 ms or more");
+
 /// Poll state of a file descriptor number. Freed only with the loop, so that
 /// pointers in poll results stay valid.
 struct fd_slot {
@@ -37,6 +44,7 @@
 };
 
 struct loop {
+	const char *name;
 	apr_pool_t *pool;
 	apr_pollset_t *pollset;
 	apr_thread_mutex_t *mutex; ///< Guards posted.
@@ -50,6 +58,7 @@
 	struct loop_hook *hooks;
 	bool hooks_woken;
 	int64_t now_us;
+	int64_t woken_us; ///< Time of the last return from a poll.
 	int64_t log_flush_deadline_us;
 	atomic_bool stopping;
 };
@@ -68,12 +77,13 @@
 }
 
 struct loop *
-loop_create(struct error *err)
+loop_create(const char *name, struct error *err)
 {
 	struct loop *loop = calloc(1, sizeof(*loop));
 	apr_status_t rc;
 
 	assert(loop != NULL);
+	loop->name = name;
 	rc = apr_pool_create(&loop->pool, NULL);
 	if (rc != APR_SUCCESS)
 		goto fail;
@@ -408,6 +418,23 @@
 	watch->fn(watch->arg, events);
 }
 
+/// Logs that events had to wait: callbacks took long, or a poll returned long
+/// after its time, since the thread did not get the processor.
+static void
+check_delay(const struct loop *loop, int64_t busy_us, int64_t overslept_us)
+{
+	struct log_line line;
+
+	if (busy_us < LOGGED_DELAY_US && overslept_us < LOGGED_DELAY_US)
+		return;
+	counter_add(&count_delays, 1);
+	log_begin(&line, LOG_INFO, "loop", "The event loop was delayed.");
+	log_text(&line, "loop", loop->name);
+	log_ms(&line, "busy_ms", busy_us);
+	log_ms(&line, "overslept_ms", overslept_us);
+	log_end(&line);
+}
+
 /// Polls for at most wait_us. Flushes the log before a wait that is longer than
 /// the flush interval.
 static void
@@ -416,13 +443,18 @@
 	const apr_pollfd_t *ready;
 	apr_int32_t count = 0;
 	apr_int32_t i;
+	int64_t polled_us;
 
 	if (wait_us > LOG_FLUSH_INTERVAL_US)
 		log_flush();
+	polled_us = clock_now_us();
 	if (apr_pollset_poll(loop->pollset, wait_us, &count, &ready) !=
 	    APR_SUCCESS)
 		count = 0;
 	loop->now_us = clock_now_us();
+	check_delay(loop, polled_us - loop->woken_us,
+	    loop->now_us - polled_us - wait_us);
+	loop->woken_us = loop->now_us;
 	for (i = 0; i < count; i++)
 		dispatch(&ready[i]);
 }
@@ -430,6 +462,7 @@
 void
 loop_run(struct loop *loop)
 {
+	loop->woken_us = clock_now_us();
 	while (!atomic_load(&loop->stopping)) {
 		int64_t deadline_us;
 
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -38,8 +38,9 @@
 	struct loop_hook *next;
 };
 
+/// @param name  for the log; must outlive the loop
 /// @return the loop, or NULL with err set
-struct loop *loop_create(struct error *err);
+struct loop *loop_create(const char *name, struct error *err);
 
 void loop_destroy(struct loop *loop);
 
--- a/src/io/net/volume.c
+++ b/src/io/net/volume.c
@@ -6,12 +6,20 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "io/clock.h"
 #include "io/log/counters.h"
+#include "io/log/log.h"
 #include "io/net/volume.h"
 
-#define MAX_TYPES      64
 #define DISTANCE_NAMES (DISTANCE_COUNT + 1)
 #define LABELS_BYTES   64
+#define BYTE_BITS      8
+
+/// A backlog that a request notices takes at least this long to build up.
+#define SAMPLE_INTERVAL_US (200 * US_PER_MS)
+
+/// Kinds with less than one part in this many of the bytes are not logged.
+#define LOGGED_PART 20
 
 /// Slots of the table of VMs; beyond them a VM counts as unknown.
 #define MAX_VMS 2048
@@ -23,7 +31,7 @@
     [DISTANCE_COUNT] = "unknown",
 };
 
-static struct counter counters[MAX_TYPES][DISTANCE_NAMES];
+static struct counter counters[VOLUME_MAX_TYPES][DISTANCE_NAMES];
 
 /// Hash table by IPv4 address. An entry is the address shifted by 8 bits and the
 /// distance plus 1; 0 is a free slot. Entries are only added and changed.
@@ -36,7 +44,7 @@
 	int type;
 	int d;
 
-	for (type = 0; type < MAX_TYPES; type++) {
+	for (type = 0; type < VOLUME_MAX_TYPES; type++) {
 		const struct codec_schema *schema = message_find_schema(type);
 
 		if (schema == NULL)
@@ -96,6 +104,66 @@
 	uint32_t distance =
 	    entry == 0 ? DISTANCE_COUNT : (uint32_t)(entry & 0xff) - 1;
 
-	if ((uint32_t)type < MAX_TYPES && distance < DISTANCE_NAMES)
+	if ((uint32_t)type < VOLUME_MAX_TYPES && distance < DISTANCE_NAMES)
 		counter_add(&counters[type][distance], (int64_t)size_bytes);
 }
+
+/// Bytes sent of a type of message, to all VMs.
+static int64_t
+count_sent_bytes(int type)
+{
+	int64_t sum_bytes = 0;
+	int d;
+
+	for (d = 0; d < DISTANCE_NAMES; d++)
+		sum_bytes += atomic_load(&counters[type][d].value);
+	return sum_bytes;
+}
+
+static void
+log_backlog(const int64_t *sent_bytes, int64_t total_bytes, int64_t elapsed_us,
+    int64_t link_us)
+{
+	struct log_line line;
+	int type;
+
+	log_begin(&line, LOG_INFO, "volume",
+	    "Sent more than the link of this VM carries.");
+	log_ms(&line, "interval_ms", elapsed_us);
+	log_ms(&line, "link_ms", link_us);
+	log_number(&line, "bytes", total_bytes);
+	for (type = 0; type < VOLUME_MAX_TYPES; type++)
+		if (sent_bytes[type] > total_bytes / LOGGED_PART)
+			log_number(&line,
+			    strchr(message_find_schema(type)->name, '_') + 1,
+			    sent_bytes[type]);
+	log_end(&line);
+}
+
+bool
+volume_log_backlog(struct volume_sample *sample, int64_t now_us)
+{
+	int64_t sent_bytes[VOLUME_MAX_TYPES];
+	int64_t elapsed_us = now_us - sample->taken_us;
+	int64_t total_bytes = 0;
+	int64_t link_us;
+	int type;
+
+	if (sample->link_mbps <= 0 || elapsed_us < SAMPLE_INTERVAL_US)
+		return false;
+	for (type = 0; type < VOLUME_MAX_TYPES; type++) {
+		int64_t all_bytes = count_sent_bytes(type);
+
+		sent_bytes[type] = all_bytes - sample->sent_bytes[type];
+		sample->sent_bytes[type] = all_bytes;
+		total_bytes += sent_bytes[type];
+	}
+	sample->taken_us = now_us;
+	// Megabits a second are bits a microsecond.
+	link_us =
+	    (int64_t)((double)total_bytes * BYTE_BITS / sample->link_mbps);
+	if (link_us <= elapsed_us)
+		return false;
+	log_backlog(sent_bytes, total_bytes, elapsed_us, link_us);
+	return true;
+}
--- a/src/io/replica/replica_bootstrap.c
+++ b/src/io/replica/replica_bootstrap.c
@@ -66,7 +66,7 @@
 	struct message_replica_query query = {.cluster = check->cluster};
 	uint32_t i;
 
-	check->loop = loop_create(err);
+	check->loop = loop_create("bootstrap", err);
 	if (check->loop == NULL)
 		return -1;
 	for (i = 0; i < s->initial.voter_count; i++) {
--- a/src/io/replica/replica_program.c
+++ b/src/io/replica/replica_program.c
@@ -97,7 +97,7 @@
 run(void)
 {
 	struct error err;
-	struct loop *loop = loop_create(&err);
+	struct loop *loop = loop_create("replica", &err);
 	int exit_code = EXIT_FAILED;
 
 	host_settings.restart = on_restart;
--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -5,9 +5,14 @@
 #include <string.h>
 
 #include "core/rules/delta.h"
+#include "io/log/counters.h"
 #include "io/net/net.h"
 #include "io/rules_message.h"
 
+COUNTER_DEFINE(count_files, "config_files_sent", "Whole rule files sent");
+COUNTER_DEFINE(
+    count_deltas, "config_deltas_sent", "Differences between versions sent");
+
 /// Parses a rule file and verifies the version and hash of its message.
 static struct rules *
 parse_verified(const char *text, size_t text_bytes, uint64_t version,
@@ -140,6 +145,7 @@
 	}
 	m.steps.items = steps;
 	m.steps.count = delta.step_count;
+	counter_add(&count_deltas, 1);
 	stream_send(stream, MESSAGE_DELTA, &m);
 	free(steps);
 	delta_free(&delta);
@@ -166,5 +172,6 @@
 	m.hash = newest->hash;
 	m.text.data = newest->text;
 	m.text.size_bytes = (uint32_t)newest->text_bytes;
+	counter_add(&count_files, 1);
 	stream_send(stream, MESSAGE_RULES, &m);
 }
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -314,7 +314,7 @@
 int
 load_run(struct load *load, struct error *err)
 {
-	load->loop = loop_create(err);
+	load->loop = loop_create("load", err);
 	if (load->loop == NULL)
 		return -1;
 	load->httpc = httpc_open(load->loop, 0, err);
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -103,7 +103,7 @@
 	struct control_settings *s = &control->settings;
 	int64_t now_us;
 
-	control->loop = loop_create(err);
+	control->loop = loop_create("control", err);
 	if (control->loop == NULL || open_sockets(control, err) != 0)
 		return -1;
 	now_us = loop_now_us(control->loop);
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -130,6 +130,8 @@
 	"longest admission queue, in requests"),
     INTEGER("limits.queued_bytes", max_queued_bytes, 65536, 1073741824,
 	"16777216", "memory of the requests in the admission queue"),
+    NUMBER("limits.link_mbps", link_mbps, 1000000, "0",
+	"capacity of the link of this VM, in Mbit/s; 0: not known"),
 };
 const size_t proxy_field_count = sizeof(proxy_fields) / sizeof(proxy_fields[0]);
 
@@ -341,6 +343,7 @@
 	traffic->ingress.seed = control->seed + 1;
 	traffic->egress.max_queued = (uint32_t)s->max_queued;
 	traffic->egress.max_queued_bytes = (uint32_t)s->max_queued_bytes;
+	traffic->link_mbps = s->link_mbps;
 	resolve_bounds(s, control, &traffic->ingress);
 	return problems == 0 ? 0 : -1;
 }
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -49,6 +49,7 @@
 	int64_t max_connections;
 	int64_t max_queued;
 	int64_t max_queued_bytes;
+	double link_mbps;
 };
 
 extern const struct settings_field proxy_fields[];
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -9,6 +9,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
+#include "io/net/volume.h"
 #include "proxy/egress/egress_peer.h"
 #include "proxy/traffic.h"
 
@@ -26,6 +27,7 @@
 	struct ingress *ingress;
 	struct once_client *once;
 	struct loop_timer publish_timer;
+	struct volume_sample volume;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -195,6 +197,7 @@
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
 	end_drain_if_idle(traffic);
+	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
 	    loop_now_us(traffic->loop) + PUBLISH_PERIOD_US);
 }
@@ -229,7 +232,7 @@
 	struct traffic *traffic = calloc(1, sizeof(*traffic));
 
 	assert(traffic != NULL);
-	traffic->loop = loop_create(err);
+	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
 	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
@@ -249,6 +252,7 @@
 	    &settings->peer, settings->ingress.incarnation, &bound->peer, err);
 	if (traffic->server == NULL)
 		goto fail;
+	traffic->volume.link_mbps = settings->link_mbps;
 	traffic->publish_timer.fn = publish;
 	traffic->publish_timer.arg = traffic;
 	loop_timer_set(
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -137,7 +137,7 @@
 	int exit_code = EXIT_FAILED;
 
 	address_parse(b->settings.listen, &at);
-	b->loop = loop_create(&err);
+	b->loop = loop_create("fake", &err);
 	if (b->loop == NULL ||
 	    (b->httpc = httpc_open(b->loop, 100, &err)) == NULL ||
 	    (b->httpd = httpd_open(b->loop, &at, &fake_httpd_ops, b, &limits,
--- a/test/soak/relay.c
+++ b/test/soak/relay.c
@@ -342,7 +342,7 @@
 	struct error err;
 
 	assert(relays != NULL);
-	relays->loop = loop_create(&err);
+	relays->loop = loop_create("relay", &err);
 	assert(relays->loop != NULL);
 	apr_pool_create(&relays->pool, NULL);
 	return relays;
--- a/test/unit/test_volume.c
+++ b/test/unit/test_volume.c
@@ -69,12 +69,35 @@
 	    shows("sent_bytes{message=\"pull\",distance=\"region\"} 9\n"));
 }
 
+/// 100 kB need 200 ms on a link of 4 Mbit/s.
+static void
+test_backlog_of_the_link(void **state)
+{
+	struct volume_sample sample = {.link_mbps = 4};
+	struct volume_sample unknown = {0};
+	struct address vm;
+
+	(void)state;
+	assert_int_equal(address_make("10.1.0.1", 7, &vm), 0);
+	volume_log_backlog(&sample, 1000000);
+	assert_false(volume_log_backlog(&sample, 1200000));
+	volume_count(MESSAGE_RULES, &vm, 99000);
+	assert_false(volume_log_backlog(&sample, 1400000));
+	volume_count(MESSAGE_RULES, &vm, 101000);
+	assert_false(volume_log_backlog(&sample, 1599999));
+	assert_true(volume_log_backlog(&sample, 1600000));
+	assert_false(volume_log_backlog(&sample, 1800000));
+	volume_count(MESSAGE_RULES, &vm, 10000000);
+	assert_false(volume_log_backlog(&unknown, 2000000));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_by_kind_and_distance),
 	    cmocka_unit_test(test_full_table),
+	    cmocka_unit_test(test_backlog_of_the_link),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
