--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -21,8 +21,8 @@
 /// Callers notice a delay of this length.
 #define LOGGED_DELAY_US (250 * US_PER_MS)
 
-COUNTER_DEFINE(count_delays, "loop_delays",
-    "Times that events waited for 250 ms or more");
+COUNTER_DEFINE(
+    count_delays, "loop_delays", "Times that events waited for 250 ms or more");
 
 /// Poll state of a file descriptor number. Freed only with the loop, so that
 /// pointers in poll results stay valid.
