--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -121,57 +121,78 @@
 }
 
 static void
-send_delta(struct stream *stream, const struct message_pull *pull,
+answer_with_delta(struct rules_answer *answer, const struct message_pull *pull,
     const struct delta_signature *base_signature,
     const struct rule_file *newest)
 {
-	struct message_delta m = {.from_version = pull->have_version,
-	    .from_hash = pull->have_hash,
-	    .version = newest->version,
-	    .hash = newest->hash};
+	struct message_delta *m = &answer->u.delta;
 	struct message_delta_step *steps;
-	struct delta delta;
 	uint32_t i;
 
+	answer->type = MESSAGE_DELTA;
+	m->from_version = pull->have_version;
+	m->from_hash = pull->have_hash;
+	m->version = newest->version;
+	m->hash = newest->hash;
 	delta_make_from_signature(
-	    base_signature, newest->text, newest->text_bytes, &delta);
-	steps = calloc(delta.step_count + 1, sizeof(*steps));
+	    base_signature, newest->text, newest->text_bytes, &answer->delta);
+	steps = calloc(answer->delta.step_count + 1, sizeof(*steps));
 	assert(steps != NULL);
-	for (i = 0; i < delta.step_count; i++) {
-		steps[i].copy_from = delta.steps[i].copy_from;
-		steps[i].copy_count = delta.steps[i].copy_count;
-		steps[i].insert.data = delta.steps[i].insert;
-		steps[i].insert.size_bytes = delta.steps[i].insert_bytes;
+	for (i = 0; i < answer->delta.step_count; i++) {
+		const struct delta_step *step = &answer->delta.steps[i];
+
+		steps[i].copy_from = step->copy_from;
+		steps[i].copy_count = step->copy_count;
+		steps[i].insert.data = step->insert;
+		steps[i].insert.size_bytes = step->insert_bytes;
 	}
-	m.steps.items = steps;
-	m.steps.count = delta.step_count;
-	counter_add(&count_deltas, 1);
-	stream_send(stream, MESSAGE_DELTA, &m);
-	free(steps);
-	delta_free(&delta);
+	m->steps.items = steps;
+	m->steps.count = answer->delta.step_count;
 }
 
 void
-rules_send(struct stream *stream, const struct message_pull *pull,
+rules_answer_init(struct rules_answer *answer, const struct message_pull *pull,
     const struct rule_file *newest, const struct rule_signatures *signatures)
 {
 	const struct delta_signature *base_signature;
-	struct message_rules m = {0};
+	struct message_rules *m = &answer->u.rules;
 
-	if (newest == NULL || newest->version <= pull->have_version) {
-		stream_send(stream, MESSAGE_RULES, &m);
+	memset(answer, 0, sizeof(*answer));
+	answer->type = MESSAGE_RULES;
+	if (newest == NULL || newest->version <= pull->have_version)
 		return;
-	}
 	base_signature = rule_signatures_find(
 	    signatures, pull->have_version, pull->have_hash);
 	if (pull->allow_delta && base_signature != NULL) {
-		send_delta(stream, pull, base_signature, newest);
+		answer_with_delta(answer, pull, base_signature, newest);
 		return;
 	}
-	m.version = newest->version;
-	m.hash = newest->hash;
-	m.text.data = newest->text;
-	m.text.size_bytes = (uint32_t)newest->text_bytes;
-	counter_add(&count_files, 1);
-	stream_send(stream, MESSAGE_RULES, &m);
+	m->version = newest->version;
+	m->hash = newest->hash;
+	m->text.data = newest->text;
+	m->text.size_bytes = (uint32_t)newest->text_bytes;
+}
+
+void
+rules_answer_free(struct rules_answer *answer)
+{
+	if (answer->type != MESSAGE_DELTA)
+		return;
+	free(answer->u.delta.steps.items);
+	delta_free(&answer->delta);
+}
+
+void
+rules_send(struct stream *stream, const struct message_pull *pull,
+    const struct rule_file *newest, const struct rule_signatures *signatures)
+{
+	struct rules_answer answer;
+
+	rules_answer_init(&answer, pull, newest, signatures);
+	if (answer.type == MESSAGE_DELTA)
+		counter_add(&count_deltas, 1);
+	else if (answer.u.rules.version != 0)
+		counter_add(&count_files, 1);
+	stream_send(stream, answer.type, &answer.u);
+	rules_answer_free(&answer);
 }
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -3,6 +3,7 @@
 #ifndef MV_IO_RULES_MESSAGE_H
 #define MV_IO_RULES_MESSAGE_H
 
+#include "core/rules/delta.h"
 #include "core/rules/rules.h"
 #include "wire/messages.h"
 
@@ -22,11 +23,28 @@
 /// other messages.
 int64_t rules_message_bytes(const struct message *message);
 
-/// Responds to a pull: nothing newer, a delta if the signature of the puller's
+/// Answer to a pull: nothing newer, a delta if the signature of the puller's
 /// version is stored here, or the whole file.
+struct rules_answer {
+	enum message_type type; ///< MESSAGE_RULES or MESSAGE_DELTA.
+	union {
+		struct message_rules rules; ///< Version 0: nothing newer.
+		struct message_delta delta;
+	} u;
+	struct delta delta; ///< Memory of u.delta.
+};
+
+/// Makes the answer to a pull. It refers to the text of the newest file.
 ///
 /// @param newest      may be NULL
 /// @param signatures  versions that can be the base of a delta
+void rules_answer_init(struct rules_answer *answer,
+    const struct message_pull *pull, const struct rule_file *newest,
+    const struct rule_signatures *signatures);
+
+void rules_answer_free(struct rules_answer *answer);
+
+/// Sends the answer to a pull; see rules_answer_init.
 void rules_send(struct stream *stream, const struct message_pull *pull,
     const struct rule_file *newest, const struct rule_signatures *signatures);
 
