fix(config): a delta between any two versions, from blocks of lines

Solution: a pull states the puller's rules as blocks of lines (content-defined, about 190 blocks, 1.3 KB for 3,000 lines), so any holder answers with a delta. The kept line hashes of 64 versions (0.75 MB a proxy with 3,000 lines) are gone. A whole file is sent only to a process that has none, or after a delta that did not fit.

--- a/src/core/rules/delta.c
+++ b/src/core/rules/delta.c
@@ -1,18 +1,24 @@
 // Computes and applies line deltas.
 #include <assert.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "core/rules/delta.h"
 
-/// Lines of a text, each with its newline. If only the hashes of the lines are
-/// known, start is NULL.
+/// Blocks have at least this many lines on average, and about MAX_MEAN_BLOCKS of
+/// them describe a long text.
+#define MIN_MEAN_LINES	16
+#define MAX_MEAN_BLOCKS 256
+
+/// Longest block, in mean lengths.
+#define MAX_BLOCK_MEANS 8
+
+/// Lines of a text, each with its newline.
 struct lines {
-	/// count + 1 entries, the last is the end of the text; or NULL.
-	const char **start;
-	const uint32_t *hashes;
-	uint32_t *own_hashes; ///< Allocated hashes; NULL if borrowed.
+	const char **start; ///< count + 1 entries, the last is the end.
+	uint32_t *hashes;
 	uint32_t count;
 };
 
@@ -20,7 +26,7 @@
 split_lines(const char *text, size_t text_bytes)
 {
 	const char *end = text + text_bytes;
-	struct lines lines = {NULL, NULL, NULL, 0};
+	struct lines lines = {NULL, NULL, 0};
 	uint32_t capacity = 0;
 
 	for (;;) {
@@ -30,21 +36,20 @@
 			capacity = capacity ? capacity * 2 : 64;
 			lines.start = realloc(
 			    lines.start, capacity * sizeof(*lines.start));
-			lines.own_hashes = realloc(lines.own_hashes,
-			    capacity * sizeof(*lines.own_hashes));
-			assert(lines.start != NULL && lines.own_hashes != NULL);
+			lines.hashes = realloc(
+			    lines.hashes, capacity * sizeof(*lines.hashes));
+			assert(lines.start != NULL && lines.hashes != NULL);
 		}
 		lines.start[lines.count] = text;
 		if (text == end)
 			break;
 		eol = memchr(text, '\n', (size_t)(end - text));
 		text = eol == NULL ? end : eol + 1;
-		lines.own_hashes[lines.count] =
+		lines.hashes[lines.count] =
 		    (uint32_t)XXH3_64bits(lines.start[lines.count],
 			(size_t)(text - lines.start[lines.count]));
 		lines.count++;
 	}
-	lines.hashes = lines.own_hashes;
 	return lines;
 }
 
@@ -52,7 +57,7 @@
 free_lines(struct lines *lines)
 {
 	free(lines->start);
-	free(lines->own_hashes);
+	free(lines->hashes);
 }
 
 static size_t
@@ -69,8 +74,6 @@
 
 	if (a->hashes[i] != b->hashes[j])
 		return 0;
-	if (a->start == NULL || b->start == NULL)
-		return 1;
 	n = line_bytes(a, i);
 	return n == line_bytes(b, j) &&
 	    memcmp(a->start[i], b->start[j], n) == 0;
@@ -134,11 +137,39 @@
 }
 
 static void
-delta_from_lines(const struct lines *old, const char *new_text,
+insert_text(struct delta_step *step, const char *begin, const char *end)
+{
+	if (step->insert_bytes == 0)
+		step->insert = begin;
+	step->insert_bytes += (uint32_t)(end - begin);
+}
+
+/// Copies old lines after the last step: extends it if they follow its own.
+///
+/// @return the last step then
+static struct delta_step *
+copy_lines(struct delta *delta, uint32_t *capacity, struct delta_step *last,
+    uint32_t from, uint32_t count)
+{
+	bool follows = last->insert_bytes == 0 &&
+	    (last->copy_count == 0 ||
+		from == last->copy_from + last->copy_count);
+
+	if (!follows)
+		last = add_step(delta, capacity);
+	if (last->copy_count == 0)
+		last->copy_from = from;
+	last->copy_count += count;
+	return last;
+}
+
+void
+delta_make(const char *old_text, size_t old_bytes, const char *new_text,
     size_t new_bytes, struct delta *delta)
 {
+	struct lines old = split_lines(old_text, old_bytes);
 	struct lines new = split_lines(new_text, new_bytes);
-	struct line_index index = index_lines(old);
+	struct line_index index = index_lines(&old);
 	struct delta_step *step;
 	uint32_t capacity = 0;
 	uint32_t expected = 0;
@@ -147,61 +178,151 @@
 	memset(delta, 0, sizeof(*delta));
 	step = add_step(delta, &capacity);
 	for (j = 0; j < new.count; j++) {
-		int64_t i = find_line(&index, old, &new, j, expected);
+		int64_t i = find_line(&index, &old, &new, j, expected);
 
 		if (i < 0) {
-			if (step->insert_bytes == 0)
-				step->insert = new.start[j];
-			step->insert_bytes += (uint32_t)line_bytes(&new, j);
+			insert_text(step, new.start[j], new.start[j + 1]);
 			continue;
 		}
-		if (step->insert_bytes > 0 || step->copy_count == 0 ||
-		    (uint32_t)i != expected) {
-			if (step->insert_bytes > 0 || step->copy_count > 0)
-				step = add_step(delta, &capacity);
-			step->copy_from = (uint32_t)i;
-		}
-		step->copy_count++;
+		step = copy_lines(delta, &capacity, step, (uint32_t)i, 1);
 		expected = (uint32_t)i + 1;
 	}
 	free(index.buckets);
 	free(index.next);
 	free_lines(&new);
+	free_lines(&old);
 }
 
-void
-delta_make(const char *old_text, size_t old_bytes, const char *new_text,
-    size_t new_bytes, struct delta *delta)
+/// Chooses the mean length of a block for a number of lines.
+static uint32_t
+choose_mean_lines(uint32_t line_count)
 {
-	struct lines old = split_lines(old_text, old_bytes);
+	uint32_t mean_lines = MIN_MEAN_LINES;
 
-	delta_from_lines(&old, new_text, new_bytes, delta);
-	free_lines(&old);
+	while (line_count / mean_lines > MAX_MEAN_BLOCKS)
+		mean_lines *= 2;
+	return mean_lines;
+}
+
+/// Returns the line after the block that begins at a line. The first line of a
+/// rule file, which differs in each version, is a block of its own.
+static uint32_t
+find_block_end(const struct lines *lines, uint32_t begin, uint32_t mean_lines)
+{
+	uint32_t end = begin;
+
+	do
+		end++;
+	while (begin > 0 && end < lines->count &&
+	    (uint64_t)end - begin < (uint64_t)MAX_BLOCK_MEANS * mean_lines &&
+	    (lines->hashes[end - 1] & (mean_lines - 1)) != 0);
+	return end;
+}
+
+static struct delta_blocks
+divide_lines(const struct lines *lines, uint32_t mean_lines)
+{
+	struct delta_blocks blocks = {.mean_lines = mean_lines};
+	uint32_t begin;
+	uint32_t end;
+
+	blocks.items = calloc(lines->count + 1, sizeof(*blocks.items));
+	assert(blocks.items != NULL);
+	for (begin = 0; begin < lines->count; begin = end) {
+		struct delta_block *block = &blocks.items[blocks.count++];
+
+		end = find_block_end(lines, begin, mean_lines);
+		block->line_count = end - begin;
+		block->hash = (uint32_t)XXH3_64bits(lines->start[begin],
+		    (size_t)(lines->start[end] - lines->start[begin]));
+	}
+	return blocks;
 }
 
-struct delta_signature *
-delta_signature_make(const char *text, size_t text_bytes)
+void
+delta_blocks_make(const char *text, size_t text_bytes, uint32_t mean_lines,
+    struct delta_blocks *blocks)
 {
 	struct lines lines = split_lines(text, text_bytes);
-	struct delta_signature *signature = malloc(sizeof(*signature) +
-	    lines.count * sizeof(signature->line_hashes[0]));
 
-	assert(signature != NULL);
-	signature->line_count = lines.count;
-	memcpy(signature->line_hashes, lines.hashes,
-	    lines.count * sizeof(signature->line_hashes[0]));
+	*blocks = divide_lines(&lines,
+	    mean_lines > 0 ? mean_lines : choose_mean_lines(lines.count));
 	free_lines(&lines);
-	return signature;
 }
 
 void
-delta_make_from_signature(const struct delta_signature *old,
-    const char *new_text, size_t new_bytes, struct delta *delta)
+delta_blocks_free(struct delta_blocks *blocks)
+{
+	free(blocks->items);
+	memset(blocks, 0, sizeof(*blocks));
+}
+
+/// A known block and the line at which it begins.
+struct block_position {
+	struct delta_block block;
+	uint32_t line;
+};
+
+static int
+compare_positions(const void *a, const void *b)
 {
-	struct lines lines = {
-	    .hashes = old->line_hashes, .count = old->line_count};
+	const struct block_position *x = a;
+	const struct block_position *y = b;
 
-	delta_from_lines(&lines, new_text, new_bytes, delta);
+	return x->block.hash < y->block.hash ? -1
+					     : x->block.hash > y->block.hash;
+}
+
+/// Lists the blocks of a text by their hashes.
+static struct block_position *
+index_blocks(const struct delta_blocks *blocks)
+{
+	struct block_position *index =
+	    calloc(blocks->count + 1, sizeof(*index));
+	uint32_t line = 0;
+	uint32_t i;
+
+	assert(index != NULL);
+	for (i = 0; i < blocks->count; i++) {
+		index[i].block = blocks->items[i];
+		index[i].line = line;
+		line += blocks->items[i].line_count;
+	}
+	qsort(index, blocks->count, sizeof(*index), compare_positions);
+	return index;
+}
+
+void
+delta_make_from_blocks(const struct delta_blocks *old, const char *new_text,
+    size_t new_bytes, struct delta *delta)
+{
+	struct lines lines = split_lines(new_text, new_bytes);
+	struct delta_blocks new = divide_lines(&lines, old->mean_lines);
+	struct block_position *index = index_blocks(old);
+	struct delta_step *step;
+	uint32_t capacity = 0;
+	uint32_t line = 0;
+	uint32_t i;
+
+	memset(delta, 0, sizeof(*delta));
+	step = add_step(delta, &capacity);
+	for (i = 0; i < new.count; i++) {
+		struct block_position key = {.block = new.items[i]};
+		const struct block_position *found = bsearch(
+		    &key, index, old->count, sizeof(key), compare_positions);
+		uint32_t end = line + new.items[i].line_count;
+
+		if (found != NULL &&
+		    found->block.line_count == new.items[i].line_count)
+			step = copy_lines(delta, &capacity, step, found->line,
+			    new.items[i].line_count);
+		else
+			insert_text(step, lines.start[line], lines.start[end]);
+		line = end;
+	}
+	free(index);
+	delta_blocks_free(&new);
+	free_lines(&lines);
 }
 
 void
--- a/src/core/rules/delta.h
+++ b/src/core/rules/delta.h
@@ -25,19 +25,35 @@
 void delta_make(const char *old_text, size_t old_bytes, const char *new_text,
     size_t new_bytes, struct delta *delta);
 
-/// Line hashes of a text; enough to compute deltas from it.
-struct delta_signature {
+/// A run of lines of a text.
+struct delta_block {
+	uint32_t hash; ///< Equal blocks have equal ones.
 	uint32_t line_count;
-	uint32_t line_hashes[]; ///< Equal lines have equal ones.
 };
 
-/// Computes the signature of a text. Release it with free().
-struct delta_signature *delta_signature_make(
-    const char *text, size_t text_bytes);
+/// A text as its blocks. Only the lines of a block and the one before it decide
+/// where the block lies, so that a change leaves the other blocks as they are.
+struct delta_blocks {
+	struct delta_block *items;
+	uint32_t count;
+	uint32_t mean_lines; ///< Mean length of a block; a power of two.
+};
+
+/// Divides a text into blocks. Release them with delta_blocks_free.
+///
+/// @param mean_lines  0: chosen by the length of the text, so that the blocks
+///                    are small, but not many
+void delta_blocks_make(const char *text, size_t text_bytes, uint32_t mean_lines,
+    struct delta_blocks *blocks);
 
-/// Computes a delta from a text of which only the signature is kept. Lines
-/// with equal hashes count as equal, so the receiver must check the result.
-void delta_make_from_signature(const struct delta_signature *old,
+void delta_blocks_free(struct delta_blocks *blocks);
+
+/// Computes a delta from a text of which only the blocks are known, by any
+/// process that has the new text. Blocks with equal hashes count as equal, so
+/// the receiver must check the result.
+///
+/// @param old  mean_lines must be a power of two; nothing else is assumed of it
+void delta_make_from_blocks(const struct delta_blocks *old,
     const char *new_text, size_t new_bytes, struct delta *delta);
 
 void delta_free(struct delta *delta);
--- a/src/core/rules/rule_file.c
+++ b/src/core/rules/rule_file.c
@@ -1,4 +1,4 @@
-// Reference-counted texts of rule files, and signatures of recent versions.
+// Reference-counted texts of rule files.
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,41 +41,3 @@
 	if (atomic_fetch_sub(&file->refs, 1) == 1)
 		free(file);
 }
-
-void
-rule_signatures_add(
-    struct rule_signatures *signatures, const struct rule_file *file)
-{
-	struct rule_signature *new;
-
-	if (signatures->count == RULE_SIGNATURES_MAX) {
-		free(signatures->items[0].signature);
-		signatures->count--;
-		memmove(signatures->items, signatures->items + 1,
-		    signatures->count * sizeof(signatures->items[0]));
-	}
-	new = &signatures->items[signatures->count++];
-	new->version = file->version;
-	new->hash = file->hash;
-	new->signature = delta_signature_make(file->text, file->text_bytes);
-}
-
-const struct delta_signature *
-rule_signatures_find(
-    const struct rule_signatures *signatures, uint64_t version, uint64_t hash)
-{
-	uint32_t i;
-
-	for (i = 0; i < signatures->count; i++)
-		if (signatures->items[i].version == version &&
-		    signatures->items[i].hash == hash)
-			return signatures->items[i].signature;
-	return NULL;
-}
-
-void
-rule_signatures_free(struct rule_signatures *signatures)
-{
-	while (signatures->count > 0)
-		free(signatures->items[--signatures->count].signature);
-}
--- a/src/core/rules/rule_file.h
+++ b/src/core/rules/rule_file.h
@@ -9,14 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core/rules/delta.h"
-
 #define RULE_FILE_OWNER_BYTES 96
 
-/// Number of versions that a delta can start from. A proxy that missed all
-/// updates for 10 s, at one every 0.2 s, still needs no whole file.
-#define RULE_SIGNATURES_MAX 64
-
 /// One version of the rule file. Immutable; reference-counted.
 struct rule_file {
 	atomic_uint refs;
@@ -29,19 +23,6 @@
 	char text[]; ///< Ends in NUL.
 };
 
-/// Signature of one version, to compute deltas from it.
-struct rule_signature {
-	uint64_t version;
-	uint64_t hash;
-	struct delta_signature *signature;
-};
-
-/// Signatures of the newest versions, oldest first.
-struct rule_signatures {
-	struct rule_signature items[RULE_SIGNATURES_MAX];
-	uint32_t count;
-};
-
 /// Copies a text and hashes it; the caller sets the other members.
 ///
 /// @return the file with one reference
@@ -59,14 +40,4 @@
 
 uint64_t rule_file_hash(const char *text, size_t text_bytes);
 
-/// Adds the signature of a version, and evicts the oldest one if full.
-void rule_signatures_add(
-    struct rule_signatures *signatures, const struct rule_file *file);
-
-/// Finds the signature of a version; NULL if it is not kept.
-const struct delta_signature *rule_signatures_find(
-    const struct rule_signatures *signatures, uint64_t version, uint64_t hash);
-
-void rule_signatures_free(struct rule_signatures *signatures);
-
 #endif
--- a/src/core/rules/rule_store.c
+++ b/src/core/rules/rule_store.c
@@ -20,7 +20,6 @@
 rule_store_free(struct rule_store *store)
 {
 	rule_file_unref(store->current);
-	rule_signatures_free(&store->signatures);
 	free(store->since);
 	free(store->history);
 	memset(store, 0, sizeof(*store));
@@ -250,7 +249,6 @@
 {
 	rule_file_unref(store->current);
 	store->current = file;
-	rule_signatures_add(&store->signatures, file);
 }
 
 static void
--- a/src/core/rules/rule_store.h
+++ b/src/core/rules/rule_store.h
@@ -36,8 +36,6 @@
 
 struct rule_store {
 	struct rule_file *current; ///< NULL before the first file.
-	struct rule_signatures
-	    signatures;	     ///< Of the accepted file and earlier ones.
 	int64_t accepted_us; ///< Acceptance time, wall clock of the leader.
 	/// For each line of the file, from 1: the version since which it is
 	/// unchanged. since[0] is not used.
--- a/src/io/rules_message.c
+++ b/src/io/rules_message.c
@@ -120,9 +120,54 @@
 	return total;
 }
 
+void
+rules_pull_set_base(struct message_pull *pull, const struct rule_file *have)
+{
+	struct delta_blocks blocks;
+	struct message_block *items;
+	uint32_t i;
+
+	delta_blocks_make(have->text, have->text_bytes, 0, &blocks);
+	items = calloc(blocks.count + 1, sizeof(*items));
+	assert(items != NULL);
+	for (i = 0; i < blocks.count; i++) {
+		items[i].hash = blocks.items[i].hash;
+		items[i].line_count = blocks.items[i].line_count;
+	}
+	pull->mean_lines = blocks.mean_lines;
+	pull->blocks.items = items;
+	pull->blocks.count = blocks.count;
+	delta_blocks_free(&blocks);
+}
+
+void
+rules_pull_free(struct message_pull *pull)
+{
+	free(pull->blocks.items);
+	memset(&pull->blocks, 0, sizeof(pull->blocks));
+}
+
+static void
+make_delta(const struct message_pull *pull, const struct rule_file *newest,
+    struct delta *delta)
+{
+	const struct message_block *items = pull->blocks.items;
+	struct delta_blocks base = {
+	    .mean_lines = pull->mean_lines, .count = pull->blocks.count};
+	uint32_t i;
+
+	base.items = calloc(base.count + 1, sizeof(*base.items));
+	assert(base.items != NULL);
+	for (i = 0; i < base.count; i++) {
+		base.items[i].hash = items[i].hash;
+		base.items[i].line_count = items[i].line_count;
+	}
+	delta_make_from_blocks(&base, newest->text, newest->text_bytes, delta);
+	delta_blocks_free(&base);
+}
+
 static void
 answer_with_delta(struct rules_answer *answer, const struct message_pull *pull,
-    const struct delta_signature *base_signature,
     const struct rule_file *newest)
 {
 	struct message_delta *m = &answer->u.delta;
@@ -134,8 +179,7 @@
 	m->from_hash = pull->have_hash;
 	m->version = newest->version;
 	m->hash = newest->hash;
-	delta_make_from_signature(
-	    base_signature, newest->text, newest->text_bytes, &answer->delta);
+	make_delta(pull, newest, &answer->delta);
 	steps = calloc(answer->delta.step_count + 1, sizeof(*steps));
 	assert(steps != NULL);
 	for (i = 0; i < answer->delta.step_count; i++) {
@@ -152,19 +196,16 @@
 
 void
 rules_answer_init(struct rules_answer *answer, const struct message_pull *pull,
-    const struct rule_file *newest, const struct rule_signatures *signatures)
+    const struct rule_file *newest)
 {
-	const struct delta_signature *base_signature;
 	struct message_rules *m = &answer->u.rules;
 
 	memset(answer, 0, sizeof(*answer));
 	answer->type = MESSAGE_RULES;
 	if (newest == NULL || newest->version <= pull->have_version)
 		return;
-	base_signature = rule_signatures_find(
-	    signatures, pull->have_version, pull->have_hash);
-	if (pull->allow_delta && base_signature != NULL) {
-		answer_with_delta(answer, pull, base_signature, newest);
+	if (pull->mean_lines > 0 && pull->blocks.count > 0) {
+		answer_with_delta(answer, pull, newest);
 		return;
 	}
 	m->version = newest->version;
@@ -184,11 +225,11 @@
 
 void
 rules_send(struct stream *stream, const struct message_pull *pull,
-    const struct rule_file *newest, const struct rule_signatures *signatures)
+    const struct rule_file *newest)
 {
 	struct rules_answer answer;
 
-	rules_answer_init(&answer, pull, newest, signatures);
+	rules_answer_init(&answer, pull, newest);
 	if (answer.type == MESSAGE_DELTA)
 		counter_add(&count_deltas, 1);
 	else if (answer.u.rules.version != 0)
--- a/src/io/rules_message.h
+++ b/src/io/rules_message.h
@@ -23,8 +23,15 @@
 /// other messages.
 int64_t rules_message_bytes(const struct message *message);
 
-/// Answer to a pull: nothing newer, a delta if the signature of the puller's
-/// version is stored here, or the whole file.
+/// States the rules that the caller has, so that any holder can answer with a
+/// delta from them. Release it with rules_pull_free.
+void rules_pull_set_base(
+    struct message_pull *pull, const struct rule_file *have);
+
+void rules_pull_free(struct message_pull *pull);
+
+/// Answer to a pull: nothing newer, a delta if the puller states what it has, or
+/// the whole file.
 struct rules_answer {
 	enum message_type type; ///< MESSAGE_RULES or MESSAGE_DELTA.
 	union {
@@ -36,16 +43,14 @@
 
 /// Makes the answer to a pull. It refers to the text of the newest file.
 ///
-/// @param newest      may be NULL
-/// @param signatures  versions that can be the base of a delta
+/// @param newest  may be NULL
 void rules_answer_init(struct rules_answer *answer,
-    const struct message_pull *pull, const struct rule_file *newest,
-    const struct rule_signatures *signatures);
+    const struct message_pull *pull, const struct rule_file *newest);
 
 void rules_answer_free(struct rules_answer *answer);
 
 /// Sends the answer to a pull; see rules_answer_init.
 void rules_send(struct stream *stream, const struct message_pull *pull,
-    const struct rule_file *newest, const struct rule_signatures *signatures);
+    const struct rule_file *newest);
 
 #endif
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -143,7 +143,6 @@
 	datagram_close(&control->udp);
 	membership_free(&control->membership);
 	rules_unref(control->rules);
-	rule_signatures_free(&control->signatures);
 	loop_destroy(control->loop);
 }
 
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -55,7 +55,6 @@
 	uint64_t pull_sequence;
 	bool refused_delta; ///< Invalid rules were pulled; pull no delta.
 	struct rules *rules;
-	struct rule_signatures signatures; ///< Base versions for deltas.
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -59,7 +59,6 @@
 	    rules->version, rules->file->hash);
 	rules_unref(control->rules);
 	control->rules = rules;
-	rule_signatures_add(&control->signatures, rules->file);
 	counter_set(&gauge_version, (int64_t)rules->version);
 	version_sync_set_version(&control->sync, rules->version);
 	membership_set_version(&control->membership, rules->version);
@@ -119,7 +118,7 @@
 start_pull(struct version_sync *vs, const struct holder *from)
 {
 	struct control *control = vs->owner;
-	struct message_pull pull = {.allow_delta = !control->refused_delta};
+	struct message_pull pull = {0};
 	struct pull_call *call;
 	struct address to;
 
@@ -129,6 +128,8 @@
 	if (control->rules != NULL) {
 		pull.have_version = control->rules->version;
 		pull.have_hash = control->rules->file->hash;
+		if (!control->refused_delta)
+			rules_pull_set_base(&pull, control->rules->file);
 	}
 	counter_add(&count_pulls, 1);
 	if (from->distance != DISTANCE_DC)
@@ -141,6 +142,7 @@
 	call->sequence = ++control->pull_sequence;
 	oneshot_call(control->loop, &to, MESSAGE_PULL, &pull,
 	    loop_now_us(control->loop) + PULL_TIMEOUT_US, on_pulled, call);
+	rules_pull_free(&pull);
 }
 
 const struct version_sync_ops control_sync_ops = {
@@ -152,9 +154,8 @@
     const struct message_pull *pull)
 {
 	counter_add(&count_served, 1);
-	rules_send(stream, pull,
-	    control->rules == NULL ? NULL : control->rules->file,
-	    &control->signatures);
+	rules_send(
+	    stream, pull, control->rules == NULL ? NULL : control->rules->file);
 }
 
 static bool
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -240,6 +240,5 @@
 	if (pull->confirm)
 		start_confirm_read(source, stream);
 	else
-		rules_send(stream, pull, source->store.current,
-		    &source->store.signatures);
+		rules_send(stream, pull, source->store.current);
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -138,12 +138,19 @@
 /// Returns the hash of a list of struct message_address, in its order.
 uint64_t message_addresses_hash(const struct list *addresses);
 
+/// A run of lines of the caller's rules; see core/rules/delta.h.
+struct message_block {
+	uint32_t hash;
+	uint32_t line_count;
+};
+
 /// Requests the rules if they are newer than those of the caller.
 struct message_pull {
 	struct bytes from;
 	uint64_t have_version;
 	uint64_t have_hash;
-	uint32_t allow_delta;
+	uint32_t mean_lines; ///< Of a block; 0: the whole file is wanted.
+	struct list blocks;  ///< of struct message_block
 	/// Only queries the newest version, as confirmed by a quorum. The
 	/// answer has no text.
 	uint32_t confirm;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -81,11 +81,19 @@
 static const struct codec_schema report_answer_schema =
     CODEC_SCHEMA(struct message_report_answer, report_answer_fields);
 
+static const struct codec_field block_fields[] = {
+    F(message_block, U32, hash),
+    F(message_block, U32, line_count),
+};
+static const struct codec_schema block_schema =
+    CODEC_SCHEMA(struct message_block, block_fields);
+
 static const struct codec_field pull_fields[] = {
     F(message_pull, BYTES, from),
     F(message_pull, U64, have_version),
     F(message_pull, U64, have_hash),
-    F(message_pull, U32, allow_delta),
+    F(message_pull, U32, mean_lines),
+    N(message_pull, LIST, blocks, &block_schema),
     F(message_pull, U32, confirm),
 };
 static const struct codec_schema pull_schema =
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -286,6 +286,124 @@
 	}
 }
 
+/// A process that has only the new file makes a delta from any other one, by the
+/// blocks that its owner states.
+static void
+test_delta_from_blocks(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 300; seed++) {
+		struct random random = {seed, 0};
+		size_t have_bytes;
+		size_t new_bytes;
+		size_t got_bytes;
+		char *have = make_rule_file(&random, 1, &have_bytes);
+		char *new = make_rule_file(&random, 7, &new_bytes);
+		uint32_t mean_lines = 1u << random_below(&random, 6);
+		struct delta_blocks blocks;
+		struct delta delta;
+		struct error err;
+		char *got;
+
+		delta_blocks_make(have, have_bytes, mean_lines, &blocks);
+		delta_make_from_blocks(&blocks, new, new_bytes, &delta);
+		assert_int_equal(
+		    delta_apply(have, have_bytes, delta.steps, delta.step_count,
+			MAX_DUMP, &got, &got_bytes, &err),
+		    0);
+		assert_int_equal(got_bytes, new_bytes);
+		assert_memory_equal(got, new, new_bytes);
+		delta_free(&delta);
+		delta_blocks_free(&blocks);
+		free(got);
+		free(new);
+		free(have);
+	}
+}
+
+/// A long text of which a few lines change: the others are not sent again.
+static void
+test_delta_from_blocks_is_small(void **state)
+{
+	struct random random = {5, 0};
+	char *have = calloc(1, 400000);
+	char *new = calloc(1, 400000);
+	size_t have_bytes = 0;
+	size_t new_bytes = 0;
+	size_t sent_bytes = 0;
+	struct delta_blocks blocks;
+	struct delta delta;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3000; i++) {
+		char line[100];
+		int n = snprintf(line, sizeof(line), "route %08x%08x # op\n",
+		    (unsigned)random_next(&random),
+		    (unsigned)random_next(&random));
+
+		memcpy(have + have_bytes, line, (size_t)n);
+		have_bytes += (size_t)n;
+		if (i == 1000)
+			line[6] = 'x';
+		if (i == 2000)
+			continue;
+		memcpy(new + new_bytes, line, (size_t)n);
+		new_bytes += (size_t)n;
+	}
+	delta_blocks_make(have, have_bytes, 0, &blocks);
+	assert_in_range(blocks.count, 100, 300);
+	delta_make_from_blocks(&blocks, new, new_bytes, &delta);
+	for (i = 0; i < delta.step_count; i++)
+		sent_bytes += delta.steps[i].insert_bytes;
+	assert_in_range(sent_bytes, 1, new_bytes / 20);
+	delta_free(&delta);
+	delta_blocks_free(&blocks);
+	free(have);
+	free(new);
+}
+
+/// Blocks that describe no text give a delta that is refused or yields other
+/// bytes, and nothing else.
+static void
+test_delta_from_hostile_blocks(void **state)
+{
+	static const char text[] = "a\nb\nc\nd\n";
+	struct random random = {9, 0};
+	uint32_t i;
+	uint32_t j;
+
+	(void)state;
+	for (i = 0; i < 2000; i++) {
+		struct delta_block items[8];
+		struct delta_blocks blocks = {.items = items,
+		    .count = random_below(&random, 9),
+		    .mean_lines = random_below(&random, 3) == 0
+			? UINT32_MAX
+			: random_below(&random, 40)};
+		struct delta delta;
+		struct error err;
+		size_t got_bytes;
+		char *got;
+
+		for (j = 0; j < blocks.count; j++) {
+			items[j].hash = random_below(&random, 2) == 0
+			    ? (uint32_t)random_next(&random)
+			    : (uint32_t)rule_file_hash(text, 2);
+			items[j].line_count = random_below(&random, 2) == 0
+			    ? 1
+			    : (uint32_t)random_next(&random);
+		}
+		delta_make_from_blocks(&blocks, text, sizeof(text) - 1, &delta);
+		if (delta_apply(text, sizeof(text) - 1, delta.steps,
+			delta.step_count, 100, &got, &got_bytes, &err) == 0)
+			free(got);
+		delta_free(&delta);
+	}
+}
+
 /// Rejects steps that copy lines that do not exist, and results that are too
 /// large.
 static void
@@ -340,6 +458,9 @@
 	    cmocka_unit_test(test_long_owner_is_cut_between_characters),
 	    cmocka_unit_test(test_match_equals_naive),
 	    cmocka_unit_test(test_delta_chain),
+	    cmocka_unit_test(test_delta_from_blocks),
+	    cmocka_unit_test(test_delta_from_blocks_is_small),
+	    cmocka_unit_test(test_delta_from_hostile_blocks),
 	    cmocka_unit_test(test_bad_deltas),
 	};
 
--- a/test/unit/test_rules_storm.c
+++ b/test/unit/test_rules_storm.c
@@ -32,7 +32,6 @@
 struct vm {
 	struct version_sync sync;
 	struct rule_file *file;
-	struct rule_signatures signatures;
 	double link_mbps;
 	int64_t uplink_free_us;
 	int64_t downlink_free_us;
@@ -112,7 +111,6 @@
 
 	rule_file_unref(vm->file);
 	vm->file = rule_file_ref(file);
-	rule_signatures_add(&vm->signatures, file);
 	version_sync_set_version(&vm->sync, file->version);
 	for (i = 1; i < VMS; i++)
 		if (i != at)
@@ -221,15 +219,17 @@
 {
 	struct vm *holder = &p->vms[e->vm];
 	struct vm *puller = &p->vms[e->from];
-	struct message_pull pull = {.allow_delta = 1};
+	struct message_pull pull = {0};
 	struct rules_answer answer;
 	struct event *answered;
 
 	if (puller->file != NULL) {
 		pull.have_version = puller->file->version;
 		pull.have_hash = puller->file->hash;
+		rules_pull_set_base(&pull, puller->file);
 	}
-	rules_answer_init(&answer, &pull, holder->file, &holder->signatures);
+	rules_answer_init(&answer, &pull, holder->file);
+	rules_pull_free(&pull);
 	answered = add_event(p, EVENT_ANSWER,
 	    transfer(p, holder, puller, answer_bytes(&answer)), e->from, e->vm);
 	rules_answer_free(&answer);
@@ -346,7 +346,6 @@
 		worst_us = max_us(worst_us, vm->worst_backlog_us);
 		behind += vm->file->version != p->version;
 		rule_file_unref(vm->file);
-		rule_signatures_free(&vm->signatures);
 	}
 	for (i = 0; i < MAX_EVENTS; i++)
 		if (p->events[i].kind == EVENT_ANSWER ||
