fix(egress): a request that is cancelled before it was sent does not run

Solution: a call of which no byte was sent ends as not run, on a cancel and when its ingress is gone.

--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -85,11 +85,32 @@
 		httpc_call_resume(&r->call);
 }
 
+/// Ends a request of which the backend server has no byte yet, although it has
+/// a slot.
+static void
+end_unsent(struct egress_request *r, const char *why)
+{
+	httpc_call_cancel(&r->call);
+	r->reached_backend = false;
+	egress_end_not_run(r, 503, 0, why);
+}
+
+static bool
+is_unsent(const struct egress_request *r)
+{
+	return r->state == REQUEST_RUNNING && !httpc_call_was_sent(&r->call);
+}
+
 void
 egress_request_cancel(struct egress_request *r, bool queued_only)
 {
 	struct egress *egress = r->egress;
 
+	if (is_unsent(r)) {
+		end_unsent(r, "cancelled before it was sent");
+		egress_run_queued(egress);
+		return;
+	}
 	if (r->state == REQUEST_RUNNING) {
 		if (queued_only)
 			return;
@@ -118,7 +139,9 @@
 
 		if (r->sink == sink) {
 			r->sink = NULL;
-			if (r->state != REQUEST_RUNNING)
+			if (is_unsent(r))
+				end_unsent(r, "ingress is gone");
+			else if (r->state != REQUEST_RUNNING)
 				egress_end_not_run(
 				    r, 503, 0, "ingress is gone");
 			else if (r->call.repeatable ||
