fix(ingress): a request whose caller left before it was read is not sent on

Problem: GONE also holds where a caller gave up since its request was not read. A proxy that is delayed (no processor, a pause) read such requests later, and sent them on; their callers' leaving was noticed 0.1 s after that, by the scan of connections. Solution: before a request is handed on, its connection is checked; if the caller has closed it, the request is dropped and counted (http_requests_abandoned). Announcements and operators' calls are not dropped.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -2,6 +2,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,12 +10,16 @@
 
 #include "io/clock.h"
 #include "io/http/httpd_exchange.h"
+#include "io/log/counters.h"
 #include "io/log/log.h"
 
 #define CONNECTION_MEMORY_BYTES (32 * 1024)
 #define CALLER_SCAN_US		(100 * US_PER_MS)
 #define MAX_RUNS_PER_ITERATION	16
 
+COUNTER_DEFINE(count_abandoned, "http_requests_abandoned",
+    "Requests whose callers had left before they were read");
+
 /// Creates an exchange with the request target, query included.
 static void *
 on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
@@ -98,9 +103,29 @@
 	return rc;
 }
 
+/// Returns true if the caller has closed its connection, or its side of it,
+/// whether or not bytes that it sent are unread.
+static bool
+caller_has_closed(const struct exchange *x)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct pollfd pollfd = {.events = POLLRDHUP};
+
+	if (info == NULL)
+		return false;
+	pollfd.fd = info->connect_fd;
+	return poll(&pollfd, 1, 0) > 0;
+}
+
 static void
 exchange_dispatch(struct exchange *x, bool more)
 {
+	if (x->pub.httpd->ops->drops_abandoned && caller_has_closed(x)) {
+		counter_add(&count_abandoned, 1);
+		http_exchange_respond_text(&x->pub, 499, "");
+		return;
+	}
 	x->dispatched = true;
 	x->pub.more = more;
 	x->pub.httpd->ops->on_request(x->pub.httpd->owner, &x->pub);
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -19,6 +19,9 @@
 
 /// Callbacks of a server. All run in the loop's thread.
 struct httpd_ops {
+	/// Requests whose callers have closed the connection before they were
+	/// read are dropped: what they ask for is of no use any more.
+	bool drops_abandoned;
 	/// A request arrived. If more is set, its body continues in on_body.
 	void (*on_request)(void *owner, struct http_exchange *exchange);
 	/// A part of a streamed request body; last marks its end. If NULL,
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -94,6 +94,7 @@
 }
 
 static const struct httpd_ops httpd_ops = {
+    .drops_abandoned = true,
     .on_request = on_request,
     .on_body = on_body,
     .on_drained = on_drained,
