fix(http): a caller's leaving is noticed behind unread bytes and in a begun response

Problem: GONE: the scan of connections peeked for a byte, so that a close behind an unread one (a next request, a body that waits for credit) went unnoticed; and it left out connections whose response had begun and waits for its backend server. Solution: one poll for POLLRDHUP over all suspended connections in place of a peek each; a begun response ends incomplete when its caller has left.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -103,18 +103,25 @@
 	return rc;
 }
 
-/// Returns true if the caller has closed its connection, or its side of it,
+/// Fills in a poll for the close of a caller's connection, or of its side of it,
 /// whether or not bytes that it sent are unread.
-static bool
-caller_has_closed(const struct exchange *x)
+static void
+watch_for_close(const struct exchange *x, struct pollfd *pollfd)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct pollfd pollfd = {.events = POLLRDHUP};
 
-	if (info == NULL)
-		return false;
-	pollfd.fd = info->connect_fd;
+	pollfd->fd = info == NULL ? -1 : info->connect_fd;
+	pollfd->events = POLLRDHUP;
+	pollfd->revents = 0;
+}
+
+static bool
+caller_has_closed(const struct exchange *x)
+{
+	struct pollfd pollfd;
+
+	watch_for_close(x, &pollfd);
 	return poll(&pollfd, 1, 0) > 0;
 }
 
@@ -314,24 +321,6 @@
 	return httpd->run_pending ? 0 : DEADLINE_NEVER_US;
 }
 
-/// Returns true if the caller has closed the connection. Needed because the
-/// library does not poll suspended connections.
-static bool
-caller_disconnected(const struct exchange *x)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	char byte;
-	ssize_t n;
-
-	if (info == NULL)
-		return false;
-	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 ||
-	    (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-		errno != EINTR);
-}
-
 /// Shuts down a connection whose request head is not complete in time. No
 /// error response is sent: the library can queue one only after the head.
 static void
@@ -345,6 +334,45 @@
 		shutdown(info->connect_fd, SHUT_RDWR);
 }
 
+/// Ends an exchange whose caller has closed the connection.
+static void
+end_abandoned(struct exchange *x)
+{
+	if (x->response == NULL)
+		http_exchange_respond_text(&x->pub, 499, "");
+	else
+		http_exchange_respond_end(&x->pub, false);
+}
+
+/// Ends the exchanges whose callers have left. Needed because the library does
+/// not poll connections that are suspended until there is more to send.
+static void
+end_all_abandoned(struct httpd *httpd, int64_t now_us)
+{
+	struct pollfd *pollfds =
+	    calloc(httpd->active_count + 1, sizeof(*pollfds));
+	struct exchange **polled =
+	    calloc(httpd->active_count + 1, sizeof(struct exchange *));
+	struct exchange *x;
+	nfds_t count = 0;
+	nfds_t i;
+
+	assert(pollfds != NULL && polled != NULL);
+	for (x = httpd->exchanges; x != NULL; x = x->next) {
+		if (!x->suspended ||
+		    now_us - x->pub.arrival_us < CALLER_SCAN_US)
+			continue;
+		watch_for_close(x, &pollfds[count]);
+		polled[count++] = x;
+	}
+	if (count > 0 && poll(pollfds, count, 0) > 0)
+		for (i = 0; i < count; i++)
+			if (pollfds[i].revents != 0)
+				end_abandoned(polled[i]);
+	free(polled);
+	free(pollfds);
+}
+
 static void
 scan_callers(void *arg)
 {
@@ -352,15 +380,10 @@
 	int64_t now_us = loop_now_us(httpd->loop);
 	struct exchange *x;
 
-	for (x = httpd->exchanges; x != NULL; x = x->next) {
+	for (x = httpd->exchanges; x != NULL; x = x->next)
 		if (x->pub.method == NULL && now_us >= x->header_deadline_us)
 			abort_slow_head(x);
-		if (!x->suspended || x->response != NULL ||
-		    now_us - x->pub.arrival_us < CALLER_SCAN_US)
-			continue;
-		if (caller_disconnected(x))
-			http_exchange_respond_text(&x->pub, 499, "");
-	}
+	end_all_abandoned(httpd, now_us);
 	// Also lets the library process its own timeouts.
 	httpd->run_pending = true;
 	loop_timer_set(
--- a/test/fakes/fake_work.c
+++ b/test/fakes/fake_work.c
@@ -69,16 +69,22 @@
 	struct fake_backend *b = w->backend;
 	int64_t total = b->settings.behaviour.response_bytes;
 	int64_t cut = b->settings.behaviour.cut_at_bytes;
+	int64_t pause = b->settings.behaviour.pause_at_bytes;
 	int64_t n = cut > 0 && cut < total ? cut : total;
 	char *body = malloc((size_t)n);
 	int64_t i;
 
 	assert(body != NULL);
+	if (pause > 0 && pause < n)
+		n = pause;
 	for (i = 0; i < n; i++)
 		body[i] = (char)('a' + i % 23);
 	http_exchange_respond_start(w->exchange, 200, NULL, 0, total);
 	http_exchange_respond_body(w->exchange, body, (size_t)n);
-	http_exchange_respond_end(w->exchange, n == total);
+	if (n == pause)
+		w->responded = false;
+	else
+		http_exchange_respond_end(w->exchange, n == total);
 	free(body);
 }
 
