--- a/test/fakes/fake_backend.h
+++ b/test/fakes/fake_backend.h
@@ -23,6 +23,8 @@
 	int64_t die_after_run;	///< Exit right after that many more runs.
 	int64_t response_bytes; ///< Length of responses; 0: a short line.
 	int64_t cut_at_bytes;	///< Truncate long responses there; 0: no.
+	int64_t limit;		///< Requests a second that it names; 0: none.
+	int64_t leaving;	///< 1: says in its responses that it leaves.
 	int64_t pause_at_bytes; ///< Never send more of long responses; 0: no.
 };
 
--- a/test/fakes/fake_control.c
+++ b/test/fakes/fake_control.c
@@ -19,7 +19,8 @@
 	}
 static const struct behaviour_key behaviour_keys[] = {KEY(service_us),
     KEY(slots), KEY(shed), KEY(stall), KEY(fail), KEY(die_after_run),
-    KEY(response_bytes), KEY(cut_at_bytes), KEY(pause_at_bytes)};
+    KEY(response_bytes), KEY(cut_at_bytes), KEY(pause_at_bytes), KEY(limit),
+    KEY(leaving)};
 
 static void
 respond_runs(struct fake_backend *b, struct http_exchange *exchange)
--- a/test/fakes/fake_work.c
+++ b/test/fakes/fake_work.c
@@ -88,11 +88,42 @@
 	free(body);
 }
 
+/// What the server states of itself in a response.
+struct statement {
+	char limit[32];
+	struct http_header headers[4];
+	size_t count;
+};
+
+static void
+make_statement(const struct work *w, struct statement *statement)
+{
+	const struct fake_behaviour *b = &w->backend->settings.behaviour;
+	const char *id =
+	    http_exchange_get_header(w->exchange, "Magnolia-Request-Id");
+	struct http_header *next = statement->headers;
+
+	*next++ =
+	    (struct http_header){"Content-Type", "text/plain; charset=utf-8"};
+	if (id != NULL)
+		*next++ = (struct http_header){"Magnolia-Request-Id", id};
+	if (b->limit > 0) {
+		snprintf(statement->limit, sizeof(statement->limit),
+		    "%" PRId64 ".0", b->limit);
+		*next++ =
+		    (struct http_header){"Magnolia-Limit", statement->limit};
+	}
+	if (b->leaving)
+		*next++ = (struct http_header){"Magnolia-Leaving", "1"};
+	statement->count = (size_t)(next - statement->headers);
+}
+
 /// Responds with what the caller can check: service, request and body checksum.
 static void
 respond(struct work *w)
 {
 	struct fake_backend *b = w->backend;
+	struct statement statement;
 	char text[1024];
 
 	if (w->exchange == NULL)
@@ -110,7 +141,9 @@
 	    "%s %s %s bytes=%zu sum=%" PRIu64 " rank=%s\n", b->settings.service,
 	    w->exchange->method, w->exchange->target, w->body_bytes,
 	    w->body_sum, w->rank);
-	http_exchange_respond_text(w->exchange, 200, text);
+	make_statement(w, &statement);
+	http_exchange_respond(w->exchange, 200, statement.headers,
+	    statement.count, text, strlen(text));
 }
 
 static void
