feat(admission): a backend server is held to the limit that it states

Its admission holds starts to the limit, refuses at once what is queued too long for it, and reports limit and wait; the balancer counts the wait. The other proxies keep the terms with the server's process and send them along, so that a restart does not forget them. core/requests/server_terms decides what counts; no I/O. Load and limit now count only from an answer to this request (they were read from skipped ones as well).

--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -18,6 +18,9 @@
 
 #define MAX_ARRIVALS 3
 
+/// Time from the statement of a limit until it is checked.
+#define LIMIT_SETTLED_US (1000 * US_PER_MS)
+
 /// The time of work is a fixed share of its mean plus an exponential rest.
 #define FIXED_WORK_SHARE 0.4
 
@@ -53,9 +56,7 @@
 	bool failed;
 	bool has_load_report; ///< The reported_* fields are set.
 	int64_t retry_us;
-	uint32_t reported_running;
-	uint32_t reported_queued;
-	int64_t reported_service_us;
+	struct balancer_report report;
 };
 
 static void start_attempt(void *arg);
@@ -190,6 +191,8 @@
 	if (c->sim->mix->services[node->service].neighbour_period_us > 0)
 		pace_record(&node->admission.pace,
 		    (uint32_t)(node->neighbours * 100), call_now_us(c));
+	admission_set_limit(
+	    &node->admission, node->limit_milli, call_now_us(c));
 	admission_finish(&node->admission, &c->item, call_now_us(c));
 	send_response(c, OUTCOME_ANSWERED, failed, 0);
 	call_unref(c);
@@ -240,11 +243,35 @@
 	call_schedule(child, call_now_us(c), start_attempt);
 }
 
+/// Counts a run of a server that states a limit.
+static void
+count_limited_run(struct node *node)
+{
+	int64_t now_us = node->sim->events.now_us;
+	double allowed = (double)node->limit_milli * LIMIT_SPAN_US / 1e9;
+	uint32_t old = 0;
+
+	if (node->limit_milli == 0 ||
+	    now_us < node->limited_us + LIMIT_SETTLED_US)
+		return;
+	while (old < node->run_count &&
+	    (node->runs_us[old] <= now_us - LIMIT_SPAN_US ||
+		node->run_count - old == NODE_RUNS))
+		old++;
+	memmove(node->runs_us, node->runs_us + old,
+	    (node->run_count - old) * sizeof(node->runs_us[0]));
+	node->run_count -= old;
+	node->runs_us[node->run_count++] = now_us;
+	if (node->run_count / allowed > node->sim->limit_share)
+		node->sim->limit_share = node->run_count / allowed;
+}
+
 static void
 start_work(struct call *c)
 {
 	const struct mix_kind *k = call_get_kind(c);
 
+	count_limited_run(c->egress);
 	c->sim->runs += c->parent == NULL;
 	c->sim->first_runs += c->parent == NULL && c->arrivals == 0;
 	c->arrivals++;
@@ -274,7 +301,8 @@
 			start_work(c);
 		else
 			send_response(c, OUTCOME_NOT_RUN, false,
-			    admission_wait_us(&node->admission, item->rank));
+			    admission_wait_us(
+				&node->admission, item->rank, now_us));
 		call_unref(c);
 	}
 }
@@ -405,8 +433,7 @@
 	    .deadline_us = c->deadline_us};
 
 	if (c->has_load_report)
-		balancer_report(c->endpoint, c->reported_running,
-		    c->reported_queued, c->reported_service_us, now_us);
+		balancer_report(c->endpoint, &c->report, now_us);
 	balancer_finish(
 	    c->balancer, c->endpoint, c->sent_us, c->failed, now_us);
 	if (c->outcome == OUTCOME_NOT_RUN && c->retry_us > 0)
@@ -437,9 +464,13 @@
 	c->failed = failed;
 	c->retry_us = retry_us;
 	c->has_load_report = !node->down;
-	c->reported_running = node->admission.running;
-	c->reported_queued = node->admission.queued;
-	c->reported_service_us =
+	c->report.limit_milli =
+	    node->admission.start_cost_us == 0 ? 0 : node->limit_milli;
+	c->report.limit_wait_us =
+	    admission_backlog_us(&node->admission, call_now_us(c));
+	c->report.running = node->admission.running;
+	c->report.queued = node->admission.queued;
+	c->report.service_us =
 	    admission_service_us(&node->admission, call_now_us(c));
 	call_schedule(c,
 	    call_now_us(c) + simulation_one_way_us(node, c->ingress),
--- a/bench/model/main.c
+++ b/bench/model/main.c
@@ -42,12 +42,14 @@
 		sum.refused += r.refused / SEED_COUNT;
 		sum.failed += r.failed / SEED_COUNT;
 		sum.repeated_runs += r.repeated_runs / SEED_COUNT;
+		if (r.limit_share > sum.limit_share)
+			sum.limit_share = r.limit_share;
 	}
 	printf("| %s | %.3f (%.3f to %.3f) | %.3f (%.3f to %.3f) | %.1f %% | "
-	       "%.1f %% | %.1f %% |",
+	       "%.1f %% | %.1f %% | %.0f %% |",
 	    policy->name, worth.sum / SEED_COUNT, worth.min, worth.max,
 	    worst.sum / SEED_COUNT, worst.min, worst.max, sum.refused * 100,
-	    sum.failed * 100, sum.repeated_runs * 100);
+	    sum.failed * 100, sum.repeated_runs * 100, sum.limit_share * 100);
 	for (i = 0; i < mix->kind_count; i++)
 		if (mix->kinds[i].worth > 0)
 			printf(" %.3f |", sum.kinds[i]);
@@ -66,7 +68,7 @@
 		return -1;
 	}
 	printf("%s\n\n| policy | worth | worst tenth | refused | failed | "
-	       "repeats |",
+	       "repeats | most of a limit |",
 	    mix.name);
 	for (i = 0; i < mix.kind_count; i++)
 		if (mix.kinds[i].worth > 0)
--- a/bench/model/mix.c
+++ b/bench/model/mix.c
@@ -118,11 +118,13 @@
 	return 0;
 }
 
+#define TYPE_COUNT 5
+
 static int
 read_event(struct reader *r, json_t *object)
 {
-	static const char *const types[] = {
-	    "burst", "slow", "failing", "restart"};
+	static const char *const types[TYPE_COUNT] = {
+	    "burst", "slow", "failing", "restart", "limit"};
 	struct mix_event *e = &r->mix->events[r->mix->event_count];
 	const char *type = "";
 	const char *target_name = "";
@@ -139,9 +141,9 @@
 		&target_name, "at_s", &at_s, "for_s", &for_s, "servers",
 		&e->servers, "factor", &e->factor) != 0)
 		return set_error(r, json_err.text, type);
-	for (i = 0; i < 4 && strcmp(types[i], type) != 0; i++)
+	for (i = 0; i < TYPE_COUNT && strcmp(types[i], type) != 0; i++)
 		;
-	if (i == 4)
+	if (i == TYPE_COUNT)
 		return set_error(r, "unknown event type", type);
 	e->type = (enum mix_event_type)i;
 	found = e->type == MIX_BURST ? find_kind(r->mix, target_name)
--- a/bench/model/mix.h
+++ b/bench/model/mix.h
@@ -54,6 +54,7 @@
 	MIX_SLOW,    ///< Work at servers takes factor times as long.
 	MIX_FAILING, ///< Servers fail a fraction of their work.
 	MIX_RESTART, ///< Servers crash, then restart with a slow start.
+	MIX_LIMIT,   ///< Servers state a limit of factor requests a second.
 };
 
 /// A temporary change of load, or a fault.
--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -222,7 +222,12 @@
 		left--;
 		if (e->type == MIX_SLOW)
 			node->slowdown = starts ? e->factor : 1;
-		else if (e->type == MIX_FAILING)
+		else if (e->type == MIX_LIMIT) {
+			node->limit_milli =
+			    starts ? (uint32_t)(e->factor * 1000) : 0;
+			node->limited_us = sim->events.now_us;
+			node->run_count = 0;
+		} else if (e->type == MIX_FAILING)
 			node->failure_rate = starts ? e->factor : 0;
 		else if (starts) {
 			call_abort_all(node);
@@ -352,6 +357,7 @@
 		result->kinds[i] = earned_ratio(sim->kinds[i]);
 	result->refused = (double)sim->refused / (double)sim->completed;
 	result->failed = (double)sim->failed / (double)sim->completed;
+	result->limit_share = sim->limit_share;
 	result->repeated_runs =
 	    (double)(sim->runs - sim->first_runs) / (double)sim->completed;
 }
--- a/bench/model/model.h
+++ b/bench/model/model.h
@@ -37,6 +37,9 @@
 	double refused;	      ///< Final outcome: not run.
 	double failed;	      ///< Final outcome: failure or timeout.
 	double repeated_runs; ///< Runs beyond the first, per request.
+	/// Most runs of a limited server in 4 s, of those that its limit allows;
+	/// from 1 s after it began to state it. 0: no server stated one.
+	double limit_share;
 };
 
 /// Runs a simulation of a mix to its end. The same seed gives the same result.
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -9,6 +9,12 @@
 #define SIMULATION_MAX_SERVERS	64
 #define SIMULATION_MAX_ATTEMPTS 4
 
+/// Runs of a server that are kept: more than a limited one has in LIMIT_SPAN_US.
+#define NODE_RUNS 512
+
+/// A limit is checked over any such time.
+#define LIMIT_SPAN_US 4000000
+
 struct call;
 
 /// A backend server and the proxy on its VM.
@@ -24,6 +30,11 @@
 	bool down;
 	int64_t slow_start_deadline_us;
 	struct admission admission;
+	uint32_t limit_milli; ///< That the server states; 0: none.
+	int64_t limited_us;   ///< Time at which it began to.
+	/// Times of its last runs, oldest first.
+	int64_t runs_us[NODE_RUNS];
+	uint32_t run_count;
 	struct call *running; ///< List of the calls that hold a slot.
 	struct balancer balancers[MIX_MAX_SERVICES];
 };
@@ -52,6 +63,7 @@
 	uint64_t failed;
 	uint64_t runs; ///< Of callers' requests, on any backend server.
 	uint64_t first_runs;
+	double limit_share; ///< See struct model_result.
 };
 
 /// Returns a uniform number from 0 up to 1, exclusive.
--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -21,6 +21,15 @@
 /// A request may wait for the time left beside its service, divided by this.
 #define WAIT_DIVISOR 2
 
+/// Starts that the limit allows within this time may come at once. Short, so that
+/// the limit holds within each second.
+#define LIMIT_BURST_US 250000LL
+
+/// A server that takes fewer requests, or none, is tried this often: only its
+/// responses tell when it takes more.
+#define MIN_LIMIT_MILLI	 500
+#define LIMIT_COST_MILLI 1000000000LL
+
 void
 admission_init(struct admission *a, const struct admission_policy *policy,
     uint32_t max_queued, uint32_t max_queued_bytes)
@@ -90,6 +99,35 @@
 	}
 }
 
+void
+admission_set_limit(struct admission *a, uint32_t limit_milli, int64_t now_us)
+{
+	if (limit_milli == 0) {
+		a->start_cost_us = 0;
+		return;
+	}
+	if (limit_milli < MIN_LIMIT_MILLI)
+		limit_milli = MIN_LIMIT_MILLI;
+	if (a->start_cost_us == 0)
+		a->starts.due_deadline_us = now_us;
+	a->start_cost_us = LIMIT_COST_MILLI / limit_milli;
+}
+
+int64_t
+admission_limit_wait_us(const struct admission *a, int64_t now_us)
+{
+	if (a->start_cost_us == 0)
+		return 0;
+	return rate_limit_wait_us(&a->starts, LIMIT_BURST_US, now_us);
+}
+
+int64_t
+admission_backlog_us(const struct admission *a, int64_t now_us)
+{
+	return admission_limit_wait_us(a, now_us) +
+	    a->queued * a->start_cost_us;
+}
+
 uint32_t
 admission_find_rank(const struct admission *a, const char *name)
 {
@@ -289,6 +327,8 @@
 			item->begun_charged_us = a->begun_credit_us;
 		add_begun_credit(a, -item->begun_charged_us);
 	}
+	if (a->start_cost_us > 0)
+		rate_limit_charge(&a->starts, a->start_cost_us, now_us);
 	r->running++;
 	a->running++;
 	flow_enter(&a->slot_time, now_us);
@@ -298,19 +338,33 @@
 static int64_t
 estimate_interval_us(const struct admission *a, const struct admission_rank *r)
 {
-	if (r->interval_us > 0)
-		return r->interval_us;
-	return estimate_service_us(r) / a->slots;
+	int64_t interval_us = r->interval_us > 0
+	    ? r->interval_us
+	    : estimate_service_us(r) / a->slots;
+
+	return interval_us > a->start_cost_us ? interval_us : a->start_cost_us;
+}
+
+/// Estimates the wait of an item of a rank behind some that are queued.
+static int64_t
+estimate_wait_behind_us(const struct admission *a,
+    const struct admission_rank *r, uint32_t ahead, int64_t now_us)
+{
+	int64_t interval_us = estimate_interval_us(a, r);
+	int64_t limit_us = admission_limit_wait_us(a, now_us);
+
+	return ahead * interval_us +
+	    (limit_us > interval_us ? limit_us : interval_us);
 }
 
 int64_t
-admission_wait_us(const struct admission *a, uint32_t rank)
+admission_wait_us(const struct admission *a, uint32_t rank, int64_t now_us)
 {
 	const struct admission_rank *r = &a->ranks[rank];
 
 	if (a->running < a->slots && a->queued == 0)
-		return 0;
-	return (int64_t)(r->queued + 1) * estimate_interval_us(a, r);
+		return admission_limit_wait_us(a, now_us);
+	return estimate_wait_behind_us(a, r, r->queued, now_us);
 }
 
 /// Scales a learnt time to the pace of the backend server now.
@@ -322,13 +376,14 @@
 
 /// Estimates the wait of a new item: begun ones go ahead of the others.
 static int64_t
-estimate_wait_us(const struct admission *a, const struct admission_item *item)
+estimate_wait_us(const struct admission *a, const struct admission_item *item,
+    int64_t now_us)
 {
 	const struct admission_rank *r = &a->ranks[item->rank];
 
 	if (!item->begun)
-		return admission_wait_us(a, item->rank);
-	return (int64_t)(r->begun_queued + 1) * estimate_interval_us(a, r);
+		return admission_wait_us(a, item->rank, now_us);
+	return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
 }
 
 /// Longest expected wait with which an item is accepted: a part of the time that
@@ -381,15 +436,17 @@
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
 		return ADMISSION_REFUSED;
-	if (a->running < a->slots && a->queued == 0) {
+	if (a->running < a->slots && a->queued == 0 &&
+	    admission_limit_wait_us(a, now_us) == 0) {
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
-	wait_us = scale_by_pace(a, estimate_wait_us(a, item), now_us);
+	wait_us = scale_by_pace(a, estimate_wait_us(a, item, now_us), now_us);
 	// An empty queue always accepts one, so that the estimate of the wait
-	// stays current.
+	// stays current. A limit needs no estimate.
 	if (!has_room(a, item) ||
-	    (r->queued > 0 && wait_us > max_wait_us(a, item, now_us))) {
+	    ((r->queued > 0 || a->start_cost_us > 0) &&
+		wait_us > max_wait_us(a, item, now_us))) {
 		*retry_us = wait_us;
 		return ADMISSION_REFUSED;
 	}
@@ -463,6 +520,27 @@
 	return NULL;
 }
 
+/// Finds the last item of a queue that has become too long since a limit was
+/// stated: it is refused at once, so that it can run elsewhere in time.
+static struct admission_item *
+find_beyond_limit(const struct admission *a, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; a->start_cost_us > 0 && i < a->rank_count; i++) {
+		const struct admission_rank *r = &a->ranks[i];
+		int64_t wait_us;
+
+		if (r->queued < 2)
+			continue;
+		wait_us = admission_limit_wait_us(a, now_us) +
+		    (r->queued - 1) * a->start_cost_us;
+		if (wait_us > max_wait_us(a, r->tail, now_us))
+			return r->tail;
+	}
+	return NULL;
+}
+
 struct admission_item *
 admission_next(
     struct admission *a, int64_t now_us, enum admission_verdict *verdict)
@@ -475,12 +553,14 @@
 		return NULL;
 	update_credits(a, now_us);
 	item = find_unmeetable(a, now_us);
+	if (item == NULL)
+		item = find_beyond_limit(a, now_us);
 	if (item != NULL) {
 		*verdict = ADMISSION_REFUSED;
 		queue_remove(a, item);
 		return item;
 	}
-	if (a->running >= a->slots)
+	if (a->running >= a->slots || admission_limit_wait_us(a, now_us) > 0)
 		return NULL;
 	rank = a->policy->pick(a, now_us);
 	if (rank < 0)
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -10,13 +10,15 @@
 ///
 /// Answers the load of more requests than the slots can serve in time: a
 /// request waits only if it is likely to meet its own target, and is refused at
-/// once otherwise.
+/// once otherwise. A limit that the backend server states bounds the starts of all
+/// ranks together; the same queues, shares and estimates apply.
 #ifndef MV_CORE_REQUESTS_ADMISSION_H
 #define MV_CORE_REQUESTS_ADMISSION_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/rate_limit.h"
 #include "core/requests/flow.h"
 #include "core/requests/pace.h"
 #include "core/rules/rules.h"
@@ -91,7 +93,10 @@
 	uint32_t max_queued;
 	uint32_t max_queued_bytes;
 	struct flow slot_time;
-	struct pace pace;	    ///< Set by the owner.
+	struct pace pace;	  ///< Set by the owner.
+	struct rate_limit starts; ///< Of the limit below.
+	int64_t
+	    start_cost_us; ///< Time for each start by the limit; 0: no limit.
 	int64_t credits_updated_us; ///< Time of the last update of credits.
 	int64_t begun_credit_us;    ///< Unused slot time of begun work's share.
 	uint32_t rank_count;
@@ -109,6 +114,19 @@
 void admission_configure(struct admission *a, uint32_t slots,
     const struct rule_rank *ranks, uint32_t rank_count);
 
+/// Limits the starts of all ranks together.
+///
+/// @param limit_milli  starts in 1,000 s; 0: no limit
+void admission_set_limit(
+    struct admission *a, uint32_t limit_milli, int64_t now_us);
+
+/// Returns the time until the limit allows another start; 0: now.
+int64_t admission_limit_wait_us(const struct admission *a, int64_t now_us);
+
+/// Returns the wait of a new request that the limit alone causes: until it allows
+/// a start behind all that are queued. 0 without a limit.
+int64_t admission_backlog_us(const struct admission *a, int64_t now_us);
+
 /// Returns the index of a rank by name; that of the lowest worth if unknown.
 uint32_t admission_find_rank(const struct admission *a, const char *name);
 
@@ -141,7 +159,8 @@
     struct admission *a, int64_t now_us, enum admission_verdict *verdict);
 
 /// Estimates the wait of a new request of a rank.
-int64_t admission_wait_us(const struct admission *a, uint32_t rank);
+int64_t admission_wait_us(
+    const struct admission *a, uint32_t rank, int64_t now_us);
 
 /// Returns the expected service time of a request now; 0 if it is not known.
 int64_t admission_service_us(struct admission *a, int64_t now_us);
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -24,6 +24,11 @@
 /// Half-life of the weight of a reported service time.
 #define SERVICE_HALF_LIFE_US 3000000.0
 
+/// Half-life of a reported wait for a limit. Other proxies use what becomes free
+/// meanwhile, so that the wait does not end by itself.
+#define LIMIT_HALF_LIFE_US 1000000.0
+#define LIMIT_COST_MILLI   1000000000LL
+
 /// Prior failure rate of an endpoint with few samples: a few per cent, with the
 /// weight of three responses.
 #define FAILURE_PRIOR	     0.02
@@ -158,6 +163,21 @@
 	    (int64_t)(weight * (double)(e->service_us - q->mean_service_us));
 }
 
+/// Estimates the wait for the limit that the backend server states: as reported,
+/// and behind the requests sent there since.
+static int64_t
+estimate_limit_wait_us(const struct endpoint *e, int64_t now_us)
+{
+	int64_t sent = (int64_t)e->outstanding - e->outstanding_at_report;
+
+	if (e->limit_milli == 0)
+		return 0;
+	return (int64_t)((double)e->limit_wait_us *
+		   exp2(-(double)(now_us - e->reported_us) /
+		       LIMIT_HALF_LIFE_US)) +
+	    (sent > 0 ? sent : 0) * LIMIT_COST_MILLI / e->limit_milli;
+}
+
 /// Estimates the time until the response; 0 if no service time is known.
 static int64_t
 estimate_response_us(struct endpoint *e, const struct choice_context *q,
@@ -167,6 +187,8 @@
 	    ? q->request->relative_service_permille
 	    : PERMILLE;
 	int64_t service_us = effective_service_us(e, q, now_us);
+	int64_t limit_us = estimate_limit_wait_us(e, now_us);
+	int64_t wait_us;
 	int64_t model_us;
 	int64_t observed_us;
 
@@ -174,8 +196,10 @@
 		return 0;
 	if (e->state == BACKEND_COLD)
 		service_us = service_us * FULL_PCT / COLD_PCT;
-	model_us = distance_costs[e->distance].round_trip_us +
-	    count_queued_ahead(load, slots) * service_us / slots;
+	wait_us = count_queued_ahead(load, slots) * service_us / slots;
+	if (wait_us < limit_us)
+		wait_us = limit_us;
+	model_us = distance_costs[e->distance].round_trip_us + wait_us;
 	observed_us = flow_mean_with_prior_us(
 	    &e->response_time, model_us + service_us, now_us);
 	// Delays that the model leaves out show in the observed times.
@@ -421,16 +445,18 @@
 }
 
 void
-balancer_report(struct endpoint *e, uint32_t running, uint32_t queued,
-    int64_t service_us, int64_t now_us)
+balancer_report(
+    struct endpoint *e, const struct balancer_report *report, int64_t now_us)
 {
-	if (service_us > 0) {
-		e->service_us = service_us;
+	if (report->service_us > 0) {
+		e->service_us = report->service_us;
 		e->service_reported_us = now_us;
 	}
-	e->reported_load = running + queued;
+	e->reported_load = report->running + report->queued;
 	e->reported_us = now_us;
 	e->outstanding_at_report = e->outstanding;
+	e->limit_milli = report->limit_milli;
+	e->limit_wait_us = report->limit_wait_us;
 }
 
 void
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -14,6 +14,7 @@
 #include "core/requests/flow.h"
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
+#include "core/requests/server_terms.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -44,6 +45,10 @@
 	int64_t reported_us;	     ///< Time of the last report; 0: never.
 	int64_t service_us;	     ///< Mean service time; 0: not known.
 	int64_t service_reported_us; ///< Time of the report of service_us.
+	uint32_t limit_milli;	     ///< Requests in 1,000 s; 0: no limit.
+	int64_t limit_wait_us;	     ///< Wait of a new request for the limit.
+	/// Copy of the terms of its server, for a proxy that has forgotten them.
+	struct server_terms terms;
 	// As observed by this ingress.
 	uint32_t outstanding;	   ///< Requests sent and not finished.
 	struct flow response_time; ///< Time from sending to the response.
@@ -122,11 +127,18 @@
 void balancer_finish(struct balancer *b, struct endpoint *endpoint,
     int64_t sent_us, bool failed, int64_t now_us);
 
+/// Load that an endpoint reports.
+struct balancer_report {
+	uint32_t running;
+	uint32_t queued;
+	int64_t service_us; ///< Mean service time; 0 if it is not known there.
+	uint32_t limit_milli;
+	int64_t limit_wait_us;
+};
+
 /// Records the load that an endpoint reported.
-///
-/// @param service_us  mean service time; 0 if it is not known there
-void balancer_report(struct endpoint *endpoint, uint32_t running,
-    uint32_t queued, int64_t service_us, int64_t now_us);
+void balancer_report(struct endpoint *endpoint,
+    const struct balancer_report *report, int64_t now_us);
 
 /// Marks an endpoint as busy until a time, for requests like a refused one.
 void balancer_set_busy(struct endpoint *endpoint,
--- a/src/io/dialect.c
+++ b/src/io/dialect.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "io/clock.h"
@@ -11,6 +12,12 @@
 #define LEASE_MIN_MS 100
 #define LEASE_MAX_MS 60000
 
+/// Largest limit in requests a second that a server may state, and the space for
+/// its text.
+#define MAX_LIMIT	 1000000
+#define LIMIT_TEXT_BYTES 24
+#define PER_MILLE	 1000
+
 static struct dialect *registered = &dialect_own;
 
 void
@@ -84,10 +91,11 @@
 	const char *state;
 	struct address parsed;
 	json_int_t lease_ms;
+	json_int_t started_ms = 0;
 
-	if (json_unpack(root, "{s:s, s:s, s:s, s:I}", "service", &service,
-		"address", &address, "state", &state, "lease_ms",
-		&lease_ms) != 0)
+	if (json_unpack(root, "{s:s, s:s, s:s, s:I, s?I}", "service", &service,
+		"address", &address, "state", &state, "lease_ms", &lease_ms,
+		"started_ms", &started_ms) != 0)
 		return error_set(err, ERR_INVALID, "body", "",
 		    "needs service, address, state and lease_ms");
 	if (service[0] == '\0' || strlen(service) >= sizeof(out->service))
@@ -107,6 +115,8 @@
 	strcpy(out->address, address);
 	strcpy(out->id, address);
 	out->lease_deadline_us = now_us + lease_ms * US_PER_MS;
+	if (started_ms > 0)
+		out->process_start = (uint64_t)started_ms;
 	return 0;
 }
 
@@ -133,6 +143,27 @@
 	return rc;
 }
 
+int
+dialect_read_limit(const char *value, size_t value_bytes, uint32_t *limit_milli,
+    struct error *err)
+{
+	char text[LIMIT_TEXT_BYTES];
+	double limit;
+	char *end;
+
+	snprintf(text, sizeof(text), "%.*s", (int)value_bytes, value);
+	limit = strtod(text, &end);
+	// Only plain decimal numbers: no sign, exponent, infinity or blank.
+	if (value_bytes == 0 || value_bytes >= sizeof(text) || *end != '\0' ||
+	    strspn(text, "0123456789.") < value_bytes || limit > MAX_LIMIT)
+		return error_set(err, ERR_SYNTAX, "read limit", "",
+		    "not a decimal number up to %d", MAX_LIMIT);
+	*limit_milli = (uint32_t)(limit * PER_MILLE);
+	if (*limit_milli == 0)
+		*limit_milli = 1;
+	return 0;
+}
+
 static uint32_t
 verdict_status(int verdict)
 {
@@ -152,7 +183,10 @@
 	    .key = "Idempotency-Key",
 	    .not_run = "Magnolia-Shed",
 	    .outcome = "Magnolia-Outcome",
+	    .limit = "Magnolia-Limit",
+	    .leaving = "Magnolia-Leaving",
 	},
+    .read_limit = dialect_read_limit,
     .assigns_request_ids = true,
     .format_retry_after = format_retry_after,
     .read_call = read_call,
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -31,6 +31,8 @@
 	const char *not_run; ///< On a response: the server did not run it.
 	const char *outcome; ///< On responses of a proxy.
 	const char *load;    ///< Load of the server; see read_load.
+	const char *limit;   ///< Limit that the server states; see read_limit.
+	const char *leaving; ///< "1": the server leaves.
 	/// On responses of a backend server; a successful response without it
 	/// is invalid.
 	const char *signature;
@@ -93,6 +95,13 @@
 	int (*read_load)(const char *value, size_t value_bytes,
 	    struct server_load *out, struct error *err);
 
+	/// Parses the value of the limit header: requests a second.
+	///
+	/// @param limit_milli  receives requests in 1,000 s, at least 1
+	/// @return 0, or -1 with err set
+	int (*read_limit)(const char *value, size_t value_bytes,
+	    uint32_t *limit_milli, struct error *err);
+
 	/// Returns the length of the id of the request that a request is a call
 	/// of, as its own id states it; 0: it states none. NULL: ids state none.
 	size_t (*parent_id_bytes)(const char *id);
@@ -120,6 +129,10 @@
 /// The built-in dialect "own".
 extern struct dialect dialect_own;
 
+/// Parses a limit as a decimal number, such as "12" or "0.5".
+int dialect_read_limit(const char *value, size_t value_bytes,
+    uint32_t *limit_milli, struct error *err);
+
 /// Registers a dialect; call it before main.
 void dialect_register(struct dialect *dialect);
 
--- a/src/io/http/httpc.c
+++ b/src/io/http/httpc.c
@@ -295,6 +295,12 @@
 	return call->sent_any;
 }
 
+bool
+httpc_call_is_first(const struct httpc_call *call)
+{
+	return call->conn != NULL && !call->conn->reused;
+}
+
 struct httpc *
 httpc_open(struct loop *loop, uint32_t max_connections, struct error *err)
 {
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -44,6 +44,12 @@
 	    loop_now_us(egress->loop) + SWEEP_INTERVAL_US);
 }
 
+static void
+on_start_allowed(void *arg)
+{
+	egress_run_queued(arg);
+}
+
 void
 egress_request_receive_body(
     struct egress_request *r, const struct message_body *body)
@@ -124,7 +130,8 @@
 		egress_stop_awaiting_result(r);
 	else
 		egress_end_not_run(r, 503,
-		    admission_wait_us(&egress->admission, r->item.rank),
+		    admission_wait_us(&egress->admission, r->item.rank,
+			loop_now_us(egress->loop)),
 		    "cancelled before it ran");
 	egress_run_queued(egress);
 }
@@ -216,6 +223,7 @@
 void
 egress_set_backend(struct egress *egress, const struct egress_backend *backend)
 {
+	egress_set_server(egress, backend);
 	egress->backend = *backend;
 	configure_admission(egress);
 	if (backend->state == BACKEND_DRAINING ||
@@ -267,6 +275,8 @@
 	admission_init(&egress->admission, &admission_reserved_shares,
 	    settings->max_queued, settings->max_queued_bytes);
 	fence_init(&egress->fence, loop_now_us(loop));
+	egress->start_timer.fn = on_start_allowed;
+	egress->start_timer.arg = egress;
 	egress->sweep_timer.fn = on_sweep;
 	egress->sweep_timer.arg = egress;
 	loop_timer_set(
@@ -280,6 +290,7 @@
 	if (egress == NULL)
 		return;
 	loop_timer_clear(egress->loop, &egress->sweep_timer);
+	loop_timer_clear(egress->loop, &egress->start_timer);
 	httpc_close(egress->httpc);
 	while (egress->first != NULL)
 		egress_request_free(egress->first);
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -110,6 +110,11 @@
 /// runs to completion.
 void egress_detach_sink(struct egress *egress, struct egress_sink *sink);
 
+/// Reports the limit that the backend server states, in requests in 1,000 s (0:
+/// none), and the wait of a new request for it.
+void egress_get_limit(
+    const struct egress *egress, uint32_t *limit_milli, int64_t *wait_us);
+
 /// Returns the fence that knows the requests of this egress.
 struct fence *egress_get_fence(struct egress *egress);
 
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -22,10 +22,6 @@
 COUNTER_DEFINE(count_mismatched, "egress_answers_skipped",
     "Answers of the backend server to another request");
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
-COUNTER_DEFINE(count_bad_loads, "egress_bad_loads",
-    "Statements of load of the backend server that could not be read");
-GAUGE_DEFINE(gauge_pace, "egress_pace_pct",
-    "Time that work takes at the backend server, in per cent of the usual");
 
 static void
 send_whole_response(struct egress_request *r)
@@ -118,29 +114,6 @@
 	finish_call(call->owner, err);
 }
 
-/// Records the load that the backend server states. A malformed statement is
-/// ignored.
-static void
-record_load(struct egress *egress, struct bytes value)
-{
-	int64_t now_us = loop_now_us(egress->loop);
-	struct server_load load;
-	struct error err;
-
-	if (egress->dialect->read_load == NULL)
-		return;
-	if (egress->dialect->read_load(
-		value.data, value.size_bytes, &load, &err) != 0) {
-		counter_add(&count_bad_loads, 1);
-		log_error(LOG_DEBUG, "egress",
-		    "Ignored the load that the backend server states", &err);
-		return;
-	}
-	pace_record(&egress->admission.pace, load.pace_pct, now_us);
-	counter_set(&gauge_pace, load.pace_pct);
-	egress_announce_pace(egress, now_us);
-}
-
 /// Records what a response header says about the request.
 static void
 parse_response_header(
@@ -149,12 +122,12 @@
 	const struct dialect_headers *h = &r->egress->dialect->headers;
 	struct bytes sent;
 
+	if (egress_read_statement(r, name, value))
+		return;
 	if (headers_name_equals(name, h->not_run))
 		r->shed = true;
 	else if (headers_name_equals(name, h->signature))
 		r->has_signature = true;
-	else if (headers_name_equals(name, h->load))
-		record_load(r->egress, value);
 	else if (headers_name_equals(name, "Content-Encoding"))
 		r->has_content_encoding = true;
 	else if (headers_name_equals(name, h->attempt) &&
@@ -215,6 +188,14 @@
 		!r->attempt_echoed);
 }
 
+/// Returns true if the response answers this request: it names the attempt, or
+/// no other request was sent on the connection.
+static bool
+is_proved_answer(const struct egress_request *r)
+{
+	return r->attempt_echoed || httpc_call_is_first(&r->call);
+}
+
 /// Discards the header state of a skipped response.
 static void
 reset_response_headers(struct egress_request *r)
@@ -223,6 +204,7 @@
 	memset(&r->response_headers, 0, sizeof(r->response_headers));
 	r->attempt_echoed = r->attempt_mismatched = r->has_signature = false;
 	r->has_content_encoding = r->shed = false;
+	egress_forget_statements(r);
 }
 
 static enum httpc_verdict
@@ -243,7 +225,11 @@
 	if (status == STATUS_MISDIRECTED &&
 	    r->egress->dialect->refusals_prove_not_run)
 		r->shed = true;
-	return is_unproved_success(r) ? HTTPC_FAIL : HTTPC_ACCEPT;
+	if (is_unproved_success(r))
+		return HTTPC_FAIL;
+	if (is_proved_answer(r))
+		egress_apply_statements(r);
+	return HTTPC_ACCEPT;
 }
 
 static bool
@@ -390,6 +376,7 @@
 		abort();
 	build_headers(r);
 	r->state = REQUEST_RUNNING;
+	r->server = egress->terms.terms.server;
 	r->window_bytes = RESPONSE_WINDOW_BYTES;
 	r->call.ops = &call_ops;
 	r->call.owner = r;
--- a/src/proxy/egress/egress_load.c
+++ b/src/proxy/egress/egress_load.c
@@ -1,4 +1,4 @@
-// Load and pace of the backend server, for the ingresses.
+// Load, pace and limit of the backend server, for the ingresses.
 #include "io/clock.h"
 #include "proxy/egress/egress_request.h"
 
@@ -38,6 +38,31 @@
 	egress->on_pace_changed(egress->pace_arg);
 }
 
+void
+egress_get_limit(
+    const struct egress *egress, uint32_t *limit_milli, int64_t *wait_us)
+{
+	*limit_milli = egress->terms.terms.limit_milli;
+	*wait_us =
+	    admission_backlog_us(&egress->admission, loop_now_us(egress->loop));
+}
+
+/// Fills in the terms of the server, unless it has never stated any.
+static void
+fill_terms(struct egress *egress, struct message_response *response)
+{
+	const struct server_terms *terms = &egress->terms.terms;
+
+	if (terms->limit_milli == 0 && !terms->leaving &&
+	    egress->terms.limit_stated_us == 0)
+		return;
+	response->server = terms->server;
+	response->limit_milli = terms->limit_milli;
+	response->leaving = terms->leaving;
+	response->limit_wait_us =
+	    admission_backlog_us(&egress->admission, loop_now_us(egress->loop));
+}
+
 void
 egress_fill_load(struct egress *egress, struct message_response *response)
 {
@@ -45,4 +70,5 @@
 	    admission_service_us(&egress->admission, loop_now_us(egress->loop));
 	response->queued = egress->admission.queued;
 	response->running = egress->admission.running;
+	fill_terms(egress, response);
 }
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -185,6 +185,9 @@
 	struct message_heartbeat answer = {.answer = 1};
 	uint32_t load_pct;
 
+	egress_get_limit(
+	    conn->server->egress, &answer.limit_milli, &answer.limit_wait_us);
+
 	egress_get_load(
 	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
 	answer.service_us = egress_get_service_us(conn->server->egress);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -5,6 +5,7 @@
 
 #include "core/requests/collector.h"
 #include "core/requests/outcome.h"
+#include "core/requests/server_terms.h"
 #include "io/dialect.h"
 #include "io/http/httpc.h"
 #include "proxy/egress/egress.h"
@@ -57,6 +58,12 @@
 	bool has_content_encoding; ///< Body not as the backend server made it.
 	bool attempt_echoed;
 	bool attempt_mismatched; ///< The response names another attempt.
+	// What the server states in the response, until its head is accepted.
+	uint64_t server; ///< Process of the server that it was sent to.
+	struct server_load load;
+	uint32_t limit_milli; ///< 0: none.
+	bool limit_unreadable;
+	bool leaving;
 	bool abort_marked;
 	bool key_was_free; ///< As the ledger reported to this attempt.
 };
@@ -69,12 +76,14 @@
 	struct admission admission;
 	struct fence fence;
 	struct egress_backend backend;
+	struct server_terms_state terms; ///< Of that backend server.
 	struct rules *rules;
 	struct egress_request *first;
 	struct collector collector;
 	/// Called when a call ends and frees its slot.
 	void (*on_slot_free)(struct egress *egress);
 	struct loop_timer sweep_timer;
+	struct loop_timer start_timer;	    ///< Next start that a limit allows.
 	void (*on_pace_changed)(void *arg); ///< May be NULL.
 	void *pace_arg;
 	int64_t announced_pace_permille;   ///< 0: none yet.
@@ -94,6 +103,30 @@
 /// Fills in the load that each response reports to the ingress.
 void egress_fill_load(struct egress *egress, struct message_response *response);
 
+// egress_terms.c
+
+/// Reads a response header if it states something of the server.
+///
+/// @return whether it does
+bool egress_read_statement(
+    struct egress_request *r, struct bytes name, struct bytes value);
+
+/// Drops what the headers of a skipped response state.
+void egress_forget_statements(struct egress_request *r);
+
+/// Applies what the headers state, once the response is known to be the
+/// server's answer to this request.
+void egress_apply_statements(struct egress_request *r);
+
+/// Takes over terms that the ingress of a request knows.
+void egress_learn_terms(
+    struct egress *egress, const struct message_request *m, const char *origin);
+
+/// Drops the terms of an earlier process. Call it before egress->backend is
+/// set.
+void egress_set_server(
+    struct egress *egress, const struct egress_backend *backend);
+
 // egress_collect.c
 
 /// Starts the transfer of further bodies, those of the nearest target first.
--- a/src/proxy/egress/submit.c
+++ b/src/proxy/egress/submit.c
@@ -69,6 +69,7 @@
 	    fence_key(sink->origin, sink->origin_incarnation, message->id);
 
 	fence_record_arrival(&egress->fence, key, now_us);
+	egress_learn_terms(egress, message, sink->origin);
 	if (reason != NULL) {
 		refuse_request(egress, sink, message, 0, reason);
 		return NULL;
--- a/src/proxy/egress/work.c
+++ b/src/proxy/egress/work.c
@@ -118,9 +118,15 @@
 			start_request(r);
 		else
 			egress_end_not_run(r, 503,
-			    admission_wait_us(&egress->admission, item->rank),
+			    admission_wait_us(
+				&egress->admission, item->rank, now_us),
 			    "it cannot meet its deadline any more");
 	}
+	if (egress->admission.queued > 0 &&
+	    admission_limit_wait_us(&egress->admission, now_us) > 0)
+		loop_timer_set(egress->loop, &egress->start_timer,
+		    now_us +
+			admission_limit_wait_us(&egress->admission, now_us));
 }
 
 void
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -91,6 +91,23 @@
 	return false;
 }
 
+/// Records what a response says of its endpoint.
+static void
+record_report(struct ingress_request *r, const struct message_response *m)
+{
+	struct balancer_report report = {m->running, m->queued, m->service_us,
+	    m->limit_milli, m->limit_wait_us};
+
+	balancer_report(r->endpoint, &report, loop_now_us(r->ingress->loop));
+	if (m->server != 0) {
+		r->endpoint->terms.server = m->server;
+		r->endpoint->terms.limit_milli = m->limit_milli;
+		r->endpoint->terms.leaving = m->leaving != 0;
+	}
+	if (m->run_us > 0 && m->service_us > 0)
+		ingress_record_service_time(r, m);
+}
+
 static void
 handle_response(struct ingress_request *r, const struct message_response *m)
 {
@@ -99,10 +116,7 @@
 
 	if (r->state == ATTEMPT_STREAMING)
 		return;
-	balancer_report(r->endpoint, m->running, m->queued, m->service_us,
-	    loop_now_us(r->ingress->loop));
-	if (m->run_us > 0 && m->service_us > 0)
-		ingress_record_service_time(r, m);
+	record_report(r, m);
 	r->arrivals += m->reached_backend;
 	failed = record_endpoint_refusal(r, m);
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
@@ -202,6 +216,8 @@
 static void
 on_load(void *owner, struct link *link, const struct message_heartbeat *load)
 {
+	struct balancer_report report = {load->running, load->queued,
+	    load->service_us, load->limit_milli, load->limit_wait_us};
 	const struct link_target *target = link_target(link);
 	struct ingress *ingress = owner;
 	uint32_t i;
@@ -211,8 +227,7 @@
 		    balancer_find(ingress->balancers[i], target->name);
 
 		if (e != NULL && e->incarnation == target->incarnation)
-			balancer_report(e, load->running, load->queued,
-			    load->service_us, loop_now_us(ingress->loop));
+			balancer_report(e, &report, loop_now_us(ingress->loop));
 	}
 }
 
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -141,6 +141,11 @@
 	m->repeat = r->parent_repeats || r->arrivals > 0;
 	m->service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
+	if (r->endpoint->terms.limit_milli > 0 || r->endpoint->terms.leaving) {
+		m->server = r->endpoint->terms.server;
+		m->limit_milli = r->endpoint->terms.limit_milli;
+		m->leaving = r->endpoint->terms.leaving;
+	}
 	m->rank = bytes_from_string(r->rank->name);
 	m->service = bytes_from_string(r->balancer->service);
 	m->method = bytes_from_string(x->method);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -205,6 +205,10 @@
 	uint32_t repeat;
 	/// Usual service time relative to the mean of the service; 0: unknown.
 	uint32_t service_permille;
+	// Terms of the backend server there, as the ingress knows them.
+	uint64_t server; ///< See core/requests/server_terms.h; 0: not known.
+	uint32_t limit_milli;
+	uint32_t leaving;
 	struct bytes rank;
 	struct bytes service;
 	struct bytes method;
@@ -228,9 +232,13 @@
 	int64_t service_us;	  ///< Mean slot time at the egress; 0: unknown.
 	int64_t run_us;		  ///< Time this request held its slot; 0: none.
 	int64_t queue_us;	  ///< Time this request waited for its slot.
-	uint32_t more;		  ///< Body frames follow.
-	int64_t total_bytes;	  ///< Size of a framed body; -1 if unknown.
-	struct list headers;	  ///< of struct message_header
+	uint64_t server;	  ///< Process of the server whose terms follow.
+	uint32_t limit_milli;  ///< Requests in 1,000 s that it takes; 0: any.
+	int64_t limit_wait_us; ///< Wait of a next request for that limit.
+	uint32_t leaving;      ///< It states that it leaves.
+	uint32_t more;	       ///< Body frames follow.
+	int64_t total_bytes;   ///< Size of a framed body; -1 if unknown.
+	struct list headers;   ///< of struct message_header
 	struct bytes body;
 };
 
@@ -271,7 +279,9 @@
 	uint32_t answer; ///< 0: requests an answer; 1: is the answer.
 	uint32_t queued;
 	uint32_t running;
-	int64_t service_us; ///< Mean slot time; 0: unknown.
+	int64_t service_us;   ///< Mean slot time; 0: unknown.
+	uint32_t limit_milli; ///< As in struct message_response.
+	int64_t limit_wait_us;
 };
 
 struct message_raft_entry {
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -155,6 +155,9 @@
     F(message_request, U32, begun),
     F(message_request, U32, repeat),
     F(message_request, U32, service_permille),
+    F(message_request, U64, server),
+    F(message_request, U32, limit_milli),
+    F(message_request, U32, leaving),
     F(message_request, BYTES, rank),
     F(message_request, BYTES, service),
     F(message_request, BYTES, method),
@@ -180,6 +183,10 @@
     F(message_response, I64, service_us),
     F(message_response, I64, run_us),
     F(message_response, I64, queue_us),
+    F(message_response, U64, server),
+    F(message_response, U32, limit_milli),
+    F(message_response, I64, limit_wait_us),
+    F(message_response, U32, leaving),
     F(message_response, U32, more),
     F(message_response, I64, total_bytes),
     N(message_response, LIST, headers, &header_schema),
@@ -231,6 +238,8 @@
     F(message_heartbeat, U32, queued),
     F(message_heartbeat, U32, running),
     F(message_heartbeat, I64, service_us),
+    F(message_heartbeat, U32, limit_milli),
+    F(message_heartbeat, I64, limit_wait_us),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -174,17 +174,21 @@
 	rules_unref(rules);
 }
 
-/// The load that backend servers state.
+/// The load and the limit that backend servers state.
 static void
 run_load(const char *bytes, size_t size_bytes)
 {
+	const struct dialect *d = dialect_find("platform");
 	struct server_load load;
 	struct error err;
+	uint32_t limit_milli;
 
-	if (dialect_find("platform")
-		    ->read_load(bytes, size_bytes, &load, &err) == 0 &&
+	if (d->read_load(bytes, size_bytes, &load, &err) == 0 &&
 	    load.slots == 0)
 		abort();
+	if (d->read_limit(bytes, size_bytes, &limit_milli, &err) == 0 &&
+	    limit_milli == 0)
+		abort();
 }
 
 static const struct target targets[] = {
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -92,7 +92,8 @@
 	(void)state;
 	balancer_init(&b, "s", 1, 0);
 	add_endpoints(&b, SECOND_US);
-	balancer_report(balancer_find(&b, "a"), 10, 20, 0, SECOND_US);
+	balancer_report(balancer_find(&b, "a"),
+	    &(struct balancer_report){.running = 10, .queued = 20}, SECOND_US);
 	assert_int_equal(count_chosen(&b, "b", 200, SECOND_US), 200);
 	balancer_free(&b);
 }
