feat(egress): a backend server that states that it leaves is drained at once

It got requests until its announcement arrived, or, after a restart of its proxy, on the strength of an older one. Solution: the proxy next to it refuses what waits, drains it and announces that; the others keep the statement with the server's process and send it along, for 60 s after its proxy is gone. Servers of the own dialect may announce started_ms, which identifies their process; one that announces none is newer than one that did.

--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -86,7 +86,8 @@
 				    sim->events.now_us);
 		}
 		for (s = 0; s < mix->service_count; s++) {
-			balancer_end_view(&node->balancers[s]);
+			balancer_end_view(
+			    &node->balancers[s], sim->events.now_us);
 			retry_budget_configure(&node->balancers[s].retries,
 			    RETRY_RATIO_PCT, RETRY_BURST, sim->node_count);
 		}
--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -18,7 +18,8 @@
 ///
 /// Start times of two processes are taken from their clocks, which may have
 /// been set back in between. So an earlier start time is rejected only until
-/// the lease expires; after that the announcement received last wins.
+/// the lease expires; after that, and if a server announces none, the
+/// announcement received last wins.
 static bool
 is_stale(const struct backend *b, const struct backend_announcement *a,
     int64_t now_us)
@@ -27,7 +28,7 @@
 		return false;
 	if (is_same_process(b, a))
 		return a->sequence <= b->latest.sequence && a->sequence != 0;
-	if (a->process_start < b->latest.process_start)
+	if (a->process_start != 0 && a->process_start < b->latest.process_start)
 		return now_us < b->latest.lease_deadline_us;
 	return false;
 }
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -49,6 +49,7 @@
 	int64_t limit_wait_us;	     ///< Wait of a new request for the limit.
 	/// Copy of the terms of its server, for a proxy that has forgotten them.
 	struct server_terms terms;
+	int64_t terms_deadline_us; ///< Until then they outlive its absence.
 	// As observed by this ingress.
 	uint32_t outstanding;	   ///< Requests sent and not finished.
 	struct flow response_time; ///< Time from sending to the response.
@@ -106,14 +107,14 @@
 void balancer_free(struct balancer *b);
 
 /// Begins a new view. balancer_end_view drops each endpoint that is not added
-/// again and has no request in progress.
+/// again, has no request in progress and whose terms need not be kept.
 void balancer_begin_view(struct balancer *b);
 
 /// Adds or updates an endpoint of the new view.
 void balancer_add(struct balancer *b, const struct member *member,
     enum distance distance, int64_t now_us);
 
-void balancer_end_view(struct balancer *b);
+void balancer_end_view(struct balancer *b, int64_t now_us);
 
 /// Chooses an endpoint and counts a request as outstanding there.
 struct balancer_choice balancer_choose(
@@ -140,6 +141,11 @@
 void balancer_report(struct endpoint *endpoint,
     const struct balancer_report *report, int64_t now_us);
 
+/// Keeps a copy of the terms that the server at an endpoint stated, also while
+/// its proxy is absent for some time.
+void balancer_keep_terms(struct endpoint *endpoint,
+    const struct server_terms *terms, int64_t now_us);
+
 /// Marks an endpoint as busy until a time, for requests like a refused one.
 void balancer_set_busy(struct endpoint *endpoint,
     const struct balancer_request *refused, int64_t until_deadline_us);
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -5,6 +5,9 @@
 
 #include "core/requests/balancer.h"
 
+/// A proxy that restarts is back within this time.
+#define KEEP_TERMS_US 60000000LL
+
 void
 balancer_init(struct balancer *b, const char *service, uint64_t seed,
     int64_t slow_start_us)
@@ -104,7 +107,17 @@
 }
 
 void
-balancer_end_view(struct balancer *b)
+balancer_keep_terms(
+    struct endpoint *e, const struct server_terms *terms, int64_t now_us)
+{
+	e->terms = *terms;
+	e->terms_deadline_us = terms->limit_milli > 0 || terms->leaving
+	    ? now_us + KEEP_TERMS_US
+	    : 0;
+}
+
+void
+balancer_end_view(struct balancer *b, int64_t now_us)
 {
 	uint32_t kept = 0;
 	uint32_t i;
@@ -112,7 +125,8 @@
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
 
-		if (e->present || e->outstanding > 0)
+		if (e->present || e->outstanding > 0 ||
+		    e->terms_deadline_us > now_us)
 			b->endpoints[kept++] = e;
 		else
 			free(e);
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -114,6 +114,22 @@
 	announce_publish(control);
 }
 
+void
+announce_backend_leaving(void *arg, const char *id, uint64_t process_start)
+{
+	struct control *control = arg;
+	struct backend_announcement a = {.process_start = process_start};
+
+	memcpy(a.id, id, sizeof(a.id));
+	if (strcmp(control->backend.latest.id, id) != 0 ||
+	    backend_drain(&control->backend, &a, loop_now_us(control->loop)) !=
+		BACKEND_CHANGED)
+		return;
+	set_lease_timer(control);
+	log_backend(control, "states that it leaves");
+	announce_publish(control);
+}
+
 static void
 respond_error(struct http_exchange *exchange, const struct error *err)
 {
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -123,6 +123,8 @@
 	start_timer(control, &control->report_timer, distribution_report, 0);
 	start_timer(control, &control->floor_timer, distribution_check_floor,
 	    FLOOR_CHECK_US);
+	traffic_set_leaving_listener(
+	    control->traffic, control->loop, announce_backend_leaving, control);
 	control->lease_timer.fn = announce_lease_expired;
 	control->lease_timer.arg = control;
 	return 0;
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -134,5 +134,9 @@
 /// Handles a report by the traffic thread that nothing listens at the backend
 /// server's address.
 void announce_backend_unreachable(struct control *control, const char *id);
+/// Handles a report by the traffic thread that the backend server states in its
+/// responses that it leaves.
+void announce_backend_leaving(
+    void *arg, const char *id, uint64_t process_start);
 
 #endif
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -197,29 +197,6 @@
 		httpc_set_max_connections(egress->httpc, service->connections);
 }
 
-/// Refuses requests that wait for a body or a slot, so that their ingresses can
-/// retry them elsewhere.
-static void
-refuse_waiting(struct egress *egress, const char *why)
-{
-	struct egress_request *r = egress->first;
-
-	while (r != NULL) {
-		struct egress_request *next = r->next;
-
-		if (r->state == REQUEST_COLLECTING ||
-		    (r->state == REQUEST_QUEUED && r->item.queued))
-			egress_end_not_run(r, 503, 0, why);
-		r = next;
-	}
-}
-
-void
-egress_refuse_waiting(struct egress *egress)
-{
-	refuse_waiting(egress, "this proxy is leaving");
-}
-
 void
 egress_set_backend(struct egress *egress, const struct egress_backend *backend)
 {
@@ -228,7 +205,8 @@
 	configure_admission(egress);
 	if (backend->state == BACKEND_DRAINING ||
 	    backend->state == BACKEND_NONE)
-		refuse_waiting(egress, "backend server takes no more work");
+		egress_refuse_waiting(
+		    egress, "backend server takes no more work");
 }
 
 void
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -102,8 +102,9 @@
 /// @param queued_only  a running request is not cancelled
 void egress_request_cancel(struct egress_request *request, bool queued_only);
 
-/// Refuses all requests that wait for a body or a slot.
-void egress_refuse_waiting(struct egress *egress);
+/// Refuses all requests that wait for a body or a slot, so that their ingresses
+/// can retry them elsewhere.
+void egress_refuse_waiting(struct egress *egress, const char *why);
 
 /// Detaches a closed sink from its requests. Requests that are not running end
 /// without a response. A running one is aborted if that is safe, and otherwise
@@ -126,6 +127,10 @@
 void egress_set_pace_listener(
     struct egress *egress, void (*fn)(void *arg), void *arg);
 
+/// Sets the callback for a backend server that states that it leaves.
+void egress_set_leaving_listener(struct egress *egress,
+    void (*fn)(void *arg, const struct egress_backend *backend), void *arg);
+
 /// Reports queued and running requests, and the load on the slots.
 void egress_get_load(const struct egress *egress, uint32_t *queued,
     uint32_t *running, uint32_t *load_pct);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -86,10 +86,14 @@
 	struct loop_timer start_timer;	    ///< Next start that a limit allows.
 	void (*on_pace_changed)(void *arg); ///< May be NULL.
 	void *pace_arg;
+	/// Called when the backend server states that it leaves. May be NULL.
+	void (*on_leaving)(void *arg, const struct egress_backend *backend);
+	void *leaving_arg;
 	int64_t announced_pace_permille;   ///< 0: none yet.
 	int64_t announce_pace_deadline_us; ///< Earliest next announcement.
 	bool draining;
 	bool abort_deferred;
+	bool leave_deferred;
 };
 
 // Layers of the egress, lowest first: a file calls only functions listed above
--- a/src/proxy/egress/egress_terms.c
+++ b/src/proxy/egress/egress_terms.c
@@ -75,8 +75,22 @@
 	r->limit_unreadable = r->leaving = false;
 }
 
+/// Sends waiting requests elsewhere, outside of the callbacks of the HTTP client.
+static void
+leave_deferred(void *arg)
+{
+	struct egress *egress = arg;
+
+	egress->leave_deferred = false;
+	if (!egress->terms.terms.leaving)
+		return;
+	egress_refuse_waiting(egress, "backend server takes no more work");
+	if (egress->on_leaving != NULL)
+		egress->on_leaving(egress->leaving_arg, &egress->backend);
+}
+
 /// Puts changed terms into effect. Requests for which the queue has become too
-/// long are refused at once.
+/// long are refused by the next call of egress_run_queued.
 static void
 apply_terms(struct egress *egress, const char *stated_by)
 {
@@ -95,6 +109,18 @@
 	log_end(&line);
 	counter_set(&gauge_limit, terms->limit_milli);
 	admission_set_limit(&egress->admission, terms->limit_milli, now_us);
+	if (!terms->leaving || egress->leave_deferred)
+		return;
+	egress->leave_deferred = true;
+	loop_defer(egress->loop, leave_deferred, egress);
+}
+
+void
+egress_set_leaving_listener(struct egress *egress,
+    void (*fn)(void *arg, const struct egress_backend *backend), void *arg)
+{
+	egress->on_leaving = fn;
+	egress->leaving_arg = arg;
 }
 
 void
--- a/src/proxy/egress/refuse.c
+++ b/src/proxy/egress/refuse.c
@@ -67,3 +67,18 @@
 	egress_send_error(r->egress, r->sink, r->message->id, status,
 	    OUTCOME_UNKNOWN, 0, r->reached_backend, why);
 }
+
+void
+egress_refuse_waiting(struct egress *egress, const char *why)
+{
+	struct egress_request *r = egress->first;
+
+	while (r != NULL) {
+		struct egress_request *next = r->next;
+
+		if (r->state == REQUEST_COLLECTING ||
+		    (r->state == REQUEST_QUEUED && r->item.queued))
+			egress_end_not_run(r, 503, 0, why);
+		r = next;
+	}
+}
--- a/src/proxy/egress/submit.c
+++ b/src/proxy/egress/submit.c
@@ -25,7 +25,7 @@
 		return "this proxy is leaving";
 	if (b->address[0] == '\0' || b->state == BACKEND_NONE)
 		return "no backend server";
-	if (b->state == BACKEND_DRAINING)
+	if (b->state == BACKEND_DRAINING || egress->terms.terms.leaving)
 		return "backend server is draining";
 	if (strlen(b->service) != m->service.size_bytes ||
 	    memcmp(b->service, m->service.data, m->service.size_bytes) != 0)
@@ -61,7 +61,7 @@
 egress_submit(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
 {
-	const char *reason = find_refusal_reason(egress, message);
+	const char *reason;
 	int64_t now_us = loop_now_us(egress->loop);
 	struct egress_request *r;
 	int64_t retry_us;
@@ -70,6 +70,7 @@
 
 	fence_record_arrival(&egress->fence, key, now_us);
 	egress_learn_terms(egress, message, sink->origin);
+	reason = find_refusal_reason(egress, message);
 	if (reason != NULL) {
 		refuse_request(egress, sink, message, 0, reason);
 		return NULL;
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -97,13 +97,13 @@
 {
 	struct balancer_report report = {m->running, m->queued, m->service_us,
 	    m->limit_milli, m->limit_wait_us};
+	struct server_terms terms = {
+	    m->server, m->limit_milli, m->leaving != 0};
+	int64_t now_us = loop_now_us(r->ingress->loop);
 
-	balancer_report(r->endpoint, &report, loop_now_us(r->ingress->loop));
-	if (m->server != 0) {
-		r->endpoint->terms.server = m->server;
-		r->endpoint->terms.limit_milli = m->limit_milli;
-		r->endpoint->terms.leaving = m->leaving != 0;
-	}
+	balancer_report(r->endpoint, &report, now_us);
+	if (m->server != 0)
+		balancer_keep_terms(r->endpoint, &terms, now_us);
 	if (m->run_us > 0 && m->service_us > 0)
 		ingress_record_service_time(r, m);
 }
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -188,7 +188,7 @@
 	for (i = 0; i < ingress->balancer_count; i++) {
 		struct balancer *b = ingress->balancers[i];
 
-		balancer_end_view(b);
+		balancer_end_view(b, now_us);
 		retry_budget_configure(&b->retries,
 		    ingress->settings.retry_ratio_pct,
 		    ingress->settings.retry_burst, view->proxy_count);
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -4,6 +4,7 @@
 #include <assert.h>
 #include <stdatomic.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "io/clock.h"
 #include "io/log/counters.h"
@@ -28,6 +29,9 @@
 	struct once_client *once;
 	struct loop_timer publish_timer;
 	struct volume_sample volume;
+	struct loop *leaving_loop; ///< Of the listener below; or NULL.
+	traffic_leaving_fn *leaving_fn;
+	void *leaving_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -141,7 +145,7 @@
 {
 	struct traffic *traffic = arg;
 
-	egress_refuse_waiting(traffic->egress);
+	egress_refuse_waiting(traffic->egress, "this proxy is leaving");
 	ingress_refuse_waiting(traffic->ingress);
 }
 
@@ -151,6 +155,47 @@
 	loop_post(traffic->loop, apply_refuse_waiting, traffic);
 }
 
+/// Notice to the listener that the backend server leaves.
+struct leaving_notice {
+	traffic_leaving_fn *fn;
+	void *arg;
+	char id[BACKEND_ID_BYTES];
+	uint64_t process_start;
+};
+
+static void
+deliver_leaving(void *arg)
+{
+	struct leaving_notice *notice = arg;
+
+	notice->fn(notice->arg, notice->id, notice->process_start);
+	free(notice);
+}
+
+static void
+on_leaving(void *arg, const struct egress_backend *backend)
+{
+	struct traffic *traffic = arg;
+	struct leaving_notice *notice = calloc(1, sizeof(*notice));
+
+	assert(notice != NULL);
+	notice->fn = traffic->leaving_fn;
+	notice->arg = traffic->leaving_arg;
+	memcpy(notice->id, backend->id, sizeof(notice->id));
+	notice->process_start = backend->process_start;
+	loop_post(traffic->leaving_loop, deliver_leaving, notice);
+}
+
+void
+traffic_set_leaving_listener(struct traffic *traffic, struct loop *loop,
+    traffic_leaving_fn *fn, void *arg)
+{
+	traffic->leaving_loop = loop;
+	traffic->leaving_fn = fn;
+	traffic->leaving_arg = arg;
+	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
+}
+
 uint32_t
 traffic_load_pct(const struct traffic *traffic)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -69,6 +69,16 @@
 /// Requests in progress at the ingress and at the egress. Any thread.
 uint32_t traffic_active_count(const struct traffic *traffic);
 
+/// Called when the backend server states that it leaves, with its id and the
+/// start of its process.
+typedef void traffic_leaving_fn(
+    void *arg, const char *id, uint64_t process_start);
+
+/// Sets the function to post to another loop when the backend server states
+/// that it leaves. Call it before traffic_start.
+void traffic_set_leaving_listener(struct traffic *traffic, struct loop *loop,
+    traffic_leaving_fn *fn, void *arg);
+
 /// Ends the thread and frees everything.
 void traffic_stop(struct traffic *traffic);
 
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -72,9 +72,10 @@
 	    b->settings.proxy_admin);
 	snprintf(b->announce_body, sizeof(b->announce_body),
 	    "{\"service\":\"%.40s\",\"address\":\"%s\",\"state\":\"%s\","
-	    "\"lease_ms\":%" PRId64 "}",
+	    "\"lease_ms\":%" PRId64 ",\"started_ms\":%" PRId64 "}",
 	    b->settings.service, address,
-	    now_us < b->cold_until_us ? "cold" : "ready", b->settings.lease_ms);
+	    now_us < b->cold_until_us ? "cold" : "ready", b->settings.lease_ms,
+	    b->started_ms);
 	memset(&b->announce, 0, sizeof(b->announce));
 	b->announce.ops = &announce_ops;
 	b->announce.owner = b;
@@ -151,6 +152,7 @@
 	program_write_bound_addresses(b->settings.bound_path, text, &err);
 	b->cold_until_us =
 	    loop_now_us(b->loop) + b->settings.cold_ms * US_PER_MS;
+	b->started_ms = clock_wall_us() / US_PER_MS;
 	b->announce_timer.fn = announce;
 	b->announce_timer.arg = b;
 	if (b->settings.proxy_admin[0] != '\0')
--- a/test/fakes/fake_backend.h
+++ b/test/fakes/fake_backend.h
@@ -61,6 +61,7 @@
 	char announce_url[300];
 	char announce_body[300];
 	char drain_url[300];
+	int64_t started_ms; ///< Unix time.
 	bool announcing;
 	bool draining;
 	int64_t cold_until_us;
--- a/test/functional/leaving_named.sh
+++ b/test/functional/leaving_named.sh
@@ -17,8 +17,18 @@
 load 1 >/dev/null
 [ "$(runs 1)" = "runs 0" ] && echo "no run at the server" ||
     echo "it serves"
+# Both proxies of callers pass on a response that states it.
+mesh_fake 1 service_us=600000
+for i in 1 2 3 4 5 6; do
+	for n in 3 4; do
+		curl -s -o /dev/null "$(mesh_url $n /get/states/$i)" &
+		slow="${slow:-} $!"
+	done
+done
+sleep 0.3
 mesh_fake 1 leaving=1
-load 1 >/dev/null
+wait $slow
+mesh_fake 1 service_us=0
 sleep 1
 before=$(runs 1)
 in_time=$(load 2)
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -35,7 +35,7 @@
 
 		balancer_add(b, &m, (enum distance)(i / 2), now_us);
 	}
-	balancer_end_view(b);
+	balancer_end_view(b, 0);
 }
 
 static struct balancer_choice
@@ -111,7 +111,7 @@
 	balancer_begin_view(&b);
 	balancer_add(&b, &cold, DISTANCE_DC, SECOND_US);
 	balancer_add(&b, &draining, DISTANCE_DC, SECOND_US);
-	balancer_end_view(&b);
+	balancer_end_view(&b, SECOND_US);
 	assert_int_equal(count_chosen(&b, "a", 50, SECOND_US), 50);
 	balancer_free(&b);
 }
@@ -133,7 +133,7 @@
 	balancer_add(&b, &returning, DISTANCE_DC, 20 * SECOND_US);
 	returning = make_member("b", BACKEND_READY);
 	balancer_add(&b, &returning, DISTANCE_DC, 20 * SECOND_US);
-	balancer_end_view(&b);
+	balancer_end_view(&b, SECOND_US);
 	for (early = 0; early < 11; early++)
 		choose(&b, 1, 20 * SECOND_US);
 	early = balancer_find(&b, "a")->outstanding;
--- a/test/unit/test_server_limit.c
+++ b/test/unit/test_server_limit.c
@@ -221,6 +221,37 @@
 	    server_terms_hash("a", 1), server_terms_hash("a", 2));
 }
 
+/// DRAIN: the proxy next to a server that leaves is absent for some time. What the
+/// server stated is kept meanwhile, and no request is sent there.
+static void
+test_drain_terms_outlive_an_absence(void **state)
+{
+	struct server_terms leaving = {.server = 7, .leaving = true};
+	struct member member = {.backend = BACKEND_READY, .slots = 4};
+	struct balancer_request q = {.worth = 1};
+	struct balancer b;
+
+	(void)state;
+	strcpy(member.name, "a");
+	balancer_init(&b, "s", 1, 0);
+	balancer_begin_view(&b);
+	balancer_add(&b, &member, DISTANCE_DC, S_US);
+	balancer_end_view(&b, S_US);
+	balancer_keep_terms(balancer_find(&b, "a"), &leaving, S_US);
+	balancer_begin_view(&b);
+	balancer_end_view(&b, 2 * S_US);
+	assert_null(balancer_choose(&b, &q, 2 * S_US).endpoint);
+	member.incarnation = 2;
+	balancer_begin_view(&b);
+	balancer_add(&b, &member, DISTANCE_DC, 30 * S_US);
+	balancer_end_view(&b, 30 * S_US);
+	assert_true(balancer_find(&b, "a")->terms.leaving);
+	balancer_begin_view(&b);
+	balancer_end_view(&b, 62 * S_US);
+	assert_null(balancer_find(&b, "a"));
+	balancer_free(&b);
+}
+
 /// LIMIT: four of six servers name limits. No limit is exceeded. The other two
 /// have room for the rest, so that no caller needs to be refused.
 static void
@@ -293,6 +324,7 @@
 	    cmocka_unit_test(test_limit_named_with_a_full_queue),
 	    cmocka_unit_test(test_limit_ends),
 	    cmocka_unit_test(test_limit_forgotten),
+	    cmocka_unit_test(test_drain_terms_outlive_an_absence),
 	    cmocka_unit_test(test_limit_in_a_mesh),
 	    cmocka_unit_test(test_limits_as_text),
 	};
