fix(egress): a response that may be to another request proves nothing

Problem: reported by another operator: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or these ran at a second server. Refusals that name theirs were skipped already. Solution: of a server that names attempts, a response without the name is accepted only as the first one on a connection, and that connection then serves no other request. Else the call fails with an unknown outcome. New counter egress_answers_unnamed.

--- a/src/io/http/httpc.c
+++ b/src/io/http/httpc.c
@@ -295,6 +295,13 @@
 	return call->sent_any;
 }
 
+void
+httpc_call_set_last(struct httpc_call *call)
+{
+	if (call->conn != NULL)
+		call->conn->last = true;
+}
+
 bool
 httpc_call_is_first(const struct httpc_call *call)
 {
--- a/src/io/http/httpc.h
+++ b/src/io/http/httpc.h
@@ -103,6 +103,9 @@
 /// Returns true if the server may have received any byte of the request.
 bool httpc_call_was_sent(const struct httpc_call *call);
 
+/// Closes the connection of a call after its response.
+void httpc_call_set_last(struct httpc_call *call);
+
 /// Returns true if the connection of a call has carried no other call before.
 bool httpc_call_is_first(const struct httpc_call *call);
 
--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -301,8 +301,8 @@
 	if (conn->verdict != HTTPC_ACCEPT)
 		return 0;
 	conn->response_complete = true;
-	conn->reusable = http_should_keep_alive(parser) && !has_output(conn) &&
-	    (!conn->call->streamed || conn->upload_ended);
+	conn->reusable = http_should_keep_alive(parser) && !conn->last &&
+	    !has_output(conn) && (!conn->call->streamed || conn->upload_ended);
 	// Bytes after the response belong to no request.
 	http_parser_pause(parser, 1);
 	return 0;
--- a/src/io/http/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -31,6 +31,7 @@
 	bool closed;
 	bool reused; ///< It has served a call before.
 	bool reusable;
+	bool last;		  ///< Serves no call after the current one.
 	int64_t idle_deadline_us; ///< The server is expected to close it then.
 	int64_t idle_since_us;
 	// Request.
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -21,6 +21,8 @@
 
 COUNTER_DEFINE(count_mismatched, "egress_answers_skipped",
     "Answers of the backend server to another request");
+COUNTER_DEFINE(count_unnamed, "egress_answers_unnamed",
+    "Answers of the backend server that may be to another request");
 COUNTER_DEFINE(count_run, "egress_requests_run", "Sent to the backend server");
 
 static void
@@ -207,6 +209,24 @@
 	egress_forget_statements(r);
 }
 
+/// Checks a response that does not name its attempt, of a server that names
+/// attempts. On a connection that has carried another request it may belong to
+/// that one; after it, the same is true of any response that does not.
+///
+/// @return whether it may belong to another request
+static bool
+check_unnamed(struct egress_request *r)
+{
+	struct egress *egress = r->egress;
+
+	egress->server_echoes |= r->attempt_echoed;
+	if (r->attempt_echoed || !egress->server_echoes ||
+	    r->caller_id.size_bytes == 0)
+		return false;
+	httpc_call_set_last(&r->call);
+	return !httpc_call_is_first(&r->call);
+}
+
 static enum httpc_verdict
 on_head(struct httpc_call *call, uint32_t status, int64_t total_bytes)
 {
@@ -219,6 +239,11 @@
 		reset_response_headers(r);
 		return HTTPC_SKIP;
 	}
+	if (check_unnamed(r)) {
+		counter_add(&count_unnamed, 1);
+		reset_response_headers(r);
+		return HTTPC_FAIL;
+	}
 	r->status = status;
 	r->total_bytes = total_bytes;
 	r->reached_backend = true;
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -94,6 +94,7 @@
 	bool draining;
 	bool abort_deferred;
 	bool leave_deferred;
+	bool server_echoes; ///< Its responses name the attempts of callers.
 };
 
 // Layers of the egress, lowest first: a file calls only functions listed above
--- a/src/proxy/egress/egress_terms.c
+++ b/src/proxy/egress/egress_terms.c
@@ -162,6 +162,7 @@
 	if (!restarted && server == egress->terms.terms.server)
 		return;
 	memset(&egress->terms, 0, sizeof(egress->terms));
+	egress->server_echoes = false;
 	egress->terms.terms.server = server;
 	admission_set_limit(&egress->admission, 0, loop_now_us(egress->loop));
 	counter_set(&gauge_limit, 0);
