--- a/test/fakes/fake_work.c
+++ b/test/fakes/fake_work.c
@@ -24,6 +24,7 @@
 	uint64_t body_sum;
 	bool body_done;
 	bool responded;	 ///< It has been responded to.
+	bool shed;	 ///< It is responded to without a run.
 	bool holds_slot; ///< It occupies a slot and counts as a run.
 };
 
@@ -63,35 +64,10 @@
 	}
 }
 
-static void
-respond_long(struct work *w)
-{
-	struct fake_backend *b = w->backend;
-	int64_t total = b->settings.behaviour.response_bytes;
-	int64_t cut = b->settings.behaviour.cut_at_bytes;
-	int64_t pause = b->settings.behaviour.pause_at_bytes;
-	int64_t n = cut > 0 && cut < total ? cut : total;
-	char *body = malloc((size_t)n);
-	int64_t i;
-
-	assert(body != NULL);
-	if (pause > 0 && pause < n)
-		n = pause;
-	for (i = 0; i < n; i++)
-		body[i] = (char)('a' + i % 23);
-	http_exchange_respond_start(w->exchange, 200, NULL, 0, total);
-	http_exchange_respond_body(w->exchange, body, (size_t)n);
-	if (n == pause)
-		w->responded = false;
-	else
-		http_exchange_respond_end(w->exchange, n == total);
-	free(body);
-}
-
 /// What the server states of itself in a response.
 struct statement {
 	char limit[32];
-	struct http_header headers[4];
+	struct http_header headers[5];
 	size_t count;
 };
 
@@ -115,22 +91,61 @@
 	}
 	if (b->leaving)
 		*next++ = (struct http_header){"Magnolia-Leaving", "1"};
+	if (w->shed)
+		*next++ = (struct http_header){"Magnolia-Shed", "1"};
 	statement->count = (size_t)(next - statement->headers);
 }
 
+static void
+respond_text(struct work *w, uint32_t status, const char *text)
+{
+	struct statement statement;
+
+	make_statement(w, &statement);
+	http_exchange_respond(w->exchange, status, statement.headers,
+	    statement.count, text, strlen(text));
+}
+
+static void
+respond_long(struct work *w)
+{
+	struct fake_backend *b = w->backend;
+	int64_t total = b->settings.behaviour.response_bytes;
+	int64_t cut = b->settings.behaviour.cut_at_bytes;
+	int64_t pause = b->settings.behaviour.pause_at_bytes;
+	int64_t n = cut > 0 && cut < total ? cut : total;
+	char *body = malloc((size_t)n);
+	struct statement statement;
+	int64_t i;
+
+	assert(body != NULL);
+	if (pause > 0 && pause < n)
+		n = pause;
+	for (i = 0; i < n; i++)
+		body[i] = (char)('a' + i % 23);
+	make_statement(w, &statement);
+	http_exchange_respond_start(
+	    w->exchange, 200, statement.headers, statement.count, total);
+	http_exchange_respond_body(w->exchange, body, (size_t)n);
+	if (n == pause)
+		w->responded = false;
+	else
+		http_exchange_respond_end(w->exchange, n == total);
+	free(body);
+}
+
 /// Responds with what the caller can check: service, request and body checksum.
 static void
 respond(struct work *w)
 {
 	struct fake_backend *b = w->backend;
-	struct statement statement;
 	char text[1024];
 
 	if (w->exchange == NULL)
 		return;
 	w->responded = true;
 	if (b->settings.behaviour.fail) {
-		http_exchange_respond_text(w->exchange, 500, "failed\n");
+		respond_text(w, 500, "failed\n");
 		return;
 	}
 	if (b->settings.behaviour.response_bytes > 0) {
@@ -141,9 +156,7 @@
 	    "%s %s %s bytes=%zu sum=%" PRIu64 " rank=%s\n", b->settings.service,
 	    w->exchange->method, w->exchange->target, w->body_bytes,
 	    w->body_sum, w->rank);
-	make_statement(w, &statement);
-	http_exchange_respond(w->exchange, 200, statement.headers,
-	    statement.count, text, strlen(text));
+	respond_text(w, 200, text);
 }
 
 static void
@@ -159,11 +172,10 @@
 {
 	struct fake_backend *b = w->backend;
 	const struct fake_behaviour *behaviour = &b->settings.behaviour;
-	struct http_header shed = {"Magnolia-Shed", "1"};
 
 	if (behaviour->shed || b->running >= behaviour->slots) {
-		w->responded = true;
-		http_exchange_respond(w->exchange, 503, &shed, 1, "shed\n", 5);
+		w->responded = w->shed = true;
+		respond_text(w, 503, "shed\n");
 		return;
 	}
 	b->running++;
@@ -192,8 +204,7 @@
 	}
 	if (err != NULL || call->status != 200) {
 		w->responded = true;
-		http_exchange_respond_text(
-		    w->exchange, 502, "nested call failed\n");
+		respond_text(w, 502, "nested call failed\n");
 		return;
 	}
 	start_service(w);
