test(functional): a server that closes in the middle of the head of a 200

Problem: reported by another operator: callers got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed. No change of the product.

--- a/test/functional/misbehaving.sh
+++ b/test/functional/misbehaving.sh
@@ -47,6 +47,14 @@
 				$flood{$c} = ["body " x 2000, 0];
 			} elsif ($path =~ /byte-by-byte/) {
 				$flood{$c} = ["H", 0.3];
+			} elsif ($path =~ /cut-head-(\d+)/) {
+				# Closes in the middle of the head, or after it.
+				my $head = "HTTP/1.1 200 OK\r\n" .
+				    "Magnolia-Request-Id: $id\r\n" .
+				    "Content-Length: 9\r\n\r\n";
+				syswrite $c, substr($head, 0, $1);
+				drop($c);
+				next;
 			} elsif ($path =~ /interim/) {
 				$flood{$c} = ["HTTP/1.1 100 Go\r\n\r\n" x 100, 0];
 			} elsif ($path =~ /twice/ && $last{$c}) {
@@ -104,6 +112,13 @@
 after=$(rss_kb)
 [ $((after - before)) -lt 2048 ] && echo "memory is flat" ||
     echo "memory grew from $before to $after kB"
+echo "== the server closes in the middle of the head of a 200"
+for n in 0 5 12 15 17 18 30 48 70 71 72; do
+	ask cut-head-$n/a
+done | sort | uniq -c | sed 's/^ *//'
+curl -s -m 4 -o "$MESH_DIR/body" -w 'head and no body: %{http_code} curl ' \
+    "$(mesh_url 1 /get/cut-head-200)"
+echo "$?, $(wc -c <"$MESH_DIR/body") bytes"
 echo "== the answer to the request before comes once more"
 for i in $(seq 1 60); do
 	curl -s -m 4 "$(mesh_url 1 "/get/twice/$i")" >"$MESH_DIR/twice-$i" &
