--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -321,13 +321,16 @@
 	return waitpid(proxy_pids[node], NULL, WNOHANG) == 0;
 }
 
-int
-rig_connect(const char *host, int port)
+static int
+connect_to(const char *host, int port, int window_bytes)
 {
 	struct sockaddr_in to;
 	int one = 1;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+	if (window_bytes > 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window_bytes,
+		    sizeof(window_bytes));
 	fill_address(&to, host, port);
 	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0) {
 		close(fd);
@@ -337,6 +340,18 @@
 	return fd;
 }
 
+int
+rig_connect(const char *host, int port)
+{
+	return connect_to(host, port, 0);
+}
+
+int
+rig_connect_client(int node, int window_bytes)
+{
+	return connect_to(rig_proxy_host(node), PORT_OUTBOUND, window_bytes);
+}
+
 bool
 rig_write(int fd, const void *bytes, size_t size_bytes)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -97,6 +97,9 @@
 
 /// Connects; -1 on failure.
 int rig_connect(const char *host, int port);
+/// Connects as a client of a proxy.
+/// @param window_bytes  size of its receive buffer
+int rig_connect_client(int node, int window_bytes);
 bool rig_write(int fd, const void *bytes, size_t size_bytes);
 /// Reads and drops a body.
 /// @return its length; -1 if it is incomplete
