--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -98,7 +98,7 @@
 	int i;
 
 	rig_record("exit %d: %s", code,
-	    code == RIG_HELD	   ? "the rule held"
+	    code == RIG_HELD	     ? "the rule held"
 		: code == RIG_BROKEN ? "the rule was broken"
 				     : "the case could not run");
 	for (i = 1; i <= RIG_SOURCES; i++)
@@ -490,8 +490,8 @@
 	if (read_head(fd, head, sizeof(head), timeout_ms) < 0 ||
 	    sscanf(head, "HTTP/1.%*d %d", &a->status) != 1)
 		return;
-	a->signature = find_header(head,
-	    "X-Magnoliavalve-Response-Signature", text, sizeof(text));
+	a->signature = find_header(
+	    head, "X-Magnoliavalve-Response-Signature", text, sizeof(text));
 	find_header(head, "X-Magnoliavalve-Attempt-Id", a->id, sizeof(a->id));
 	if (find_header(head, "Content-Length", text, sizeof(text))) {
 		a->body_bytes = (size_t)strtoull(text, NULL, 10);
@@ -687,8 +687,8 @@
 		    sizeof(r->id));
 		find_header(r->head, "X-Magnoliavalve-Expected-Instance",
 		    r->expected, sizeof(r->expected));
-		find_header(r->head, "X-Magnoliavalve-Deadline-Ms", text,
-		    sizeof(text));
+		find_header(
+		    r->head, "X-Magnoliavalve-Deadline-Ms", text, sizeof(text));
 		r->deadline_ms = strtoll(text, NULL, 10);
 		if (find_header(
 			r->head, "Transfer-Encoding", text, sizeof(text)))
