fix(replica): a core that loses one disk after another keeps its quorum

Cause: replica_host.c kept an entry for each replica id that it ever sent to, 17 in all, and freed none. A lost disk brings a new id; from the 14th on, one leader dropped all messages to the new replica without a log line, so that it never became a voter again. Class: a table sized for what exists at one time and filled by all that ever existed. Ruled out: the roster (its decisions on processes and in unit.test_roster are right), the progress table (rebuilt from the config).

Solution: the streams get a file of their own. An id without an entry takes the one that was used least recently; a leader uses those of all members with each heartbeat. A log line and the counter replica_streams_reused say so.

--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -14,13 +14,6 @@
 #define DISK_PROBE_INTERVAL_US (250 * US_PER_MS)
 #define DISK_PROBE_FILE	       "probe"
 
-#define REDIAL_INTERVAL_US (200 * US_PER_MS)
-
-/// Time without an acknowledgement until a stream is closed. Acknowledgements
-/// take one round trip. A replica that is blocked on its disk sends none, but
-/// one blocked for this long does not contribute to a quorum either.
-#define ACK_TIMEOUT_US (500 * US_PER_MS)
-
 #define MAX_APPEND_BYTES      (512u * 1024)
 #define MAX_UNCOMMITTED_BYTES (32u * 1024 * 1024)
 #define KEEP_ENTRIES	      1000
@@ -30,7 +23,6 @@
 GAUGE_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
 GAUGE_DEFINE(
     gauge_failed, "replica_storage_failed", "1 while the disk takes no writes");
-COUNTER_DEFINE(count_silent, "replica_silent", "Streams dropped for silence");
 COUNTER_DEFINE(count_flushes, "replica_flushes", "Rounds with a sync");
 
 static struct replica_host *
@@ -39,116 +31,30 @@
 	return r->owner;
 }
 
-static void
-on_peer_message(struct stream *stream, struct message *message)
-{
-	struct replica_stream *rs = stream->owner;
-
-	rs->unacked_since_us = 0;
-	if (message->type != MESSAGE_HEARTBEAT)
-		replica_host_receive(rs->host, stream, message);
-}
-
-static void
-on_peer_closed(struct stream *stream, const struct error *err)
-{
-	struct replica_stream *rs = stream->owner;
-
-	log_error(
-	    LOG_DEBUG, "replica", "Lost the connection to a replica", err);
-	rs->stream = NULL;
-	rs->redial_deadline_us =
-	    loop_now_us(rs->host->loop) + REDIAL_INTERVAL_US;
-}
-
-static const struct stream_ops peer_ops = {
-    .on_message = on_peer_message,
-    .on_closed = on_peer_closed,
-};
-
-static struct replica_stream *
-find_or_add_stream(struct replica_host *host, uint64_t id)
-{
-	struct replica_stream *rs;
-	uint32_t i;
-
-	for (i = 0; i < host->stream_count; i++)
-		if (host->streams[i].id == id)
-			return &host->streams[i];
-	if (host->stream_count == REPLICA_MAX_PEERS)
-		return NULL;
-	rs = &host->streams[host->stream_count++];
-	memset(rs, 0, sizeof(*rs));
-	rs->host = host;
-	rs->id = id;
-	return rs;
-}
-
-/// Closes a stream that stopped delivering acknowledgements. A middlebox may
-/// have lost the state of the connection, while a new one works.
-static void
-close_if_unresponsive(struct replica_stream *rs, int64_t now_us)
-{
-	struct log_line line;
-
-	if (rs->stream == NULL || rs->unacked_since_us == 0 ||
-	    now_us - rs->unacked_since_us <= ACK_TIMEOUT_US)
-		return;
-	log_begin(&line, LOG_WARN, "replica", "Closed an unresponsive stream.");
-	log_number(&line, "to", (int64_t)rs->id);
-	log_ms(&line, "silent_ms", now_us - rs->unacked_since_us);
-	log_end(&line);
-	counter_add(&count_silent, 1);
-	stream_close(rs->stream);
-	rs->stream = NULL;
-	rs->unacked_since_us = 0;
-}
-
-static struct stream *
-connect_stream(struct replica_stream *rs)
+static const struct replica_peer *
+find_peer(const struct replica_host *host, uint64_t id)
 {
-	struct replica_host *host = rs->host;
-	uint64_t id = rs->id;
 	const struct replica_peer *peer =
 	    replica_config_find(&host->replica.config, id);
-	struct address to;
-	struct error err;
 
 	// A joining replica has no config yet.
 	if (peer == NULL)
 		peer = replica_config_find(&host->initial, id);
 	if (peer == NULL)
 		peer = replica_join_find_peer(&host->joining, id);
-	if (peer == NULL)
-		return NULL;
-	if (rs->stream != NULL ||
-	    loop_now_us(host->loop) < rs->redial_deadline_us)
-		return rs->stream;
-	if (address_parse(peer->address, &to) != 0)
-		return NULL;
-	rs->stream = stream_dial(host->loop, &to, &peer_ops, rs, &err);
-	rs->unacked_since_us = 0;
-	rs->redial_deadline_us = loop_now_us(host->loop) + REDIAL_INTERVAL_US;
-	return rs->stream;
+	return peer;
 }
 
 static void
 send_message(struct replica *r, const struct replica_message *m)
 {
 	struct replica_host *host = get_host(r);
-	struct replica_stream *rs = find_or_add_stream(host, m->to);
-	struct stream *stream;
-
-	if (rs == NULL)
-		return;
-	close_if_unresponsive(rs, loop_now_us(host->loop));
-	stream = connect_stream(rs);
+	const struct replica_peer *peer = find_peer(host, m->to);
+	struct stream *stream =
+	    peer == NULL ? NULL : replica_streams_get(&host->streams, peer);
 
-	if (stream == NULL)
-		return;
-	if (rs->unacked_since_us == 0)
-		rs->unacked_since_us = loop_now_us(host->loop);
-	replica_message_send(stream, host->cluster, m);
+	if (stream != NULL)
+		replica_message_send(stream, host->cluster, m);
 }
 
 static void
@@ -299,6 +205,13 @@
 	replica_join_start(&host->joining, host, &self, s->target_voters);
 }
 
+static void
+on_peer_message(
+    void *owner, struct stream *stream, const struct message *message)
+{
+	replica_host_receive(owner, stream, message);
+}
+
 int
 replica_host_open(struct replica_host *host, struct loop *loop,
     const struct replica_host_settings *wanted,
@@ -341,6 +254,7 @@
 		&settings, &stored, (uint64_t)clock_wall_us() ^ s->id,
 		loop_now_us(loop), err) != 0)
 		return -1;
+	replica_streams_init(&host->streams, loop, host, on_peer_message);
 	host->flush_hook.fn = before_wait;
 	host->flush_hook.arg = host;
 	loop_hook_add(loop, &host->flush_hook);
@@ -359,12 +273,8 @@
 void
 replica_host_close(struct replica_host *host)
 {
-	uint32_t i;
-
 	replica_join_stop(&host->joining);
-	for (i = 0; i < host->stream_count; i++)
-		if (host->streams[i].stream != NULL)
-			stream_close(host->streams[i].stream);
+	replica_streams_close(&host->streams);
 	if (host->opened) {
 		replica_free(&host->replica);
 		wal_free(&host->wal);
@@ -406,18 +316,6 @@
 	    (m->kind != REPLICA_APPEND && m->kind != REPLICA_HEARTBEAT);
 }
 
-/// Counts a response as an acknowledgement of the stream to its sender, which
-/// sends it only after a message from here.
-static void
-note_response(struct replica_host *host, uint64_t from)
-{
-	uint32_t i;
-
-	for (i = 0; i < host->stream_count; i++)
-		if (host->streams[i].id == from)
-			host->streams[i].unacked_since_us = 0;
-}
-
 bool
 replica_host_receive(struct replica_host *host, struct stream *stream,
     const struct message *message)
@@ -446,8 +344,9 @@
 		    "Dropped an invalid message from a replica", &err);
 		return true;
 	}
+	// Sent only after a message from here.
 	if (is_response(in.message.kind))
-		note_response(host, in.message.from);
+		replica_streams_note_response(&host->streams, in.message.from);
 	if (replica_step(&host->replica, &in.message, loop_now_us(host->loop),
 		&err) != 0)
 		log_error(LOG_WARN, "replica",
--- a/src/io/replica/replica_host.h
+++ b/src/io/replica/replica_host.h
@@ -7,6 +7,7 @@
 #include "io/disk/wal.h"
 #include "io/net/net.h"
 #include "io/replica/replica_join.h"
+#include "io/replica/replica_streams.h"
 #include "io/settings.h"
 
 struct replica_host;
@@ -40,16 +41,6 @@
 	void *restart_arg;
 };
 
-/// Connection to another replica.
-struct replica_stream {
-	struct replica_host *host;
-	uint64_t id;
-	char address[REPLICA_ADDRESS_BYTES];
-	struct stream *stream;
-	int64_t redial_deadline_us;
-	int64_t unacked_since_us; ///< Oldest message not acknowledged; 0: none.
-};
-
 struct replica_host {
 	const struct replica_host_ops *ops;
 	void *owner;
@@ -60,8 +51,7 @@
 	uint64_t cluster;
 	uint64_t data_index;	       ///< Last data entry applied.
 	struct replica_config initial; ///< From the settings.
-	struct replica_stream streams[REPLICA_MAX_PEERS];
-	uint32_t stream_count;
+	struct replica_streams streams;
 	struct loop_hook flush_hook;
 	struct loop_timer tick_timer;
 	struct loop_timer probe_timer; ///< Set while the disk fails.
