fix(volume): the table of distances follows the VMs of today

Problem: found in the search for other tables that only fill. The table of VMs by address took 2,048 and freed none: later VMs counted as of unknown distance for good, and each message to one compared (and hashed) all slots.

Solution: an address has 8 slots to be in; if others hold all, it takes the first one.

Not measured: the time of a full table.

--- a/src/io/net/volume.c
+++ b/src/io/net/volume.c
@@ -21,9 +21,13 @@
 /// Kinds with less than one part in this many of the bytes are not logged.
 #define LOGGED_PART 20
 
-/// Slots of the table of VMs; beyond them a VM counts as unknown.
+/// Slots of the table of VMs.
 #define MAX_VMS 2048
 
+/// Slots that an address may be in. If others hold all of them, a new address
+/// takes the first one, and bytes to the earlier VM count as unknown.
+#define PROBED_SLOTS 8
+
 static const char *const distance_names[DISTANCE_NAMES] = {
     [DISTANCE_DC] = "dc",
     [DISTANCE_REGION] = "region",
@@ -34,7 +38,7 @@
 static struct counter counters[VOLUME_MAX_TYPES][DISTANCE_NAMES];
 
 /// Hash table by IPv4 address. An entry is the address shifted by 8 bits and the
-/// distance plus 1; 0 is a free slot. Entries are only added and changed.
+/// distance plus 1; 0 is a free slot.
 static _Atomic uint64_t vms[MAX_VMS];
 
 /// Registers a counter for each kind of message and distance.
@@ -66,43 +70,39 @@
 	}
 }
 
-/// Finds the slot of a VM, or a free one for it; NULL if the table is full.
+/// Returns the slot of a VM, or the one that it would take.
 static _Atomic uint64_t *
 find_slot(const struct address *vm)
 {
 	uint32_t key = vm->in.sin_addr.s_addr;
+	uint64_t first = XXH3_64bits(&key, sizeof(key));
 	uint32_t i;
 
-	for (i = 0; i < MAX_VMS; i++) {
-		_Atomic uint64_t *slot =
-		    &vms[(XXH3_64bits(&key, sizeof(key)) + i) % MAX_VMS];
+	for (i = 0; i < PROBED_SLOTS; i++) {
+		_Atomic uint64_t *slot = &vms[(first + i) % MAX_VMS];
 		uint64_t entry = atomic_load(slot);
 
 		if (entry == 0 || entry >> 8 == key)
 			return slot;
 	}
-	return NULL;
+	return &vms[first % MAX_VMS];
 }
 
 void
 volume_set_distance(const struct address *vm, enum distance distance)
 {
-	_Atomic uint64_t *slot = find_slot(vm);
-
-	if (slot != NULL)
-		atomic_store(slot,
-		    (uint64_t)vm->in.sin_addr.s_addr << 8 |
-			((uint64_t)distance + 1));
+	atomic_store(find_slot(vm),
+	    (uint64_t)vm->in.sin_addr.s_addr << 8 | ((uint64_t)distance + 1));
 }
 
 void
 volume_count(
     enum message_type type, const struct address *to, size_t size_bytes)
 {
-	const _Atomic uint64_t *slot = find_slot(to);
-	uint64_t entry = slot == NULL ? 0 : atomic_load(slot);
-	uint32_t distance =
-	    entry == 0 ? DISTANCE_COUNT : (uint32_t)(entry & 0xff) - 1;
+	uint64_t entry = atomic_load(find_slot(to));
+	uint32_t distance = entry != 0 && entry >> 8 == to->in.sin_addr.s_addr
+	    ? (uint32_t)(entry & 0xff) - 1
+	    : DISTANCE_COUNT;
 
 	if ((uint32_t)type < VOLUME_MAX_TYPES && distance < DISTANCE_NAMES)
 		counter_add(&counters[type][distance], (int64_t)size_bytes);
