fix(roster): a learner that never responds is added once in three seconds

A replica that asks to join but never responds as a learner made the leader change the members 6 to 10 times a second without end: it was removed as silent and added again in the same change, so that its progress entry, and with it the time of its last contact, was kept. The log grows by each change.

Solution: a candidate that a decision removes is added by the next one at the earliest, as a new learner. A warning names the learner that was removed.

--- a/src/core/replica/roster.c
+++ b/src/core/replica/roster.c
@@ -216,9 +216,12 @@
 	return changed;
 }
 
+/// Adds the candidates that are no members yet. One that this decision removes
+/// is added by the next one at the earliest: as a new learner it has the whole
+/// timeout again.
 static bool
-add_learners(
-    const struct roster *roster, int64_t now_us, struct replica_config *next)
+add_learners(const struct roster *roster, const struct replica *r,
+    int64_t now_us, struct replica_config *next)
 {
 	bool changed = false;
 	uint32_t i;
@@ -230,7 +233,7 @@
 		if (c->leaving ||
 		    now_us - c->last_seen_us >= CANDIDATE_TIMEOUT_US ||
 		    has_lost_disk(roster, &c->peer, now_us) ||
-		    replica_config_find(next, c->peer.id) != NULL ||
+		    replica_config_find(&r->config, c->peer.id) != NULL ||
 		    next->learner_count == REPLICA_MAX_LEARNERS)
 			continue;
 		next->learners[next->learner_count++] = c->peer;
@@ -252,6 +255,6 @@
 	if (promote_learners(roster, r, now_us, next))
 		return true;
 	changed = remove_learners(roster, r, now_us, next);
-	changed |= add_learners(roster, now_us, next);
+	changed |= add_learners(roster, r, now_us, next);
 	return changed;
 }
--- a/src/io/replica/replica_join.c
+++ b/src/io/replica/replica_join.c
@@ -128,20 +128,43 @@
 		send_join_request(join, &list.items[i]);
 }
 
+/// Names the learners that a change removes without making them voters: the
+/// leader has heard nothing from them, or their disk is lost.
+static void
+log_removed_learners(
+    const struct replica_config *old, const struct replica_config *next)
+{
+	struct log_line line;
+	uint32_t i;
+
+	for (i = 0; i < old->learner_count; i++) {
+		if (replica_config_find(next, old->learners[i].id) != NULL)
+			continue;
+		log_begin(&line, LOG_WARN, "replica",
+		    "Removed a learner that did not become a voter.");
+		log_number(&line, "learner", (int64_t)old->learners[i].id);
+		log_text(&line, "address", old->learners[i].address);
+		log_end(&line);
+	}
+}
+
 static void
 change_members(struct replica_join *join)
 {
 	struct replica_host *host = join->host;
 	int64_t now_us = loop_now_us(host->loop);
+	struct replica_config old;
 	struct replica_config next;
 	struct error err;
 
 	if (!roster_decide(&join->roster, &host->replica, now_us, &next))
 		return;
+	old = host->replica.config;
 	if (replica_change_config(&host->replica, &next, now_us, &err) != 0) {
 		log_error(LOG_DEBUG, "replica", "Cannot change members", &err);
 		return;
 	}
+	log_removed_learners(&old, &next);
 	log_write(LOG_INFO, "replica",
 	    "Changes members: %u voters, %u learners from entry %" PRIu64 ".",
 	    next.voter_count, next.learner_count, host->replica.config_index);
--- a/test/unit/test_roster.c
+++ b/test/unit/test_roster.c
@@ -19,6 +19,8 @@
 #define CATCH_UP_US		4000000LL
 #define RUN_US			30000000LL
 #define HEAL_US			12000000LL
+#define MUTE_RUN_US		30000000LL
+#define MUTE_REMOVED_AFTER_US	3000000LL
 #define STEPS_PER_ROSTER_UPDATE (ROSTER_INTERVAL_US / STEP_US)
 
 /// An address and the replica that currently uses it.
@@ -241,10 +243,8 @@
 	}
 }
 
-/// Checks that the set has its target number of voters, one in each slot, that
-/// all of them have caught up, and that no acknowledged entry is lost.
-static void
-check_complete(struct replica_set *s)
+static const struct replica *
+find_leader(struct replica_set *s)
 {
 	const struct replica *leader = NULL;
 	uint32_t i;
@@ -252,11 +252,20 @@
 	for (i = 0; i < SLOT_COUNT; i++)
 		if (replica_is_leader(&get_slot_node(s, i)->replica))
 			leader = &get_slot_node(s, i)->replica;
-	if (leader == NULL) {
+	if (leader == NULL)
 		fail_msg("seed %llu: no leader",
 		    (unsigned long long)s->cluster->seed);
-		return;
-	}
+	return leader;
+}
+
+/// Checks that the set has its target number of voters, one in each slot, that
+/// all of them have caught up, and that no acknowledged entry is lost.
+static void
+check_complete(struct replica_set *s)
+{
+	const struct replica *leader = find_leader(s);
+	uint32_t i;
+
 	if (leader->config.voter_count != TARGET_VOTERS)
 		fail_msg("seed %llu: %u voters",
 		    (unsigned long long)s->cluster->seed,
@@ -308,6 +317,36 @@
 	replica_set_free(s);
 }
 
+/// A replica that asks to join and never responds is added and removed once in
+/// LEARNER_REMOVE_TIMEOUT_US, not with each request.
+static void
+test_mute_candidate(void **state)
+{
+	const struct replica_peer mute = {.id = MAX_NODES, .address = "mute"};
+	struct replica_set *s =
+	    replica_set_create(3, REAL_ELECTION_US, REAL_HEARTBEAT_US);
+	uint64_t config_index = 0;
+	uint32_t changes = 0;
+	int64_t end_us;
+	uint32_t i;
+
+	(void)state;
+	run_set(s, CATCH_UP_US, false);
+	end_us = s->cluster->now_us + MUTE_RUN_US;
+	while (s->cluster->now_us < end_us) {
+		run_set(s, ROSTER_INTERVAL_US, false);
+		for (i = 0; i < SLOT_COUNT; i++)
+			roster_update_candidate(&s->rosters[s->slots[i].id - 1],
+			    &mute, false, s->cluster->now_us);
+		changes += find_leader(s)->config_index != config_index;
+		config_index = find_leader(s)->config_index;
+	}
+	assert_in_range(
+	    changes, 2, 2 * MUTE_RUN_US / MUTE_REMOVED_AFTER_US + 1);
+	check_complete(s);
+	replica_set_free(s);
+}
+
 /// Simulates each seed; the seed selects the share of dropped messages.
 static void
 run_seeds(int64_t election_us, int64_t heartbeat_us, uint32_t drop_pct)
@@ -361,6 +400,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_forms),
 	    cmocka_unit_test(test_wiped_twice),
+	    cmocka_unit_test(test_mute_candidate),
 	    cmocka_unit_test(test_seeded),
 	    cmocka_unit_test(test_seeded_real_times),
 	};
