fix(source): changes of members count towards the compaction of the log

Problem: found in the search for what only fills. The log was compacted after compact_every data entries; entries of elections and of changes of members did not count. A core without new versions whose members change would fill its disk and memory. The ledger took its samples at data entries only.

Solution: the host reports each applied entry, of any kind; source and ledger compact there.

The help of compact_every says entries, which is what it counts.

--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -132,6 +132,50 @@
 	    "$MESH_DIR/source-$mesh_source_id.json"
 }
 
+# Starts source N of a set that forms itself from the first three as seeds.
+mesh_forming_source() { # N FIRST_START
+	cat >"$MESH_DIR/source-$1.json" <<END
+{
+  $(mesh_log_json "source-$1"),
+  "region": "north", "dc": "north-1", "host": "$(mesh_host $((200 + $1)))",
+  "listen": {
+    "control": "$(mesh_host $((200 + $1))):$PORT_CONTROL",
+    "operators": "$(mesh_host $((200 + $1))):$PORT_HTTP"
+  },
+  "data_path": "$MESH_DIR/source-$1.data",
+  "cluster": "mesh", "tolerated": 2, "first_start": $2,
+  "seeds": ["$(mesh_host 201):$PORT_CONTROL", "$(mesh_host 202):$PORT_CONTROL",
+      "$(mesh_host 203):$PORT_CONTROL"],
+  ${MESH_SOURCE_EXTRA:-}
+  "election_ms": 400, "heartbeat_ms": 60
+}
+END
+	mesh_run "source-$1" mvsource "$MESH_DIR/source-$1.json"
+}
+
+# Succeeds if source N is one of five voters.
+mesh_is_voter() { # N
+	mesh_is_voter_id=$(curl -s -m 2 \
+	    "http://$(mesh_host $((200 + $1))):$PORT_HTTP/status" |
+	    grep -o '"replica": *[0-9]*' | grep -o '[0-9]*$')
+	mesh_is_voter_text=$(mesh_ctl status --json | tr -d ' \n')
+	[ "$(echo "$mesh_is_voter_text" | grep -o '"id":[0-9]*' | wc -l)" = 5 ] &&
+	    echo "$mesh_is_voter_text" | grep -q "\"id\":$mesh_is_voter_id,"
+}
+
+mesh_is_leader() { # N
+	[ "$(mesh_counter "$(mesh_host $((200 + $1))):$PORT_HTTP" \
+	    replica_is_leader)" = 1 ]
+}
+
+# Kills source N and restarts it with an empty disk.
+mesh_lose_source_disk() { # N
+	mesh_stop "source-$1" KILL
+	rm -rf "$MESH_DIR/source-$1.data"
+	mesh_forming_source "$1" false
+	mesh_wait 10 mesh_is_voter "$1"
+}
+
 mesh_ledger() { # ID [FLAG ...]
 	cat >"$MESH_DIR/ledger-$1.json" <<END
 {
--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -62,10 +62,11 @@
 {
 	struct replica_host *host = get_host(r);
 
-	if (entry->kind != REPLICA_ENTRY_DATA)
-		return;
-	host->data_index = entry->index;
-	host->ops->apply(host, entry);
+	if (entry->kind == REPLICA_ENTRY_DATA) {
+		host->data_index = entry->index;
+		host->ops->apply(host, entry);
+	}
+	host->ops->applied(host, entry->index);
 }
 
 static void
--- a/src/io/replica/replica_host.h
+++ b/src/io/replica/replica_host.h
@@ -14,8 +14,11 @@
 
 /// Callbacks into the replicated state machine.
 struct replica_host_ops {
+	/// Applies a data entry.
 	void (*apply)(
 	    struct replica_host *host, const struct replica_entry *entry);
+	/// An entry of any kind was applied: the log up to it may be compacted.
+	void (*applied)(struct replica_host *host, uint64_t index);
 	void (*restore)(
 	    struct replica_host *host, const struct replica_snapshot *snapshot);
 	void (*read_done)(struct replica_host *host, uint64_t context, bool ok);
--- a/src/ledger/service.c
+++ b/src/ledger/service.c
@@ -406,7 +406,12 @@
 	}
 	if (p != NULL)
 		pending_free(p);
-	ledger_compact_expired(ledger, entry->index);
+}
+
+static void
+on_applied(struct replica_host *host, uint64_t index)
+{
+	ledger_compact_expired(get_ledger(host), index);
 }
 
 static void
@@ -453,6 +458,7 @@
 
 const struct replica_host_ops ledger_replica_ops = {
     .apply = on_apply,
+    .applied = on_applied,
     .restore = on_restore,
     .read_done = on_read_done,
     .role_changed = on_role_changed,
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -42,7 +42,7 @@
     ROW("pulls_per_s", SETTINGS_INTEGER, pulls_per_s, false, 1, 100000, "100",
 	"pulls answered per second; excess pulls get a retry time"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
-	"200", "versions between snapshots"),
+	"200", "entries of the log between snapshots"),
 };
 
 static void
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -19,21 +19,6 @@
 	return host->owner;
 }
 
-/// Compacts the log into a snapshot after every compact_every entries.
-static void
-compact_if_due(struct source *source, uint64_t index)
-{
-	uint32_t size_bytes;
-	char *data;
-
-	if (++source->applied_since_snapshot < source->settings.compact_every)
-		return;
-	source->applied_since_snapshot = 0;
-	data = rule_store_snapshot(&source->store, &size_bytes);
-	replica_compact(&source->host.replica, index, data, size_bytes);
-	free(data);
-}
-
 /// Notifies proxies once after all entries of this iteration are applied: after
 /// a start these are many, and only the last one matters.
 static void
@@ -66,7 +51,22 @@
 		defer_notice(source);
 	}
 	pending_complete_proposal(source, entry, verdict);
-	compact_if_due(source, entry->index);
+}
+
+/// Compacts the log into a snapshot after every compact_every entries.
+static void
+on_applied(struct replica_host *host, uint64_t index)
+{
+	struct source *source = get_source(host);
+	uint32_t size_bytes;
+	char *data;
+
+	if (++source->applied_since_snapshot < source->settings.compact_every)
+		return;
+	source->applied_since_snapshot = 0;
+	data = rule_store_snapshot(&source->store, &size_bytes);
+	replica_compact(&host->replica, index, data, size_bytes);
+	free(data);
 }
 
 static void
@@ -104,6 +104,7 @@
 
 const struct replica_host_ops source_replica_ops = {
     .apply = on_apply,
+    .applied = on_applied,
     .restore = on_restore,
     .read_done = on_read_done,
     .role_changed = on_role_changed,
