fix(control): an announcement of another VM's server is refused

Cause: the newest well-formed heartbeat at a proxy's control address replaced the server of its VM, whatever service and address it named. Requests that begin there then bear that service, and the VM's own server gets no work for the lease of 5 s.

Solution: the proxy knows from its settings which service and which address its server has (service; backend, new). An announcement of another one is refused with 400 and the name of the field.

Result: functional.foreign_heartbeat before: after the first such heartbeat, answered 200, 8 of 16 requests get 503 and 8 reach a server as from xa15a6b; after: 400, 16 of 16 served, all as from work.

--- a/src/io/http/httpc.c
+++ b/src/io/http/httpc.c
@@ -117,13 +117,6 @@
     .on_failed = on_failed,
 };
 
-static bool
-is_same_address(const struct address *a, const struct address *b)
-{
-	return a->in.sin_addr.s_addr == b->in.sin_addr.s_addr &&
-	    a->in.sin_port == b->in.sin_port;
-}
-
 /// Returns the most recently used idle connection, so that the others reach
 /// their idle timeout.
 static struct httpc_conn *
@@ -134,7 +127,7 @@
 
 	*open_count = 0;
 	for (conn = httpc->conns; conn != NULL; conn = conn->next) {
-		if (!is_same_address(&conn->to, to))
+		if (!address_equals(&conn->to, to))
 			continue;
 		(*open_count)++;
 		if (conn->call == NULL &&
--- a/src/io/net/address.c
+++ b/src/io/net/address.c
@@ -46,3 +46,10 @@
 	snprintf(out, ADDRESS_TEXT_BYTES, "%s:%u", host,
 	    ntohs(address->in.sin_port));
 }
+
+bool
+address_equals(const struct address *a, const struct address *b)
+{
+	return a->in.sin_addr.s_addr == b->in.sin_addr.s_addr &&
+	    a->in.sin_port == b->in.sin_port;
+}
--- a/src/io/net/address.h
+++ b/src/io/net/address.h
@@ -4,6 +4,7 @@
 #define MV_IO_NET_ADDRESS_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #define ADDRESS_TEXT_BYTES 32
@@ -27,4 +28,7 @@
 void address_format(
     const struct address *address, char out[ADDRESS_TEXT_BYTES]);
 
+/// Returns whether host and port are the same.
+bool address_equals(const struct address *a, const struct address *b);
+
 #endif
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -168,6 +168,29 @@
 	log_end(&line);
 }
 
+/// Checks that an announcement is of the backend server on this VM. The admin
+/// address may be open to other writers.
+///
+/// @return 0, or -1 with err set; its step is the name of the field
+static int
+check_own_server(const struct control *control,
+    const struct backend_announcement *a, struct error *err)
+{
+	const struct control_settings *s = &control->settings;
+	struct address at;
+
+	if (s->service[0] != '\0' && strcmp(a->service, s->service) != 0)
+		return error_set(err, ERR_INVALID, "service", a->id,
+		    "the backend server on this VM is of %s, not of %s",
+		    s->service, a->service);
+	if (s->has_backend &&
+	    (address_parse(a->address, &at) != 0 ||
+		!address_equals(&at, &s->backend)))
+		return error_set(err, ERR_INVALID, "address", a->id,
+		    "the backend server on this VM is not at %s", a->address);
+	return 0;
+}
+
 /// Handles an announcement or a leave. They may arrive out of order.
 static void
 handle_announcement(struct control *control, struct http_exchange *exchange,
@@ -180,7 +203,9 @@
 
 	if (control->settings.dialect->read_announcement(call, id,
 		exchange->body, exchange->body_bytes, now_us,
-		control->settings.lease_us, &a, &err) != 0) {
+		control->settings.lease_us, &a, &err) != 0 ||
+	    (call == DIALECT_ANNOUNCE &&
+		check_own_server(control, &a, &err) != 0)) {
 		log_error(LOG_WARN, "backend",
 		    "Refused a backend server announcement", &err);
 		respond_error(exchange, &err);
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -27,6 +27,10 @@
 	struct address ready; ///< Separate address for readiness checks.
 	bool has_ready;
 	const struct dialect *dialect;
+	/// Of the backend server on this VM; empty: as it announces.
+	char service[MEMBER_NAME_BYTES];
+	struct address backend;
+	bool has_backend; ///< Its address is set.
 	int64_t lease_us; ///< Default for announcements without a lease.
 	struct membership_settings membership;
 	struct address sources[CONTROL_MAX_SOURCES];
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -171,13 +171,6 @@
 	    now_us);
 }
 
-static bool
-same_address(const struct address *a, const struct address *b)
-{
-	return a->in.sin_addr.s_addr == b->in.sin_addr.s_addr &&
-	    a->in.sin_port == b->in.sin_port;
-}
-
 static void
 update_sources(struct control *control, const struct list *sources)
 {
@@ -206,7 +199,7 @@
 	if (bytes_copy(leader, text, sizeof(text)) != 0 ||
 	    address_parse(text, &at) != 0)
 		return;
-	if (!control->has_leader || !same_address(&at, &control->leader)) {
+	if (!control->has_leader || !address_equals(&at, &control->leader)) {
 		control->leader = at;
 		control->has_leader = true;
 		control->leader_answered_us = loop_now_us(control->loop);
@@ -244,7 +237,7 @@
 	uint32_t i;
 
 	for (i = 0; i < control->settings.source_count; i++)
-		if (same_address(&control->settings.sources[i], source))
+		if (address_equals(&control->settings.sources[i], source))
 			return true;
 	return false;
 }
@@ -278,7 +271,7 @@
 	if (control->has_leader &&
 	    bytes_copy(answer->host, host, sizeof(host)) == 0 &&
 	    address_make(host, answer->control_port, &at) == 0 &&
-	    same_address(&at, &control->leader))
+	    address_equals(&at, &control->leader))
 		control->leader_answered_us = control->source_answered_us;
 	if (control->sources_reachable)
 		return;
@@ -375,7 +368,7 @@
 	for (i = 0; i < count; i++)
 		if (to_all ||
 		    (control->report_turn % 2 == 0 && i == turn % count) ||
-		    same_address(&sources[i], &control->leader))
+		    address_equals(&sources[i], &control->leader))
 			datagram_send(&control->udp, &sources[i],
 			    MESSAGE_REPORT, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -14,7 +14,8 @@
 struct ingress_settings {
 	const struct dialect *dialect;
 	char name[MEMBER_NAME_BYTES];
-	/// Service of the backend server on this VM, until it announces itself.
+	/// Service of the backend server on this VM, until it announces itself;
+	/// may be empty.
 	char service[MEMBER_NAME_BYTES];
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -48,6 +48,7 @@
 	struct control *c = arg;
 
 	proxy_settings_resolve_sources(reloaded, &c->settings);
+	proxy_settings_resolve_backend(reloaded, &c->settings);
 }
 
 static void
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -76,7 +76,11 @@
     {"admin_anywhere", SETTINGS_BOOL, offsetof(S, admin_anywhere), false, 0, 0,
 	"false", "listen.admin may be on another address than loopback"},
     TEXT("service", service, false, "\"\"",
-	"service of the backend server on this VM, until it announces itself"),
+	"service of the backend server on this VM; if set, announcements of "
+	"another one are refused"),
+    ADDRESS("backend", backend, false,
+	"address of the backend server on this VM; if set, announcements of "
+	"another one are refused"),
     INTEGER("lease_ms", lease_ms, 100, 60000, "5000",
 	"lease of an announcement that gives none"),
     INTEGER("announce_ms", announce_ms, 0, 60000, "0",
@@ -234,11 +238,24 @@
 	control->dialect = dialect;
 	traffic->ingress.dialect = dialect;
 	traffic->egress.dialect = dialect;
-	snprintf(traffic->ingress.service, sizeof(traffic->ingress.service),
-	    "%.*s", (int)sizeof(traffic->ingress.service) - 1, s->service);
 	return dialect == NULL ? 1 : 0;
 }
 
+int
+proxy_settings_resolve_backend(
+    const struct proxy_settings *s, struct control_settings *control)
+{
+	if (s->service[0] != '\0' &&
+	    copy_name("service", s->service, control->service,
+		sizeof(control->service)) != 0)
+		return 1;
+	if (s->service[0] == '\0')
+		control->service[0] = '\0';
+	control->has_backend = s->backend[0] != '\0';
+	address_parse(s->backend, &control->backend);
+	return 0;
+}
+
 int
 proxy_settings_resolve_sources(
     const struct proxy_settings *s, struct control_settings *control)
@@ -308,6 +325,7 @@
 	problems += resolve_dialect(s, control, traffic);
 	problems += parse_seeds(s, m);
 	problems += proxy_settings_resolve_sources(s, control);
+	problems += proxy_settings_resolve_backend(s, control);
 	problems += parse_addresses("ledgers", &s->ledgers, traffic->ledgers,
 	    ONCE_MAX_REPLICAS, &traffic->ledger_count);
 	address_parse(s->listen_control, &control->control);
@@ -334,6 +352,8 @@
 	    control->self.incarnation ^ XXH3_64bits(s->name, strlen(s->name));
 	memcpy(traffic->ingress.name, control->self.name,
 	    sizeof(traffic->ingress.name));
+	memcpy(traffic->ingress.service, control->service,
+	    sizeof(traffic->ingress.service));
 	traffic->ingress.incarnation = control->self.incarnation;
 	traffic->ingress.max_body_bytes = s->max_body_bytes;
 	traffic->ingress.max_connections = s->max_connections;
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -22,6 +22,7 @@
 	char listen_ready[SETTINGS_TEXT_BYTES];
 	bool admin_anywhere;
 	char service[SETTINGS_TEXT_BYTES];
+	char backend[SETTINGS_TEXT_BYTES];
 	int64_t lease_ms;
 	int64_t announce_ms;
 	int64_t source_port;
@@ -62,6 +63,13 @@
 int proxy_settings_resolve_sources(
     const struct proxy_settings *s, struct control_settings *control);
 
+/// Resolves the service and the address of the backend server on this VM for the
+/// control thread; keeps those in use if one is not valid.
+///
+/// @return number of problems, each with a line on standard error
+int proxy_settings_resolve_backend(
+    const struct proxy_settings *s, struct control_settings *control);
+
 /// Resolves the settings into those of the control and traffic threads.
 ///
 /// @return 0, or -1 with a line for each problem on standard error
