--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -262,50 +262,81 @@
 	assert_int_equal(a.sequence, 9);
 }
 
-/// Malformed announcements are rejected, and the error names the field.
+/// A heartbeat of which one field is missing or not valid is rejected, and the
+/// error names the field.
 static void
 test_announcement_rejected(void **state)
 {
-	static const char *const invalid[][2] = {
-	    {"", "body"},
-	    {"[]", "body"},
-	    {"{\"service\":", "body"},
-	    {"{\"address\":\"1.2.3.4:1\",\"state\":\"ready\",\"born\":1,"
-	     "\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
-		"service"},
-	    {"{\"service\":\"s\",\"address\":\"here\",\"state\":\"ready\","
-	     "\"born\":1,\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
-		"address"},
-	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":\"up\","
-	     "\"born\":1,\"sequence\":1,\"slots\":1,\"coldRemainingMs\":0}",
-		"state"},
-	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
-	     "\"ready\",\"born\":\"1\",\"sequence\":1,\"slots\":1,"
-	     "\"coldRemainingMs\":0}",
-		"born"},
-	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
-	     "\"ready\",\"born\":1.5,\"sequence\":1,\"slots\":1,"
-	     "\"coldRemainingMs\":0}",
-		"born"},
-	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
-	     "\"ready\",\"born\":1,\"sequence\":-1,\"slots\":1,"
-	     "\"coldRemainingMs\":0}",
-		"sequence"},
-	    {"{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":"
-	     "\"ready\",\"born\":1,\"sequence\":1,\"slots\":1000000,"
-	     "\"coldRemainingMs\":0}",
-		"slots"},
+	// Field, its value in a valid heartbeat, and values that are not valid.
+	static const struct {
+		const char *field;
+		const char *valid;
+		const char *invalid[6];
+	} fields[] = {
+	    {"service", "\"s\"", {"7", "\"\"", "null"}},
+	    {"address", "\"1.2.3.4:1\"",
+		{"\"here\"", "\"1.2.3.4:65536\"", "\"1.2.3.4\"", "1"}},
+	    {"zone", "\"z\"", {"1", "null", "{}"}},
+	    {"version", "\"v1\"", {"1", "[]"}},
+	    {"state", "\"ready\"", {"\"up\"", "1"}},
+	    {"born", "1", {"\"1\"", "1.5", "-1", "9223372036854775807000"}},
+	    {"sequence", "1", {"-1", "1e2", "true"}},
+	    {"slots", "1", {"1000000", "\"1\""}},
+	    {"coldRemainingMs", "0", {"-1", "null", "99999999999"}},
 	};
+	const size_t count = sizeof(fields) / sizeof(fields[0]);
+	struct backend_announcement a;
+	struct error err;
+	size_t changed;
+	size_t v;
+
+	(void)state;
+	for (changed = 0; changed < count; changed++)
+		for (v = 0; v == 0 || fields[changed].invalid[v - 1] != NULL;
+		     v++) {
+			char body[400] = "{";
+			size_t i;
+
+			for (i = 0; i < count; i++) {
+				const char *value = i != changed
+				    ? fields[i].valid
+				    : fields[i].invalid[v];
+
+				// The last variant leaves the field out.
+				if (value != NULL)
+					snprintf(body + strlen(body),
+					    sizeof(body) - strlen(body),
+					    "%s\"%s\":%s",
+					    strlen(body) > 1 ? "," : "",
+					    fields[i].field, value);
+			}
+			strcat(body, "}");
+			assert_int_equal(
+			    read_announcement(DIALECT_ANNOUNCE, body, &a, &err),
+			    -1);
+			// Jansson refuses a number beyond 64 bits itself.
+			if (strcmp(err.step, "body") != 0)
+				assert_string_equal(
+				    err.step, fields[changed].field);
+		}
+}
+
+/// What is no JSON object is rejected as a whole.
+static void
+test_announcement_unreadable(void **state)
+{
+	static const char *const invalid[] = {
+	    "", "[]", "{\"service\":", "\377"};
 	struct backend_announcement a;
 	struct error err;
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
-		assert_int_equal(read_announcement(
-				     DIALECT_ANNOUNCE, invalid[i][0], &a, &err),
+		assert_int_equal(
+		    read_announcement(DIALECT_ANNOUNCE, invalid[i], &a, &err),
 		    -1);
-		assert_string_equal(err.step, invalid[i][1]);
+		assert_string_equal(err.step, "body");
 	}
 }
 
@@ -408,6 +439,7 @@
 	    cmocka_unit_test(test_rejected),
 	    cmocka_unit_test(test_announcement),
 	    cmocka_unit_test(test_announcement_rejected),
+	    cmocka_unit_test(test_announcement_unreadable),
 	    cmocka_unit_test(test_calls),
 	    cmocka_unit_test(test_load),
 	    cmocka_unit_test(test_retry),
