fix(backend): a leave of an unknown server keeps no other one out

Problem: found while looking at what a message of another writer may replace. The users' servers leave with an empty body. At a proxy that has just started, such a leave was kept as that of a process that began now; every heartbeat of the VM's true server, which began earlier, was then stale until the lease of the leave ended, 60 s.

Solution: as long as nothing is known but a leave, it counts against heartbeats of the same id only.

Result: unit.test_backend is new (backend.c had no test of its own); test_leave_of_unknown_server fails before: the heartbeat of the other server is stale. functional.foreign_heartbeat: a caller cannot name a service itself, whatever the case of the header, twice, or listed in Connection.

--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -28,6 +28,9 @@
 		return false;
 	if (is_same_process(b, a))
 		return a->sequence <= b->latest.sequence && a->sequence != 0;
+	// Nothing is known but the leave of another server.
+	if (b->latest.address[0] == '\0' && strcmp(b->latest.id, a->id) != 0)
+		return false;
 	if (a->process_start != 0 && a->process_start < b->latest.process_start)
 		return now_us < b->latest.lease_deadline_us;
 	return false;
--- a/test/functional/foreign_heartbeat.sh
+++ b/test/functional/foreign_heartbeat.sh
@@ -26,7 +26,8 @@
 				my $head = $1;
 				my ($try) = $head =~ /Attempt-Id: (\S+)/i;
 				my ($want) = $head =~ /Expected-Instance: (\S+)/i;
-				my ($caller) = $head =~ /Caller-Service: (\S+)/i;
+				my $caller = join ",",
+				    $head =~ /Caller-Service: (\S+)/gi;
 				my $right = !defined $want || $want eq $id;
 				print "$caller\n" if $right;
 				syswrite $c, "HTTP/1.1 " .
@@ -70,14 +71,14 @@
 }
 
 # Requests that begin on VM 1, to both services.
-ask() {
+ask() { # [ARGUMENT OF CURL ...]
 	: >"$MESH_DIR/callers-1"
 	: >"$MESH_DIR/callers-2"
 	for i in 1 2 3 4 5 6 7 8; do
 		for path in work other; do
 			curl -s -m 4 -o /dev/null -w '%{http_code}\n' \
 			    -H "X-Magnoliavalve-Attempt-Id: $path-$i" \
-			    "$(mesh_url 1 /$path/$i)"
+			    "$@" "$(mesh_url 1 /$path/$i)"
 		done
 	done | sort | uniq -c | awk '{ print "answered " $2 ": " $1 }'
 	cat "$MESH_DIR"/callers-* | sort | uniq -c |
@@ -94,6 +95,10 @@
 mesh_wait 10 is_served || echo "not served"
 echo "== before"
 ask
+echo "== a caller that names a service itself"
+ask -H "x-magnoliavalve-caller-service: xa15a6b" \
+    -H "X-MAGNOLIAVALVE-CALLER-SERVICE: xe3e240" \
+    -H "Connection: X-Magnoliavalve-Caller-Service"
 echo "== a service that no configuration has"
 beat i-x xa15a6b "$(mesh_host 1):$PORT_HTTP" 2000 1
 ask
--- /dev/null
+++ b/test/unit/test_backend.c
@@ -0,0 +1,119 @@
+// Ordering of the announcements of a backend server.
+#include <string.h>
+
+#include "core/requests/backend.h"
+#include "unit/support.h"
+
+#define NOW_US	 1000000000LL
+#define LEASE_US 5000000LL
+#define STEP_US	 1500000LL
+
+static struct backend_announcement
+make_announcement(const char *id, uint64_t process_start, uint64_t sequence,
+    enum backend_state state, int64_t now_us)
+{
+	struct backend_announcement a = {.state = state,
+	    .slots = 9,
+	    .process_start = process_start,
+	    .sequence = sequence,
+	    .lease_deadline_us = now_us + LEASE_US};
+
+	strcpy(a.id, id);
+	strcpy(a.service, "work");
+	strcpy(a.address, "10.0.0.1:80");
+	return a;
+}
+
+static enum backend_verdict
+announce(struct backend *b, const char *id, uint64_t process_start,
+    uint64_t sequence, enum backend_state state, int64_t now_us)
+{
+	struct backend_announcement a =
+	    make_announcement(id, process_start, sequence, state, now_us);
+
+	return backend_announce(b, &a, now_us);
+}
+
+/// A leave, which names no address.
+static enum backend_verdict
+leave(struct backend *b, const char *id, uint64_t process_start,
+    uint64_t sequence, int64_t now_us)
+{
+	struct backend_announcement a = {.state = BACKEND_DRAINING,
+	    .process_start = process_start,
+	    .sequence = sequence};
+
+	strcpy(a.id, id);
+	return backend_drain(b, &a, now_us);
+}
+
+/// Announcements that arrive late or twice change nothing.
+static void
+test_out_of_order(void **state)
+{
+	struct backend b = {.known = false};
+
+	(void)state;
+	assert_int_equal(announce(&b, "i-1", 100, 2, BACKEND_READY, NOW_US),
+	    BACKEND_CHANGED);
+	assert_int_equal(announce(&b, "i-1", 100, 1, BACKEND_DRAINING, NOW_US),
+	    BACKEND_STALE);
+	assert_int_equal(announce(&b, "i-1", 100, 2, BACKEND_DRAINING, NOW_US),
+	    BACKEND_STALE);
+	assert_int_equal(
+	    announce(&b, "i-0", 50, 9, BACKEND_READY, NOW_US), BACKEND_STALE);
+	assert_int_equal(announce(&b, "i-1", 100, 3, BACKEND_READY, NOW_US),
+	    BACKEND_RENEWED);
+	assert_string_equal(b.latest.id, "i-1");
+	assert_int_equal(b.latest.state, BACKEND_READY);
+}
+
+/// A server that left is not ready again by a heartbeat that it sent before; a
+/// later process under its id is.
+static void
+test_leave_is_final(void **state)
+{
+	struct backend b = {.known = false};
+
+	(void)state;
+	announce(&b, "i-1", 100, 2, BACKEND_READY, NOW_US);
+	assert_int_equal(leave(&b, "i-1", 100, 5, NOW_US), BACKEND_CHANGED);
+	assert_int_equal(
+	    announce(&b, "i-1", 100, 4, BACKEND_READY, NOW_US), BACKEND_STALE);
+	announce(&b, "i-1", 100, 6, BACKEND_READY, NOW_US);
+	assert_int_equal(b.latest.state, BACKEND_DRAINING);
+	assert_int_equal(announce(&b, "i-1", 200, 1, BACKEND_READY, NOW_US),
+	    BACKEND_CHANGED);
+	assert_int_equal(b.latest.state, BACKEND_READY);
+}
+
+/// After a restart of the proxy, a leave arrives before any heartbeat. It keeps
+/// a late heartbeat of that server out, and none of another one.
+static void
+test_leave_of_unknown_server(void **state)
+{
+	struct backend b = {.known = false};
+
+	(void)state;
+	assert_int_not_equal(leave(&b, "i-1", 300, 0, NOW_US), BACKEND_STALE);
+	assert_int_equal(
+	    announce(&b, "i-1", 100, 4, BACKEND_READY, NOW_US), BACKEND_STALE);
+	assert_int_equal(
+	    announce(&b, "i-2", 200, 7, BACKEND_READY, NOW_US + STEP_US),
+	    BACKEND_CHANGED);
+	assert_string_equal(b.latest.id, "i-2");
+	assert_int_equal(b.latest.state, BACKEND_READY);
+	assert_int_equal(leave(&b, "i-1", 300, 0, NOW_US), BACKEND_STALE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_out_of_order),
+	    cmocka_unit_test(test_leave_is_final),
+	    cmocka_unit_test(test_leave_of_unknown_server),
+	};
+
+	return cmocka_run_group_tests_name("backend", tests, NULL, NULL);
+}
