fix(backend): a sequence far ahead does not keep a server out for good

One heartbeat under the server's id and start, with a sequence far ahead, made all true ones stale for the life of the proxy: a lower sequence stayed out of order even after the lease had expired.

Solution: after the lease has expired, a lower sequence counts if it is higher than one that arrived since. A late heartbeat of a crashed server alone does not revive it.

Result: unit.test_backend test_sequence_far_ahead fails before (stale after the lease) and passes after; test_late_after_crash passes before and after.

--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -14,6 +14,27 @@
 	    b->latest.process_start == a->process_start;
 }
 
+/// Tells whether an announcement of the current process is out of order.
+///
+/// The highest sequence need not be the server's own. Once nothing has renewed
+/// the lease, a lower sequence counts if it is higher than one that arrived
+/// since: a server that runs goes on counting.
+static bool
+is_out_of_order(
+    struct backend *b, const struct backend_announcement *a, int64_t now_us)
+{
+	uint64_t resumed = b->resumed_sequence;
+
+	if (a->sequence > b->latest.sequence || a->sequence == 0)
+		return false;
+	if (now_us < b->latest.lease_deadline_us)
+		return true;
+	if (resumed != 0 && a->sequence > resumed)
+		return false;
+	b->resumed_sequence = a->sequence;
+	return true;
+}
+
 /// Tells whether an announcement is older than the current one.
 ///
 /// Start times of two processes are taken from their clocks, which may have
@@ -21,13 +42,13 @@
 /// the lease expires; after that, and if a server announces none, the
 /// announcement received last wins.
 static bool
-is_stale(const struct backend *b, const struct backend_announcement *a,
-    int64_t now_us)
+is_stale(
+    struct backend *b, const struct backend_announcement *a, int64_t now_us)
 {
 	if (!b->known)
 		return false;
 	if (is_same_process(b, a))
-		return a->sequence <= b->latest.sequence && a->sequence != 0;
+		return is_out_of_order(b, a, now_us);
 	// Nothing is known but the leave of another server.
 	if (b->latest.address[0] == '\0' && strcmp(b->latest.id, a->id) != 0)
 		return false;
@@ -47,6 +68,7 @@
 		return BACKEND_STALE;
 	b->latest = *a;
 	b->known = true;
+	b->resumed_sequence = 0;
 	// A draining process never becomes ready again. If processes have no
 	// start time, a cold one is a new process.
 	if (same && old.state == BACKEND_DRAINING &&
--- a/src/core/requests/backend.h
+++ b/src/core/requests/backend.h
@@ -32,6 +32,9 @@
 struct backend {
 	struct backend_announcement latest; ///< Empty id and address: none yet.
 	bool known;
+	/// Highest sequence below the current one that arrived after the lease
+	/// had expired; 0: none.
+	uint64_t resumed_sequence;
 };
 
 enum backend_verdict {
--- a/test/unit/test_backend.c
+++ b/test/unit/test_backend.c
@@ -106,6 +106,50 @@
 	assert_int_equal(leave(&b, "i-1", 300, 0, NOW_US), BACKEND_STALE);
 }
 
+/// One announcement of another writer, with a sequence far ahead, keeps the
+/// server out until the lease has expired, and not for good.
+static void
+test_sequence_far_ahead(void **state)
+{
+	struct backend b = {.known = false};
+	int64_t now_us = NOW_US;
+	uint64_t sequence = 5;
+
+	(void)state;
+	announce(&b, "i-1", 100, sequence, BACKEND_READY, now_us);
+	announce(&b, "i-1", 100, INT64_MAX, BACKEND_READY, now_us);
+	for (; now_us < NOW_US + LEASE_US; now_us += STEP_US)
+		assert_int_equal(
+		    announce(&b, "i-1", 100, ++sequence, BACKEND_READY, now_us),
+		    BACKEND_STALE);
+	assert_true(backend_expire(&b, now_us, false));
+	announce(&b, "i-1", 100, ++sequence, BACKEND_READY, now_us);
+	assert_int_equal(announce(&b, "i-1", 100, ++sequence, BACKEND_READY,
+			     now_us + STEP_US),
+	    BACKEND_CHANGED);
+	assert_int_equal(b.latest.sequence, sequence);
+}
+
+/// An announcement from before a crash that arrives late, also twice, does not
+/// revive the server.
+static void
+test_late_after_crash(void **state)
+{
+	struct backend b = {.known = false};
+	int64_t now_us = NOW_US + LEASE_US;
+
+	(void)state;
+	announce(&b, "i-1", 100, 9, BACKEND_READY, NOW_US);
+	assert_true(backend_expire(&b, now_us, false));
+	assert_int_equal(
+	    announce(&b, "i-1", 100, 8, BACKEND_READY, now_us), BACKEND_STALE);
+	assert_int_equal(
+	    announce(&b, "i-1", 100, 8, BACKEND_READY, now_us), BACKEND_STALE);
+	assert_int_equal(
+	    announce(&b, "i-1", 100, 7, BACKEND_READY, now_us), BACKEND_STALE);
+	assert_int_equal(b.latest.state, BACKEND_NONE);
+}
+
 int
 main(void)
 {
@@ -113,6 +157,8 @@
 	    cmocka_unit_test(test_out_of_order),
 	    cmocka_unit_test(test_leave_is_final),
 	    cmocka_unit_test(test_leave_of_unknown_server),
+	    cmocka_unit_test(test_sequence_far_ahead),
+	    cmocka_unit_test(test_late_after_crash),
 	};
 
 	return cmocka_run_group_tests_name("backend", tests, NULL, NULL);
