fix(dialect): a backend server cannot be announced at port 0

Problem: other operators saw one odd entry of another writer end all machines that read it. Looked for here: 226 odd announcements in both dialects end no process, and members and versions are followed. One was accepted that must not be: a server at port 0, taken as ready until its lease ends.

Solution: announcements use address_parse_server; settings keep port 0 for any port.

--- a/src/io/dialect.c
+++ b/src/io/dialect.c
@@ -102,7 +102,7 @@
 		return error_set(err, ERR_INVALID, "service", "",
 		    "must have 1 to %zu characters", sizeof(out->service) - 1);
 	if (strlen(address) >= sizeof(out->address) ||
-	    address_parse(address, &parsed) != 0)
+	    address_parse_server(address, &parsed) != 0)
 		return error_set(
 		    err, ERR_INVALID, "address", "", "must be IP:port");
 	if (lease_ms < LEASE_MIN_MS || lease_ms > LEASE_MAX_MS)
--- a/src/io/net/address.c
+++ b/src/io/net/address.c
@@ -37,6 +37,14 @@
 	return address_make(host, (uint32_t)port, address);
 }
 
+int
+address_parse_server(const char *text, struct address *address)
+{
+	if (address_parse(text, address) != 0)
+		return -1;
+	return address->in.sin_port == 0 ? -1 : 0;
+}
+
 void
 address_format(const struct address *address, char out[ADDRESS_TEXT_BYTES])
 {
--- a/src/io/net/address.h
+++ b/src/io/net/address.h
@@ -19,6 +19,11 @@
 /// @return 0, or -1 if the text is malformed
 int address_parse(const char *text, struct address *address);
 
+/// Parses the "IP:port" of a server: the port must not be 0.
+///
+/// @return 0, or -1 if nothing can listen there
+int address_parse_server(const char *text, struct address *address);
+
 /// Makes an address from an IPv4 address in text form and a port.
 ///
 /// @return 0, or -1 if the host is not an IPv4 address or the port is invalid
