fix(replica): a source with a full disk still passes changes on to the leader

Problem: other operators saw changes refused long after disks had been full in turn. Looked for here on processes: no lasting refusal, but an operator at a source whose disk was full waited 3 s and got 503 ("no leader is known"). Cause: a replica whose storage has failed ignored all messages, also those that name the leader.

Solution: it keeps the leader of the current or a later term in mind and does nothing else with the message, so that its source forwards as any follower does.

--- a/src/core/replica/replica.c
+++ b/src/core/replica/replica.c
@@ -305,8 +305,13 @@
 replica_step(struct replica *r, const struct replica_message *m, int64_t now_us,
     struct error *err)
 {
-	if (replica_has_failed(r))
+	if (replica_has_failed(r)) {
+		// Takes no part any more, but its owner can still name the
+		// leader to others.
+		if (is_from_leader(m) && m->term >= r->term)
+			replica_set_role(r, REPLICA_FOLLOWER, m->from);
 		return 0;
+	}
 	if (check_message(r, m, err) != 0)
 		return -1;
 	if (check_message_term(r, m, now_us))
