fix(ingress): a request with an unusual method is forwarded

Cause: the route was set, the rank was not, when a method outside of seven known ones was answered with 404; the log line of the answer reads the rank of any request that has a route. Besides, an egress sent a method of 12 characters or more as GET.

Any token of up to 63 characters is forwarded unchanged, as the users' page says; CONNECT, longer ones and what is no token get 501 with the method in the text.

--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -393,9 +393,12 @@
 	struct egress *egress = r->egress;
 	const struct message_request *m = r->message;
 	struct error err;
-	char method[RULES_METHOD_BYTES] = "GET";
 
-	bytes_copy(m->method, method, sizeof(method));
+	if (!headers_can_forward_method(m->method) ||
+	    bytes_copy(m->method, r->method, sizeof(r->method)) != 0) {
+		egress_end_not_run(r, 501, 0, "the method cannot be forwarded");
+		return;
+	}
 	if (asprintf(&r->url, "http://%s%.*s", egress->backend.address,
 		(int)m->target.size_bytes, m->target.data) < 0)
 		abort();
@@ -405,7 +408,7 @@
 	r->window_bytes = RESPONSE_WINDOW_BYTES;
 	r->call.ops = &call_ops;
 	r->call.owner = r;
-	r->call.method = headers_find_method(method);
+	r->call.method = r->method;
 	r->call.url = r->url;
 	r->call.body = m->body.data;
 	r->call.body_bytes = m->body.size_bytes;
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -10,6 +10,7 @@
 #include "io/http/httpc.h"
 #include "proxy/egress/egress.h"
 #include "proxy/egress/once_client.h"
+#include "proxy/headers.h"
 #include "wire/request_copy.h"
 
 enum request_state {
@@ -32,6 +33,7 @@
 	enum request_state state;
 	uint64_t fence_key;
 	struct bytes caller_id; ///< The caller's id of the request, or empty.
+	char method[HEADERS_METHOD_BYTES];
 	char *url;
 	char rank_text[RULES_NAME_BYTES];
 	char expected[BACKEND_ID_BYTES]; ///< Id of the target backend server.
--- a/src/proxy/headers.c
+++ b/src/proxy/headers.c
@@ -43,15 +43,25 @@
 	    !headers_name_equals(name, headers->attempt);
 }
 
-const char *
-headers_find_method(const char *method)
+/// Returns whether a byte may be part of a token (RFC 9110, section 5.6.2).
+static bool
+is_token_byte(char c)
+{
+	return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
+	    (c >= 'a' && c <= 'z') ||
+	    (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+bool
+headers_can_forward_method(struct bytes method)
 {
-	static const char *const known_methods[] = {
-	    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 	size_t i;
 
-	for (i = 0; i < sizeof(known_methods) / sizeof(known_methods[0]); i++)
-		if (strcmp(method, known_methods[i]) == 0)
-			return known_methods[i];
-	return NULL;
+	for (i = 0; i < method.size_bytes; i++)
+		if (!is_token_byte(method.data[i]))
+			return false;
+	return method.size_bytes > 0 &&
+	    method.size_bytes < HEADERS_METHOD_BYTES &&
+	    !(method.size_bytes == 7 &&
+		memcmp(method.data, "CONNECT", method.size_bytes) == 0);
 }
--- a/src/proxy/headers.h
+++ b/src/proxy/headers.h
@@ -9,6 +9,9 @@
 #include "io/dialect.h"
 #include "wire/codec.h"
 
+/// Space for a method, including the terminating NUL.
+#define HEADERS_METHOD_BYTES 64
+
 #define HEADER_RETRY_AFTER "Retry-After"
 
 /// Whether a header applies to one connection only.
@@ -23,7 +26,8 @@
 bool headers_is_internal(
     const struct dialect_headers *headers, struct bytes name);
 
-/// Returns a known method as a static string, NULL for any other.
-const char *headers_find_method(const char *method);
+/// Returns whether a method can be forwarded unchanged: any token that fits
+/// HEADERS_METHOD_BYTES, but for CONNECT, which asks for a tunnel.
+bool headers_can_forward_method(struct bytes method);
 
 #endif
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -102,6 +102,16 @@
 		&r->parent_repeats);
 }
 
+static void
+refuse_method(struct ingress_request *r)
+{
+	char why[HEADERS_METHOD_BYTES + 32];
+
+	snprintf(why, sizeof(why), "the method %.*s cannot be forwarded",
+	    HEADERS_METHOD_BYTES - 1, r->exchange->method);
+	ingress_conclude(r, 501, ingress_not_run_outcome(r), 0, why);
+}
+
 void
 ingress_route(struct ingress_request *r)
 {
@@ -109,9 +119,13 @@
 	struct http_exchange *exchange = r->exchange;
 
 	r->rules = rules_ref(ingress->rules);
+	if (!headers_can_forward_method(bytes_from_string(exchange->method))) {
+		refuse_method(r);
+		return;
+	}
 	r->route = rules_match(r->rules, exchange->method,
 	    http_exchange_get_header(exchange, "Host"), exchange->target);
-	if (r->route == NULL || headers_find_method(exchange->method) == NULL) {
+	if (r->route == NULL) {
 		ingress_conclude(
 		    r, 404, ingress_not_run_outcome(r), 0, "no route");
 		return;
