fix(egress): no byte of a long answer is lost when its client pauses

Cause: with the window towards the client used up, on_body refused the bytes it was called with; the parser counts the bytes of the callback that pauses it as used, so that they were lost.

Solution: on_body takes its bytes in any case and returns only whether more may follow. The window is exceeded by one read at most.

--- a/src/io/http/httpc.h
+++ b/src/io/http/httpc.h
@@ -37,8 +37,9 @@
 	/// A response header; called before on_head. May be NULL.
 	void (*on_header)(
 	    struct httpc_call *call, struct bytes name, struct bytes value);
-	/// A part of the response body.
-	/// @return false to pause the response until httpc_call_resume
+	/// A part of the response body, which the callback takes in any case.
+	/// @return false to pause the response after it until
+	/// httpc_call_resume
 	bool (*on_body)(
 	    struct httpc_call *call, const char *data, size_t size_bytes);
 	/// The call ended; err is NULL if the response is complete. The
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -275,13 +275,12 @@
 		start_streaming(r);
 	if (r->sink == NULL)
 		return true;
-	if (r->window_bytes <= 0)
-		return false;
 	r->window_bytes -= (int64_t)size_bytes;
 	body.data.data = data;
 	body.data.size_bytes = (uint32_t)size_bytes;
 	r->sink->ops->body(r->sink, r->message->id, &body);
-	return true;
+	// Over by one read at most.
+	return r->window_bytes > 0;
 }
 
 static void
