fix(ingress): a part of an upload that arrives between attempts is kept

A part of an upload, or its end, that arrived while the request waited for an attempt (parked after the start of its proxy) was dropped without a word. Of a chunked upload the end never came, and the request was cut at its deadline with an unknown outcome; with credit left from an earlier attempt, bytes of the middle could be missing (read, not shown).

Solution: such a part is added to the body that is kept, from which the next attempt sends.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -138,18 +138,6 @@
 	x->pub.httpd->ops->on_request(x->pub.httpd->owner, &x->pub);
 }
 
-static void
-append_body(struct exchange *x, const char *data, size_t size_bytes)
-{
-	char *grown = realloc(x->pub.body, x->pub.body_bytes + size_bytes + 1);
-
-	assert(grown != NULL);
-	memcpy(grown + x->pub.body_bytes, data, size_bytes);
-	x->pub.body = grown;
-	x->pub.body_bytes += size_bytes;
-	x->pub.body[x->pub.body_bytes] = '\0';
-}
-
 static const char body_too_large_text[] = "request body is too large\n";
 
 /// Buffers a part of the upload, or delivers it up to the available credit.
@@ -171,7 +159,7 @@
 			    &x->pub, 413, body_too_large_text);
 			return MHD_YES;
 		}
-		append_body(x, data, n);
+		http_exchange_keep_body(&x->pub, data, n, false);
 		if (x->pub.body_bytes > HTTPD_BUFFERED_BODY_BYTES &&
 		    httpd->ops->on_body != NULL)
 			exchange_dispatch(x, true);
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -119,6 +119,11 @@
 /// that the caller detects the truncation.
 void http_exchange_respond_end(struct http_exchange *exchange, bool complete);
 
+/// Adds a part of a streamed request body to the body that is kept, in place of
+/// forwarding it. After the last part the body is complete.
+void http_exchange_keep_body(struct http_exchange *exchange, const char *data,
+    size_t size_bytes, bool last);
+
 /// Adds credit: the number of bytes of a streamed request body that may be
 /// received before the upload is suspended again.
 void http_exchange_add_credit(
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -181,6 +181,22 @@
 	exchange_resume(x);
 }
 
+void
+http_exchange_keep_body(struct http_exchange *exchange, const char *data,
+    size_t size_bytes, bool last)
+{
+	char *grown =
+	    realloc(exchange->body, exchange->body_bytes + size_bytes + 1);
+
+	assert(grown != NULL);
+	if (size_bytes > 0)
+		memcpy(grown + exchange->body_bytes, data, size_bytes);
+	exchange->body = grown;
+	exchange->body_bytes += size_bytes;
+	exchange->body[exchange->body_bytes] = '\0';
+	exchange->more &= !last;
+}
+
 void
 http_exchange_add_credit(struct http_exchange *exchange, size_t size_bytes)
 {
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -59,6 +59,12 @@
 
 	if (r == NULL)
 		return;
+	if (r->state == ATTEMPT_NONE && !r->upload_forwarded) {
+		// It waits for an attempt, which sends the body from its start.
+		http_exchange_keep_body(exchange, data, size_bytes, last);
+		r->upload_ended = last;
+		return;
+	}
 	body.data.data = data;
 	body.data.size_bytes = (uint32_t)size_bytes;
 	r->upload_forwarded = true;
