fix(net): a stream whose queue is full ends

A stream with over 16 MB queued refused further messages and went on with later ones once it had room; most callers do not look at the result. A part of a body could be missing between two that arrive (read in the code; not shown on processes).

Solution: the first message that does not fit ends the stream, so that its requests end visibly incomplete and replicas connect anew.

--- a/src/io/net/net.h
+++ b/src/io/net/net.h
@@ -38,6 +38,7 @@
 	uint32_t max_frame_bytes;
 	bool connecting;
 	bool flush_deferred;
+	bool overflowed; ///< A message was not queued; the stream ends.
 	bool closed;
 	int64_t last_received_us;
 	uint64_t sent_bytes;
@@ -53,7 +54,7 @@
 struct stream *stream_dial(struct loop *loop, const struct address *to,
     const struct stream_ops *ops, void *owner, struct error *err);
 
-/// Queues a message.
+/// Queues a message. A stream whose queue is full ends: on_closed follows.
 ///
 /// @return 0, or -1 if the stream is closed or its queue is full
 int stream_send(
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -166,13 +166,25 @@
 	free(deflated);
 }
 
+/// Ends a stream that lacks a message: what would follow it makes no sense.
+static void
+fail_overflowed(void *arg)
+{
+	stream_fail(arg, "send", "the peer does not read what is queued");
+}
+
 int
 stream_send(struct stream *stream, enum message_type type, const void *value)
 {
 	size_t start;
 
-	if (stream->closed || stream_queued_bytes(stream) > MAX_QUEUED_BYTES)
+	if (stream->closed || stream->overflowed)
+		return -1;
+	if (stream_queued_bytes(stream) > MAX_QUEUED_BYTES) {
+		stream->overflowed = true;
+		loop_defer(stream->loop, fail_overflowed, stream);
 		return -1;
+	}
 	start = stream->out.size;
 	message_pack_frame(&stream->out, type, value);
 	if (stream->out.size - start > DEFLATE_MIN_BYTES &&
