fix(egress): what an interim response states does not count for the answer

The headers of a 1xx response were counted with those of the response that follows: "not executed" in a 103 made a request that had run and been answered count as not run. Cause: the HTTP client skipped the head of an interim response without telling the egress, which kept its fields.

Solution: the egress drops the fields of a 1xx head as it drops those of another request's answer.

--- a/src/io/http/httpc.h
+++ b/src/io/http/httpc.h
@@ -30,7 +30,8 @@
 
 /// Callbacks of a call.
 struct httpc_ops {
-	/// The response head is complete.
+	/// A response head is complete. The verdict on an interim response
+	/// (1xx) has no effect: it is skipped.
 	/// @param total_bytes  length of the body, or -1 if unknown
 	enum httpc_verdict (*on_head)(
 	    struct httpc_call *call, uint32_t status, int64_t total_bytes);
--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -265,6 +265,7 @@
 
 	deliver_header(conn);
 	if (parser->status_code < 200) {
+		conn->call->ops->on_head(conn->call, parser->status_code, 0);
 		conn->verdict = HTTPC_SKIP;
 		return 0;
 	}
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -233,6 +233,10 @@
 {
 	struct egress_request *r = call->owner;
 
+	if (status < 200) {
+		reset_response_headers(r);
+		return HTTPC_SKIP;
+	}
 	if (answers_other_attempt(r)) {
 		// A late response to an earlier request; the one to this
 		// request follows.
