fix(http): an answer without a length that is reset is not complete

Cause: send() of the rest of the upload took the connection's reset, so that recv() returned 0 as after a regular end, which completes such an answer.

Solution: after a send that failed so, the end of the connection is a failure.

--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -126,9 +126,13 @@
 	if (n < 0 && errno == EINTR)
 		return send_bytes(conn, data, size_bytes);
 	if (n < 0) {
-		// A response received before the reset can still be read.
-		if (errno == EPIPE || errno == ECONNRESET)
+		// A response received before the reset can still be read, but
+		// its end can no longer: send() took the error of the socket,
+		// so that recv() returns 0 after a reset too.
+		if (errno == EPIPE || errno == ECONNRESET) {
+			conn->send_failed = true;
 			return 0;
+		}
 		conn_fail(conn, ERR_IO, "send request", strerror(errno));
 		return -1;
 	}
@@ -376,6 +380,11 @@
 			  : "the server closed the connection");
 		return;
 	}
+	if (n == 0 && conn->send_failed) {
+		conn_fail(conn, ERR_IO, "read response",
+		    "the connection was reset mid-response");
+		return;
+	}
 	conn->response_started |= n > 0;
 	parse(conn, data, (size_t)n);
 }
--- a/src/io/http/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -39,6 +39,7 @@
 	size_t out_sent_bytes;
 	size_t body_sent_bytes; ///< Of a body that is not streamed.
 	bool upload_ended;
+	bool send_failed; ///< The server reset or closed the connection.
 	bool chunked;
 	// Response.
 	http_parser parser;
