fix(egress): a refusal without proof is never passed on, whatever its length

Cause: the status was judged at the end of the answer, and a long answer is passed on before its end.

Solution: the body of an answer that is not passed on is dropped as it comes; after 64 KB the call is given up and judged by its head, also if the body has no end.

--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -269,12 +269,26 @@
 	return HTTPC_ACCEPT;
 }
 
+/// Drops a part of the body of a response that is not passed on, whatever its
+/// length. A long one is not waited for.
+static void
+discard_body(struct egress_request *r, size_t size_bytes)
+{
+	r->body_bytes += size_bytes;
+	if (r->body_bytes > MAX_BUFFERED_RESPONSE_BYTES)
+		egress_mark_abort(r);
+}
+
 static bool
 on_body(struct httpc_call *call, const char *data, size_t size_bytes)
 {
 	struct egress_request *r = call->owner;
 	struct message_body body = {.id = r->message->id};
 
+	if (r->shed || is_unproved_refusal(r)) {
+		discard_body(r, size_bytes);
+		return true;
+	}
 	if (!r->streaming &&
 	    r->body_bytes + size_bytes <= MAX_BUFFERED_RESPONSE_BYTES) {
 		r->body = realloc(r->body, r->body_bytes + size_bytes);
