fix(membership): a server that left stays out when its proxy restarts

Cause: departures are known to the proxy's process only.

Solution: a member's record names the process of its server. The others remember the one that they saw draining, count a record that has it as ready for draining, and tell its proxy, which drains it. While a proxy leaves itself, it names none. A leave without a start time no longer changes the start that is known.

--- a/src/core/membership/member.h
+++ b/src/core/membership/member.h
@@ -41,6 +41,7 @@
 	uint32_t revision;
 	enum member_status status;
 	enum backend_state backend;
+	uint64_t server; ///< Its process, see server_terms_hash; 0: not known.
 	uint32_t slots;
 	uint32_t load_pct; ///< Busy slots and queue; 100: all slots busy.
 	uint64_t version;  ///< Highest rules version known in force there.
--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -359,16 +359,17 @@
 
 void
 membership_set_backend(struct membership *m, const char *service,
-    enum backend_state state, uint32_t slots, int64_t now_us)
+    enum backend_state state, uint64_t server, uint32_t slots, int64_t now_us)
 {
 	struct member *self = &m->self;
 
 	if (strcmp(self->service, service) == 0 && self->backend == state &&
-	    self->slots == slots)
+	    self->server == server && self->slots == slots)
 		return;
 	memset(self->service, 0, sizeof(self->service));
 	strncpy(self->service, service, sizeof(self->service) - 1);
 	self->backend = state;
+	self->server = server;
 	self->slots = slots;
 	membership_raise_revision(m);
 	m->notice_deadline_us = now_us;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -52,6 +52,8 @@
 	/// Reports a rules version of a member, which may exceed the local one.
 	void (*version_advertised)(
 	    struct membership *m, const struct member *member);
+	/// Others know that a process of the local backend server leaves.
+	void (*server_left)(struct membership *m, uint64_t server);
 };
 
 struct membership_settings {
@@ -81,6 +83,9 @@
 	uint64_t pack_round;	 ///< Last message that includes the record.
 	int64_t suspect_deadline_us;
 	int64_t forget_deadline_us;
+	/// Process of its backend server that leaves or has left; 0: none. Kept
+	/// when the proxy restarts, which forgets it.
+	uint64_t left_server;
 };
 
 /// Indirect probe on behalf of another member.
@@ -157,8 +162,10 @@
 uint64_t membership_digest(const struct membership *m);
 
 /// Sets the state of the local backend server and disseminates it.
+///
+/// @param server  its process; 0 if not known
 void membership_set_backend(struct membership *m, const char *service,
-    enum backend_state state, uint32_t slots, int64_t now_us);
+    enum backend_state state, uint64_t server, uint32_t slots, int64_t now_us);
 
 /// Sets the local load. It is sent with the next message.
 void membership_set_load(struct membership *m, uint32_t load_pct);
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -26,6 +26,28 @@
 	m->push_self_to_dcs = true;
 }
 
+static bool
+takes_work(const struct member *member)
+{
+	return member->backend == BACKEND_READY ||
+	    member->backend == BACKEND_COLD;
+}
+
+/// Applies what is known of the backend server of a record. A proxy that has
+/// restarted may take a server for ready that has left before.
+static void
+apply_departure(struct peer *peer)
+{
+	struct member *member = &peer->member;
+
+	if (member->server == 0)
+		return;
+	if (member->backend == BACKEND_DRAINING)
+		peer->left_server = member->server;
+	else if (member->server == peer->left_server && takes_work(member))
+		member->backend = BACKEND_DRAINING;
+}
+
 /// Merges a record of this member. Refutes it with a higher revision if it
 /// supersedes the local record.
 static void
@@ -33,6 +55,8 @@
 {
 	if (record->version > m->version_floor)
 		m->version_floor = record->version;
+	if (record->server != 0 && record->backend == BACKEND_DRAINING)
+		m->ops->server_left(m, record->server);
 	if (record->incarnation > m->self.incarnation)
 		m->self.incarnation = record->incarnation + 1;
 	if (m->leaving || !member_supersedes(record, &m->self))
@@ -97,6 +121,7 @@
 		peer->member = *record;
 		peer->member.version = version;
 	}
+	apply_departure(peer);
 	peer->distance = membership_distance(m, &peer->member);
 	membership_set_deadlines(m, peer, now_us);
 	membership_mark_changed(m, peer);
@@ -116,6 +141,11 @@
 	if (peer->member.incarnation == from->incarnation &&
 	    peer->member.revision == from->revision)
 		peer->member.load_pct = from->load_pct;
+	if (from->server != 0 && from->server == peer->left_server &&
+	    takes_work(from)) {
+		peer->transmits_left = 1;
+		membership_send_to_member(m, from, GOSSIP_NOTICE, 0);
+	}
 	// Queues the record again so that a sender that is suspected or dead
 	// here receives and refutes it.
 	if (peer->member.status != MEMBER_ALIVE &&
--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -94,7 +94,7 @@
 		b->latest = *a;
 		b->known = true;
 	}
-	if (a->process_start > b->latest.process_start)
+	if (!a->start_assumed && a->process_start > b->latest.process_start)
 		b->latest.process_start = a->process_start;
 	if (a->sequence > b->latest.sequence)
 		b->latest.sequence = a->sequence;
--- a/src/core/requests/backend.h
+++ b/src/core/requests/backend.h
@@ -23,6 +23,8 @@
 	uint32_t slots;			     ///< 0: as set in the rules.
 	uint64_t
 	    process_start; ///< Start time of its process; increases with each one.
+	/// A leave that states none: process_start is the time of its arrival.
+	bool start_assumed;
 	uint64_t sequence; ///< Increases with each announcement of a process.
 	int64_t slow_start_deadline_us; ///< End of its slow start; 0 for none.
 	int64_t lease_deadline_us;	///< It counts as gone after this.
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests/server_terms.h"
 #include "io/clock.h"
 #include "io/http/counters_http.h"
 #include "io/json_text.h"
@@ -25,6 +26,19 @@
 	    : rules->services[at].slots;
 }
 
+/// Identifies the process of the backend server for other members, who remember
+/// it once it drains. While this proxy leaves, its server need not.
+static uint64_t
+identify_server(const struct control *control)
+{
+	const struct backend_announcement *b = &control->backend.latest;
+
+	if (b->start_assumed ||
+	    (control->leaving && b->state != BACKEND_DRAINING))
+		return 0;
+	return server_terms_hash(b->id, b->process_start);
+}
+
 void
 announce_publish(struct control *control)
 {
@@ -44,7 +58,8 @@
 	    b.state == BACKEND_READY && current->slow_start_deadline_us != 0
 		? BACKEND_COLD
 		: b.state,
-	    count_slots(control), loop_now_us(control->loop));
+	    identify_server(control), count_slots(control),
+	    loop_now_us(control->loop));
 	control_publish_view(control);
 	control_tick(control);
 }
@@ -130,6 +145,35 @@
 	announce_publish(control);
 }
 
+/// Drains the backend server if other members know that its process leaves.
+///
+/// @return whether the state changed
+static bool
+drain_if_left(struct control *control)
+{
+	struct backend_announcement *current = &control->backend.latest;
+
+	if (control->left_server == 0 ||
+	    (current->state != BACKEND_READY &&
+		current->state != BACKEND_COLD) ||
+	    server_terms_hash(current->id, current->process_start) !=
+		control->left_server)
+		return false;
+	return backend_drain(&control->backend, current,
+		   loop_now_us(control->loop)) == BACKEND_CHANGED;
+}
+
+void
+announce_server_left(struct control *control, uint64_t server)
+{
+	control->left_server = server;
+	if (!drain_if_left(control))
+		return;
+	set_lease_timer(control);
+	log_backend(control, "left before this proxy started");
+	announce_publish(control);
+}
+
 static void
 respond_error(struct http_exchange *exchange, const struct error *err)
 {
@@ -219,7 +263,9 @@
 	else
 		set_lease_timer(control);
 	if (verdict == BACKEND_CHANGED) {
-		log_backend(control, "announced");
+		log_backend(control,
+		    drain_if_left(control) ? "left before this proxy started"
+					   : "announced");
 		announce_publish(control);
 	}
 	respond_announced(control, exchange);
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -85,6 +85,7 @@
 	int64_t source_answered_us; ///< Time of the last answer from a source.
 	bool sources_reachable;
 	struct backend backend;
+	uint64_t left_server; ///< Process that others know to leave; 0: none.
 	struct address bound_control;
 	struct address bound_admin;
 	struct traffic_bound bound_traffic;
@@ -142,5 +143,8 @@
 /// responses that it leaves.
 void announce_backend_leaving(
     void *arg, const char *id, uint64_t process_start);
+/// Handles what other members know from before a restart of this proxy: a process
+/// of the backend server leaves.
+void announce_server_left(struct control *control, uint64_t server);
 
 #endif
--- a/src/proxy/control/gossip_io.c
+++ b/src/proxy/control/gossip_io.c
@@ -396,11 +396,18 @@
 	loop_timer_set(control->loop, &control->tick_timer, now_us);
 }
 
+static void
+on_server_left(struct membership *m, uint64_t server)
+{
+	announce_server_left(owner_control(m), server);
+}
+
 const struct membership_ops control_membership_ops = {
     .send = send_gossip,
     .sync = start_sync,
     .changed = on_changed,
     .version_advertised = on_version_advertised,
+    .server_left = on_server_left,
 };
 
 void
--- a/src/wire/gossip_codec.c
+++ b/src/wire/gossip_codec.c
@@ -17,6 +17,7 @@
 	out->revision = m->revision;
 	out->status = m->status;
 	out->backend = m->backend;
+	out->server = m->server;
 	out->slots = m->slots;
 	out->load_pct = m->load_pct;
 	out->version = m->version;
@@ -45,6 +46,7 @@
 	out->revision = in->revision;
 	out->status = (enum member_status)in->status;
 	out->backend = (enum backend_state)in->backend;
+	out->server = in->server;
 	out->slots = in->slots;
 	out->load_pct = in->load_pct;
 	out->version = in->version;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -75,6 +75,7 @@
 	uint32_t revision;
 	uint32_t status;
 	uint32_t backend;
+	uint64_t server;
 	uint32_t slots;
 	uint32_t load_pct;
 	uint64_t version;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -16,6 +16,7 @@
     F(message_member, U32, revision),
     F(message_member, U32, status),
     F(message_member, U32, backend),
+    F(message_member, U64, server),
     F(message_member, U32, slots),
     F(message_member, U32, load_pct),
     F(message_member, U64, version),
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -26,6 +26,7 @@
 	bool up;
 	uint32_t group; ///< Different groups cannot reach each other.
 	uint64_t version_advertised;
+	uint64_t server_left;
 };
 
 struct net {
@@ -104,11 +105,18 @@
 		node_of(m)->version_advertised = member->version;
 }
 
+static void
+on_server_left(struct membership *m, uint64_t server)
+{
+	node_of(m)->server_left = server;
+}
+
 static const struct membership_ops call_ops = {
     .send = on_send,
     .sync = on_sync,
     .changed = on_changed,
     .version_advertised = on_version_advertised,
+    .server_left = on_server_left,
 };
 
 static void
@@ -140,6 +148,7 @@
 	n->id = id;
 	n->up = true;
 	n->version_advertised = 0;
+	n->server_left = 0;
 	membership_init(&n->m, &call_ops, n, &settings, &self,
 	    id * 1000 + incarnation, net->now_us);
 }
@@ -316,7 +325,7 @@
 	(void)state;
 	net->drop_pct = 20;
 	membership_set_backend(
-	    &net->nodes[42].m, "s", BACKEND_DRAINING, 5, net->now_us);
+	    &net->nodes[42].m, "s", BACKEND_DRAINING, 0, 5, net->now_us);
 	elapsed_us = run_until(net, 20 * SECOND_US, sees_member, &w);
 	assert_in_range(elapsed_us, 0, 4 * SECOND_US);
 	free_net(net);
@@ -337,7 +346,7 @@
 		net->nodes[i].m.settings.sync_period_us = 3600LL * SECOND_US;
 	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
 	membership_set_backend(
-	    &net->nodes[5].m, "s", BACKEND_READY, 5, net->now_us);
+	    &net->nodes[5].m, "s", BACKEND_READY, 0, 5, net->now_us);
 	assert_true(run_until(net, 30 * SECOND_US, sees_member, &w) >= 0);
 	run(net, 60 * SECOND_US);
 	for (i = 0; i < net->nodes[8].m.peer_count; i++) {
@@ -421,12 +430,49 @@
 	membership_free(&net->nodes[9].m);
 	start_node(net, 9, 2);
 	membership_set_backend(
-	    &net->nodes[9].m, "s", BACKEND_READY, 5, net->now_us);
+	    &net->nodes[9].m, "s", BACKEND_READY, 0, 5, net->now_us);
 	assert_true(run_until(net, 20 * SECOND_US, sees_member, &w) >= 0);
 	assert_int_equal(net->nodes[9].m.version_floor, 41);
 	free_net(net);
 }
 
+/// A server that has left is not used again when its proxy restarts and takes it
+/// for ready; the proxy is told. A later process is used.
+static void
+test_server_left_before_restart(void **state)
+{
+	struct net *net = create_converged(30);
+	struct expected left = {"n009", MEMBER_ALIVE, BACKEND_DRAINING};
+	struct expected ready = {"n009", MEMBER_ALIVE, BACKEND_READY};
+	uint32_t i;
+
+	(void)state;
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_READY, 77, 5, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_DRAINING, 77, 5, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
+	net->nodes[9].up = false;
+	run(net, 2 * SECOND_US);
+	membership_free(&net->nodes[9].m);
+	start_node(net, 9, 2);
+	run(net, SECOND_US);
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_READY, 77, 5, net->now_us);
+	run(net, SECOND_US);
+	assert_int_equal(net->nodes[9].server_left, 77);
+	for (i = 0; i < net->count; i++)
+		assert_true(i == 9 || !sees_member(&net->nodes[i], &ready));
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_DRAINING, 77, 5, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
+	membership_set_backend(
+	    &net->nodes[9].m, "s", BACKEND_READY, 78, 5, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
+	free_net(net);
+}
+
 /// Regions merge without intervention after a partition of almost an hour.
 static void
 test_region_partition_heals(void **state)
@@ -526,6 +572,7 @@
 	    cmocka_unit_test(test_failure_is_detected),
 	    cmocka_unit_test(test_no_false_failure),
 	    cmocka_unit_test(test_restart),
+	    cmocka_unit_test(test_server_left_before_restart),
 	    cmocka_unit_test(test_region_partition_heals),
 	    cmocka_unit_test(test_version_spreads),
 	    cmocka_unit_test(test_idle_traffic_is_constant),
