fix(gossip): a message with long names is cut, not dropped

Problem: found while adding to the member record. A gossip message that does not fit a datagram (1,400 bytes) was dropped without a word: with names of 39 characters, from five updates on. Changes then spread by table exchanges only.

Solution: the last updates are left out until it fits.

Result: unit.test_wire test_long_gossip_is_cut fails before and passes after; test_gossip_fits_datagram holds with the new field at its largest.

--- a/src/wire/gossip_codec.c
+++ b/src/wire/gossip_codec.c
@@ -68,6 +68,11 @@
 	m.updates.items = updates;
 	m.updates.count = g->update_count;
 	message_pack(out, MESSAGE_GOSSIP, &m);
+	while (out->size > DATAGRAM_MAX_BYTES && m.updates.count > 0) {
+		m.updates.count--;
+		msgpack_sbuffer_clear(out);
+		message_pack(out, MESSAGE_GOSSIP, &m);
+	}
 }
 
 int
--- a/src/wire/gossip_codec.h
+++ b/src/wire/gossip_codec.h
@@ -15,7 +15,8 @@
 int member_from_message(
     const struct message_member *in, struct member *out, struct error *err);
 
-/// Appends an encoded gossip message.
+/// Encodes a gossip message into an empty buffer. Leaves out updates from the
+/// last one on until it fits a datagram; a table exchange repairs the loss.
 void gossip_pack(msgpack_sbuffer *out, const struct gossip *gossip);
 
 /// Copies and validates a received gossip message.
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -152,7 +152,7 @@
 		strcpy(m->dc, "westside-1");
 		strcpy(m->service, "breakbook-edge");
 		m->control_port = m->peer_port = 65535;
-		m->incarnation = m->version = UINT64_MAX;
+		m->incarnation = m->version = m->server = UINT64_MAX;
 		m->revision = m->slots = m->load_pct = UINT32_MAX;
 	}
 	msgpack_sbuffer_init(&out);
@@ -161,6 +161,44 @@
 	msgpack_sbuffer_destroy(&out);
 }
 
+/// With the longest names, a message has as many updates as fit a datagram, and
+/// the sender's record in any case.
+static void
+test_long_gossip_is_cut(void **state)
+{
+	struct gossip g = {
+	    .kind = GOSSIP_NOTICE, .update_count = GOSSIP_MAX_UPDATES};
+	struct gossip got;
+	struct message message;
+	struct error err;
+	msgpack_sbuffer out;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i <= GOSSIP_MAX_UPDATES; i++) {
+		struct member *m =
+		    i == GOSSIP_MAX_UPDATES ? &g.from : &g.updates[i];
+
+		memset(m->name, 'n', sizeof(m->name) - 1);
+		memset(m->region, 'r', sizeof(m->region) - 1);
+		memset(m->dc, 'd', sizeof(m->dc) - 1);
+		memset(m->service, 's', sizeof(m->service) - 1);
+		strcpy(m->host, "255.255.255.255");
+		m->control_port = m->peer_port = 65535;
+		m->incarnation = m->version = m->server = UINT64_MAX;
+		m->revision = m->slots = m->load_pct = UINT32_MAX;
+	}
+	msgpack_sbuffer_init(&out);
+	gossip_pack(&out, &g);
+	assert_true(out.size <= DATAGRAM_MAX_BYTES);
+	assert_int_equal(message_unpack(&message, out.data, out.size, &err), 0);
+	assert_int_equal(gossip_from_message(&message.u.gossip, &got, &err), 0);
+	assert_string_equal(got.from.name, g.from.name);
+	assert_in_range(got.update_count, 4, GOSSIP_MAX_UPDATES - 1);
+	message_free(&message);
+	msgpack_sbuffer_destroy(&out);
+}
+
 int
 main(void)
 {
@@ -169,6 +207,7 @@
 	    cmocka_unit_test(test_truncated_and_corrupted),
 	    cmocka_unit_test(test_gossip),
 	    cmocka_unit_test(test_gossip_fits_datagram),
+	    cmocka_unit_test(test_long_gossip_is_cut),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
