fix(egress): aborting a call keeps no pointer to one that it may free

Solution: each search for a marked call starts anew.

Result: no test shows the fault; functional.gone_*, caller_leaves, requests and deadline_race pass.

--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -319,21 +319,27 @@
 	finish_call(r, &err);
 }
 
-/// Aborts the marked calls, outside of the callbacks of the HTTP client.
+static struct egress_request *
+find_marked(const struct egress *egress)
+{
+	struct egress_request *r = egress->first;
+
+	while (r != NULL && !(r->abort_marked && r->state == REQUEST_RUNNING))
+		r = r->next;
+	return r;
+}
+
+/// Aborts the marked calls, outside of the callbacks of the HTTP client. The slot
+/// that one frees may end others, so each search starts anew.
 static void
 abort_marked(void *arg)
 {
 	struct egress *egress = arg;
-	struct egress_request *r = egress->first;
+	struct egress_request *r;
 
 	egress->abort_deferred = false;
-	while (r != NULL) {
-		struct egress_request *next = r->next;
-
-		if (r->abort_marked && r->state == REQUEST_RUNNING)
-			abort_call(r);
-		r = next;
-	}
+	while ((r = find_marked(egress)) != NULL)
+		abort_call(r);
 	egress->on_slot_free(egress);
 }
 
