fix(http): a Keep-Alive timeout beyond the range of the clock has no effect

A server's Keep-Alive of s overflowed in the computation of the idle deadline (undefined; the sanitizers report it), a negative one set it into the past.

Solution: it counts as an hour at most and 0 at least.

--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -25,6 +25,8 @@
 /// for at least this time.
 #define DEFAULT_KEEP_ALIVE_US (5 * US_PER_S)
 
+#define KEEP_ALIVE_MAX_S 3600
+
 static void
 conn_free(void *arg)
 {
@@ -199,6 +201,10 @@
 	if (at == NULL)
 		return;
 	seconds = strtoll(at + strlen("timeout="), NULL, 10);
+	if (seconds > KEEP_ALIVE_MAX_S)
+		seconds = KEEP_ALIVE_MAX_S;
+	if (seconds < 0)
+		seconds = 0;
 	conn->idle_deadline_us =
 	    loop_now_us(conn->loop) + seconds * US_PER_S * 3 / 4;
 }
