fix(ingress): a deadline beyond the range of the clock is no deadline of now

Solution: values beyond the range of the type become its limits, and only one that is earlier than the route's timeout has an effect; a text that is no number has none.

--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -8,7 +8,6 @@
 #include "proxy/ingress/ingress_request.h"
 
 #define MAX_HEADERS 128
-
 /// Requests have to end this long before the end of a drain.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
 
@@ -44,14 +43,17 @@
 {
 	const char *left =
 	    ingress_find_header(r, r->ingress->dialect->headers.deadline);
-	int64_t deadline_us;
+	int64_t left_ms;
+	char *end;
 
-	if (left != NULL) {
-		deadline_us = r->exchange->arrival_us +
-		    strtoll(left, NULL, 10) * US_PER_MS;
-		if (deadline_us < r->deadline_us)
-			r->deadline_us = deadline_us;
-	}
+	if (left == NULL)
+		return;
+	// Values beyond the range of the type become its limits.
+	left_ms = strtoll(left, &end, 10);
+	if (end != left &&
+	    left_ms < (r->deadline_us - r->exchange->arrival_us) / US_PER_MS)
+		r->deadline_us = r->exchange->arrival_us +
+		    (left_ms > 0 ? left_ms * US_PER_MS : 0);
 }
 
 static int
