--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -7,7 +7,6 @@
 #include "proxy/headers.h"
 #include "proxy/ingress/ingress_request.h"
 
-#define MAX_HEADERS 128
 /// Requests have to end this long before the end of a drain.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
 
@@ -147,11 +146,6 @@
 		return;
 	}
 	http_exchange_visit_headers(exchange, collect_header, r);
-	if (r->headers.count > MAX_HEADERS) {
-		ingress_conclude(
-		    r, 431, ingress_not_run_outcome(r), 0, "too many headers");
-		return;
-	}
 	if (ingress->drain_deadline_us != 0 &&
 	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
