fix(ingress): a response whose head is too large is answered, all headers are passed on

The HTTP library has 32 KB for the heads of a request and its response. If they did not fit, the server had run the request and the client's connection was closed without an answer (LOST). Besides, response headers beyond 160 were dropped, the signature perhaps among them (MIXED).

Solution: a head that does not fit is answered 502 with an unknown outcome; the headers of a response are not limited in number.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -13,9 +13,8 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 
-#define CONNECTION_MEMORY_BYTES (32 * 1024)
-#define CALLER_SCAN_US		(100 * US_PER_MS)
-#define MAX_RUNS_PER_ITERATION	16
+#define CALLER_SCAN_US	       (100 * US_PER_MS)
+#define MAX_RUNS_PER_ITERATION 16
 
 COUNTER_DEFINE(count_abandoned, "http_requests_abandoned",
     "Requests whose callers had left before they were read");
@@ -206,30 +205,12 @@
 	return MHD_YES;
 }
 
-static enum MHD_Result
-add_header_bytes(
-    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-	int64_t *sum_bytes = cls;
-
-	(void)kind;
-	// The 4 bytes are the colon, the space and CRLF.
-	*sum_bytes += (int64_t)strlen(name) + 4;
-	if (value != NULL)
-		*sum_bytes += (int64_t)strlen(value);
-	return MHD_YES;
-}
-
 static bool
 head_is_too_large(const struct exchange *x)
 {
-	int64_t sum_bytes = (int64_t)strlen(x->pub.target);
+	int64_t max_bytes = x->pub.httpd->limits.max_header_bytes;
 
-	if (x->pub.httpd->limits.max_header_bytes == 0)
-		return false;
-	MHD_get_connection_values(
-	    x->connection, MHD_HEADER_KIND, add_header_bytes, &sum_bytes);
-	return sum_bytes > x->pub.httpd->limits.max_header_bytes;
+	return max_bytes != 0 && exchange_head_bytes(x, 0) > max_bytes;
 }
 
 static enum MHD_Result
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -95,6 +95,11 @@
 	const char *value;
 };
 
+/// Returns whether a response head fits the memory of the connection, beside the
+/// head of the request. The connection would be closed without a response.
+bool http_exchange_head_fits(const struct http_exchange *exchange,
+    const struct http_header *headers, size_t header_count);
+
 /// Responds with a complete body, which is copied.
 void http_exchange_respond(struct http_exchange *exchange, uint32_t status,
     const struct http_header *headers, size_t header_count, const char *body,
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -7,6 +7,13 @@
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
 
+/// Memory that the library takes for each header of a request besides its text.
+#define HEADER_ENTRY_BYTES 64
+
+/// Request line, status line, and the headers that the library adds to a
+/// response, with some space for alignment.
+#define LINES_BYTES 192
+
 struct exchange *
 exchange_of(struct http_exchange *pub)
 {
@@ -68,6 +75,54 @@
 	    x->connection, MHD_HEADER_KIND, visit_header, &visit);
 }
 
+struct head_size {
+	int64_t sum_bytes;
+	int64_t per_header_bytes;
+};
+
+/// The colon, the space and CRLF.
+#define HEADER_FRAME_BYTES 4
+
+static enum MHD_Result
+add_header_bytes(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	struct head_size *size = cls;
+
+	(void)kind;
+	size->sum_bytes +=
+	    (int64_t)strlen(name) + HEADER_FRAME_BYTES + size->per_header_bytes;
+	if (value != NULL)
+		size->sum_bytes += (int64_t)strlen(value);
+	return MHD_YES;
+}
+
+int64_t
+exchange_head_bytes(const struct exchange *x, int64_t per_header_bytes)
+{
+	struct head_size size = {
+	    (int64_t)strlen(x->pub.target), per_header_bytes};
+
+	MHD_get_connection_values(
+	    x->connection, MHD_HEADER_KIND, add_header_bytes, &size);
+	return size.sum_bytes;
+}
+
+bool
+http_exchange_head_fits(const struct http_exchange *exchange,
+    const struct http_header *headers, size_t header_count)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+	int64_t left_bytes = CONNECTION_MEMORY_BYTES - LINES_BYTES -
+	    exchange_head_bytes(x, HEADER_ENTRY_BYTES);
+	size_t i;
+
+	for (i = 0; i < header_count; i++)
+		left_bytes -= (int64_t)(strlen(headers[i].name) +
+		    strlen(headers[i].value) + HEADER_FRAME_BYTES);
+	return left_bytes >= 0;
+}
+
 /// Stores the response, which is queued when the library next processes the
 /// connection.
 static void
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -7,6 +7,9 @@
 
 #include "io/http/httpd.h"
 
+/// Memory of a connection: the heads of a request and its response.
+#define CONNECTION_MEMORY_BYTES (32 * 1024)
+
 struct httpd {
 	struct loop *loop;
 	struct MHD_Daemon *daemon;
@@ -48,6 +51,11 @@
 /// Returns the exchange that contains a public part.
 struct exchange *exchange_of(struct http_exchange *pub);
 
+/// Returns the size of the request head.
+///
+/// @param per_header_bytes  added for each header
+int64_t exchange_head_bytes(const struct exchange *x, int64_t per_header_bytes);
+
 /// Suspends reading and writing on the connection of an exchange.
 void exchange_suspend(struct exchange *x);
 
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -11,63 +11,91 @@
 
 /// Longest time to avoid an endpoint whose queue was full: after that, what it
 /// reported of its queue is stale.
-#define BUSY_MAX_US	     (100 * US_PER_MS)
-#define MAX_RESPONSE_HEADERS 160
+#define BUSY_MAX_US (100 * US_PER_MS)
 
 COUNTER_DEFINE(count_responses, "ingress_responses", "Responses passed on");
 
-/// Converts the headers of a response for the HTTP server. Names and values are
-/// copied into text, which the caller frees.
-static size_t
-copy_headers(const struct dialect *dialect, const struct list *from,
-    struct http_header *out, char **text)
+/// Headers of a response, for the HTTP server.
+struct response_headers {
+	struct http_header *items;
+	size_t count;
+	char *text; ///< Of all names and values.
+};
+
+static struct response_headers
+copy_headers(const struct dialect *dialect, const struct list *from)
 {
+	struct response_headers out = {
+	    .items = calloc(from->count + 1, sizeof(*out.items))};
 	const struct message_header *h = from->items;
 	size_t text_bytes = 1;
-	size_t count = 0;
+	struct http_header *next = out.items;
 	uint32_t i;
 	char *at;
 
 	for (i = 0; i < from->count; i++)
 		text_bytes += h[i].name.size_bytes + h[i].value.size_bytes + 2;
-	at = *text = malloc(text_bytes);
-	assert(at != NULL);
-	for (i = 0; i < from->count && count < MAX_RESPONSE_HEADERS; i++) {
+	at = out.text = malloc(text_bytes);
+	assert(at != NULL && out.items != NULL);
+	for (i = 0; i < from->count; i++) {
 		if (!dialect->passes_internal_headers &&
 		    headers_is_internal(&dialect->headers, h[i].name))
 			continue;
 		memcpy(at, h[i].name.data, h[i].name.size_bytes);
 		at[h[i].name.size_bytes] = '\0';
-		out[count].name = at;
+		next->name = at;
 		at += h[i].name.size_bytes + 1;
 		memcpy(at, h[i].value.data, h[i].value.size_bytes);
 		at[h[i].value.size_bytes] = '\0';
-		out[count++].value = at;
+		next->value = at;
 		at += h[i].value.size_bytes + 1;
+		next++;
 	}
-	return count;
+	out.count = (size_t)(next - out.items);
+	return out;
 }
 
 static void
+free_headers(struct response_headers *headers)
+{
+	free(headers->items);
+	free(headers->text);
+}
+
+/// Forwards a response, or its start.
+///
+/// @return whether its head fits the connection
+static bool
 forward_response(struct ingress_request *r, const struct message_response *m)
 {
-	struct http_header headers[MAX_RESPONSE_HEADERS];
-	char *text;
-	size_t count =
-	    copy_headers(r->ingress->dialect, &m->headers, headers, &text);
+	struct response_headers headers =
+	    copy_headers(r->ingress->dialect, &m->headers);
+	bool fits =
+	    http_exchange_head_fits(r->exchange, headers.items, headers.count);
 
+	if (!fits)
+		goto out;
 	counter_add(&count_responses, 1);
 	ingress_log_forwarded(r, m);
 	if (!m->more)
-		http_exchange_respond(r->exchange, m->status, headers, count,
-		    m->body.data, m->body.size_bytes);
+		http_exchange_respond(r->exchange, m->status, headers.items,
+		    headers.count, m->body.data, m->body.size_bytes);
 	else {
-		http_exchange_respond_start(
-		    r->exchange, m->status, headers, count, m->total_bytes);
+		http_exchange_respond_start(r->exchange, m->status,
+		    headers.items, headers.count, m->total_bytes);
 		http_exchange_respond_body(
 		    r->exchange, m->body.data, m->body.size_bytes);
 	}
-	free(text);
+out:
+	free_headers(&headers);
+	return fits;
+}
+
+static void
+conclude_large_head(struct ingress_request *r)
+{
+	ingress_conclude(r, 502, OUTCOME_UNKNOWN, 0,
+	    "the head of the response is too large");
 }
 
 /// Marks an endpoint that refused for lack of room as busy for such requests.
@@ -122,7 +150,11 @@
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
 		r->state = ATTEMPT_STREAMING;
 		loop_timer_clear(r->ingress->loop, &r->timer);
-		forward_response(r, m);
+		if (forward_response(r, m))
+			return;
+		ingress_send_cancel(r, false);
+		ingress_attempt_end(r, false);
+		conclude_large_head(r);
 		return;
 	}
 	if (m->outcome == OUTCOME_ANSWERED) {
@@ -137,9 +169,10 @@
 			ingress_attempt_start(r);
 			return;
 		}
-		if (r->exchange != NULL)
-			forward_response(r, m);
-		ingress_request_free(r);
+		if (r->exchange != NULL && !forward_response(r, m))
+			conclude_large_head(r);
+		else
+			ingress_request_free(r);
 		return;
 	}
 	ingress_attempt_end(r, failed);
--- /dev/null
+++ b/test/fakes/odd_server.pl
@@ -0,0 +1,58 @@
+# A backend server for functional tests whose answers are set by the path of each
+# request, one process a connection:
+#
+#   perl odd_server.pl HOST PORT ID
+#
+# /SERVICE/OPTION=VALUE,.../...: status, bytes (of the body), headers (their number),
+# header (bytes of one more), keep (value of Keep-Alive). Each request that arrives is
+# a line on standard output: method, path, and number of its headers.
+use strict;
+use warnings;
+use IO::Socket::INET;
+
+my ($host, $port, $id) = @ARGV;
+$SIG{PIPE} = "IGNORE";
+$SIG{CHLD} = "IGNORE";
+$| = 1;
+my $listener = IO::Socket::INET->new(LocalAddr => $host, LocalPort => $port,
+    Listen => 50, ReuseAddr => 1) or die "listen: $!";
+
+sub answer {
+	my ($client, $head) = @_;
+	my ($method, $path) = $head =~ /^(\S+) (\S+)/;
+	my %set = (status => 200, bytes => 3, headers => 0, header => 0);
+	my ($options) = $path =~ m{^/\w+/([^/]*)};
+	$set{$1} = $2 while ($options // "") =~ /(\w+)=([^,]*)/g;
+	my ($try) = $head =~ /^\S+-(?:Attempt|Request)-Id: (\S+)\r$/mi;
+	my $count = () = $head =~ /\n/g;
+	printf "%s %s %d\n", $method, $path, $count - 1;
+	my $text = "HTTP/1.1 $set{status} Status\r\n";
+	$text .= "X-Magnoliavalve-Attempt-Id: $try\r\n" .
+	    "Magnolia-Request-Id: $try\r\n" if defined $try;
+	$text .= "X-Magnoliavalve-Instance-Id: $id\r\n" .
+	    "Content-Length: $set{bytes}\r\n";
+	$text .= "X-Filler-$_: $_\r\n" for 1 .. $set{headers};
+	$text .= "X-Large: " . "a" x $set{header} . "\r\n" if $set{header};
+	$text .= "Keep-Alive: $set{keep}\r\n" if defined $set{keep};
+	$text .= "X-Magnoliavalve-Response-Signature: 1.2\r\n";
+	print $client "$text\r\n" . "a" x $set{bytes};
+}
+
+while (1) {
+	my $client = $listener->accept or next;
+	next if fork;
+	my $in = "";
+	while (sysread $client, $in, 65536, length $in) {
+		while ($in =~ s/^(.*?\r\n)\r\n//s) {
+			my $head = $1;
+			my ($left) = $head =~ /^Content-Length: (\d+)/mi;
+			$left //= 0;
+			while (length $in < $left) {
+				sysread $client, $in, 65536, length $in or exit;
+			}
+			substr $in, 0, $left, "";
+			answer($client, $head);
+		}
+	}
+	exit;
+}
