fix(config): rules that were overtaken on their way are no failure of their holder

Solution: such a pull is overtaken, not failed, if rules were adopted since its start.

Result: unit.test_distribution test_overtaken_pulls: without the distinction the first such pull makes the next one wait; with it twelve in a row start at once. A holder that has not what it claims is left out as before.

--- a/src/core/membership/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -155,8 +155,8 @@
 }
 
 void
-version_sync_finish_pull(struct version_sync *vs, bool ok, int64_t cost_us,
-    int64_t wait_us, int64_t now_us)
+version_sync_finish_pull(struct version_sync *vs, enum pull_result result,
+    int64_t cost_us, int64_t wait_us, int64_t now_us)
 {
 	int64_t rest_us = cost_us * VERSION_SYNC_REST_FACTOR;
 
@@ -165,7 +165,10 @@
 	vs->pulling = false;
 	vs->pull_deadline_us = DEADLINE_NONE;
 	vs->retry_deadline_us = now_us;
-	if (ok) {
+	if (result == PULL_OVERTAKEN &&
+	    vs->have_version > vs->pulling_at_version)
+		return;
+	if (result == PULL_ADOPTED) {
 		vs->failures = 0;
 		if (rest_us > VERSION_SYNC_REST_MAX_US)
 			rest_us = VERSION_SYNC_REST_MAX_US;
@@ -232,7 +235,7 @@
 	int64_t next_us;
 
 	if (vs->pulling && now_us >= vs->pull_deadline_us)
-		version_sync_finish_pull(vs, false, 0, 0, now_us);
+		version_sync_finish_pull(vs, PULL_FAILED, 0, 0, now_us);
 	if (vs->pulling)
 		return vs->pull_deadline_us;
 	holder = choose_holder(vs, now_us, &next_us);
@@ -240,6 +243,7 @@
 		return next_us;
 	vs->pulling = true;
 	vs->pulling_from = *holder;
+	vs->pulling_at_version = vs->have_version;
 	vs->pull_deadline_us = now_us + vs->pull_timeout_us;
 	vs->ops->pull(vs, &vs->pulling_from);
 	return vs->pull_deadline_us;
--- a/src/core/membership/version_sync.h
+++ b/src/core/membership/version_sync.h
@@ -37,6 +37,16 @@
 	int64_t retry_deadline_us; ///< Earliest time of the next pull.
 };
 
+/// How a pull ended.
+enum pull_result {
+	PULL_ADOPTED, ///< Newer rules arrived and were adopted.
+	/// The holder answered with rules that are not newer, or with a
+	/// difference to other rules. Counts as failed if no rules were adopted
+	/// since the start of the pull, which explains it.
+	PULL_OVERTAKEN,
+	PULL_FAILED,
+};
+
 struct version_sync_ops {
 	/// Starts a pull. The owner reports its end to
 	/// version_sync_finish_pull.
@@ -58,6 +68,7 @@
 	bool pulling;
 	int64_t pull_deadline_us;
 	struct holder pulling_from;
+	uint64_t pulling_at_version;  ///< In force here at the start of it.
 	int64_t adoption_deadline_us; ///< Earliest next adoption.
 	uint32_t failures;	      ///< Consecutive.
 	int64_t retry_deadline_us;
@@ -78,11 +89,11 @@
 
 /// Ends the pull in progress.
 ///
-/// @param ok       whether newer rules arrived and were adopted
-/// @param cost_us  time that parsing and adopting them took
-/// @param wait_us  retry delay requested by the holder; 0: default backoff
-void version_sync_finish_pull(struct version_sync *vs, bool ok, int64_t cost_us,
-    int64_t wait_us, int64_t now_us);
+/// @param cost_us  time that parsing and adopting the rules took
+/// @param wait_us  retry delay after a failure, requested by the holder; 0:
+///                 default backoff
+void version_sync_finish_pull(struct version_sync *vs, enum pull_result result,
+    int64_t cost_us, int64_t wait_us, int64_t now_us);
 
 /// Starts a pull if one is due.
 ///
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -75,6 +75,26 @@
 	return true;
 }
 
+/// Failures in a row from which on the wait of the next pull is logged.
+#define LOGGED_FAILURES 3
+
+static void
+log_failures(const struct control *control, int64_t wait_us)
+{
+	const struct version_sync *sync = &control->sync;
+	struct log_line line;
+
+	if (sync->failures < LOGGED_FAILURES)
+		return;
+	log_begin(&line, LOG_INFO, "config", "Pulls of rules keep failing.");
+	log_number(&line, "failures", sync->failures);
+	log_text(&line, "from", sync->pulling_from.host);
+	log_number(&line, "wanted", (int64_t)sync->pulling_from.version);
+	log_number(&line, "have", (int64_t)sync->have_version);
+	log_ms(&line, "asked_to_wait_ms", wait_us);
+	log_end(&line);
+}
+
 static void
 on_pulled(void *arg, const struct message *answer, const struct error *err)
 {
@@ -84,8 +104,8 @@
 	int64_t started_us = clock_now_us();
 	struct rules *rules;
 	struct error rules_err;
+	enum pull_result result = PULL_FAILED;
 	int64_t wait_us = 0;
-	bool ok = false;
 
 	if (answer == NULL)
 		log_error(LOG_INFO, "config", "Failed to pull rules", err);
@@ -96,12 +116,14 @@
 		if (rules != NULL) {
 			counter_add(&count_bytes, rules_message_bytes(answer));
 			control->refused_delta = false;
-			ok = adopt_rules(control, rules);
-		} else if (rules_err.code == ERR_CONFLICT)
+			result = adopt_rules(control, rules) ? PULL_ADOPTED
+							     : PULL_OVERTAKEN;
+		} else if (rules_err.code == ERR_CONFLICT) {
 			// The delta's base was replaced since the request.
 			log_error(LOG_DEBUG, "config", "Ignored outdated rules",
 			    &rules_err);
-		else if (rules_err.code != ERR_NONE) {
+			result = PULL_OVERTAKEN;
+		} else if (rules_err.code != ERR_NONE) {
 			counter_add(&count_refused, 1);
 			control->refused_delta = true;
 			log_error(LOG_ERROR, "config", "Refused pulled rules",
@@ -110,9 +132,11 @@
 	}
 	free(call);
 	if (newest)
-		version_sync_finish_pull(&control->sync, ok,
+		version_sync_finish_pull(&control->sync, result,
 		    clock_now_us() - started_us, wait_us,
 		    loop_now_us(control->loop));
+	if (newest && result == PULL_FAILED)
+		log_failures(control, wait_us);
 	control_tick(control);
 }
 
--- a/test/unit/test_distribution.c
+++ b/test/unit/test_distribution.c
@@ -85,10 +85,10 @@
 	version_sync_add_holder(&vs, &b, 0, SECOND_US);
 	version_sync_tick(&vs, SECOND_US);
 	assert_string_equal(last_pull.host, "a");
-	version_sync_finish_pull(&vs, false, 0, 0, SECOND_US);
+	version_sync_finish_pull(&vs, PULL_FAILED, 0, 0, SECOND_US);
 	version_sync_tick(&vs, SECOND_US);
 	assert_string_equal(last_pull.host, "b");
-	version_sync_finish_pull(&vs, false, 0, 7 * SECOND_US, SECOND_US);
+	version_sync_finish_pull(&vs, PULL_FAILED, 0, 7 * SECOND_US, SECOND_US);
 	next_us = version_sync_tick(&vs, SECOND_US);
 	assert_in_range(next_us, SECOND_US + 1, SECOND_US + 5 * SECOND_US);
 	version_sync_tick(&vs, next_us);
@@ -98,6 +98,36 @@
 	assert_true(pulls >= 3);
 }
 
+/// Rules that were overtaken on their way are no failure of their holder: however
+/// many pulls end so, the next one starts at once.
+static void
+test_overtaken_pulls(void **state)
+{
+	struct holder a = make_holder("a", 5, DISTANCE_DC);
+	struct version_sync vs;
+	uint32_t i;
+
+	(void)state;
+	init_sync(&vs);
+	version_sync_add_holder(&vs, &a, 0, SECOND_US);
+	for (i = 0; i < 12; i++) {
+		version_sync_tick(&vs, SECOND_US);
+		assert_true(vs.pulling);
+		// An earlier pull brings the version meanwhile, and the holder
+		// has the next one already.
+		a.version++;
+		version_sync_add_holder(&vs, &a, 0, SECOND_US);
+		version_sync_set_version(&vs, a.version - 1);
+		version_sync_finish_pull(&vs, PULL_OVERTAKEN, 0, 0, SECOND_US);
+	}
+	version_sync_tick(&vs, SECOND_US);
+	assert_true(vs.pulling);
+	// Nothing was adopted meanwhile: the holder has not what it claims.
+	version_sync_finish_pull(&vs, PULL_OVERTAKEN, 0, 0, SECOND_US);
+	version_sync_tick(&vs, SECOND_US);
+	assert_false(vs.pulling);
+}
+
 /// A member that waits for its turn to pull one version from a remote holder has
 /// the first turn at the next version, and takes it.
 static void
@@ -137,7 +167,8 @@
 		if (vs.pulling) {
 			assert_int_equal(last_pull.version, near.version);
 			version_sync_set_version(&vs, near.version);
-			version_sync_finish_pull(&vs, true, cost_us, 0, now_us);
+			version_sync_finish_pull(
+			    &vs, PULL_ADOPTED, cost_us, 0, now_us);
 		}
 		now_us += SECOND_US / 10;
 	}
@@ -316,6 +347,7 @@
 	    cmocka_unit_test(test_single_remote_pull),
 	    cmocka_unit_test(test_failures),
 	    cmocka_unit_test(test_first_turn_at_next_version),
+	    cmocka_unit_test(test_overtaken_pulls),
 	    cmocka_unit_test(test_storm_of_versions),
 	    cmocka_unit_test(test_outdated_holder),
 	    cmocka_unit_test(test_compare_and_set),
--- a/test/unit/test_rules_storm.c
+++ b/test/unit/test_rules_storm.c
@@ -265,8 +265,9 @@
 	if (newer)
 		put_in_force(p, e->vm, e->file);
 	if (e->sequence == vm->pull_sequence)
-		version_sync_finish_pull(
-		    &vm->sync, newer, ADOPTION_US, 0, p->now_us);
+		version_sync_finish_pull(&vm->sync,
+		    newer ? PULL_ADOPTED : PULL_OVERTAKEN, ADOPTION_US, 0,
+		    p->now_us);
 	rule_file_unref(e->file);
 }
 
@@ -293,8 +294,8 @@
 		break;
 	case EVENT_BUSY:
 		if (e->sequence == p->vms[e->vm].pull_sequence)
-			version_sync_finish_pull(&p->vms[e->vm].sync, false, 0,
-			    e->wait_us, p->now_us);
+			version_sync_finish_pull(&p->vms[e->vm].sync,
+			    PULL_FAILED, 0, e->wait_us, p->now_us);
 		break;
 	case EVENT_ANSWER:
 		next = add_event(
