--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -239,6 +239,28 @@
 	    "$MESH_DIR/backend-$mesh_backend_n.json"
 }
 
+# Starts a server whose answers the paths of the requests set, on node N. Its output
+# is appended to ran-N.
+mesh_odd_server() { # N
+	perl test/fakes/odd_server.pl "$(mesh_host "$1")" $PORT_HTTP "i-$1" \
+	    >>"$MESH_DIR/ran-$1" &
+	echo $! >"$MESH_DIR/server-$1.pid"
+}
+
+# Makes a call of a server in the users' dialect to the proxy of node N, and prints
+# the status of its response.
+mesh_call_proxy() { # N ID CALL BODY
+	curl -s -m 4 -o /dev/null -w '%{http_code}\n' -X POST -d "$4" \
+	    "http://$(mesh_host "$1"):$PORT_ADMIN/api/instances/$2/$3"
+}
+
+mesh_beat() { # N ID SERVICE ADDRESS BORN SEQUENCE [STATE]
+	mesh_call_proxy "$1" "$2" heartbeat "{\"service\": \"$3\",
+	    \"address\": \"$4\", \"zone\": \"z\", \"version\": \"v1\",
+	    \"slots\": 9, \"state\": \"${7:-ready}\", \"coldRemainingMs\": 0,
+	    \"born\": $5, \"sequence\": $6}"
+}
+
 mesh_ctl() { "$MESH_BIN/mvctl" --source "$(mesh_operators)" "$@"; }
 
 # Writes the rules of plain.mv as version V and prints the name of the file.
--- a/test/functional/left_before_restart.sh
+++ b/test/functional/left_before_restart.sh
@@ -4,47 +4,8 @@
 . scripts/mesh.sh
 mesh_init "$BUILD"
 
-# A backend server that prints the path of each request.
-serve() { # N
-	perl -MIO::Socket::INET -MIO::Select -e '
-		my ($host, $port, $id) = @ARGV;
-		$SIG{PIPE} = "IGNORE";
-		$| = 1;
-		my $l = IO::Socket::INET->new(LocalAddr => $host,
-		    LocalPort => $port, Listen => 50, ReuseAddr => 1) or
-		    die "listen: $!";
-		my $s = IO::Select->new($l);
-		my %in;
-		while (1) {
-			for my $c ($s->can_read(1)) {
-				if ($c == $l) { $s->add($l->accept); next; }
-				if (!sysread($c, my $bytes, 65536)) {
-					$s->remove($c); close $c; next;
-				}
-				else { $in{$c} .= $bytes; }
-				next unless $in{$c} =~ s/^\w+ (\S+)(.*?)\r\n\r\n//s;
-				my ($path, $head) = ($1, $2);
-				my ($try) = $head =~ /Attempt-Id: (\S+)/i;
-				print "$path\n";
-				syswrite $c, "HTTP/1.1 200 OK\r\n" .
-				    "X-Magnoliavalve-Attempt-Id: $try\r\n" .
-				    "X-Magnoliavalve-Response-Signature: 1.2\r\n" .
-				    "Content-Length: 3\r\n\r\nok\n";
-			}
-		}' "$(mesh_host "$1")" $PORT_HTTP "i-$1" >>"$MESH_DIR/ran-$1" &
-	echo $! >"$MESH_DIR/server-$1.pid"
-}
-
-call_proxy() { # N ID CALL BODY
-	curl -s -o /dev/null -w '%{http_code}\n' -X POST -d "$4" \
-	    "http://$(mesh_host "$1"):$PORT_ADMIN/api/instances/$2/$3"
-}
-
-beat() { # N BORN SEQUENCE
-	call_proxy "$1" "i-$1" heartbeat "{\"service\": \"work\",
-	    \"address\": \"$(mesh_host "$1"):$PORT_HTTP\", \"zone\": \"z\",
-	    \"version\": \"v1\", \"slots\": 9, \"state\": \"ready\",
-	    \"coldRemainingMs\": 0, \"born\": $2, \"sequence\": $3}"
+beat() { # N BORN SEQUENCE [STATE]
+	mesh_beat "$1" "i-$1" work "$(mesh_host "$1"):$PORT_HTTP" "$2" "$3" "${4:-ready}"
 }
 
 # Sends requests through proxies 1 and 2; prints how many server 1 got.
@@ -69,7 +30,7 @@
 
 MESH_PROXY_EXTRA='"report_ms": 500, "dialect": "platform", "lease_ms": 30000,'
 mesh_source 1 --bootstrap
-for n in 1 2 3; do start_proxy $n; serve $n; done
+for n in 1 2 3; do start_proxy $n; mesh_odd_server $n; done
 mesh_wait 20 mesh_reported 3 || echo "the proxies did not report"
 mesh_ctl apply --wait test/functional/left_before_restart.mv >"$MESH_DIR/apply" ||
     cat "$MESH_DIR/apply"
@@ -82,12 +43,9 @@
 	born=$([ $kind = deregister ] && echo 1000 || echo 2000)
 	beat 1 $born 2
 	if [ $kind = deregister ]; then
-		call_proxy 1 i-1 deregister ""
+		mesh_call_proxy 1 i-1 deregister ""
 	else
-		call_proxy 1 i-1 heartbeat "{\"service\": \"work\",
-		    \"address\": \"$(mesh_host 1):$PORT_HTTP\", \"zone\": \"z\",
-		    \"version\": \"v1\", \"slots\": 9, \"state\": \"draining\",
-		    \"coldRemainingMs\": 0, \"born\": $born, \"sequence\": 3}"
+		beat 1 $born 3 draining
 	fi
 	sleep 1
 	mesh_stop proxy-1 KILL
--- a/test/functional/odd_heads.sh
+++ b/test/functional/odd_heads.sh
@@ -5,15 +5,11 @@
 mesh_init "$BUILD"
 mesh_source 1 --bootstrap
 mesh_proxy 1 "$(mesh_region 1)" "$(mesh_dc 1)"
-perl test/fakes/odd_server.pl "$(mesh_host 1)" $PORT_HTTP i-1 >"$MESH_DIR/ran" &
-echo $! >"$MESH_DIR/server-1.pid"
+mesh_odd_server 1
 mesh_wait 20 mesh_reported 1 || echo "the proxy did not report"
 mesh_ctl apply --wait test/functional/odd_heads.mv >"$MESH_DIR/apply" ||
     cat "$MESH_DIR/apply"
-curl -s -o /dev/null "http://$(mesh_host 1):$PORT_ADMIN/api/instances/i-1/heartbeat" \
-    -d "{\"service\": \"work\", \"address\": \"$(mesh_host 1):$PORT_HTTP\",
-    \"zone\": \"z\", \"version\": \"v1\", \"slots\": 9, \"state\": \"ready\",
-    \"coldRemainingMs\": 0, \"born\": 1000, \"sequence\": 1}"
+mesh_beat 1 i-1 work "$(mesh_host 1):$PORT_HTTP" 1000 1 >/dev/null
 n=0
 ask() { # OPTIONS [ARGUMENT OF CURL ...]
 	n=$((n + 1))
@@ -46,7 +42,7 @@
 for count in 100 128 129 200 400; do
 	write_headers $count 3
 	echo "$count: $(ask "x" -H @"$MESH_DIR/headers"), arrived" \
-	    "$(tail -1 "$MESH_DIR/ran" | awk -v c=$count '{
+	    "$(tail -1 "$MESH_DIR/ran-1" | awk -v c=$count '{
 		print($3 >= c ? "all" : $3) }')"
 done
 echo "== response headers"
