--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -5,7 +5,7 @@
 packages="libapr1-dev libmsgpack-dev libmicrohttpd-dev libjansson-dev \
 libxxhash-dev libcmocka-dev libgsl-dev libcurl4-openssl-dev \
 libhttp-parser-dev zlib1g-dev libunistring-dev"
-tools="gcc make cmake pkg-config clang-format clang-tidy curl"
+tools="gcc make cmake pkg-config clang-format clang-tidy curl perl"
 
 missing=""
 for p in $packages $tools; do
