--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -247,6 +247,13 @@
 	echo $! >"$MESH_DIR/server-$1.pid"
 }
 
+# Announces the server of node N, of a service.
+mesh_announce() { # N SERVICE
+	curl -s -o /dev/null -X PUT "http://$(mesh_host "$1"):$PORT_ADMIN/announce" \
+	    -d "{\"service\": \"$2\", \"state\": \"ready\", \"lease_ms\": 60000,
+	    \"address\": \"$(mesh_host "$1"):$PORT_HTTP\"}"
+}
+
 # Makes a call of a server in the users' dialect to the proxy of node N, and prints
 # the status of its response.
 mesh_call_proxy() { # N ID CALL BODY
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -131,6 +131,14 @@
 	msgpack_sbuffer_destroy(&out);
 }
 
+static void
+set_largest_numbers(struct member *m)
+{
+	m->control_port = m->peer_port = 65535;
+	m->incarnation = m->version = m->server = UINT64_MAX;
+	m->revision = m->slots = m->load_pct = UINT32_MAX;
+}
+
 /// The largest gossip message with names of common length fits a datagram.
 static void
 test_gossip_fits_datagram(void **state)
@@ -151,9 +159,7 @@
 		strcpy(m->region, "westside");
 		strcpy(m->dc, "westside-1");
 		strcpy(m->service, "breakbook-edge");
-		m->control_port = m->peer_port = 65535;
-		m->incarnation = m->version = m->server = UINT64_MAX;
-		m->revision = m->slots = m->load_pct = UINT32_MAX;
+		set_largest_numbers(m);
 	}
 	msgpack_sbuffer_init(&out);
 	gossip_pack(&out, &g);
@@ -184,9 +190,7 @@
 		memset(m->dc, 'd', sizeof(m->dc) - 1);
 		memset(m->service, 's', sizeof(m->service) - 1);
 		strcpy(m->host, "255.255.255.255");
-		m->control_port = m->peer_port = 65535;
-		m->incarnation = m->version = m->server = UINT64_MAX;
-		m->revision = m->slots = m->load_pct = UINT32_MAX;
+		set_largest_numbers(m);
 	}
 	msgpack_sbuffer_init(&out);
 	gossip_pack(&out, &g);
