feat(replica): a replica says how full its tables are before they are

Solution: gauges replica_streams_used, replica_voters, replica_learners, and a log line when the last free entry is taken.

Result: functional.source_disk_losses expects the line, which the build before does not write; passes.

--- a/src/io/replica/replica_host.c
+++ b/src/io/replica/replica_host.c
@@ -20,6 +20,9 @@
 
 GAUGE_DEFINE(gauge_term, "replica_term", "Term of the replicated log");
 GAUGE_DEFINE(gauge_commit, "replica_commit", "Last committed entry");
+GAUGE_DEFINE(gauge_voters, "replica_voters", "Voters of its config, of 7");
+GAUGE_DEFINE(
+    gauge_learners, "replica_learners", "Learners of its config, of 3");
 GAUGE_DEFINE(gauge_leader, "replica_is_leader", "1 on the leader");
 GAUGE_DEFINE(
     gauge_failed, "replica_storage_failed", "1 while the disk takes no writes");
@@ -169,6 +172,8 @@
 	replica_flush(&host->replica, loop_now_us(host->loop));
 	counter_set(&gauge_term, (int64_t)host->replica.term);
 	counter_set(&gauge_commit, (int64_t)host->replica.commit);
+	counter_set(&gauge_voters, host->replica.config.voter_count);
+	counter_set(&gauge_learners, host->replica.config.learner_count);
 	if (failed || !replica_has_failed(&host->replica))
 		return DEADLINE_NEVER_US;
 	log_error(LOG_ERROR, "replica",
--- a/src/io/replica/replica_streams.c
+++ b/src/io/replica/replica_streams.c
@@ -16,6 +16,9 @@
 COUNTER_DEFINE(count_silent, "replica_silent", "Streams dropped for silence");
 COUNTER_DEFINE(count_reused, "replica_streams_reused",
     "Streams closed in favour of another replica");
+GAUGE_DEFINE(gauge_used, "replica_streams_used",
+    "Entries of the table of streams to replicas in use, of 25");
+_Static_assert(REPLICA_STREAM_COUNT == 25, "the help of the gauge names it");
 
 static void
 on_message(struct stream *stream, struct message *message)
@@ -78,14 +81,23 @@
 		close_stream(&streams->items[i]);
 }
 
+/// Counts an unused entry as used from now on.
+static void
+note_used(struct replica_streams *streams)
+{
+	counter_set(&gauge_used, ++streams->used_count);
+	if (streams->used_count == REPLICA_STREAM_COUNT)
+		log_write(LOG_INFO, "replica",
+		    "The last free entry for a stream to a replica is taken; "
+		    "from now on the one used least recently makes room.");
+}
+
 /// Frees an entry for another replica.
 static void
 release(struct replica_stream *rs)
 {
 	struct log_line line;
 
-	if (rs->id == 0)
-		return;
 	log_begin(&line, LOG_INFO, "replica",
 	    "Dropped the stream of a replica that is no longer used.");
 	log_number(&line, "to", (int64_t)rs->id);
@@ -110,7 +122,10 @@
 		if (rs->last_use < oldest->last_use)
 			oldest = rs;
 	}
-	release(oldest);
+	if (oldest->id == 0)
+		note_used(streams);
+	else
+		release(oldest);
 	oldest->id = id;
 	oldest->redial_deadline_us = 0;
 	return oldest;
--- a/src/io/replica/replica_streams.h
+++ b/src/io/replica/replica_streams.h
@@ -32,6 +32,7 @@
 	void (*receive)(
 	    void *owner, struct stream *stream, const struct message *message);
 	uint64_t use_count;
+	uint32_t used_count; ///< Entries with an id.
 	struct replica_stream items[REPLICA_STREAM_COUNT];
 };
 
--- a/test/functional/source_disk_losses.sh
+++ b/test/functional/source_disk_losses.sh
@@ -33,6 +33,8 @@
 	apply_next
 done
 echo "$losses disks lost in turn"
+grep -qh 'The last free entry for a stream' "$MESH_DIR"/source-*.log &&
+    echo "a source says that it took its last entry"
 a=$((n % 5 + 1))
 mesh_is_leader $a && a=$((a % 5 + 1))
 mesh_stop "source-$n" KILL
