fix(membership): a process answers probes in its own name only

Problem: a probe named no target, so whoever had the address acknowledged it. The record of a VM that is gone stayed alive for as long as another process ran at its address, with its service and slots.

Solution: a probe carries its target's name; a process of another name answers with a notice of itself, and the old record ends by suspicion.

Result: unit.test_membership test_address_used_again fails on the build before (n005 alive after 60 s) and passes.

--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -35,7 +35,7 @@
 	enum gossip_kind kind;
 	uint64_t sequence;
 	uint64_t digest; ///< Of the sender's table.
-	char target[MEMBER_NAME_BYTES];
+	char target[MEMBER_NAME_BYTES]; ///< The member to probe.
 	struct member from;
 	uint32_t update_count;
 	struct member updates[GOSSIP_MAX_UPDATES];
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -178,6 +178,19 @@
 	}
 }
 
+/// Acknowledges a probe of this member. One of another name means that this
+/// process has its address now: the prober gets the local record, and finds out
+/// by the missing acknowledgement that the other member is gone.
+static void
+receive_probe(struct membership *m, const struct gossip *g)
+{
+	bool is_target =
+	    g->target[0] == '\0' || strcmp(g->target, m->self.name) == 0;
+
+	membership_send_to_member(m, &g->from,
+	    is_target ? GOSSIP_ACK : GOSSIP_NOTICE, g->sequence);
+}
+
 static void
 receive_ack(struct membership *m, uint64_t sequence, int64_t now_us)
 {
@@ -239,7 +252,7 @@
 		membership_merge(m, &g->updates[i], now_us);
 	switch (g->kind) {
 	case GOSSIP_PROBE:
-		membership_send_to_member(m, &g->from, GOSSIP_ACK, g->sequence);
+		receive_probe(m, g);
 		break;
 	case GOSSIP_ACK:
 		receive_ack(m, g->sequence, now_us);
--- a/src/core/membership/membership_spread.c
+++ b/src/core/membership/membership_spread.c
@@ -219,6 +219,8 @@
 {
 	struct gossip g = {.kind = kind, .sequence = sequence};
 
+	if (kind == GOSSIP_PROBE)
+		memcpy(g.target, to->name, sizeof(g.target));
 	membership_send_gossip(m, to->host, to->control_port, &g);
 }
 
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -252,6 +252,14 @@
 	return membership_alive_count(&n->m) == *(uint32_t *)arg;
 }
 
+static bool
+knows_gone(const struct net_node *n, void *arg)
+{
+	const struct member *m = membership_find(&n->m, arg);
+
+	return m == NULL || m->status == MEMBER_DEAD;
+}
+
 struct expected {
 	const char *name;
 	enum member_status status;
@@ -313,6 +321,25 @@
 	free_net(net);
 }
 
+/// A VM is gone, and another one starts at its address within moments. The record
+/// of the first one ends like that of any member that is gone: nobody answers in
+/// its name.
+static void
+test_address_used_again(void **state)
+{
+	struct net *net = create_converged(12);
+	uint32_t all = 12;
+
+	(void)state;
+	membership_free(&net->nodes[5].m);
+	start_node(net, 5, 2);
+	strcpy(net->nodes[5].m.self.name, "x005");
+	assert_true(
+	    run_until(net, 60 * SECOND_US, knows_gone, (void *)"n005") >= 0);
+	assert_true(run_until(net, 10 * SECOND_US, knows_count, &all) >= 0);
+	free_net(net);
+}
+
 /// A change of one backend server reaches all members within a few seconds,
 /// even with 20 % packet loss.
 static void
@@ -566,6 +593,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_convergence),
 	    cmocka_unit_test(test_partitioned_start_heals),
+	    cmocka_unit_test(test_address_used_again),
 	    cmocka_unit_test(test_drain_spreads),
 	    cmocka_unit_test(test_missed_change_is_repaired),
 	    cmocka_unit_test(test_indirect_probes),
