fix(wire): a number that its field cannot mean is refused by the field's name

Problem: messages between processes were checked for types only. Times up to the ends of int64 were added to clocks (overflow); a member record with the greatest incarnation could not be refuted by its member, since the next one is 0; a decoder's error gave a field's position, not its name.

Solution: fields are times, counts, sizes or ids (codec.h), each with a range; a member's record is checked field by field, with room above what a process uses itself; a member whose revision is used up takes a new incarnation.

A record with both numbers at their ends is still not refuted until it is forgotten.

--- a/src/core/membership/member.h
+++ b/src/core/membership/member.h
@@ -9,6 +9,15 @@
 #define MEMBER_NAME_BYTES 40
 #define MEMBER_HOST_BYTES 16
 
+/// Greatest incarnation: the year 2112 as the wall clock has it at a start.
+#define MEMBER_MAX_INCARNATION ((uint64_t)1 << 52)
+
+/// Greatest revision. A process that comes to it takes a new incarnation.
+#define MEMBER_MAX_REVISION ((uint32_t)1 << 30)
+
+/// Most requests at a time that a backend server can take.
+#define MEMBER_MAX_SLOTS 100000
+
 enum member_status {
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT,
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -21,7 +21,12 @@
 void
 membership_raise_revision(struct membership *m)
 {
-	m->self.revision++;
+	if (m->self.revision < MEMBER_MAX_REVISION)
+		m->self.revision++;
+	else if (m->self.incarnation < MEMBER_MAX_INCARNATION) {
+		m->self.incarnation++;
+		m->self.revision = 0;
+	}
 	m->self_transmits_left = membership_transmit_limit(m);
 	m->push_self_to_dcs = true;
 }
@@ -58,7 +63,10 @@
 	if (record->server != 0 && record->backend == BACKEND_DRAINING)
 		m->ops->server_left(m, record->server);
 	if (record->incarnation > m->self.incarnation)
-		m->self.incarnation = record->incarnation + 1;
+		m->self.incarnation =
+		    record->incarnation < MEMBER_MAX_INCARNATION
+		    ? record->incarnation + 1
+		    : MEMBER_MAX_INCARNATION;
 	if (m->leaving || !member_supersedes(record, &m->self))
 		return;
 	if (record->revision > m->self.revision)
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -21,9 +21,11 @@
 		msgpack_pack_uint32(pk, *(const uint32_t *)at);
 		break;
 	case CODEC_U64:
+	case CODEC_COUNT:
 		msgpack_pack_uint64(pk, *(const uint64_t *)at);
 		break;
-	case CODEC_I64:
+	case CODEC_TIME:
+	case CODEC_SIZE:
 		msgpack_pack_int64(pk, *(const int64_t *)at);
 		break;
 	case CODEC_BYTES:
@@ -133,27 +135,40 @@
 }
 
 static int
-read_integer(const msgpack_object *o, enum codec_kind kind, void *at)
+read_signed(const msgpack_object *o, enum codec_kind kind, int64_t *out)
+{
+	int64_t value;
+
+	if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		value = o->via.i64;
+	else if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    o->via.u64 <= CODEC_MAX_COUNT)
+		value = (int64_t)o->via.u64;
+	else
+		return -1;
+	if (kind == CODEC_SIZE && value < -1)
+		return -1;
+	if (kind == CODEC_TIME &&
+	    (value < -CODEC_MAX_TIME_US || value > CODEC_MAX_TIME_US))
+		return -1;
+	*out = value;
+	return 0;
+}
+
+static int
+read_unsigned(const msgpack_object *o, enum codec_kind kind, void *out)
 {
-	if (kind == CODEC_I64) {
-		if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-			*(int64_t *)at = o->via.i64;
-		else if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-		    o->via.u64 <= INT64_MAX)
-			*(int64_t *)at = (int64_t)o->via.u64;
-		else
-			return -1;
-		return 0;
-	}
 	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
 		return -1;
-	if (kind == CODEC_U64) {
-		*(uint64_t *)at = o->via.u64;
+	if (kind == CODEC_U32) {
+		if (o->via.u64 > UINT32_MAX)
+			return -1;
+		*(uint32_t *)out = (uint32_t)o->via.u64;
 		return 0;
 	}
-	if (o->via.u64 > UINT32_MAX)
+	if (kind == CODEC_COUNT && o->via.u64 > CODEC_MAX_COUNT)
 		return -1;
-	*(uint32_t *)at = (uint32_t)o->via.u64;
+	*(uint64_t *)out = o->via.u64;
 	return 0;
 }
 
@@ -176,8 +191,11 @@
 	switch (field->kind) {
 	case CODEC_U32:
 	case CODEC_U64:
-	case CODEC_I64:
-		return read_integer(o, field->kind, at);
+	case CODEC_COUNT:
+		return read_unsigned(o, field->kind, at);
+	case CODEC_TIME:
+	case CODEC_SIZE:
+		return read_signed(o, field->kind, at);
 	case CODEC_BYTES:
 		return read_bytes(o, at);
 	case CODEC_LIST:
@@ -211,7 +229,8 @@
 			continue;
 		if (err->code == ERR_NONE)
 			error_set(err, ERR_SYNTAX, "decode", "",
-			    "%s: field %u has the wrong type", schema->name, i);
+			    "%s: %s has a wrong type or value", schema->name,
+			    schema->fields[i].name);
 		return -1;
 	}
 	return 0;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -25,10 +25,18 @@
 	uint32_t count;
 };
 
+/// Largest time in a message, either way. It leaves room to add it to a clock.
+#define CODEC_MAX_TIME_US (366LL * 24 * 3600 * 1000000)
+
+/// Largest count: that of the versions of rule files.
+#define CODEC_MAX_COUNT ((uint64_t)INT64_MAX)
+
 enum codec_kind {
 	CODEC_U32,
-	CODEC_U64,
-	CODEC_I64,
+	CODEC_U64,    ///< Hash or id: any value.
+	CODEC_COUNT,  ///< uint64_t that only increases: 0 to CODEC_MAX_COUNT.
+	CODEC_TIME,   ///< int64_t in microseconds, within CODEC_MAX_TIME_US.
+	CODEC_SIZE,   ///< int64_t in bytes: 0 to CODEC_MAX_COUNT, or -1.
 	CODEC_BYTES,  ///< struct bytes
 	CODEC_LIST,   ///< struct list
 	CODEC_STRUCT, ///< nested struct
@@ -37,6 +45,7 @@
 struct codec_schema;
 
 struct codec_field {
+	const char *name;
 	enum codec_kind kind;
 	size_t offset;
 	const struct codec_schema *schema; ///< Of list items or nested struct.
@@ -87,14 +96,15 @@
 /// @return 0, or -1 if it does not fit or holds a NUL
 int bytes_copy(struct bytes b, char *out, size_t out_bytes);
 
-#define CODEC_FIELD(struct_, kind_, member_)                          \
-	{                                                             \
-		.kind = (kind_), .offset = offsetof(struct_, member_) \
+#define CODEC_FIELD(struct_, kind_, member_)       \
+	{                                          \
+		.name = #member_, .kind = (kind_), \
+		.offset = offsetof(struct_, member_) \
 	}
 #define CODEC_NESTED(struct_, kind_, member_, schema_)                 \
 	{                                                              \
-		.kind = (kind_), .offset = offsetof(struct_, member_), \
-		.schema = (schema_)                                    \
+		.name = #member_, .kind = (kind_),                     \
+		.offset = offsetof(struct_, member_), .schema = (schema_) \
 	}
 #define CODEC_SCHEMA(struct_, fields_)                                \
 	{                                                             \
--- a/src/wire/gossip_codec.c
+++ b/src/wire/gossip_codec.c
@@ -1,5 +1,8 @@
 // Converts between core gossip and wire messages.
+#include <arpa/inet.h>
+#include <inttypes.h>
 #include <string.h>
+#include <unistr.h>
 
 #include "wire/gossip_codec.h"
 
@@ -23,23 +26,62 @@
 	out->version = m->version;
 }
 
+/// Copies a text of a member: UTF-8 that fits, without NUL.
+static int
+read_text(struct bytes text, const char *field, char *out, size_t out_bytes,
+    struct error *err)
+{
+	if (bytes_copy(text, out, out_bytes) != 0)
+		return error_set(err, ERR_INVALID, "decode member", "",
+		    "%s is too long or holds a NUL", field);
+	if (text.size_bytes > 0 &&
+	    u8_check((const uint8_t *)text.data, text.size_bytes) != NULL)
+		return error_set(err, ERR_INVALID, "decode member", "",
+		    "%s is not UTF-8 text", field);
+	return 0;
+}
+
+static int
+check_number(const struct member *m, const char *field, uint64_t value,
+    uint64_t min, uint64_t max, struct error *err)
+{
+	if (value >= min && value <= max)
+		return 0;
+	return error_set(err, ERR_INVALID, "decode member", m->name,
+	    "%s is %" PRIu64 ", not from %" PRIu64 " to %" PRIu64, field, value,
+	    min, max);
+}
+
 int
 member_from_message(
     const struct message_member *in, struct member *out, struct error *err)
 {
+	struct in_addr host;
+
 	memset(out, 0, sizeof(*out));
-	if (in->name.size_bytes == 0 ||
-	    bytes_copy(in->name, out->name, sizeof(out->name)) != 0 ||
-	    bytes_copy(in->host, out->host, sizeof(out->host)) != 0 ||
-	    bytes_copy(in->region, out->region, sizeof(out->region)) != 0 ||
-	    bytes_copy(in->dc, out->dc, sizeof(out->dc)) != 0 ||
-	    bytes_copy(in->service, out->service, sizeof(out->service)) != 0)
-		return error_set(err, ERR_INVALID, "decode member", "",
-		    "name is empty, or a text is too long or holds a NUL");
-	if (in->control_port > UINT16_MAX || in->peer_port > UINT16_MAX ||
-	    in->status > MEMBER_LEFT || in->backend > BACKEND_DRAINING)
+#define TEXT(field_) \
+	read_text(in->field_, #field_, out->field_, sizeof(out->field_), err)
+	if (TEXT(name) != 0 || TEXT(host) != 0 || TEXT(region) != 0 ||
+	    TEXT(dc) != 0 || TEXT(service) != 0)
+		return -1;
+#undef TEXT
+	if (out->name[0] == '\0')
+		return error_set(
+		    err, ERR_INVALID, "decode member", "", "name is empty");
+	if (inet_pton(AF_INET, out->host, &host) != 1)
 		return error_set(err, ERR_INVALID, "decode member", out->name,
-		    "member has a value out of range");
+		    "host is not an IPv4 address");
+#define NUMBER(field_, min_, max_) \
+	check_number(out, #field_, in->field_, min_, max_, err)
+	if (NUMBER(control_port, 1, UINT16_MAX) != 0 ||
+	    NUMBER(peer_port, 1, UINT16_MAX) != 0 ||
+	    NUMBER(incarnation, 0, MEMBER_MAX_INCARNATION) != 0 ||
+	    NUMBER(revision, 0, MEMBER_MAX_REVISION) != 0 ||
+	    NUMBER(status, 0, MEMBER_LEFT) != 0 ||
+	    NUMBER(backend, 0, BACKEND_DRAINING) != 0 ||
+	    NUMBER(slots, 0, MEMBER_MAX_SLOTS) != 0)
+		return -1;
+#undef NUMBER
 	out->control_port = in->control_port;
 	out->peer_port = in->peer_port;
 	out->incarnation = in->incarnation;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -12,14 +12,14 @@
     F(message_member, BYTES, service),
     F(message_member, U32, control_port),
     F(message_member, U32, peer_port),
-    F(message_member, U64, incarnation),
+    F(message_member, COUNT, incarnation),
     F(message_member, U32, revision),
     F(message_member, U32, status),
     F(message_member, U32, backend),
     F(message_member, U64, server),
     F(message_member, U32, slots),
     F(message_member, U32, load_pct),
-    F(message_member, U64, version),
+    F(message_member, COUNT, version),
 };
 const struct codec_schema message_member_schema =
     CODEC_SCHEMA(struct message_member, member_fields);
@@ -37,7 +37,7 @@
 
 static const struct codec_field summary_fields[] = {
     F(message_summary, U64, name_hash),
-    F(message_summary, U64, incarnation),
+    F(message_summary, COUNT, incarnation),
     F(message_summary, U32, revision),
     F(message_summary, U32, status),
 };
@@ -69,8 +69,8 @@
     CODEC_SCHEMA(struct message_address, address_fields);
 
 static const struct codec_field report_answer_fields[] = {
-    F(message_report_answer, U64, accepted_version),
-    F(message_report_answer, U64, version_seen),
+    F(message_report_answer, COUNT, accepted_version),
+    F(message_report_answer, COUNT, version_seen),
     F(message_report_answer, BYTES, host),
     F(message_report_answer, U32, control_port),
     F(message_report_answer, BYTES, region),
@@ -91,7 +91,7 @@
 
 static const struct codec_field pull_fields[] = {
     F(message_pull, BYTES, from),
-    F(message_pull, U64, have_version),
+    F(message_pull, COUNT, have_version),
     F(message_pull, U64, have_hash),
     F(message_pull, U32, mean_lines),
     N(message_pull, LIST, blocks, &block_schema),
@@ -101,7 +101,7 @@
     CODEC_SCHEMA(struct message_pull, pull_fields);
 
 static const struct codec_field rules_fields[] = {
-    F(message_rules, U64, version),
+    F(message_rules, COUNT, version),
     F(message_rules, U64, hash),
     F(message_rules, BYTES, text),
 };
@@ -117,9 +117,9 @@
     CODEC_SCHEMA(struct message_delta_step, delta_step_fields);
 
 static const struct codec_field delta_fields[] = {
-    F(message_delta, U64, from_version),
+    F(message_delta, COUNT, from_version),
     F(message_delta, U64, from_hash),
-    F(message_delta, U64, version),
+    F(message_delta, COUNT, version),
     F(message_delta, U64, hash),
     N(message_delta, LIST, steps, &delta_step_schema),
 };
@@ -127,15 +127,15 @@
     CODEC_SCHEMA(struct message_delta, delta_fields);
 
 static const struct codec_field busy_fields[] = {
-    F(message_busy, I64, retry_left_us),
+    F(message_busy, TIME, retry_left_us),
 };
 static const struct codec_schema busy_schema =
     CODEC_SCHEMA(struct message_busy, busy_fields);
 
 static const struct codec_field hello_fields[] = {
     F(message_hello, BYTES, name),
-    F(message_hello, U64, incarnation),
-    F(message_hello, U64, sequence),
+    F(message_hello, COUNT, incarnation),
+    F(message_hello, COUNT, sequence),
 };
 static const struct codec_schema hello_schema =
     CODEC_SCHEMA(struct message_hello, hello_fields);
@@ -149,9 +149,9 @@
 
 static const struct codec_field request_fields[] = {
     F(message_request, U64, id),
-    F(message_request, U64, egress_incarnation),
-    F(message_request, I64, deadline_left_us),
-    F(message_request, I64, target_left_us),
+    F(message_request, COUNT, egress_incarnation),
+    F(message_request, TIME, deadline_left_us),
+    F(message_request, TIME, target_left_us),
     F(message_request, U32, repeatable),
     F(message_request, U32, begun),
     F(message_request, U32, repeat),
@@ -166,7 +166,7 @@
     F(message_request, BYTES, key),
     F(message_request, U32, once),
     F(message_request, U32, more),
-    F(message_request, I64, total_bytes),
+    F(message_request, SIZE, total_bytes),
     N(message_request, LIST, headers, &header_schema),
     F(message_request, BYTES, body),
 };
@@ -177,19 +177,19 @@
     F(message_response, U64, id),
     F(message_response, U32, status),
     F(message_response, U32, outcome),
-    F(message_response, I64, retry_left_us),
+    F(message_response, TIME, retry_left_us),
     F(message_response, U32, queued),
     F(message_response, U32, running),
     F(message_response, U32, reached_backend),
-    F(message_response, I64, service_us),
-    F(message_response, I64, run_us),
-    F(message_response, I64, queue_us),
+    F(message_response, TIME, service_us),
+    F(message_response, TIME, run_us),
+    F(message_response, TIME, queue_us),
     F(message_response, U64, server),
     F(message_response, U32, limit_milli),
-    F(message_response, I64, limit_wait_us),
+    F(message_response, TIME, limit_wait_us),
     F(message_response, U32, leaving),
     F(message_response, U32, more),
-    F(message_response, I64, total_bytes),
+    F(message_response, SIZE, total_bytes),
     N(message_response, LIST, headers, &header_schema),
     F(message_response, BYTES, body),
 };
@@ -221,8 +221,8 @@
 
 static const struct codec_field fence_fields[] = {
     F(message_fence, U64, id),
-    F(message_fence, U64, egress_incarnation),
-    F(message_fence, I64, age_us),
+    F(message_fence, COUNT, egress_incarnation),
+    F(message_fence, TIME, age_us),
 };
 static const struct codec_schema fence_schema =
     CODEC_SCHEMA(struct message_fence, fence_fields);
@@ -238,16 +238,16 @@
     F(message_heartbeat, U32, answer),
     F(message_heartbeat, U32, queued),
     F(message_heartbeat, U32, running),
-    F(message_heartbeat, I64, service_us),
+    F(message_heartbeat, TIME, service_us),
     F(message_heartbeat, U32, limit_milli),
-    F(message_heartbeat, I64, limit_wait_us),
+    F(message_heartbeat, TIME, limit_wait_us),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
 
 static const struct codec_field raft_entry_fields[] = {
-    F(message_raft_entry, U64, index),
-    F(message_raft_entry, U64, term),
+    F(message_raft_entry, COUNT, index),
+    F(message_raft_entry, COUNT, term),
     F(message_raft_entry, U32, kind),
     F(message_raft_entry, BYTES, data),
 };
@@ -259,10 +259,10 @@
     F(message_raft, U64, cluster),
     F(message_raft, U64, from),
     F(message_raft, U64, to),
-    F(message_raft, U64, term),
-    F(message_raft, U64, index),
-    F(message_raft, U64, log_term),
-    F(message_raft, U64, commit),
+    F(message_raft, COUNT, term),
+    F(message_raft, COUNT, index),
+    F(message_raft, COUNT, log_term),
+    F(message_raft, COUNT, commit),
     F(message_raft, U64, context),
     F(message_raft, U32, reject),
     F(message_raft, BYTES, snapshot),
@@ -280,9 +280,9 @@
 static const struct codec_field replica_answer_fields[] = {
     F(message_replica_answer, U64, cluster),
     F(message_replica_answer, U64, id),
-    F(message_replica_answer, U64, term),
-    F(message_replica_answer, U64, commit),
-    F(message_replica_answer, U64, data_index),
+    F(message_replica_answer, COUNT, term),
+    F(message_replica_answer, COUNT, commit),
+    F(message_replica_answer, COUNT, data_index),
 };
 static const struct codec_schema replica_answer_schema =
     CODEC_SCHEMA(struct message_replica_answer, replica_answer_fields);
@@ -320,7 +320,7 @@
 
 static const struct codec_field operator_answer_fields[] = {
     F(message_operator_answer, U32, status),
-    F(message_operator_answer, I64, retry_left_us),
+    F(message_operator_answer, TIME, retry_left_us),
     F(message_operator_answer, BYTES, body),
 };
 static const struct codec_schema operator_answer_schema =
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -321,6 +321,29 @@
 	free_net(net);
 }
 
+/// A record with the greatest incarnation and revision that a message can carry
+/// does not keep its member out: it refutes it.
+static void
+test_refutes_greatest_numbers(void **state)
+{
+	struct net *net = create_converged(12);
+	struct expected alive = {"n005", MEMBER_ALIVE, BACKEND_READY};
+	struct member stray = net->nodes[5].m.self;
+
+	(void)state;
+	membership_set_backend(
+	    &net->nodes[5].m, "s", BACKEND_READY, 0, 5, net->now_us);
+	stray.status = MEMBER_DEAD;
+	stray.revision = MEMBER_MAX_REVISION;
+	membership_merge(&net->nodes[3].m, &stray, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
+	stray.incarnation = MEMBER_MAX_INCARNATION;
+	stray.revision = 0;
+	membership_merge(&net->nodes[3].m, &stray, net->now_us);
+	assert_true(run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
+	free_net(net);
+}
+
 /// A VM is gone, and another one starts at its address within moments. The record
 /// of the first one ends like that of any member that is gone: nobody answers in
 /// its name.
@@ -593,6 +616,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_convergence),
 	    cmocka_unit_test(test_partitioned_start_heals),
+	    cmocka_unit_test(test_refutes_greatest_numbers),
 	    cmocka_unit_test(test_address_used_again),
 	    cmocka_unit_test(test_drain_spreads),
 	    cmocka_unit_test(test_missed_change_is_repaired),
