fix(replica): a term that no replica can have come to is refused

Problem: a replica followed any higher term. One message with the greatest one left the set without a leader for good, since the next term is out of range and the term is on the disks.

Solution: terms more than 2^32 above the local one are refused, as are messages whose entries are of a later term than themselves.

--- a/src/core/replica/replica.c
+++ b/src/core/replica/replica.c
@@ -239,12 +239,40 @@
 	replica_reset_election_timer(r, now_us);
 }
 
+/// Refuses terms that no correct replica sends: a replica that followed one would
+/// keep it for good, and with it each quorum that it is part of.
+static int
+check_terms(
+    const struct replica *r, const struct replica_message *m, struct error *err)
+{
+	uint32_t i;
+
+	if (m->term > r->term && m->term - r->term > REPLICA_MAX_TERM_STEP)
+		return error_set(err, ERR_INVALID, "replica message", "",
+		    "term is %" PRIu64 ", too far above the local %" PRIu64,
+		    m->term, r->term);
+	if (m->log_term > m->term)
+		return error_set(err, ERR_INVALID, "replica message", "",
+		    "log_term is %" PRIu64 ", above the term %" PRIu64,
+		    m->log_term, m->term);
+	for (i = 0; i < m->entry_count; i++)
+		if (m->entries[i].term > m->term)
+			return error_set(err, ERR_INVALID, "replica message",
+			    "",
+			    "an entry's term is %" PRIu64
+			    ", above that of the message, %" PRIu64,
+			    m->entries[i].term, m->term);
+	return 0;
+}
+
 /// Refuses messages that no correct replica sends: they would break what the
 /// handlers rely on.
 static int
 check_message(
     const struct replica *r, const struct replica_message *m, struct error *err)
 {
+	if (check_terms(r, m, err) != 0)
+		return -1;
 	if (m->term == r->term && r->role == REPLICA_LEADER &&
 	    is_from_leader(m))
 		return error_set(err, ERR_INVALID, "replica message", "",
--- a/src/core/replica/replica.h
+++ b/src/core/replica/replica.h
@@ -16,6 +16,10 @@
 
 #define REPLICA_MAX_READS 256
 
+/// A message's term may be this far above the local one: an election each 0.4 s
+/// for 50 years.
+#define REPLICA_MAX_TERM_STEP ((uint64_t)1 << 32)
+
 /// Memory accounted for an entry in addition to its data.
 #define REPLICA_ENTRY_OVERHEAD_BYTES 64
 
--- a/test/unit/test_replica.c
+++ b/test/unit/test_replica.c
@@ -244,6 +244,51 @@
 	assert_true(noticed);
 }
 
+/// Terms that no correct replica sends are refused by all, whatever the kind of
+/// message: the set goes on in its term, and can still elect.
+static void
+test_far_terms_are_refused(void **state)
+{
+	struct cluster *c = create_running_cluster(13);
+	uint64_t term = find_leader(c)->replica.term;
+	struct replica_entry entry = {.index = 1, .term = term + 1};
+	struct replica_message m;
+	struct error err;
+	uint32_t i;
+	int kind;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		for (kind = 0; kind < REPLICA_SNAPSHOT; kind++) {
+			struct replica *r = &c->nodes[i].replica;
+
+			m = (struct replica_message){
+			    .kind = (enum replica_message_kind)kind,
+			    .from = (i + 1) % 3 + 1,
+			    .to = r->settings.id,
+			    .term = r->term + REPLICA_MAX_TERM_STEP + 1};
+			assert_int_equal(
+			    replica_step(r, &m, c->now_us, &err), -1);
+			m.term = INT64_MAX;
+			assert_int_equal(
+			    replica_step(r, &m, c->now_us, &err), -1);
+			m.term = r->term;
+			m.log_term = r->term + 1;
+			assert_int_equal(
+			    replica_step(r, &m, c->now_us, &err), -1);
+			m.log_term = 0;
+			m.entries = &entry;
+			m.entry_count = 1;
+			assert_int_equal(
+			    replica_step(r, &m, c->now_us, &err), -1);
+			assert_int_equal(r->term, term);
+		}
+	cluster_run_steps(c, 300, false);
+	assert_int_equal(find_leader(c)->replica.term, term);
+	cluster_check_agreement(c);
+	cluster_free(c);
+}
+
 /// Messages that no correct replica sends are refused with a reason, and the
 /// leader goes on: one that claims its own term, and one that acknowledges
 /// entries which the leader does not have.
@@ -317,6 +362,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_impossible_messages_are_refused),
+	    cmocka_unit_test(test_far_terms_are_refused),
 	    cmocka_unit_test(test_silent_learner_is_not_caught_up),
 	    cmocka_unit_test(test_chaos),
 	    cmocka_unit_test(test_chaos_with_replacements),
