fix(config): a stray report keeps out neither a proxy nor its true reports

Problem: a report in a proxy's name with the greatest version or incarnation counted for good: the source ignored the true ones, and the proxy, once restarted, never served, since its rules were below the version that it was said to have had, although a quorum confirmed them as the newest.

Solution: with a quorum's confirmation the floor is not asked; an outdated report counts once the later one is stale.

--- a/src/core/membership/report_table.c
+++ b/src/core/membership/report_table.c
@@ -46,6 +46,15 @@
 	return &table->items[at];
 }
 
+/// Returns whether a report is a late one of an earlier process, or of this one.
+static bool
+is_outdated(const struct report *r, const struct member *member)
+{
+	if (member->incarnation != r->member.incarnation)
+		return member->incarnation < r->member.incarnation;
+	return member->version < r->member.version;
+}
+
 const struct report *
 report_table_update(struct report_table *table, const struct member *member,
     bool leaving, int64_t now_us)
@@ -58,12 +67,12 @@
 		r = insert_report(table, at);
 	else
 		r = &table->items[at];
-	// Ignores late reports of an earlier process.
-	if (member->incarnation < r->member.incarnation)
-		return r;
-	if (member->incarnation == r->member.incarnation &&
-	    member->version < r->member.version)
-		return r;
+	if (is_outdated(r, member)) {
+		if (now_us - r->reported_us <= table->stale_us)
+			return r;
+		// The later process never reported again: this one is there.
+		r->version_seen = 0;
+	}
 	r->member = *member;
 	if (member->version > r->version_seen)
 		r->version_seen = member->version;
--- a/src/core/membership/report_table.h
+++ b/src/core/membership/report_table.h
@@ -31,7 +31,9 @@
 
 void report_table_free(struct report_table *table);
 
-/// Adds or updates the report of a proxy. Ignores an outdated report.
+/// Adds or updates the report of a proxy. Ignores an outdated report, unless the
+/// newer one is stale: a report that another program wrote, or that a process
+/// with its clock ahead sent, must not keep out the true ones.
 ///
 /// @return the entry
 const struct report *report_table_update(struct report_table *table,
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -509,9 +509,10 @@
 
 	if (floor->ready)
 		return;
+	// What a quorum confirms is the newest version, whatever others say that
+	// this proxy had: no more could be accepted.
 	if (control->rules != NULL && floor->confirmed_version > 0 &&
-	    control->rules->version >= floor->confirmed_version &&
-	    control->rules->version >= control->membership.version_floor) {
+	    control->rules->version >= floor->confirmed_version) {
 		become_ready(control, "a quorum of sources");
 		return;
 	}
--- a/test/unit/test_distribution.c
+++ b/test/unit/test_distribution.c
@@ -340,6 +340,29 @@
 	report_table_free(&table);
 }
 
+/// A report with the greatest numbers, which no process sent, counts until it is
+/// stale; then the true one does.
+static void
+test_stray_report(void **state)
+{
+	struct report_table table = {
+	    .stale_us = 10 * SECOND_US, .forget_us = 100 * SECOND_US};
+	struct member true_one = make_member("b", 1, 5);
+	struct member stray =
+	    make_member("b", MEMBER_MAX_INCARNATION, INT64_MAX);
+	const struct report *r;
+
+	(void)state;
+	report_table_update(&table, &stray, true, SECOND_US);
+	r = report_table_update(&table, &true_one, false, 6 * SECOND_US);
+	assert_int_equal(r->member.version, INT64_MAX);
+	r = report_table_update(&table, &true_one, false, 12 * SECOND_US);
+	assert_int_equal(r->member.version, 5);
+	assert_int_equal(r->version_seen, 5);
+	assert_false(r->left);
+	report_table_free(&table);
+}
+
 int
 main(void)
 {
@@ -353,6 +376,7 @@
 	    cmocka_unit_test(test_compare_and_set),
 	    cmocka_unit_test(test_store_snapshot),
 	    cmocka_unit_test(test_reports),
+	    cmocka_unit_test(test_stray_report),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
