fix(config): failures of one holder of rules put off no other

Problem: the wait after a failed pull grows with the failures in a row, counted over all holders. A member that claims a version and never answers (a process without power, a record of another program) so made the first failure of any other holder a wait of up to 5 s, past the 2 s within which versions are in force. It also came first each time, as the holder of the newest version.

Solution: the count is kept for each holder, and one whose last pull failed comes last.

--- a/src/core/membership/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -82,7 +82,7 @@
     uint32_t rank, int64_t now_us)
 {
 	struct holder *slot;
-	int64_t retry_deadline_us = 0;
+	struct holder before = {0};
 	int64_t remote_deadline_us;
 	uint32_t at;
 
@@ -93,9 +93,10 @@
 	if (at == vs->holder_count)
 		vs->holder_count++;
 	else if (same_holder(slot, holder))
-		retry_deadline_us = slot->retry_deadline_us;
+		before = *slot;
 	*slot = *holder;
-	slot->retry_deadline_us = retry_deadline_us;
+	slot->retry_deadline_us = before.retry_deadline_us;
+	slot->failures = before.failures;
 	if (holder->version <= vs->known_version)
 		return;
 	vs->known_version = holder->version;
@@ -129,9 +130,9 @@
 }
 
 static int64_t
-backoff_us(struct version_sync *vs)
+backoff_us(struct version_sync *vs, uint32_t failures)
 {
-	uint32_t shift = vs->failures;
+	uint32_t shift = failures;
 	int64_t limit_us;
 
 	if (shift > BACKOFF_MAX_SHIFT)
@@ -142,16 +143,30 @@
 	return limit_us / 2 + random_time_us(&vs->random, limit_us / 2);
 }
 
-/// Sets the earliest time of the next pull from a holder.
-static void
-postpone_holder(
-    struct version_sync *vs, const struct holder *holder, int64_t deadline_us)
+/// Returns the entry of a holder, or NULL if it was removed.
+static struct holder *
+find_holder(struct version_sync *vs, const struct holder *holder)
 {
 	uint32_t i;
 
 	for (i = 0; i < vs->holder_count; i++)
 		if (same_holder(&vs->holders[i], holder))
-			vs->holders[i].retry_deadline_us = deadline_us;
+			return &vs->holders[i];
+	return NULL;
+}
+
+/// Sets the earliest time of the next pull from a holder.
+///
+/// @param wait_us  delay requested by the holder; 0: none
+static void
+postpone_holder(struct version_sync *vs, struct holder *holder, int64_t wait_us,
+    int64_t now_us)
+{
+	if (wait_us <= 0) {
+		wait_us = backoff_us(vs, holder->failures);
+		holder->failures++;
+	}
+	holder->retry_deadline_us = now_us + wait_us;
 }
 
 void
@@ -159,6 +174,7 @@
     int64_t cost_us, int64_t wait_us, int64_t now_us)
 {
 	int64_t rest_us = cost_us * VERSION_SYNC_REST_FACTOR;
+	struct holder *holder = find_holder(vs, &vs->pulling_from);
 
 	if (!vs->pulling)
 		return;
@@ -170,18 +186,20 @@
 		return;
 	if (result == PULL_ADOPTED) {
 		vs->failures = 0;
+		if (holder != NULL)
+			holder->failures = 0;
 		if (rest_us > VERSION_SYNC_REST_MAX_US)
 			rest_us = VERSION_SYNC_REST_MAX_US;
 		vs->adoption_deadline_us = now_us + rest_us;
 		return;
 	}
-	if (wait_us <= 0)
-		wait_us = backoff_us(vs);
-	postpone_holder(vs, &vs->pulling_from, now_us + wait_us);
+	if (holder != NULL)
+		postpone_holder(vs, holder, wait_us, now_us);
 	vs->failures++;
 }
 
-/// Returns whether to prefer holder a. The newest version has priority, so that
+/// Returns whether to prefer holder a. One whose last pull failed comes last: its
+/// version may not exist. Then the newest version has priority, so that
 /// intermediate versions are skipped.
 static bool
 is_better_holder(const struct version_sync *vs, const struct holder *a,
@@ -189,8 +207,12 @@
 {
 	bool newest = a->version == vs->known_version;
 
-	if (b == NULL || newest != (b->version == vs->known_version))
-		return b == NULL || newest;
+	if (b == NULL)
+		return true;
+	if ((a->failures == 0) != (b->failures == 0))
+		return a->failures == 0;
+	if (newest != (b->version == vs->known_version))
+		return newest;
 	if (a->distance != b->distance)
 		return a->distance < b->distance;
 	// Prefers proxies: the capacity of the sources does not grow with the
--- a/src/core/membership/version_sync.h
+++ b/src/core/membership/version_sync.h
@@ -35,6 +35,7 @@
 	enum distance distance;
 	bool is_source;
 	int64_t retry_deadline_us; ///< Earliest time of the next pull.
+	uint32_t failures;	   ///< Consecutive, of pulls from it.
 };
 
 /// How a pull ended.
@@ -70,7 +71,7 @@
 	struct holder pulling_from;
 	uint64_t pulling_at_version;  ///< In force here at the start of it.
 	int64_t adoption_deadline_us; ///< Earliest next adoption.
-	uint32_t failures;	      ///< Consecutive.
+	uint32_t failures;	      ///< Consecutive, of all holders.
 	int64_t retry_deadline_us;
 };
 
--- a/test/fakes/odd_writer.c
+++ b/test/fakes/odd_writer.c
@@ -2,6 +2,9 @@
 // the values that another program might put there.
 //
 //   odd-writer IP:PORT udp|tcp TYPE [FIELD=VALUE ...]
+//   odd-writer IP:PORT udp|tcp TYPE plain [FIELD=VALUE ...]
+//
+// The second form sends one message, without odd values.
 //
 // FIELD=VALUE sets all fields of that name, at any depth, in the messages; the
 // others are 0 or empty. The value @NAME stands for the id of a cluster. A list has
@@ -273,7 +276,7 @@
 	w.datagram = strcmp(argv[2], "udp") == 0;
 	w.odd_field = -1;
 	send_message(&w);
-	field_count = w.field;
+	field_count = argc > 4 && strcmp(argv[4], "plain") == 0 ? 0 : w.field;
 	for (w.odd_field = 0; w.odd_field < field_count; w.odd_field++)
 		for (w.odd = 0; w.odd < ODD_COUNT; w.odd++)
 			send_message(&w);
--- a/test/unit/test_distribution.c
+++ b/test/unit/test_distribution.c
@@ -98,6 +98,44 @@
 	assert_true(pulls >= 3);
 }
 
+/// A member that claims a version and never answers puts off no other holder: one
+/// whose first pull failed is tried again soon, and before it.
+static void
+test_silent_holder(void **state)
+{
+	struct holder silent = make_holder("silent", 9, DISTANCE_DC);
+	struct holder good = make_holder("good", 5, DISTANCE_REGION);
+	int64_t now_us = SECOND_US;
+	struct version_sync vs;
+	uint32_t i;
+
+	(void)state;
+	init_sync(&vs);
+	version_sync_add_holder(&vs, &silent, 0, now_us);
+	for (i = 0; i < 100; i++) {
+		now_us += SECOND_US;
+		version_sync_tick(&vs, now_us);
+	}
+	version_sync_add_holder(&vs, &good, 0, now_us);
+	version_sync_finish_pull(&vs, PULL_FAILED, 0, 0, now_us);
+	version_sync_tick(&vs, now_us);
+	assert_string_equal(last_pull.host, "good");
+	version_sync_finish_pull(&vs, PULL_FAILED, 0, 0, now_us);
+	// Only the wait after a first failure.
+	now_us += SECOND_US / 10;
+	last_pull.host[0] = '\0';
+	version_sync_tick(&vs, now_us);
+	assert_string_equal(last_pull.host, "good");
+	version_sync_finish_pull(&vs, PULL_ADOPTED, 0, 0, now_us);
+	version_sync_set_version(&vs, good.version);
+	// A newer version there, and the turn of the silent one: it comes last.
+	now_us += 10 * SECOND_US;
+	good.version++;
+	version_sync_add_holder(&vs, &good, 0, now_us);
+	version_sync_tick(&vs, now_us);
+	assert_string_equal(last_pull.host, "good");
+}
+
 /// Rules that were overtaken on their way are no failure of their holder: however
 /// many pulls end so, the next one starts at once.
 static void
@@ -370,6 +408,7 @@
 	    cmocka_unit_test(test_single_remote_pull),
 	    cmocka_unit_test(test_failures),
 	    cmocka_unit_test(test_first_turn_at_next_version),
+	    cmocka_unit_test(test_silent_holder),
 	    cmocka_unit_test(test_overtaken_pulls),
 	    cmocka_unit_test(test_storm_of_versions),
 	    cmocka_unit_test(test_outdated_holder),
