style: clang-format and clang-tidy on the messages between processes

Problem: sources that landed since were not formatted as lint asks; odd_writer kept the address of a buffer on the stack after a message was sent.

Solution: formatted; the buffer is a member of the writer.

--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -34,7 +34,7 @@
 struct gossip {
 	enum gossip_kind kind;
 	uint64_t sequence;
-	uint64_t digest; ///< Of the sender's table.
+	uint64_t digest;		///< Of the sender's table.
 	char target[MEMBER_NAME_BYTES]; ///< The member to probe.
 	struct member from;
 	uint32_t update_count;
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -195,8 +195,8 @@
 	bool is_target =
 	    g->target[0] == '\0' || strcmp(g->target, m->self.name) == 0;
 
-	membership_send_to_member(m, &g->from,
-	    is_target ? GOSSIP_ACK : GOSSIP_NOTICE, g->sequence);
+	membership_send_to_member(
+	    m, &g->from, is_target ? GOSSIP_ACK : GOSSIP_NOTICE, g->sequence);
 }
 
 static void
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -96,14 +96,14 @@
 /// @return 0, or -1 if it does not fit or holds a NUL
 int bytes_copy(struct bytes b, char *out, size_t out_bytes);
 
-#define CODEC_FIELD(struct_, kind_, member_)       \
-	{                                          \
-		.name = #member_, .kind = (kind_), \
+#define CODEC_FIELD(struct_, kind_, member_)         \
+	{                                            \
+		.name = #member_, .kind = (kind_),   \
 		.offset = offsetof(struct_, member_) \
 	}
-#define CODEC_NESTED(struct_, kind_, member_, schema_)                 \
-	{                                                              \
-		.name = #member_, .kind = (kind_),                     \
+#define CODEC_NESTED(struct_, kind_, member_, schema_)                    \
+	{                                                                 \
+		.name = #member_, .kind = (kind_),                        \
 		.offset = offsetof(struct_, member_), .schema = (schema_) \
 	}
 #define CODEC_SCHEMA(struct_, fields_)                                \
--- a/test/fakes/odd_writer.c
+++ b/test/fakes/odd_writer.c
@@ -43,8 +43,18 @@
 #define COUNT(array_) ((int)(sizeof(array_) / sizeof((array_)[0])))
 
 /// Kinds of values after those of the arrays above.
-enum odd_kind { ODD_NUL, ODD_LONG, ODD_NIL, ODD_TRUE, ODD_FLOAT, ODD_STR,
-	ODD_NESTED, ODD_MANY, ODD_MAP, ODD_KINDS };
+enum odd_kind {
+	ODD_NUL,
+	ODD_LONG,
+	ODD_NIL,
+	ODD_TRUE,
+	ODD_FLOAT,
+	ODD_STR,
+	ODD_NESTED,
+	ODD_MANY,
+	ODD_MAP,
+	ODD_KINDS
+};
 
 #define ODD_COUNT \
 	(COUNT(unsigned_ends) + COUNT(signed_ends) + COUNT(texts) + ODD_KINDS)
@@ -56,10 +66,11 @@
 	char **given; ///< "FIELD=VALUE"
 	int given_count;
 	// Of the message being packed.
+	msgpack_sbuffer out;
 	msgpack_packer packer;
-	int field;	///< Fields packed so far.
-	int odd_field;	///< Number of the one that gets the odd value.
-	int odd;	///< Number of the value.
+	int field;     ///< Fields packed so far.
+	int odd_field; ///< Number of the one that gets the odd value.
+	int odd;       ///< Number of the value.
 	int sent;
 };
 
@@ -226,8 +237,8 @@
 		perror("connect");
 	else {
 		while (at < out->size && n > 0) {
-			n = send(fd, out->data + at, out->size - at,
-			    MSG_NOSIGNAL);
+			n = send(
+			    fd, out->data + at, out->size - at, MSG_NOSIGNAL);
 			at += n > 0 ? (size_t)n : 0;
 		}
 		(void)!read(fd, answer, sizeof(answer));
@@ -239,26 +250,25 @@
 send_message(struct writer *w)
 {
 	const struct codec_schema *schema = message_find_schema(w->type);
-	msgpack_sbuffer out;
 	uint32_t head;
 
-	msgpack_sbuffer_init(&out);
+	msgpack_sbuffer_init(&w->out);
 	if (!w->datagram)
-		msgpack_sbuffer_write(&out, "0000", FRAME_HEADER_BYTES);
-	msgpack_packer_init(&w->packer, &out, msgpack_sbuffer_write);
+		msgpack_sbuffer_write(&w->out, "0000", FRAME_HEADER_BYTES);
+	msgpack_packer_init(&w->packer, &w->out, msgpack_sbuffer_write);
 	msgpack_pack_array(&w->packer, schema->field_count + 1);
 	msgpack_pack_uint32(&w->packer, (uint32_t)w->type);
 	w->field = 0;
 	pack_fields(w, schema);
 	if (w->datagram)
-		send_datagram(w, &out);
+		send_datagram(w, &w->out);
 	else {
-		head = htonl((uint32_t)(out.size - FRAME_HEADER_BYTES));
-		memcpy(out.data, &head, sizeof(head));
-		send_frame(w, &out);
+		head = htonl((uint32_t)(w->out.size - FRAME_HEADER_BYTES));
+		memcpy(w->out.data, &head, sizeof(head));
+		send_frame(w, &w->out);
 	}
 	w->sent++;
-	msgpack_sbuffer_destroy(&out);
+	msgpack_sbuffer_destroy(&w->out);
 }
 
 int
@@ -269,7 +279,9 @@
 
 	if (argc < 4 || address_parse(argv[1], &w.to) != 0 ||
 	    message_find_schema(w.type = atoi(argv[3])) == NULL) {
-		fprintf(stderr, "usage: %s IP:PORT udp|tcp TYPE [FIELD=VALUE]\n",
+		fprintf(stderr,
+		    "usage: %s IP:PORT udp|tcp TYPE [plain] [FIELD=VALUE "
+		    "...]\n",
 		    argv[0]);
 		return 2;
 	}
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -272,10 +272,10 @@
 	set_largest_numbers(&member);
 	member_to_message(&member, &good);
 	assert_int_equal(member_from_message(&good, &got, &err), 0);
-#define REFUSED(field_, value_)                  \
-	do {                                     \
-		m = good;                        \
-		m.field_ = (value_);             \
+#define REFUSED(field_, value_)                     \
+	do {                                        \
+		m = good;                           \
+		m.field_ = (value_);                \
 		expect_member_refused(&m, #field_); \
 	} while (0)
 	REFUSED(name, bytes_from_string(""));
