--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -118,6 +118,7 @@
   "data_path": "$MESH_DIR/source-$1.data",
   "cluster": "mesh", "id": $1,
   "replicas": [$(mesh_replica_list 200 "$MESH_SOURCES" $PORT_CONTROL)],
+  ${MESH_SOURCE_EXTRA:-}
   "stale_ms": ${MESH_STALE_MS:-16000},
   "election_ms": ${MESH_ELECTION_MS:-400}, "heartbeat_ms": ${MESH_HEARTBEAT_MS:-60}
 }
