test(fuzz): HTTP requests and answers on loopback connections

Problem: bytes of callers and of backend servers were fuzzed by no target; only the functional tests send odd ones.

Solution: fuzz.request and fuzz.answer run the product's HTTP server and client, and abort when callbacks come in a wrong order, a call ends twice, or a body of another length than stated counts as complete. loop_run may be called again after loop_stop, so that one loop serves all inputs.

With the client changed to take a connection's end for the end of a body fuzz.answer fails.

--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -476,6 +476,7 @@
 	}
 	run_deferred(loop);
 	log_flush();
+	atomic_store(&loop->stopping, false);
 }
 
 void
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -44,7 +44,7 @@
 
 void loop_destroy(struct loop *loop);
 
-/// Runs the loop until loop_stop.
+/// Runs the loop until loop_stop. It may be run again.
 void loop_run(struct loop *loop);
 
 /// Makes loop_run return after the current iteration. Thread-safe.
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -17,6 +17,7 @@
 #include "core/requests/once.h"
 #include "core/rules/rules.h"
 #include "fakes/fake_disk.h"
+#include "fuzz/fuzz_http.h"
 #include "io/dialect.h"
 #include "io/disk/wal.h"
 #include "io/settings.h"
@@ -193,10 +194,12 @@
 
 static const struct target targets[] = {
     {"announcement", run_announcement},
+    {"answer", fuzz_run_answer},
     {"document", run_document},
     {"load", run_load},
     {"rules", run_rules},
     {"message", run_message},
+    {"request", fuzz_run_request},
     {"wal", run_wal},
     {"settings", run_settings},
     {"config", run_config},
