fix(http): a request target with a blank or a control character is refused

Problem: "GET /log/3 y HTTP/1.1" ran as /log/3 with status 200, a target with a NUL the same (UNASKED: a request that no client sent). Cause: the HTTP library ends the target at the first blank or NUL and gives the rest to no one. Other control characters were passed on.

Solution: 400, not run. What was cut shows by where the version stands in the buffer.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -35,6 +35,7 @@
 	    ? x->pub.arrival_us + httpd->limits.header_timeout_us
 	    : DEADLINE_NEVER_US;
 	x->connection = connection;
+	x->uri = uri;
 	x->next = httpd->exchanges;
 	if (x->next != NULL)
 		x->next->prev = x;
@@ -213,8 +214,27 @@
 	return max_bytes != 0 && exchange_head_bytes(x, 0) > max_bytes;
 }
 
+/// Returns whether the target that the caller sent is a valid one, and the one that
+/// the library gave: it ends the target at a blank or a NUL and drops the rest. The
+/// version follows the target in the buffer of the connection.
+static bool
+target_is_valid(const struct exchange *x, const char *version)
+{
+	const unsigned char *c = (const unsigned char *)x->pub.target;
+	uintptr_t gap_bytes = (uintptr_t)version - (uintptr_t)x->uri;
+
+	if (gap_bytes <= CONNECTION_MEMORY_BYTES &&
+	    gap_bytes != strlen(x->pub.target) + 1)
+		return false;
+	if (*c == '\0')
+		return false;
+	while (*c > ' ' && *c != 0x7f)
+		c++;
+	return *c == '\0';
+}
+
 static enum MHD_Result
-begin_request(struct exchange *x)
+begin_request(struct exchange *x, const char *version)
 {
 	const struct httpd *httpd = x->pub.httpd;
 	const char *length = MHD_lookup_connection_value(
@@ -222,6 +242,9 @@
 
 	MHD_set_connection_option(x->connection, MHD_CONNECTION_OPTION_TIMEOUT,
 	    (unsigned int)httpd->limits.idle_timeout_s);
+	if (!target_is_valid(x, version))
+		return queue_error_response(x->connection, 400,
+		    "request target holds a blank or a control character\n");
 	if (head_is_too_large(x))
 		return queue_error_response(
 		    x->connection, 431, "request head is too large\n");
@@ -243,10 +266,9 @@
 	(void)cls;
 	(void)connection;
 	(void)url;
-	(void)version;
 	if (x->pub.method == NULL) {
 		x->pub.method = method;
-		return begin_request(x);
+		return begin_request(x, version);
 	}
 	if (*upload_data_size > 0)
 		return receive_upload(x, upload_data, upload_data_size);
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -29,6 +29,7 @@
 struct exchange {
 	struct http_exchange pub;
 	struct MHD_Connection *connection;
+	const char *uri; ///< Where the library read the target; not to be read.
 	struct exchange *next;
 	struct exchange *prev;
 	struct MHD_Response *response;
