test(soak): full and stalled disks, stepped clocks, messages between processes

Checked besides: no change is refused, and after the last fault one is accepted and in force on all proxies.

--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -30,6 +30,7 @@
 	MESH_LEDGERS=${MESH_LEDGERS:-0}
 	MESH_PROXY_EXTRA=${MESH_PROXY_EXTRA:-}
 	MESH_LOG_LEVEL=${MESH_LOG_LEVEL:-info}
+	MESH_ENV=${MESH_ENV:-}
 	MESH_RULES_CALLS=0
 	trap mesh_end EXIT
 	trap 'exit 1' INT TERM
@@ -70,7 +71,9 @@
 mesh_run() { # NAME PROGRAM [ARG ...]
 	mesh_name=$1
 	shift
-	"$MESH_BIN/$@" >"$MESH_DIR/$mesh_name.out" 2>&1 &
+	# shellcheck disable=SC2086
+	env $MESH_ENV ODD_OS="$MESH_DIR/$mesh_name.os" "$MESH_BIN/$@" \
+	    >"$MESH_DIR/$mesh_name.out" 2>&1 &
 	echo $! >"$MESH_DIR/$mesh_name.pid"
 }
 
--- a/test/soak/misbehave/run.sh
+++ b/test/soak/misbehave/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Soak whose servers, clients and other writers misbehave, beside kills and pauses of
-# proxies and sources. Prints a line a seed; fails if a rule is broken.
+# Soak whose servers, clients, other writers, disks and clocks misbehave, beside kills and
+# pauses of proxies and sources. Prints a line a seed; fails if a rule is broken.
 #
 #   run.sh BUILD FIRST_SEED SEEDS SECONDS
 set -u
@@ -27,7 +27,11 @@
 
 play_seed() { # SEED
 	. scripts/mesh.sh
+	. $here/faults.sh
+	MESH_SOURCES=3
 	mesh_init "$BUILD"
+	# The sanitizers want to be loaded first, which the check of order asks.
+	MESH_ENV="LD_PRELOAD=$MESH_BIN_ABS/libodd-os.so ASAN_OPTIONS=verify_asan_link_order=0"
 	service() { [ "$1" -le 2 ] && echo alpha || echo beta; }
 	start_process() { # NAME
 		case $1 in
@@ -41,10 +45,10 @@
 			    MESH_PROXY_EXTRA="$MESH_PROXY_EXTRA
 				\"backend\": \"$(mesh_host "$n"):$PORT_HTTP\","
 			mesh_proxy "$n" "$(mesh_region "$n")" "$(mesh_dc "$n")" ;;
-		*) mesh_source 1 ;;
+		*) mesh_source "${1#source-}" ;;
 		esac
 	}
-	mesh_source 1 --bootstrap
+	for n in 1 2 3; do mesh_source $n --bootstrap; done
 	for n in 1 2 3 4; do start_process proxy-$n; done
 	log=$MESH_DIR/events
 	: >"$log"
@@ -68,6 +72,12 @@
 	perl -I$here $here/writer.pl "$1" "$seconds" $PORT_ADMIN $PORT_HTTP \
 	    $(for n in 1 2 3 4; do echo "$(mesh_host $n)=$(service $n)"; done) &
 	clients="$clients $!"
+	watch_sources &
+	watcher=$!
+	play_faults "$1" "$seconds" &
+	clients="$clients $!"
+	play_operator "$seconds" >"$MESH_DIR/operator" &
+	clients="$clients $!"
 	schedule "$1" "$seconds" >"$MESH_DIR/schedule"
 	ended=
 	while read -r gap kind name duration; do
@@ -89,7 +99,9 @@
 	done <"$MESH_DIR/schedule"
 	# shellcheck disable=SC2086
 	wait $clients
-	for name in proxy-1 proxy-2 proxy-3 proxy-4 source-1; do
+	check_recovery >>"$MESH_DIR/operator"
+	kill $watcher
+	for name in proxy-1 proxy-2 proxy-3 proxy-4 source-1 source-2 source-3; do
 		kill -0 "$(mesh_pid $name)" 2>/dev/null || ended="$ended $name"
 		kib=$(awk '/VmHWM/ { print $2 }' "/proc/$(mesh_pid $name)/status" \
 		    2>/dev/null)
@@ -98,6 +110,8 @@
 	sleep 0.5
 	perl $here/check.pl "$log" >"$MESH_DIR/check"
 	found=$?
+	cat "$MESH_DIR/operator"
+	[ ! -s "$MESH_DIR/operator" ] || found=1
 	[ -z "$ended" ] || echo "LOST, ended by itself:$ended"
 	sed "s/^/seed $1: /" "$MESH_DIR/check"
 	[ $found = 0 ] && [ -z "$ended" ] || {
