test(soak): sources whose disks misbehave are killed too

Problem: a source that ignores failed writes went unnoticed: it kept what it had not written in memory.

Solution: sources 2 and 3 are killed and started at random moments, by one watcher. The wait for the last change is bounded by time.

--- a/test/soak/misbehave/faults.sh
+++ b/test/soak/misbehave/faults.sh
@@ -9,10 +9,10 @@
 		my $at = 0;
 		while ($at < $ARGV[1]) {
 			my $gap = 0.1 + rand 0.5;
-			my $kind = (qw(full full stalled stalled clock message
-			    message))[rand 7];
+			my $kind = (qw(full full stalled stalled kill clock message
+			    message))[rand 8];
 			my $process = (qw(source-2 source-3 source-1 proxy-1 proxy-2
-			    proxy-3 proxy-4))[rand($kind =~ /full|stalled/ ? 2 : 7)];
+			    proxy-3 proxy-4))[rand($kind =~ /full|stalled|kill/ ? 2 : 7)];
 			my $step = (rand() < 0.5 ? -1 : 1) *
 			    int exp rand log 100000;
 			$at += $gap;
@@ -23,14 +23,21 @@
 		}' "$1" "$2"
 }
 
-# Starts sources again that end since their disk, once full, takes writes again. What
-# ends for another reason stays down and is a finding.
+# Kills and starts sources when the file NAME.kill comes, and starts those again that end
+# since their disk, once full, takes writes again. What ends for another reason stays
+# down and is a finding.
 watch_sources() {
 	started_2=0
 	started_3=0
 	while sleep 0.1; do
 		for n in 2 3; do
-			kill -0 "$(mesh_pid source-$n)" 2>/dev/null && continue
+			if [ -e "$MESH_DIR/source-$n.kill" ]; then
+				kill -KILL "$(mesh_pid source-$n)"
+				mesh_wait 5 has_ended source-$n
+				rm "$MESH_DIR/source-$n.kill"
+				start_process source-$n
+			fi
+			has_ended source-$n || continue
 			ended=$(grep -c "exiting to reload" "$MESH_DIR/source-$n.log")
 			[ "$ended" -gt "$(eval echo \$started_$n)" ] || continue
 			eval "started_$n=$ended"
@@ -39,6 +46,8 @@
 	done
 }
 
+has_ended() { ! kill -0 "$(mesh_pid "$1")" 2>/dev/null; } # PROCESS
+
 # Ends a fault after a time, beside the next ones; see test/fakes/odd_os.c.
 hold_fault() { # PROCESS full|stalled SECONDS
 	: >"$MESH_DIR/$1.os.$2"
@@ -59,6 +68,7 @@
 		sleep "$gap"
 		case $kind in
 		full | stalled) hold_fault "$process" "$kind" "$value" & ;;
+		kill) : >"$MESH_DIR/$process.kill" ;;
 		clock) echo "$value" >"$MESH_DIR/$process.os.clock" ;;
 		message)
 			transport=tcp
@@ -78,6 +88,11 @@
 	echo "$MESH_DIR/v$1.mv"
 }
 
+apply_version() { # VERSION
+	timeout 5 "$MESH_BIN/mvctl" --source "$(mesh_operators)" apply \
+	    "$(rules_file "$1")" 2>&1
+}
+
 # Changes the rules again and again, each one until it is accepted. Prints what must not
 # come: a refusal. The version that comes next is in the file `next`.
 play_operator() { # SECONDS
@@ -85,8 +100,7 @@
 	echo 2 >"$MESH_DIR/next"
 	until=$(($(date +%s) + $1))
 	while [ "$(date +%s)" -lt $until ]; do
-		answer=$(timeout 5 "$MESH_BIN/mvctl" --source "$(mesh_operators)" apply \
-		    "$(rules_file $version)" 2>&1)
+		answer=$(apply_version $version)
 		case $answer in
 		*accepted*)
 			version=$((version + 1))
@@ -101,10 +115,14 @@
 # After the last fault a change is accepted and in force everywhere.
 check_recovery() {
 	version=$(cat "$MESH_DIR/next")
-	mesh_wait 20 mesh_ctl apply "$(rules_file "$version")" || {
-		echo "CONFIG: version $version is refused after the last fault"
-		return 1
-	}
+	until=$(($(date +%s) + 20))
+	while ! apply_version "$version" >/dev/null; do
+		[ "$(date +%s)" -lt $until ] || {
+			echo "CONFIG: version $version is refused after the last fault"
+			return 1
+		}
+		sleep 0.2
+	done
 	for n in 1 2 3 4; do
 		mesh_wait 20 mesh_proxy_has $n "$version" || {
 			echo "CONFIG: proxy $n has not version $version"
