--- a/test/fakes/odd_os.c
+++ b/test/fakes/odd_os.c
@@ -3,8 +3,8 @@
 // Files that may come and go at any time set the faults, PREFIX given by ODD_OS:
 //
 //   PREFIX.clock     holds seconds that are added to the wall clock
-//   PREFIX.full      writes to files in folders *.data take half of their bytes, then
-//                    fail
+//   PREFIX.full      a write to a file in a folder *.data takes half of its bytes, and
+//                    fails at the last one
 //   PREFIX.stalled   syncs wait until it is gone
 #include <dlfcn.h>
 #include <errno.h>
@@ -65,30 +65,30 @@
 }
 
 int
-clock_gettime(clockid_t id, struct timespec *ts)
+clock_gettime(clockid_t clock_id, struct timespec *tp)
 {
 	static int (*real)(clockid_t, struct timespec *);
 	int rc;
 
 	if (real == NULL)
 		*(void **)&real = dlsym(RTLD_NEXT, "clock_gettime");
-	rc = real(id, ts);
-	if (rc == 0 && id == CLOCK_REALTIME)
-		ts->tv_sec += read_clock_s();
+	rc = real(clock_id, tp);
+	if (rc == 0 && clock_id == CLOCK_REALTIME)
+		tp->tv_sec += read_clock_s();
 	return rc;
 }
 
 ssize_t
-write(int fd, const void *bytes, size_t size_bytes)
+write(int fd, const void *buf, size_t n)
 {
 	static ssize_t (*real)(int, const void *, size_t);
 
 	if (real == NULL)
 		*(void **)&real = dlsym(RTLD_NEXT, "write");
 	if (!is_data_file(fd) || !has_fault("full"))
-		return real(fd, bytes, size_bytes);
-	if (size_bytes > 1)
-		return real(fd, bytes, size_bytes / 2);
+		return real(fd, buf, n);
+	if (n > 1)
+		return real(fd, buf, n / 2);
 	errno = ENOSPC;
 	return -1;
 }
@@ -112,12 +112,12 @@
 }
 
 int
-fdatasync(int fd)
+fdatasync(int fildes)
 {
 	static int (*real)(int);
 
 	if (real == NULL)
 		*(void **)&real = dlsym(RTLD_NEXT, "fdatasync");
 	wait_while_stalled();
-	return real(fd);
+	return real(fildes);
 }
