--- a/test/soak/misbehave/faults.sh
+++ b/test/soak/misbehave/faults.sh
@@ -31,13 +31,14 @@
 	started_3=0
 	while sleep 0.1; do
 		for n in 2 3; do
-			if [ -e "$MESH_DIR/source-$n.kill" ]; then
+			has_ended source-$n || {
+				[ -e "$MESH_DIR/source-$n.kill" ] || continue
+				rm "$MESH_DIR/source-$n.kill"
 				kill -KILL "$(mesh_pid source-$n)"
 				mesh_wait 5 has_ended source-$n
-				rm "$MESH_DIR/source-$n.kill"
 				start_process source-$n
-			fi
-			has_ended source-$n || continue
+				continue
+			}
 			ended=$(grep -c "exiting to reload" "$MESH_DIR/source-$n.log")
 			[ "$ended" -gt "$(eval echo \$started_$n)" ] || continue
 			eval "started_$n=$ended"
