--- a/src/core/membership/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -180,7 +180,6 @@
 		return;
 	vs->pulling = false;
 	vs->pull_deadline_us = DEADLINE_NONE;
-	vs->retry_deadline_us = now_us;
 	if (result == PULL_OVERTAKEN &&
 	    vs->have_version > vs->pulling_at_version)
 		return;
--- a/src/core/membership/version_sync.h
+++ b/src/core/membership/version_sync.h
@@ -72,7 +72,6 @@
 	uint64_t pulling_at_version;  ///< In force here at the start of it.
 	int64_t adoption_deadline_us; ///< Earliest next adoption.
 	uint32_t failures;	      ///< Consecutive, of all holders.
-	int64_t retry_deadline_us;
 };
 
 void version_sync_init(struct version_sync *vs,
