--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -1,251 +1,10 @@
 // Tests of many members on a simulated network and clock: convergence,
 // failures, network partitions.
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "core/membership/membership.h"
+#include "unit/member_net.h"
 #include "unit/support.h"
 
-#define MAX_NODES   128
-#define MAX_PACKETS 65536
-#define STEP_US	    10000
-#define SECOND_US   1000000
-
-struct packet {
-	struct gossip gossip;
-	uint32_t from;
-	uint32_t to;
-	int64_t due_us;
-};
-
-struct net_node {
-	struct membership m;
-	struct net *net;
-	uint32_t id;
-	bool up;
-	uint32_t group; ///< Different groups cannot reach each other.
-	uint64_t version_advertised;
-	uint64_t server_left;
-};
-
-struct net {
-	struct net_node nodes[MAX_NODES];
-	uint32_t count;
-	struct packet *packets;
-	uint32_t packet_count;
-	struct random random;
-	int64_t now_us;
-	uint32_t drop_pct;
-	bool blocks; ///< Drops packets between the blocked members.
-	uint32_t blocked[2];
-	uint64_t sent;
-	uint64_t sent_cross_region;
-};
-
-static struct net_node *
-node_of(struct membership *m)
-{
-	return m->owner;
-}
-
-static void
-on_send(struct membership *m, const char *host, uint32_t port,
-    const struct gossip *gossip)
-{
-	struct net_node *from = node_of(m);
-	struct net *net = from->net;
-	struct packet *p;
-
-	(void)host;
-	assert_in_range(port, 1, net->count);
-	net->sent++;
-	net->sent_cross_region += strcmp(net->nodes[port - 1].m.self.region,
-				      from->m.self.region) != 0;
-	if (random_below(&net->random, 100) < net->drop_pct ||
-	    net->packet_count == MAX_PACKETS)
-		return;
-	p = &net->packets[net->packet_count++];
-	p->gossip = *gossip;
-	p->from = from->id;
-	p->to = port - 1;
-	p->due_us = net->now_us + 1000 + random_time_us(&net->random, 20000);
-}
-
-/// Exchanges tables instantly in both directions.
-static void
-on_sync(struct membership *m, const char *host, uint32_t port)
-{
-	struct net_node *a = node_of(m);
-	struct net_node *b = &a->net->nodes[port - 1];
-	uint32_t i;
-
-	(void)host;
-	if (!b->up || a->group != b->group || a == b)
-		return;
-	membership_merge(&b->m, &a->m.self, a->net->now_us);
-	for (i = 0; i < a->m.peer_count; i++)
-		membership_merge(&b->m, &a->m.peers[i]->member, a->net->now_us);
-	membership_merge(&a->m, &b->m.self, a->net->now_us);
-	for (i = 0; i < b->m.peer_count; i++)
-		membership_merge(&a->m, &b->m.peers[i]->member, a->net->now_us);
-}
-
-static void
-on_changed(struct membership *m, const struct member *member)
-{
-	(void)m;
-	(void)member;
-}
-
-static void
-on_version_advertised(struct membership *m, const struct member *member)
-{
-	if (member->version > node_of(m)->version_advertised)
-		node_of(m)->version_advertised = member->version;
-}
-
-static void
-on_server_left(struct membership *m, uint64_t server)
-{
-	node_of(m)->server_left = server;
-}
-
-static const struct membership_ops call_ops = {
-    .send = on_send,
-    .sync = on_sync,
-    .changed = on_changed,
-    .version_advertised = on_version_advertised,
-    .server_left = on_server_left,
-};
-
-static void
-start_node(struct net *net, uint32_t id, uint64_t incarnation)
-{
-	struct net_node *n = &net->nodes[id];
-	struct membership_settings settings = {
-	    .probe_period_us = SECOND_US,
-	    .ack_timeout_us = 300000,
-	    .notice_period_us = 200000,
-	    .sync_period_us = 30 * SECOND_US,
-	    .retry_dead_period_us = 5 * SECOND_US,
-	    .forget_us = 3600LL * SECOND_US,
-	    .suspicion_periods = 3,
-	    .seed_count = 2,
-	};
-	struct member self = {
-	    .control_port = id + 1, .incarnation = incarnation};
-
-	strcpy(settings.seeds[0].host, "h");
-	settings.seeds[0].port = 1;
-	strcpy(settings.seeds[1].host, "h");
-	settings.seeds[1].port = 2;
-	snprintf(self.name, sizeof(self.name), "n%03u", id);
-	strcpy(self.host, "h");
-	snprintf(self.region, sizeof(self.region), "r%u", id % 2);
-	snprintf(self.dc, sizeof(self.dc), "r%u-%u", id % 2, id / 2 % 3);
-	n->net = net;
-	n->id = id;
-	n->up = true;
-	n->version_advertised = 0;
-	n->server_left = 0;
-	membership_init(&n->m, &call_ops, n, &settings, &self,
-	    id * 1000 + incarnation, net->now_us);
-}
-
-static struct net *
-create_net(uint32_t count)
-{
-	struct net *net = calloc(1, sizeof(*net));
-	uint32_t i;
-
-	assert_non_null(net);
-	net->packets = calloc(MAX_PACKETS, sizeof(*net->packets));
-	assert_non_null(net->packets);
-	net->count = count;
-	net->random.seed = count;
-	net->now_us = 1000 * SECOND_US;
-	for (i = 0; i < count; i++)
-		start_node(net, i, 1);
-	return net;
-}
-
-static void
-free_net(struct net *net)
-{
-	uint32_t i;
-
-	for (i = 0; i < net->count; i++)
-		membership_free(&net->nodes[i].m);
-	free(net->packets);
-	free(net);
-}
-
-static bool
-is_blocked(const struct net *net, uint32_t a, uint32_t b)
-{
-	return (net->blocked[0] == a && net->blocked[1] == b) ||
-	    (net->blocked[0] == b && net->blocked[1] == a);
-}
-
-static void
-deliver(struct net *net)
-{
-	uint32_t i = 0;
-
-	while (i < net->packet_count) {
-		struct packet p = net->packets[i];
-		struct net_node *to = &net->nodes[p.to];
-
-		if (p.due_us > net->now_us) {
-			i++;
-			continue;
-		}
-		net->packets[i] = net->packets[--net->packet_count];
-		if (net->blocks && is_blocked(net, p.from, p.to))
-			continue;
-		if (to->up && to->group == net->nodes[p.from].group)
-			membership_receive(&to->m, &p.gossip, net->now_us);
-	}
-}
-
-static void
-run(struct net *net, int64_t time_us)
-{
-	int64_t end_us = net->now_us + time_us;
-	uint32_t i;
-
-	while (net->now_us < end_us) {
-		net->now_us += STEP_US;
-		deliver(net);
-		for (i = 0; i < net->count; i++)
-			if (net->nodes[i].up)
-				membership_tick(&net->nodes[i].m, net->now_us);
-	}
-}
-
-/// Runs until a condition holds at all nodes that are up.
-///
-/// @return elapsed time, or -1 at the time limit
-static int64_t
-run_until(struct net *net, int64_t limit_us,
-    bool (*holds)(const struct net_node *n, void *arg), void *arg)
-{
-	int64_t start_us = net->now_us;
-
-	while (net->now_us - start_us < limit_us) {
-		uint32_t i = 0;
-
-		run(net, STEP_US);
-		while (i < net->count &&
-		    (!net->nodes[i].up || holds(&net->nodes[i], arg)))
-			i++;
-		if (i == net->count)
-			return net->now_us - start_us;
-	}
-	return -1;
-}
-
 static bool
 knows_count(const struct net_node *n, void *arg)
 {
@@ -286,10 +45,11 @@
 static struct net *
 create_converged(uint32_t count)
 {
-	struct net *net = create_net(count);
+	struct net *net = net_create(count);
 
-	assert_true(run_until(net, 30 * SECOND_US, knows_count, &count) >= 0);
-	run(net, 5 * SECOND_US);
+	assert_true(
+	    net_run_until(net, 30 * SECOND_US, knows_count, &count) >= 0);
+	net_run(net, 5 * SECOND_US);
 	return net;
 }
 
@@ -299,14 +59,14 @@
 	struct net *net = create_converged(60);
 
 	(void)state;
-	free_net(net);
+	net_free(net);
 }
 
 /// Partitions that start separately, each with one of the seeds, merge.
 static void
 test_partitioned_start_heals(void **state)
 {
-	struct net *net = create_net(12);
+	struct net *net = net_create(12);
 	uint32_t half = 6;
 	uint32_t all = 12;
 	uint32_t i;
@@ -314,11 +74,12 @@
 	(void)state;
 	for (i = 0; i < net->count; i++)
 		net->nodes[i].group = i % 2;
-	assert_true(run_until(net, 30 * SECOND_US, knows_count, &half) >= 0);
+	assert_true(
+	    net_run_until(net, 30 * SECOND_US, knows_count, &half) >= 0);
 	for (i = 0; i < net->count; i++)
 		net->nodes[i].group = 0;
-	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
-	free_net(net);
+	assert_true(net_run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
+	net_free(net);
 }
 
 /// A record with the greatest incarnation and revision that a message can carry
@@ -336,12 +97,14 @@
 	stray.status = MEMBER_DEAD;
 	stray.revision = MEMBER_MAX_REVISION;
 	membership_merge(&net->nodes[3].m, &stray, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
 	stray.incarnation = MEMBER_MAX_INCARNATION;
 	stray.revision = 0;
 	membership_merge(&net->nodes[3].m, &stray, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
-	free_net(net);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &alive) >= 0);
+	net_free(net);
 }
 
 /// A VM is gone, and another one starts at its address within moments. The record
@@ -355,12 +118,12 @@
 
 	(void)state;
 	membership_free(&net->nodes[5].m);
-	start_node(net, 5, 2);
+	net_start_node(net, 5, 2);
 	strcpy(net->nodes[5].m.self.name, "x005");
-	assert_true(
-	    run_until(net, 60 * SECOND_US, knows_gone, (void *)"n005") >= 0);
-	assert_true(run_until(net, 10 * SECOND_US, knows_count, &all) >= 0);
-	free_net(net);
+	assert_true(net_run_until(
+			net, 60 * SECOND_US, knows_gone, (void *)"n005") >= 0);
+	assert_true(net_run_until(net, 10 * SECOND_US, knows_count, &all) >= 0);
+	net_free(net);
 }
 
 /// A change of one backend server reaches all members within a few seconds,
@@ -376,9 +139,9 @@
 	net->drop_pct = 20;
 	membership_set_backend(
 	    &net->nodes[42].m, "s", BACKEND_DRAINING, 0, 5, net->now_us);
-	elapsed_us = run_until(net, 20 * SECOND_US, sees_member, &w);
+	elapsed_us = net_run_until(net, 20 * SECOND_US, sees_member, &w);
 	assert_in_range(elapsed_us, 0, 4 * SECOND_US);
-	free_net(net);
+	net_free(net);
 }
 
 /// A member that missed a change which is no longer transmitted gets it within
@@ -386,7 +149,7 @@
 static void
 test_missed_change_is_repaired(void **state)
 {
-	struct net *net = create_net(24);
+	struct net *net = net_create(24);
 	struct expected w = {"n005", MEMBER_ALIVE, BACKEND_READY};
 	uint32_t all = 24;
 	uint32_t i;
@@ -394,11 +157,11 @@
 	(void)state;
 	for (i = 0; i < net->count; i++)
 		net->nodes[i].m.settings.sync_period_us = 3600LL * SECOND_US;
-	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
+	assert_true(net_run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
 	membership_set_backend(
 	    &net->nodes[5].m, "s", BACKEND_READY, 0, 5, net->now_us);
-	assert_true(run_until(net, 30 * SECOND_US, sees_member, &w) >= 0);
-	run(net, 60 * SECOND_US);
+	assert_true(net_run_until(net, 30 * SECOND_US, sees_member, &w) >= 0);
+	net_run(net, 60 * SECOND_US);
 	for (i = 0; i < net->nodes[8].m.peer_count; i++) {
 		struct member *m = &net->nodes[8].m.peers[i]->member;
 
@@ -407,9 +170,9 @@
 			m->revision--;
 		}
 	}
-	assert_in_range(
-	    run_until(net, 60 * SECOND_US, sees_member, &w), 0, 8 * SECOND_US);
-	free_net(net);
+	assert_in_range(net_run_until(net, 60 * SECOND_US, sees_member, &w), 0,
+	    8 * SECOND_US);
+	net_free(net);
 }
 
 /// Two members that can reach all members but each other are not suspected,
@@ -424,9 +187,9 @@
 	net->blocked[0] = 6;
 	net->blocked[1] = 0;
 	net->blocks = true;
-	run(net, 120 * SECOND_US);
+	net_run(net, 120 * SECOND_US);
 	assert_int_equal(net->nodes[6].m.self.revision, before);
-	free_net(net);
+	net_free(net);
 }
 
 static void
@@ -439,9 +202,9 @@
 	(void)state;
 	net->drop_pct = 5;
 	net->nodes[7].up = false;
-	elapsed_us = run_until(net, 60 * SECOND_US, sees_member, &w);
+	elapsed_us = net_run_until(net, 60 * SECOND_US, sees_member, &w);
 	assert_in_range(elapsed_us, 0, 30 * SECOND_US);
-	free_net(net);
+	net_free(net);
 }
 
 /// Packet loss alone does not make a responsive member dead.
@@ -455,13 +218,13 @@
 	(void)state;
 	net->drop_pct = 20;
 	for (i = 0; i < 120; i++) {
-		run(net, SECOND_US);
+		net_run(net, SECOND_US);
 		assert_in_range(
 		    membership_alive_count(&net->nodes[3].m), 29, 30);
 	}
 	net->drop_pct = 0;
-	assert_true(run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
-	free_net(net);
+	assert_true(net_run_until(net, 30 * SECOND_US, knows_count, &all) >= 0);
+	net_free(net);
 }
 
 /// A restarted member replaces its old record, and receives the highest version
@@ -474,16 +237,16 @@
 
 	(void)state;
 	membership_set_version(&net->nodes[9].m, 41);
-	run(net, 10 * SECOND_US);
+	net_run(net, 10 * SECOND_US);
 	net->nodes[9].up = false;
-	run(net, 2 * SECOND_US);
+	net_run(net, 2 * SECOND_US);
 	membership_free(&net->nodes[9].m);
-	start_node(net, 9, 2);
+	net_start_node(net, 9, 2);
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_READY, 0, 5, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &w) >= 0);
+	assert_true(net_run_until(net, 20 * SECOND_US, sees_member, &w) >= 0);
 	assert_int_equal(net->nodes[9].m.version_floor, 41);
-	free_net(net);
+	net_free(net);
 }
 
 /// A server that has left is not used again when its proxy restarts and takes it
@@ -499,28 +262,32 @@
 	(void)state;
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_READY, 77, 5, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_DRAINING, 77, 5, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
 	net->nodes[9].up = false;
-	run(net, 2 * SECOND_US);
+	net_run(net, 2 * SECOND_US);
 	membership_free(&net->nodes[9].m);
-	start_node(net, 9, 2);
-	run(net, SECOND_US);
+	net_start_node(net, 9, 2);
+	net_run(net, SECOND_US);
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_READY, 77, 5, net->now_us);
-	run(net, SECOND_US);
+	net_run(net, SECOND_US);
 	assert_int_equal(net->nodes[9].server_left, 77);
 	for (i = 0; i < net->count; i++)
 		assert_true(i == 9 || !sees_member(&net->nodes[i], &ready));
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_DRAINING, 77, 5, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &left) >= 0);
 	membership_set_backend(
 	    &net->nodes[9].m, "s", BACKEND_READY, 78, 5, net->now_us);
-	assert_true(run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
-	free_net(net);
+	assert_true(
+	    net_run_until(net, 20 * SECOND_US, sees_member, &ready) >= 0);
+	net_free(net);
 }
 
 /// Regions merge without intervention after a partition of almost an hour.
@@ -535,12 +302,13 @@
 	(void)state;
 	for (i = 0; i < net->count; i++)
 		net->nodes[i].group = i % 2;
-	assert_true(run_until(net, 120 * SECOND_US, knows_count, &half) >= 0);
-	run(net, 3000LL * SECOND_US);
+	assert_true(
+	    net_run_until(net, 120 * SECOND_US, knows_count, &half) >= 0);
+	net_run(net, 3000LL * SECOND_US);
 	for (i = 0; i < net->count; i++)
 		net->nodes[i].group = 0;
-	assert_true(run_until(net, 60 * SECOND_US, knows_count, &all) >= 0);
-	free_net(net);
+	assert_true(net_run_until(net, 60 * SECOND_US, knows_count, &all) >= 0);
+	net_free(net);
 }
 
 /// A version set at one member reaches all members by gossip alone, without a
@@ -558,16 +326,17 @@
 	do {
 		uint32_t i;
 
-		run(net, STEP_US);
+		net_run(net, STEP_US);
 		for (i = 0; i < net->count; i++)
 			if (net->nodes[i].version_advertised >
 			    net->nodes[i].m.self.version)
 				membership_set_version(&net->nodes[i].m,
 				    net->nodes[i].version_advertised);
-		elapsed_us = run_until(net, STEP_US, knows_version, &version);
+		elapsed_us =
+		    net_run_until(net, STEP_US, knows_version, &version);
 	} while (elapsed_us < 0 && net->now_us < 1100LL * SECOND_US);
 	assert_true(elapsed_us >= 0);
-	free_net(net);
+	net_free(net);
 }
 
 /// The idle traffic of a member does not depend on the size of the fleet.
@@ -580,17 +349,17 @@
 	uint64_t large_sent;
 
 	(void)state;
-	run(small, 20 * SECOND_US);
-	run(large, 20 * SECOND_US);
+	net_run(small, 20 * SECOND_US);
+	net_run(large, 20 * SECOND_US);
 	small_sent = small->sent;
 	large_sent = large->sent;
-	run(small, 30 * SECOND_US);
-	run(large, 30 * SECOND_US);
+	net_run(small, 30 * SECOND_US);
+	net_run(large, 30 * SECOND_US);
 	// Messages of a member in 30 s, with 10 % tolerance for randomness.
 	assert_true((large->sent - large_sent) / 120 <=
 	    (small->sent - small_sent) / 20 * 11 / 10 + 1);
-	free_net(small);
-	free_net(large);
+	net_free(small);
+	net_free(large);
 }
 
 /// A member that leaves is not declared dead and does not reappear.
@@ -602,12 +371,12 @@
 
 	(void)state;
 	membership_leave(&net->nodes[4].m, net->now_us);
-	run(net, SECOND_US / 2);
+	net_run(net, SECOND_US / 2);
 	net->nodes[4].up = false;
-	assert_true(run_until(net, 10 * SECOND_US, sees_member, &w) >= 0);
-	run(net, 60 * SECOND_US);
-	assert_true(run_until(net, STEP_US, sees_member, &w) >= 0);
-	free_net(net);
+	assert_true(net_run_until(net, 10 * SECOND_US, sees_member, &w) >= 0);
+	net_run(net, 60 * SECOND_US);
+	assert_true(net_run_until(net, STEP_US, sees_member, &w) >= 0);
+	net_free(net);
 }
 
 int
