--- a/src/core/membership/member.c
+++ b/src/core/membership/member.c
@@ -11,6 +11,12 @@
 	return a->status > b->status;
 }
 
+bool
+backend_state_takes_work(enum backend_state state)
+{
+	return state == BACKEND_READY || state == BACKEND_COLD;
+}
+
 const char *
 backend_state_name(enum backend_state state)
 {
--- a/src/core/membership/member.h
+++ b/src/core/membership/member.h
@@ -59,6 +59,9 @@
 /// Returns whether record a replaces record b of the same member.
 bool member_supersedes(const struct member *a, const struct member *b);
 
+/// Returns whether a backend server in this state accepts new requests.
+bool backend_state_takes_work(enum backend_state state);
+
 /// Returns the name of a backend state.
 const char *backend_state_name(enum backend_state state);
 
--- a/src/core/membership/membership_receive.c
+++ b/src/core/membership/membership_receive.c
@@ -31,13 +31,6 @@
 	m->push_self_to_dcs = true;
 }
 
-static bool
-takes_work(const struct member *member)
-{
-	return member->backend == BACKEND_READY ||
-	    member->backend == BACKEND_COLD;
-}
-
 /// Applies what is known of the backend server of a record. A proxy that has
 /// restarted may take a server for ready that has left before.
 static void
@@ -49,7 +42,8 @@
 		return;
 	if (member->backend == BACKEND_DRAINING)
 		peer->left_server = member->server;
-	else if (member->server == peer->left_server && takes_work(member))
+	else if (member->server == peer->left_server &&
+	    backend_state_takes_work(member->backend))
 		member->backend = BACKEND_DRAINING;
 }
 
@@ -150,7 +144,7 @@
 	    peer->member.revision == from->revision)
 		peer->member.load_pct = from->load_pct;
 	if (from->server != 0 && from->server == peer->left_server &&
-	    takes_work(from)) {
+	    backend_state_takes_work(from->backend)) {
 		peer->transmits_left = 1;
 		membership_send_to_member(m, from, GOSSIP_NOTICE, 0);
 	}
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -313,8 +313,7 @@
 static bool
 is_usable(const struct endpoint *e, bool include_ejected, int64_t now_us)
 {
-	if (!e->present ||
-	    (e->state != BACKEND_READY && e->state != BACKEND_COLD))
+	if (!e->present || !backend_state_takes_work(e->state))
 		return false;
 	return include_ejected || e->ejected_until_deadline_us <= now_us;
 }
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -154,8 +154,7 @@
 	struct backend_announcement *current = &control->backend.latest;
 
 	if (control->left_server == 0 ||
-	    (current->state != BACKEND_READY &&
-		current->state != BACKEND_COLD) ||
+	    !backend_state_takes_work(current->state) ||
 	    server_terms_hash(current->id, current->process_start) !=
 		control->left_server)
 		return false;
