refactor(membership): holders of rules are looked up in one place

The search for a holder's entry stood twice since failures are counted for each holder. Behaviour is the same; unit.test_distribution passes.

--- a/src/core/membership/version_sync.c
+++ b/src/core/membership/version_sync.c
@@ -53,26 +53,35 @@
 	return a->port == b->port && strcmp(a->host, b->host) == 0;
 }
 
-/// Returns the index at which to store a holder: its own, an unused one, or
-/// that of the holder with the lowest version, then the largest distance.
-static uint32_t
-holder_position(const struct version_sync *vs, const struct holder *holder)
+/// Returns the entry of a holder, or NULL if it has none.
+static struct holder *
+find_holder(struct version_sync *vs, const struct holder *holder)
 {
-	uint32_t worst = 0;
 	uint32_t i;
 
 	for (i = 0; i < vs->holder_count; i++)
 		if (same_holder(&vs->holders[i], holder))
-			return i;
+			return &vs->holders[i];
+	return NULL;
+}
+
+/// Returns an unused entry, or that of the holder with the lowest version, then the
+/// largest distance.
+static struct holder *
+take_entry(struct version_sync *vs)
+{
+	struct holder *worst = &vs->holders[0];
+	uint32_t i;
+
 	if (vs->holder_count < VERSION_SYNC_HOLDERS)
-		return vs->holder_count;
+		return &vs->holders[vs->holder_count++];
 	for (i = 1; i < vs->holder_count; i++) {
-		const struct holder *a = &vs->holders[i];
-		const struct holder *b = &vs->holders[worst];
+		struct holder *h = &vs->holders[i];
 
-		if (a->version < b->version ||
-		    (a->version == b->version && a->distance > b->distance))
-			worst = i;
+		if (h->version < worst->version ||
+		    (h->version == worst->version &&
+			h->distance > worst->distance))
+			worst = h;
 	}
 	return worst;
 }
@@ -81,22 +90,20 @@
 version_sync_add_holder(struct version_sync *vs, const struct holder *holder,
     uint32_t rank, int64_t now_us)
 {
-	struct holder *slot;
+	struct holder *entry;
 	struct holder before = {0};
 	int64_t remote_deadline_us;
-	uint32_t at;
 
 	if (holder->version <= vs->have_version)
 		return;
-	at = holder_position(vs, holder);
-	slot = &vs->holders[at];
-	if (at == vs->holder_count)
-		vs->holder_count++;
-	else if (same_holder(slot, holder))
-		before = *slot;
-	*slot = *holder;
-	slot->retry_deadline_us = before.retry_deadline_us;
-	slot->failures = before.failures;
+	entry = find_holder(vs, holder);
+	if (entry != NULL)
+		before = *entry;
+	else
+		entry = take_entry(vs);
+	*entry = *holder;
+	entry->retry_deadline_us = before.retry_deadline_us;
+	entry->failures = before.failures;
 	if (holder->version <= vs->known_version)
 		return;
 	vs->known_version = holder->version;
@@ -132,29 +139,16 @@
 static int64_t
 backoff_us(struct version_sync *vs, uint32_t failures)
 {
-	uint32_t shift = failures;
+	uint32_t shift =
+	    failures < BACKOFF_MAX_SHIFT ? failures : BACKOFF_MAX_SHIFT;
 	int64_t limit_us;
 
-	if (shift > BACKOFF_MAX_SHIFT)
-		shift = BACKOFF_MAX_SHIFT;
 	limit_us = BACKOFF_FIRST_US << shift;
 	if (limit_us > BACKOFF_MAX_US)
 		limit_us = BACKOFF_MAX_US;
 	return limit_us / 2 + random_time_us(&vs->random, limit_us / 2);
 }
 
-/// Returns the entry of a holder, or NULL if it was removed.
-static struct holder *
-find_holder(struct version_sync *vs, const struct holder *holder)
-{
-	uint32_t i;
-
-	for (i = 0; i < vs->holder_count; i++)
-		if (same_holder(&vs->holders[i], holder))
-			return &vs->holders[i];
-	return NULL;
-}
-
 /// Sets the earliest time of the next pull from a holder.
 ///
 /// @param wait_us  delay requested by the holder; 0: none
