--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -79,6 +79,8 @@
 
 mesh_pid() { cat "$MESH_DIR/$1.pid"; }
 
+mesh_has_ended() { ! kill -0 "$(mesh_pid "$1")" 2>/dev/null; } # NAME
+
 mesh_stop() { # NAME [SIGNAL]
 	mesh_stop_pid=$(mesh_pid "$1")
 	kill -"${2:-TERM}" "$mesh_stop_pid" 2>/dev/null
@@ -274,10 +276,11 @@
 
 mesh_ctl() { "$MESH_BIN/mvctl" --source "$(mesh_operators)" "$@"; }
 
-# Writes the rules of plain.mv as version V and prints the name of the file.
-mesh_version_file() { # V
-	sed "s/^version 1 .*/version $1 # op $1/" test/functional/plain.mv \
-	    >"$MESH_DIR/v$1.mv"
+# Writes the rules of a file, plain.mv by default, as version V and prints the name of
+# the new file.
+mesh_version_file() { # V [RULES]
+	sed "s/^version 1 .*/version $1 # op $1/" \
+	    "${2:-test/functional/plain.mv}" >"$MESH_DIR/v$1.mv"
 	echo "$MESH_DIR/v$1.mv"
 }
 
--- a/test/functional/disk_full.sh
+++ b/test/functional/disk_full.sh
@@ -18,8 +18,6 @@
 	    replica_storage_failed)" = 1 ]
 }
 
-has_ended() { ! kill -0 "$(mesh_pid "source-$1")" 2>/dev/null; }
-
 for i in 1 2 3; do mesh_source $i --bootstrap; done
 mesh_wait 20 mesh_reported 0 || echo "no quorum"
 apply_next
@@ -31,7 +29,7 @@
 	mesh_wait 10 storage_fails $i || echo "source $i does not report the failure"
 	echo "== it has free space again"
 	prlimit --pid "$(mesh_pid source-$i)" --fsize=unlimited:unlimited
-	mesh_wait 10 has_ended $i || echo "source $i does not exit"
+	mesh_wait 10 mesh_has_ended source-$i || echo "source $i does not exit"
 	wait "$(mesh_pid source-$i)" 2>/dev/null
 	echo "exit code $?"
 	mesh_source $i
--- a/test/soak/misbehave/faults.sh
+++ b/test/soak/misbehave/faults.sh
@@ -31,11 +31,11 @@
 	started_3=0
 	while sleep 0.1; do
 		for n in 2 3; do
-			has_ended source-$n || {
+			mesh_has_ended source-$n || {
 				[ -e "$MESH_DIR/source-$n.kill" ] || continue
 				rm "$MESH_DIR/source-$n.kill"
 				kill -KILL "$(mesh_pid source-$n)"
-				mesh_wait 5 has_ended source-$n
+				mesh_wait 5 mesh_has_ended source-$n
 				start_process source-$n
 				continue
 			}
@@ -47,8 +47,6 @@
 	done
 }
 
-has_ended() { ! kill -0 "$(mesh_pid "$1")" 2>/dev/null; } # PROCESS
-
 # Ends a fault after a time, beside the next ones; see test/fakes/odd_os.c.
 hold_fault() { # PROCESS full|stalled SECONDS
 	: >"$MESH_DIR/$1.os.$2"
@@ -83,15 +81,9 @@
 	wait
 }
 
-rules_file() { # VERSION
-	sed "s/^version 1 .*/version $1 # test/" test/soak/misbehave/rules.mv \
-	    >"$MESH_DIR/v$1.mv"
-	echo "$MESH_DIR/v$1.mv"
-}
-
 apply_version() { # VERSION
 	timeout 5 "$MESH_BIN/mvctl" --source "$(mesh_operators)" apply \
-	    "$(rules_file "$1")" 2>&1
+	    "$(mesh_version_file "$1" test/soak/misbehave/rules.mv)" 2>&1
 }
 
 # Changes the rules again and again, each one until it is accepted. Prints what must not
--- a/test/soak/misbehave/run.sh
+++ b/test/soak/misbehave/run.sh
@@ -82,11 +82,11 @@
 	ended=
 	while read -r gap kind name duration; do
 		sleep "$gap"
-		kill -0 "$(mesh_pid "$name")" 2>/dev/null || {
+		if mesh_has_ended "$name"; then
 			ended="$ended $name"
 			start_process "$name"
 			continue
-		}
+		fi
 		case $kind in
 		STOP)
 			kill -STOP "$(mesh_pid "$name")"
@@ -102,7 +102,7 @@
 	check_recovery >>"$MESH_DIR/operator"
 	kill $watcher
 	for name in proxy-1 proxy-2 proxy-3 proxy-4 source-1 source-2 source-3; do
-		kill -0 "$(mesh_pid $name)" 2>/dev/null || ended="$ended $name"
+		mesh_has_ended $name && ended="$ended $name"
 		kib=$(awk '/VmHWM/ { print $2 }' "/proc/$(mesh_pid $name)/status" \
 		    2>/dev/null)
 		[ "${kib:-0}" -lt "${MISBEHAVE_MEMORY_KIB:-131072}" ] || ended="$ended $name-has-${kib}-KiB"
