feat(ingress): the caller's service that requests name is logged with its source

Solution: a line when the name changes, with its source (settings or announcement) and the request; a counter of callers' headers that are dropped since only proxies set them. The name has a file of its own. No logic is changed.

--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -119,6 +119,8 @@
 	struct ingress_request *all;
 	uint64_t next_id;
 	uint64_t generated_ids; ///< Count of request ids generated.
+	/// Service that the last request named as its caller's.
+	char caller_service[MEMBER_NAME_BYTES];
 };
 
 // Layers of the ingress, lowest first: a file calls only functions that are
@@ -241,6 +243,11 @@
 extern const struct links_ops ingress_links_ops;
 extern const struct egress_sink_ops ingress_sink_ops;
 
+// caller_service.c
+
+/// Adds the header that names the service on this VM as the caller's.
+void ingress_add_caller_service(struct ingress_request *r);
+
 // route.c
 
 /// Routes a request by the rules in force, and starts its first attempt.
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -4,21 +4,31 @@
 #include <string.h>
 
 #include "io/clock.h"
+#include "io/log/counters.h"
 #include "proxy/headers.h"
 #include "proxy/ingress/ingress_request.h"
 
 /// Requests have to end this long before the end of a drain.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
 
+COUNTER_DEFINE(count_internal, "ingress_internal_headers",
+    "Headers of callers dropped, since only proxies set them");
+
 static void
 collect_header(void *arg, const char *name, const char *value)
 {
 	struct ingress_request *r = arg;
 	struct bytes n = bytes_from_string(name);
 
-	if (headers_is_hop_by_hop(n) ||
-	    headers_is_internal(&r->ingress->dialect->headers, n))
+	if (headers_is_hop_by_hop(n))
+		return;
+	if (headers_is_internal(&r->ingress->dialect->headers, n)) {
+		// Callers state the deadline themselves.
+		if (!headers_name_equals(
+			n, r->ingress->dialect->headers.deadline))
+			counter_add(&count_internal, 1);
 		return;
+	}
 	header_list_add(&r->headers, n, bytes_from_string(value));
 }
 
@@ -69,22 +79,6 @@
 	return 0;
 }
 
-/// Adds the header that names the service on this VM as the caller's.
-static void
-add_caller_service(struct ingress_request *r)
-{
-	const struct ingress *ingress = r->ingress;
-	const char *name = ingress->dialect->headers.caller_service;
-	const char *service = egress_get_service_name(ingress->egress);
-
-	if (name == NULL)
-		return;
-	if (service[0] == '\0')
-		service = ingress->settings.service;
-	header_list_add(
-	    &r->headers, bytes_from_string(name), bytes_from_string(service));
-}
-
 /// Tells whether the request is a call of one that the local backend server
 /// runs. An id alone proves nothing: any caller chooses its own.
 static bool
@@ -152,7 +146,7 @@
 		    DRAINING_RETRY_US, "this proxy is leaving");
 		return;
 	}
-	add_caller_service(r);
+	ingress_add_caller_service(r);
 	r->safe = r->route->kind == RULE_KIND_METHOD
 	    ? retry_method_is_safe(exchange->method)
 	    : r->route->kind == RULE_KIND_SAFE;
