--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -267,10 +267,10 @@
 	    "http://$(mesh_host "$1"):$PORT_ADMIN/api/instances/$2/$3"
 }
 
-mesh_beat() { # N ID SERVICE ADDRESS BORN SEQUENCE [STATE]
+mesh_beat() { # N ID SERVICE ADDRESS BORN SEQUENCE [STATE [SLOTS]]
 	mesh_call_proxy "$1" "$2" heartbeat "{\"service\": \"$3\",
 	    \"address\": \"$4\", \"zone\": \"z\", \"version\": \"v1\",
-	    \"slots\": 9, \"state\": \"${7:-ready}\", \"coldRemainingMs\": 0,
+	    \"slots\": ${8:-9}, \"state\": \"${7:-ready}\", \"coldRemainingMs\": 0,
 	    \"born\": $5, \"sequence\": $6}"
 }
 
--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/http/httpc_conn.h"
 #include "io/net/dial.h"
 
@@ -35,6 +36,7 @@
 	msgpack_sbuffer_destroy(&conn->out);
 	msgpack_sbuffer_destroy(&conn->header);
 	msgpack_sbuffer_destroy(&conn->unparsed);
+	held_update(HELD_CALL, &conn->held_bytes, 0);
 	free(conn);
 }
 
@@ -82,6 +84,8 @@
 {
 	uint32_t events = conn->paused ? 0 : LOOP_READ;
 
+	held_update(HELD_CALL, &conn->held_bytes,
+	    conn->out.alloc + conn->unparsed.alloc + conn->header.alloc);
 	if (conn->closed)
 		return;
 	if (conn->connecting || has_output(conn))
--- a/src/io/http/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -51,6 +51,7 @@
 	bool response_complete;
 	bool paused;
 	msgpack_sbuffer unparsed; ///< Bytes received while paused.
+	size_t held_bytes;	  ///< Counted in held_bytes.
 };
 
 /// Starts to connect.
--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/http/httpd_exchange.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
@@ -61,6 +62,8 @@
 	free(x->pub.target);
 	free(x->pub.body);
 	free(x->out);
+	held_update(HELD_CALLER_BODY, &x->body_held_bytes, 0);
+	held_update(HELD_CALLER_ANSWER, &x->out_held_bytes, 0);
 	free(x);
 }
 
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/held.h"
 #include "io/http/httpd_exchange.h"
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
@@ -220,6 +221,8 @@
 		x->out_capacity_bytes = x->out_bytes + size_bytes;
 		x->out = realloc(x->out, x->out_capacity_bytes);
 		assert(x->out != NULL);
+		held_update(HELD_CALLER_ANSWER, &x->out_held_bytes,
+		    x->out_capacity_bytes);
 	}
 	memcpy(x->out + x->out_bytes, data, size_bytes);
 	x->out_bytes += size_bytes;
@@ -250,6 +253,8 @@
 	exchange->body_bytes += size_bytes;
 	exchange->body[exchange->body_bytes] = '\0';
 	exchange->more &= !last;
+	held_update(HELD_CALLER_BODY, &exchange_of(exchange)->body_held_bytes,
+	    exchange->body_bytes);
 }
 
 void
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -40,6 +40,8 @@
 	char *out;		    ///< Streamed response bytes not yet sent.
 	size_t out_bytes;
 	size_t out_capacity_bytes;
+	size_t out_held_bytes; ///< Counted in held_bytes.
+	size_t body_held_bytes;
 	bool dispatched;
 	bool upload_done;
 	bool suspended;
--- a/src/io/net/net.h
+++ b/src/io/net/net.h
@@ -32,6 +32,8 @@
 	struct address peer_address;
 	msgpack_sbuffer out;
 	size_t out_sent_bytes;
+	size_t out_held_bytes; ///< Counted in held_bytes.
+	size_t in_held_bytes;
 	char *in;
 	size_t in_used_bytes;
 	size_t in_capacity_bytes;
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "io/held.h"
 #include "io/log/log.h"
 #include "io/net/deflate.h"
 #include "io/net/dial.h"
@@ -28,7 +29,9 @@
 	struct stream *stream = arg;
 
 	msgpack_sbuffer_destroy(&stream->out);
+	held_update(HELD_STREAM_OUT, &stream->out_held_bytes, 0);
 	free(stream->in);
+	held_update(HELD_STREAM_IN, &stream->in_held_bytes, 0);
 	free(stream);
 }
 
@@ -103,6 +106,7 @@
 	stream->out_sent_bytes = 0;
 	msgpack_sbuffer_destroy(&stream->out);
 	msgpack_sbuffer_init(&stream->out);
+	held_update(HELD_STREAM_OUT, &stream->out_held_bytes, 0);
 }
 
 static void
@@ -190,6 +194,8 @@
 	if (stream->out.size - start > DEFLATE_MIN_BYTES &&
 	    message_is_compressible(type))
 		deflate_frame(&stream->out, start);
+	held_update(
+	    HELD_STREAM_OUT, &stream->out_held_bytes, stream->out.alloc);
 	volume_count(type, &stream->peer_address,
 	    stream->out.size - start + VOLUME_TCP_HEAD_BYTES);
 	if (stream->flush_deferred)
@@ -321,6 +327,7 @@
 	stream->in = realloc(stream->in, needed_bytes);
 	assert(stream->in != NULL);
 	stream->in_capacity_bytes = needed_bytes;
+	held_update(HELD_STREAM_IN, &stream->in_held_bytes, needed_bytes);
 }
 
 /// Receives bytes at the end of those kept.
@@ -373,6 +380,7 @@
 	free(stream->in);
 	stream->in = NULL;
 	stream->in_capacity_bytes = 0;
+	held_update(HELD_STREAM_IN, &stream->in_held_bytes, 0);
 }
 
 /// Receives into a buffer on the stack: there are many streams, and most get
@@ -399,6 +407,7 @@
 	assert(stream->in != NULL);
 	memcpy(stream->in, bytes + delivered_bytes, size_bytes);
 	stream->in_used_bytes = stream->in_capacity_bytes = size_bytes;
+	held_update(HELD_STREAM_IN, &stream->in_held_bytes, size_bytes);
 }
 
 static void
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -7,6 +7,7 @@
 
 #include "core/requests/outcome.h"
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "proxy/egress/egress_log.h"
@@ -64,6 +65,8 @@
 		assert(r->upload != NULL);
 		memcpy(r->upload + r->upload_bytes, body->data.data, n);
 		r->upload_bytes += n;
+		held_update(
+		    HELD_UPLOAD, &r->upload_held_bytes, r->upload_bytes);
 	}
 	r->upload_last = body->last != 0;
 	r->upload_failed = body->failed != 0;
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -8,6 +8,7 @@
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "proxy/egress/egress_log.h"
@@ -295,6 +296,8 @@
 		assert(r->body != NULL);
 		memcpy(r->body + r->body_bytes, data, size_bytes);
 		r->body_bytes += size_bytes;
+		held_update(
+		    HELD_SERVER_ANSWER, &r->body_held_bytes, r->body_bytes);
 		return true;
 	}
 	if (!r->streaming)
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/held.h"
 #include "proxy/egress/egress_request.h"
 
 #define PERMILLE 1000
@@ -40,6 +41,8 @@
 		assert(r->upload != NULL);
 		memcpy(r->upload, message->body.data, message->body.size_bytes);
 		r->upload_bytes = message->body.size_bytes;
+		held_update(
+		    HELD_UPLOAD, &r->upload_held_bytes, r->upload_bytes);
 	}
 	return r;
 }
@@ -63,6 +66,8 @@
 	free(r->message);
 	free(r->upload);
 	free(r->body);
+	held_update(HELD_UPLOAD, &r->upload_held_bytes, 0);
+	held_update(HELD_SERVER_ANSWER, &r->body_held_bytes, 0);
 	free(r);
 }
 
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -52,6 +52,8 @@
 	int64_t total_bytes; ///< Announced length; -1 if unknown.
 	char *body;
 	size_t body_bytes;
+	size_t body_held_bytes; ///< Counted in held_bytes.
+	size_t upload_held_bytes;
 	int64_t window_bytes;
 	bool streaming;
 	bool shed; ///< The backend server reported that it did not run it.
--- a/test/fakes/odd_server.pl
+++ b/test/fakes/odd_server.pl
@@ -15,13 +15,17 @@
 #   not       1: it states that it did not run the request
 #   interim   number of responses 103 before, which state that too
 #   early     1: it answers before it has read the body of the request
+#   endless   part of the answer that does not end: head, field, interim, size,
+#             extension, chunkN (chunks of N bytes), trailer, body (without length),
+#             foreign (the body of another request's answer), after (bytes after a
+#             complete answer)
 #
 # Each request that it runs is a line on standard output: method, path, number of
 # headers, and the caller's service.
 use strict;
 use warnings;
 use IO::Socket::INET;
-use Socket;
+use Socket qw(:DEFAULT IPPROTO_TCP TCP_NODELAY);
 
 my ($host, $port, $id) = @ARGV;
 $SIG{PIPE} = "IGNORE";
@@ -58,12 +62,40 @@
 	exit;
 }
 
+# Writes a part of an answer over and over, until the connection is closed.
+sub send_endless {
+	my ($client, $ids, $form) = @_;
+	my ($bytes) = $form =~ /^chunk(\d+)$/;
+	my $chunked = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n" .
+	    "X-Magnoliavalve-Response-Signature: 1.2\r\n";
+	my $head = "$chunked$ids\r\n";
+	my $foreign = $ids =~ s/(-Id: )(?=\w+\r)/$1other-/gr;
+	my ($start, $part) = @{{
+	    head => ["HTTP/1.1 200 OK\r\n", "X-Header: y\r\n"],
+	    field => ["HTTP/1.1 200 OK\r\nX-Field: ", "y"],
+	    interim => ["", "HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n"],
+	    size => [$head, "0"],
+	    extension => ["${head}3;", "a=b;"],
+	    trailer => ["${head}0\r\n", "X-Trailer: y\r\n"],
+	    body => ["HTTP/1.1 200 Status\r\nConnection: close\r\n" .
+		"X-Magnoliavalve-Response-Signature: 1.2\r\n$ids\r\n", "body "],
+	    foreign => ["$chunked$foreign\r\n", "3\r\nabc\r\n"],
+	    after => ["HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" .
+		"X-Magnoliavalve-Response-Signature: 1.2\r\n$ids\r\nabc", "after "],
+	    }->{$form} // [$head, sprintf "%x\r\n%s\r\n", $bytes, "z" x $bytes]};
+	my $many = $part x (1 + int 65536 / length $part);
+	syswrite $client, $start;
+	while (syswrite $client, $many) { }
+	exit;
+}
+
 sub answer {
 	my ($client, $head, %set) = @_;
 	my ($try) = $head =~ /^\S+-(?:Attempt|Request)-Id: (\S+)\r$/mi;
 	my $ids = "X-Magnoliavalve-Instance-Id: $id\r\n";
 	$ids .= "X-Magnoliavalve-Attempt-Id: $try\r\n" .
 	    "Magnolia-Request-Id: $try\r\n" if defined $try;
+	send_endless($client, $ids, $set{endless}) if defined $set{endless};
 	my $not = "X-Magnoliavalve-Not-Executed: 1\r\nMagnolia-Shed: 1\r\n";
 	my $text = "HTTP/1.1 103 Early Hints\r\n$ids${not}X-Early: 1\r\n\r\n" x
 	    $set{interim};
@@ -116,6 +148,7 @@
 
 while (1) {
 	my $client = $listener->accept or next;
+	setsockopt $client, IPPROTO_TCP, TCP_NODELAY, 1;
 	next if fork;
 	my $in = "";
 	while (sysread $client, $in, 65536, length $in) {
--- a/test/functional/caller_service.sh
+++ b/test/functional/caller_service.sh
@@ -82,6 +82,8 @@
     echo "the new server is ready, though it started earlier"
 reload work 2
 ask "the settings are changed without a signal"
+names_are_logged() { [ "$(grep -c "another caller's service" "$MESH_DIR/proxy-1.log")" -ge 4 ]; }
+mesh_wait 5 names_are_logged || echo "not all changes are logged"
 echo "== source of the name, as logged"
 grep -h "another caller's service" "$MESH_DIR"/proxy-1.log |
     sed 's/.*service\. //; s/request=.*//'
