fix(net): a busy stream gives back the memory of what it has sent

Problem: a proxy beside 24 callers whose answers do not end grew by 45 MB a second, by as much as it sent, and would be killed at its limit (LOST for all its callers). Cause: the output buffer of a stream was released only when all of it was sent. With callers that wait for slots a stream is never empty, so that the sent bytes at its front stayed. The limit of 16 MB guarded what is queued, not what is held. Ruled out by held_bytes: windows that count payload (bounded, 8 MB here), fragments of the heap (process and buffers are equal).

Solution: sent bytes are dropped once they are as many as those queued, so that each byte is moved once at most; a buffer four times larger than needed shrinks.

--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -20,6 +20,9 @@
 #define MAX_QUEUED_BYTES (16u * 1024 * 1024)
 #define ACCEPT_BATCH	 64
 
+/// Less than this is not moved within the output buffer.
+#define MIN_MOVED_BYTES (64u * 1024)
+
 /// Smaller frames are not compressed: they gain too little.
 #define DEFLATE_MIN_BYTES 2048
 
@@ -106,7 +109,28 @@
 	stream->out_sent_bytes = 0;
 	msgpack_sbuffer_destroy(&stream->out);
 	msgpack_sbuffer_init(&stream->out);
-	held_update(HELD_STREAM_OUT, &stream->out_held_bytes, 0);
+}
+
+/// Drops what was sent from the front of the output buffer, once it is as much as
+/// what is queued. A busy stream may never be empty.
+static void
+drop_sent_bytes(struct stream *stream)
+{
+	msgpack_sbuffer *out = &stream->out;
+	size_t queued_bytes = stream_queued_bytes(stream);
+
+	if (stream->out_sent_bytes < MIN_MOVED_BYTES ||
+	    stream->out_sent_bytes < queued_bytes)
+		return;
+	memmove(out->data, out->data + stream->out_sent_bytes, queued_bytes);
+	out->size = queued_bytes;
+	stream->out_sent_bytes = 0;
+	// Gives back what a longer queue needed.
+	if (out->alloc / 4 > queued_bytes + MIN_MOVED_BYTES) {
+		out->alloc = 2 * (queued_bytes + MIN_MOVED_BYTES);
+		out->data = realloc(out->data, out->alloc);
+		assert(out->data != NULL);
+	}
 }
 
 static void
@@ -132,6 +156,10 @@
 		return;
 	if (stream_queued_bytes(stream) == 0 && stream->out.size > 0)
 		reset_out(stream);
+	else
+		drop_sent_bytes(stream);
+	held_update(
+	    HELD_STREAM_OUT, &stream->out_held_bytes, stream->out.alloc);
 	update_watch(stream);
 }
 
--- a/test/unit/test_stream.c
+++ b/test/unit/test_stream.c
@@ -103,11 +103,92 @@
 	free(s.part);
 }
 
+#define QUEUED_BYTES (256u * 1024)
+#define READ_BYTES   (128u * 1024)
+#define SENT_BYTES   (64u * 1024 * 1024)
+#define BODY_BYTES   1000
+#define SOCKET_BYTES (32 * 1024) ///< Less than is queued.
+#define INTERVAL_US  200
+
+/// A stream whose queue is refilled before it is empty.
+struct filler {
+	struct loop *loop;
+	struct stream *stream;
+	struct loop_timer timer;
+	int listener;
+	int peer;
+	size_t max_held_bytes;
+};
+
+static void
+read_and_fill(void *arg)
+{
+	struct filler *f = arg;
+	static char bytes[READ_BYTES];
+	struct message_body body = {.id = 1};
+
+	if (f->peer < 0)
+		f->peer = accept4(f->listener, NULL, NULL, SOCK_NONBLOCK);
+	body.data.data = bytes;
+	body.data.size_bytes = BODY_BYTES;
+	while (stream_queued_bytes(f->stream) < QUEUED_BYTES)
+		assert_int_equal(
+		    stream_send(f->stream, MESSAGE_BODY, &body), 0);
+	if (f->peer >= 0)
+		(void)!read(f->peer, bytes, sizeof(bytes));
+	if (f->stream->out.alloc > f->max_held_bytes)
+		f->max_held_bytes = f->stream->out.alloc;
+	if (f->stream->sent_bytes >= SENT_BYTES)
+		loop_stop(f->loop);
+	loop_timer_set(f->loop, &f->timer, loop_now_us(f->loop) + INTERVAL_US);
+}
+
+/// A busy stream holds what is queued, not what was sent before.
+static void
+test_busy_stream_drops_sent_bytes(void **state)
+{
+	struct filler f = {
+	    .timer = {.fn = read_and_fill, .arg = &f}, .peer = -1};
+	struct sockaddr_in bound;
+	socklen_t len = sizeof(bound);
+	struct address to;
+	struct error err;
+	int socket_bytes = SOCKET_BYTES;
+
+	(void)state;
+	f.listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	assert_int_equal(address_make("127.0.0.1", 0, &to), 0);
+	assert_int_equal(
+	    bind(f.listener, (const struct sockaddr *)&to.in, sizeof(to.in)),
+	    0);
+	setsockopt(f.listener, SOL_SOCKET, SO_RCVBUF, &socket_bytes,
+	    sizeof(socket_bytes));
+	assert_int_equal(listen(f.listener, 1), 0);
+	assert_int_equal(
+	    getsockname(f.listener, (struct sockaddr *)&bound, &len), 0);
+	to.in = bound;
+	f.loop = loop_create("test", &err);
+	assert_non_null(f.loop);
+	f.stream = stream_dial(f.loop, &to, &ops, &f, &err);
+	assert_non_null(f.stream);
+	setsockopt(f.stream->watch.fd, SOL_SOCKET, SO_SNDBUF, &socket_bytes,
+	    sizeof(socket_bytes));
+	loop_timer_set(f.loop, &f.timer, loop_now_us(f.loop));
+	loop_run(f.loop);
+	// Twice the queue, in a buffer that doubles.
+	assert_true(f.max_held_bytes <= 4 * (size_t)QUEUED_BYTES);
+	stream_close(f.stream);
+	loop_destroy(f.loop);
+	close(f.peer);
+	close(f.listener);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_full_queue_ends_stream),
+	    cmocka_unit_test(test_busy_stream_drops_sent_bytes),
 	};
 
 	apr_initialize();
