fix(http): a request whose head can be read in two ways is refused

Cause: what the HTTP library gave was taken for what the caller had sent, and written anew unchecked.

Solution: one rule for heads that are sent (wire/head): tokens as names, no control characters but the tab, one framing, no field twice that may stand once. The HTTP client applies it to each call, the ingress to what goes to another proxy. The HTTP server checks that a head was received as the library tells it, by the places of its strings in the receive buffer; lengths and codings that have more than one meaning are refused. 400 names the field; nothing is run, the connection closes. Fields that Connection names are dropped.

--- a/src/io/http/httpc.c
+++ b/src/io/http/httpc.c
@@ -5,6 +5,7 @@
 
 #include "io/clock.h"
 #include "io/http/httpc_conn.h"
+#include "wire/head.h"
 
 #define URL_SCHEME "http://"
 
@@ -252,11 +253,23 @@
 	return 0;
 }
 
+/// Checks that the server reads the head as it is meant, whoever made it.
+static int
+check_head(const struct httpc_call *call, struct error *err)
+{
+	if (!head_is_token(bytes_from_string(call->method)) ||
+	    !head_is_target(bytes_from_string(call->target)))
+		return error_set(err, ERR_INVALID, "head", "",
+		    "the request line is not valid");
+	return head_check(call->headers, call->header_count,
+	    call->internal_prefix == NULL ? "" : call->internal_prefix, err);
+}
+
 int
 httpc_call_start(
     struct httpc *httpc, struct httpc_call *call, struct error *err)
 {
-	if (parse_url(call, err) != 0)
+	if (parse_url(call, err) != 0 || check_head(call, err) != 0)
 		return -1;
 	call->httpc = httpc;
 	call->conn = NULL;
--- a/src/io/http/httpc.h
+++ b/src/io/http/httpc.h
@@ -15,7 +15,7 @@
 #include "core/error.h"
 #include "io/loop.h"
 #include "io/net/address.h"
-#include "wire/codec.h"
+#include "wire/messages.h"
 
 struct httpc;
 struct httpc_call;
@@ -59,10 +59,11 @@
 	const struct httpc_ops *ops;
 	void *owner;
 	const char *method;
-	const char *url;		  ///< "http://IP:port/target"
-	const struct bytes (*headers)[2]; ///< Name and value.
-	size_t header_count;
-	const char *body; ///< Complete body; must outlive the call.
+	const char *url; ///< "http://IP:port/target"
+	const struct message_header *headers;
+	uint32_t header_count;
+	const char *internal_prefix; ///< Headers with it stand once.
+	const char *body;	     ///< Complete body; must outlive the call.
 	size_t body_bytes;
 	bool streamed;	     ///< The body is read with on_read instead.
 	int64_t total_bytes; ///< Length of a streamed body; -1: chunked.
@@ -93,7 +94,7 @@
 
 /// Starts a call. Never calls its callbacks from inside this function.
 ///
-/// @return 0, or -1 with err set
+/// @return 0, or -1 with err set: the URL or the head is not valid
 int httpc_call_start(
     struct httpc *httpc, struct httpc_call *call, struct error *err);
 
--- a/src/io/http/httpc_head.c
+++ b/src/io/http/httpc_head.c
@@ -13,8 +13,8 @@
 	size_t i;
 
 	for (i = 0; i < call->header_count; i++)
-		if (call->headers[i][0].size_bytes == n &&
-		    strncasecmp(call->headers[i][0].data, name, n) == 0)
+		if (call->headers[i].name.size_bytes == n &&
+		    strncasecmp(call->headers[i].name.data, name, n) == 0)
 			return true;
 	return false;
 }
@@ -69,11 +69,11 @@
 		append_text(conn, "\r\n");
 	}
 	for (i = 0; i < call->header_count; i++) {
-		append(conn, call->headers[i][0].data,
-		    call->headers[i][0].size_bytes);
+		append(conn, call->headers[i].name.data,
+		    call->headers[i].name.size_bytes);
 		append_text(conn, ": ");
-		append(conn, call->headers[i][1].data,
-		    call->headers[i][1].size_bytes);
+		append(conn, call->headers[i].value.data,
+		    call->headers[i].value.size_bytes);
 		append_text(conn, "\r\n");
 	}
 	append_framing(conn, call);
--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -20,6 +20,9 @@
 COUNTER_DEFINE(count_abandoned, "http_requests_abandoned",
     "Requests whose callers had left before they were read");
 
+COUNTER_DEFINE(count_bad_heads, "http_heads_refused",
+    "Requests whose heads can be read in more than one way");
+
 /// Creates an exchange with the request target, query included.
 static void *
 on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
@@ -86,14 +89,17 @@
 	*con_cls = NULL;
 }
 
-/// Queues an error response with a plain text body. The outcome of a request
-/// with an idempotency key is "refused", since an earlier attempt may have run.
+/// Queues an error response with a plain text body, which is copied. The outcome of
+/// a request with an idempotency key is "refused", since an earlier attempt may have
+/// run.
+///
+/// @param close  what follows on the connection may not be a request
 static enum MHD_Result
-queue_error_response(
-    struct MHD_Connection *connection, unsigned int status, const char *text)
+queue_error_response(struct MHD_Connection *connection, unsigned int status,
+    const char *text, bool close)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
-	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result rc;
 
 	MHD_add_response_header(response, "Magnolia-Outcome",
@@ -101,6 +107,8 @@
 		connection, MHD_HEADER_KIND, "Idempotency-Key") == NULL
 		? "not-run"
 		: "refused");
+	if (close)
+		MHD_add_response_header(response, "Connection", "close");
 	rc = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return rc;
@@ -217,45 +225,38 @@
 	return max_bytes != 0 && exchange_head_bytes(x, 0) > max_bytes;
 }
 
-/// Returns whether the target that the caller sent is a valid one, and the one that
-/// the library gave: it ends the target at a blank or a NUL and drops the rest. The
-/// version follows the target in the buffer of the connection.
-static bool
-target_is_valid(const struct exchange *x, const char *version)
+/// Refuses a request whose head can be read in more than one way.
+static enum MHD_Result
+refuse_head(struct exchange *x, const struct error *err)
 {
-	const unsigned char *c = (const unsigned char *)x->pub.target;
-	uintptr_t gap_bytes = (uintptr_t)version - (uintptr_t)x->uri;
-
-	if (gap_bytes <= CONNECTION_MEMORY_BYTES &&
-	    gap_bytes != strlen(x->pub.target) + 1)
-		return false;
-	if (*c == '\0')
-		return false;
-	while (*c > ' ' && *c != 0x7f)
-		c++;
-	return *c == '\0';
+	char text[ERROR_TEXT_BYTES + 2];
+
+	counter_add(&count_bad_heads, 1);
+	log_error(LOG_INFO, "http", "Refused a request", err);
+	snprintf(text, sizeof(text), "%s\n", err->text);
+	return queue_error_response(x->connection, 400, text, true);
 }
 
 static enum MHD_Result
 begin_request(struct exchange *x, const char *version)
 {
 	const struct httpd *httpd = x->pub.httpd;
+	struct error err;
 	const char *length = MHD_lookup_connection_value(
 	    x->connection, MHD_HEADER_KIND, "Content-Length");
 
 	MHD_set_connection_option(x->connection, MHD_CONNECTION_OPTION_TIMEOUT,
 	    (unsigned int)httpd->limits.idle_timeout_s);
-	if (!target_is_valid(x, version))
-		return queue_error_response(x->connection, 400,
-		    "request target holds a blank or a control character\n");
+	if (exchange_check_head(x, x->pub.method, version, &err) != 0)
+		return refuse_head(x, &err);
 	if (head_is_too_large(x))
 		return queue_error_response(
-		    x->connection, 431, "request head is too large\n");
+		    x->connection, 431, "request head is too large\n", false);
 
 	if (length != NULL &&
 	    strtoll(length, NULL, 10) > httpd->limits.max_body_bytes)
 		return queue_error_response(
-		    x->connection, 413, body_too_large_text);
+		    x->connection, 413, body_too_large_text, false);
 	return MHD_YES;
 }
 
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -89,6 +89,11 @@
 void http_exchange_visit_headers(const struct http_exchange *exchange,
     void (*fn)(void *arg, const char *name, const char *value), void *arg);
 
+/// Returns whether a Connection header names a header, which then is of this
+/// connection only.
+bool http_exchange_connection_names(
+    const struct http_exchange *exchange, const char *name);
+
 /// A response header.
 struct http_header {
 	const char *name;
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -2,9 +2,11 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "io/held.h"
 #include "io/http/httpd_exchange.h"
+#include "wire/head.h"
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
 
@@ -76,6 +78,39 @@
 	    x->connection, MHD_HEADER_KIND, visit_header, &visit);
 }
 
+/// A name to look for in Connection headers.
+struct option_search {
+	const char *name;
+	bool found;
+};
+
+static enum MHD_Result
+find_option(
+    void *cls, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+	struct option_search *search = cls;
+
+	(void)kind;
+	if (value != NULL && strcasecmp(key, "Connection") == 0)
+		search->found |= head_tokens_hold(
+		    bytes_from_string(value), bytes_from_string(search->name));
+	return search->found ? MHD_NO : MHD_YES;
+}
+
+bool
+http_exchange_connection_names(
+    const struct http_exchange *exchange, const char *name)
+{
+	const struct exchange *x = (const struct exchange *)exchange;
+	struct option_search search = {.name = name};
+
+	if (!x->has_options)
+		return false;
+	MHD_get_connection_values(
+	    x->connection, MHD_HEADER_KIND, find_option, &search);
+	return search.found;
+}
+
 struct head_size {
 	int64_t sum_bytes;
 	int64_t per_header_bytes;
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -49,6 +49,7 @@
 	bool out_ended;
 	bool out_complete;
 	bool response_queued;
+	bool has_options; ///< Connection names more than how it ends.
 };
 
 /// Returns the exchange that contains a public part.
@@ -59,6 +60,12 @@
 /// @param per_header_bytes  added for each header
 int64_t exchange_head_bytes(const struct exchange *x, int64_t per_header_bytes);
 
+/// Checks that the head of the request can be read in one way only.
+///
+/// @return 0, or -1 with err set, which names the field
+int exchange_check_head(struct exchange *x, const char *method,
+    const char *version, struct error *err);
+
 /// Suspends reading and writing on the connection of an exchange.
 void exchange_suspend(struct exchange *x);
 
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -30,7 +30,7 @@
 	char url[3 * LOAD_TEXT_BYTES];
 	char expected[2 * LOAD_TEXT_BYTES]; ///< In the response.
 	char key[48];
-	struct bytes headers[1][2];
+	struct message_header headers[1];
 	char response[RESPONSE_BYTES];
 	size_t response_bytes;
 	enum load_result outcome; ///< LOAD_RESULT_COUNT: no such header.
@@ -202,10 +202,10 @@
 	r->call.body = load->body;
 	r->call.body_bytes = c->body_bytes;
 	r->call.deadline_us = clock_now_us() + c->timeout_us;
-	r->headers[0][0] = bytes_from_string(
+	r->headers[0].name = bytes_from_string(
 	    c->named ? "Magnolia-Request-Id" : "Idempotency-Key");
-	r->headers[0][1] = bytes_from_string(r->key);
-	r->call.headers = (const struct bytes(*)[2])r->headers;
+	r->headers[0].value = bytes_from_string(r->key);
+	r->call.headers = r->headers;
 	r->call.header_count = r->key[0] == '\0' ? 0 : 1;
 	return httpc_call_start(load->httpc, &r->call, &err) == 0;
 }
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -398,27 +398,26 @@
 
 	r->headers = calloc(count + MAX_EXTRA_HEADERS, sizeof(*r->headers));
 	assert(r->headers != NULL);
-	for (i = 0; i < count; i++) {
-		r->headers[i][0] = from[i].name;
-		r->headers[i][1] = from[i].value;
-	}
+	for (i = 0; i < count; i++)
+		r->headers[i] = from[i];
 	if (h->rank != NULL) {
 		snprintf(r->rank_text, sizeof(r->rank_text), "%.*s",
 		    (int)r->message->rank.size_bytes, r->message->rank.data);
-		r->headers[i][0] = bytes_from_string(h->rank);
-		r->headers[i++][1] = bytes_from_string(r->rank_text);
+		r->headers[i].name = bytes_from_string(h->rank);
+		r->headers[i++].value = bytes_from_string(r->rank_text);
 	}
 	if (h->expected != NULL && r->egress->backend.id[0] != '\0') {
 		memcpy(r->expected, r->egress->backend.id, sizeof(r->expected));
-		r->headers[i][0] = bytes_from_string(h->expected);
-		r->headers[i++][1] = bytes_from_string(r->expected);
+		r->headers[i].name = bytes_from_string(h->expected);
+		r->headers[i++].value = bytes_from_string(r->expected);
 	}
 	snprintf(r->deadline_text, sizeof(r->deadline_text), "%" PRId64,
 	    left_us > 0 ? left_us / US_PER_MS : 0);
-	r->headers[i][0] = bytes_from_string(h->deadline);
-	r->headers[i++][1] = bytes_from_string(r->deadline_text);
-	r->call.headers = (const struct bytes(*)[2])r->headers;
+	r->headers[i].name = bytes_from_string(h->deadline);
+	r->headers[i++].value = bytes_from_string(r->deadline_text);
+	r->call.headers = r->headers;
 	r->call.header_count = i;
+	r->call.internal_prefix = h->internal_prefix;
 }
 
 void
@@ -460,7 +459,7 @@
 	if (httpc_call_start(egress->httpc, &r->call, &err) != 0) {
 		log_error(LOG_WARN, "egress",
 		    "Refusing a request that cannot be sent", &err);
-		egress_end_not_run(r, 431, 0, "request headers cannot be sent");
+		egress_end_not_run(r, 400, 0, err.text);
 		return;
 	}
 	fence_mark_run(&egress->fence, r->fence_key);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -38,7 +38,7 @@
 	char rank_text[RULES_NAME_BYTES];
 	char expected[BACKEND_ID_BYTES]; ///< Id of the target backend server.
 	char deadline_text[24];
-	struct bytes (*headers)[2];
+	struct message_header *headers;
 	// Request body, if parts follow the request message.
 	char *upload;
 	size_t upload_bytes;
--- a/src/proxy/headers.c
+++ b/src/proxy/headers.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "proxy/headers.h"
+#include "wire/head.h"
 
 static bool
 equals(struct bytes b, const char *text)
@@ -43,24 +44,18 @@
 	    !headers_name_equals(name, headers->attempt);
 }
 
-/// Returns whether a byte may be part of a token (RFC 9110, section 5.6.2).
-static bool
-is_token_byte(char c)
+bool
+headers_is_end_to_end(const struct dialect_headers *headers, struct bytes name)
 {
-	return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
-	    (c >= 'a' && c <= 'z') ||
-	    (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+	return equals(name, "Host") ||
+	    headers_name_equals(name, headers->attempt) ||
+	    headers_name_equals(name, headers->key);
 }
 
 bool
 headers_can_forward_method(struct bytes method)
 {
-	size_t i;
-
-	for (i = 0; i < method.size_bytes; i++)
-		if (!is_token_byte(method.data[i]))
-			return false;
-	return method.size_bytes > 0 &&
+	return head_is_token(method) &&
 	    method.size_bytes < HEADERS_METHOD_BYTES &&
 	    !(method.size_bytes == 7 &&
 		memcmp(method.data, "CONNECT", method.size_bytes) == 0);
--- a/src/proxy/headers.h
+++ b/src/proxy/headers.h
@@ -26,6 +26,10 @@
 bool headers_is_internal(
     const struct dialect_headers *headers, struct bytes name);
 
+/// Whether a header is for all recipients, whatever Connection says.
+bool headers_is_end_to_end(
+    const struct dialect_headers *headers, struct bytes name);
+
 /// Returns whether a method can be forwarded unchanged: any token that fits
 /// HEADERS_METHOD_BYTES, but for CONNECT, which asks for a tunnel.
 bool headers_can_forward_method(struct bytes method);
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -7,6 +7,7 @@
 #include "io/log/counters.h"
 #include "proxy/headers.h"
 #include "proxy/ingress/ingress_request.h"
+#include "wire/head.h"
 
 /// Requests have to end this long before the end of a drain.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
@@ -29,6 +30,9 @@
 			counter_add(&count_internal, 1);
 		return;
 	}
+	if (http_exchange_connection_names(r->exchange, name) &&
+	    !headers_is_end_to_end(&r->ingress->dialect->headers, n))
+		return;
 	header_list_add(&r->headers, n, bytes_from_string(value));
 }
 
@@ -107,6 +111,20 @@
 	ingress_conclude(r, 501, ingress_not_run_outcome(r), 0, why);
 }
 
+/// Refuses a request whose headers other readers may understand otherwise.
+static int
+check_head(struct ingress_request *r)
+{
+	struct list headers = header_list_view(&r->headers);
+	struct error err;
+
+	if (head_check(headers.items, headers.count,
+		r->ingress->dialect->headers.internal_prefix, &err) == 0)
+		return 0;
+	ingress_conclude(r, 400, ingress_not_run_outcome(r), 0, err.text);
+	return -1;
+}
+
 void
 ingress_route(struct ingress_request *r)
 {
@@ -140,6 +158,8 @@
 		return;
 	}
 	http_exchange_visit_headers(exchange, collect_header, r);
+	if (check_head(r) != 0)
+		return;
 	if (ingress->drain_deadline_us != 0 &&
 	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -123,10 +123,10 @@
 	};
 
 	// No other endpoint can do better: the key is in use (409) or belongs
-	// to another request (422), the headers cannot be sent (431), or the
+	// to another request (422), the head cannot be sent (400), or the
 	// deadline has passed (504).
 	if (r->exchange == NULL || r->ingress->retries_disabled ||
-	    status == 409 || status == 422 || status == 431 || status == 504 ||
+	    status == 409 || status == 422 || status == 400 || status == 504 ||
 	    !retry_decide(
 		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
 		return false;
--- a/test/fakes/fake_work.c
+++ b/test/fakes/fake_work.c
@@ -17,7 +17,7 @@
 	struct loop_timer timer;
 	struct httpc_call nested;
 	char nested_url[512];
-	struct bytes headers[2][2];
+	struct message_header headers[2];
 	char rank[64];
 	char deadline[32];
 	size_t body_bytes;
@@ -230,15 +230,15 @@
 		return false;
 	snprintf(w->nested_url, sizeof(w->nested_url), "http://%s%s",
 	    b->settings.proxy_inner, call + strlen("?call="));
-	w->headers[0][0] = bytes_from_string("Magnolia-Rank");
-	w->headers[0][1] = bytes_from_string(w->rank);
-	w->headers[1][0] = bytes_from_string("Magnolia-Deadline-Ms");
-	w->headers[1][1] = bytes_from_string(w->deadline);
+	w->headers[0].name = bytes_from_string("Magnolia-Rank");
+	w->headers[0].value = bytes_from_string(w->rank);
+	w->headers[1].name = bytes_from_string("Magnolia-Deadline-Ms");
+	w->headers[1].value = bytes_from_string(w->deadline);
 	w->nested.ops = &nested_ops;
 	w->nested.owner = w;
 	w->nested.method = "GET";
 	w->nested.url = w->nested_url;
-	w->nested.headers = (const struct bytes(*)[2])w->headers;
+	w->nested.headers = w->headers;
 	w->nested.header_count = 2;
 	w->nested.deadline_us = clock_now_us() + 10 * US_PER_S;
 	w->nested.repeatable = true;
--- a/test/fakes/head_reader.pl
+++ b/test/fakes/head_reader.pl
@@ -1,80 +1,34 @@
-# A backend server that reads each request head twice, as a strict and as a lenient
-# reader would, and says where the two differ:
+# A backend server that reads each request head twice, strictly and leniently (Heads.pm),
+# and says what is wrong with it:
 #
-#   perl head_reader.pl HOST PORT ID
+#   perl -Itest/fakes head_reader.pl HOST PORT ID [TABLE]
 #
-# The strict reader ends lines at CRLF. The lenient one ends them at CR, LF or CRLF,
-# ends a value at a NUL, allows blanks around the name, and takes a line that begins
-# with a blank for a part of the one before. Each request is a line on standard output:
+# Each request is a line on standard output:
 #
-#   METHOD TARGET from=CALLER,... body=BYTES FLAWS
+#   METHOD TARGET from=CALLER,... body=BYTES [X-A=VALUE] FLAWS
 #
-# CALLER is each caller's service that the lenient reader finds. FLAWS are "sound", or
-# what is wrong: the readers differ, a name is not a token, a value holds a control
-# character, framing fields beside each other, a field twice that may stand once.
-# On a request of /SERVICE/echo/... the response repeats the head.
+# CALLER is each caller's service that the lenient reader finds, FLAWS "sound" or what
+# find_flaws says.
+#
+# With a table, its row LABEL sets the answer to /SERVICE/answer-LABEL: a label, a status
+# line, bytes of the head besides the ids and the signature, bytes of the body. The
+# connection ends with it.
 use strict;
 use warnings;
+use Heads;
 use IO::Socket::INET;
 
-my ($host, $port, $id) = @ARGV;
+my ($host, $port, $id, $table) = @ARGV;
+my %answers;
+if (defined $table) {
+	open my $file, "<", $table or die "$table: $!";
+	$answers{$_->[0]} = $_ for read_table($file);
+}
 $SIG{PIPE} = "IGNORE";
 $SIG{CHLD} = "IGNORE";
 $| = 1;
 my $listener = IO::Socket::INET->new(LocalAddr => $host, LocalPort => $port,
     Listen => 100, ReuseAddr => 1) or die "listen: $!";
-my $token = qr/[!#\$%&'*+\-.^_`|~0-9A-Za-z]+/;
-my @single = qw(host content-length transfer-encoding x-magnoliavalve-attempt-id
-    x-magnoliavalve-caller-service x-magnoliavalve-deadline-ms
-    x-magnoliavalve-expected-instance);
-
-# The fields of a head without its request line: [name, value], ...
-sub read_strictly {
-	my ($head) = @_;
-	return map { /^([^:]*):[ \t]*(.*?)[ \t]*$/s ? [lc $1, $2] :
-	    ["no colon", $_] } split /\r\n/, $head;
-}
-
-sub read_leniently {
-	my ($head) = @_;
-	my @fields;
-	for my $line (split /\r\n|\r|\n/, $head) {
-		$line =~ s/\0.*//s;
-		if ($line =~ /^[ \t]/ && @fields) {
-			$fields[-1][1] .= " $line";
-			next;
-		}
-		push @fields, $line =~ /^\s*([^:]*?)\s*:[ \t]*(.*?)\s*$/s ?
-		    [lc $1, $2] : ["no colon", $line];
-	}
-	return @fields;
-}
-
-sub find_flaws {
-	my ($request, $head) = @_;
-	my @strict = read_strictly($head);
-	my @lenient = read_leniently($head);
-	my (%flaws, %count);
-	$flaws{"request line"}++ unless $request =~
-	    m{^$token [!-~\x80-\xff]+ HTTP/1\.[01]$};
-	for my $f (@strict) {
-		$flaws{"name"}++ if $f->[0] !~ /^$token$/;
-		$flaws{"value"}++ if $f->[1] =~ /[\x00-\x08\x0a-\x1f\x7f]/;
-	}
-	$flaws{"differs"}++ if join("\n", map { "@$_" } @strict) ne
-	    join("\n", map { "@$_" } @lenient);
-	$count{$_->[0]}++ for @lenient;
-	$flaws{"framing"}++ if $count{"content-length"} &&
-	    $count{"transfer-encoding"};
-	for (@lenient) {
-		$flaws{"framing"}++ if $_->[0] eq "content-length" &&
-		    $_->[1] !~ /^\d+$/;
-		$flaws{"framing"}++ if $_->[0] eq "transfer-encoding" &&
-		    $_->[1] ne "chunked";
-	}
-	$flaws{"twice"}++ if grep { ($count{$_} // 0) > 1 } @single;
-	return join(",", sort keys %flaws) || "sound";
-}
 
 sub callers {
 	return join ",", map { $_->[1] }
@@ -119,16 +73,27 @@
 		$body = substr $$in, 0, $1, "";
 	}
 	my $shown = $body =~ /^[ -~]{0,20}$/ ? "'$body'" : length $body;
-	printf "%s %s from=%s body=%s %s\n", $method, $target // "",
-	    callers($head), $shown, find_flaws($request, $head);
-	my $text = $request =~ m{ /\w+/echo} ? "$request\r\n$head\r\n" : "ok\n";
-	print $client "HTTP/1.1 200 OK\r\n" .
-	    "X-Magnoliavalve-Instance-Id: $id\r\n" .
+	my $path = escape_bytes($target // "");
+	my $flaws = find_flaws($head);
+	$flaws = "request line" unless $request =~
+	    m{^$Heads::token [!-~\x80-\xff]+ HTTP/1\.[01]$};
+	my ($field) = map { "X-A='" . escape_bytes($_->[1]) . "' " } grep { $_->[0] eq "x-a" }
+	    read_strictly($head);
+	printf "%s %s from=%s body=%s %s%s\n", $method, $path,
+	    callers($head), $shown, $field // "", $flaws;
+	my $usual = "X-Magnoliavalve-Instance-Id: $id\r\n" .
 	    "X-Magnoliavalve-Attempt-Id: " .
 	    ($last{"x-magnoliavalve-attempt-id"} // "") . "\r\n" .
-	    "X-Magnoliavalve-Response-Signature: 1.2\r\nContent-Length: " .
-	    length($text) . "\r\n\r\n$text" or exit;
+	    "X-Magnoliavalve-Response-Signature: 1.2\r\n";
+	my ($label) = ($target // "") =~ m{/answer-([^/]*)$};
+	my $row = defined $label ? $answers{$label} : undef;
+	my (undef, $status, $more, $text) = $row ? @$row :
+	    ("", "HTTP/1.1 200 OK", "Content-Length: 3\r\n", "ok\n");
+	print $client "$status\r\n$more$usual\r\n" . ($text // "") or exit;
 	$client->flush;
+	return unless $row;
+	shutdown $client, 1;
+	exit;
 }
 
 while (1) {
--- a/test/fuzz/fuzz_http.c
+++ b/test/fuzz/fuzz_http.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,12 +12,16 @@
 #include "io/clock.h"
 #include "io/http/httpc.h"
 #include "io/http/httpd.h"
+#include "wire/head.h"
 
 /// An input that leaves the peer waiting ends after this time.
 #define WAIT_US 2000
 
 #define CALLS_PER_INPUT 2
 
+/// The input of the request that is being tested.
+static struct bytes input;
+
 /// Server under test, and the connection that sends the input.
 struct server_case {
 	struct loop *loop;
@@ -90,9 +95,50 @@
 
 // Requests.
 
+/// Returns whether a line of the input, from CRLF to CRLF, is a field.
+static bool
+is_line_of_input(size_t at, const char *name, const char *value)
+{
+	size_t name_bytes = strlen(name);
+	size_t value_bytes = strlen(value);
+
+	if (at + name_bytes >= input.size_bytes ||
+	    memcmp(input.data + at, name, name_bytes) != 0 ||
+	    input.data[at + name_bytes] != ':')
+		return false;
+	at += name_bytes + 1;
+	while (at < input.size_bytes &&
+	    (input.data[at] == ' ' || input.data[at] == '\t'))
+		at++;
+	return at + value_bytes + 2 <= input.size_bytes &&
+	    memcmp(input.data + at, value, value_bytes) == 0 &&
+	    memcmp(input.data + at + value_bytes, "\r\n", 2) == 0;
+}
+
+/// A field is a line of the input as it stands, in a form that is read in one way.
+static void
+check_field(void *arg, const char *name, const char *value)
+{
+	uint32_t *hosts = arg;
+	struct error err;
+	bool found = false;
+	size_t i;
+
+	*hosts += strcasecmp(name, "Host") == 0;
+	expect(head_check_field(bytes_from_string(name),
+		   bytes_from_string(value), &err) == 0,
+	    "a field that is read in two ways");
+	for (i = 2; i < input.size_bytes && !found; i++)
+		found = memcmp(input.data + i - 2, "\r\n", 2) == 0 &&
+		    is_line_of_input(i, name, value);
+	expect(found, "a field that is no line of the input");
+}
+
 static void
 on_request(void *owner, struct http_exchange *exchange)
 {
+	uint32_t hosts = 0;
+
 	(void)owner;
 	expect(exchange->method != NULL && exchange->method[0] != '\0',
 	    "a request without method");
@@ -100,7 +146,8 @@
 	    "a request without target");
 	expect(exchange->state == NULL, "a request arrived twice");
 	exchange->state = exchange;
-	http_exchange_get_header(exchange, "Host");
+	http_exchange_visit_headers(exchange, check_field, &hosts);
+	expect(hosts <= 1, "a request with two hosts");
 	if (!exchange->more)
 		http_exchange_respond_text(exchange, 200, exchange->target);
 }
@@ -180,6 +227,8 @@
 	struct server_case *c = open_server_case();
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+	input.data = bytes;
+	input.size_bytes = (uint32_t)size_bytes;
 	expect(connect(fd, (const struct sockaddr *)&c->bound.in,
 		   sizeof(c->bound.in)) == 0,
 	    "the HTTP server takes no connection");
