fix(http): bytes that cannot become an answer end the call at once

Problem: interim responses without end, and the body of another request's answer, were read until the deadline: 1 GB and 29 GB in 8 s, the processor of other requests. Bytes after an answer closed the connection without a trace.

Solution: at most 32 responses and 1 MB of their bodies may come before the response to a call; a sound server sends a few interim ones, or a late copy of an answer, which the right one follows. More end the call and its connection, with a log line and a counter; so do bytes that belong to no call.

--- a/src/io/http/httpc_conn.c
+++ b/src/io/http/httpc_conn.c
@@ -13,6 +13,8 @@
 #include "io/clock.h"
 #include "io/held.h"
 #include "io/http/httpc_conn.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
 #include "io/net/dial.h"
 
 #define READ_BYTES	 (32 * 1024)
@@ -28,6 +30,17 @@
 
 #define KEEP_ALIVE_MAX_S 3600
 
+/// Interim responses and late ones to other requests that a server may send before
+/// the response to a call, and the bytes of their bodies. A late copy of a long
+/// response is worth reading: the response to the call follows it.
+#define MAX_SKIPPED_RESPONSES 32
+#define MAX_SKIPPED_BYTES     (1024 * 1024)
+
+COUNTER_DEFINE(count_flooded, "http_calls_flooded",
+    "Calls ended since the bytes of the server cannot become an answer");
+COUNTER_DEFINE(count_excess, "http_excess_bytes",
+    "Connections closed since a server sent bytes that belong to no call");
+
 static void
 conn_free(void *arg)
 {
@@ -296,6 +309,23 @@
 		    conn->parser.http_minor > 0));
 }
 
+/// Counts responses, or bytes of their bodies, that are not the response to the
+/// call.
+///
+/// @return 0, or -1 if there are more than a sound server sends
+static int
+count_skipped(struct httpc_conn *conn, uint32_t responses, size_t size_bytes)
+{
+	conn->skipped_count += responses;
+	conn->skipped_bytes += size_bytes;
+	if (conn->skipped_count <= MAX_SKIPPED_RESPONSES &&
+	    conn->skipped_bytes <= MAX_SKIPPED_BYTES)
+		return 0;
+	counter_add(&count_flooded, 1);
+	conn->flooded = true;
+	return -1;
+}
+
 /// @return 1 if the response has no body even if its headers declare one
 static int
 on_headers_complete(http_parser *parser)
@@ -307,7 +337,7 @@
 	if (parser->status_code < 200) {
 		conn->call->ops->on_head(conn->call, parser->status_code, 0);
 		conn->verdict = HTTPC_SKIP;
-		return 0;
+		return count_skipped(conn, 1, 0);
 	}
 	if (!is_framing_known(conn)) {
 		conn->verdict = HTTPC_FAIL;
@@ -319,6 +349,8 @@
 	    conn->call, parser->status_code, total_bytes);
 	if (conn->verdict == HTTPC_FAIL)
 		return -1;
+	if (conn->verdict == HTTPC_SKIP && count_skipped(conn, 1, 0) != 0)
+		return -1;
 	if (conn->verdict == HTTPC_ACCEPT)
 		conn->call->status = parser->status_code;
 	return strcmp(conn->call->method, "HEAD") == 0;
@@ -332,7 +364,7 @@
 	struct httpc_conn *conn = parser->data;
 
 	if (conn->verdict != HTTPC_ACCEPT)
-		return 0;
+		return count_skipped(conn, 0, size_bytes);
 	if (conn->part_bytes == 0)
 		conn->part = (char *)(uintptr_t)at;
 	else
@@ -365,11 +397,27 @@
     .on_message_complete = on_message_complete,
 };
 
+static void
+log_excess(const struct httpc_conn *conn)
+{
+	char peer[ADDRESS_TEXT_BYTES];
+	struct log_line line;
+
+	counter_add(&count_excess, 1);
+	address_format(&conn->to, peer);
+	log_begin(&line, LOG_INFO, "http",
+	    "Closed a connection on which a server sent more than its answer.");
+	log_text(&line, "server", peer);
+	log_end(&line);
+}
+
 static void
 finish_response(struct httpc_conn *conn, bool excess)
 {
 	int64_t now_us = loop_now_us(conn->loop);
 
+	if (excess)
+		log_excess(conn);
 	conn->reusable &= !excess;
 	conn->idle_since_us = now_us;
 	if (conn->idle_deadline_us == 0)
@@ -409,7 +457,8 @@
 	}
 	if (code != HPE_OK)
 		conn_fail(conn, ERR_IO, "read response",
-		    conn->verdict == HTTPC_FAIL
+		    conn->flooded ? "too much before the response to the call"
+			: conn->verdict == HTTPC_FAIL
 			? "the response head was rejected"
 			: http_errno_description(code));
 	else if (size_bytes == 0)
@@ -426,6 +475,8 @@
 	if (n < 0 &&
 	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
 		return;
+	if (n > 0 && conn->call == NULL)
+		log_excess(conn);
 	if (n < 0 || conn->call == NULL) {
 		// On an idle connection only its close is expected.
 		conn_fail(conn, ERR_IO, "read response",
@@ -519,7 +570,8 @@
 	call->conn = conn;
 	conn->response_complete = conn->response_started = conn->paused = false;
 	conn->upload_ended = conn->reusable = false;
-	conn->part_bytes = 0;
+	conn->part_bytes = conn->skipped_bytes = 0;
+	conn->skipped_count = 0;
 	conn->verdict = HTTPC_ACCEPT;
 	conn->body_sent_bytes = conn->out_sent_bytes = 0;
 	conn->idle_deadline_us = 0;
--- a/src/io/http/httpc_conn.h
+++ b/src/io/http/httpc_conn.h
@@ -49,7 +49,10 @@
 	uint32_t codings;  ///< Transfer-Encoding headers so far.
 	bool coding_known; ///< The last of them is "chunked".
 	enum httpc_verdict verdict;
-	bool response_started; ///< Some response bytes have been received.
+	uint32_t skipped_count; ///< Responses before the one to the call.
+	size_t skipped_bytes;	///< Of their bodies.
+	bool flooded;		///< There were too many of them.
+	bool response_started;	///< Some response bytes have been received.
 	bool response_complete;
 	bool paused;
 	char *part; ///< Of the body, in what was received last.
--- a/test/functional/endless_answers.sh
+++ b/test/functional/endless_answers.sh
@@ -19,6 +19,19 @@
 	    "$(mesh_url 1 "/$service/x/w")" || echo "$service is not served"
 done
 
+# Bytes that cannot become an answer end the call at once, not at its deadline.
+for form in interim foreign; do
+	curl -s -m 8 -o /dev/null -w '%{http_code} %{time_total}\n' \
+	    -H "X-Magnoliavalve-Attempt-Id: $form" \
+	    "$(mesh_url 1 "/near/endless=$form/x")" |
+	    awk -v form=$form '{ print form ":", $1, $2 < 2 ? "at once" : $2 " s" }'
+done
+echo "ended: $(mesh_proxy_counter 1 http_calls_flooded)"
+curl -s -m 8 -o /dev/null -w 'after: %{http_code}\n' \
+    -H "X-Magnoliavalve-Attempt-Id: after" "$(mesh_url 1 /near/endless=after/x)"
+excess_is_counted() { [ "$(mesh_proxy_counter 1 http_excess_bytes)" = 1 ]; }
+mesh_wait 2 excess_is_counted || echo "not counted"
+
 check() { # WHAT FORM PATH ...
 	what=$1 form=$2
 	shift 2
