--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -106,6 +106,16 @@
 	return BACKEND_CHANGED;
 }
 
+bool
+backend_reject(struct backend *b)
+{
+	bool changed = b->latest.state != BACKEND_NONE;
+
+	b->latest.state = BACKEND_NONE;
+	b->known = false;
+	return changed;
+}
+
 bool
 backend_expire(struct backend *b, int64_t now_us, bool gone)
 {
--- a/src/core/requests/backend.h
+++ b/src/core/requests/backend.h
@@ -55,6 +55,12 @@
 enum backend_verdict backend_drain(struct backend *backend,
     const struct backend_announcement *a, int64_t now_us);
 
+/// Drops the current announcement, which is not of the server on this VM. The next
+/// one counts, whatever its start time and sequence.
+///
+/// @return true if the state changed
+bool backend_reject(struct backend *backend);
+
 /// Sets the state to BACKEND_NONE if the lease has expired.
 ///
 /// @param gone  the server cannot be reached; ends the lease at once
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -234,6 +234,22 @@
 	return 0;
 }
 
+void
+announce_settings_changed(struct control *control)
+{
+	const struct backend_announcement *current = &control->backend.latest;
+	struct error err;
+
+	traffic_post_service(control->traffic, control->settings.service);
+	// A leave alone names no service or address.
+	if (current->address[0] == '\0' ||
+	    check_own_server(control, current, &err) == 0 ||
+	    !backend_reject(&control->backend))
+		return;
+	log_backend(control, "the settings name another one");
+	announce_publish(control);
+}
+
 /// Handles an announcement or a leave. They may arrive out of order.
 static void
 handle_announcement(struct control *control, struct http_exchange *exchange,
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -143,6 +143,9 @@
 /// responses that it leaves.
 void announce_backend_leaving(
     void *arg, const char *id, uint64_t process_start);
+/// Applies the service and the address of the backend server that the settings
+/// name. An announcement of another one ends.
+void announce_settings_changed(struct control *control);
 /// Handles what other members know from before a restart of this proxy: a process
 /// of the backend server leaves.
 void announce_server_left(struct control *control, uint64_t server);
--- a/src/proxy/ingress/caller_service.c
+++ b/src/proxy/ingress/caller_service.c
@@ -21,19 +21,26 @@
 	log_end(&line);
 }
 
+void
+ingress_set_service(struct ingress *ingress, const char *service)
+{
+	snprintf(ingress->settings.service, sizeof(ingress->settings.service),
+	    "%s", service);
+}
+
 void
 ingress_add_caller_service(struct ingress_request *r)
 {
 	struct ingress *ingress = r->ingress;
 	const char *name = ingress->dialect->headers.caller_service;
-	const char *service = egress_get_service_name(ingress->egress);
-	const char *source = "announcement";
+	const char *service = ingress->settings.service;
+	const char *source = "settings";
 
 	if (name == NULL)
 		return;
 	if (service[0] == '\0') {
-		service = ingress->settings.service;
-		source = "settings";
+		service = egress_get_service_name(ingress->egress);
+		source = "announcement";
 	}
 	if (strcmp(ingress->caller_service, service) != 0) {
 		log_change(r, service, source);
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -14,8 +14,7 @@
 struct ingress_settings {
 	const struct dialect *dialect;
 	char name[MEMBER_NAME_BYTES];
-	/// Service of the backend server on this VM, until it announces itself;
-	/// may be empty.
+	/// Service of the backend server on this VM; empty: as it announces.
 	char service[MEMBER_NAME_BYTES];
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
@@ -43,6 +42,9 @@
 /// Changes the incarnation of this process.
 void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
 
+/// Changes the service of the backend server on this VM; "": as it announces.
+void ingress_set_service(struct ingress *ingress, const char *service);
+
 /// Stops accepting connections; requests in progress continue.
 ///
 /// @param deadline_us  end of the drain; new requests whose deadline is later
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -48,7 +48,8 @@
 	struct control *c = arg;
 
 	proxy_settings_resolve_sources(reloaded, &c->settings);
-	proxy_settings_resolve_backend(reloaded, &c->settings);
+	if (proxy_settings_resolve_backend(reloaded, &c->settings) == 0)
+		announce_settings_changed(c);
 }
 
 static void
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -3,6 +3,7 @@
 #include <apr_thread_proc.h>
 #include <assert.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -98,6 +99,26 @@
 	loop_post(traffic->loop, apply_backend, command);
 }
 
+static void
+apply_service(void *arg)
+{
+	struct command *command = arg;
+
+	ingress_set_service(
+	    command->traffic->ingress, command->backend.service);
+	free(command);
+}
+
+void
+traffic_post_service(struct traffic *traffic, const char *service)
+{
+	struct command *command = command_create(traffic);
+
+	snprintf(command->backend.service, sizeof(command->backend.service),
+	    "%s", service);
+	loop_post(traffic->loop, apply_service, command);
+}
+
 static void
 apply_incarnation(void *arg)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -43,6 +43,10 @@
 /// one from before the clock was set back. Any thread.
 void traffic_post_incarnation(struct traffic *traffic, uint64_t incarnation);
 
+/// Changes the service of the backend server on this VM, as the settings name it;
+/// "": as it announces. Any thread.
+void traffic_post_service(struct traffic *traffic, const char *service);
+
 /// Passes the state of the backend server to the thread. Any thread.
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
--- a/test/functional/caller_service.sh
+++ b/test/functional/caller_service.sh
@@ -77,6 +77,9 @@
 echo "the old server gets: $(get /work/x -w '%{http_code}')"
 beat_own i-1 work 9100 2
 ask "and the old server announces itself"
+beat_own i-1 other 500 1
+mesh_wait 2 sh -c "curl -s http://$(mesh_host 1):$PORT_ADMIN/status | grep -q '\"ready\",'" &&
+    echo "the new server is ready, though it started earlier"
 reload work 2
 ask "the settings are changed without a signal"
 echo "== source of the name, as logged"
