--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -65,6 +65,7 @@
 	bool begun; ///< A call of a request that a backend server runs.
 	bool parent_repeats; ///< That run repeats an earlier one.
 	bool parked;	     ///< Waits for rules or endpoints after a start.
+	bool parked_before;  ///< It has been parked at least once.
 	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
--- a/src/proxy/ingress/park.c
+++ b/src/proxy/ingress/park.c
@@ -10,7 +10,8 @@
 /// Time between retries while requests are parked.
 #define PARK_RETRY_PERIOD_US (50 * US_PER_MS)
 
-COUNTER_DEFINE(count_parked, "ingress_parked", "Waited for the proxy's start");
+COUNTER_DEFINE(count_parked, "ingress_parked",
+    "Requests that waited for the proxy's start");
 
 bool
 ingress_park(struct ingress_request *r)
@@ -27,9 +28,9 @@
 	    arrival_us + (r->deadline_us - arrival_us) / PARK_TIME_DIVISOR;
 	if (now_us >= until_us)
 		return false;
-	if (!r->parked)
+	if (!r->parked_before)
 		counter_add(&count_parked, 1);
-	r->parked = true;
+	r->parked = r->parked_before = true;
 	loop_timer_set(ingress->loop, &r->timer, until_us);
 	if (ingress->parked_timer.heap_index == 0)
 		loop_timer_set(ingress->loop, &ingress->parked_timer,
