feat(rules): the kind download

Problem: a document with a route of kind "download" was refused whole, so that no request of two deployments was served.

Solution: download is a kind of its own, safe to repeat; what its large answers need of links is decided elsewhere.

Result: unit.test_platform converts it both ways.

--- a/src/core/rules/rules.h
+++ b/src/core/rules/rules.h
@@ -35,10 +35,11 @@
 
 /// How often the requests of a route may be executed.
 enum rule_kind {
-	RULE_KIND_METHOD, ///< Depends on the request method.
-	RULE_KIND_SAFE,	  ///< May run more than once.
-	RULE_KIND_UNSAFE, ///< Runs at most once.
-	RULE_KIND_UPLOAD, ///< Like unsafe, with large bodies.
+	RULE_KIND_METHOD,   ///< Depends on the request method.
+	RULE_KIND_SAFE,	    ///< May run more than once.
+	RULE_KIND_UNSAFE,   ///< Runs at most once.
+	RULE_KIND_UPLOAD,   ///< Like unsafe, with large bodies.
+	RULE_KIND_DOWNLOAD, ///< Like safe, with large responses.
 };
 
 /// A class of requests with its target and its guaranteed share.
@@ -168,6 +169,10 @@
 /// Returns the name of a kind as in the rule file.
 const char *rules_kind_name(enum rule_kind kind);
 
+/// Returns whether requests of a kind may run more than once, whatever their
+/// method.
+bool rules_kind_is_safe(enum rule_kind kind);
+
 /// Builds the index of the match rules. The routes must be sorted before.
 void rules_index_build(struct rules *rules);
 
--- a/src/core/rules/rules_match.c
+++ b/src/core/rules/rules_match.c
@@ -18,6 +18,7 @@
     {"safe", RULE_KIND_SAFE},
     {"unsafe", RULE_KIND_UNSAFE},
     {"upload", RULE_KIND_UPLOAD},
+    {"download", RULE_KIND_DOWNLOAD},
 };
 
 const char *
@@ -31,6 +32,12 @@
 	return "method";
 }
 
+bool
+rules_kind_is_safe(enum rule_kind kind)
+{
+	return kind == RULE_KIND_SAFE || kind == RULE_KIND_DOWNLOAD;
+}
+
 /// Options that were given in a match rule.
 struct match_seen {
 	bool host, prefix, kind, timeout, target, rank, attempts, to;
@@ -108,8 +115,8 @@
 		route->kind = match_kinds[i].kind;
 		return true;
 	}
-	parser_fail(
-	    p, p->line, w->column, "kind must be safe, unsafe or upload");
+	parser_fail(p, p->line, w->column,
+	    "kind must be safe, unsafe, upload or download");
 	return false;
 }
 
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -169,7 +169,7 @@
 	ingress_add_caller_service(r);
 	r->safe = r->route->kind == RULE_KIND_METHOD
 	    ? retry_method_is_safe(exchange->method)
-	    : r->route->kind == RULE_KIND_SAFE;
+	    : rules_kind_is_safe(r->route->kind);
 	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
 	r->upload_ended = !exchange->more;
 	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -83,7 +83,8 @@
 	    "maxBodyBytes", 67108864, "headerTimeoutMs", 3000, "idleTimeoutMs",
 	    15000);
 	json_t *table = json_object_get(root, "routes");
-	static const char *const kinds[] = {"safe", "unsafe", "upload"};
+	static const char *const kinds[] = {
+	    "safe", "unsafe", "upload", "download"};
 	uint32_t i;
 
 	for (i = 0; i < routes; i++) {
@@ -95,7 +96,7 @@
 		snprintf(prefix, sizeof(prefix), "/xapu%u/ny%u/", i, i % 13);
 		route = json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "host",
 		    i % 2 == 0 ? "hulo84.example" : "jepu9.example",
-		    "pathPrefix", prefix, "kind", kinds[i % 3], "timeoutMs",
+		    "pathPrefix", prefix, "kind", kinds[i % 4], "timeoutMs",
 		    1000 + (int)i, "targetLatencyMs", 200 + (int)i % 50,
 		    "priority", (int)i % 3, "maxAttempts", 1 + (int)i % 3);
 		if (i % 4 == 0)
