feat(wire): route, workspace, size of the answer, work and bytes left, software version

Problem: a proxy knows nothing of what a request will weigh, whose it is, what a server still has to do, what its link still has to carry, or which version a server runs.

Solution: fields at the end of the records of members, requests, responses and heartbeats. The ingress names the route; the other fields are filled by the parts that decide on them.

--- a/src/core/membership/member.h
+++ b/src/core/membership/member.h
@@ -9,6 +9,9 @@
 #define MEMBER_NAME_BYTES 40
 #define MEMBER_HOST_BYTES 16
 
+/// Of the software of a backend server.
+#define MEMBER_VERSION_BYTES 24
+
 /// Greatest incarnation: the year 2112 as the wall clock has it at a start.
 #define MEMBER_MAX_INCARNATION ((uint64_t)1 << 52)
 
@@ -54,6 +57,8 @@
 	uint32_t slots;
 	uint32_t load_pct; ///< Busy slots and queue; 100: all slots busy.
 	uint64_t version;  ///< Highest rules version known in force there.
+	/// Software of the backend server, as it announces; "": not known.
+	char server_version[MEMBER_VERSION_BYTES];
 };
 
 /// Returns whether record a replaces record b of the same member.
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -141,6 +141,8 @@
 	m->repeat = r->parent_repeats || r->arrivals > 0;
 	m->service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
+	m->route = ingress_get_route_stats(r)->route_hash;
+	m->answer_bytes = -1;
 	if (r->endpoint->terms.limit_milli > 0 || r->endpoint->terms.leaving) {
 		m->server = r->endpoint->terms.server;
 		m->limit_milli = r->endpoint->terms.limit_milli;
--- a/src/wire/gossip_codec.c
+++ b/src/wire/gossip_codec.c
@@ -24,6 +24,7 @@
 	out->slots = m->slots;
 	out->load_pct = m->load_pct;
 	out->version = m->version;
+	out->server_version = bytes_from_string(m->server_version);
 }
 
 /// Copies a text of a member: UTF-8 that fits, without NUL.
@@ -62,7 +63,7 @@
 #define TEXT(field_) \
 	read_text(in->field_, #field_, out->field_, sizeof(out->field_), err)
 	if (TEXT(name) != 0 || TEXT(host) != 0 || TEXT(region) != 0 ||
-	    TEXT(dc) != 0 || TEXT(service) != 0)
+	    TEXT(dc) != 0 || TEXT(service) != 0 || TEXT(server_version) != 0)
 		return -1;
 #undef TEXT
 	if (out->name[0] == '\0')
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -79,6 +79,7 @@
 	uint32_t slots;
 	uint32_t load_pct;
 	uint64_t version;
+	struct bytes server_version; ///< Software of the backend server, or "".
 };
 
 /// Probe, acknowledgement, probe request or notice between members.
@@ -220,6 +221,9 @@
 	int64_t total_bytes; ///< Size of a framed body; -1 if unknown.
 	struct list headers; ///< of struct message_header
 	struct bytes body;
+	uint64_t route; ///< Hash of the route's name; 0: none.
+	struct bytes workspace;
+	int64_t answer_bytes; ///< Usual size of the response body; -1: unknown.
 };
 
 struct message_response {
@@ -241,6 +245,8 @@
 	int64_t total_bytes;   ///< Size of a framed body; -1 if unknown.
 	struct list headers;   ///< of struct message_header
 	struct bytes body;
+	int64_t work_left_us; ///< Slot time that the server still has to give.
+	int64_t link_wait_us; ///< Until queued bodies have left this VM.
 };
 
 /// A part of the body of a request or response.
@@ -283,6 +289,8 @@
 	int64_t service_us;   ///< Mean slot time; 0: unknown.
 	uint32_t limit_milli; ///< As in struct message_response.
 	int64_t limit_wait_us;
+	int64_t work_left_us;
+	int64_t link_wait_us;
 };
 
 struct message_raft_entry {
--- a/src/wire/request_copy.c
+++ b/src/wire/request_copy.c
@@ -19,7 +19,7 @@
 		    headers[i].name.size_bytes + headers[i].value.size_bytes;
 	return size + r->rank.size_bytes + r->service.size_bytes +
 	    r->method.size_bytes + r->target.size_bytes + r->key.size_bytes +
-	    r->body.size_bytes;
+	    r->body.size_bytes + r->workspace.size_bytes;
 }
 
 /// Appends a byte string to the storage after the copied struct.
@@ -58,6 +58,7 @@
 	copy->target = copy_bytes(&at, r->target);
 	copy->key = copy_bytes(&at, r->key);
 	copy->body = copy_bytes(&at, r->body);
+	copy->workspace = copy_bytes(&at, r->workspace);
 	return copy;
 }
 
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -20,6 +20,7 @@
     F(message_member, U32, slots),
     F(message_member, U32, load_pct),
     F(message_member, COUNT, version),
+    F(message_member, BYTES, server_version),
 };
 const struct codec_schema message_member_schema =
     CODEC_SCHEMA(struct message_member, member_fields);
@@ -169,6 +170,9 @@
     F(message_request, SIZE, total_bytes),
     N(message_request, LIST, headers, &header_schema),
     F(message_request, BYTES, body),
+    F(message_request, U64, route),
+    F(message_request, BYTES, workspace),
+    F(message_request, SIZE, answer_bytes),
 };
 static const struct codec_schema request_schema =
     CODEC_SCHEMA(struct message_request, request_fields);
@@ -192,6 +196,8 @@
     F(message_response, SIZE, total_bytes),
     N(message_response, LIST, headers, &header_schema),
     F(message_response, BYTES, body),
+    F(message_response, TIME, work_left_us),
+    F(message_response, TIME, link_wait_us),
 };
 static const struct codec_schema response_schema =
     CODEC_SCHEMA(struct message_response, response_fields);
@@ -241,6 +247,8 @@
     F(message_heartbeat, TIME, service_us),
     F(message_heartbeat, U32, limit_milli),
     F(message_heartbeat, TIME, limit_wait_us),
+    F(message_heartbeat, TIME, work_left_us),
+    F(message_heartbeat, TIME, link_wait_us),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -170,6 +170,7 @@
 		strcpy(m->region, "westside");
 		strcpy(m->dc, "westside-1");
 		strcpy(m->service, "breakbook-edge");
+		strcpy(m->server_version, "v1.12.3");
 		set_largest_numbers(m);
 	}
 	msgpack_sbuffer_init(&out);
@@ -200,6 +201,7 @@
 		memset(m->region, 'r', sizeof(m->region) - 1);
 		memset(m->dc, 'd', sizeof(m->dc) - 1);
 		memset(m->service, 's', sizeof(m->service) - 1);
+		memset(m->server_version, 'v', sizeof(m->server_version) - 1);
 		strcpy(m->host, "255.255.255.255");
 		set_largest_numbers(m);
 	}
