feat(rules): workspaces with keys, ranks and quotas; routes that are public

Problem: a document's tenants were ignored without a word: every request ran whatever its key, the servers were told no workspace, and two workspaces could share a key. Solution: rule 'workspace NAME keys=K,... [rank=N] [rate=N] [burst=N]' and the options 'public' and 'public=no' of 'match', read from documents and rendered again as sent. Keys are looked up in constant time in a table that is built once a version, with a hash seeded by the process. The ingress answers 401 (not run) to an unknown or missing key, and drops the key; the egress names the workspace to the server. A call belongs to the workspace of the request that the server runs; a call of one that does not run here any more is answered 503 (not run). Requests that wait, queue or are retried end with 401 when their key is withdrawn. No error text holds a key; unread fields of a document are logged. Quotas aren't enforced yet.

--- a/src/core/rules/rules.c
+++ b/src/core/rules/rules.c
@@ -162,6 +162,8 @@
 	free(rules->ranks);
 	free(rules->services);
 	free(rules->routes);
+	free(rules->workspaces);
+	key_table_free(rules->keys);
 	text_pool_free(&rules->texts);
 	if (rules->index != NULL)
 		free(rules->index->slots);
@@ -221,6 +223,28 @@
 	return -1;
 }
 
+int
+rules_find_workspace(
+    const struct rules *rules, const char *name, size_t name_bytes)
+{
+	uint32_t low = 0;
+	uint32_t high = rules->workspace_count;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+		const char *at = rules->workspaces[middle].name;
+		int order = strncmp(at, name, name_bytes);
+
+		if (order == 0 && at[name_bytes] == '\0')
+			return (int)middle;
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return -1;
+}
+
 int
 rules_find_service(const struct rules *rules, const char *name)
 {
--- a/src/core/rules/rules.h
+++ b/src/core/rules/rules.h
@@ -10,6 +10,7 @@
 
 #include "core/rules/rule_file.h"
 #include "core/rules/text_pool.h"
+#include "core/workspace/key_table.h"
 
 #define RULES_NAME_BYTES      32
 #define RULES_PATH_BYTES      160
@@ -25,6 +26,10 @@
 #define RULES_MAX_TARGETS     8
 #define RULES_MAX_WEIGHT      1000000
 #define RULES_MAX_LENGTHS     64
+#define RULES_KEY_BYTES	      128
+
+/// Largest rate of a workspace in requests a second, and largest burst.
+#define RULES_MAX_QUOTA 1000000000
 
 /// Longest timeout of a match rule: 10 minutes.
 #define RULES_MAX_MATCH_TIMEOUT_US (600LL * 1000000)
@@ -98,6 +103,8 @@
 	uint32_t weight_sum;
 	struct rule_target targets[RULES_MAX_TARGETS];
 	uint32_t path_bytes;
+	bool has_public;    ///< The rule says whether it is public.
+	bool is_public;	    ///< Requests need no key of a workspace.
 	bool prefix;	    ///< The path ended in "*".
 	bool once;	    ///< At most one execution for each idempotency key.
 	uint32_t service;   ///< Index into services, of the first target.
@@ -106,6 +113,23 @@
 	uint32_t line;
 };
 
+/// A workspace: callers that share keys, a rank and a quota.
+struct rule_workspace {
+	// Texts in the pool of the rules.
+	const char *name;
+	const char *owner;
+	const char *keys; ///< Separated by commas; secret.
+	uint32_t key_count;
+	bool has_rank;	      ///< Its rank goes before those of the routes.
+	uint32_t rank_number; ///< 0 is the highest.
+	uint32_t rank;	      ///< Index into ranks.
+	bool has_rate;	      ///< The rule gives a rate.
+	bool has_burst;
+	uint64_t rate_milli;  ///< Requests in 1,000 s; 0: no limit.
+	uint64_t burst_milli; ///< Thousandths of a request.
+	uint32_t line;
+};
+
 /// One version of the rules. Immutable once parsed; reference-counted.
 struct rules {
 	atomic_uint refs;
@@ -118,7 +142,10 @@
 	uint32_t service_count;
 	struct rule_route *routes; ///< Most specific path first.
 	uint32_t route_count;
-	struct text_pool texts;	  ///< Of the routes.
+	struct rule_workspace *workspaces; ///< Sorted by name.
+	uint32_t workspace_count;
+	struct key_table *keys;	  ///< Of the workspaces; NULL without any.
+	struct text_pool texts;	  ///< Of the routes and workspaces.
 	uint32_t match_count;	  ///< Number of match rules in routes.
 	struct rule_index *index; ///< Of the match rules; NULL for none.
 };
@@ -181,6 +208,12 @@
 /// @return its index, or -1
 int rules_find_rank(const struct rules *rules, const char *name);
 
+/// Finds a workspace by name.
+///
+/// @return its index, or -1
+int rules_find_workspace(
+    const struct rules *rules, const char *name, size_t name_bytes);
+
 /// Finds a service by name.
 ///
 /// @return its index, or -1
--- a/src/core/rules/rules_match.c
+++ b/src/core/rules/rules_match.c
@@ -9,7 +9,7 @@
 
 static const char match_usage[] =
     "match NAME host=HOST prefix=PATH kind=KIND timeout=TIME target=TIME "
-    "rank=N to=SERVICE[:WEIGHT],... [attempts=N]";
+    "rank=N to=SERVICE[:WEIGHT],... [attempts=N] [public]";
 
 static const struct {
 	const char *name;
@@ -40,45 +40,15 @@
 
 /// Options that were given in a match rule.
 struct match_seen {
-	bool host, prefix, kind, timeout, target, rank, attempts, to;
+	bool host, prefix, kind, timeout, target, rank, attempts, to, public;
 };
 
-static bool
-is_label_char(char c)
-{
-	return isalnum((unsigned char)c) || c == '-' || c == '_' || c == '.';
-}
-
-/// Copies a word of letters, digits, '-', '_' and '.'; reports other ones.
-static bool
-read_label(struct parser *p, const struct word *w, const char *what, char *out,
-    size_t out_bytes)
-{
-	uint32_t i;
-
-	if (w->text_bytes == 0 || w->text_bytes >= out_bytes) {
-		parser_fail(p, p->line, w->column,
-		    "%s must have 1 to %zu characters", what, out_bytes - 1);
-		return false;
-	}
-	for (i = 0; i < w->text_bytes; i++) {
-		if (is_label_char(w->text[i]))
-			continue;
-		parser_fail(p, p->line, w->column + i,
-		    "%s may hold only letters, digits, '-', '_' and '.'", what);
-		return false;
-	}
-	memcpy(out, w->text, w->text_bytes);
-	out[w->text_bytes] = '\0';
-	return true;
-}
-
 static bool
 read_host(struct parser *p, const struct word *w, struct route_texts *texts)
 {
 	char *c;
 
-	if (!read_label(p, w, "host", texts->host, sizeof(texts->host)))
+	if (!parser_read_label(p, w, "host", texts->host, sizeof(texts->host)))
 		return false;
 	for (c = texts->host; *c != '\0'; c++)
 		*c = (char)tolower((unsigned char)*c);
@@ -197,9 +167,8 @@
 	return false;
 }
 
-static bool
-read_rank_number(
-    struct parser *p, const struct word *w, struct rule_route *route)
+bool
+parser_read_rank_number(struct parser *p, const struct word *w, uint32_t *out)
 {
 	uint64_t n;
 	uint32_t used;
@@ -211,10 +180,20 @@
 		    RULES_MAX_WEIGHT - 1);
 		return false;
 	}
-	route->rank_number = (uint32_t)n;
+	*out = (uint32_t)n;
 	return true;
 }
 
+/// Reads "public", or "public=no", which states the default.
+static bool
+read_public(const struct word *w, struct rule_route *route)
+{
+	route->is_public = parser_word_equals(w, "public");
+	route->has_public =
+	    route->is_public || parser_word_equals(w, "public=no");
+	return route->has_public;
+}
+
 static bool
 read_option(struct parser *p, const struct word *w, struct match_seen *seen,
     struct rule_route *route, struct route_texts *texts,
@@ -234,12 +213,15 @@
 		return seen->target = parser_read_duration(
 			   p, &v, "target", &route->target_us);
 	if (!seen->rank && parser_word_option(w, "rank", &v))
-		return seen->rank = read_rank_number(p, &v, route);
+		return seen->rank =
+			   parser_read_rank_number(p, &v, &route->rank_number);
 	if (!seen->attempts && parser_word_option(w, "attempts", &v))
 		return seen->attempts = parser_read_count(
 			   p, &v, "attempts", 1000, &route->attempts);
 	if (!seen->to && parser_word_option(w, "to", &v))
 		return seen->to = read_targets(p, &v, route, pending);
+	if (!seen->public && read_public(w, route))
+		return seen->public = true;
 	parser_fail_option(p, w, "match");
 	return false;
 }
@@ -257,7 +239,7 @@
 
 	if (!parser_need_words(p, 3, match_usage))
 		return;
-	ok = read_label(
+	ok = parser_read_label(
 	    p, &p->words[1], "match name", texts.name, sizeof(texts.name));
 	for (i = 2; i < p->word_count; i++)
 		ok &= read_option(
@@ -328,33 +310,29 @@
 		p->rules->limits = l;
 }
 
-/// Finds the rank of a rank number, or adds it. Its target is the longest one
-/// of all match rules of that number.
-///
-/// @return index of the rank
-static int
-find_or_add_numbered_rank(struct parser *p, const struct rule_route *route)
+int
+parser_find_or_add_numbered_rank(struct parser *p, uint32_t number,
+    int64_t target_us, const char *owner, uint32_t line)
 {
 	struct rules *r = p->rules;
-	struct rule_rank rank = {.line = route->line,
-	    .worth = RULES_MAX_WEIGHT - route->rank_number,
-	    .target_us = route->target_us};
+	struct rule_rank rank = {.line = line,
+	    .worth = RULES_MAX_WEIGHT - number,
+	    .target_us = target_us};
 	int at;
 
 	snprintf(rank.name, sizeof(rank.name), "%c%u",
-	    RULES_NUMBERED_RANK_PREFIX, route->rank_number);
+	    RULES_NUMBERED_RANK_PREFIX, number);
 	at = rules_find_rank(r, rank.name);
 	if (at >= 0) {
-		if (r->ranks[at].target_us < route->target_us)
-			r->ranks[at].target_us = route->target_us;
+		if (r->ranks[at].target_us < target_us)
+			r->ranks[at].target_us = target_us;
 		return at;
 	}
 	if (r->rank_count == RULES_MAX_RANKS) {
-		parser_fail(
-		    p, route->line, 1, "more than %d ranks", RULES_MAX_RANKS);
+		parser_fail(p, line, 1, "more than %d ranks", RULES_MAX_RANKS);
 		return 0;
 	}
-	strcpy(rank.owner, route->owner);
+	strcpy(rank.owner, owner);
 	r->ranks = parser_grow(r->ranks, r->rank_count, sizeof(*r->ranks));
 	r->ranks[r->rank_count] = rank;
 	return (int)r->rank_count++;
@@ -380,7 +358,8 @@
 		route->targets[i].service = (uint32_t)service;
 	}
 	route->service = route->targets[0].service;
-	route->rank = (uint32_t)find_or_add_numbered_rank(p, route);
+	route->rank = (uint32_t)parser_find_or_add_numbered_rank(
+	    p, route->rank_number, route->target_us, route->owner, route->line);
 }
 
 static int
--- a/src/core/rules/rules_parse.c
+++ b/src/core/rules/rules_parse.c
@@ -340,10 +340,12 @@
 		parser_parse_match(p);
 	else if (parser_word_equals(&p->words[0], "limits"))
 		parser_parse_limits(p);
+	else if (parser_word_equals(&p->words[0], "workspace"))
+		parser_parse_workspace(p);
 	else
 		parser_fail(p, p->line, p->words[0].column,
 		    "unknown rule; expected version, rank, service, route, "
-		    "match or limits");
+		    "match, limits or workspace");
 }
 
 /// Parses a line if it is the version rule; skips any other line.
@@ -428,6 +430,7 @@
 	if (!p.has_version && errors->count == 0)
 		parser_fail(&p, 1, 1, "the first rule must be: version N");
 	parser_resolve_routes(&p);
+	parser_resolve_workspaces(&p);
 	parser_check_shares(&p);
 	parser_check_matches(&p);
 	free(p.pending);
--- a/src/core/rules/rules_words.c
+++ b/src/core/rules/rules_words.c
@@ -1,5 +1,6 @@
 // Splits rule lines into words, and parses names, numbers and options.
 #include <assert.h>
+#include <ctype.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -121,6 +122,35 @@
 	return true;
 }
 
+static bool
+is_label_char(char c)
+{
+	return isalnum((unsigned char)c) || c == '-' || c == '_' || c == '.';
+}
+
+bool
+parser_read_label(struct parser *p, const struct word *w, const char *what,
+    char *out, size_t out_bytes)
+{
+	uint32_t i;
+
+	if (w->text_bytes == 0 || w->text_bytes >= out_bytes) {
+		parser_fail(p, p->line, w->column,
+		    "%s must have 1 to %zu characters", what, out_bytes - 1);
+		return false;
+	}
+	for (i = 0; i < w->text_bytes; i++) {
+		if (is_label_char(w->text[i]))
+			continue;
+		parser_fail(p, p->line, w->column + i,
+		    "%s may hold only letters, digits, '-', '_' and '.'", what);
+		return false;
+	}
+	memcpy(out, w->text, w->text_bytes);
+	out[w->text_bytes] = '\0';
+	return true;
+}
+
 static int64_t
 duration_unit_us(const char *unit, uint32_t unit_bytes)
 {
@@ -290,9 +320,14 @@
 parser_fail_option(
     struct parser *p, const struct word *w, const char *directive)
 {
+	uint32_t shown_bytes = w->text_bytes > 40 ? 40 : w->text_bytes;
+	struct word secret;
+
+	if (parser_word_option(w, "keys", &secret))
+		shown_bytes = w->text_bytes - secret.text_bytes;
 	parser_fail(p, p->line, w->column,
-	    "unknown or repeated option '%.*s' of %s",
-	    (int)(w->text_bytes > 40 ? 40 : w->text_bytes), w->text, directive);
+	    "unknown or repeated option '%.*s' of %s", (int)shown_bytes,
+	    w->text, directive);
 }
 
 bool
--- a/src/core/rules/rules_words.h
+++ b/src/core/rules/rules_words.h
@@ -96,6 +96,12 @@
 bool parser_check_bytes(
     struct parser *p, const char *line, uint32_t line_bytes);
 
+/// Copies a word of letters, digits, '-', '_' and '.'; reports other ones.
+///
+/// @param out  has room for out_bytes - 1 characters and NUL
+bool parser_read_label(struct parser *p, const struct word *w, const char *what,
+    char *out, size_t out_bytes);
+
 /// Grows an array by one zeroed item. Allocates at powers of two.
 void *parser_grow(void *items, uint32_t count, size_t item_bytes);
 
@@ -116,6 +122,18 @@
 
 void parser_parse_limits(struct parser *p);
 
+/// Parses the number of a rank, 0 for the highest; reports other words.
+bool parser_read_rank_number(
+    struct parser *p, const struct word *w, uint32_t *out);
+
+/// Finds the rank of a rank number, or adds it.
+///
+/// @param target_us  response time that callers expect; the rank has the longest
+///                   one of all that refer to it
+/// @return index of the rank
+int parser_find_or_add_numbered_rank(struct parser *p, uint32_t number,
+    int64_t target_us, const char *owner, uint32_t line);
+
 /// Resolves the services and the rank of a match rule.
 void parser_resolve_match(struct parser *p, struct rule_route *route,
     const struct pending_route *pending);
@@ -123,6 +141,15 @@
 /// Reports match rules with the same name, or the same host and prefix.
 void parser_check_matches(struct parser *p);
 
+// Workspaces, implemented in rules_workspace.c.
+
+void parser_parse_workspace(struct parser *p);
+
+/// Resolves the ranks of the workspaces and builds the table of their keys;
+/// reports names and keys that two of them have. Call it once the routes are
+/// resolved.
+void parser_resolve_workspaces(struct parser *p);
+
 /// Resolves the services and ranks that routes refer to; reports unknown ones.
 void parser_resolve_routes(struct parser *p);
 
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -24,7 +24,10 @@
 	const char *attempt;	     ///< Id of a caller's attempt; echoed.
 	const char *deadline;	     ///< Remaining time in milliseconds.
 	const char *rank;
-	const char *key;	    ///< Idempotency key.
+	const char *key; ///< Idempotency key.
+	/// Key of a workspace, which a caller states and nobody else gets.
+	const char *workspace_key;
+	const char *workspace;	    ///< Name of the request's workspace.
 	const char *caller_service; ///< Service on the VM of the ingress.
 	const char *expected;	    ///< Id of the server that must run it.
 	const char *instance;	    ///< Id of the responding server.
--- a/src/io/program.c
+++ b/src/io/program.c
@@ -6,10 +6,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 #include <sys/signalfd.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "core/workspace/key_table.h"
 #include "io/clock.h"
 #include "io/log/log.h"
 #include "io/program.h"
@@ -114,6 +116,16 @@
 	mallopt(M_ARENA_MAX, 1);
 }
 
+/// Without it callers could choose texts that collide with keys.
+static void
+seed_key_tables(void)
+{
+	uint64_t seed = 0;
+
+	if (getrandom(&seed, sizeof(seed), 0) == sizeof(seed))
+		key_table_set_seed(seed);
+}
+
 int
 program_start(const struct program *program, int argc, char **argv)
 {
@@ -133,6 +145,7 @@
 	size_t i;
 
 	limit_allocator();
+	seed_key_tables();
 	for (i = 0; i < program->flag_count && i < MAX_FLAGS; i++) {
 		options[i + 2].name = program->flags[i].name;
 		options[i + 2].key = KEY_FIRST_FLAG + (int)i;
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -83,11 +83,12 @@
 struct egress_request *egress_find_request(
     struct egress *egress, const struct egress_sink *sink, uint64_t id);
 
-/// Tells whether the backend server runs the request with an id now.
+/// Finds the request with an id if the backend server runs it now.
 ///
-/// @param is_repeat  set if so: whether that run repeats an earlier one
-bool egress_is_running(const struct egress *egress, const char *request_id,
-    size_t id_bytes, bool *is_repeat);
+/// @return the message of its ingress, valid until the next call of any function
+///         of the egress; NULL if it does not run
+const struct message_request *egress_find_running(
+    const struct egress *egress, const char *request_id, size_t id_bytes);
 
 /// Receives a further part of a request body.
 void egress_request_receive_body(
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -18,7 +18,7 @@
 #define MAX_BUFFERED_RESPONSE_BYTES (64u * 1024)
 #define UPLOAD_WINDOW_BYTES	    (256u * 1024)
 #define RESPONSE_WINDOW_BYTES	    (256u * 1024)
-#define MAX_EXTRA_HEADERS	    4
+#define MAX_EXTRA_HEADERS	    5
 #define STATUS_MISDIRECTED	    421
 
 /// Time for which connections are not shared with requests that may not be
@@ -460,6 +460,10 @@
 		r->headers[i].name = bytes_from_string(h->expected);
 		r->headers[i++].value = bytes_from_string(r->expected);
 	}
+	if (h->workspace != NULL && r->message->workspace.size_bytes > 0) {
+		r->headers[i].name = bytes_from_string(h->workspace);
+		r->headers[i++].value = r->message->workspace;
+	}
 	snprintf(r->deadline_text, sizeof(r->deadline_text), "%" PRId64,
 	    left_us > 0 ? left_us / US_PER_MS : 0);
 	r->headers[i].name = bytes_from_string(h->deadline);
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -84,9 +84,9 @@
 	return NULL;
 }
 
-bool
-egress_is_running(const struct egress *egress, const char *request_id,
-    size_t id_bytes, bool *is_repeat)
+const struct message_request *
+egress_find_running(
+    const struct egress *egress, const char *request_id, size_t id_bytes)
 {
 	const struct egress_request *r;
 
@@ -94,7 +94,6 @@
 		if (r->state == REQUEST_RUNNING &&
 		    r->caller_id.size_bytes == id_bytes &&
 		    memcmp(r->caller_id.data, request_id, id_bytes) == 0)
-			break;
-	*is_repeat = r != NULL && r->message->repeat != 0;
-	return r != NULL;
+			return r->message;
+	return NULL;
 }
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -153,6 +153,7 @@
 	m->method = bytes_from_string(x->method);
 	m->target = bytes_from_string(x->target);
 	m->key = bytes_from_string(r->key);
+	m->workspace = bytes_from_string(r->workspace);
 	m->once = r->route->once;
 	m->more = x->more;
 	m->total_bytes = -1;
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -177,6 +177,7 @@
 		ingress->rules = rules_ref(view->rules);
 		log_write(LOG_INFO, "config",
 		    "Version %" PRIu64 " is in force.", view->rules->version);
+		ingress_recheck_keys(ingress);
 	}
 	set_limits(ingress);
 	// Each service of the rules has a balancer, even without endpoints.
--- a/src/proxy/ingress/ingress_log.c
+++ b/src/proxy/ingress/ingress_log.c
@@ -59,6 +59,8 @@
 		return;
 	log_text(line, "route", route_name(r));
 	log_text(line, "rank", r->rank->name);
+	if (r->workspace[0] != '\0')
+		log_text(line, "workspace", r->workspace);
 	log_number(line, "rules", (int64_t)r->rules->version);
 }
 
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -51,8 +51,11 @@
 	char key[256]; ///< Idempotency key, or empty.
 	/// The caller's id of the request, or a generated one.
 	char request_id[INGRESS_REQUEST_ID_BYTES];
-	bool safe;		    ///< May run more than once.
-	bool repeatable;	    ///< Safe, or guarded by a key.
+	char workspace[RULES_LABEL_BYTES]; ///< Its workspace, or "".
+	bool keyed;	    ///< Its caller's key named the workspace.
+	bool states_parent; ///< Its id names the request it is a call of.
+	bool safe;	    ///< May run more than once.
+	bool repeatable;    ///< Safe, or guarded by a key.
 	size_t windowed_sent_bytes; ///< Part of a windowed body sent so far.
 	bool body_windowed;	    ///< The body is sent on credit only.
 	bool upload_forwarded;	    ///< Sent parts of the body are not kept.
@@ -160,6 +163,21 @@
 void ingress_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why);
 
+// workspace.c
+
+/// Decides which workspace the request belongs to: the one of its key, or that of
+/// the request that it is a call of. Responds if the route needs a key and it has
+/// none that is known.
+///
+/// @return false if the request has ended
+bool ingress_set_workspace(struct ingress_request *r);
+
+/// Whether the rules in force now still grant the request's key to its workspace.
+bool ingress_key_holds(const struct ingress_request *r);
+
+/// Ends a request that has not run and whose key was withdrawn.
+void ingress_conclude_key_withdrawn(struct ingress_request *r);
+
 // park.c
 
 /// Lets a request wait while this process has just started and lacks rules or
@@ -259,6 +277,10 @@
 
 // waiting.c
 
+/// Ends all requests that no backend server runs yet and whose key the rules in
+/// force have withdrawn.
+void ingress_recheck_keys(struct ingress *ingress);
+
 /// Retries all parked requests.
 void ingress_resume_parked(void *arg);
 
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -24,9 +24,11 @@
 	if (headers_is_hop_by_hop(n))
 		return;
 	if (headers_is_internal(&r->ingress->dialect->headers, n)) {
-		// Callers state the deadline themselves.
+		// Callers state the deadline and the key themselves.
 		if (!headers_name_equals(
-			n, r->ingress->dialect->headers.deadline))
+			n, r->ingress->dialect->headers.deadline) &&
+		    !headers_name_equals(
+			n, r->ingress->dialect->headers.workspace_key))
 			counter_add(&count_internal, 1);
 		return;
 	}
@@ -89,6 +91,7 @@
 is_call_of_running(struct ingress_request *r)
 {
 	const struct ingress *ingress = r->ingress;
+	const struct message_request *parent;
 	size_t parent_bytes;
 
 	if (r->trusted)
@@ -96,9 +99,16 @@
 	if (ingress->dialect->parent_id_bytes == NULL)
 		return false;
 	parent_bytes = ingress->dialect->parent_id_bytes(r->request_id);
-	return parent_bytes > 0 &&
-	    egress_is_running(ingress->egress, r->request_id, parent_bytes,
-		&r->parent_repeats);
+	r->states_parent = parent_bytes > 0;
+	if (!r->states_parent)
+		return false;
+	parent =
+	    egress_find_running(ingress->egress, r->request_id, parent_bytes);
+	if (parent == NULL)
+		return false;
+	r->parent_repeats = parent->repeat != 0;
+	bytes_copy(parent->workspace, r->workspace, sizeof(r->workspace));
+	return true;
 }
 
 static void
@@ -148,6 +158,8 @@
 	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
 	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
 	r->service = rules_draw_target(r->route, random_next(&ingress->random));
+	if (!ingress_set_workspace(r))
+		return;
 	if (r->trusted)
 		inherit_rank(r);
 	if (r->trusted || ingress->dialect->callers_set_deadline)
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -126,7 +126,8 @@
 	// to another request (422), the head cannot be sent (400), or the
 	// deadline has passed (504).
 	if (r->exchange == NULL || r->ingress->retries_disabled ||
-	    status == 409 || status == 422 || status == 400 || status == 504 ||
+	    !ingress_key_holds(r) || status == 409 || status == 422 ||
+	    status == 400 || status == 504 ||
 	    !retry_decide(
 		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
 		return false;
@@ -152,6 +153,10 @@
 	if (status == 503 && outcome_is_not_run(outcome) &&
 	    retry_us != UNREACHABLE_RETRY_US)
 		retry_us = draw_retry_after_us(r);
+	if (outcome_is_not_run(outcome) && !ingress_key_holds(r)) {
+		ingress_conclude_key_withdrawn(r);
+		return;
+	}
 	if (!ingress_may_retry(r, status, outcome)) {
 		ingress_conclude(r, status, outcome, retry_us, why);
 		return;
--- a/src/proxy/ingress/waiting.c
+++ b/src/proxy/ingress/waiting.c
@@ -36,6 +36,23 @@
 	}
 }
 
+void
+ingress_recheck_keys(struct ingress *ingress)
+{
+	struct ingress_request *r;
+
+	for (r = ingress->all; r != NULL; r = r->all_next)
+		r->visit_pending = r->exchange != NULL &&
+		    r->state <= ATTEMPT_SENT && !ingress_key_holds(r);
+	while ((r = find_visit_pending(ingress)) != NULL) {
+		r->visit_pending = false;
+		if (r->state != ATTEMPT_NONE && !ingress_withdraw_attempt(r))
+			ingress_send_cancel(r, true);
+		else
+			ingress_conclude_key_withdrawn(r);
+	}
+}
+
 void
 ingress_refuse_waiting(struct ingress *ingress)
 {
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -220,6 +220,99 @@
 	    problem, sizeof(problem)));
 }
 
+/// A document of one public and one other route, with tenants.
+static json_t *
+make_document_of_tenants(json_t *tenants)
+{
+	json_t *root = make_document(2);
+	json_t *routes = json_object_get(root, "routes");
+
+	json_object_set_new(
+	    json_object_get(routes, "r-0"), "public", json_true());
+	json_object_set_new(
+	    json_object_get(routes, "r-1eef"), "public", json_false());
+	json_object_set_new(root, "tenants", tenants);
+	return root;
+}
+
+static void
+expect_tenants_rejected(json_t *tenants, const char *expected)
+{
+	json_t *root = make_document_of_tenants(tenants);
+	char *text = json_dumps(root, JSON_COMPACT);
+	char problem[512];
+
+	assert_null(convert_document(text, problem, sizeof(problem)));
+	if (strstr(problem, expected) == NULL)
+		assert_string_equal(problem, expected);
+	assert_null(strstr(problem, "secret"));
+	free(text);
+	json_decref(root);
+}
+
+/// Tenants are read and rendered in full; no error names a key.
+static void
+test_tenants(void **state)
+{
+	json_t *root = make_document_of_tenants(
+	    json_pack("{s:{s:[s,s],s:i,s:i,s:f},s:{s:[],s:i},s:{s:[s]}}",
+		"bozi300", "apiKeys", "mgjy5rcp", "v3nax7u2", "priority", 1,
+		"ratePerS", 428, "burst", 2.5, "a.b", "apiKeys", "ratePerS", 0,
+		"c", "apiKeys", "x/=:+"));
+	char problem[512];
+	json_t *many;
+	char *text = json_dumps(root, JSON_COMPACT);
+	uint32_t i;
+
+	(void)state;
+	check_round_trip(text);
+	free(text);
+	json_decref(root);
+	// More keys than fit a line of any usual length.
+	many = json_array();
+	for (i = 0; i < MANY_ROUTES; i++) {
+		char key[32];
+
+		snprintf(key, sizeof(key), "key-%u", i);
+		json_array_append_new(many, json_string(key));
+	}
+	root = make_document_of_tenants(
+	    json_pack("{s:{s:o}}", "a", "apiKeys", many));
+	text = json_dumps(root, JSON_COMPACT);
+	check_round_trip(text);
+	free(text);
+	json_decref(root);
+	expect_tenants_rejected(json_object(), "tenants");
+	expect_tenants_rejected(json_array(), "tenants");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[s]},s:{s:[s]}}", "a", "apiKeys", "secret", "b",
+		"apiKeys", "secret"),
+	    "is held by workspace 'a'");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[s,s]}}", "a", "apiKeys", "secret", "secret"),
+	    "twice");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:s}}", "a", "apiKeys", "secret"),
+	    "tenants.a apiKeys");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[s,s]}}", "a", "apiKeys", "x", "secret secret"),
+	    "tenants.a apiKeys: key 2");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[],s:s}}", "a", "apiKeys", "ratePerS", "1"),
+	    "tenants.a ratePerS");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[],s:i}}", "a", "apiKeys", "burst", -1),
+	    "tenants.a burst");
+	expect_tenants_rejected(
+	    json_pack("{s:{s:[],s:f}}", "a", "apiKeys", "priority", 1.0),
+	    "tenants.a priority");
+	expect_rejected("public", json_string("yes"), "routes.r-0 public");
+	assert_null(convert_document(
+	    "{\"tenants\":{\"a\":\"secret\" 1}}", problem, sizeof(problem)));
+	assert_non_null(strstr(problem, "line 1"));
+	assert_null(strstr(problem, "secret"));
+}
+
 static int
 read_announcement(enum dialect_call call, const char *body,
     struct backend_announcement *out, struct error *err)
@@ -439,6 +532,7 @@
 	    cmocka_unit_test(test_round_trip),
 	    cmocka_unit_test(test_rule_file),
 	    cmocka_unit_test(test_rejected),
+	    cmocka_unit_test(test_tenants),
 	    cmocka_unit_test(test_announcement),
 	    cmocka_unit_test(test_announcement_rejected),
 	    cmocka_unit_test(test_announcement_unreadable),
