--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -67,5 +67,6 @@
 int ctl_replace(struct ctl *ctl);
 int ctl_trace(struct ctl *ctl);
 int ctl_report(struct ctl *ctl);
+int ctl_workspaces(struct ctl *ctl);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -24,6 +24,7 @@
     "  check FILE     check a rule file; contacts no source\n"
     "  apply FILE     submit a rule file\n"
     "  status         show the accepted version and where it is in force\n"
+    "  workspaces     show the limits of workspaces and their use\n"
     "  show           print the accepted rule file\n"
     "  diff FILE      compare a rule file with the accepted one\n"
     "  forget NAME    drop a decommissioned proxy from the status\n"
@@ -53,6 +54,7 @@
     {"check", 1, false, ctl_check},
     {"apply", 1, false, ctl_apply},
     {"status", 0, false, ctl_status},
+    {"workspaces", 0, false, ctl_workspaces},
     {"show", 0, false, ctl_show},
     {"diff", 1, false, ctl_diff},
     {"forget", 1, false, ctl_forget},
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -125,6 +125,7 @@
 	    FLOOR_CHECK_US);
 	traffic_set_leaving_listener(
 	    control->traffic, control->loop, announce_backend_leaving, control);
+	distribution_post_sources(control);
 	control->lease_timer.fn = announce_lease_expired;
 	control->lease_timer.arg = control;
 	return 0;
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -130,6 +130,8 @@
 void distribution_receive_answer(
     struct control *control, const struct message_report_answer *answer);
 void distribution_check_floor(void *arg);
+/// Passes the addresses of the sources to the traffic thread.
+void distribution_post_sources(struct control *control);
 void distribution_send_report(struct control *control, bool leaving);
 
 // Backend server and admin requests, in announce.c.
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -195,6 +195,45 @@
 	    now_us);
 }
 
+static bool
+is_in_settings(const struct control *control, const struct address *source)
+{
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		if (address_equals(&control->settings.sources[i], source))
+			return true;
+	return false;
+}
+
+/// Lists the sources in the settings and those that the sources report.
+///
+/// @return their number
+static uint32_t
+list_sources(
+    const struct control *control, struct address out[2 * CONTROL_MAX_SOURCES])
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		out[count++] = control->settings.sources[i];
+	for (i = 0; i < control->discovered_count; i++)
+		if (!is_in_settings(control, &control->discovered_sources[i]))
+			out[count++] = control->discovered_sources[i];
+	return count;
+}
+
+void
+distribution_post_sources(struct control *control)
+{
+	struct address sources[2 * CONTROL_MAX_SOURCES];
+
+	traffic_post_sources(control->traffic, sources,
+	    list_sources(control, sources),
+	    control->has_leader ? &control->leader : NULL);
+}
+
 static void
 update_sources(struct control *control, const struct list *sources)
 {
@@ -212,6 +251,7 @@
 			0)
 			count++;
 	control->discovered_count = count;
+	distribution_post_sources(control);
 }
 
 static void
@@ -227,6 +267,7 @@
 		control->leader = at;
 		control->has_leader = true;
 		control->leader_answered_us = loop_now_us(control->loop);
+		distribution_post_sources(control);
 		distribution_send_report(control, false);
 	}
 	if (!control->floor.ready)
@@ -255,35 +296,6 @@
 	}
 }
 
-static bool
-is_in_settings(const struct control *control, const struct address *source)
-{
-	uint32_t i;
-
-	for (i = 0; i < control->settings.source_count; i++)
-		if (address_equals(&control->settings.sources[i], source))
-			return true;
-	return false;
-}
-
-/// Lists the sources in the settings and those that the sources report.
-///
-/// @return their number
-static uint32_t
-list_sources(
-    const struct control *control, struct address out[2 * CONTROL_MAX_SOURCES])
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < control->settings.source_count; i++)
-		out[count++] = control->settings.sources[i];
-	for (i = 0; i < control->discovered_count; i++)
-		if (!is_in_settings(control, &control->discovered_sources[i]))
-			out[count++] = control->discovered_sources[i];
-	return count;
-}
-
 static void
 note_source_answer(
     struct control *control, const struct message_report_answer *answer)
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -178,6 +178,7 @@
 		log_write(LOG_INFO, "config",
 		    "Version %" PRIu64 " is in force.", view->rules->version);
 		ingress_recheck_keys(ingress);
+		ingress_quota_set_rules(ingress);
 	}
 	set_limits(ingress);
 	// Each service of the rules has a balancer, even without endpoints.
@@ -237,6 +238,7 @@
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
+	ingress_quota_open(ingress);
 	ingress->links = links_create(loop, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_listener(&ingress->outer, ingress, &settings->outer, false,
@@ -297,6 +299,7 @@
 		return;
 	ingress_close_listeners(ingress);
 	loop_timer_clear(ingress->loop, &ingress->parked_timer);
+	ingress_quota_close(ingress);
 	links_destroy(ingress->links);
 	while (ingress->all != NULL) {
 		ingress->all->state = ATTEMPT_NONE;
--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -28,12 +28,31 @@
 	return r;
 }
 
+void
+ingress_stop_quota_wait(struct ingress_request *r)
+{
+	struct quota_client *q = &r->ingress->quota;
+
+	if (r->quota_prev != NULL)
+		r->quota_prev->quota_next = r->quota_next;
+	else
+		q->first = r->quota_next;
+	if (r->quota_next != NULL)
+		r->quota_next->quota_prev = r->quota_prev;
+	else
+		q->last = r->quota_prev;
+	r->quota_waiting = false;
+	quota_share_stop_waiting(&q->share, quota_workspace_hash(r->workspace));
+}
+
 void
 ingress_request_free(struct ingress_request *r)
 {
 	struct ingress *ingress = r->ingress;
 
 	assert(r->state == ATTEMPT_NONE);
+	if (r->quota_waiting)
+		ingress_stop_quota_wait(r);
 	if (r->all_prev != NULL)
 		r->all_prev->all_next = r->all_next;
 	else
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -5,8 +5,10 @@
 
 #include "core/requests/balancer.h"
 #include "core/requests/retry.h"
+#include "core/workspace/quota_share.h"
 #include "io/clock.h"
 #include "io/http/httpd.h"
+#include "io/net/net.h"
 #include "proxy/egress/egress.h"
 #include "proxy/ingress/ingress.h"
 #include "proxy/ingress/link.h"
@@ -20,6 +22,7 @@
 #define DRAINING_RETRY_US (20 * US_PER_MS)
 
 #define INGRESS_BUCKETS		 1024
+#define INGRESS_MAX_SOURCES	 14
 #define INGRESS_MAX_ATTEMPTS	 4
 #define INGRESS_ROUTE_STATS	 1024 ///< Slots in the table of routes.
 #define INGRESS_REQUEST_ID_BYTES 72   ///< Longer request ids are cut.
@@ -67,6 +70,9 @@
 	bool trusted;	      ///< It came from the trusted listener.
 	bool begun; ///< A call of a request that a backend server runs.
 	bool parent_repeats; ///< That run repeats an earlier one.
+	bool quota_waiting;  ///< Waits for a token of its workspace's quota.
+	struct ingress_request *quota_next; ///< In the order of arrival.
+	struct ingress_request *quota_prev;
 	bool parked;	     ///< Waits for rules or endpoints after a start.
 	bool parked_before;  ///< It has been parked at least once.
 	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
@@ -101,6 +107,20 @@
 	double service_ratio_permille;
 };
 
+/// Client of the accountant of quotas. See proxy/ingress/quota.c.
+struct quota_client {
+	struct quota_share share;
+	struct datagram_socket udp; ///< Open once a workspace has a limit.
+	struct loop_timer timer;
+	struct address sources[INGRESS_MAX_SOURCES];
+	uint32_t source_count;
+	struct address accountant;
+	bool has_accountant;
+	uint32_t turn; ///< Source that is asked while none is known to lead.
+	struct ingress_request *first; ///< Requests that wait for a token.
+	struct ingress_request *last;
+};
+
 struct ingress {
 	struct egress_sink local_sink;
 	struct loop *loop;
@@ -121,6 +141,7 @@
 	struct route_stats route_table[INGRESS_ROUTE_STATS];
 	struct ingress_request *buckets[INGRESS_BUCKETS];
 	struct ingress_request *all;
+	struct quota_client quota;
 	uint64_t next_id;
 	uint64_t generated_ids; ///< Count of request ids generated.
 	/// Service that the last request named as its caller's.
@@ -139,6 +160,9 @@
 /// Frees a request whose exchange has ended or got its response.
 void ingress_request_free(struct ingress_request *r);
 
+/// Takes a request out of those that wait for a token.
+void ingress_stop_quota_wait(struct ingress_request *r);
+
 /// Value of a request header; NULL if it is absent, or if name is NULL since
 /// the dialect has no such header.
 const char *ingress_find_header(
@@ -267,6 +291,21 @@
 /// Adds the header that names the service on this VM as the caller's.
 void ingress_add_caller_service(struct ingress_request *r);
 
+// quota.c
+
+/// Spends a token of the quota of the request's workspace. Without one the request
+/// waits for the accountant's answer, or is refused.
+///
+/// @return whether it may be sent now
+bool ingress_take_quota(struct ingress_request *r);
+
+/// Takes over the limits of the rules in force.
+void ingress_quota_set_rules(struct ingress *ingress);
+
+void ingress_quota_open(struct ingress *ingress);
+
+void ingress_quota_close(struct ingress *ingress);
+
 // route.c
 
 /// Routes a request by the rules in force, and starts its first attempt.
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -185,5 +185,6 @@
 	r->repeatable = r->safe || (r->route->once && r->key[0] != '\0');
 	r->upload_ended = !exchange->more;
 	loop_timer_set(ingress->loop, &r->timer, r->deadline_us);
-	ingress_attempt_start(r);
+	if (ingress_take_quota(r))
+		ingress_attempt_start(r);
 }
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -180,6 +180,12 @@
 				     : "no backend server can be had");
 		return;
 	}
+	if (r->quota_waiting) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    UNREACHABLE_RETRY_US,
+		    "the limit of its workspace could not be checked in time");
+		return;
+	}
 	if (r->state == ATTEMPT_NONE) {
 		ingress_conclude(
 		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -361,6 +361,7 @@
 	traffic->ingress.retry_burst = (uint32_t)s->retry_burst;
 	traffic->ingress.slow_start_us = s->warm_ms * US_PER_MS;
 	traffic->ingress.seed = control->seed + 1;
+	traffic->ingress.quota = traffic->peer;
 	traffic->egress.max_queued = (uint32_t)s->max_queued;
 	traffic->egress.max_queued_bytes = (uint32_t)s->max_queued_bytes;
 	traffic->link_mbps = s->link_mbps;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -99,6 +99,42 @@
 	loop_post(traffic->loop, apply_backend, command);
 }
 
+/// Addresses of the sources that another thread posts to the traffic thread.
+struct sources_notice {
+	struct traffic *traffic;
+	bool has_leader;
+	struct address leader;
+	uint32_t count;
+	struct address sources[];
+};
+
+static void
+apply_sources(void *arg)
+{
+	struct sources_notice *notice = arg;
+
+	ingress_set_sources(notice->traffic->ingress, notice->sources,
+	    notice->count, notice->has_leader ? &notice->leader : NULL);
+	free(notice);
+}
+
+void
+traffic_post_sources(struct traffic *traffic, const struct address *sources,
+    uint32_t count, const struct address *leader)
+{
+	struct sources_notice *notice =
+	    calloc(1, sizeof(*notice) + count * sizeof(*sources));
+
+	assert(notice != NULL);
+	notice->traffic = traffic;
+	notice->has_leader = leader != NULL;
+	if (leader != NULL)
+		notice->leader = *leader;
+	notice->count = count;
+	memcpy(notice->sources, sources, count * sizeof(*sources));
+	loop_post(traffic->loop, apply_sources, notice);
+}
+
 static void
 apply_service(void *arg)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -47,6 +47,13 @@
 /// "": as it announces. Any thread.
 void traffic_post_service(struct traffic *traffic, const char *service);
 
+/// Passes the addresses of the sources to the thread. Any thread.
+///
+/// @param leader  the one that leads; NULL if it is not known
+void traffic_post_sources(struct traffic *traffic,
+    const struct address *sources, uint32_t count,
+    const struct address *leader);
+
 /// Passes the state of the backend server to the thread. Any thread.
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -9,6 +9,7 @@
 #define MAX_CONNECTIONS	   256
 #define IDLE_TIMEOUT_S	   30
 #define EXPIRE_INTERVAL_US (1 * US_PER_S)
+#define PERMILLE	   1000
 
 static const char program_purpose[] =
     "Replica of the source: accepts rule files from operators, stores them "
@@ -43,6 +44,12 @@
 	"pulls answered per second; excess pulls get a retry time"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
 	"200", "entries of the log between snapshots"),
+    ROW("quota.window_s", SETTINGS_NUMBER, quota_window_s, false, 0, 3600, "5",
+	"time over which the use of a workspace is bounded"),
+    ROW("quota.overage", SETTINGS_NUMBER, quota_overage, false, 0, 10, "0.1",
+	"part of its limit by which a workspace may exceed it in a window"),
+    ROW("quota.slack", SETTINGS_INTEGER, quota_slack, false, 0, 1000000, "20",
+	"requests by which a workspace may exceed that in a window"),
 };
 
 static void
@@ -52,6 +59,7 @@
 	int64_t now_us = loop_now_us(source->loop);
 
 	report_table_expire(&source->reports, now_us);
+	quota_follow(source);
 	loop_timer_set(
 	    source->loop, &source->expire_timer, now_us + EXPIRE_INTERVAL_US);
 }
@@ -120,6 +128,10 @@
 		    source.settings.dialect_name, "no dialect has this name");
 	source.loop = loop;
 	source.random.seed = (uint64_t)clock_wall_us();
+	quota_ledger_init(&source.quotas,
+	    &(struct quota_bounds){(int64_t)(source.settings.quota_window_s * US_PER_S),
+		(uint32_t)(source.settings.quota_overage * PERMILLE),
+		(uint32_t)source.settings.quota_slack});
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
 	source.reports.forget_us = source.settings.forget_ms * US_PER_MS;
 	return open_sockets(&source, err);
@@ -148,6 +160,7 @@
 	operator_cancel_forwards(&source);
 	replica_host_close(&source.host);
 	rule_store_free(&source.store);
+	quota_ledger_free(&source.quotas);
 	report_table_free(&source.reports);
 }
 
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -127,6 +127,8 @@
 	struct member member;
 	struct error err;
 
+	if (message->type == MESSAGE_QUOTA_ASK)
+		quota_receive(source, from, &message->u.quota_ask);
 	if (message->type != MESSAGE_REPORT)
 		return;
 	if (member_from_message(&message->u.report.member, &member, &err) !=
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -98,7 +98,9 @@
 static void
 on_role_changed(struct replica_host *host)
 {
-	if (!replica_is_leader(&host->replica))
+	if (replica_is_leader(&host->replica))
+		quota_begin(get_source(host));
+	else
 		pending_fail_proposals(get_source(host));
 }
 
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -3,8 +3,11 @@
 #ifndef MV_SOURCE_SOURCE_H
 #define MV_SOURCE_SOURCE_H
 
+#include <jansson.h>
+
 #include "core/membership/report_table.h"
 #include "core/rules/rule_store.h"
+#include "core/workspace/quota_ledger.h"
 #include "io/dialect.h"
 #include "io/http/httpd.h"
 #include "io/net/net.h"
@@ -23,6 +26,9 @@
 	int64_t forget_ms;
 	int64_t pulls_per_s;
 	int64_t compact_every;
+	double quota_window_s;
+	double quota_overage;
+	int64_t quota_slack;
 };
 
 /// Receives the reply to an operator's request.
@@ -61,6 +67,9 @@
 	struct replica_host host;
 	struct rule_store store;
 	struct report_table reports;
+	struct quota_ledger quotas; ///< Used while this replica leads.
+	uint64_t quota_term;	    ///< Term that was seen last.
+	int64_t quota_term_since_us; ///< It is at least as old as this.
 	struct random random;
 	struct datagram_socket udp;
 	struct listener listener;
@@ -103,6 +112,21 @@
 void publish_receive_datagram(
     void *owner, const struct address *from, struct message *message);
 
+/// This replica became the leader: another one may have granted tokens until
+/// now.
+void quota_begin(struct source *source);
+
+/// Takes over the limits of the accepted version, and notes the term. Call it about
+/// each second.
+void quota_follow(struct source *source);
+
+/// Renders the limited workspaces that use most, and the rest together. Only the leader knows their use.
+json_t *quota_render(const struct source *source);
+
+/// Answers an ask for tokens of quotas, or names the leader.
+void quota_receive(struct source *source, const struct address *from,
+    const struct message_quota_ask *ask);
+
 /// Notifies some proxies of each data centre of the accepted version, if this
 /// replica is the leader.
 ///
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -1,7 +1,9 @@
 // Renders the status: the accepted version and where it is in force.
+#include <assert.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "io/clock.h"
@@ -85,6 +87,30 @@
 	return stragglers;
 }
 
+/// Renders a line of the rules without the keys that it holds: a status is for
+/// everybody who operates, and ends up in files.
+static json_t *
+render_line(const char *line, size_t line_bytes)
+{
+	static const char option[] = "keys=";
+	char *text = strndup(line, line_bytes);
+	char *keys;
+	json_t *out;
+
+	assert(text != NULL);
+	keys = strncmp(text, "workspace", strlen("workspace")) == 0
+	    ? strstr(text, option)
+	    : NULL;
+	if (keys != NULL) {
+		keys += strlen(option);
+		line_bytes = strcspn(keys, " \t");
+		memmove(keys, keys + line_bytes, strlen(keys + line_bytes) + 1);
+	}
+	out = json_text(text);
+	free(text);
+	return out;
+}
+
 /// Renders a row for each rule: the version since which it is unchanged, and
 /// the number of proxies where it is in force.
 static json_t *
@@ -106,7 +132,8 @@
 
 			json_array_append_new(rules,
 			    json_pack("{s:i, s:o, s:I, s:i}", "line", (int)line,
-				"rule", json_text_n(at, n), "since_version",
+				"rule", render_line(at + blank, n - blank),
+				"since_version",
 				(json_int_t)since, "in_force",
 				(int)sum.in_force));
 		}
@@ -151,5 +178,7 @@
 	    "leader", (json_int_t)r->leader, "storage",
 	    json_text(replica_has_failed(r) ? r->failure.text : "ok"));
 
+	if (source->quotas.account_count > 0)
+		json_object_set_new(root, "workspaces", quota_render(source));
 	return json_render(root, JSON_COMPACT);
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -60,6 +60,9 @@
 	MESSAGE_RECORD = 52,
 	MESSAGE_RELEASE = 53,
 	MESSAGE_SETTLED = 54,
+	// Quotas of workspaces, over UDP.
+	MESSAGE_QUOTA_ASK = 63,
+	MESSAGE_QUOTA_ANSWER = 64,
 };
 
 /// Gossip record of one member. See core/membership/member.h.
@@ -406,6 +409,38 @@
 	struct bytes leader;
 };
 
+/// Tokens that a proxy asks for, for one workspace.
+struct message_quota_item {
+	uint64_t workspace; ///< Hash of its name.
+	uint32_t wanted;
+	uint32_t spare;
+	uint32_t refused;
+};
+
+/// Ask of a proxy to the accountant of the quotas.
+struct message_quota_ask {
+	uint64_t sender; ///< Incarnation of the proxy; echoed.
+	uint32_t sequence;
+	struct list items; ///< of struct message_quota_item
+};
+
+/// Tokens that the accountant grants. See core/workspace/quota_ledger.h.
+struct message_quota_grant {
+	uint64_t workspace;
+	uint32_t asked;
+	uint32_t tokens;
+	int64_t life_us; ///< Since the ask was sent.
+	int64_t wait_us;
+};
+
+struct message_quota_answer {
+	uint64_t sender;
+	uint32_t sequence;
+	uint32_t refused;    ///< The answering source is not the accountant.
+	struct bytes leader; ///< "IP:port" of the one that is, or empty.
+	struct list grants;  ///< of struct message_quota_grant
+};
+
 /// A decoded message. Its bytes and lists are valid until message_free().
 struct message {
 	enum message_type type;
@@ -439,6 +474,8 @@
 		struct message_record record;
 		struct message_release release;
 		struct message_settled settled;
+		struct message_quota_ask quota_ask;
+		struct message_quota_answer quota_answer;
 	} u;
 	struct codec_decoder decoder;
 };
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -385,6 +385,43 @@
 static const struct codec_schema settled_schema =
     CODEC_SCHEMA(struct message_settled, settled_fields);
 
+static const struct codec_field quota_item_fields[] = {
+    F(message_quota_item, U64, workspace),
+    F(message_quota_item, U32, wanted),
+    F(message_quota_item, U32, spare),
+    F(message_quota_item, U32, refused),
+};
+static const struct codec_schema quota_item_schema =
+    CODEC_SCHEMA(struct message_quota_item, quota_item_fields);
+
+static const struct codec_field quota_ask_fields[] = {
+    F(message_quota_ask, U64, sender),
+    F(message_quota_ask, U32, sequence),
+    N(message_quota_ask, LIST, items, &quota_item_schema),
+};
+static const struct codec_schema quota_ask_schema =
+    CODEC_SCHEMA(struct message_quota_ask, quota_ask_fields);
+
+static const struct codec_field quota_grant_fields[] = {
+    F(message_quota_grant, U64, workspace),
+    F(message_quota_grant, U32, asked),
+    F(message_quota_grant, U32, tokens),
+    F(message_quota_grant, TIME, life_us),
+    F(message_quota_grant, TIME, wait_us),
+};
+static const struct codec_schema quota_grant_schema =
+    CODEC_SCHEMA(struct message_quota_grant, quota_grant_fields);
+
+static const struct codec_field quota_answer_fields[] = {
+    F(message_quota_answer, U64, sender),
+    F(message_quota_answer, U32, sequence),
+    F(message_quota_answer, U32, refused),
+    F(message_quota_answer, BYTES, leader),
+    N(message_quota_answer, LIST, grants, &quota_grant_schema),
+};
+static const struct codec_schema quota_answer_schema =
+    CODEC_SCHEMA(struct message_quota_answer, quota_answer_fields);
+
 const struct codec_schema *
 message_find_schema(int64_t type)
 {
@@ -448,6 +485,10 @@
 		return &release_schema;
 	case MESSAGE_SETTLED:
 		return &settled_schema;
+	case MESSAGE_QUOTA_ASK:
+		return &quota_ask_schema;
+	case MESSAGE_QUOTA_ANSWER:
+		return &quota_answer_schema;
 	default:
 		return NULL;
 	}
--- a/test/fakes/odd_server.pl
+++ b/test/fakes/odd_server.pl
@@ -14,6 +14,7 @@
 #   keep      value of Keep-Alive
 #   not       1: it states that it did not run the request
 #   interim   number of responses 103 before, which state that too
+#   wait      seconds before its answer
 #   early     1: it answers before it has read the body of the request
 #   endless   part of the answer that does not end: head, field, interim, size,
 #             extension, chunkN (chunks of N bytes), trailer, body (without length),
@@ -21,7 +22,8 @@
 #             complete answer)
 #
 # Each request that it runs is a line on standard output: method, path, number of
-# headers, and the caller's service.
+# headers, the caller's service, and if there are such headers the workspaces and the
+# word KEY.
 use strict;
 use warnings;
 use IO::Socket::INET;
@@ -140,8 +142,12 @@
 		sysread $client, $$in, 65536, length $$in or exit;
 	}
 	substr $$in, 0, $left, "";
-	printf "%s %s %d %s\n", $method, $path, $count - 1, $caller
-	    unless $set{not};
+	my $workspaces = join ",",
+	    map { "workspace=$_" } $head =~ /(?:Tenant|Workspace): (\S+)/gi;
+	$workspaces .= " KEY" if $head =~ /^(?:X-Magnoliavalve|Magnolia)-Key:/mi;
+	printf "%s %s %d %s %s\n", $method, $path, $count - 1, $caller,
+	    $workspaces unless $set{not};
+	select undef, undef, undef, $set{wait} if $set{wait};
 	answer($client, $head, %set);
 	return 1;
 }
