--- a/src/core/workspace/quota_bounds.c
+++ b/src/core/workspace/quota_bounds.c
@@ -1,9 +1,9 @@
 // The law of quotas, and the buckets that keep it.
 #include "core/workspace/quota_bounds.h"
 
-#define MILLI	  1000.0
-#define PERMILLE  1000.0
-#define US_PER_S_ 1e6
+#define MILLI	     1000.0
+#define PERMILLE     1000.0
+#define MICROS_PER_S 1e6
 
 /// Life of tokens: long enough to spend them after a round trip between regions,
 /// short enough that those of a proxy that fell silent do not matter for long.
@@ -25,7 +25,7 @@
     uint64_t burst_milli)
 {
 	double rate = (double)rate_milli / MILLI;
-	double limit = rate * (double)bounds->window_us / US_PER_S_ +
+	double limit = rate * (double)bounds->window_us / MICROS_PER_S +
 	    (double)burst_milli / MILLI;
 
 	return limit * (1 + bounds->overage_permille / PERMILLE) +
@@ -35,7 +35,7 @@
 int64_t
 quota_reserve_period_us(const struct quota_bounds *bounds)
 {
-	return bounds->window_us + (int64_t)(LIFE_MAX_S * US_PER_S_);
+	return bounds->window_us + (int64_t)(LIFE_MAX_S * MICROS_PER_S);
 }
 
 struct quota_plan
@@ -43,18 +43,18 @@
     uint64_t burst_milli)
 {
 	struct quota_plan plan = {.rate_per_s = (double)rate_milli / MILLI};
-	double window_s = (double)bounds->window_us / US_PER_S_;
-	double most = CLOCK_MARGIN *
-	    quota_window_limit(bounds, rate_milli, burst_milli);
-	double above = most - plan.rate_per_s * window_s -
-	    (double)burst_milli / MILLI;
+	double window_s = (double)bounds->window_us / MICROS_PER_S;
+	double most =
+	    CLOCK_MARGIN * quota_window_limit(bounds, rate_milli, burst_milli);
+	double above =
+	    most - plan.rate_per_s * window_s - (double)burst_milli / MILLI;
 	double life_s = LIFE_PART * above / plan.rate_per_s;
 
 	if (life_s < LIFE_MIN_S)
 		life_s = LIFE_MIN_S;
 	if (life_s > LIFE_MAX_S)
 		life_s = LIFE_MAX_S;
-	plan.life_us = (int64_t)(life_s * US_PER_S_);
+	plan.life_us = (int64_t)(life_s * MICROS_PER_S);
 	plan.depth = most - plan.rate_per_s * (window_s + life_s);
 	if (plan.depth < 1) {
 		// So strict a law leaves no room for a life: the bucket fills
--- a/src/core/workspace/quota_bounds.h
+++ b/src/core/workspace/quota_bounds.h
@@ -29,7 +29,7 @@
 	double rate_per_s;
 	double depth;	 ///< Of the bucket, in tokens; at least 1.
 	double reserve;	 ///< Tokens for the first accountant after another one.
-	int64_t life_us; ///< Of a token, from the time at which it was asked for.
+	int64_t life_us; ///< Of a token, from its grant.
 };
 
 /// Most requests that the law allows in a window.
--- a/src/core/workspace/quota_ledger.c
+++ b/src/core/workspace/quota_ledger.c
@@ -168,12 +168,11 @@
 }
 
 struct quota_grant
-quota_ledger_grant(struct quota_ledger *ledger, const struct quota_ask *ask,
-    int64_t now_us)
+quota_ledger_grant(
+    struct quota_ledger *ledger, const struct quota_ask *ask, int64_t now_us)
 {
 	struct quota_account *a = find_account(ledger, ask->workspace);
-	struct quota_grant grant = {
-	    .asked = ask->wanted + ask->spare,
+	struct quota_grant grant = {.asked = ask->wanted + ask->spare,
 	    .tokens = ask->wanted,
 	    .life_us = UNLIMITED_LIFE_US};
 	double wait_us;
--- a/src/core/workspace/quota_ledger.h
+++ b/src/core/workspace/quota_ledger.h
@@ -44,7 +44,7 @@
 struct quota_grant {
 	uint32_t asked; ///< Tokens that the ask was for.
 	uint32_t tokens;
-	int64_t life_us; ///< From the time at which the proxy sent its ask.
+	int64_t life_us; ///< From the time of the grant.
 	/// If fewer tokens were granted than were wanted: time after which
 	/// asking again may help; else 0.
 	int64_t wait_us;
@@ -82,7 +82,7 @@
     struct quota_ledger *ledger, const struct rules *rules, int64_t now_us);
 
 /// Grants tokens. A workspace without a limit gets all that is asked for.
-struct quota_grant quota_ledger_grant(struct quota_ledger *ledger,
-    const struct quota_ask *ask, int64_t now_us);
+struct quota_grant quota_ledger_grant(
+    struct quota_ledger *ledger, const struct quota_ask *ask, int64_t now_us);
 
 #endif
--- a/src/core/workspace/quota_share.c
+++ b/src/core/workspace/quota_share.c
@@ -20,6 +20,13 @@
 /// Time after which an answer is overdue, beside the round trips measured.
 #define ANSWER_TIMEOUT_US 80000
 
+/// Time without an answer after which other sources are asked, beside the round
+/// trips measured: a link that is full holds answers up for longer than most.
+#define SILENCE_US 300000
+
+/// Bound on the difference between the rates of two clocks, as a divisor.
+#define CLOCK_DRIFT_DIVISOR 5000
+
 /// Time over which demand is averaged.
 #define DEMAND_AVERAGE_US 1000000.0
 
@@ -173,16 +180,16 @@
 
 	if (e->demand_per_s * MICRO * (double)e->life_us < STOCK_MIN_EXPECTED)
 		return 0;
-	expected = e->demand_per_s * MICRO *
-	    (double)(STOCK_US + share->round_trip_us);
+	expected =
+	    e->demand_per_s * MICRO * (double)(STOCK_US + share->round_trip_us);
 	return expected < ASK_MAX_TOKENS ? (uint32_t)expected + 1
 					 : ASK_MAX_TOKENS;
 }
 
 /// Tokens to ask for beside those that requests wait for.
 static uint32_t
-spare_wanted(const struct quota_share *share, struct quota_entry *e,
-    int64_t now_us)
+spare_wanted(
+    const struct quota_share *share, struct quota_entry *e, int64_t now_us)
 {
 	uint32_t target = target_stock(share, e);
 	uint32_t have = count_tokens(e, now_us) + e->asked;
@@ -257,8 +264,7 @@
 }
 
 static struct quota_ask
-compose_item(
-    struct quota_share *share, struct quota_entry *e, int64_t now_us)
+compose_item(struct quota_share *share, struct quota_entry *e, int64_t now_us)
 {
 	struct quota_ask ask = {
 	    .workspace = e->workspace, .refused = e->refused};
@@ -307,36 +313,78 @@
 	return count;
 }
 
+/// Compares the accountant's clock with the own one. Both may run at slightly
+/// different rates, so that what was seen long ago loses its weight.
+static void
+compare_clocks(struct quota_share *share, int64_t clock_us,
+    int64_t round_trip_us, int64_t now_us)
+{
+	int64_t offset_us = now_us - clock_us;
+	int64_t drift_us = (now_us - share->clock_us) / CLOCK_DRIFT_DIVISOR;
+
+	share->clock_us = now_us;
+	if (!share->has_clock || offset_us < share->clock_offset_us + drift_us)
+		share->clock_offset_us = offset_us;
+	else
+		share->clock_offset_us += drift_us;
+	if (!share->has_clock ||
+	    round_trip_us < share->round_trip_min_us + drift_us)
+		share->round_trip_min_us = round_trip_us;
+	else
+		share->round_trip_min_us += drift_us;
+	share->has_clock = true;
+}
+
+void
+quota_share_forget_clock(struct quota_share *share)
+{
+	share->has_clock = false;
+}
+
 int64_t
-quota_share_receive_answer(
-    struct quota_share *share, uint32_t sequence, int64_t now_us)
+quota_share_receive_answer(struct quota_share *share, uint32_t sequence,
+    int64_t clock_us, int64_t now_us)
 {
 	struct quota_sent_ask *sent = &share->asks[sequence % QUOTA_ASKS];
 	int64_t sample_us = now_us - sent->sent_us;
+	int64_t granted_us;
 
 	if (sequence == 0 || sent->sequence != sequence)
 		return -1;
 	sent->sequence = 0;
 	share->unanswered = 0;
+	share->answered_us = now_us;
 	share->round_trip_us += share->round_trip_us == 0
 	    ? sample_us
 	    : (sample_us - share->round_trip_us) / 8;
-	return sent->sent_us;
+	compare_clocks(share, clock_us, sample_us, now_us);
+	granted_us =
+	    clock_us + share->clock_offset_us - share->round_trip_min_us;
+	return granted_us > sent->sent_us ? granted_us : sent->sent_us;
 }
 
-static void
-add_batch(struct quota_entry *e, uint32_t tokens, int64_t expires_us)
+/// Returns a free place for a batch, or else the batch that ends last.
+static struct quota_batch *
+choose_place(struct quota_entry *e)
 {
-	struct quota_batch *into = &e->batches[0];
+	struct quota_batch *last = &e->batches[0];
 	uint32_t i;
 
-	for (i = 0; i < QUOTA_BATCHES; i++)
+	for (i = 0; i < QUOTA_BATCHES; i++) {
 		if (e->batches[i].tokens == 0)
-			into = &e->batches[i];
-		else if (into->tokens != 0 &&
-		    e->batches[i].expires_us > into->expires_us)
-			into = &e->batches[i];
-	// Without a free place, it joins the one that ends nearest to it.
+			return &e->batches[i];
+		if (e->batches[i].expires_us > last->expires_us)
+			last = &e->batches[i];
+	}
+	return last;
+}
+
+static void
+add_batch(struct quota_entry *e, uint32_t tokens, int64_t expires_us)
+{
+	struct quota_batch *into = choose_place(e);
+
+	// Batches that share a place end together, with the first of them.
 	if (into->tokens == 0 || into->expires_us > expires_us)
 		into->expires_us = expires_us;
 	into->tokens += tokens;
@@ -344,7 +392,7 @@
 
 void
 quota_share_add_grant(struct quota_share *share, uint64_t workspace,
-    const struct quota_grant *grant, int64_t sent_us, int64_t now_us)
+    const struct quota_grant *grant, int64_t granted_us, int64_t now_us)
 {
 	struct quota_entry *e = find_entry(share, workspace);
 
@@ -352,15 +400,15 @@
 		return;
 	e->asked -= grant->asked < e->asked ? grant->asked : e->asked;
 	e->life_us = grant->life_us;
-	if (grant->tokens > 0 && sent_us + grant->life_us > now_us)
-		add_batch(e, grant->tokens, sent_us + grant->life_us);
+	if (grant->tokens > 0 && granted_us + grant->life_us > now_us)
+		add_batch(e, grant->tokens, granted_us + grant->life_us);
 	e->full_until_us = grant->wait_us > 0 ? now_us + grant->wait_us : 0;
 	if (e->waiting > grant->tokens && grant->wait_us == 0)
 		list_entry(share, e);
 }
 
 void
-quota_share_give_up_ask(struct quota_share *share, int64_t sent_us)
+quota_share_give_up_asks(struct quota_share *share)
 {
 	uint32_t i;
 
@@ -368,7 +416,7 @@
 	for (i = 0; i < share->entry_count; i++) {
 		struct quota_entry *e = &share->entries[i];
 
-		if (e->asked == 0 || e->asked_us > sent_us)
+		if (e->asked == 0)
 			continue;
 		e->asked = 0;
 		if (e->waiting > 0)
@@ -376,6 +424,13 @@
 	}
 }
 
+bool
+quota_share_is_silent(const struct quota_share *share, int64_t now_us)
+{
+	return now_us - share->answered_us >
+	    SILENCE_US + 2 * share->round_trip_us;
+}
+
 /// Time after which an answer is overdue.
 static int64_t
 answer_timeout_us(const struct quota_share *share)
--- a/src/core/workspace/quota_share.h
+++ b/src/core/workspace/quota_share.h
@@ -24,9 +24,9 @@
 struct quota_entry {
 	uint64_t workspace; ///< Hash of its name.
 	struct quota_batch batches[QUOTA_BATCHES];
-	uint32_t waiting;    ///< Requests that wait for a token.
-	uint32_t asked;	     ///< Tokens asked for whose answer is awaited.
-	int64_t asked_us;    ///< Time of the last ask.
+	uint32_t waiting;      ///< Requests that wait for a token.
+	uint32_t asked;	       ///< Tokens asked for whose answer is awaited.
+	int64_t asked_us;      ///< Time of the last ask.
 	int64_t full_until_us; ///< Until then the accountant has no room.
 	int64_t life_us;       ///< Of the last grant; 0: none yet.
 	double demand_per_s;   ///< Moving average of the requests that arrive.
@@ -51,7 +51,14 @@
 	uint32_t last_sequence;
 	int64_t last_ask_us;
 	int64_t round_trip_us; ///< Moving average; 0: none yet.
-	uint32_t unanswered;   ///< Asks in a row without a grant.
+	// Clock of the accountant. The least difference was seen with the
+	// fastest answer, which took no longer than the least round trip.
+	bool has_clock;
+	int64_t clock_offset_us; ///< Least difference to the own clock.
+	int64_t round_trip_min_us;
+	int64_t clock_us;    ///< Time of the last update.
+	int64_t answered_us; ///< Time of the last answer; 0: none.
+	uint32_t unanswered; ///< Asks in a row without a grant.
 };
 
 enum quota_verdict {
@@ -92,17 +99,26 @@
 
 /// Begins to receive the answer to an ask.
 ///
-/// @return time at which the ask was sent; -1 if its answer was received before,
-///         or the ask is not known any more
-int64_t quota_share_receive_answer(
-    struct quota_share *share, uint32_t sequence, int64_t now_us);
+/// @param clock_us  of the accountant when it answered
+/// @return a time that is not after its grants were made, by the clock of this
+///         proxy; -1 if the answer was received before, or the ask is not known
+///         any more
+int64_t quota_share_receive_answer(struct quota_share *share, uint32_t sequence,
+    int64_t clock_us, int64_t now_us);
+
+/// Forgets the clock of the accountant: another process answers from now on.
+void quota_share_forget_clock(struct quota_share *share);
 
 /// Adds a grant of that answer.
 void quota_share_add_grant(struct quota_share *share, uint64_t workspace,
-    const struct quota_grant *grant, int64_t sent_us, int64_t now_us);
+    const struct quota_grant *grant, int64_t granted_us, int64_t now_us);
+
+/// The last answer was that another source has to be asked: all asks on their way
+/// are given up.
+void quota_share_give_up_asks(struct quota_share *share);
 
-/// The answer to an ask was that another source has to be asked.
-void quota_share_give_up_ask(struct quota_share *share, int64_t sent_us);
+/// Whether no answer came for so long that the accountant may be gone.
+bool quota_share_is_silent(const struct quota_share *share, int64_t now_us);
 
 /// Gives up the oldest asks if their answers are overdue, so that they are sent
 /// again.
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -19,7 +19,8 @@
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
 	struct address inner; ///< For the backend server on this VM.
-	struct address quota; ///< For answers of the accountant of quotas (UDP).
+	struct address
+	    quota; ///< For answers of the accountant of quotas (UDP).
 	bool has_inner;
 	int64_t max_body_bytes;
 	int64_t max_connections;
@@ -43,9 +44,8 @@
 /// Sets the sources, of which one is the accountant of quotas.
 ///
 /// @param leader  the one that leads, as far as is known; NULL if it is not
-void ingress_set_sources(struct ingress *ingress,
-    const struct address *sources, uint32_t count,
-    const struct address *leader);
+void ingress_set_sources(struct ingress *ingress, const struct address *sources,
+    uint32_t count, const struct address *leader);
 
 /// Changes the incarnation of this process.
 void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -73,9 +73,9 @@
 	bool quota_waiting;  ///< Waits for a token of its workspace's quota.
 	struct ingress_request *quota_next; ///< In the order of arrival.
 	struct ingress_request *quota_prev;
-	bool parked;	     ///< Waits for rules or endpoints after a start.
-	bool parked_before;  ///< It has been parked at least once.
-	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
+	bool parked;	    ///< Waits for rules or endpoints after a start.
+	bool parked_before; ///< It has been parked at least once.
+	bool visit_pending; ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	uint32_t service;	    ///< Index; drawn from the route's targets.
@@ -116,6 +116,7 @@
 	uint32_t source_count;
 	struct address accountant;
 	bool has_accountant;
+	struct address clock_of; ///< Source that answered last.
 	uint32_t turn; ///< Source that is asked while none is known to lead.
 	struct ingress_request *first; ///< Requests that wait for a token.
 	struct ingress_request *last;
--- a/src/proxy/ingress/quota.c
+++ b/src/proxy/ingress/quota.c
@@ -22,8 +22,7 @@
 COUNTER_DEFINE(count_asks, "quota_asks_sent", "Asks for tokens");
 COUNTER_DEFINE(
     count_overdue, "quota_asks_overdue", "Asks whose answer was overdue");
-COUNTER_DEFINE(
-    count_waits, "quota_waits", "Requests that waited for a token");
+COUNTER_DEFINE(count_waits, "quota_waits", "Requests that waited for a token");
 COUNTER_DEFINE(
     count_full, "quota_refused", "Requests refused: workspace at its limit");
 
@@ -113,7 +112,9 @@
 	if (quota_share_expire_asks(&q->share, loop_now_us(ingress->loop))) {
 		counter_add(&count_overdue, 1);
 		// Any other source knows who leads, once one does.
-		q->has_accountant = false;
+		if (quota_share_is_silent(
+			&q->share, loop_now_us(ingress->loop)))
+			q->has_accountant = false;
 	}
 	send_ask(ingress);
 	set_timer(ingress);
@@ -225,24 +226,28 @@
 	const struct message_quota_answer *m = &message->u.quota_answer;
 	const struct message_quota_grant *grants = m->grants.items;
 	int64_t now_us = loop_now_us(ingress->loop);
-	int64_t sent_us;
+	int64_t granted_us;
 	uint32_t i;
 
 	if (message->type != MESSAGE_QUOTA_ANSWER ||
 	    m->sender != ingress->settings.incarnation || !is_source(q, from))
 		return;
-	sent_us = quota_share_receive_answer(&q->share, m->sequence, now_us);
-	if (sent_us < 0)
+	if (!address_equals(from, &q->clock_of))
+		quota_share_forget_clock(&q->share);
+	q->clock_of = *from;
+	granted_us = quota_share_receive_answer(
+	    &q->share, m->sequence, (int64_t)m->clock_us, now_us);
+	if (granted_us < 0)
 		return;
 	take_leader(q, from, m);
 	if (m->refused)
-		quota_share_give_up_ask(&q->share, sent_us);
+		quota_share_give_up_asks(&q->share);
 	for (i = 0; i < m->grants.count; i++) {
 		struct quota_grant g = {grants[i].asked, grants[i].tokens,
 		    grants[i].life_us, grants[i].wait_us};
 
 		quota_share_add_grant(
-		    &q->share, grants[i].workspace, &g, sent_us, now_us);
+		    &q->share, grants[i].workspace, &g, granted_us, now_us);
 	}
 	resume_waiting(ingress);
 	set_timer(ingress);
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -129,7 +129,8 @@
 	source.loop = loop;
 	source.random.seed = (uint64_t)clock_wall_us();
 	quota_ledger_init(&source.quotas,
-	    &(struct quota_bounds){(int64_t)(source.settings.quota_window_s * US_PER_S),
+	    &(struct quota_bounds){
+		(int64_t)(source.settings.quota_window_s * US_PER_S),
 		(uint32_t)(source.settings.quota_overage * PERMILLE),
 		(uint32_t)source.settings.quota_slack});
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
--- a/src/source/quota.c
+++ b/src/source/quota.c
@@ -26,8 +26,8 @@
 COUNTER_DEFINE(
     count_redirects, "quota_redirects", "Asks answered: another one leads");
 COUNTER_DEFINE(count_granted, "quota_tokens_granted", "Tokens granted");
-COUNTER_DEFINE(
-    count_short, "quota_asks_short", "Workspaces that got fewer than they want");
+COUNTER_DEFINE(count_short, "quota_asks_short",
+    "Workspaces that got fewer than they want");
 COUNTER_DEFINE(
     count_begun, "quota_accounts_begun", "Times that this source took over");
 
@@ -102,8 +102,8 @@
 	msgpack_sbuffer_init(&out);
 	message_pack(&out, MESSAGE_QUOTA_ANSWER, answer);
 	if (out.size <= DATAGRAM_MAX_BYTES)
-		datagram_send(&source->udp, to, MESSAGE_QUOTA_ANSWER, out.data,
-		    out.size);
+		datagram_send(
+		    &source->udp, to, MESSAGE_QUOTA_ANSWER, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
@@ -112,8 +112,8 @@
 {
 	const struct quota_account *x = *(const struct quota_account *const *)a;
 	const struct quota_account *y = *(const struct quota_account *const *)b;
-	double order = x->used_per_s + x->refused_per_s - y->used_per_s -
-	    y->refused_per_s;
+	double order =
+	    x->used_per_s + x->refused_per_s - y->used_per_s - y->refused_per_s;
 
 	if (order != 0)
 		return order > 0 ? -1 : 1;
@@ -134,8 +134,8 @@
 }
 
 static json_t *
-render_rest(const struct quota_account **accounts, uint32_t count,
-    int64_t now_us)
+render_rest(
+    const struct quota_account **accounts, uint32_t count, int64_t now_us)
 {
 	double used = 0;
 	double refused = 0;
@@ -172,8 +172,8 @@
 	qsort(sorted, ledger->account_count, sizeof(*sorted), compare_use);
 	for (i = 0; i < shown; i++)
 		json_array_append_new(top, render_account(sorted[i], now_us));
-	rest = render_rest(
-	    sorted + shown, ledger->account_count - shown, now_us);
+	rest =
+	    render_rest(sorted + shown, ledger->account_count - shown, now_us);
 	free(sorted);
 	return json_pack("{s:o, s:o}", "top", top, "rest", rest);
 }
@@ -191,13 +191,13 @@
 	uint32_t i;
 
 	counter_add(&count_asks, 1);
+	answer.clock_us = (uint64_t)now_us;
 	if (!may_grant(source, now_us)) {
 		counter_add(&count_redirects, 1);
 		answer.refused = 1;
 		if (!replica_is_leader(&source->host.replica))
-			answer.leader =
-			    bytes_from_string(replica_host_get_leader_address(
-				&source->host));
+			answer.leader = bytes_from_string(
+			    replica_host_get_leader_address(&source->host));
 		send_answer(source, from, &answer);
 		return;
 	}
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -67,8 +67,8 @@
 	struct replica_host host;
 	struct rule_store store;
 	struct report_table reports;
-	struct quota_ledger quotas; ///< Used while this replica leads.
-	uint64_t quota_term;	    ///< Term that was seen last.
+	struct quota_ledger quotas;  ///< Used while this replica leads.
+	uint64_t quota_term;	     ///< Term that was seen last.
 	int64_t quota_term_since_us; ///< It is at least as old as this.
 	struct random random;
 	struct datagram_socket udp;
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -133,8 +133,7 @@
 			json_array_append_new(rules,
 			    json_pack("{s:i, s:o, s:I, s:i}", "line", (int)line,
 				"rule", render_line(at + blank, n - blank),
-				"since_version",
-				(json_int_t)since, "in_force",
+				"since_version", (json_int_t)since, "in_force",
 				(int)sum.in_force));
 		}
 		at += n + (at[n] == '\n');
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -439,6 +439,7 @@
 	uint32_t refused;    ///< The answering source is not the accountant.
 	struct bytes leader; ///< "IP:port" of the one that is, or empty.
 	struct list grants;  ///< of struct message_quota_grant
+	uint64_t clock_us;   ///< Monotonic clock of the accountant.
 };
 
 /// A decoded message. Its bytes and lists are valid until message_free().
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -418,6 +418,7 @@
     F(message_quota_answer, U32, refused),
     F(message_quota_answer, BYTES, leader),
     N(message_quota_answer, LIST, grants, &quota_grant_schema),
+    F(message_quota_answer, COUNT, clock_us),
 };
 static const struct codec_schema quota_answer_schema =
     CODEC_SCHEMA(struct message_quota_answer, quota_answer_fields);
