feat(servers): the version of a server's software is announced and spread

Problem: a heartbeat's version was checked and dropped, so that no proxy knew which software a server runs.

Solution: it is part of the announcement and of the member's record, and in the log lines of both. The own dialect takes an optional `version`.

--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -375,6 +375,21 @@
 	m->notice_deadline_us = now_us;
 }
 
+void
+membership_set_server_version(
+    struct membership *m, const char *version, int64_t now_us)
+{
+	struct member *self = &m->self;
+
+	if (strcmp(self->server_version, version) == 0)
+		return;
+	memset(self->server_version, 0, sizeof(self->server_version));
+	strncpy(self->server_version, version,
+	    sizeof(self->server_version) - 1);
+	membership_raise_revision(m);
+	m->notice_deadline_us = now_us;
+}
+
 void
 membership_set_load(struct membership *m, uint32_t load_pct)
 {
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -167,6 +167,12 @@
 void membership_set_backend(struct membership *m, const char *service,
     enum backend_state state, uint64_t server, uint32_t slots, int64_t now_us);
 
+/// Sets the version of the local backend server's software and disseminates it.
+/// Call it before membership_set_backend, so that no member sees a server in the
+/// state of another one.
+void membership_set_server_version(
+    struct membership *m, const char *version, int64_t now_us);
+
 /// Sets the local load. It is sent with the next message.
 void membership_set_load(struct membership *m, uint32_t load_pct);
 
--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -76,7 +76,8 @@
 		b->latest.state = BACKEND_DRAINING;
 	if (same && old.state == b->latest.state && old.slots == a->slots &&
 	    strcmp(old.service, a->service) == 0 &&
-	    strcmp(old.address, a->address) == 0)
+	    strcmp(old.address, a->address) == 0 &&
+	    strcmp(old.version, a->version) == 0)
 		return BACKEND_RENEWED;
 	return BACKEND_CHANGED;
 }
--- a/src/core/requests/backend.h
+++ b/src/core/requests/backend.h
@@ -19,6 +19,7 @@
 				   ///< it.
 	char service[MEMBER_NAME_BYTES];
 	char address[BACKEND_ADDRESS_BYTES]; ///< "IP:port"
+	char version[MEMBER_VERSION_BYTES];  ///< Of its software; "": none.
 	enum backend_state state;	     ///< Also draining when it leaves.
 	uint32_t slots;			     ///< 0: as set in the rules.
 	uint64_t
--- a/src/io/dialect.c
+++ b/src/io/dialect.c
@@ -92,10 +92,12 @@
 	struct address parsed;
 	json_int_t lease_ms;
 	json_int_t started_ms = 0;
+	const char *version = "";
 
-	if (json_unpack(root, "{s:s, s:s, s:s, s:I, s?I}", "service", &service,
-		"address", &address, "state", &state, "lease_ms", &lease_ms,
-		"started_ms", &started_ms) != 0)
+	if (json_unpack(root, "{s:s, s:s, s:s, s:I, s?I, s?s}", "service",
+		&service, "address", &address, "state", &state, "lease_ms",
+		&lease_ms, "started_ms", &started_ms, "version",
+		&version) != 0)
 		return error_set(err, ERR_INVALID, "body", "",
 		    "needs service, address, state and lease_ms");
 	if (service[0] == '\0' || strlen(service) >= sizeof(out->service))
@@ -105,6 +107,10 @@
 	    address_parse_server(address, &parsed) != 0)
 		return error_set(
 		    err, ERR_INVALID, "address", "", "must be IP:port");
+	if (strlen(version) >= sizeof(out->version))
+		return error_set(err, ERR_INVALID, "version", "",
+		    "must have up to %zu characters",
+		    sizeof(out->version) - 1);
 	if (lease_ms < LEASE_MIN_MS || lease_ms > LEASE_MAX_MS)
 		return error_set(err, ERR_INVALID, "lease_ms", "",
 		    "must be from %d to %d", LEASE_MIN_MS, LEASE_MAX_MS);
@@ -113,6 +119,7 @@
 		    err, ERR_INVALID, "state", "", "must be ready or cold");
 	strcpy(out->service, service);
 	strcpy(out->address, address);
+	strcpy(out->version, version);
 	strcpy(out->id, address);
 	out->lease_deadline_us = now_us + lease_ms * US_PER_MS;
 	if (started_ms > 0)
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -54,6 +54,8 @@
 	memcpy(b.address, current->address, sizeof(b.address));
 	memcpy(b.service, current->service, sizeof(b.service));
 	traffic_post_backend(control->traffic, &b);
+	membership_set_server_version(&control->membership, current->version,
+	    loop_now_us(control->loop));
 	membership_set_backend(&control->membership, current->service,
 	    b.state == BACKEND_READY && current->slow_start_deadline_us != 0
 		? BACKEND_COLD
@@ -90,6 +92,7 @@
 	log_text(&line, "id", current->id);
 	log_text(&line, "address", current->address);
 	log_text(&line, "service", current->service);
+	log_text(&line, "version", current->version);
 	log_text(&line, "state", backend_state_name(current->state));
 	log_number(&line, "sequence", (int64_t)current->sequence);
 	log_number(&line, "born", (int64_t)current->process_start);
--- a/src/proxy/control/gossip_io.c
+++ b/src/proxy/control/gossip_io.c
@@ -371,6 +371,7 @@
 	log_text(&line, "dc", member->dc);
 	log_text(&line, "status", member_status_name(member->status));
 	log_text(&line, "service", member->service);
+	log_text(&line, "version", member->server_version);
 	log_text(&line, "state", backend_state_name(member->backend));
 	log_number(&line, "slots", member->slots);
 	log_number(&line, "incarnation", (int64_t)member->incarnation);
