--- a/src/core/membership/report_table.c
+++ b/src/core/membership/report_table.c
@@ -81,6 +81,19 @@
 	return r;
 }
 
+void
+report_table_set_rollouts(
+    struct report_table *table, const struct member *member, uint64_t revision)
+{
+	uint32_t at = report_position(table, member->name);
+	struct report *r = &table->items[at];
+
+	if (at == table->count || strcmp(r->member.name, member->name) != 0 ||
+	    r->member.incarnation != member->incarnation)
+		return;
+	r->rollout_revision = revision;
+}
+
 static void
 remove_report(struct report_table *table, uint32_t at)
 {
--- a/src/core/membership/report_table.h
+++ b/src/core/membership/report_table.h
@@ -13,6 +13,9 @@
 	uint64_t version_seen; ///< Highest ever reported under that name.
 	int64_t reported_us;
 	bool left;
+	uint64_t rollout_revision; ///< Highest of the roll-outs known there.
+	uint64_t rollout_notified; ///< Revision that it was last notified of.
+	int64_t rollout_notice_us; ///< Time of that notice.
 };
 
 struct report_table {
@@ -39,6 +42,10 @@
 const struct report *report_table_update(struct report_table *table,
     const struct member *member, bool leaving, int64_t now_us);
 
+/// Sets the revision of the roll-outs that a process of a proxy knows.
+void report_table_set_rollouts(
+    struct report_table *table, const struct member *member, uint64_t revision);
+
 /// Removes a proxy by name.
 ///
 /// @return whether it was in the table
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -119,6 +119,7 @@
 	/// Of all endpoints that reported it. One without a report is assumed to
 	/// take as long, so that it does not attract all requests at once.
 	int64_t mean_service_us;
+	bool sides[ROLLOUT_SIDE_BARRED]; ///< That may get it.
 };
 
 /// Weight of the reported service time of an endpoint: decays with its age.
@@ -353,6 +354,7 @@
 		int64_t cost;
 
 		if (!is_usable(e, include_ejected, now_us) ||
+		    e->side == ROLLOUT_SIDE_BARRED || !q->sides[e->side] ||
 		    was_tried(e, q->request->tried, q->request->tried_count))
 			continue;
 		busy_us = busy_until_us(e, q->request, now_us);
@@ -372,19 +374,70 @@
 	return choice;
 }
 
-struct balancer_choice
-balancer_choose(
-    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+/// Finds the cheapest endpoint on the sides of the context.
+static struct balancer_choice
+find_on_sides(
+    struct balancer *b, const struct choice_context *q, int64_t now_us)
 {
-	struct choice_context choice_context = {
-	    q, balancer_mean_service_us(b, now_us)};
-	struct balancer_choice choice =
-	    find_cheapest(b, &choice_context, false, now_us);
+	struct balancer_choice choice = find_cheapest(b, q, false, now_us);
 
 	// An ejected endpoint is better than none, but a busy one is not.
 	if (choice.endpoint == NULL &&
 	    choice.busy_until_deadline_us == INT64_MAX)
-		choice = find_cheapest(b, &choice_context, true, now_us);
+		choice = find_cheapest(b, q, true, now_us);
+	return choice;
+}
+
+static bool
+side_takes_work(const struct balancer *b, enum rollout_side side)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (b->endpoints[i]->side == side &&
+		    is_usable(b->endpoints[i], true, 0))
+			return true;
+	return false;
+}
+
+/// Finds an endpoint while a roll-out decides between the versions. What is drawn
+/// for the new one goes to the old one if that has room only; nothing that is
+/// drawn for the old one goes to the new one while an old server takes work.
+static struct balancer_choice
+find_by_rollout(struct balancer *b, struct choice_context *q, int64_t now_us)
+{
+	bool wants_new = rollout_filter_wants_new(
+	    &b->rollout, q->request->rollout_draw_permille);
+	enum rollout_side first =
+	    wants_new ? ROLLOUT_SIDE_NEW : ROLLOUT_SIDE_OLD;
+	enum rollout_side second =
+	    wants_new ? ROLLOUT_SIDE_OLD : ROLLOUT_SIDE_NEW;
+	struct balancer_choice choice;
+
+	q->sides[first] = true;
+	choice = find_on_sides(b, q, now_us);
+	if (choice.endpoint != NULL ||
+	    ((!wants_new || b->rollout.completed) && side_takes_work(b, first)))
+		return choice;
+	q->sides[first] = false;
+	q->sides[second] = true;
+	return find_on_sides(b, q, now_us);
+}
+
+struct balancer_choice
+balancer_choose(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+{
+	struct choice_context context = {.request = q,
+	    .mean_service_us = balancer_mean_service_us(b, now_us)};
+	struct balancer_choice choice;
+
+	if (b->rollout.running || b->rollout.completed)
+		choice = find_by_rollout(b, &context, now_us);
+	else {
+		context.sides[ROLLOUT_SIDE_OLD] = true;
+		choice = find_on_sides(b, &context, now_us);
+	}
 	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
 		flow_enter(&choice.endpoint->response_time, now_us);
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -15,6 +15,7 @@
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
 #include "core/requests/server_terms.h"
+#include "core/rollout/rollout_table.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -39,6 +40,7 @@
 	bool suspect;
 	bool local;   ///< On the same VM as this ingress: no network link.
 	bool present; ///< In the current view.
+	enum rollout_side side; ///< Of its server's version.
 	// As last reported by its egress.
 	uint32_t reported_load; ///< Requests running and queued there.
 	uint32_t outstanding_at_report;
@@ -72,6 +74,8 @@
 	uint32_t count;
 	uint32_t capacity;
 	struct retry_budget retries;
+	/// Set before the endpoints of a view are added.
+	struct rollout_filter rollout;
 	int64_t slow_start_us; ///< Length of the slow start.
 	/// Set after the first view with endpoints, which get no slow start.
 	bool slow_start_active;
@@ -87,6 +91,8 @@
 	/// Its service time relative to the mean of the service, in permille;
 	/// 0: not known.
 	uint32_t relative_service_permille;
+	/// From 0 to 999: which requests go to a new version at a share.
+	uint32_t rollout_draw_permille;
 	const char (*tried)[MEMBER_NAME_BYTES]; ///< Endpoints to avoid.
 	uint32_t tried_count;
 };
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -100,6 +100,7 @@
 	e->incarnation = member->incarnation;
 	e->distance = distance;
 	e->state = member->backend;
+	e->side = rollout_filter_side(&b->rollout, member->server_version);
 	e->slots = member->slots > 0 ? member->slots : 1;
 	e->local = b->local_name != NULL && strcmp(b->local_name, e->name) == 0;
 	e->suspect = member->status == MEMBER_SUSPECT;
--- /dev/null
+++ b/src/core/rollout/rollout_judge.h
@@ -0,0 +1,84 @@
+/// @file
+/// Compares the new version of a service with the old one while a roll-out runs,
+/// by route: failures, and answers far slower than the old version's median.
+///
+/// Each route has a cumulative sum of log likelihood ratios (Page's CUSUM test,
+/// E. S. Page, Biometrika 41, 1954): of "the new version fails much more often"
+/// against "as often as the old one does now". It forgets good answers, so that
+/// a version that turns bad late is found as fast as one that is bad from the
+/// start. What also hits the old servers at the time, such as a burst or a
+/// service that both call, is no evidence. A few bad servers are not a bad
+/// version: others of it have to fail too.
+#ifndef MV_CORE_ROLLOUT_ROLLOUT_JUDGE_H
+#define MV_CORE_ROLLOUT_ROLLOUT_JUDGE_H
+
+#include "core/rollout/rollout_counts.h"
+
+#define ROLLOUT_JUDGE_ROUTES 32
+
+/// Kinds of bad answers, each with a test of its own.
+enum rollout_fault {
+	ROLLOUT_FAULT_FAILED,
+	ROLLOUT_FAULT_SLOW,
+	ROLLOUT_FAULTS,
+};
+
+/// Answers of the old version, of which older ones weigh less.
+struct rollout_reference {
+	double answers;
+	double failures;
+	double runs[ROLLOUT_RUN_BUCKETS];
+	int64_t decayed_us; ///< Time of the last decay.
+};
+
+struct rollout_judge_route {
+	uint64_t route;
+	struct rollout_reference old;
+	double sums[ROLLOUT_FAULTS]; ///< The tests.
+	uint64_t answers;	     ///< Of the new version.
+	uint64_t bad[ROLLOUT_FAULTS];
+};
+
+/// A server of the new version: bits by index of the route.
+struct rollout_judge_server {
+	uint64_t server;
+	uint32_t answered;
+	uint32_t bad[ROLLOUT_FAULTS];
+};
+
+struct rollout_judge {
+	struct rollout_judge_route routes[ROLLOUT_JUDGE_ROUTES];
+	uint32_t route_count;
+	struct rollout_judge_server *servers;
+	uint32_t server_count;
+	uint64_t answers; ///< Of the new version.
+};
+
+/// Evidence against a version.
+struct rollout_finding {
+	enum rollout_fault fault;
+	uint64_t route;
+	uint64_t answers;
+	uint64_t bad;
+	double old_share; ///< Of bad answers, at the old version.
+	uint32_t servers; ///< Of the new version that answered.
+	uint32_t bad_servers;
+};
+
+void rollout_judge_init(struct rollout_judge *judge);
+
+void rollout_judge_free(struct rollout_judge *judge);
+
+/// Adds new counts of one server.
+///
+/// @param server  identifies it
+/// @param is_new  it runs the new version
+/// @param counts  what it answered since the last counts
+void rollout_judge_add(struct rollout_judge *judge, uint64_t server,
+    bool is_new, const struct rollout_counts *counts, int64_t now_us);
+
+/// Tells whether the new version is bad.
+bool rollout_judge_is_bad(
+    const struct rollout_judge *judge, struct rollout_finding *finding);
+
+#endif
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -55,6 +55,8 @@
 	DIALECT_NO_OPERATION,
 	DIALECT_SUBMIT,
 	DIALECT_SHOW,
+	DIALECT_ROLLOUT_START,
+	DIALECT_ROLLOUT_SHOW,
 };
 
 struct dialect {
@@ -107,8 +109,10 @@
 	size_t (*parent_id_bytes)(const char *id);
 
 	/// Classifies a request of an operator. NULL: the built-in paths only.
-	enum dialect_operation (*read_operation)(
-	    const char *method, const char *target);
+	///
+	/// @param service  receives the service that the target names
+	enum dialect_operation (*read_operation)(const char *method,
+	    const char *target, char service[MEMBER_NAME_BYTES]);
 
 	/// Converts a submitted document to a rule file. NULL: it is one.
 	///
@@ -120,6 +124,16 @@
 	/// Converts rules to a document. Release it with free().
 	char *(*render_rules)(const struct rules *rules);
 
+	/// Converts an order of a roll-out to one of the own dialect.
+	///
+	/// @param order  receives it; release it with free()
+	/// @return 0, or -1 with err set; its step is the name of the field
+	int (*read_rollout)(const char *body, size_t body_bytes, char **order,
+	    struct error *err);
+
+	/// Converts the own answer about a roll-out. Release it with free().
+	char *(*render_rollout)(const char *body);
+
 	/// Returns the HTTP status for a verdict on a submitted file.
 	uint32_t (*verdict_status)(int verdict);
 
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -9,7 +9,7 @@
 #include "io/http/counters_http.h"
 #include "io/json_text.h"
 #include "io/log/log.h"
-#include "proxy/control/control.h"
+#include "proxy/control/rollouts.h"
 
 /// Returns the slots announced by the backend server, else those of the rules.
 static uint32_t
@@ -53,15 +53,20 @@
 	memcpy(b.id, current->id, sizeof(b.id));
 	memcpy(b.address, current->address, sizeof(b.address));
 	memcpy(b.service, current->service, sizeof(b.service));
+	memcpy(b.version, current->version, sizeof(b.version));
 	traffic_post_backend(control->traffic, &b);
-	membership_set_server_version(&control->membership, current->version,
-	    loop_now_us(control->loop));
+	membership_set_server_version(
+	    &control->membership, current->version, loop_now_us(control->loop));
 	membership_set_backend(&control->membership, current->service,
 	    b.state == BACKEND_READY && current->slow_start_deadline_us != 0
 		? BACKEND_COLD
 		: b.state,
 	    identify_server(control), count_slots(control),
 	    loop_now_us(control->loop));
+	// The leading source decides on what it knows of the servers.
+	if (rollouts_concern_backend(control))
+		loop_timer_set(control->loop, &control->report_timer,
+		    loop_now_us(control->loop));
 	control_publish_view(control);
 	control_tick(control);
 }
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -7,7 +7,7 @@
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
-#include "proxy/control/control.h"
+#include "proxy/control/rollouts.h"
 
 #define FLOOR_CHECK_US (100 * US_PER_MS)
 /// Time before the end of a drain at which queued requests are refused, so that
@@ -125,6 +125,8 @@
 	    FLOOR_CHECK_US);
 	traffic_set_leaving_listener(
 	    control->traffic, control->loop, announce_backend_leaving, control);
+	traffic_set_counts_listener(
+	    control->traffic, control->loop, rollouts_send_counts, control);
 	control->lease_timer.fn = announce_lease_expired;
 	control->lease_timer.arg = control;
 	return 0;
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -10,6 +10,7 @@
 #include "core/membership/pull_share.h"
 #include "core/membership/version_sync.h"
 #include "core/requests/backend.h"
+#include "core/rollout/rollout_table.h"
 #include "core/rules/rules.h"
 #include "io/dialect.h"
 #include "io/http/httpd.h"
@@ -62,6 +63,7 @@
 	struct pull_share pull_share;
 	bool refused_delta; ///< Invalid rules were pulled; pull no delta.
 	struct rules *rules;
+	struct rollout_table rollouts;
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
--- a/src/proxy/control/control_round.c
+++ b/src/proxy/control/control_round.c
@@ -15,7 +15,8 @@
 	    &gauge_members, membership_alive_count(&control->membership));
 	traffic_post_view(control->traffic,
 	    view_create(&control->membership,
-		control->floor.ready ? control->rules : NULL));
+		control->floor.ready ? control->rules : NULL,
+		&control->rollouts));
 }
 
 void
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -11,7 +11,7 @@
 #include "io/net/oneshot.h"
 #include "io/net/volume.h"
 #include "io/rules_message.h"
-#include "proxy/control/control.h"
+#include "proxy/control/rollouts.h"
 #include "wire/gossip_codec.h"
 
 #define PULL_TIMEOUT_US	       (3 * US_PER_S)
@@ -338,6 +338,8 @@
 	update_sources(control, &answer->sources);
 	update_leader(control, answer->leader);
 	sync_reported_members(control, &answer->members);
+	if (rollouts_merge(control, &answer->rollouts, "a source"))
+		distribution_send_report(control, false);
 	if (answer->version_seen > control->membership.version_floor)
 		control->membership.version_floor = answer->version_seen;
 	if (answer->accepted_version == 0 ||
@@ -375,7 +377,8 @@
 {
 	struct message_report report = {.leaving = leaving,
 	    .members_known = membership_alive_count(&control->membership),
-	    .sources_hash = control->discovered_hash};
+	    .sources_hash = control->discovered_hash,
+	    .rollout_revision = rollout_table_revision(&control->rollouts)};
 	struct address sources[2 * CONTROL_MAX_SOURCES];
 	bool to_all = !leader_suffices(control, leaving);
 	msgpack_sbuffer out;
@@ -446,6 +449,7 @@
 		control->has_leader = false;
 		return;
 	}
+	rollouts_merge(control, &answer->u.rules.rollouts, "the leader");
 	if (answer->u.rules.version > floor->confirmed_version)
 		floor->confirmed_version = answer->u.rules.version;
 	loop_timer_set(
--- a/src/proxy/control/gossip_io.c
+++ b/src/proxy/control/gossip_io.c
@@ -9,7 +9,8 @@
 #include "io/log/log.h"
 #include "io/net/oneshot.h"
 #include "io/net/volume.h"
-#include "proxy/control/control.h"
+#include "io/rollout_message.h"
+#include "proxy/control/rollouts.h"
 #include "wire/gossip_codec.h"
 
 #define SYNC_TIMEOUT_US (2 * US_PER_S)
@@ -63,11 +64,18 @@
 	}
 }
 
+static void
+merge_rollouts(struct control *control, const struct list *rollouts)
+{
+	if (rollouts_merge(control, rollouts, "a proxy"))
+		distribution_send_report(control, false);
+}
+
 // Table exchange: the initiator sends its own record and the digest of its
 // table. If the digests differ, the answer has a summary of a few bytes for
 // each record. In the second step the initiator sends the records that are
 // newer in its table and requests those that are newer in the other one; the
-// second answer has these.
+// second answer has these. Roll-outs are few: each side sends all of them.
 
 /// Calls a function for each record, including the local one.
 static void
@@ -253,9 +261,13 @@
     const struct message_sync *sync)
 {
 	const struct membership *m = &control->membership;
+	struct message_rollout rollouts[ROLLOUT_MAX_RECORDS];
 	struct message_sync answer = {0};
 
 	merge_table(control, &sync->members);
+	merge_rollouts(control, &sync->rollouts);
+	rollout_message_fill(&control->rollouts, 0, rollouts,
+	    ROLLOUT_MAX_RECORDS, &answer.rollouts);
 	answer.digest = membership_digest(m);
 	if (sync->wanted.count > 0)
 		fill_wanted(control, &sync->wanted, &answer);
@@ -293,8 +305,11 @@
 {
 	const struct membership *m = &x->control->membership;
 	struct message_sync step = {.digest = membership_digest(m)};
+	struct message_rollout rollouts[ROLLOUT_MAX_RECORDS];
 	struct message_member self;
 
+	rollout_message_fill(&x->control->rollouts, 0, rollouts,
+	    ROLLOUT_MAX_RECORDS, &step.rollouts);
 	member_to_message(&m->self, &self);
 	step.members.items = &self;
 	step.members.count = 1;
@@ -335,6 +350,7 @@
 		return;
 	}
 	merge_table(control, &answer->u.sync.members);
+	merge_rollouts(control, &answer->u.sync.rollouts);
 	if (!x->second_step && answer->u.sync.summaries.count > 0 &&
 	    send_difference(x, &answer->u.sync.summaries))
 		return;
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -205,6 +205,7 @@
 {
 	egress_set_server(egress, backend);
 	egress->backend = *backend;
+	egress_follow_rollouts(egress);
 	configure_admission(egress);
 	if (backend->state == BACKEND_DRAINING ||
 	    backend->state == BACKEND_NONE)
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -9,6 +9,8 @@
 #include "core/requests/admission.h"
 #include "core/requests/backend.h"
 #include "core/requests/fence.h"
+#include "core/rollout/rollout_counts.h"
+#include "core/rollout/rollout_table.h"
 #include "core/rules/rules.h"
 #include "io/loop.h"
 #include "wire/messages.h"
@@ -41,12 +43,21 @@
 	char id[BACKEND_ID_BYTES];
 	char address[BACKEND_ADDRESS_BYTES]; ///< "IP:port"; empty for none.
 	char service[MEMBER_NAME_BYTES];
+	char version[MEMBER_VERSION_BYTES]; ///< Of its software; "": none.
 	enum backend_state state;
 	uint32_t slots;		///< 0: the rules set the number.
 	uint64_t process_start; ///< Start of its process; rises with restarts.
 	int64_t slow_start_deadline_us;
 };
 
+/// What the backend server has answered during a roll-out of its service.
+struct egress_counts {
+	uint64_t order;		///< Of the roll-out; 0: none runs.
+	uint64_t process_start; ///< Of the server.
+	uint32_t running;	///< Requests that run or wait.
+	struct rollout_counts counts;
+};
+
 struct egress_settings {
 	const struct dialect *dialect;
 	uint32_t max_queued;
@@ -69,6 +80,15 @@
 
 void egress_set_rules(struct egress *egress, struct rules *rules);
 
+/// Sets the roll-outs that are known here. While one of the backend server's
+/// service runs, its answers are counted; a version that was rolled back gets no
+/// requests.
+void egress_set_rollouts(
+    struct egress *egress, const struct rollout_table *rollouts);
+
+/// Takes the counts if they are due to be sent.
+bool egress_take_counts(struct egress *egress, struct egress_counts *out);
+
 /// Refuses all new requests from now on.
 void egress_drain(struct egress *egress);
 
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -102,6 +102,7 @@
 	    (err != NULL && err->code == ERR_TIMEOUT);
 
 	egress_log_call_end(r, err);
+	egress_count_answer(r, err);
 	if (err != NULL && answers_other_attempt(r))
 		egress->separate_until_deadline_us =
 		    now_us + SEPARATE_CONNECTIONS_US;
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -74,6 +74,13 @@
 	bool key_was_free; ///< As the ledger reported to this attempt.
 };
 
+/// Counts of the server that runs now.
+struct egress_watch {
+	struct egress_counts sent;
+	int64_t sent_us;
+	bool changed; ///< Since they were sent.
+};
+
 struct egress {
 	struct loop *loop;
 	const struct dialect *dialect;
@@ -84,6 +91,9 @@
 	struct egress_backend backend;
 	struct server_terms_state terms; ///< Of that backend server.
 	struct rules *rules;
+	struct rollout_table rollouts;
+	struct rollout_filter rollout_filter; ///< Of the server's service.
+	struct egress_watch watch;
 	struct egress_request *first;
 	struct collector collector;
 	/// Called when a call ends and frees its slot.
@@ -140,6 +150,17 @@
 void egress_set_server(
     struct egress *egress, const struct egress_backend *backend);
 
+// egress_rollout.c
+
+/// Follows a change of the server or of the roll-outs.
+void egress_follow_rollouts(struct egress *egress);
+
+/// Tells whether the server's version was rolled back.
+bool egress_is_rolled_back(const struct egress *egress);
+
+/// Counts a call that has ended.
+void egress_count_answer(struct egress_request *r, const struct error *err);
+
 // egress_collect.c
 
 /// Starts the transfer of further bodies, those of the nearest target first.
--- a/src/proxy/egress/submit.c
+++ b/src/proxy/egress/submit.c
@@ -30,6 +30,8 @@
 	if (strlen(b->service) != m->service.size_bytes ||
 	    memcmp(b->service, m->service.data, m->service.size_bytes) != 0)
 		return "another service is here";
+	if (egress_is_rolled_back(egress))
+		return "the backend server's version was rolled back";
 	if (egress->rules == NULL || egress->admission.rank_count == 0)
 		return "no rules yet";
 	return NULL;
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -183,8 +183,15 @@
 	for (i = 0; ingress->rules != NULL && i < ingress->rules->service_count;
 	     i++)
 		get_balancer(ingress, ingress->rules->services[i].name);
-	for (i = 0; i < ingress->balancer_count; i++)
-		balancer_begin_view(ingress->balancers[i]);
+	for (i = 0; i < view->endpoint_count; i++)
+		get_balancer(ingress, view->endpoints[i].member.service);
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct balancer *b = ingress->balancers[i];
+
+		rollout_table_get_filter(
+		    &view->rollouts, b->service, &b->rollout);
+		balancer_begin_view(b);
+	}
 	for (i = 0; i < view->endpoint_count; i++) {
 		const struct view_endpoint *e = &view->endpoints[i];
 
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -70,7 +70,9 @@
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	uint32_t service;	    ///< Index; drawn from the route's targets.
-	uint32_t arrivals;	    ///< Backend servers that may have got it.
+	/// Decides between the versions of the service; see rollout_table.h.
+	uint32_t rollout_draw_permille;
+	uint32_t arrivals; ///< Backend servers that may have got it.
 	struct loop_timer timer;
 	// The attempt in progress.
 	enum attempt_state state;
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -148,6 +148,8 @@
 	r->deadline_us = exchange->arrival_us + r->route->timeout_us;
 	r->target_deadline_us = exchange->arrival_us + r->route->target_us;
 	r->service = rules_draw_target(r->route, random_next(&ingress->random));
+	r->rollout_draw_permille =
+	    random_below(&ingress->random, ROLLOUT_PERMILLE);
 	if (r->trusted)
 		inherit_rank(r);
 	if (r->trusted || ingress->dialect->callers_set_deadline)
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -62,6 +62,9 @@
 		q->size_bytes = (uint32_t)r->exchange->body_bytes;
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
+	// After a failure of a new version the old one is better known.
+	q->rollout_draw_permille =
+	    r->arrivals > 0 ? ROLLOUT_PERMILLE - 1 : r->rollout_draw_permille;
 	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
 	q->tried_count = r->attempts;
 }
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -33,6 +33,9 @@
 	struct loop *leaving_loop; ///< Of the listener below; or NULL.
 	traffic_leaving_fn *leaving_fn;
 	void *leaving_arg;
+	struct loop *counts_loop; ///< Of the listener below; or NULL.
+	traffic_counts_fn *counts_fn;
+	void *counts_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -65,6 +68,7 @@
 	struct traffic *traffic = command->traffic;
 
 	ingress_set_view(traffic->ingress, command->view);
+	egress_set_rollouts(traffic->egress, &command->view->rollouts);
 	if (command->view->rules != NULL)
 		egress_set_rules(traffic->egress, command->view->rules);
 	view_free(command->view);
@@ -217,6 +221,48 @@
 	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
 }
 
+/// Counts on their way to the listener.
+struct counts_notice {
+	traffic_counts_fn *fn;
+	void *arg;
+	struct egress_counts counts;
+};
+
+static void
+deliver_counts(void *arg)
+{
+	struct counts_notice *notice = arg;
+
+	notice->fn(notice->arg, &notice->counts);
+	free(notice);
+}
+
+static void
+post_counts(struct traffic *traffic)
+{
+	struct egress_counts counts;
+	struct counts_notice *notice;
+
+	if (traffic->counts_loop == NULL ||
+	    !egress_take_counts(traffic->egress, &counts))
+		return;
+	notice = calloc(1, sizeof(*notice));
+	assert(notice != NULL);
+	notice->fn = traffic->counts_fn;
+	notice->arg = traffic->counts_arg;
+	notice->counts = counts;
+	loop_post(traffic->counts_loop, deliver_counts, notice);
+}
+
+void
+traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *fn, void *arg)
+{
+	traffic->counts_loop = loop;
+	traffic->counts_fn = fn;
+	traffic->counts_arg = arg;
+}
+
 uint32_t
 traffic_load_pct(const struct traffic *traffic)
 {
@@ -263,6 +309,7 @@
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
 	end_drain_if_idle(traffic);
+	post_counts(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
 	    loop_now_us(traffic->loop) + PUBLISH_PERIOD_US);
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -83,6 +83,14 @@
 void traffic_set_leaving_listener(struct traffic *traffic, struct loop *loop,
     traffic_leaving_fn *fn, void *arg);
 
+/// Called with what the backend server has answered during a roll-out.
+typedef void traffic_counts_fn(void *arg, const struct egress_counts *counts);
+
+/// Sets the function to post counts to another loop with. Call it before
+/// traffic_start.
+void traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *fn, void *arg);
+
 /// Ends the thread and frees everything.
 void traffic_stop(struct traffic *traffic);
 
--- a/src/proxy/view.c
+++ b/src/proxy/view.c
@@ -19,7 +19,8 @@
 }
 
 struct view *
-view_create(const struct membership *m, struct rules *rules)
+view_create(const struct membership *m, struct rules *rules,
+    const struct rollout_table *rollouts)
 {
 	struct view *view = calloc(1,
 	    sizeof(*view) + (m->peer_count + 1) * sizeof(view->endpoints[0]));
@@ -27,6 +28,7 @@
 
 	assert(view != NULL);
 	view->proxy_count = membership_alive_count(m);
+	view->rollouts = *rollouts;
 	view->rules = rules == NULL ? NULL : rules_ref(rules);
 	add_member(view, &m->self, DISTANCE_DC);
 	for (i = 0; i < m->peer_count; i++)
--- a/src/proxy/view.h
+++ b/src/proxy/view.h
@@ -1,5 +1,5 @@
 /// @file
-/// Immutable view of rules and endpoints, created by the control thread and
+/// Immutable view of rules, roll-outs and endpoints, created by the control thread and
 /// read by the traffic thread.
 #ifndef MV_PROXY_VIEW_H
 #define MV_PROXY_VIEW_H
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "core/membership/membership.h"
+#include "core/rollout/rollout_table.h"
 #include "core/rules/rules.h"
 
 struct view_endpoint {
@@ -15,7 +16,8 @@
 };
 
 struct view {
-	struct rules *rules;  ///< One reference; NULL before the first rules.
+	struct rules *rules; ///< One reference; NULL before the first rules.
+	struct rollout_table rollouts;
 	uint32_t proxy_count; ///< Proxies that are up, including this one.
 	uint32_t endpoint_count;
 	struct view_endpoint endpoints[];
@@ -25,7 +27,8 @@
 /// the rules.
 ///
 /// @return the view; release it with view_free
-struct view *view_create(const struct membership *m, struct rules *rules);
+struct view *view_create(const struct membership *m, struct rules *rules,
+    const struct rollout_table *rollouts);
 
 void view_free(struct view *view);
 
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "source/source.h"
+#include "source/rollout_run.h"
 
 #define MAX_CONNECTIONS	   256
 #define IDLE_TIMEOUT_S	   30
@@ -43,6 +43,10 @@
 	"pulls answered per second; excess pulls get a retry time"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
 	"200", "entries of the log between snapshots"),
+    ROW("rollout.exposure_share", SETTINGS_NUMBER, exposure_share, false, 0, 1,
+	"0.1",
+	"part of a service's requests during a roll-out that a bad version may "
+	"get"),
 };
 
 static void
@@ -75,7 +79,7 @@
 		&source_stream_ops, source, NULL, &source->bound_control,
 		err) != 0 ||
 	    datagram_open(&source->udp, source->loop, &source->bound_control,
-		source, publish_receive_datagram, &udp_bound, err) != 0)
+		source, rollout_run_receive_datagram, &udp_bound, err) != 0)
 		return -1;
 	source->httpd = httpd_open(source->loop, &operators, &source_httpd_ops,
 	    source, &limits, &source->bound_operators, err);
@@ -136,6 +140,7 @@
 	source.expire_timer.fn = expire_reports;
 	source.expire_timer.arg = &source;
 	expire_reports(&source);
+	rollout_run_start(&source);
 	return write_bound_addresses(&source, err);
 }
 
@@ -146,6 +151,7 @@
 	listener_close(&source.listener);
 	datagram_close(&source.udp);
 	operator_cancel_forwards(&source);
+	rollout_run_stop(&source);
 	replica_host_close(&source.host);
 	rule_store_free(&source.store);
 	report_table_free(&source.reports);
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -222,9 +222,10 @@
 					: FORWARD_TIMEOUT_US);
 	f->timer.fn = forward_attempt;
 	f->timer.arg = f;
-	// Resubmitting an accepted file succeeds.
-	f->idempotent =
-	    strcmp(method, "GET") == 0 || strcmp(target, "/rules") == 0;
+	// Resubmitting an accepted file or order succeeds.
+	f->idempotent = strcmp(method, "GET") == 0 ||
+	    strcmp(target, "/rules") == 0 ||
+	    strcmp(target, ROLLOUTS_TARGET) == 0;
 	forward_attempt(f);
 }
 
@@ -263,6 +264,44 @@
 	free(errors);
 }
 
+static void
+handle_rollout(struct source *source, const char *body, size_t body_bytes,
+    operator_reply_fn *fn, void *arg)
+{
+	struct rollout_order order;
+	struct pending_request *p;
+	struct error err;
+	char *text;
+
+	if (rollout_order_parse(source, body, body_bytes, &order, &err) != 0) {
+		text = rollout_order_render_error(&err);
+		fn(arg, 400, 0, text);
+		free(text);
+		return;
+	}
+	p = pending_add_read(source, PENDING_ROLLOUT);
+	p->fn = fn;
+	p->arg = arg;
+	p->order = order;
+	replica_start_read(
+	    &source->host.replica, p->context, loop_now_us(source->loop));
+}
+
+/// @param service  "": all roll-outs
+static void
+handle_rollout_show(struct source *source, const char *service,
+    operator_reply_fn *fn, void *arg)
+{
+	struct pending_request *p =
+	    pending_add_read(source, PENDING_ROLLOUT_SHOW);
+
+	p->fn = fn;
+	p->arg = arg;
+	snprintf(p->order.service, sizeof(p->order.service), "%s", service);
+	replica_start_read(
+	    &source->host.replica, p->context, loop_now_us(source->loop));
+}
+
 static void
 handle_forget(
     struct source *source, const char *name, operator_reply_fn *fn, void *arg)
@@ -314,6 +353,15 @@
 		start_read(source, PENDING_STATUS, NULL, fn, arg);
 	else if (post && strncmp(target, "/forget?name=", 13) == 0)
 		handle_forget(source, target + 13, fn, arg);
+	else if (post && strcmp(target, ROLLOUTS_TARGET) == 0)
+		handle_rollout(source, body, body_bytes, fn, arg);
+	else if (get && strcmp(target, ROLLOUTS_TARGET) == 0)
+		handle_rollout_show(source, "", fn, arg);
+	else if (get &&
+	    strncmp(target, ROLLOUTS_TARGET "/", strlen(ROLLOUTS_TARGET) + 1) ==
+		0)
+		handle_rollout_show(
+		    source, target + strlen(ROLLOUTS_TARGET) + 1, fn, arg);
 	else if (post && strcmp(target, "/replicas") == 0)
 		handle_replace(source, body, body_bytes, fn, arg);
 	else
--- a/src/source/pending.c
+++ b/src/source/pending.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "io/clock.h"
+#include "io/rollout_message.h"
 #include "io/rules_message.h"
 #include "source/source.h"
 
@@ -95,6 +96,54 @@
 		    "its limits\"}");
 }
 
+/// Checks an order against the state that the read has confirmed, and proposes it
+/// if it is acceptable.
+static void
+propose_rollout(struct pending_request *p)
+{
+	struct source *source = p->source;
+	enum rollout_verdict verdict =
+	    rollout_store_check(&source->rollouts, &p->order);
+	struct error err;
+	uint32_t size_bytes;
+	uint32_t status = 400;
+	char *entry;
+	char *body;
+	int rc;
+
+	if (verdict != ROLLOUT_ACCEPTED ||
+	    rollout_order_check_service(source, &p->order, &err) != 0) {
+		body = verdict != ROLLOUT_ACCEPTED
+		    ? rollout_order_render_verdict(
+			  source, &p->order, verdict, &status)
+		    : rollout_order_render_error(&err);
+		reply(p, status, 0, body);
+		free(body);
+		return;
+	}
+	entry = rollout_store_encode_order(&p->order, &size_bytes);
+	p->kind = PENDING_PROPOSED;
+	p->term = source->host.replica.term;
+	rc = replica_propose(&source->host.replica, entry, size_bytes,
+	    &p->index, loop_now_us(source->loop), &err);
+	free(entry);
+	if (rc != 0)
+		reply(p, 503, US_PER_S,
+		    "{\"result\":\"unavailable\",\"why\":\"the source is at "
+		    "its limits\"}");
+}
+
+static void
+show_rollouts(struct pending_request *p)
+{
+	uint32_t status;
+	char *body =
+	    rollout_order_render_show(p->source, p->order.service, &status);
+
+	reply(p, status, 0, body);
+	free(body);
+}
+
 /// Replies with the newest version but not its text, which the proxy pulls from
 /// the nearest holder.
 static void
@@ -102,8 +151,11 @@
 {
 	const struct rule_file *current = p->source->store.current;
 	struct message_busy busy = {.retry_left_us = US_PER_S};
+	struct message_rollout rollouts[ROLLOUT_MAX_RECORDS];
 	struct message_rules m = {0};
 
+	rollout_message_fill(&p->source->rollouts.table, 0, rollouts,
+	    ROLLOUT_MAX_RECORDS, &m.rollouts);
 	if (current != NULL) {
 		m.version = current->version;
 		m.hash = current->hash;
@@ -143,6 +195,12 @@
 	case PENDING_SUBMIT:
 		propose_submitted(p);
 		break;
+	case PENDING_ROLLOUT:
+		propose_rollout(p);
+		break;
+	case PENDING_ROLLOUT_SHOW:
+		show_rollouts(p);
+		break;
 	case PENDING_PROPOSED:
 	case PENDING_CONFIRM:
 		break;
@@ -164,6 +222,17 @@
     "{\"result\":\"unknown\",\"why\":\"the leader changed while the file "
     "was being accepted; send the same file again\"}";
 
+static const char unknown_order_body[] =
+    "{\"result\":\"unknown\",\"why\":\"the leader changed while the order "
+    "was being accepted; send the same order again\"}";
+
+static void
+reply_unknown(struct pending_request *p)
+{
+	reply(p, 503, US_PER_S,
+	    p->file != NULL ? unknown_outcome_body : unknown_order_body);
+}
+
 void
 pending_complete_proposal(
     struct source *source, const struct replica_entry *entry, int verdict)
@@ -178,10 +247,12 @@
 	if (p == NULL)
 		return;
 	if (p->term != entry->term || verdict < 0) {
-		reply(p, 503, US_PER_S, unknown_outcome_body);
+		reply_unknown(p);
 		return;
 	}
-	body = verdict_render(source, p->file, verdict, &status);
+	body = p->file != NULL
+	    ? verdict_render(source, p->file, verdict, &status)
+	    : rollout_order_render_verdict(source, &p->order, verdict, &status);
 	reply(p, status, 0, body);
 	free(body);
 }
@@ -195,7 +266,7 @@
 		struct pending_request *next = p->next;
 
 		if (p->kind == PENDING_PROPOSED)
-			reply(p, 503, US_PER_S, unknown_outcome_body);
+			reply_unknown(p);
 		p = next;
 	}
 }
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -9,6 +9,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/net/volume.h"
+#include "io/rollout_message.h"
 #include "io/rules_message.h"
 #include "source/source.h"
 #include "wire/gossip_codec.h"
@@ -19,6 +20,10 @@
 #define PULL_COST_MILLI 1000
 #define PULL_RETRY_US	(300 * US_PER_MS)
 
+/// Time after which a notice of a roll-out is sent again to a proxy that has not
+/// reported that it knows of the change.
+#define ROLLOUT_NOTICE_US (300 * US_PER_MS)
+
 COUNTER_DEFINE(count_reports, "source_reports", "Reports of proxies");
 COUNTER_DEFINE(count_notices, "source_notices", "Notices of new versions");
 COUNTER_DEFINE(count_pulls, "source_pulls", "Pulls answered");
@@ -76,17 +81,20 @@
 	return count;
 }
 
-/// Sends an answer to a report, or a notice that a version was accepted.
+/// Sends an answer to a report, or a notice that a version was accepted or a
+/// roll-out changed.
 ///
+/// @param known   the last report that was received
 /// @param report  NULL for a notice, whose receiver lacks nothing else
 static void
 send_answer(struct source *source, const struct address *to,
-    uint64_t version_seen, const struct message_report *report)
+    const struct report *known, const struct message_report *report)
 {
+	struct message_rollout rollouts[ROLLOUT_DATAGRAM_RECORDS];
 	const struct rule_file *current = source->store.current;
 	struct message_report_answer answer = {
 	    .accepted_version = current == NULL ? 0 : current->version,
-	    .version_seen = version_seen,
+	    .version_seen = known->version_seen,
 	    .control_port = ntohs(source->bound_control.in.sin_port),
 	};
 	const struct replica_config *config = &source->host.replica.config;
@@ -108,6 +116,8 @@
 	answer.members.items = members;
 	if (report != NULL && report->members_known < count_fresh(source))
 		answer.members.count = sample_members(source, texts, members);
+	rollout_message_fill(&source->rollouts.table, known->rollout_revision,
+	    rollouts, ROLLOUT_DATAGRAM_RECORDS, &answer.rollouts);
 	answer.host = bytes_from_string(source->settings.host);
 	answer.region = bytes_from_string(source->settings.region);
 	answer.dc = bytes_from_string(source->settings.dc);
@@ -142,11 +152,13 @@
 							      : DISTANCE_DC);
 	report = report_table_update(&source->reports, &member,
 	    message->u.report.leaving != 0, loop_now_us(source->loop));
+	report_table_set_rollouts(
+	    &source->reports, &member, message->u.report.rollout_revision);
 	counter_set(&gauge_members,
 	    report_table_sum(
 		&source->reports, NULL, 0, loop_now_us(source->loop))
 		.members);
-	send_answer(source, from, report->version_seen, &message->u.report);
+	send_answer(source, from, report, &message->u.report);
 }
 
 /// Position of a proxy in its data centre, from 0, under rendezvous hashing of
@@ -190,7 +202,33 @@
 			0)
 			continue;
 		counter_add(&count_notices, 1);
-		send_answer(source, &to, r->version_seen, NULL);
+		send_answer(source, &to, r, NULL);
+	}
+}
+
+void
+publish_rollouts(struct source *source)
+{
+	const struct report_table *table = &source->reports;
+	uint64_t revision = rollout_table_revision(&source->rollouts.table);
+	int64_t now_us = loop_now_us(source->loop);
+	struct address to;
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		struct report *r = &table->items[i];
+
+		if (!is_fresh(source, r, now_us) ||
+		    r->rollout_revision >= revision ||
+		    (r->rollout_notified == revision &&
+			now_us < r->rollout_notice_us + ROLLOUT_NOTICE_US) ||
+		    address_make(r->member.host, r->member.control_port, &to) !=
+			0)
+			continue;
+		r->rollout_notified = revision;
+		r->rollout_notice_us = now_us;
+		counter_add(&count_notices, 1);
+		send_answer(source, &to, r, NULL);
 	}
 }
 
--- a/src/source/service.c
+++ b/src/source/service.c
@@ -9,6 +9,7 @@
 #include "io/http/counters_http.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
+#include "source/rollout_run.h"
 #include "source/source.h"
 
 GAUGE_DEFINE(gauge_accepted, "source_version", "Accepted version");
@@ -30,14 +31,47 @@
 	loop_defer(source->loop, publish_notify_accepted, source);
 }
 
+static void
+notify_rollouts(void *arg)
+{
+	struct source *source = arg;
+
+	source->rollout_notice_deferred = false;
+	if (replica_is_leader(&source->host.replica))
+		publish_rollouts(source);
+}
+
+static void
+apply_rollout(struct source *source, const struct replica_entry *entry)
+{
+	struct error err;
+	int verdict = rollout_store_apply(
+	    &source->rollouts, entry->data, entry->size_bytes, &err);
+
+	if (verdict < 0)
+		log_error(
+		    LOG_ERROR, "source", "Cannot apply a log entry", &err);
+	rollout_run_follow(source);
+	pending_complete_proposal(source, entry, verdict);
+	if (source->rollout_notice_deferred)
+		return;
+	source->rollout_notice_deferred = true;
+	loop_defer(source->loop, notify_rollouts, source);
+}
+
 static void
 on_apply(struct replica_host *host, const struct replica_entry *entry)
 {
 	struct source *source = get_source(host);
 	struct error err;
-	int verdict = rule_store_apply(
-	    &source->store, entry->data, entry->size_bytes, &err);
+	int verdict;
 
+	if (rollout_store_owns(entry->data, entry->size_bytes)) {
+		apply_rollout(source, entry);
+		return;
+	}
+	verdict = rule_store_apply(
+	    &source->store, entry->data, entry->size_bytes, &err);
 	if (verdict < 0)
 		log_error(
 		    LOG_ERROR, "source", "Cannot apply a log entry", &err);
@@ -58,14 +92,21 @@
 on_applied(struct replica_host *host, uint64_t index)
 {
 	struct source *source = get_source(host);
+	uint32_t head_bytes;
 	uint32_t size_bytes;
+	char *head;
 	char *data;
 
 	if (++source->applied_since_snapshot < source->settings.compact_every)
 		return;
 	source->applied_since_snapshot = 0;
+	head = rollout_store_snapshot(&source->rollouts, &head_bytes);
 	data = rule_store_snapshot(&source->store, &size_bytes);
-	replica_compact(&host->replica, index, data, size_bytes);
+	head = realloc(head, (size_t)head_bytes + size_bytes + 1);
+	assert(head != NULL);
+	memcpy(head + head_bytes, data, size_bytes);
+	replica_compact(&host->replica, index, head, head_bytes + size_bytes);
+	free(head);
 	free(data);
 }
 
@@ -74,9 +115,12 @@
 {
 	struct source *source = get_source(host);
 	struct error err;
+	uint32_t head_bytes;
 
-	if (rule_store_restore(&source->store, s->data, s->size_bytes, &err) !=
-	    0) {
+	if (rollout_store_restore(&source->rollouts, s->data, s->size_bytes,
+		&head_bytes, &err) != 0 ||
+	    rule_store_restore(&source->store, s->data + head_bytes,
+		s->size_bytes - head_bytes, &err) != 0) {
 		// The checksum did not detect this damage. Fail the replica
 		// rather than run on it.
 		log_error(
@@ -84,6 +128,7 @@
 		replica_record_failure(&host->replica, &err);
 		return;
 	}
+	rollout_run_follow(source);
 	if (source->store.current != NULL)
 		counter_set(
 		    &gauge_accepted, (int64_t)source->store.current->version);
@@ -116,7 +161,8 @@
 	struct stream *stream; ///< Of a forwarded request; NULL once closed.
 	struct call *next;
 	struct source *source;
-	bool render_dialect; ///< Reply with the rules in the dialect's format.
+	/// What the dialect asked for; the reply is in its format.
+	enum dialect_operation operation;
 };
 
 static struct call *pending_calls;
@@ -189,6 +235,54 @@
 	rules_unref(rules);
 }
 
+/// Replies with the state of a roll-out in the dialect's format.
+static void
+reply_dialect_rollout(struct call *call, const char *body)
+{
+	char *document = call->source->dialect->render_rollout(body);
+
+	reply_http(call->exchange, 200, 0, document);
+	free(document);
+}
+
+static void
+reply_invalid(struct call *call, const struct error *err)
+{
+	char body[ERROR_STEP_BYTES + ERROR_PEER_BYTES + ERROR_TEXT_BYTES + 4];
+
+	log_error(LOG_INFO, "source", "Rejected a submitted document", err);
+	snprintf(
+	    body, sizeof(body), "%s %s: %s\n", err->peer, err->step, err->text);
+	on_reply(call, 400, 0, body);
+}
+
+/// Submits what a document of the dialect holds.
+static void
+submit_dialect_document(struct call *call, const struct http_exchange *exchange)
+{
+	struct source *source = call->source;
+	const struct dialect *d = source->dialect;
+	bool rollout = call->operation == DIALECT_ROLLOUT_START;
+	struct error err;
+	size_t text_bytes;
+	char *text;
+	int rc;
+
+	if (rollout)
+		rc = d->read_rollout(
+		    exchange->body, exchange->body_bytes, &text, &err);
+	else
+		rc = d->read_rules(exchange->body, exchange->body_bytes, &text,
+		    &text_bytes, &err);
+	if (rc != 0) {
+		reply_invalid(call, &err);
+		return;
+	}
+	operator_handle(source, "POST", rollout ? ROLLOUTS_TARGET : "/rules",
+	    text, rollout ? strlen(text) : text_bytes, false, on_reply, call);
+	free(text);
+}
+
 /// Handles a request if it is a call of the dialect's own.
 ///
 /// @return whether it was one
@@ -197,38 +291,34 @@
 {
 	const struct dialect *d = source->dialect;
 	enum dialect_operation operation = DIALECT_NO_OPERATION;
-	struct error err;
+	char service[MEMBER_NAME_BYTES];
+	char target[sizeof(ROLLOUTS_TARGET) + MEMBER_NAME_BYTES + 1];
 	struct call *call;
-	size_t text_bytes;
-	char body[ERROR_STEP_BYTES + ERROR_PEER_BYTES + ERROR_TEXT_BYTES + 4];
-	char *text;
 
 	if (d->read_operation != NULL)
-		operation =
-		    d->read_operation(exchange->method, exchange->target);
+		operation = d->read_operation(
+		    exchange->method, exchange->target, service);
 	if (operation == DIALECT_NO_OPERATION)
 		return false;
 	call = call_create(source);
 	call->exchange = exchange;
+	call->operation = operation;
 	exchange->state = call;
-	if (operation == DIALECT_SHOW) {
-		call->render_dialect = true;
+	switch (operation) {
+	case DIALECT_SHOW:
 		operator_handle(
 		    source, "GET", "/rules", NULL, 0, false, on_reply, call);
-		return true;
-	}
-	if (d->read_rules(exchange->body, exchange->body_bytes, &text,
-		&text_bytes, &err) != 0) {
-		log_error(
-		    LOG_INFO, "source", "Rejected a submitted document", &err);
-		snprintf(body, sizeof(body), "%s %s: %s\n", err.peer, err.step,
-		    err.text);
-		on_reply(call, 400, 0, body);
-		return true;
+		break;
+	case DIALECT_ROLLOUT_SHOW:
+		snprintf(
+		    target, sizeof(target), ROLLOUTS_TARGET "/%s", service);
+		operator_handle(
+		    source, "GET", target, NULL, 0, false, on_reply, call);
+		break;
+	default:
+		submit_dialect_document(call, exchange);
+		break;
 	}
-	operator_handle(
-	    source, "POST", "/rules", text, text_bytes, false, on_reply, call);
-	free(text);
 	return true;
 }
 
@@ -239,8 +329,12 @@
 	struct message_operator_answer answer = {
 	    .status = status, .retry_left_us = retry_us};
 
-	if (call->exchange != NULL && call->render_dialect && status == 200)
+	if (call->exchange != NULL && call->operation == DIALECT_SHOW &&
+	    status == 200)
 		reply_dialect_rules(call, body);
+	else if (call->exchange != NULL &&
+	    call->operation == DIALECT_ROLLOUT_SHOW && status == 200)
+		reply_dialect_rollout(call, body);
 	else if (call->exchange != NULL)
 		reply_http(call->exchange, status, retry_us, body);
 	if (call->stream != NULL) {
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -4,6 +4,7 @@
 #define MV_SOURCE_SOURCE_H
 
 #include "core/membership/report_table.h"
+#include "core/rollout/rollout_store.h"
 #include "core/rules/rule_store.h"
 #include "io/dialect.h"
 #include "io/http/httpd.h"
@@ -23,6 +24,7 @@
 	int64_t forget_ms;
 	int64_t pulls_per_s;
 	int64_t compact_every;
+	double exposure_share;
 };
 
 /// Receives the reply to an operator's request.
@@ -42,17 +44,22 @@
 		PENDING_PROPOSED, ///< Waits for its entry to be applied.
 		PENDING_SHOW,
 		PENDING_CONFIRM, ///< Pull of a starting proxy: version only.
+		PENDING_ROLLOUT, ///< An order, proposed after the read.
+		PENDING_ROLLOUT_SHOW,
 	} kind;
 	uint64_t context;	///< Identifies the read.
 	uint64_t index;		///< Log index of the proposed entry.
 	uint64_t term;		///< Term in which it was proposed.
 	struct rule_file *file; ///< Submitted file, or NULL.
+	/// Of a roll-out; its service is empty if all are to be shown.
+	struct rollout_order order;
 	operator_reply_fn *fn;
 	void *arg;
 	struct stream *stream; ///< PENDING_CONFIRM; NULL once closed.
 };
 
 struct forward;
+struct rollout_run;
 
 struct source {
 	struct source_settings settings;
@@ -60,6 +67,10 @@
 	struct loop *loop;
 	struct replica_host host;
 	struct rule_store store;
+	struct rollout_store rollouts;
+	struct rollout_run *rollout_runs; ///< One for each that runs.
+	uint64_t rollout_followed;	  ///< Revision that the runs have.
+	struct loop_timer rollout_timer;
 	struct report_table reports;
 	struct random random;
 	struct datagram_socket udp;
@@ -72,6 +83,7 @@
 	uint64_t next_context;
 	uint32_t applied_since_snapshot;
 	bool notice_deferred; ///< A version was accepted in this iteration.
+	bool rollout_notice_deferred; ///< The same, of roll-outs.
 	int64_t pull_tokens_milli;
 	int64_t pull_refill_us; ///< Time of the last refill.
 	int64_t started_us;
@@ -79,6 +91,9 @@
 	struct forward *forwards; ///< Requests being forwarded.
 };
 
+/// Target of the calls for roll-outs.
+#define ROLLOUTS_TARGET "/rollouts"
+
 /// Handles an operator's request. May call fn before it returns.
 ///
 /// @param forwarded  whether another replica forwarded the request; it is not
@@ -109,6 +124,9 @@
 /// @param arg  the source
 void publish_notify_accepted(void *arg);
 
+/// Notifies the proxies that lack changes of roll-outs.
+void publish_rollouts(struct source *source);
+
 /// Answers a pull. Sends a retry time instead if there are too many, or if the
 /// pull asks for a confirmed version and this replica is not the leader.
 void publish_handle_pull(struct source *source, struct stream *stream,
@@ -149,6 +167,27 @@
 char *verdict_render(const struct source *source, const struct rule_file *file,
     int verdict, uint32_t *status);
 
+/// Parses an order of a roll-out.
+///
+/// @return 0, or -1 with err set; its step is the name of the field
+int rollout_order_parse(const struct source *source, const char *body,
+    size_t body_bytes, struct rollout_order *out, struct error *err);
+
+/// Checks that the accepted rules have the service of an order.
+///
+/// @return 0, or -1 with err set
+int rollout_order_check_service(const struct source *source,
+    const struct rollout_order *order, struct error *err);
+
+/// Renders the replies to orders and questions. Release them with free().
+char *rollout_order_render_error(const struct error *err);
+char *rollout_order_render_verdict(const struct source *source,
+    const struct rollout_order *order, int verdict, uint32_t *status);
+
+/// @param service  "": all roll-outs
+char *rollout_order_render_show(
+    const struct source *source, const char *service, uint32_t *status);
+
 /// Renders the reply to a file that does not parse. Release it with free().
 char *verdict_render_errors(const struct rules_errors *errors);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -60,6 +60,8 @@
 	MESSAGE_RECORD = 52,
 	MESSAGE_RELEASE = 53,
 	MESSAGE_SETTLED = 54,
+	// Roll-outs of new versions.
+	MESSAGE_ROLLOUT_COUNTS = 60,
 };
 
 /// Gossip record of one member. See core/membership/member.h.
@@ -100,6 +102,42 @@
 	uint32_t status;
 };
 
+/// Record of a roll-out. See core/rollout/rollout.h.
+struct message_rollout {
+	struct bytes service;
+	struct bytes version;
+	uint32_t state;
+	uint32_t share_permille;
+	uint64_t order;
+	uint64_t revision;
+};
+
+/// Requests of a run time. See core/rollout/rollout_counts.h.
+struct message_rollout_bucket {
+	uint32_t bucket;
+	uint32_t count;
+};
+
+struct message_rollout_route {
+	uint64_t route;
+	uint32_t answers;
+	uint32_t failures;
+	struct list runs; ///< of struct message_rollout_bucket
+};
+
+/// What a backend server has answered since the order of a roll-out; sent by the
+/// proxy next to it to the leading source.
+struct message_rollout_counts {
+	struct bytes name;
+	uint64_t incarnation;
+	uint64_t server; ///< Its process.
+	struct bytes service;
+	struct bytes version;
+	uint64_t order;
+	uint32_t running;   ///< Requests that run or wait there.
+	struct list routes; ///< of struct message_rollout_route
+};
+
 /// Step of an anti-entropy exchange of membership tables; the answer has the
 /// same layout. See proxy/control/gossip_io.c.
 struct message_sync {
@@ -107,14 +145,16 @@
 	struct list members;   ///< of struct message_member
 	struct list summaries; ///< of struct message_summary
 	struct list wanted;    ///< of struct message_summary; only names count.
+	struct list rollouts;  ///< of struct message_rollout
 };
 
 /// Reports the record of a proxy, with its version in force, to a source.
 struct message_report {
 	struct message_member member;
 	uint32_t leaving;
-	uint32_t members_known; ///< Proxies that it knows to be up.
-	uint64_t sources_hash;	///< Of the sources that it knows.
+	uint32_t members_known;	   ///< Proxies that it knows to be up.
+	uint64_t sources_hash;	   ///< Of the sources that it knows.
+	uint64_t rollout_revision; ///< Highest of the roll-outs that it knows.
 };
 
 struct message_report_answer {
@@ -131,6 +171,8 @@
 	/// Of struct message_address: some proxies. Empty if the reporter knows
 	/// as many as the source.
 	struct list members;
+	/// Of struct message_rollout: the next ones that the reporter lacks.
+	struct list rollouts;
 };
 
 struct message_address {
@@ -161,7 +203,8 @@
 struct message_rules {
 	uint64_t version; ///< 0: the sender has nothing newer.
 	uint64_t hash;
-	struct bytes text; ///< Empty in the answer to a confirm query.
+	struct bytes text;    ///< Empty in the answer to a confirm query.
+	struct list rollouts; ///< of struct message_rollout; in that answer.
 };
 
 /// One step of a line delta: copies old lines, then inserts text.
@@ -439,6 +482,7 @@
 		struct message_record record;
 		struct message_release release;
 		struct message_settled settled;
+		struct message_rollout_counts rollout_counts;
 	} u;
 	struct codec_decoder decoder;
 };
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -36,6 +36,46 @@
 static const struct codec_schema gossip_schema =
     CODEC_SCHEMA(struct message_gossip, gossip_fields);
 
+static const struct codec_field rollout_fields[] = {
+    F(message_rollout, BYTES, service),
+    F(message_rollout, BYTES, version),
+    F(message_rollout, U32, state),
+    F(message_rollout, U32, share_permille),
+    F(message_rollout, COUNT, order),
+    F(message_rollout, COUNT, revision),
+};
+static const struct codec_schema rollout_schema =
+    CODEC_SCHEMA(struct message_rollout, rollout_fields);
+
+static const struct codec_field rollout_bucket_fields[] = {
+    F(message_rollout_bucket, U32, bucket),
+    F(message_rollout_bucket, U32, count),
+};
+static const struct codec_schema rollout_bucket_schema =
+    CODEC_SCHEMA(struct message_rollout_bucket, rollout_bucket_fields);
+
+static const struct codec_field rollout_route_fields[] = {
+    F(message_rollout_route, U64, route),
+    F(message_rollout_route, U32, answers),
+    F(message_rollout_route, U32, failures),
+    N(message_rollout_route, LIST, runs, &rollout_bucket_schema),
+};
+static const struct codec_schema rollout_route_schema =
+    CODEC_SCHEMA(struct message_rollout_route, rollout_route_fields);
+
+static const struct codec_field rollout_counts_fields[] = {
+    F(message_rollout_counts, BYTES, name),
+    F(message_rollout_counts, COUNT, incarnation),
+    F(message_rollout_counts, U64, server),
+    F(message_rollout_counts, BYTES, service),
+    F(message_rollout_counts, BYTES, version),
+    F(message_rollout_counts, COUNT, order),
+    F(message_rollout_counts, U32, running),
+    N(message_rollout_counts, LIST, routes, &rollout_route_schema),
+};
+static const struct codec_schema rollout_counts_schema =
+    CODEC_SCHEMA(struct message_rollout_counts, rollout_counts_fields);
+
 static const struct codec_field summary_fields[] = {
     F(message_summary, U64, name_hash),
     F(message_summary, COUNT, incarnation),
@@ -50,6 +90,7 @@
     N(message_sync, LIST, members, &message_member_schema),
     N(message_sync, LIST, summaries, &summary_schema),
     N(message_sync, LIST, wanted, &summary_schema),
+    N(message_sync, LIST, rollouts, &rollout_schema),
 };
 static const struct codec_schema sync_schema =
     CODEC_SCHEMA(struct message_sync, sync_fields);
@@ -59,6 +100,7 @@
     F(message_report, U32, leaving),
     F(message_report, U32, members_known),
     F(message_report, U64, sources_hash),
+    F(message_report, COUNT, rollout_revision),
 };
 static const struct codec_schema report_schema =
     CODEC_SCHEMA(struct message_report, report_fields);
@@ -79,6 +121,7 @@
     F(message_report_answer, BYTES, leader),
     N(message_report_answer, LIST, sources, &address_schema),
     N(message_report_answer, LIST, members, &address_schema),
+    N(message_report_answer, LIST, rollouts, &rollout_schema),
 };
 static const struct codec_schema report_answer_schema =
     CODEC_SCHEMA(struct message_report_answer, report_answer_fields);
@@ -105,6 +148,7 @@
     F(message_rules, COUNT, version),
     F(message_rules, U64, hash),
     F(message_rules, BYTES, text),
+    N(message_rules, LIST, rollouts, &rollout_schema),
 };
 static const struct codec_schema rules_schema =
     CODEC_SCHEMA(struct message_rules, rules_fields);
@@ -448,6 +492,8 @@
 		return &release_schema;
 	case MESSAGE_SETTLED:
 		return &settled_schema;
+	case MESSAGE_ROLLOUT_COUNTS:
+		return &rollout_counts_schema;
 	default:
 		return NULL;
 	}
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -362,6 +362,7 @@
 	    {"POST", "/api/instances/i-1/other", DIALECT_OTHER, "i-1"},
 	    {"POST", "/api/ready", DIALECT_OTHER, ""},
 	};
+	char service[MEMBER_NAME_BYTES];
 	char id[BACKEND_ID_BYTES];
 	size_t i;
 
@@ -373,12 +374,13 @@
 		assert_string_equal(id, calls[i].id);
 	}
 	assert_int_equal(
-	    platform()->read_operation("POST", "/api/config/replace"),
+	    platform()->read_operation("POST", "/api/config/replace", service),
 	    DIALECT_SUBMIT);
 	assert_int_equal(
-	    platform()->read_operation("GET", "/api/config/get"), DIALECT_SHOW);
-	assert_int_equal(
-	    platform()->read_operation("GET", "/rules"), DIALECT_NO_OPERATION);
+	    platform()->read_operation("GET", "/api/config/get", service),
+	    DIALECT_SHOW);
+	assert_int_equal(platform()->read_operation("GET", "/rules", service),
+	    DIALECT_NO_OPERATION);
 }
 
 static void
