feat(net): bodies leave a VM in pieces, paced to its link

Problem: an answer is queued on its stream whole, and the kernel gets it at once.

Solution: core/requests/link_schedule decides which body sends the next piece and when; io/net/bulk sends it. Pieces are of about 4 ms of the link (limits.link_mbps), and no more than 5 ms of the link is on its way; all other messages go at once. Order: begun work, worth, what can still meet its target, nearest target. A body that cannot arrive by its deadline is ended, one that nobody waits for is dropped. Without a known capacity all is as before.

--- /dev/null
+++ b/src/core/requests/link_schedule.c
@@ -0,0 +1,204 @@
+// Order of the bytes that leave this VM.
+#include <stddef.h>
+#include <string.h>
+
+#include "core/requests/link_schedule.h"
+
+/// Part of the link that is planned with. Acknowledgements, gossip and answers
+/// to callers pass beside it.
+#define USED_PERMILLE 960
+#define PERMILLE      1000
+
+/// What may be on its way to the link, in time. Enough for a late timer, and
+/// short beside the target of any request.
+#define DEPTH_US 5000
+
+/// A piece takes about this long on the link.
+#define PIECE_US	4000
+#define MIN_PIECE_BYTES 4096
+#define MAX_PIECE_BYTES 65536
+
+/// Packets of a stream: data and heads, IP included.
+#define PACKET_DATA_BYTES 1448
+#define PACKET_HEAD_BYTES 52
+
+void
+link_schedule_init(struct link_schedule *s, double link_mbps)
+{
+	memset(s, 0, sizeof(*s));
+	// Megabits a second are bits a microsecond.
+	s->bytes_per_us = link_mbps / 8 * USED_PERMILLE / PERMILLE;
+}
+
+/// Bytes of the packets that carry data.
+static int64_t
+packed_bytes(int64_t size_bytes)
+{
+	return size_bytes +
+	    (size_bytes + PACKET_DATA_BYTES - 1) / PACKET_DATA_BYTES *
+	    PACKET_HEAD_BYTES;
+}
+
+static void
+update_backlog(struct link_schedule *s, int64_t now_us)
+{
+	if (now_us <= s->updated_us)
+		return;
+	s->backlog_bytes -= s->bytes_per_us * (double)(now_us - s->updated_us);
+	if (s->backlog_bytes < 0)
+		s->backlog_bytes = 0;
+	s->updated_us = now_us;
+}
+
+void
+link_schedule_charge(
+    struct link_schedule *s, int64_t size_bytes, int64_t now_us)
+{
+	if (s->bytes_per_us <= 0)
+		return;
+	update_backlog(s, now_us);
+	s->backlog_bytes += (double)packed_bytes(size_bytes);
+}
+
+void
+link_schedule_add(struct link_schedule *s, struct link_flow *flow)
+{
+	flow->next = NULL;
+	flow->prev = s->last;
+	if (s->last != NULL)
+		s->last->next = flow;
+	else
+		s->first = flow;
+	s->last = flow;
+	s->queued_bytes += flow->queued_bytes;
+}
+
+void
+link_schedule_remove(struct link_schedule *s, struct link_flow *flow)
+{
+	if (flow->prev != NULL)
+		flow->prev->next = flow->next;
+	else
+		s->first = flow->next;
+	if (flow->next != NULL)
+		flow->next->prev = flow->prev;
+	else
+		s->last = flow->prev;
+	s->queued_bytes -= flow->queued_bytes;
+}
+
+void
+link_schedule_queue(
+    struct link_schedule *s, struct link_flow *flow, int64_t size_bytes)
+{
+	flow->queued_bytes += size_bytes;
+	if (flow->left_bytes < flow->queued_bytes)
+		flow->left_bytes = flow->queued_bytes;
+	s->queued_bytes += size_bytes;
+}
+
+void
+link_schedule_take(
+    struct link_schedule *s, struct link_flow *flow, int64_t size_bytes)
+{
+	flow->queued_bytes -= size_bytes;
+	flow->left_bytes -= size_bytes;
+	if (flow->left_bytes < flow->queued_bytes)
+		flow->left_bytes = flow->queued_bytes;
+	s->queued_bytes -= size_bytes;
+}
+
+int64_t
+link_schedule_transfer_us(const struct link_schedule *s, int64_t size_bytes)
+{
+	if (s->bytes_per_us <= 0)
+		return 0;
+	return (int64_t)((double)packed_bytes(size_bytes) / s->bytes_per_us);
+}
+
+/// Whether a flow can still meet its target if it has the link for itself.
+static bool
+meets_target(
+    const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
+{
+	return flow->target_deadline_us == 0 ||
+	    now_us + link_schedule_transfer_us(s, flow->left_bytes) <=
+	    flow->target_deadline_us;
+}
+
+/// Whether a flow goes before another. The first one added goes before its
+/// equals.
+static bool
+goes_before(const struct link_schedule *s, const struct link_flow *flow,
+    const struct link_flow *other, int64_t now_us)
+{
+	bool meets = meets_target(s, flow, now_us);
+
+	if (flow->begun != other->begun)
+		return flow->begun;
+	if (flow->worth != other->worth)
+		return flow->worth > other->worth;
+	if (meets != meets_target(s, other, now_us))
+		return meets;
+	return flow->target_deadline_us < other->target_deadline_us;
+}
+
+struct link_flow *
+link_schedule_next(struct link_schedule *s, int64_t now_us)
+{
+	struct link_flow *best = NULL;
+	struct link_flow *flow;
+
+	if (s->queued_bytes == 0 || link_schedule_wait_us(s, now_us) > 0)
+		return NULL;
+	for (flow = s->first; flow != NULL; flow = flow->next)
+		if (flow->queued_bytes > 0 && !flow->blocked &&
+		    (best == NULL || goes_before(s, flow, best, now_us)))
+			best = flow;
+	return best;
+}
+
+struct link_flow *
+link_schedule_find_late(const struct link_schedule *s, int64_t now_us)
+{
+	struct link_flow *flow;
+
+	for (flow = s->first; flow != NULL; flow = flow->next)
+		if (flow->deadline_us != 0 &&
+		    now_us + link_schedule_transfer_us(s, flow->left_bytes) >
+			flow->deadline_us)
+			return flow;
+	return NULL;
+}
+
+int64_t
+link_schedule_piece_bytes(const struct link_schedule *s)
+{
+	int64_t piece_bytes = (int64_t)(s->bytes_per_us * PIECE_US);
+
+	if (piece_bytes < MIN_PIECE_BYTES)
+		return MIN_PIECE_BYTES;
+	return piece_bytes < MAX_PIECE_BYTES ? piece_bytes : MAX_PIECE_BYTES;
+}
+
+int64_t
+link_schedule_wait_us(struct link_schedule *s, int64_t now_us)
+{
+	double over_bytes;
+
+	if (s->bytes_per_us <= 0)
+		return 0;
+	update_backlog(s, now_us);
+	over_bytes = s->backlog_bytes - s->bytes_per_us * DEPTH_US;
+	return over_bytes > 0 ? (int64_t)(over_bytes / s->bytes_per_us) + 1 : 0;
+}
+
+int64_t
+link_schedule_backlog_us(struct link_schedule *s, int64_t now_us)
+{
+	if (s->bytes_per_us <= 0)
+		return 0;
+	update_backlog(s, now_us);
+	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
+	    link_schedule_transfer_us(s, s->queued_bytes);
+}
--- /dev/null
+++ b/src/core/requests/link_schedule.h
@@ -0,0 +1,86 @@
+/// @file
+/// Order of the bytes that leave this VM. Answers the load of long bodies that
+/// fill the link of a VM: short messages go ahead of them, and the bodies share
+/// the link by what their callers still gain.
+///
+/// Bodies are sent in pieces, each only when the link has carried most of what
+/// was sent before, so that a short message waits for a few milliseconds of the
+/// link at most.
+#ifndef MV_CORE_REQUESTS_LINK_SCHEDULE_H
+#define MV_CORE_REQUESTS_LINK_SCHEDULE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// A body that leaves this VM, in part or whole.
+struct link_flow {
+	struct link_flow *next;
+	struct link_flow *prev;
+	uint32_t worth; ///< Worth of the rank of its request.
+	bool begun;	///< Its request is a call of one that a server runs.
+	bool blocked;	///< Its stream takes nothing at present.
+	int64_t target_deadline_us; ///< Later it loses worth; 0: not known.
+	int64_t deadline_us;	    ///< Later it is of no use; 0: not known.
+	int64_t queued_bytes;	    ///< Here and not sent.
+	/// Not sent, with the part that has not arrived here yet. At least
+	/// queued_bytes.
+	int64_t left_bytes;
+};
+
+struct link_schedule {
+	double bytes_per_us;	 ///< What the link carries; 0: not known.
+	double backlog_bytes;	 ///< Sent, and not carried yet.
+	int64_t updated_us;	 ///< Time of backlog_bytes.
+	int64_t queued_bytes;	 ///< Of all flows.
+	struct link_flow *first; ///< In the order in which they were added.
+	struct link_flow *last;
+};
+
+/// @param link_mbps  capacity of the link in Mbit/s; 0: not known, so that
+///                   nothing is held back
+void link_schedule_init(struct link_schedule *s, double link_mbps);
+
+/// Counts bytes that were sent, with the heads of their packets.
+void link_schedule_charge(
+    struct link_schedule *s, int64_t size_bytes, int64_t now_us);
+
+/// Adds a flow. Its fields may change while it is in the schedule; those that
+/// count bytes change by the functions below.
+void link_schedule_add(struct link_schedule *s, struct link_flow *flow);
+
+void link_schedule_remove(struct link_schedule *s, struct link_flow *flow);
+
+/// Counts bytes of a body that have arrived for sending.
+void link_schedule_queue(
+    struct link_schedule *s, struct link_flow *flow, int64_t size_bytes);
+
+/// Counts bytes of a body that were sent. They are charged apart.
+void link_schedule_take(
+    struct link_schedule *s, struct link_flow *flow, int64_t size_bytes);
+
+/// Chooses the flow that sends the next piece: begun work first, then the
+/// highest worth, then what can still meet its target, nearest target first.
+///
+/// @return NULL if nothing can be sent now
+struct link_flow *link_schedule_next(struct link_schedule *s, int64_t now_us);
+
+/// Finds a flow that cannot arrive by its deadline, even alone on the link;
+/// NULL if there is none.
+struct link_flow *link_schedule_find_late(
+    const struct link_schedule *s, int64_t now_us);
+
+/// Largest piece to send at once.
+int64_t link_schedule_piece_bytes(const struct link_schedule *s);
+
+/// Time until a piece may be sent; 0: now.
+int64_t link_schedule_wait_us(struct link_schedule *s, int64_t now_us);
+
+/// Time in which the link carries a number of bytes; 0 if its rate is not
+/// known.
+int64_t link_schedule_transfer_us(
+    const struct link_schedule *s, int64_t size_bytes);
+
+/// Time until what is queued has left this VM.
+int64_t link_schedule_backlog_us(struct link_schedule *s, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/io/net/bulk.c
@@ -0,0 +1,365 @@
+// Bodies that leave this VM over streams, paced to its link.
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+#include "io/held.h"
+#include "io/log/counters.h"
+#include "io/log/log.h"
+#include "io/net/bulk.h"
+
+/// How often bodies are looked for that cannot arrive in time.
+#define SWEEP_INTERVAL_US (50 * US_PER_MS)
+
+/// Less than this is not moved within the buffer of a body.
+#define MIN_MOVED_BYTES (32u * 1024)
+
+COUNTER_DEFINE(count_pieces, "bulk_pieces", "Pieces of bodies sent");
+COUNTER_DEFINE(count_late, "bulk_bodies_late",
+    "Bodies ended since they could not arrive by their deadline");
+COUNTER_DEFINE(
+    count_dropped, "bulk_bodies_dropped", "Bodies ended since nobody waits");
+GAUGE_DEFINE(gauge_queued, "bulk_queued_bytes",
+    "Bytes of bodies that wait for the link");
+
+struct bulk_body {
+	struct link_flow flow; ///< Must be first.
+	struct bulk_link *link;
+	struct stream *stream;
+	uint64_t id;
+	void (*on_late)(void *arg, uint64_t id); ///< May be NULL.
+	void *arg;
+	char *data; ///< Parts that were queued, sent ones at the front.
+	size_t sent_bytes;
+	size_t used_bytes;
+	size_t capacity_bytes;
+	size_t held_bytes; ///< Counted in held_bytes.
+	bool last_queued;
+	bool failed;
+};
+
+struct bulk_link {
+	struct stream_pacer pacer; ///< Must be first.
+	struct loop *loop;
+	struct link_schedule schedule;
+	struct loop_timer timer;
+	bool pump_deferred;
+};
+
+static void
+body_free(struct bulk_body *body)
+{
+	link_schedule_remove(&body->link->schedule, &body->flow);
+	counter_set(&gauge_queued, body->link->schedule.queued_bytes);
+	held_update(HELD_STREAM_OUT, &body->held_bytes, 0);
+	free(body->data);
+	free(body);
+}
+
+/// Drops what was sent from the front of the buffer of a body, once it is as
+/// much as what is left.
+static void
+drop_sent_bytes(struct bulk_body *body)
+{
+	size_t left_bytes = body->used_bytes - body->sent_bytes;
+
+	if (left_bytes == 0) {
+		body->sent_bytes = body->used_bytes = 0;
+		return;
+	}
+	if (body->sent_bytes < MIN_MOVED_BYTES || body->sent_bytes < left_bytes)
+		return;
+	memmove(body->data, body->data + body->sent_bytes, left_bytes);
+	body->sent_bytes = 0;
+	body->used_bytes = left_bytes;
+}
+
+/// Sends one piece, and frees the body after the last one.
+static void
+send_piece(struct bulk_body *body)
+{
+	struct message_body piece = {.id = body->id};
+	int64_t max_bytes = link_schedule_piece_bytes(&body->link->schedule);
+	int64_t size_bytes = body->flow.queued_bytes;
+
+	if (size_bytes > max_bytes)
+		size_bytes = max_bytes;
+	piece.data.data = body->data + body->sent_bytes;
+	piece.data.size_bytes = (uint32_t)size_bytes;
+	link_schedule_take(&body->link->schedule, &body->flow, size_bytes);
+	body->sent_bytes += (size_t)size_bytes;
+	piece.last = body->last_queued && body->flow.queued_bytes == 0;
+	piece.failed = piece.last && body->failed;
+	counter_add(&count_pieces, 1);
+	stream_send(body->stream, MESSAGE_BODY, &piece);
+	if (piece.last) {
+		body_free(body);
+		return;
+	}
+	drop_sent_bytes(body);
+	counter_set(&gauge_queued, body->link->schedule.queued_bytes);
+}
+
+static void
+log_late(const struct bulk_body *body, int64_t now_us)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_INFO, "bulk",
+	    "Ended a body that cannot arrive by its deadline.");
+	log_text(&line, "to", body->stream->peer);
+	log_number(&line, "left_bytes", body->flow.left_bytes);
+	log_ms(&line, "left_ms", body->flow.deadline_us - now_us);
+	log_number(&line, "queued_bytes", body->link->schedule.queued_bytes);
+	log_end(&line);
+}
+
+static void
+end_late_body(struct bulk_body *body, int64_t now_us)
+{
+	struct message_body end = {.id = body->id, .last = 1, .failed = 1};
+	void (*on_late)(void *arg, uint64_t id) = body->on_late;
+	void *arg = body->arg;
+
+	counter_add(&count_late, 1);
+	log_late(body, now_us);
+	stream_send(body->stream, MESSAGE_BODY, &end);
+	body_free(body);
+	if (on_late != NULL)
+		on_late(arg, end.id);
+}
+
+static void
+end_late_bodies(struct bulk_link *link, int64_t now_us)
+{
+	struct link_flow *flow;
+
+	while (
+	    (flow = link_schedule_find_late(&link->schedule, now_us)) != NULL)
+		end_late_body((struct bulk_body *)flow, now_us);
+}
+
+/// Sends pieces as long as the link and the streams take them.
+static void
+pump(struct bulk_link *link)
+{
+	int64_t now_us = loop_now_us(link->loop);
+	int64_t wait_us;
+	struct link_flow *flow;
+
+	for (flow = link->schedule.first; flow != NULL; flow = flow->next)
+		flow->blocked =
+		    !stream_is_idle(((struct bulk_body *)flow)->stream);
+	while ((flow = link_schedule_next(&link->schedule, now_us)) != NULL) {
+		struct bulk_body *body = (struct bulk_body *)flow;
+		struct stream *stream = body->stream;
+
+		send_piece(body);
+		for (flow = link->schedule.first; flow != NULL;
+		     flow = flow->next)
+			if (((struct bulk_body *)flow)->stream == stream)
+				flow->blocked = true;
+	}
+	if (link->schedule.first == NULL)
+		return;
+	wait_us = link_schedule_wait_us(&link->schedule, now_us);
+	if (wait_us == 0 || wait_us > SWEEP_INTERVAL_US)
+		wait_us = SWEEP_INTERVAL_US;
+	loop_timer_set(link->loop, &link->timer, now_us + wait_us);
+}
+
+static void
+pump_deferred(void *arg)
+{
+	struct bulk_link *link = arg;
+
+	link->pump_deferred = false;
+	pump(link);
+}
+
+static void
+wake(struct bulk_link *link)
+{
+	if (link->pump_deferred || link->schedule.first == NULL)
+		return;
+	link->pump_deferred = true;
+	loop_defer(link->loop, pump_deferred, link);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct bulk_link *link = arg;
+
+	end_late_bodies(link, loop_now_us(link->loop));
+	pump(link);
+}
+
+static void
+on_sent(struct stream_pacer *pacer, size_t size_bytes)
+{
+	struct bulk_link *link = (struct bulk_link *)pacer;
+
+	link_schedule_charge(
+	    &link->schedule, (int64_t)size_bytes, loop_now_us(link->loop));
+}
+
+static void
+on_idle(struct stream_pacer *pacer)
+{
+	wake((struct bulk_link *)pacer);
+}
+
+static void
+on_closed(struct stream_pacer *pacer, const struct stream *stream)
+{
+	struct bulk_link *link = (struct bulk_link *)pacer;
+	struct link_flow *flow = link->schedule.first;
+
+	while (flow != NULL) {
+		struct bulk_body *body = (struct bulk_body *)flow;
+
+		flow = flow->next;
+		if (body->stream == stream)
+			body_free(body);
+	}
+}
+
+static const struct stream_pacer_ops pacer_ops = {
+    .on_sent = on_sent,
+    .on_idle = on_idle,
+    .on_closed = on_closed,
+};
+
+struct bulk_link *
+bulk_link_create(struct loop *loop, double link_mbps)
+{
+	struct bulk_link *link;
+
+	if (link_mbps <= 0)
+		return NULL;
+	link = calloc(1, sizeof(*link));
+	assert(link != NULL);
+	link->pacer.ops = &pacer_ops;
+	link->loop = loop;
+	link_schedule_init(&link->schedule, link_mbps);
+	link->timer.fn = on_timer;
+	link->timer.arg = link;
+	return link;
+}
+
+void
+bulk_link_destroy(struct bulk_link *link)
+{
+	if (link == NULL)
+		return;
+	loop_timer_clear(link->loop, &link->timer);
+	while (link->schedule.first != NULL)
+		body_free((struct bulk_body *)link->schedule.first);
+	free(link);
+}
+
+void
+bulk_link_attach(struct bulk_link *link, struct stream *stream)
+{
+	if (link != NULL)
+		stream->pacer = &link->pacer;
+}
+
+struct bulk_body *
+bulk_body_open(struct bulk_link *link, struct stream *stream, uint64_t id,
+    const struct bulk_terms *terms)
+{
+	struct bulk_body *body = calloc(1, sizeof(*body));
+
+	assert(body != NULL);
+	body->link = link;
+	body->stream = stream;
+	body->id = id;
+	body->on_late = terms->on_late;
+	body->arg = terms->arg;
+	body->flow.worth = terms->worth;
+	body->flow.begun = terms->begun;
+	body->flow.target_deadline_us = terms->target_deadline_us;
+	body->flow.deadline_us = terms->deadline_us;
+	if (terms->total_bytes > 0)
+		body->flow.left_bytes = terms->total_bytes;
+	link_schedule_add(&link->schedule, &body->flow);
+	return body;
+}
+
+struct bulk_body *
+bulk_body_find(
+    const struct bulk_link *link, const struct stream *stream, uint64_t id)
+{
+	struct link_flow *flow;
+
+	for (flow = link->schedule.first; flow != NULL; flow = flow->next) {
+		struct bulk_body *body = (struct bulk_body *)flow;
+
+		if (body->stream == stream && body->id == id)
+			return body;
+	}
+	return NULL;
+}
+
+static void
+append(struct bulk_body *body, const struct bytes *data)
+{
+	size_t needed_bytes = body->used_bytes + data->size_bytes;
+
+	if (needed_bytes > body->capacity_bytes) {
+		body->capacity_bytes = needed_bytes;
+		body->data = realloc(body->data, needed_bytes);
+		assert(body->data != NULL);
+		held_update(HELD_STREAM_OUT, &body->held_bytes, needed_bytes);
+	}
+	memcpy(body->data + body->used_bytes, data->data, data->size_bytes);
+	body->used_bytes = needed_bytes;
+	link_schedule_queue(
+	    &body->link->schedule, &body->flow, data->size_bytes);
+	counter_set(&gauge_queued, body->link->schedule.queued_bytes);
+}
+
+void
+bulk_body_send(struct bulk_body *body, const struct message_body *part)
+{
+	struct bulk_link *link = body->link;
+	struct message_body end = {.id = body->id, .last = 1};
+
+	if (part->data.size_bytes > 0)
+		append(body, &part->data);
+	body->last_queued = part->last != 0;
+	body->failed = part->failed != 0;
+	if (part->last && body->flow.queued_bytes == 0) {
+		end.failed = part->failed;
+		stream_send(body->stream, MESSAGE_BODY, &end);
+		body_free(body);
+		return;
+	}
+	wake(link);
+}
+
+void
+bulk_body_drop(struct bulk_body *body)
+{
+	counter_add(&count_dropped, 1);
+	body_free(body);
+}
+
+int64_t
+bulk_link_wait_us(struct bulk_link *link)
+{
+	return link == NULL ? 0
+			    : link_schedule_backlog_us(
+				  &link->schedule, loop_now_us(link->loop));
+}
+
+int64_t
+bulk_link_transfer_us(const struct bulk_link *link, int64_t size_bytes)
+{
+	return link == NULL
+	    ? 0
+	    : link_schedule_transfer_us(&link->schedule, size_bytes);
+}
--- a/src/io/net/net.h
+++ b/src/io/net/net.h
@@ -22,6 +22,24 @@
 	void (*on_closed)(struct stream *stream, const struct error *err);
 };
 
+struct stream_pacer;
+
+/// Callbacks of a pacer, which may queue bodies of its own for its streams.
+struct stream_pacer_ops {
+	/// A frame was queued on a stream.
+	void (*on_sent)(struct stream_pacer *pacer, size_t size_bytes);
+	/// The kernel has taken all that a stream had queued.
+	void (*on_idle)(struct stream_pacer *pacer);
+	/// A stream was closed; it must not be used any more.
+	void (*on_closed)(
+	    struct stream_pacer *pacer, const struct stream *stream);
+};
+
+/// Counts the bytes of streams that share the link of this VM.
+struct stream_pacer {
+	const struct stream_pacer_ops *ops;
+};
+
 /// A TCP connection that carries framed messages in both directions.
 struct stream {
 	const struct stream_ops *ops;
@@ -45,8 +63,9 @@
 	int64_t last_received_us;
 	uint64_t sent_bytes;
 	uint64_t received_bytes;
-	struct listener *listener; ///< That accepted it; NULL if dialled.
-	struct stream *next;	   ///< In the list of the listener.
+	struct stream_pacer *pacer; ///< May be NULL. Set by its owner.
+	struct listener *listener;  ///< That accepted it; NULL if dialled.
+	struct stream *next;	    ///< In the list of the listener.
 	struct stream *prev;
 };
 
@@ -65,6 +84,9 @@
 /// Number of queued bytes that the kernel has not accepted yet.
 size_t stream_queued_bytes(const struct stream *stream);
 
+/// Whether the stream is open and the kernel has taken all that was queued.
+bool stream_is_idle(const struct stream *stream);
+
 /// Closes and frees the stream. Sends the queued bytes that the kernel accepts
 /// at once and drops the rest.
 void stream_close(struct stream *stream);
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -73,6 +73,8 @@
 		return;
 	stream->closed = true;
 	listener_remove(stream);
+	if (stream->pacer != NULL)
+		stream->pacer->ops->on_closed(stream->pacer, stream);
 	loop_watch_set(stream->loop, &stream->watch, fd, 0);
 	close(fd);
 	loop_defer(stream->loop, stream_free, stream);
@@ -161,6 +163,8 @@
 	held_update(
 	    HELD_STREAM_OUT, &stream->out_held_bytes, stream->out.alloc);
 	update_watch(stream);
+	if (stream->pacer != NULL && stream_queued_bytes(stream) == 0)
+		stream->pacer->ops->on_idle(stream->pacer);
 }
 
 static void
@@ -179,6 +183,13 @@
 	return stream->out.size - stream->out_sent_bytes;
 }
 
+bool
+stream_is_idle(const struct stream *stream)
+{
+	return !stream->closed && !stream->connecting &&
+	    stream_queued_bytes(stream) == 0;
+}
+
 /// Replaces the frame at the end of a buffer with a compressed one: the length
 /// with its top bit set, the uncompressed length and the compressed message.
 static void
@@ -226,6 +237,9 @@
 	    HELD_STREAM_OUT, &stream->out_held_bytes, stream->out.alloc);
 	volume_count(type, &stream->peer_address,
 	    stream->out.size - start + VOLUME_TCP_HEAD_BYTES);
+	if (stream->pacer != NULL)
+		stream->pacer->ops->on_sent(
+		    stream->pacer, stream->out.size - start);
 	if (stream->flush_deferred)
 		return 0;
 	stream->flush_deferred = true;
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -83,6 +83,13 @@
 struct egress_request *egress_find_request(
     struct egress *egress, const struct egress_sink *sink, uint64_t id);
 
+struct bulk_terms;
+
+/// Fills in what the order of answers on the link depends on. Does nothing
+/// without a request.
+void egress_get_terms(const struct egress *egress,
+    const struct egress_request *request, struct bulk_terms *terms);
+
 /// Tells whether the backend server runs the request with an id now.
 ///
 /// @param is_repeat  set if so: whether that run repeats an earlier one
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -31,6 +31,7 @@
 struct egress_server {
 	struct loop *loop;
 	struct egress *egress;
+	struct bulk_link *link; ///< NULL: nothing is paced.
 	struct listener listener;
 	struct egress_conn *first;
 	struct loop_timer scan_timer;
@@ -60,28 +61,104 @@
 	free(conn);
 }
 
+/// Stops the call whose answer cannot arrive in time, if it goes on.
+static void
+on_late(void *arg, uint64_t id)
+{
+	struct egress_conn *conn = arg;
+	struct egress_request *r =
+	    egress_find_request(conn->server->egress, &conn->sink, id);
+
+	if (r != NULL)
+		egress_request_cancel(r, false);
+}
+
+/// Begins to send the body of an answer in pieces.
+static struct bulk_body *
+open_body(struct egress_conn *conn, uint64_t id, int64_t total_bytes)
+{
+	struct egress *egress = conn->server->egress;
+	struct bulk_terms terms = {
+	    .total_bytes = total_bytes, .on_late = on_late, .arg = conn};
+
+	egress_get_terms(
+	    egress, egress_find_request(egress, &conn->sink, id), &terms);
+	return bulk_body_open(conn->server->link, conn->stream, id, &terms);
+}
+
+/// Whether the body of an answer is to be sent in pieces. The ingress may retry
+/// after a failed one, which it must get whole.
+static bool
+is_bulk(const struct egress_conn *conn, const struct message_response *response)
+{
+	return conn->server->link != NULL &&
+	    response->outcome == OUTCOME_ANSWERED && response->status < 500 &&
+	    response->body.size_bytes > BULK_MIN_BYTES;
+}
+
+/// Sends the head of an answer at once, and its body in pieces.
+static void
+send_in_pieces(struct egress_conn *conn, uint64_t id,
+    const struct message_response *response)
+{
+	struct message_response head = *response;
+	struct message_body part = {
+	    .id = id, .last = response->more == 0, .data = response->body};
+
+	head.more = 1;
+	if (!response->more)
+		head.total_bytes = response->body.size_bytes;
+	memset(&head.body, 0, sizeof(head.body));
+	stream_send(conn->stream, MESSAGE_RESPONSE, &head);
+	bulk_body_send(open_body(conn, id, head.total_bytes), &part);
+}
+
 static void
 sink_respond(struct egress_sink *sink, uint64_t id,
     const struct message_response *response)
 {
 	struct egress_conn *conn = conn_from_sink(sink);
 
-	(void)id;
 	if (!response->more && conn->active > 0)
 		conn->active--;
-	stream_send(conn->stream, MESSAGE_RESPONSE, response);
+	if (is_bulk(conn, response))
+		send_in_pieces(conn, id, response);
+	else
+		stream_send(conn->stream, MESSAGE_RESPONSE, response);
 }
 
 static void
 sink_body(
-    struct egress_sink *sink, uint64_t id, const struct message_body *body)
+    struct egress_sink *sink, uint64_t id, const struct message_body *part)
 {
 	struct egress_conn *conn = conn_from_sink(sink);
+	struct bulk_link *link = conn->server->link;
+	struct bulk_body *body;
 
-	(void)id;
-	if (body->last && conn->active > 0)
+	if (part->last && conn->active > 0)
 		conn->active--;
-	stream_send(conn->stream, MESSAGE_BODY, body);
+	if (link == NULL) {
+		stream_send(conn->stream, MESSAGE_BODY, part);
+		return;
+	}
+	body = bulk_body_find(link, conn->stream, id);
+	if (body == NULL)
+		body = open_body(conn, id, -1);
+	bulk_body_send(body, part);
+}
+
+/// Drops the rest of an answer that nobody waits for.
+static void
+drop_answer(struct egress_conn *conn, uint64_t id)
+{
+	struct bulk_link *link = conn->server->link;
+	struct bulk_body *body;
+
+	if (link == NULL)
+		return;
+	body = bulk_body_find(link, conn->stream, id);
+	if (body != NULL)
+		bulk_body_drop(body);
 }
 
 static void
@@ -253,6 +330,8 @@
 		if (r != NULL)
 			egress_request_cancel(
 			    r, message->u.cancel.queued_only != 0);
+		else if (!message->u.cancel.queued_only)
+			drop_answer(conn, message->u.cancel.id);
 		break;
 	case MESSAGE_FENCE:
 		on_fence(conn, &message->u.fence);
@@ -293,6 +372,7 @@
 		conn->next->prev = conn;
 	server->first = conn;
 	stream->owner = conn;
+	bulk_link_attach(server->link, stream);
 }
 
 /// Closes streams that received nothing within the timeout, which is shorter
@@ -323,14 +403,15 @@
 
 struct egress_server *
 egress_server_open(struct loop *loop, struct egress *egress,
-    const struct address *at, uint64_t incarnation, struct address *bound,
-    struct error *err)
+    struct bulk_link *link, const struct address *at, uint64_t incarnation,
+    struct address *bound, struct error *err)
 {
 	struct egress_server *server = calloc(1, sizeof(*server));
 
 	assert(server != NULL);
 	server->loop = loop;
 	server->egress = egress;
+	server->link = link;
 	server->incarnation = incarnation;
 	if (listener_open(&server->listener, loop, at, &stream_ops, server,
 		on_accept, bound, err) != 0) {
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -217,7 +217,7 @@
 }
 
 struct ingress *
-ingress_open(struct loop *loop, struct egress *egress,
+ingress_open(struct loop *loop, struct egress *egress, struct bulk_link *link,
     const struct ingress_settings *settings, struct address *bound_outer,
     struct address *bound_inner, struct error *err)
 {
@@ -236,7 +236,7 @@
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
-	ingress->links = links_create(loop, &ingress_links_ops, ingress,
+	ingress->links = links_create(loop, link, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_listener(&ingress->outer, ingress, &settings->outer, false,
 		bound_outer, err) != 0 ||
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -9,6 +9,7 @@
 #include "proxy/egress/egress.h"
 #include "proxy/view.h"
 
+struct bulk_link;
 struct ingress;
 
 struct ingress_settings {
@@ -30,11 +31,13 @@
 
 /// Opens the listeners.
 ///
+/// @param link  of this VM, on which streams count; NULL: not known
 /// @param bound_outer, bound_inner  receive the addresses in use
 /// @return the ingress, or NULL with err set
 struct ingress *ingress_open(struct loop *loop, struct egress *egress,
-    const struct ingress_settings *settings, struct address *bound_outer,
-    struct address *bound_inner, struct error *err);
+    struct bulk_link *link, const struct ingress_settings *settings,
+    struct address *bound_outer, struct address *bound_inner,
+    struct error *err);
 
 /// Applies a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
--- a/src/proxy/ingress/link.c
+++ b/src/proxy/ingress/link.c
@@ -36,6 +36,7 @@
 
 struct links {
 	struct loop *loop;
+	struct bulk_link *bulk; ///< Of this VM; NULL: not known.
 	const struct links_ops *ops;
 	void *owner;
 	struct link *first;
@@ -87,6 +88,7 @@
 		    LOG_INFO, "link", "Cannot connect to an egress", &err);
 		return -1;
 	}
+	bulk_link_attach(links->bulk, link->stream);
 	counter_add(&count_dialled, 1);
 	hello.name = bytes_from_string(links->name);
 	hello.sequence = ++links->next_sequence;
@@ -271,13 +273,15 @@
 }
 
 struct links *
-links_create(struct loop *loop, const struct links_ops *ops, void *owner,
-    const char *name, uint64_t incarnation)
+links_create(struct loop *loop, struct bulk_link *bulk,
+    const struct links_ops *ops, void *owner, const char *name,
+    uint64_t incarnation)
 {
 	struct links *links = calloc(1, sizeof(*links));
 
 	assert(links != NULL);
 	links->loop = loop;
+	links->bulk = bulk;
 	links->ops = ops;
 	links->owner = owner;
 	links->incarnation = incarnation;
--- a/src/proxy/ingress/link.h
+++ b/src/proxy/ingress/link.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 
 #include "core/membership/member.h"
-#include "io/loop.h"
+#include "io/net/bulk.h"
 #include "wire/messages.h"
 
 struct link;
@@ -41,8 +41,10 @@
 	uint64_t incarnation;
 };
 
-struct links *links_create(struct loop *loop, const struct links_ops *ops,
-    void *owner, const char *name, uint64_t incarnation);
+/// @param bulk  link of this VM, on which the streams count; NULL: not known
+struct links *links_create(struct loop *loop, struct bulk_link *bulk,
+    const struct links_ops *ops, void *owner, const char *name,
+    uint64_t incarnation);
 
 void links_destroy(struct links *links);
 
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -11,6 +11,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
+#include "io/net/bulk.h"
 #include "io/net/volume.h"
 #include "proxy/egress/egress_peer.h"
 #include "proxy/traffic.h"
@@ -24,6 +25,7 @@
 	struct loop *loop;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
+	struct bulk_link *link; ///< NULL: its capacity is not known.
 	struct egress *egress;
 	struct egress_server *server;
 	struct ingress *ingress;
@@ -285,6 +287,7 @@
 	ingress_close(traffic->ingress);
 	egress_destroy(traffic->egress);
 	once_client_destroy(traffic->once);
+	bulk_link_destroy(traffic->link);
 	loop_destroy(traffic->loop);
 	if (traffic->pool != NULL)
 		apr_pool_destroy(traffic->pool);
@@ -301,6 +304,7 @@
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
+	traffic->link = bulk_link_create(traffic->loop, settings->link_mbps);
 	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
@@ -310,12 +314,14 @@
 			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
-	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
-	    &settings->ingress, &bound->outer, &bound->inner, err);
+	traffic->ingress =
+	    ingress_open(traffic->loop, traffic->egress, traffic->link,
+		&settings->ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
-	    &settings->peer, settings->ingress.incarnation, &bound->peer, err);
+	    traffic->link, &settings->peer, settings->ingress.incarnation,
+	    &bound->peer, err);
 	if (traffic->server == NULL)
 		goto fail;
 	traffic->volume.link_mbps = settings->link_mbps;
