--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -185,8 +185,15 @@
 	for (i = 0; ingress->rules != NULL && i < ingress->rules->service_count;
 	     i++)
 		get_balancer(ingress, ingress->rules->services[i].name);
-	for (i = 0; i < ingress->balancer_count; i++)
-		balancer_begin_view(ingress->balancers[i]);
+	for (i = 0; i < view->endpoint_count; i++)
+		get_balancer(ingress, view->endpoints[i].member.service);
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct balancer *b = ingress->balancers[i];
+
+		rollout_table_get_filter(
+		    &view->rollouts, b->service, &b->rollout);
+		balancer_begin_view(b);
+	}
 	for (i = 0; i < view->endpoint_count; i++) {
 		const struct view_endpoint *e = &view->endpoints[i];
 
@@ -219,7 +226,7 @@
 }
 
 struct ingress *
-ingress_open(struct loop *loop, struct egress *egress,
+ingress_open(struct loop *loop, struct egress *egress, struct bulk_link *link,
     const struct ingress_settings *settings, struct address *bound_outer,
     struct address *bound_inner, struct error *err)
 {
@@ -239,7 +246,7 @@
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
 	ingress_quota_open(ingress);
-	ingress->links = links_create(loop, &ingress_links_ops, ingress,
+	ingress->links = links_create(loop, link, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_listener(&ingress->outer, ingress, &settings->outer, false,
 		bound_outer, err) != 0 ||
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -11,6 +11,7 @@
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
+#include "io/net/bulk.h"
 #include "io/net/volume.h"
 #include "proxy/egress/egress_peer.h"
 #include "proxy/traffic.h"
@@ -24,6 +25,7 @@
 	struct loop *loop;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
+	struct bulk_link *link; ///< NULL: its capacity is not known.
 	struct egress *egress;
 	struct egress_server *server;
 	struct ingress *ingress;
@@ -33,6 +35,9 @@
 	struct loop *leaving_loop; ///< Of the listener below; or NULL.
 	traffic_leaving_fn *leaving_fn;
 	void *leaving_arg;
+	struct loop *counts_loop; ///< Of the listener below; or NULL.
+	traffic_counts_fn *counts_fn;
+	void *counts_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -65,6 +70,7 @@
 	struct traffic *traffic = command->traffic;
 
 	ingress_set_view(traffic->ingress, command->view);
+	egress_set_rollouts(traffic->egress, &command->view->rollouts);
 	if (command->view->rules != NULL)
 		egress_set_rules(traffic->egress, command->view->rules);
 	view_free(command->view);
@@ -253,6 +259,48 @@
 	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
 }
 
+/// Counts on their way to the listener.
+struct counts_notice {
+	traffic_counts_fn *fn;
+	void *arg;
+	struct egress_counts counts;
+};
+
+static void
+deliver_counts(void *arg)
+{
+	struct counts_notice *notice = arg;
+
+	notice->fn(notice->arg, &notice->counts);
+	free(notice);
+}
+
+static void
+post_counts(struct traffic *traffic)
+{
+	struct egress_counts counts;
+	struct counts_notice *notice;
+
+	if (traffic->counts_loop == NULL ||
+	    !egress_take_counts(traffic->egress, &counts))
+		return;
+	notice = calloc(1, sizeof(*notice));
+	assert(notice != NULL);
+	notice->fn = traffic->counts_fn;
+	notice->arg = traffic->counts_arg;
+	notice->counts = counts;
+	loop_post(traffic->counts_loop, deliver_counts, notice);
+}
+
+void
+traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *fn, void *arg)
+{
+	traffic->counts_loop = loop;
+	traffic->counts_fn = fn;
+	traffic->counts_arg = arg;
+}
+
 uint32_t
 traffic_load_pct(const struct traffic *traffic)
 {
@@ -299,6 +347,7 @@
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
 	end_drain_if_idle(traffic);
+	post_counts(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
 	    loop_now_us(traffic->loop) + PUBLISH_PERIOD_US);
@@ -321,6 +370,7 @@
 	ingress_close(traffic->ingress);
 	egress_destroy(traffic->egress);
 	once_client_destroy(traffic->once);
+	bulk_link_destroy(traffic->link);
 	loop_destroy(traffic->loop);
 	if (traffic->pool != NULL)
 		apr_pool_destroy(traffic->pool);
@@ -337,6 +387,7 @@
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
+	traffic->link = bulk_link_create(traffic->loop, settings->link_mbps);
 	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
@@ -346,12 +397,14 @@
 			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
-	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
-	    &settings->ingress, &bound->outer, &bound->inner, err);
+	traffic->ingress =
+	    ingress_open(traffic->loop, traffic->egress, traffic->link,
+		&settings->ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
-	    &settings->peer, settings->ingress.incarnation, &bound->peer, err);
+	    traffic->link, &settings->peer, settings->ingress.incarnation,
+	    &bound->peer, err);
 	if (traffic->server == NULL)
 		goto fail;
 	traffic->volume.link_mbps = settings->link_mbps;
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "source/source.h"
+#include "source/rollout_run.h"
 
 #define MAX_CONNECTIONS	   256
 #define IDLE_TIMEOUT_S	   30
@@ -50,6 +50,10 @@
 	"part of its limit by which a workspace may exceed it in a window"),
     ROW("quota.slack", SETTINGS_INTEGER, quota_slack, false, 0, 1000000, "20",
 	"requests by which a workspace may exceed that in a window"),
+    ROW("rollout.exposure_share", SETTINGS_NUMBER, exposure_share, false, 0, 1,
+	"0.1",
+	"part of a service's requests during a roll-out that a bad version may "
+	"get"),
 };
 
 static void
@@ -83,7 +87,7 @@
 		&source_stream_ops, source, NULL, &source->bound_control,
 		err) != 0 ||
 	    datagram_open(&source->udp, source->loop, &source->bound_control,
-		source, publish_receive_datagram, &udp_bound, err) != 0)
+		source, rollout_run_receive_datagram, &udp_bound, err) != 0)
 		return -1;
 	source->httpd = httpd_open(source->loop, &operators, &source_httpd_ops,
 	    source, &limits, &source->bound_operators, err);
@@ -149,6 +153,7 @@
 	source.expire_timer.fn = expire_reports;
 	source.expire_timer.arg = &source;
 	expire_reports(&source);
+	rollout_run_start(&source);
 	return write_bound_addresses(&source, err);
 }
 
@@ -159,6 +164,7 @@
 	listener_close(&source.listener);
 	datagram_close(&source.udp);
 	operator_cancel_forwards(&source);
+	rollout_run_stop(&source);
 	replica_host_close(&source.host);
 	rule_store_free(&source.store);
 	quota_ledger_free(&source.quotas);
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "core/membership/report_table.h"
+#include "core/rollout/rollout_store.h"
 #include "core/rules/rule_store.h"
 #include "core/workspace/quota_ledger.h"
 #include "io/dialect.h"
@@ -29,6 +30,7 @@
 	double quota_window_s;
 	double quota_overage;
 	int64_t quota_slack;
+	double exposure_share;
 };
 
 /// Receives the reply to an operator's request.
@@ -48,17 +50,22 @@
 		PENDING_PROPOSED, ///< Waits for its entry to be applied.
 		PENDING_SHOW,
 		PENDING_CONFIRM, ///< Pull of a starting proxy: version only.
+		PENDING_ROLLOUT, ///< An order, proposed after the read.
+		PENDING_ROLLOUT_SHOW,
 	} kind;
 	uint64_t context;	///< Identifies the read.
 	uint64_t index;		///< Log index of the proposed entry.
 	uint64_t term;		///< Term in which it was proposed.
 	struct rule_file *file; ///< Submitted file, or NULL.
+	/// Of a roll-out; its service is empty if all are to be shown.
+	struct rollout_order order;
 	operator_reply_fn *fn;
 	void *arg;
 	struct stream *stream; ///< PENDING_CONFIRM; NULL once closed.
 };
 
 struct forward;
+struct rollout_run;
 
 struct source {
 	struct source_settings settings;
@@ -66,6 +73,10 @@
 	struct loop *loop;
 	struct replica_host host;
 	struct rule_store store;
+	struct rollout_store rollouts;
+	struct rollout_run *rollout_runs; ///< One for each that runs.
+	uint64_t rollout_followed;	  ///< Revision that the runs have.
+	struct loop_timer rollout_timer;
 	struct report_table reports;
 	struct quota_ledger quotas;  ///< Used while this replica leads.
 	uint64_t quota_term;	     ///< Term that was seen last.
@@ -81,6 +92,7 @@
 	uint64_t next_context;
 	uint32_t applied_since_snapshot;
 	bool notice_deferred; ///< A version was accepted in this iteration.
+	bool rollout_notice_deferred; ///< The same, of roll-outs.
 	int64_t pull_tokens_milli;
 	int64_t pull_refill_us; ///< Time of the last refill.
 	int64_t started_us;
@@ -88,6 +100,9 @@
 	struct forward *forwards; ///< Requests being forwarded.
 };
 
+/// Target of the calls for roll-outs.
+#define ROLLOUTS_TARGET "/rollouts"
+
 /// Handles an operator's request. May call fn before it returns.
 ///
 /// @param forwarded  whether another replica forwarded the request; it is not
@@ -133,6 +148,9 @@
 /// @param arg  the source
 void publish_notify_accepted(void *arg);
 
+/// Notifies the proxies that lack changes of roll-outs.
+void publish_rollouts(struct source *source);
+
 /// Answers a pull. Sends a retry time instead if there are too many, or if the
 /// pull asks for a confirmed version and this replica is not the leader.
 void publish_handle_pull(struct source *source, struct stream *stream,
@@ -173,6 +191,27 @@
 char *verdict_render(const struct source *source, const struct rule_file *file,
     int verdict, uint32_t *status);
 
+/// Parses an order of a roll-out.
+///
+/// @return 0, or -1 with err set; its step is the name of the field
+int rollout_order_parse(const struct source *source, const char *body,
+    size_t body_bytes, struct rollout_order *out, struct error *err);
+
+/// Checks that the accepted rules have the service of an order.
+///
+/// @return 0, or -1 with err set
+int rollout_order_check_service(const struct source *source,
+    const struct rollout_order *order, struct error *err);
+
+/// Renders the replies to orders and questions. Release them with free().
+char *rollout_order_render_error(const struct error *err);
+char *rollout_order_render_verdict(const struct source *source,
+    const struct rollout_order *order, int verdict, uint32_t *status);
+
+/// @param service  "": all roll-outs
+char *rollout_order_render_show(
+    const struct source *source, const char *service, uint32_t *status);
+
 /// Renders the reply to a file that does not parse. Release it with free().
 char *verdict_render_errors(const struct rules_errors *errors);
 
