--- a/src/proxy/ingress/workspace.c
+++ b/src/proxy/ingress/workspace.c
@@ -72,10 +72,11 @@
 ingress_set_workspace(struct ingress_request *r)
 {
 	const struct rule_workspace *workspace;
-	const char *key = find_key(r);
+	const char *key;
 
 	if (r->rules->workspace_count == 0)
 		return true;
+	key = find_key(r);
 	workspace = find_holder(r->rules, key);
 	r->keyed = workspace != NULL;
 	if (workspace == NULL && key == NULL && r->begun)
