fix(quotas): a proxy on a slow link asks again for tokens whose answer was lost

After answers that took seconds, an answer that was lost counted as on its way for twice as long, and nothing was asked for meanwhile; answers to asks older than the last 16 were dropped, so that the measured time never fell. Solution: an answer is overdue after 300 ms at most; the last 64 asks are known. Result: unit.test_quota.test_lost_answer_after_slow_ones fails before, passes now.

--- a/src/core/workspace/quota_share.c
+++ b/src/core/workspace/quota_share.c
@@ -20,6 +20,10 @@
 /// Time after which an answer is overdue, beside the round trips measured.
 #define ANSWER_TIMEOUT_US 80000
 
+/// Longest such time. Requests that wait need their tokens before they give up: on
+/// a link that is full they are asked for more than once.
+#define ANSWER_TIMEOUT_MAX_US 300000
+
 /// Time without an answer after which other sources are asked, beside the round
 /// trips measured: a link that is full holds answers up for longer than most.
 #define SILENCE_US 300000
@@ -424,18 +428,21 @@
 	}
 }
 
-bool
-quota_share_is_silent(const struct quota_share *share, int64_t now_us)
-{
-	return now_us - share->answered_us >
-	    SILENCE_US + 2 * share->round_trip_us;
-}
-
 /// Time after which an answer is overdue.
 static int64_t
 answer_timeout_us(const struct quota_share *share)
 {
-	return ANSWER_TIMEOUT_US + 2 * share->round_trip_us;
+	int64_t timeout_us = ANSWER_TIMEOUT_US + 2 * share->round_trip_us;
+
+	return timeout_us < ANSWER_TIMEOUT_MAX_US ? timeout_us
+						  : ANSWER_TIMEOUT_MAX_US;
+}
+
+bool
+quota_share_is_silent(const struct quota_share *share, int64_t now_us)
+{
+	return now_us - share->answered_us >
+	    SILENCE_US + answer_timeout_us(share);
 }
 
 bool
--- a/src/core/workspace/quota_share.h
+++ b/src/core/workspace/quota_share.h
@@ -12,7 +12,7 @@
 #define QUOTA_BATCHES 4
 
 /// Asks whose answers are awaited; later ones replace the oldest.
-#define QUOTA_ASKS 16
+#define QUOTA_ASKS 64
 
 /// Tokens granted by one answer.
 struct quota_batch {
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -518,6 +518,49 @@
 	rules_unref(rules);
 }
 
+/// A link that was slow for a while does not keep a proxy from asking again: an
+/// answer that is lost then delays a request, and no more.
+static void
+test_lost_answer_after_slow_ones(void **state)
+{
+	struct rules *rules = make_rules(1, 10, 10);
+	uint64_t workspace = quota_workspace_hash(WORKSPACE);
+	struct quota_grant none = {1, 0, 300000, 1000};
+	struct quota_share share = {0};
+	int64_t now_us = 100000000;
+	struct quota_ask ask;
+	uint32_t sequence;
+	int64_t retry_us;
+	uint32_t i;
+
+	(void)state;
+	quota_share_set_limits(&share, rules);
+	for (i = 0; i < 50; i++) {
+		quota_share_take(&share, workspace, false, now_us, &retry_us);
+		now_us += 100000;
+		assert_int_equal(
+		    quota_share_compose_ask(&share, &ask, 1, now_us, &sequence),
+		    1);
+		now_us += 3000000;
+		quota_share_receive_answer(&share, sequence, 7, now_us);
+		quota_share_add_grant(&share, workspace, &none, now_us, now_us);
+		quota_share_stop_waiting(&share, workspace);
+		now_us += 100000;
+	}
+	assert_int_equal(
+	    quota_share_take(&share, workspace, false, now_us, &retry_us),
+	    QUOTA_WAIT);
+	assert_int_equal(
+	    quota_share_compose_ask(&share, &ask, 1, now_us, &sequence), 1);
+	now_us += 300000;
+	assert_true(quota_share_expire_asks(&share, now_us));
+	assert_int_equal(
+	    quota_share_compose_ask(&share, &ask, 1, now_us, &sequence), 1);
+	assert_int_equal(ask.wanted, 1);
+	quota_share_free(&share);
+	rules_unref(rules);
+}
+
 /// However long nothing was asked for, no more than the depth is there; and an
 /// accountant that takes over has its reserve only.
 static void
@@ -556,6 +599,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_no_limits),
 	    cmocka_unit_test(test_tokens_end),
+	    cmocka_unit_test(test_lost_answer_after_slow_ones),
 	    cmocka_unit_test(test_bucket_is_bounded),
 	    cmocka_unit_test(test_nothing_refused_below_limit),
 	    cmocka_unit_test(test_flood_gets_its_limit),
