feat(rollouts): versions are compared in windows of the same time, and few requests suffice

Solution: evidence is weighed in windows of 0.5 s, against the old version's share of bad answers in the same window or over some seconds, whichever is higher. The first share is larger where it would bring few answers only.

--- a/src/core/rollout/rollout_judge.c
+++ b/src/core/rollout/rollout_judge.c
@@ -16,8 +16,8 @@
 
 #define MAX_SHARE 0.95
 
-/// Half-life of the old version's answers.
-#define HALF_LIFE_US 3000000.0
+/// Length of a window: the time between two counts of a proxy, and of their way.
+#define WINDOW_US 500000LL
 
 /// Share of bad answers assumed of the old version, with the weight of this many
 /// answers.
@@ -27,7 +27,7 @@
 /// Floor of the assumed share. Higher when the old version's answers are old or
 /// few: what hits both versions then shows in the new one's only.
 #define LEAST_SHARE	  0.03
-#define LEAST_STALE_SHARE 0.12
+#define LEAST_STALE_SHARE 0.2
 #define FRESH_ANSWERS	  20.0
 
 /// An answer is slow from this many doublings of the old version's median.
@@ -87,43 +87,52 @@
 }
 
 static void
-decay(struct rollout_reference *old, int64_t now_us)
+sample_add(struct rollout_sample *s, const struct rollout_route_counts *counts)
 {
-	double factor =
-	    exp2(-(double)(now_us - old->decayed_us) / HALF_LIFE_US);
 	uint32_t i;
 
-	if (now_us <= old->decayed_us)
-		return;
-	old->answers *= factor;
-	old->failures *= factor;
+	s->answers += counts->answers;
+	s->failures += counts->failures;
 	for (i = 0; i < ROLLOUT_RUN_BUCKETS; i++)
-		old->runs[i] *= factor;
-	old->decayed_us = now_us;
+		s->runs[i] += counts->runs[i];
 }
 
+/// Lets the sample decay by one window, with a half-life of six, and adds that
+/// window.
 static void
-add_old(struct rollout_reference *old, const struct rollout_route_counts *c)
+sample_decay_and_add(
+    struct rollout_sample *s, const struct rollout_sample *window)
 {
+	static const double keep = 0.8908987181403393;
 	uint32_t i;
 
-	old->answers += c->answers;
-	old->failures += c->failures;
+	s->answers = s->answers * keep + window->answers;
+	s->failures = s->failures * keep + window->failures;
 	for (i = 0; i < ROLLOUT_RUN_BUCKETS; i++)
-		old->runs[i] += c->runs[i];
+		s->runs[i] = s->runs[i] * keep + window->runs[i];
+}
+
+/// Counts the answers with a known run time, from a bucket on.
+static double
+sample_runs(const struct rollout_sample *s, uint32_t from)
+{
+	double runs = 0;
+	uint32_t i;
+
+	for (i = from; i < ROLLOUT_RUN_BUCKETS; i++)
+		runs += s->runs[i];
+	return runs;
 }
 
 /// Returns the bucket from which an answer is slow; ROLLOUT_RUN_BUCKETS if the
 /// old version's median is not known.
 static uint32_t
-slow_bucket(const struct rollout_reference *old)
+slow_bucket(const struct rollout_sample *old)
 {
-	double total = 0;
+	double total = sample_runs(old, 0);
 	double below = 0;
 	uint32_t i;
 
-	for (i = 0; i < ROLLOUT_RUN_BUCKETS; i++)
-		total += old->runs[i];
 	if (total < MEDIAN_ANSWERS)
 		return ROLLOUT_RUN_BUCKETS;
 	for (i = 0; i < ROLLOUT_RUN_BUCKETS - 1 && below * 2 < total; i++)
@@ -131,15 +140,24 @@
 	return i + SLOW_DOUBLINGS * ROLLOUT_BUCKETS_PER_DOUBLING;
 }
 
-/// Expected share of bad answers, from those of the old version.
 static double
-expected_share(const struct rollout_reference *old, double bad, double answers)
+share_with_prior(double bad, double answers)
 {
-	double share =
-	    (bad + PRIOR_SHARE * PRIOR_WEIGHT) / (answers + PRIOR_WEIGHT);
+	return (bad + PRIOR_SHARE * PRIOR_WEIGHT) / (answers + PRIOR_WEIGHT);
+}
+
+/// Expected share of bad answers: that of the old version, over some seconds or
+/// in this window alone, whichever is higher.
+static double
+expected_share(double bad, double answers, double bad_now, double answers_now)
+{
+	double share = share_with_prior(bad, answers);
+	double now = share_with_prior(bad_now, answers_now);
 	double least =
-	    old->answers < FRESH_ANSWERS ? LEAST_STALE_SHARE : LEAST_SHARE;
+	    answers < FRESH_ANSWERS ? LEAST_STALE_SHARE : LEAST_SHARE;
 
+	if (now > share)
+		share = now;
 	return share > least ? share : least;
 }
 
@@ -157,24 +175,61 @@
 		*sum = 0;
 }
 
+/// Compares the answers of the window on a route.
+static void
+compare_route(struct rollout_judge_route *r)
+{
+	const struct rollout_sample *now = &r->new_now;
+	uint32_t slow_from;
+	double slow;
+
+	sample_decay_and_add(&r->old, &r->old_now);
+	slow_from = slow_bucket(&r->old);
+	if (now->answers > 0)
+		add_evidence(&r->sums[ROLLOUT_FAULT_FAILED],
+		    expected_share(r->old.failures, r->old.answers,
+			r->old_now.failures, r->old_now.answers),
+		    now->failures, now->answers - now->failures);
+	if (slow_from < ROLLOUT_RUN_BUCKETS) {
+		slow = sample_runs(now, slow_from);
+		add_evidence(&r->sums[ROLLOUT_FAULT_SLOW],
+		    expected_share(sample_runs(&r->old, slow_from),
+			sample_runs(&r->old, 0),
+			sample_runs(&r->old_now, slow_from),
+			sample_runs(&r->old_now, 0)),
+		    slow, sample_runs(now, 0) - slow);
+	}
+	memset(&r->old_now, 0, sizeof(r->old_now));
+	memset(&r->new_now, 0, sizeof(r->new_now));
+}
+
+void
+rollout_judge_tick(struct rollout_judge *judge, int64_t now_us)
+{
+	uint32_t i;
+
+	if (now_us < judge->window_deadline_us)
+		return;
+	if (judge->window_deadline_us != 0)
+		for (i = 0; i < judge->route_count; i++)
+			compare_route(&judge->routes[i]);
+	judge->window_deadline_us = now_us + WINDOW_US;
+}
+
 static void
 add_new(struct rollout_judge *judge, struct rollout_judge_route *r,
-    struct rollout_judge_server *s, const struct rollout_route_counts *c)
+    uint64_t server, const struct rollout_route_counts *c)
 {
-	uint32_t slow_from = slow_bucket(&r->old);
+	struct rollout_judge_server *s = get_server(judge, server);
 	uint32_t bit = 1u << (r - judge->routes);
-	double old_slow = 0;
-	double old_runs = 0;
+	uint32_t slow_from = slow_bucket(&r->old);
 	uint32_t slow = 0;
-	uint32_t runs = 0;
 	uint32_t i;
 
-	for (i = 0; i < ROLLOUT_RUN_BUCKETS; i++) {
-		old_runs += r->old.runs[i];
-		old_slow += i >= slow_from ? r->old.runs[i] : 0;
-		runs += c->runs[i];
-		slow += i >= slow_from ? c->runs[i] : 0;
-	}
+	for (i = slow_from; i < ROLLOUT_RUN_BUCKETS; i++)
+		slow += c->runs[i];
+	sample_add(&r->new_now, c);
+	judge->answers += c->answers;
 	r->answers += c->answers;
 	r->bad[ROLLOUT_FAULT_FAILED] += c->failures;
 	r->bad[ROLLOUT_FAULT_SLOW] += slow;
@@ -184,13 +239,6 @@
 		s->bad[ROLLOUT_FAULT_FAILED] |= bit;
 	if (slow > 0)
 		s->bad[ROLLOUT_FAULT_SLOW] |= bit;
-	add_evidence(&r->sums[ROLLOUT_FAULT_FAILED],
-	    expected_share(&r->old, r->old.failures, r->old.answers),
-	    c->failures, c->answers - c->failures);
-	if (slow_from < ROLLOUT_RUN_BUCKETS)
-		add_evidence(&r->sums[ROLLOUT_FAULT_SLOW],
-		    expected_share(&r->old, old_slow, old_runs), slow,
-		    runs - slow);
 }
 
 void
@@ -199,18 +247,19 @@
 {
 	uint32_t i;
 
+	rollout_judge_tick(judge, now_us);
 	for (i = 0; i < counts->count; i++) {
 		const struct rollout_route_counts *c = &counts->routes[i];
 		struct rollout_judge_route *r = get_route(judge, c->route);
 
 		if (r == NULL)
 			continue;
-		decay(&r->old, now_us);
-		if (is_new) {
-			judge->answers += c->answers;
-			add_new(judge, r, get_server(judge, server), c);
-		} else
-			add_old(&r->old, c);
+		if (is_new)
+			add_new(judge, r, server, c);
+		else {
+			sample_add(&r->old_now, c);
+			judge->old_answers += c->answers;
+		}
 	}
 }
 
--- a/src/core/rollout/rollout_judge.h
+++ b/src/core/rollout/rollout_judge.h
@@ -7,7 +7,8 @@
 /// against "as often as the old one does now". It forgets good answers, so that
 /// a version that turns bad late is found as fast as one that is bad from the
 /// start. What also hits the old servers at the time, such as a burst or a
-/// service that both call, is no evidence. A few bad servers are not a bad
+/// service that both call, is no evidence: answers of both versions are compared
+/// in windows of the same time. A few bad servers are not a bad
 /// version: others of it have to fail too.
 #ifndef MV_CORE_ROLLOUT_ROLLOUT_JUDGE_H
 #define MV_CORE_ROLLOUT_ROLLOUT_JUDGE_H
@@ -23,17 +24,19 @@
 	ROLLOUT_FAULTS,
 };
 
-/// Answers of the old version, of which older ones weigh less.
-struct rollout_reference {
+/// Answers of one version.
+struct rollout_sample {
 	double answers;
 	double failures;
 	double runs[ROLLOUT_RUN_BUCKETS];
-	int64_t decayed_us; ///< Time of the last decay.
 };
 
 struct rollout_judge_route {
 	uint64_t route;
-	struct rollout_reference old;
+	struct rollout_sample old; ///< Of which older ones weigh less.
+	// Of the current window.
+	struct rollout_sample old_now;
+	struct rollout_sample new_now;
 	double sums[ROLLOUT_FAULTS]; ///< The tests.
 	uint64_t answers;	     ///< Of the new version.
 	uint64_t bad[ROLLOUT_FAULTS];
@@ -51,7 +54,9 @@
 	uint32_t route_count;
 	struct rollout_judge_server *servers;
 	uint32_t server_count;
-	uint64_t answers; ///< Of the new version.
+	uint64_t answers;	    ///< Of the new version.
+	uint64_t old_answers;	    ///< Of the old version.
+	int64_t window_deadline_us; ///< End of the current window; 0: none yet.
 };
 
 /// Evidence against a version.
@@ -77,6 +82,10 @@
 void rollout_judge_add(struct rollout_judge *judge, uint64_t server,
     bool is_new, const struct rollout_counts *counts, int64_t now_us);
 
+/// Ends the current window if it is over. Call it now and then also without new
+/// counts.
+void rollout_judge_tick(struct rollout_judge *judge, int64_t now_us);
+
 /// Tells whether the new version is bad.
 bool rollout_judge_is_bad(
     const struct rollout_judge *judge, struct rollout_finding *finding);
--- a/src/core/rollout/rollout_plan.c
+++ b/src/core/rollout/rollout_plan.c
@@ -32,9 +32,14 @@
 #define HASTE_DIVISOR 2
 #define MIN_STAGE_MS  300
 
-/// Answers of the new version in a stage, without which the next one waits for a
-/// multiple of its length.
-#define STAGE_ANSWERS	 10
+/// Answers of the new version that the first stage should bring, if its requests
+/// are few, and the largest share for that. It is well within what is allowed
+/// beyond the exposure.
+#define FIRST_ANSWERS	20
+#define MAX_FIRST_SHARE 200
+
+/// A stage is twice as long while the new version has not answered this many.
+#define FEW_ANSWERS	 10
 #define FEW_ANSWERS_WAIT 2
 
 /// No step up without counts of a new server in this time.
@@ -78,6 +83,24 @@
 	stages[4].from = ALL_AT;
 }
 
+/// Returns the first share: larger if that would bring few answers only.
+static uint32_t
+first_share(const struct rollout_plan_state *s, const struct stage *stages)
+{
+	int64_t length_ms =
+	    (s->within_ms - s->used_ms) * stages[1].from / PERMILLE;
+	int64_t share = MAX_FIRST_SHARE;
+	int64_t expected;
+
+	if (s->used_ms <= 0 || s->all_answers < FEW_ANSWERS || length_ms <= 0)
+		return stages[0].share_permille;
+	expected = s->all_answers * length_ms / s->used_ms;
+	if (expected > 0 && FIRST_ANSWERS * PERMILLE / expected < share)
+		share = FIRST_ANSWERS * PERMILLE / expected;
+	return share > stages[0].share_permille ? (uint32_t)share
+						: stages[0].share_permille;
+}
+
 static struct rollout_plan_decision
 decide(enum rollout_plan_action action, uint32_t share, const char *why)
 {
@@ -124,7 +147,7 @@
 		if (s->new_slots == 0)
 			return decide(ROLLOUT_PLAN_WAIT, 0,
 			    "no server of the version takes work");
-		return decide(ROLLOUT_PLAN_STAGE, stages[0].share_permille,
+		return decide(ROLLOUT_PLAN_STAGE, first_share(s, stages),
 		    "servers of the version take work");
 	}
 	while (now < STAGES - 1 &&
@@ -145,7 +168,7 @@
 	if (s->silent_ms > FRESH_MS)
 		return decide(
 		    ROLLOUT_PLAN_WAIT, 0, "no counts of its servers come");
-	if (s->stage_answers < STAGE_ANSWERS &&
+	if (s->answers < FEW_ANSWERS &&
 	    s->stage_ms < length_ms * FEW_ANSWERS_WAIT)
 		return decide(
 		    ROLLOUT_PLAN_WAIT, 0, "it has answered few requests");
--- a/src/core/rollout/rollout_plan.h
+++ b/src/core/rollout/rollout_plan.h
@@ -23,9 +23,10 @@
 	uint32_t exposure_permille;
 	uint32_t new_slots; ///< Of servers of the version that take work.
 	uint32_t old_slots;
-	uint32_t old_running;	///< Requests at the old servers.
-	uint64_t stage_answers; ///< Of the new version since that change.
-	int64_t silent_ms;	///< Since the last counts of a new server.
+	uint32_t old_running; ///< Requests at the old servers.
+	uint64_t answers;     ///< Of the new version.
+	int64_t all_answers;  ///< Of both versions since the order.
+	int64_t silent_ms;    ///< Since the last counts of a new server.
 };
 
 enum rollout_plan_action {
--- a/src/source/rollout_run.c
+++ b/src/source/rollout_run.c
@@ -54,7 +54,6 @@
 	int64_t changed_us;
 	int64_t
 	    proposed_deadline_us; ///< A step is pending until then; 0: none.
-	uint64_t answers_before;  ///< Of new servers, before that change.
 	bool late_logged;
 	int64_t heard_us; ///< Time of the last counts of a new one.
 	struct rollout_judge judge;
@@ -122,7 +121,6 @@
 	run->revision = r->revision;
 	run->changed_us = now_us;
 	run->proposed_deadline_us = 0;
-	run->answers_before = run->judge.answers;
 }
 
 /// Drops the runs whose roll-outs have ended.
@@ -296,7 +294,9 @@
 	    .share_permille = r->share_permille,
 	    .exposure_permille =
 		(uint32_t)(source->settings.exposure_share * ROLLOUT_PERMILLE),
-	    .stage_answers = run->judge.answers - run->answers_before,
+	    .answers = run->judge.answers,
+	    .all_answers =
+		(int64_t)(run->judge.answers + run->judge.old_answers),
 	    .silent_ms = (now_us - run->heard_us) / US_PER_MS,
 	};
 	struct rollout_plan_decision d;
@@ -331,6 +331,8 @@
 	if (!replica_is_leader(&source->host.replica))
 		return;
 	publish_rollouts(source);
+	for (run = source->rollout_runs; run != NULL; run = run->next)
+		rollout_judge_tick(&run->judge, loop_now_us(source->loop));
 	for (run = source->rollout_runs; run != NULL; run = run->next)
 		if (!is_pending(source, run) && !judge_run(source, run))
 			advance_run(source, run);
