--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -127,6 +127,7 @@
 	    control->traffic, control->loop, announce_backend_leaving, control);
 	traffic_set_counts_listener(
 	    control->traffic, control->loop, rollouts_send_counts, control);
+	distribution_post_sources(control);
 	control->lease_timer.fn = announce_lease_expired;
 	control->lease_timer.arg = control;
 	return 0;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -62,6 +62,9 @@
 	MESSAGE_SETTLED = 54,
 	// Roll-outs of new versions.
 	MESSAGE_ROLLOUT_COUNTS = 60,
+	// Quotas of workspaces, over UDP.
+	MESSAGE_QUOTA_ASK = 63,
+	MESSAGE_QUOTA_ANSWER = 64,
 };
 
 /// Gossip record of one member. See core/membership/member.h.
@@ -449,6 +452,39 @@
 	struct bytes leader;
 };
 
+/// Tokens that a proxy asks for, for one workspace.
+struct message_quota_item {
+	uint64_t workspace; ///< Hash of its name.
+	uint32_t wanted;
+	uint32_t spare;
+	uint32_t refused;
+};
+
+/// Ask of a proxy to the accountant of the quotas.
+struct message_quota_ask {
+	uint64_t sender; ///< Incarnation of the proxy; echoed.
+	uint32_t sequence;
+	struct list items; ///< of struct message_quota_item
+};
+
+/// Tokens that the accountant grants. See core/workspace/quota_ledger.h.
+struct message_quota_grant {
+	uint64_t workspace;
+	uint32_t asked;
+	uint32_t tokens;
+	int64_t life_us; ///< Since the ask was sent.
+	int64_t wait_us;
+};
+
+struct message_quota_answer {
+	uint64_t sender;
+	uint32_t sequence;
+	uint32_t refused;    ///< The answering source is not the accountant.
+	struct bytes leader; ///< "IP:port" of the one that is, or empty.
+	struct list grants;  ///< of struct message_quota_grant
+	uint64_t clock_us;   ///< Monotonic clock of the accountant.
+};
+
 /// A decoded message. Its bytes and lists are valid until message_free().
 struct message {
 	enum message_type type;
@@ -483,6 +519,8 @@
 		struct message_release release;
 		struct message_settled settled;
 		struct message_rollout_counts rollout_counts;
+		struct message_quota_ask quota_ask;
+		struct message_quota_answer quota_answer;
 	} u;
 	struct codec_decoder decoder;
 };
