--- a/src/source/main.c
+++ b/src/source/main.c
@@ -44,16 +44,16 @@
 	"pulls answered per second; excess pulls get a retry time"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
 	"200", "entries of the log between snapshots"),
+    ROW("rollout.exposure_share", SETTINGS_NUMBER, exposure_share, false, 0, 1,
+	"0.1",
+	"part of a service's requests during a roll-out that a bad version may "
+	"get"),
     ROW("quota.window_s", SETTINGS_NUMBER, quota_window_s, false, 0, 3600, "5",
 	"time over which the use of a workspace is bounded"),
     ROW("quota.overage", SETTINGS_NUMBER, quota_overage, false, 0, 10, "0.1",
 	"part of its limit by which a workspace may exceed it in a window"),
     ROW("quota.slack", SETTINGS_INTEGER, quota_slack, false, 0, 1000000, "20",
 	"requests by which a workspace may exceed that in a window"),
-    ROW("rollout.exposure_share", SETTINGS_NUMBER, exposure_share, false, 0, 1,
-	"0.1",
-	"part of a service's requests during a roll-out that a bad version may "
-	"get"),
 };
 
 static void
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -27,10 +27,10 @@
 	int64_t forget_ms;
 	int64_t pulls_per_s;
 	int64_t compact_every;
+	double exposure_share;
 	double quota_window_s;
 	double quota_overage;
 	int64_t quota_slack;
-	double exposure_share;
 };
 
 /// Receives the reply to an operator's request.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -60,11 +60,11 @@
 	MESSAGE_RECORD = 52,
 	MESSAGE_RELEASE = 53,
 	MESSAGE_SETTLED = 54,
+	// Roll-outs of new versions.
+	MESSAGE_ROLLOUT_COUNTS = 60,
 	// Quotas of workspaces, over UDP.
 	MESSAGE_QUOTA_ASK = 63,
 	MESSAGE_QUOTA_ANSWER = 64,
-	// Roll-outs of new versions.
-	MESSAGE_ROLLOUT_COUNTS = 60,
 };
 
 /// Gossip record of one member. See core/membership/member.h.
@@ -518,9 +518,9 @@
 		struct message_record record;
 		struct message_release release;
 		struct message_settled settled;
+		struct message_rollout_counts rollout_counts;
 		struct message_quota_ask quota_ask;
 		struct message_quota_answer quota_answer;
-		struct message_rollout_counts rollout_counts;
 	} u;
 	struct codec_decoder decoder;
 };
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -530,12 +530,12 @@
 		return &release_schema;
 	case MESSAGE_SETTLED:
 		return &settled_schema;
+	case MESSAGE_ROLLOUT_COUNTS:
+		return &rollout_counts_schema;
 	case MESSAGE_QUOTA_ASK:
 		return &quota_ask_schema;
 	case MESSAGE_QUOTA_ANSWER:
 		return &quota_answer_schema;
-	case MESSAGE_ROLLOUT_COUNTS:
-		return &rollout_counts_schema;
 	default:
 		return NULL;
 	}
