feat(admission): workspaces share a rank's slots in proportion to their limits

Problem: a flood of one workspace, also one within its quota, fills the queues of servers: others are refused as often as it is. Solution: core/requests/fair_queue: start-time fair queueing within a rank. Each workspace is charged the slot time it uses by its weight (its rate beside the mean); a request goes ahead of those of workspaces that used more, and its wait is estimated by its own place. Begun work, ranks, reserved shares, targets and limits decide before. Requests of no workspace are one flow in the order of arrival.

--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -143,13 +143,37 @@
 	return lowest;
 }
 
+/// Returns the item behind which a new one that is not begun belongs; NULL if it
+/// goes first. It passes none of its own workspace, and no begun one.
+///
+/// @param passed  receives the number of those that it goes ahead of
+static struct admission_item *
+find_place(const struct admission_rank *r, const struct admission_item *item,
+    uint32_t *passed)
+{
+	struct admission_item *prev = r->tail;
+
+	*passed = 0;
+	while (prev != NULL && !prev->begun &&
+	    prev->workspace != item->workspace &&
+	    prev->fair_tag_us > item->fair_tag_us) {
+		prev = prev->prev;
+		(*passed)++;
+	}
+	return prev;
+}
+
 static void
 queue_push(struct admission *a, struct admission_item *item)
 {
 	struct admission_rank *r = &a->ranks[item->rank];
+	uint32_t passed = 0;
 
 	item->queued = true;
-	item->prev = item->begun ? r->begun_tail : r->tail;
+	item->prev = item->begun ? r->begun_tail : find_place(r, item, &passed);
+	item->went_ahead = passed > 0;
+	if (item->went_ahead)
+		r->tail->overtaken = true;
 	item->next = item->prev == NULL ? r->head : item->prev->next;
 	if (item->prev != NULL)
 		item->prev->next = item;
@@ -310,12 +334,45 @@
 	return mean + (sample - mean) / EMA_DIVISOR;
 }
 
+/// Slot time that an item is charged, by the weight of its workspace.
+static int64_t
+fair_cost_us(const struct admission *a, const struct admission_item *item)
+{
+	return fair_queue_cost_us(
+	    estimate_item_service_us(&a->ranks[item->rank], item),
+	    item->weight);
+}
+
+/// Charges an accepted item to its workspace.
+static void
+charge_workspace(struct admission *a, struct admission_item *item)
+{
+	item->fair_charged_us = fair_cost_us(a, item);
+	fair_queue_charge(&a->ranks[item->rank].fair, item->workspace,
+	    item->fair_tag_us, item->fair_charged_us);
+}
+
+/// Corrects that charge to the slot time that the item used.
+static void
+settle_workspace(
+    struct admission *a, struct admission_item *item, int64_t used_us)
+{
+	int64_t cost_us = fair_queue_cost_us(used_us, item->weight);
+
+	fair_queue_correct(&a->ranks[item->rank].fair, item->workspace,
+	    cost_us - item->fair_charged_us);
+	item->fair_charged_us = cost_us;
+}
+
 static void
 start_item(struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	item->running = true;
+	if (!item->begun)
+		fair_queue_start(&r->fair, item->fair_tag_us,
+		    item->fair_charged_us, r->running + r->queued + 1);
 	item->start_us = now_us;
 	item->charged_us = r->credit_us < estimate_service_us(r)
 	    ? r->credit_us
@@ -380,10 +437,17 @@
     int64_t now_us)
 {
 	const struct admission_rank *r = &a->ranks[item->rank];
+	uint32_t passed;
+	uint32_t ahead;
 
-	if (!item->begun)
-		return admission_wait_us(a, item->rank, now_us);
-	return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
+	if (item->begun)
+		return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
+	if (a->running < a->slots && a->queued == 0)
+		return admission_limit_wait_us(a, now_us);
+	find_place(r, item, &passed);
+	ahead =
+	    fair_queue_ahead(&r->fair, item->fair_tag_us, r->queued - passed);
+	return estimate_wait_behind_us(a, r, ahead, now_us);
 }
 
 /// Longest expected wait with which an item is accepted: a part of the time that
@@ -433,11 +497,15 @@
 	r = &a->ranks[item->rank];
 	update_credits(a, now_us);
 	item->arrival_us = now_us;
+	item->fair_tag_us =
+	    fair_queue_tag(&r->fair, item->workspace, fair_cost_us(a, item));
+	item->overtaken = false;
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
 		return ADMISSION_REFUSED;
 	if (a->running < a->slots && a->queued == 0 &&
 	    admission_limit_wait_us(a, now_us) == 0) {
+		charge_workspace(a, item);
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
@@ -452,6 +520,7 @@
 	}
 	if (r->queued == 0)
 		r->last_start_us = now_us;
+	charge_workspace(a, item);
 	queue_push(a, item);
 	return ADMISSION_QUEUED;
 }
@@ -480,6 +549,7 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	release_slot(a, item, now_us);
+	settle_workspace(a, item, now_us - item->start_us);
 	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	r->service_us = update_ema(r->service_us, now_us - item->start_us + 1);
 }
@@ -489,6 +559,7 @@
     struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	release_slot(a, item, now_us);
+	settle_workspace(a, item, 0);
 	flow_cancel(&a->slot_time, now_us);
 }
 
@@ -496,6 +567,7 @@
 admission_cancel(struct admission *a, struct admission_item *item)
 {
 	queue_remove(a, item);
+	settle_workspace(a, item, 0);
 }
 
 /// Finds a head of a queue that can no longer meet its deadline. The limit is
@@ -541,6 +613,29 @@
 	return NULL;
 }
 
+/// Finds the last item of a queue if requests of other workspaces went ahead of it,
+/// so that it cannot be served any more: it is refused at once.
+static struct admission_item *
+find_overtaken(const struct admission *a, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++) {
+		const struct admission_rank *r = &a->ranks[i];
+		struct admission_item *item = r->tail;
+		int64_t wait_us;
+
+		if (item == NULL || !item->overtaken)
+			continue;
+		wait_us = estimate_wait_behind_us(a, r, r->queued - 1, now_us);
+		if (now_us + scale_by_pace(a, wait_us, now_us) +
+			estimate_item_service_us(r, item) >
+		    item->deadline_us)
+			return item;
+	}
+	return NULL;
+}
+
 struct admission_item *
 admission_next(
     struct admission *a, int64_t now_us, enum admission_verdict *verdict)
@@ -555,9 +650,12 @@
 	item = find_unmeetable(a, now_us);
 	if (item == NULL)
 		item = find_beyond_limit(a, now_us);
+	if (item == NULL)
+		item = find_overtaken(a, now_us);
 	if (item != NULL) {
 		*verdict = ADMISSION_REFUSED;
 		queue_remove(a, item);
+		settle_workspace(a, item, 0);
 		return item;
 	}
 	if (a->running >= a->slots || admission_limit_wait_us(a, now_us) > 0)
@@ -571,6 +669,7 @@
 	r->interval_us =
 	    update_ema(r->interval_us, now_us - r->last_start_us + 1);
 	r->last_start_us = now_us;
+	fair_queue_note_turn(&r->fair, item->went_ahead);
 	start_item(a, item, now_us);
 	*verdict = ADMISSION_RUN;
 	return item;
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 
 #include "core/rate_limit.h"
+#include "core/requests/fair_queue.h"
 #include "core/requests/flow.h"
 #include "core/requests/pace.h"
 #include "core/rules/rules.h"
@@ -46,6 +47,12 @@
 	/// A call of a request that a backend server has begun: refusing it
 	/// wastes that work as well.
 	bool begun;
+	uint64_t workspace;	 ///< Hash of its name; 0: none.
+	uint32_t weight;	 ///< Of its workspace; see fair_queue.h.
+	int64_t fair_tag_us;	 ///< Its place among the workspaces.
+	int64_t fair_charged_us; ///< Charged to its workspace.
+	bool went_ahead; ///< Of requests of other workspaces, when it arrived.
+	bool overtaken;	 ///< A request of another workspace went ahead of it.
 	int64_t arrival_us;
 	int64_t start_us;
 	int64_t charged_us;	  ///< Slot time charged to the credit at start.
@@ -60,7 +67,9 @@
 	uint32_t worth;
 	uint32_t keep_pct;
 	int64_t target_us;
-	struct admission_item *head; ///< Begun items first, else by arrival.
+	/// Begun items first by arrival, then the others in the order of
+	/// fair_queue.h, those of one workspace by arrival.
+	struct admission_item *head;
 	struct admission_item *tail;
 	struct admission_item *begun_tail; ///< Last begun item, or NULL.
 	uint32_t queued;
@@ -74,6 +83,7 @@
 	int64_t interval_us;
 	int64_t last_start_us;
 	bool configured;
+	struct fair_queue fair;
 };
 
 /// Order in which free slots are assigned.
--- a/src/core/rules/rules_workspace.c
+++ b/src/core/rules/rules_workspace.c
@@ -215,6 +215,21 @@
 	}
 }
 
+/// Returns the mean rate of the limited workspaces.
+static uint64_t
+mean_rate_milli(const struct rules *r)
+{
+	uint64_t sum_milli = 0;
+	uint32_t limited = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->workspace_count; i++) {
+		sum_milli += r->workspaces[i].rate_milli;
+		limited += r->workspaces[i].rate_milli > 0;
+	}
+	return limited == 0 ? 0 : sum_milli / limited;
+}
+
 void
 parser_resolve_workspaces(struct parser *p)
 {
@@ -236,6 +251,7 @@
 			w->rank = (uint32_t)parser_find_or_add_numbered_rank(
 			    p, w->rank_number, target_us, w->owner, w->line);
 	}
+	r->rate_mean_milli = mean_rate_milli(r);
 	r->keys = key_table_create(key_count);
 	for (i = 0; i < r->workspace_count; i++)
 		add_keys(p, i);
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -8,6 +8,23 @@
 
 #define PERMILLE 1000
 
+/// Sets the workspace whose share of the slots the request uses.
+static void
+set_workspace(struct egress_request *r)
+{
+	const struct bytes *name = &r->message->workspace;
+	const struct rules *rules = r->egress->rules;
+	int at;
+
+	if (name->size_bytes == 0)
+		return;
+	r->item.workspace = rule_file_hash(name->data, name->size_bytes);
+	at = rules_find_workspace(rules, name->data, name->size_bytes);
+	r->item.weight = fair_queue_weight(
+	    at < 0 ? 0 : rules->workspaces[at].rate_milli,
+	    rules->rate_mean_milli);
+}
+
 struct egress_request *
 egress_request_create(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
@@ -30,6 +47,7 @@
 	r->item.rank = admission_find_rank(&egress->admission, rank);
 	r->item.size_bytes = message->body.size_bytes;
 	r->item.begun = message->begun != 0;
+	set_workspace(r);
 	r->item.service_us = egress_get_service_us(egress) *
 	    (int64_t)message->service_permille / PERMILLE;
 	r->item.deadline_us =
