--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -3,11 +3,11 @@
 #include <string.h>
 
 #include "core/requests/admission.h"
+#include "core/requests/admission_queue.h"
 
 #define EMA_DIVISOR	     16
 #define IDLE_CREDIT_REQUESTS 2
 #define CREDIT_MAX_US	     2000000LL
-#define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
 #define PERMILLE	     1000
 
@@ -143,93 +143,6 @@
 	return lowest;
 }
 
-/// Returns the item behind which a new one that is not begun belongs; NULL if it
-/// goes first. It passes none of its own workspace, and no begun one.
-///
-/// @param passed  receives the number of those that it goes ahead of
-static struct admission_item *
-find_place(const struct admission_rank *r, const struct admission_item *item,
-    uint32_t *passed)
-{
-	struct admission_item *prev = r->tail;
-
-	*passed = 0;
-	while (prev != NULL && !prev->begun &&
-	    prev->workspace != item->workspace &&
-	    prev->fair_tag_us > item->fair_tag_us) {
-		prev = prev->prev;
-		(*passed)++;
-	}
-	return prev;
-}
-
-static void
-queue_push(struct admission *a, struct admission_item *item)
-{
-	struct admission_rank *r = &a->ranks[item->rank];
-	uint32_t passed = 0;
-
-	item->queued = true;
-	item->prev = item->begun ? r->begun_tail : find_place(r, item, &passed);
-	item->went_ahead = passed > 0;
-	if (item->went_ahead)
-		r->tail->overtaken = true;
-	item->next = item->prev == NULL ? r->head : item->prev->next;
-	if (item->prev != NULL)
-		item->prev->next = item;
-	else
-		r->head = item;
-	if (item->next != NULL)
-		item->next->prev = item;
-	else
-		r->tail = item;
-	if (item->begun)
-		r->begun_tail = item;
-	r->begun_queued += item->begun;
-	r->queued++;
-	r->queued_bytes += item->size_bytes;
-	a->queued++;
-	a->queued_bytes += item->size_bytes;
-}
-
-static void
-queue_remove(struct admission *a, struct admission_item *item)
-{
-	struct admission_rank *r = &a->ranks[item->rank];
-
-	assert(item->queued);
-	if (r->begun_tail == item)
-		r->begun_tail = item->prev;
-	r->begun_queued -= item->begun;
-	if (item->prev != NULL)
-		item->prev->next = item->next;
-	else
-		r->head = item->next;
-	if (item->next != NULL)
-		item->next->prev = item->prev;
-	else
-		r->tail = item->prev;
-	item->next = item->prev = NULL;
-	item->queued = false;
-	r->queued--;
-	r->queued_bytes -= item->size_bytes;
-	a->queued--;
-	a->queued_bytes -= item->size_bytes;
-}
-
-static int64_t
-estimate_service_us(const struct admission_rank *r)
-{
-	return r->service_us > 0 ? r->service_us : DEFAULT_SERVICE_US;
-}
-
-static int64_t
-estimate_item_service_us(
-    const struct admission_rank *r, const struct admission_item *item)
-{
-	return item->service_us > 0 ? item->service_us : estimate_service_us(r);
-}
-
 /// Adds to a credit within its limits. Slot time used beyond the share is not
 /// a debt. While a rank has no queue, it saves up two requests' worth at most.
 static void
@@ -237,7 +150,7 @@
 {
 	int64_t max_us = r->queued > 0
 	    ? CREDIT_MAX_US
-	    : IDLE_CREDIT_REQUESTS * estimate_service_us(r);
+	    : IDLE_CREDIT_REQUESTS * admission_rank_service_us(r);
 
 	r->credit_us += time_us;
 	if (r->credit_us < 0)
@@ -289,7 +202,7 @@
 
 		if (r->begun_queued > 0 &&
 		    a->begun_credit_us >=
-			estimate_item_service_us(r, r->head) &&
+			admission_item_service_us(r, r->head) &&
 		    (best < 0 || r->worth > a->ranks[best].worth))
 			best = (int)i;
 	}
@@ -308,7 +221,7 @@
 		return best;
 	for (i = 0; i < a->rank_count; i++) {
 		const struct admission_rank *r = &a->ranks[i];
-		bool below_share = r->credit_us >= estimate_service_us(r);
+		bool below_share = r->credit_us >= admission_rank_service_us(r);
 
 		if (r->queued == 0 || (best_below_share && !below_share))
 			continue;
@@ -334,36 +247,6 @@
 	return mean + (sample - mean) / EMA_DIVISOR;
 }
 
-/// Slot time that an item is charged, by the weight of its workspace.
-static int64_t
-fair_cost_us(const struct admission *a, const struct admission_item *item)
-{
-	return fair_queue_cost_us(
-	    estimate_item_service_us(&a->ranks[item->rank], item),
-	    item->weight);
-}
-
-/// Charges an accepted item to its workspace.
-static void
-charge_workspace(struct admission *a, struct admission_item *item)
-{
-	item->fair_charged_us = fair_cost_us(a, item);
-	fair_queue_charge(&a->ranks[item->rank].fair, item->workspace,
-	    item->fair_tag_us, item->fair_charged_us);
-}
-
-/// Corrects that charge to the slot time that the item used.
-static void
-settle_workspace(
-    struct admission *a, struct admission_item *item, int64_t used_us)
-{
-	int64_t cost_us = fair_queue_cost_us(used_us, item->weight);
-
-	fair_queue_correct(&a->ranks[item->rank].fair, item->workspace,
-	    cost_us - item->fair_charged_us);
-	item->fair_charged_us = cost_us;
-}
-
 static void
 start_item(struct admission *a, struct admission_item *item, int64_t now_us)
 {
@@ -374,12 +257,12 @@
 		fair_queue_start(&r->fair, item->fair_tag_us,
 		    item->fair_charged_us, r->running + r->queued + 1);
 	item->start_us = now_us;
-	item->charged_us = r->credit_us < estimate_service_us(r)
+	item->charged_us = r->credit_us < admission_rank_service_us(r)
 	    ? r->credit_us
-	    : estimate_service_us(r);
+	    : admission_rank_service_us(r);
 	add_credit(r, -item->charged_us);
 	if (item->begun) {
-		item->begun_charged_us = estimate_item_service_us(r, item);
+		item->begun_charged_us = admission_item_service_us(r, item);
 		if (item->begun_charged_us > a->begun_credit_us)
 			item->begun_charged_us = a->begun_credit_us;
 		add_begun_credit(a, -item->begun_charged_us);
@@ -397,7 +280,7 @@
 {
 	int64_t interval_us = r->interval_us > 0
 	    ? r->interval_us
-	    : estimate_service_us(r) / a->slots;
+	    : admission_rank_service_us(r) / a->slots;
 
 	return interval_us > a->start_cost_us ? interval_us : a->start_cost_us;
 }
@@ -444,7 +327,7 @@
 		return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
 	if (a->running < a->slots && a->queued == 0)
 		return admission_limit_wait_us(a, now_us);
-	find_place(r, item, &passed);
+	admission_queue_find_place(r, item, &passed);
 	ahead =
 	    fair_queue_ahead(&r->fair, item->fair_tag_us, r->queued - passed);
 	return estimate_wait_behind_us(a, r, ahead, now_us);
@@ -461,7 +344,7 @@
 	const struct admission_rank *r = &a->ranks[item->rank];
 	int64_t service_us = item->service_us > 0
 	    ? item->service_us
-	    : scale_by_pace(a, estimate_service_us(r), now_us);
+	    : scale_by_pace(a, admission_rank_service_us(r), now_us);
 	int64_t left_us = item->deadline_us - now_us - service_us;
 	int64_t target_left_us;
 
@@ -497,15 +380,15 @@
 	r = &a->ranks[item->rank];
 	update_credits(a, now_us);
 	item->arrival_us = now_us;
-	item->fair_tag_us =
-	    fair_queue_tag(&r->fair, item->workspace, fair_cost_us(a, item));
+	item->fair_tag_us = fair_queue_tag(
+	    &r->fair, item->workspace, admission_fair_cost_us(a, item));
 	item->overtaken = false;
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
 		return ADMISSION_REFUSED;
 	if (a->running < a->slots && a->queued == 0 &&
 	    admission_limit_wait_us(a, now_us) == 0) {
-		charge_workspace(a, item);
+		admission_charge_workspace(a, item);
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
@@ -520,8 +403,8 @@
 	}
 	if (r->queued == 0)
 		r->last_start_us = now_us;
-	charge_workspace(a, item);
-	queue_push(a, item);
+	admission_charge_workspace(a, item);
+	admission_queue_push(a, item);
 	return ADMISSION_QUEUED;
 }
 
@@ -549,7 +432,7 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	release_slot(a, item, now_us);
-	settle_workspace(a, item, now_us - item->start_us);
+	admission_settle_workspace(a, item, now_us - item->start_us);
 	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	r->service_us = update_ema(r->service_us, now_us - item->start_us + 1);
 }
@@ -559,15 +442,15 @@
     struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	release_slot(a, item, now_us);
-	settle_workspace(a, item, 0);
+	admission_settle_workspace(a, item, 0);
 	flow_cancel(&a->slot_time, now_us);
 }
 
 void
 admission_cancel(struct admission *a, struct admission_item *item)
 {
-	queue_remove(a, item);
-	settle_workspace(a, item, 0);
+	admission_queue_remove(a, item);
+	admission_settle_workspace(a, item, 0);
 }
 
 /// Finds a head of a queue that can no longer meet its deadline. The limit is
@@ -629,7 +512,7 @@
 			continue;
 		wait_us = estimate_wait_behind_us(a, r, r->queued - 1, now_us);
 		if (now_us + scale_by_pace(a, wait_us, now_us) +
-			estimate_item_service_us(r, item) >
+			admission_item_service_us(r, item) >
 		    item->deadline_us)
 			return item;
 	}
@@ -654,8 +537,8 @@
 		item = find_overtaken(a, now_us);
 	if (item != NULL) {
 		*verdict = ADMISSION_REFUSED;
-		queue_remove(a, item);
-		settle_workspace(a, item, 0);
+		admission_queue_remove(a, item);
+		admission_settle_workspace(a, item, 0);
 		return item;
 	}
 	if (a->running >= a->slots || admission_limit_wait_us(a, now_us) > 0)
@@ -665,7 +548,7 @@
 		return NULL;
 	r = &a->ranks[rank];
 	item = r->head;
-	queue_remove(a, item);
+	admission_queue_remove(a, item);
 	r->interval_us =
 	    update_ema(r->interval_us, now_us - r->last_start_us + 1);
 	r->last_start_us = now_us;
--- a/src/core/requests/fair_queue.c
+++ b/src/core/requests/fair_queue.c
@@ -3,9 +3,9 @@
 
 #include "core/requests/fair_queue.h"
 
-/// Bounds of a weight: shares beyond a hundred to one are of no use to anybody.
-#define WEIGHT_MIN (FAIR_QUEUE_WEIGHT / 100)
-#define WEIGHT_MAX (FAIR_QUEUE_WEIGHT * 100)
+/// Bounds of a weight: a hundredth and a hundred times that of the mean.
+#define WEIGHT_MIN 10
+#define WEIGHT_MAX 100000
 
 /// Requests that a workspace may send at once without falling behind others.
 #define CREDIT_REQUESTS 4
--- a/src/core/rules/rules.h
+++ b/src/core/rules/rules.h
@@ -144,7 +144,8 @@
 	uint32_t route_count;
 	struct rule_workspace *workspaces; ///< Sorted by name.
 	uint32_t workspace_count;
-	uint64_t rate_mean_milli; ///< Of the limited workspaces; 0: there is none.
+	uint64_t
+	    rate_mean_milli; ///< Of the limited workspaces; 0: there is none.
 	struct key_table *keys;	  ///< Of the workspaces; NULL without any.
 	struct text_pool texts;	  ///< Of the routes and workspaces.
 	uint32_t match_count;	  ///< Number of match rules in routes.
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -20,9 +20,9 @@
 		return;
 	r->item.workspace = rule_file_hash(name->data, name->size_bytes);
 	at = rules_find_workspace(rules, name->data, name->size_bytes);
-	r->item.weight = fair_queue_weight(
-	    at < 0 ? 0 : rules->workspaces[at].rate_milli,
-	    rules->rate_mean_milli);
+	r->item.weight =
+	    fair_queue_weight(at < 0 ? 0 : rules->workspaces[at].rate_milli,
+		rules->rate_mean_milli);
 }
 
 struct egress_request *
--- a/test/unit/test_fair_queue.c
+++ b/test/unit/test_fair_queue.c
@@ -280,6 +280,48 @@
 	}
 }
 
+/// A request of a workspace that used more than its share has its turn also while
+/// new workspaces, each with its credit, come without end.
+static void
+test_none_waits_for_ever(void **state)
+{
+	static const struct rule_rank rank = {
+	    .name = ".0", .worth = 1, .target_us = TARGET_US};
+	struct admission_item *items = calloc(2000, sizeof(*items));
+	struct admission_item *running = &items[0];
+	enum admission_verdict verdict;
+	struct admission a;
+	int64_t now_us = 1000000;
+	int64_t retry_us;
+	uint32_t i;
+
+	(void)state;
+	assert_non_null(items);
+	admission_init(&a, &admission_reserved_shares, 2000, 1 << 20);
+	admission_configure(&a, 1, &rank, 1);
+	for (i = 0; i < 2000; i++) {
+		// The first ten are of one workspace, the others of a new one each.
+		items[i].workspace = i < 10 ? 1 : 100 + i;
+		items[i].service_us = SERVICE_US;
+		items[i].deadline_us = INT64_MAX / 2;
+		items[i].target_deadline_us = INT64_MAX / 2;
+	}
+	for (i = 0; i < 16; i++)
+		admission_offer(&a, &items[i], now_us, &retry_us);
+	for (i = 16; i < 2000 && !items[9].running; i++) {
+		now_us += SERVICE_US;
+		admission_finish(&a, running, now_us);
+		running = admission_next(&a, now_us, &verdict);
+		assert_non_null(running);
+		assert_int_equal(
+		    admission_offer(&a, &items[i], now_us, &retry_us),
+		    ADMISSION_QUEUED);
+	}
+	print_message("its tenth request started after %u others\n", i - 10);
+	assert_true(i < 500);
+	free(items);
+}
+
 int
 main(void)
 {
@@ -287,6 +329,7 @@
 	    cmocka_unit_test(test_one_workspace_keeps_its_order),
 	    cmocka_unit_test(test_flood_costs_others_nothing),
 	    cmocka_unit_test(test_weights),
+	    cmocka_unit_test(test_none_waits_for_ever),
 	};
 
 	return cmocka_run_group_tests_name("fair_queue", tests, NULL, NULL);
