fix(admission): turns change only for workspaces above their share

Solution: a request goes ahead only of those whose workspace is over its share by two requests or more; the rest keeps the order of arrival. The virtual time follows the least tag that is queued.

--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -254,7 +254,8 @@
 
 	item->running = true;
 	if (!item->begun)
-		fair_queue_start(&r->fair, item->fair_tag_us,
+		fair_queue_start(&r->fair,
+		    admission_queue_least_tag_us(r, item),
 		    item->fair_charged_us, r->running + r->queued + 1);
 	item->start_us = now_us;
 	item->charged_us = r->credit_us < admission_rank_service_us(r)
@@ -328,8 +329,9 @@
 	if (a->running < a->slots && a->queued == 0)
 		return admission_limit_wait_us(a, now_us);
 	admission_queue_find_place(r, item, &passed);
-	ahead =
-	    fair_queue_ahead(&r->fair, item->fair_tag_us, r->queued - passed);
+	ahead = r->queued - passed;
+	if (item->over_share)
+		ahead = fair_queue_ahead(&r->fair, item->fair_tag_us, ahead);
 	return estimate_wait_behind_us(a, r, ahead, now_us);
 }
 
@@ -382,6 +384,8 @@
 	item->arrival_us = now_us;
 	item->fair_tag_us = fair_queue_tag(
 	    &r->fair, item->workspace, admission_fair_cost_us(a, item));
+	item->over_share = fair_queue_is_over_share(
+	    &r->fair, item->fair_tag_us, admission_fair_cost_us(a, item));
 	item->overtaken = false;
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -51,6 +51,7 @@
 	uint32_t weight;	 ///< Of its workspace; see fair_queue.h.
 	int64_t fair_tag_us;	 ///< Its place among the workspaces.
 	int64_t fair_charged_us; ///< Charged to its workspace.
+	bool over_share;	 ///< Its workspace used more than its share.
 	bool went_ahead; ///< Of requests of other workspaces, when it arrived.
 	bool overtaken;	 ///< A request of another workspace went ahead of it.
 	int64_t arrival_us;
--- a/src/core/requests/admission_queue.c
+++ b/src/core/requests/admission_queue.c
@@ -27,7 +27,7 @@
 	struct admission_item *prev = r->tail;
 
 	*passed = 0;
-	while (prev != NULL && !prev->begun &&
+	while (prev != NULL && !prev->begun && prev->over_share &&
 	    prev->workspace != item->workspace &&
 	    prev->fair_tag_us > item->fair_tag_us) {
 		prev = prev->prev;
@@ -36,6 +36,22 @@
 	return prev;
 }
 
+int64_t
+admission_queue_least_tag_us(
+    const struct admission_rank *r, const struct admission_item *item)
+{
+	int64_t least_us = item->fair_tag_us;
+	const struct admission_item *i;
+
+	// Those of one workspace only: the first has the least tag.
+	if (item->workspace == 0)
+		return least_us;
+	for (i = r->head; i != NULL; i = i->next)
+		if (!i->begun && i->fair_tag_us < least_us)
+			least_us = i->fair_tag_us;
+	return least_us;
+}
+
 void
 admission_queue_push(struct admission *a, struct admission_item *item)
 {
--- a/src/core/requests/admission_queue.h
+++ b/src/core/requests/admission_queue.h
@@ -20,6 +20,11 @@
     const struct admission_rank *r, const struct admission_item *item,
     uint32_t *passed);
 
+/// Returns the least tag of an item that starts and of those that are queued: the
+/// time that has passed for all of them.
+int64_t admission_queue_least_tag_us(
+    const struct admission_rank *r, const struct admission_item *item);
+
 void admission_queue_push(struct admission *a, struct admission_item *item);
 
 void admission_queue_remove(struct admission *a, struct admission_item *item);
--- a/src/core/requests/fair_queue.c
+++ b/src/core/requests/fair_queue.c
@@ -10,6 +10,10 @@
 /// Requests that a workspace may send at once without falling behind others.
 #define CREDIT_REQUESTS 4
 
+/// Requests beyond its share from which on a workspace counts as above it: callers
+/// do not come evenly.
+#define OVER_SHARE_REQUESTS 2
+
 /// Starts over which averages are taken.
 #define TURN_SAMPLES 32
 
@@ -56,6 +60,13 @@
 	    (weight == 0 ? FAIR_QUEUE_WEIGHT : weight);
 }
 
+bool
+fair_queue_is_over_share(
+    const struct fair_queue *queue, int64_t tag_us, int64_t cost_us)
+{
+	return tag_us > queue->virtual_us + OVER_SHARE_REQUESTS * cost_us;
+}
+
 int64_t
 fair_queue_tag(
     const struct fair_queue *queue, uint64_t workspace, int64_t cost_us)
@@ -111,9 +122,6 @@
 	    queued_ahead / (others < OTHERS_MIN ? OTHERS_MIN : others);
 	double until_turn;
 
-	// One whose workspace has used less than its share is not overtaken.
-	if (tag_us <= queue->virtual_us)
-		return queued_ahead;
 	// Others may go ahead until the virtual time reaches the tag.
 	until_turn = queued_ahead +
 	    (double)(tag_us - queue->virtual_us) /
--- a/src/core/requests/fair_queue.h
+++ b/src/core/requests/fair_queue.h
@@ -3,8 +3,8 @@
 /// proportion to its weight, whatever the others send (start-time fair queueing).
 ///
 /// A request gets a tag when it arrives: the virtual time, or the end of what its
-/// workspace has been charged, whichever is later. Requests start in the order of
-/// their tags, and the virtual time follows the tags of those that start. A
+/// workspace has been charged, whichever is later. Requests of workspaces that use more than their share start
+/// after the others, in the order of their tags, and the virtual time follows the tags of those that start. A
 /// workspace that sends little thus goes ahead of one that floods; what it did not
 /// use earlier is a credit of four requests at most.
 #ifndef MV_CORE_REQUESTS_FAIR_QUEUE_H
@@ -45,6 +45,12 @@
 int64_t fair_queue_tag(
     const struct fair_queue *queue, uint64_t workspace, int64_t cost_us);
 
+/// Whether the workspace of a request with a tag uses more than its share. Others go
+/// ahead of such requests only: the rest keeps the order of arrival, since each turn
+/// that is changed makes somebody late.
+bool fair_queue_is_over_share(
+    const struct fair_queue *queue, int64_t tag_us, int64_t cost_us);
+
 /// Charges a workspace for a request with a tag.
 void fair_queue_charge(struct fair_queue *queue, uint64_t workspace,
     int64_t tag_us, int64_t cost_us);
@@ -70,8 +76,9 @@
 /// @param went_ahead  whether it went ahead of others when it arrived
 void fair_queue_note_turn(struct fair_queue *queue, bool went_ahead);
 
-/// Estimates how many requests start before one with a tag: those that are queued
-/// ahead of it, and those of others that will yet go ahead of it.
+/// Estimates how many requests start before one whose workspace uses more than its
+/// share: those that are queued ahead of it, and those of others that will yet go
+/// ahead of it.
 uint32_t fair_queue_ahead(
     const struct fair_queue *queue, int64_t tag_us, uint32_t queued_ahead);
 
