feat(ctl): mvctl rollout start and status; versions of servers in the status

Problem: operators could order roll-outs through the platform's calls only, and a step to a large share was made on the eve of a verdict (trial of a version that fails under load: 600 to 1000 of 1,000 0.2 s before the roll-back).

Solution: mvctl rollout; the status counts servers by version. The fake backend server announces a version.

--- a/src/core/rollout/rollout_judge.c
+++ b/src/core/rollout/rollout_judge.c
@@ -7,8 +7,11 @@
 #include "core/rollout/rollout_judge.h"
 
 /// Log of the odds at which a version counts as bad. By Page, a good version of
-/// a steady service reaches it once in about e^14, a million answers.
-#define EVIDENCE 14.0
+/// a steady service reaches it about once in e^18, 65 million answers.
+#define EVIDENCE 18.0
+
+/// The same at which its share does not grow.
+#define DOUBT 4.0
 
 /// Least difference in the share of bad answers that is looked for. Callers
 /// retry a few failures, but not a quarter of all answers.
@@ -314,3 +317,16 @@
 	}
 	return false;
 }
+
+bool
+rollout_judge_doubts(const struct rollout_judge *judge)
+{
+	uint32_t fault;
+	uint32_t i;
+
+	for (i = 0; i < judge->route_count; i++)
+		for (fault = 0; fault < ROLLOUT_FAULTS; fault++)
+			if (judge->routes[i].sums[fault] >= DOUBT)
+				return true;
+	return false;
+}
--- a/src/core/rollout/rollout_judge.h
+++ b/src/core/rollout/rollout_judge.h
@@ -86,6 +86,10 @@
 /// counts.
 void rollout_judge_tick(struct rollout_judge *judge, int64_t now_us);
 
+/// Tells whether there is evidence against the new version that calls for more
+/// answers before its share grows.
+bool rollout_judge_doubts(const struct rollout_judge *judge);
+
 /// Tells whether the new version is bad.
 bool rollout_judge_is_bad(
     const struct rollout_judge *judge, struct rollout_finding *finding);
--- a/src/core/rollout/rollout_plan.c
+++ b/src/core/rollout/rollout_plan.c
@@ -42,6 +42,10 @@
 #define FEW_ANSWERS	 10
 #define FEW_ANSWERS_WAIT 2
 
+/// Time for which doubts hold up a step to a large share: some more windows of
+/// the judge.
+#define DOUBT_MS 1000
+
 /// No step up without counts of a new server in this time.
 #define FRESH_MS 3000
 
@@ -165,6 +169,9 @@
 	if (s->stage_ms < MIN_STAGE_MS ||
 	    s->stage_ms < length_ms / HASTE_DIVISOR)
 		return decide(ROLLOUT_PLAN_WAIT, 0, "its stage began late");
+	if (s->doubted && stages[now + 1].share_permille >= THIRD_SHARE &&
+	    s->stage_ms < length_ms + DOUBT_MS)
+		return decide(ROLLOUT_PLAN_WAIT, 0, "its answers are doubtful");
 	if (s->silent_ms > FRESH_MS)
 		return decide(
 		    ROLLOUT_PLAN_WAIT, 0, "no counts of its servers come");
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -33,6 +33,7 @@
 	uint64_t remove_id;
 	uint64_t add_id;
 	char add_address[64];
+	const char *within; ///< Time for a roll-out; "": not given.
 };
 
 /// Response of a source.
@@ -67,5 +68,6 @@
 int ctl_replace(struct ctl *ctl);
 int ctl_trace(struct ctl *ctl);
 int ctl_report(struct ctl *ctl);
+int ctl_rollout(struct ctl *ctl);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -15,6 +15,7 @@
 #define KEY_REMOVE  1001
 #define KEY_JSON    1002
 #define KEY_TIMEOUT 1003
+#define KEY_WITHIN  1004
 
 const char *argp_program_version = "mvctl " MV_VERSION;
 
@@ -27,6 +28,10 @@
     "  show           print the accepted rule file\n"
     "  diff FILE      compare a rule file with the accepted one\n"
     "  forget NAME    drop a decommissioned proxy from the status\n"
+    "  rollout start SERVICE VERSION --within TIME\n"
+    "                 move a service to servers of another version\n"
+    "  rollout status [SERVICE]\n"
+    "                 show roll-outs, how far they are and why\n"
     "  replace        replace a replica: --remove ID --add ID=IP:port\n"
     "  trace ID FILE...\n"
     "                 trace a request through JSON logs; contacts no "
@@ -59,6 +64,7 @@
     {"replace", 0, false, ctl_replace},
     {"trace", 2, true, ctl_trace},
     {"report", 1, true, ctl_report},
+    {"rollout", 1, true, ctl_rollout},
 };
 
 static void
@@ -103,6 +109,9 @@
 		if (*end != '\0' || ctl->wait_s < 0 || ctl->wait_s > MAX_WAIT_S)
 			argp_error(state, "--timeout must be whole seconds");
 		return 0;
+	case KEY_WITHIN:
+		ctl->within = arg;
+		return 0;
 	case KEY_JSON:
 		ctl->json = true;
 		return 0;
@@ -136,6 +145,7 @@
     {"wait", 'w', NULL, 0, "Wait until in force at all proxies", 0},
     {"timeout", KEY_TIMEOUT, "SECONDS", 0, "Timeout of --wait (default 30)", 0},
     {"json", KEY_JSON, NULL, 0, "Print JSON", 0},
+    {"within", KEY_WITHIN, "TIME", 0, "Time for a roll-out, such as 15m", 0},
     {"remove", KEY_REMOVE, "ID", 0, "Replica to remove", 0},
     {"add", KEY_ADD, "ID=IP:port", 0, "Replica to add", 0},
     {0},
@@ -170,7 +180,7 @@
 	    .parser = parse_option,
 	    .args_doc = "COMMAND [ARG]",
 	    .doc = program_doc};
-	struct ctl ctl = {.wait_s = DEFAULT_WAIT_S};
+	struct ctl ctl = {.wait_s = DEFAULT_WAIT_S, .within = ""};
 	const char *sources_value = getenv(SOURCES_VARIABLE);
 	int exit_code;
 
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -95,6 +95,11 @@
 		   ", silent for %" PRId64 " ms\n",
 		get_string(item, "name"), get_string(item, "region"),
 		get_number(item, "version"), get_number(item, "silent_ms"));
+	json_array_foreach(json_object_get(root, "servers"), i,
+	    item) if (get_string(item, "version")[0] != '\0')
+	    printf("  %s: %" PRId64 " servers of version %s\n",
+		get_string(item, "service"), get_number(item, "servers"),
+		get_string(item, "version"));
 	print_rules(root);
 }
 
--- a/src/source/rollout_order.c
+++ b/src/source/rollout_order.c
@@ -148,7 +148,10 @@
 	*status = 409;
 	switch (verdict) {
 	case ROLLOUT_ACCEPTED:
+		*status = 200;
+		break;
 	case ROLLOUT_DUPLICATE:
+		result = "already accepted";
 		*status = 200;
 		break;
 	case ROLLOUT_IN_PROGRESS:
--- a/src/source/rollout_run.c
+++ b/src/source/rollout_run.c
@@ -301,6 +301,7 @@
 	};
 	struct rollout_plan_decision d;
 
+	state.doubted = rollout_judge_doubts(&run->judge);
 	state.used_ms = p->used_ms + state.stage_ms;
 	sum_slots(source, run, &state);
 	state.old_running = sum_old_running(source, run);
--- a/src/source/status.c
+++ b/src/source/status.c
@@ -129,6 +129,48 @@
 	return replicas;
 }
 
+/// Finds the row of a version of a service, or adds it.
+static json_t *
+get_server_row(json_t *rows, const struct member *m)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i,
+	    row) if (strcmp(json_string_value(json_object_get(row, "service")),
+			 m->service) == 0 &&
+	    strcmp(json_string_value(json_object_get(row, "version")),
+		m->server_version) == 0) return row;
+	row = json_pack("{s:o, s:o, s:i}", "service", json_text(m->service),
+	    "version", json_text(m->server_version), "servers", 0);
+	json_array_append_new(rows, row);
+	return row;
+}
+
+/// Renders the number of servers that take work, by service and version.
+static json_t *
+render_servers(const struct source *source, int64_t now_us)
+{
+	const struct report_table *table = &source->reports;
+	json_t *rows = json_array();
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+		json_t *row;
+
+		if (r->left || now_us - r->reported_us > table->stale_us ||
+		    !backend_state_takes_work(r->member.backend))
+			continue;
+		row = get_server_row(rows, &r->member);
+		json_object_set_new(row, "servers",
+		    json_integer(
+			json_integer_value(json_object_get(row, "servers")) +
+			1));
+	}
+	return rows;
+}
+
 char *
 status_render(const struct source *source, bool confirmed)
 {
@@ -139,14 +181,16 @@
 	struct report_sum sum =
 	    report_table_sum(&source->reports, NULL, version, now_us);
 	json_t *root = json_pack(
-	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:I, s:I, s:o}",
+	    "{s:b, s:o, s:i, s:i, s:I, s:o, s:o, s:o, s:o, s:o, s:I, s:I, "
+	    "s:o}",
 	    "confirmed", confirmed, "accepted", render_accepted(&source->store),
 	    "in_force", current == NULL ? 0 : (int)sum.in_force, "members",
 	    (int)sum.members, "heard_for_ms",
 	    (json_int_t)((now_us - source->started_us) / US_PER_MS), "regions",
 	    render_regions(source, version, now_us), "stragglers",
 	    render_stragglers(source, version, now_us), "rules",
-	    render_rules(source, now_us), "replicas",
+	    render_rules(source, now_us), "servers",
+	    render_servers(source, now_us), "replicas",
 	    render_replicas(&r->config), "replica", (json_int_t)r->settings.id,
 	    "leader", (json_int_t)r->leader, "storage",
 	    json_text(replica_has_failed(r) ? r->failure.text : "ok"));
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -72,10 +72,11 @@
 	    b->settings.proxy_admin);
 	snprintf(b->announce_body, sizeof(b->announce_body),
 	    "{\"service\":\"%.40s\",\"address\":\"%s\",\"state\":\"%s\","
-	    "\"lease_ms\":%" PRId64 ",\"started_ms\":%" PRId64 "}",
+	    "\"lease_ms\":%" PRId64 ",\"started_ms\":%" PRId64
+	    ",\"version\":\"%.40s\"}",
 	    b->settings.service, address,
 	    now_us < b->cold_until_us ? "cold" : "ready", b->settings.lease_ms,
-	    b->started_ms);
+	    b->started_ms, b->settings.version);
 	memset(&b->announce, 0, sizeof(b->announce));
 	b->announce.ops = &announce_ops;
 	b->announce.owner = b;
@@ -98,6 +99,8 @@
     ROW("name", SETTINGS_TEXT, name, true, NULL, "name of this server"),
     ROW("service", SETTINGS_TEXT, service, true, NULL,
 	"service that it belongs to"),
+    ROW("version", SETTINGS_TEXT, version, false, "\"\"",
+	"version of its software"),
     ROW("listen", SETTINGS_ADDRESS, listen, true, NULL, "HTTP"),
     ROW("told", SETTINGS_ADDRESS, advertised_address, false, NULL,
 	"address to announce if it is not the listener's"),
--- a/test/fakes/fake_backend.h
+++ b/test/fakes/fake_backend.h
@@ -39,6 +39,7 @@
 	struct program_log_settings log;
 	char name[SETTINGS_TEXT_BYTES];
 	char service[SETTINGS_TEXT_BYTES];
+	char version[SETTINGS_TEXT_BYTES];
 	char listen[SETTINGS_TEXT_BYTES];
 	char advertised_address[SETTINGS_TEXT_BYTES];
 	char proxy_admin[SETTINGS_TEXT_BYTES];
@@ -59,7 +60,7 @@
 	struct loop_timer announce_timer;
 	struct httpc_call announce;
 	char announce_url[300];
-	char announce_body[300];
+	char announce_body[360];
 	char drain_url[300];
 	int64_t started_ms; ///< Unix time.
 	bool announcing;
--- a/test/unit/test_rollout_judge.c
+++ b/test/unit/test_rollout_judge.c
@@ -181,6 +181,7 @@
 		p->result.rolled_back = true;
 		return;
 	}
+	p->plan.doubted = rollout_judge_doubts(&p->judge);
 	d = rollout_plan_decide(&p->plan);
 	if (d.action == ROLLOUT_PLAN_STAGE) {
 		if (p->plan.begun_ms < 0)
@@ -313,6 +314,15 @@
 	s.new_slots = 3;
 	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
 	s = good;
+	s.share_permille = 100;
+	s.used_ms = 11000;
+	s.stage_ms = 2500;
+	assert_int_equal(rollout_plan_decide(&s).share_permille, 300);
+	s.doubted = true;
+	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
+	s.stage_ms = 3500;
+	assert_int_equal(rollout_plan_decide(&s).share_permille, 300);
+	s = good;
 	s.stage_ms = 200;
 	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
 }
