--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -9,6 +9,7 @@
 #include "proxy/egress/egress.h"
 #include "proxy/view.h"
 
+struct bulk_link;
 struct ingress;
 
 struct ingress_settings {
@@ -19,6 +20,8 @@
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
 	struct address inner; ///< For the backend server on this VM.
+	struct address
+	    quota; ///< For answers of the accountant of quotas (UDP).
 	bool has_inner;
 	int64_t max_body_bytes;
 	int64_t max_connections;
@@ -30,15 +33,23 @@
 
 /// Opens the listeners.
 ///
+/// @param link  of this VM, on which streams count; NULL: not known
 /// @param bound_outer, bound_inner  receive the addresses in use
 /// @return the ingress, or NULL with err set
 struct ingress *ingress_open(struct loop *loop, struct egress *egress,
-    const struct ingress_settings *settings, struct address *bound_outer,
-    struct address *bound_inner, struct error *err);
+    struct bulk_link *link, const struct ingress_settings *settings,
+    struct address *bound_outer, struct address *bound_inner,
+    struct error *err);
 
 /// Applies a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
 
+/// Sets the sources, of which one is the accountant of quotas.
+///
+/// @param leader  the one that leads, as far as is known; NULL if it is not
+void ingress_set_sources(struct ingress *ingress, const struct address *sources,
+    uint32_t count, const struct address *leader);
+
 /// Changes the incarnation of this process.
 void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
 
