feat(proxy): one account of memory, and turns for long uploads

Solution: connections of callers (heads, bodies, answers not taken) and requests of the egress (uploads, answers kept) are holders of one account of the traffic thread; what streams hold counts as well. Limit: 40 % of limits.memory_mb (default 1024). An incomplete request that gives way gets 503 with Retry-After, not run, others are closed; the egress refuses what waits and ends calls whose bodies have stopped. Near limits.connections the connections that give least are closed, idle ones first. The start of a long body is kept once at the egress.

--- a/src/io/held.c
+++ b/src/io/held.c
@@ -64,3 +64,9 @@
 		&peaks[queue].value, &peak_bytes, sum_bytes)) {
 	}
 }
+
+int64_t
+held_get_bytes(enum held_queue queue)
+{
+	return atomic_load_explicit(&held[queue].value, memory_order_relaxed);
+}
--- a/src/io/held.h
+++ b/src/io/held.h
@@ -5,6 +5,7 @@
 #define MV_IO_HELD_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 enum held_queue {
 	HELD_STREAM_OUT,    ///< Messages to other processes.
@@ -23,4 +24,7 @@
 void held_update(
     enum held_queue queue, size_t *counted_bytes, size_t now_bytes);
 
+/// Memory that a queue holds now, of all holders. Any thread.
+int64_t held_get_bytes(enum held_queue queue);
+
 #endif
--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -17,9 +17,6 @@
 #define CALLER_SCAN_US	       (100 * US_PER_MS)
 #define MAX_RUNS_PER_ITERATION 16
 
-COUNTER_DEFINE(count_abandoned, "http_requests_abandoned",
-    "Requests whose callers had left before they were read");
-
 COUNTER_DEFINE(count_bad_heads, "http_heads_refused",
     "Requests whose heads can be read in more than one way");
 
@@ -38,6 +35,7 @@
 	x->header_deadline_us = httpd->limits.header_timeout_us > 0
 	    ? x->pub.arrival_us + httpd->limits.header_timeout_us
 	    : DEADLINE_NEVER_US;
+	upload_begin(x);
 	x->connection = connection;
 	x->uri = uri;
 	x->next = httpd->exchanges;
@@ -45,6 +43,7 @@
 		x->next->prev = x;
 	httpd->exchanges = x;
 	httpd->active_count++;
+	caller_begin(caller_find(connection), x);
 	return x;
 }
 
@@ -60,6 +59,7 @@
 	if (x->next != NULL)
 		x->next->prev = x->prev;
 	httpd->active_count--;
+	upload_end(x);
 	if (x->response != NULL)
 		MHD_destroy_response(x->response);
 	free(x->pub.target);
@@ -67,6 +67,12 @@
 	free(x->out);
 	held_update(HELD_CALLER_BODY, &x->body_held_bytes, 0);
 	held_update(HELD_CALLER_ANSWER, &x->out_held_bytes, 0);
+	x->caller->exchange = NULL;
+	memory_holder_set_waits(
+	    &x->caller->holder, true, loop_now_us(httpd->loop));
+	memory_holder_set_waits(
+	    &x->caller->holder, false, loop_now_us(httpd->loop));
+	caller_update(x->caller);
 	free(x);
 }
 
@@ -114,83 +120,6 @@
 	return rc;
 }
 
-/// Fills in a poll for the close of a caller's connection, or of its side of it,
-/// whether or not bytes that it sent are unread.
-static void
-watch_for_close(const struct exchange *x, struct pollfd *pollfd)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-	pollfd->fd = info == NULL ? -1 : info->connect_fd;
-	pollfd->events = POLLRDHUP;
-	pollfd->revents = 0;
-}
-
-static bool
-caller_has_closed(const struct exchange *x)
-{
-	struct pollfd pollfd;
-
-	watch_for_close(x, &pollfd);
-	return poll(&pollfd, 1, 0) > 0;
-}
-
-static void
-exchange_dispatch(struct exchange *x, bool more)
-{
-	if (x->pub.httpd->ops->drops_abandoned && caller_has_closed(x)) {
-		counter_add(&count_abandoned, 1);
-		http_exchange_respond_text(&x->pub, 499, "");
-		return;
-	}
-	x->dispatched = true;
-	x->pub.more = more;
-	x->pub.httpd->ops->on_request(x->pub.httpd->owner, &x->pub);
-}
-
-static const char body_too_large_text[] = "request body is too large\n";
-
-/// Buffers a part of the upload, or delivers it up to the available credit.
-static enum MHD_Result
-receive_upload(struct exchange *x, const char *data, size_t *size_bytes)
-{
-	const struct httpd *httpd = x->pub.httpd;
-	size_t n = *size_bytes;
-
-	if (x->discarding) {
-		*size_bytes = 0;
-		return MHD_YES;
-	}
-	if (!x->dispatched) {
-		*size_bytes = 0;
-		x->received_bytes += (int64_t)n;
-		if (x->received_bytes > httpd->limits.max_body_bytes) {
-			http_exchange_respond_text(
-			    &x->pub, 413, body_too_large_text);
-			return MHD_YES;
-		}
-		http_exchange_keep_body(&x->pub, data, n, false);
-		if (x->pub.body_bytes > HTTPD_BUFFERED_BODY_BYTES &&
-		    httpd->ops->on_body != NULL)
-			exchange_dispatch(x, true);
-		return MHD_YES;
-	}
-	if ((int64_t)n > x->credit_bytes)
-		n = (size_t)x->credit_bytes;
-	if (n == 0) {
-		exchange_suspend(x);
-		return MHD_YES;
-	}
-	x->received_bytes += (int64_t)n;
-	if (x->received_bytes > httpd->limits.max_body_bytes)
-		return MHD_NO;
-	x->credit_bytes -= (int64_t)n;
-	*size_bytes -= n;
-	httpd->ops->on_body(&x->pub, data, n, false);
-	return MHD_YES;
-}
-
 static enum MHD_Result
 queue_response(struct exchange *x)
 {
@@ -208,7 +137,7 @@
 		if (!x->dispatched && !x->discarding)
 			exchange_dispatch(x, false);
 		else if (!x->discarding)
-			x->pub.httpd->ops->on_body(&x->pub, NULL, 0, true);
+			upload_deliver(x, true);
 	}
 	if (x->response != NULL)
 		return queue_response(x);
@@ -256,7 +185,7 @@
 	if (length != NULL &&
 	    strtoll(length, NULL, 10) > httpd->limits.max_body_bytes)
 		return queue_error_response(
-		    x->connection, 413, body_too_large_text, false);
+		    x->connection, 413, httpd_body_too_large_text, false);
 	return MHD_YES;
 }
 
@@ -275,7 +204,7 @@
 		return begin_request(x, version);
 	}
 	if (*upload_data_size > 0)
-		return receive_upload(x, upload_data, upload_data_size);
+		return upload_receive(x, upload_data, upload_data_size);
 	return finish_upload(x);
 }
 
@@ -288,6 +217,7 @@
 	for (i = 0; i < MAX_RUNS_PER_ITERATION; i++) {
 		httpd->run_pending = false;
 		MHD_run(httpd->daemon);
+		upload_deliver_joined(httpd);
 		if (httpd->run_pending)
 			continue;
 		if (MHD_get_timeout(httpd->daemon, &timeout_ms) != MHD_YES ||
@@ -313,6 +243,7 @@
 
 	if (httpd->run_pending)
 		run_daemon(httpd);
+	memory_account_relieve(httpd->account, loop_now_us(httpd->loop));
 	return httpd->run_pending ? 0 : DEADLINE_NEVER_US;
 }
 
@@ -329,16 +260,6 @@
 		shutdown(info->connect_fd, SHUT_RDWR);
 }
 
-/// Ends an exchange whose caller has closed the connection.
-static void
-end_abandoned(struct exchange *x)
-{
-	if (x->response == NULL)
-		http_exchange_respond_text(&x->pub, 499, "");
-	else
-		http_exchange_respond_end(&x->pub, false);
-}
-
 /// Ends the exchanges whose callers have left. Needed because the library does
 /// not poll connections that are suspended until there is more to send.
 static void
@@ -357,13 +278,13 @@
 		if (!x->suspended ||
 		    now_us - x->pub.arrival_us < CALLER_SCAN_US)
 			continue;
-		watch_for_close(x, &pollfds[count]);
+		exchange_watch_for_close(x, &pollfds[count]);
 		polled[count++] = x;
 	}
 	if (count > 0 && poll(pollfds, count, 0) > 0)
 		for (i = 0; i < count; i++)
 			if (pollfds[i].revents != 0)
-				end_abandoned(polled[i]);
+				exchange_end_abandoned(polled[i]);
 	free(polled);
 	free(pollfds);
 }
@@ -375,10 +296,16 @@
 	int64_t now_us = loop_now_us(httpd->loop);
 	struct exchange *x;
 
-	for (x = httpd->exchanges; x != NULL; x = x->next)
+	for (x = httpd->exchanges; x != NULL; x = x->next) {
 		if (x->pub.method == NULL && now_us >= x->header_deadline_us)
 			abort_slow_head(x);
+		// Nobody reads it after a complete response.
+		if (x->discarding && x->response_bytes > 0 &&
+		    x->pub.body != NULL)
+			exchange_drop_body(x);
+	}
 	end_all_abandoned(httpd, now_us);
+	caller_close_strangers(httpd, now_us);
 	// Also lets the library process its own timeouts.
 	httpd->run_pending = true;
 	loop_timer_set(
@@ -400,13 +327,16 @@
 on_connection(void *cls, struct MHD_Connection *connection, void **context,
     enum MHD_ConnectionNotificationCode code)
 {
-	const struct httpd *httpd = cls;
+	struct httpd *httpd = cls;
 
-	(void)context;
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		MHD_set_connection_option(connection,
-		    MHD_CONNECTION_OPTION_TIMEOUT,
-		    (unsigned int)httpd->limits.idle_timeout_s);
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		caller_free(*context);
+		*context = NULL;
+		return;
+	}
+	*context = caller_open(httpd, connection);
+	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+	    (unsigned int)httpd->limits.idle_timeout_s);
 }
 
 static int
@@ -452,6 +382,8 @@
 	httpd->ops = ops;
 	httpd->owner = owner;
 	httpd->limits = *limits;
+	memory_account_init(&httpd->own_account, INT64_MAX);
+	httpd->account = &httpd->own_account;
 	if (start_daemon(httpd, at) != 0) {
 		address_format(at, text);
 		error_set(err, ERR_IO, "listen", text, "%s", strerror(errno));
@@ -482,6 +414,13 @@
 	httpd->limits.max_connections = connections;
 }
 
+void
+httpd_set_account(struct httpd *httpd, struct memory_account *account)
+{
+	assert(httpd->callers == NULL);
+	httpd->account = account;
+}
+
 void
 httpd_drain(struct httpd *httpd)
 {
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -16,6 +16,7 @@
 
 struct httpd;
 struct http_exchange;
+struct memory_account;
 
 /// Callbacks of a server. All run in the loop's thread.
 struct httpd_ops {
@@ -65,6 +66,10 @@
     const struct httpd_ops *ops, void *owner, const struct httpd_limits *limits,
     struct address *bound, struct error *err);
 
+/// Sets the account of the memory that callers hold. Call it before the loop runs;
+/// the account outlives the server.
+void httpd_set_account(struct httpd *httpd, struct memory_account *account);
+
 /// Changes the limits, but for max_connections. Open connections use them from
 /// their next request on.
 void httpd_set_limits(struct httpd *httpd, const struct httpd_limits *limits);
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -1,13 +1,18 @@
 // Requests and responses of the HTTP server.
 #include <assert.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "io/held.h"
 #include "io/http/httpd_exchange.h"
+#include "io/log/counters.h"
 #include "wire/head.h"
 
+COUNTER_DEFINE(count_abandoned, "http_requests_abandoned",
+    "Requests whose callers had left before they were read");
+
 #define STREAM_BLOCK_BYTES (32 * 1024)
 
 /// Memory that the library takes for each header of a request besides its text.
@@ -28,6 +33,8 @@
 {
 	assert(!x->suspended);
 	x->suspended = true;
+	memory_holder_set_waits(
+	    &x->caller->holder, true, loop_now_us(x->pub.httpd->loop));
 	MHD_suspend_connection(x->connection);
 }
 
@@ -37,6 +44,8 @@
 	if (!x->suspended)
 		return;
 	x->suspended = false;
+	memory_holder_set_waits(
+	    &x->caller->holder, false, loop_now_us(x->pub.httpd->loop));
 	x->pub.httpd->run_pending = true;
 	loop_wake_hooks(x->pub.httpd->loop);
 	MHD_resume_connection(x->connection);
@@ -200,6 +209,8 @@
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
 
+	exchange_of(exchange)->response_bytes = body_bytes;
+	caller_update(exchange_of(exchange)->caller);
 	set_response(
 	    exchange_of(exchange), status, response, headers, header_count);
 }
@@ -234,6 +245,15 @@
 	memcpy(buf, x->out, n);
 	memmove(x->out, x->out + n, x->out_bytes - n);
 	x->out_bytes -= n;
+	if (x->out_bytes == 0) {
+		free(x->out);
+		x->out = NULL;
+		x->out_capacity_bytes = 0;
+		held_update(HELD_CALLER_ANSWER, &x->out_held_bytes, 0);
+	}
+	memory_holder_progress(
+	    &x->caller->holder, (int64_t)n, loop_now_us(x->pub.httpd->loop));
+	caller_update(x->caller);
 	if (x->pub.httpd->ops->on_drained != NULL)
 		x->pub.httpd->ops->on_drained(&x->pub, n);
 	return (ssize_t)n;
@@ -265,6 +285,7 @@
 		assert(x->out != NULL);
 		held_update(HELD_CALLER_ANSWER, &x->out_held_bytes,
 		    x->out_capacity_bytes);
+		caller_update(x->caller);
 	}
 	memcpy(x->out + x->out_bytes, data, size_bytes);
 	x->out_bytes += size_bytes;
@@ -285,18 +306,41 @@
 http_exchange_keep_body(struct http_exchange *exchange, const char *data,
     size_t size_bytes, bool last)
 {
-	char *grown =
-	    realloc(exchange->body, exchange->body_bytes + size_bytes + 1);
+	struct exchange *x = exchange_of(exchange);
 
-	assert(grown != NULL);
+	x->body_capacity_bytes += upload_growth_bytes(x, size_bytes);
+	if (x->body_capacity_bytes != x->body_held_bytes) {
+		exchange->body =
+		    realloc(exchange->body, x->body_capacity_bytes);
+		assert(exchange->body != NULL);
+		held_update(HELD_CALLER_BODY, &x->body_held_bytes,
+		    x->body_capacity_bytes);
+		caller_update(x->caller);
+	}
 	if (size_bytes > 0)
-		memcpy(grown + exchange->body_bytes, data, size_bytes);
-	exchange->body = grown;
+		memcpy(exchange->body + exchange->body_bytes, data, size_bytes);
 	exchange->body_bytes += size_bytes;
 	exchange->body[exchange->body_bytes] = '\0';
 	exchange->more &= !last;
-	held_update(HELD_CALLER_BODY, &exchange_of(exchange)->body_held_bytes,
-	    exchange->body_bytes);
+}
+
+void
+exchange_drop_body(struct exchange *x)
+{
+	free(x->pub.body);
+	x->pub.body = NULL;
+	x->pub.body_bytes = x->body_capacity_bytes = 0;
+	held_update(HELD_CALLER_BODY, &x->body_held_bytes, 0);
+	caller_update(x->caller);
+}
+
+void
+exchange_end_abandoned(struct exchange *x)
+{
+	if (x->response == NULL)
+		http_exchange_respond_text(&x->pub, 499, "");
+	else
+		http_exchange_respond_end(&x->pub, false);
 }
 
 void
@@ -308,3 +352,36 @@
 	if (!x->upload_done)
 		exchange_resume(x);
 }
+
+void
+exchange_watch_for_close(const struct exchange *x, struct pollfd *pollfd)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	pollfd->fd = info == NULL ? -1 : info->connect_fd;
+	pollfd->events = POLLRDHUP;
+	pollfd->revents = 0;
+}
+
+static bool
+caller_has_closed(const struct exchange *x)
+{
+	struct pollfd pollfd;
+
+	exchange_watch_for_close(x, &pollfd);
+	return poll(&pollfd, 1, 0) > 0;
+}
+
+void
+exchange_dispatch(struct exchange *x, bool more)
+{
+	if (x->pub.httpd->ops->drops_abandoned && caller_has_closed(x)) {
+		counter_add(&count_abandoned, 1);
+		http_exchange_respond_text(&x->pub, 499, "");
+		return;
+	}
+	x->dispatched = true;
+	x->pub.more = more;
+	x->pub.httpd->ops->on_request(x->pub.httpd->owner, &x->pub);
+}
--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -18,6 +18,10 @@
 #define MAX_HOOK_PASSES	      16
 #define LOG_FLUSH_INTERVAL_US (20 * US_PER_MS)
 
+/// Bytes of bulk work in an iteration: a few reads, about a millisecond if they are
+/// in the smallest of chunks.
+#define BULK_BYTES (128 * 1024)
+
 /// Callers notice a delay of this length.
 #define LOGGED_DELAY_US (250 * US_PER_MS)
 
@@ -56,6 +60,9 @@
 	uint32_t heap_count;
 	uint32_t heap_capacity;
 	struct loop_hook *hooks;
+	struct loop_job *first_job;
+	struct loop_job *last_job;
+	int64_t bulk_left_bytes;
 	bool hooks_woken;
 	int64_t now_us;
 	int64_t woken_us; ///< Time of the last return from a poll.
@@ -374,6 +381,65 @@
 	return 0;
 }
 
+bool
+loop_take_bulk(struct loop *loop, uint32_t cost_bytes)
+{
+	if (loop->first_job != NULL || loop->bulk_left_bytes <= 0)
+		return false;
+	loop_charge_bulk(loop, cost_bytes);
+	return true;
+}
+
+void
+loop_charge_bulk(struct loop *loop, uint32_t cost_bytes)
+{
+	loop->bulk_left_bytes -= cost_bytes;
+}
+
+void
+loop_queue_bulk(struct loop *loop, struct loop_job *job)
+{
+	if (job->queued)
+		return;
+	job->queued = true;
+	job->next = NULL;
+	job->prev = loop->last_job;
+	if (job->prev != NULL)
+		job->prev->next = job;
+	else
+		loop->first_job = job;
+	loop->last_job = job;
+}
+
+void
+loop_cancel_bulk(struct loop *loop, struct loop_job *job)
+{
+	if (!job->queued)
+		return;
+	job->queued = false;
+	if (job->prev != NULL)
+		job->prev->next = job->next;
+	else
+		loop->first_job = job->next;
+	if (job->next != NULL)
+		job->next->prev = job->prev;
+	else
+		loop->last_job = job->prev;
+}
+
+/// Starts the bulk work of an iteration with the jobs that have waited longest.
+static void
+run_bulk(struct loop *loop)
+{
+	loop->bulk_left_bytes = BULK_BYTES;
+	while (loop->first_job != NULL && loop->bulk_left_bytes > 0) {
+		struct loop_job *job = loop->first_job;
+
+		loop_cancel_bulk(loop, job);
+		job->fn(job->arg);
+	}
+}
+
 static void
 flush_log(struct loop *loop)
 {
@@ -389,6 +455,8 @@
 {
 	int64_t left_us;
 
+	if (loop->first_job != NULL)
+		return 0;
 	if (loop->heap_count > 0 && loop->heap[0]->deadline_us < deadline_us)
 		deadline_us = loop->heap[0]->deadline_us;
 	left_us = deadline_us - loop->now_us;
@@ -469,6 +537,7 @@
 		loop->now_us = clock_now_us();
 		run_posted(loop);
 		run_timers(loop);
+		run_bulk(loop);
 		run_deferred(loop);
 		deadline_us = run_hooks(loop);
 		flush_log(loop);
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -30,6 +30,16 @@
 	uint32_t heap_index; ///< Index in the heap + 1; 0 while not set.
 };
 
+/// Work that takes turns with others of its kind: reading what peers send in bulk.
+/// Zero it before the first use.
+struct loop_job {
+	void (*fn)(void *arg);
+	void *arg;
+	struct loop_job *next;
+	struct loop_job *prev;
+	bool queued;
+};
+
 /// Calls a function before each poll. The function returns the deadline by
 /// which to call it again.
 struct loop_hook {
@@ -78,6 +88,21 @@
 /// Must be called from the loop's thread.
 void loop_defer(struct loop *loop, void (*fn)(void *arg), void *arg);
 
+/// Takes a share of what bulk work may cost in this iteration, so that it does not
+/// delay other events. The last share may exceed what is left.
+///
+/// @return false if nothing is left, or others wait: queue a job
+bool loop_take_bulk(struct loop *loop, uint32_t cost_bytes);
+
+/// Queues a job for the next iteration in which a share is left; in order. Does
+/// nothing if it is queued. The job takes its share with loop_charge_bulk.
+void loop_queue_bulk(struct loop *loop, struct loop_job *job);
+
+/// Takes a share from within a job.
+void loop_charge_bulk(struct loop *loop, uint32_t cost_bytes);
+
+void loop_cancel_bulk(struct loop *loop, struct loop_job *job);
+
 /// Cached monotonic time, updated at the start of each iteration and after each
 /// poll.
 int64_t loop_now_us(const struct loop *loop);
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -70,6 +70,9 @@
 	}
 	r->upload_last = body->last != 0;
 	r->upload_failed = body->failed != 0;
+	memory_holder_progress(
+	    &r->holder, (int64_t)n, loop_now_us(egress->loop));
+	egress_memory_update(r);
 	if (r->state == REQUEST_COLLECTING) {
 		if (r->upload_credit_bytes > 0 &&
 		    egress_receive_body_part(r, body)) {
@@ -246,6 +249,7 @@
 
 	assert(egress != NULL);
 	egress->loop = loop;
+	egress->account = settings->account;
 	egress->dialect = settings->dialect;
 	egress->on_slot_free = egress_run_queued;
 	egress->httpc = httpc_open(loop, 1, err);
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -14,6 +14,7 @@
 #include "wire/messages.h"
 
 struct egress;
+struct memory_account;
 struct egress_request;
 struct egress_sink;
 struct dialect;
@@ -51,6 +52,7 @@
 	const struct dialect *dialect;
 	uint32_t max_queued;
 	uint32_t max_queued_bytes;
+	struct memory_account *account; ///< Of what ingresses make it hold.
 };
 
 struct egress *egress_create(struct loop *loop,
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -347,6 +347,7 @@
 		r->body_bytes += size_bytes;
 		held_update(
 		    HELD_SERVER_ANSWER, &r->body_held_bytes, r->body_bytes);
+		egress_memory_update(r);
 		return true;
 	}
 	if (!r->streaming)
@@ -422,6 +423,12 @@
 	memcpy(out, r->upload, n);
 	memmove(r->upload, r->upload + n, r->upload_bytes - n);
 	r->upload_bytes -= n;
+	if (r->upload_bytes == 0) {
+		free(r->upload);
+		r->upload = NULL;
+		held_update(HELD_UPLOAD, &r->upload_held_bytes, 0);
+		egress_memory_update(r);
+	}
 	if (!r->upload_last && r->sink != NULL)
 		r->sink->ops->window(r->sink, r->message->id, (uint32_t)n);
 	return n;
@@ -486,6 +493,7 @@
 		abort();
 	build_headers(r);
 	r->state = REQUEST_RUNNING;
+	egress_memory_update(r);
 	r->server = egress->terms.terms.server;
 	r->window_bytes = RESPONSE_WINDOW_BYTES;
 	r->call.ops = &call_ops;
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -13,12 +13,17 @@
     const struct message_request *message)
 {
 	struct egress_request *r = calloc(1, sizeof(*r));
+	struct message_request head = *message;
 	char rank[RULES_NAME_BYTES] = "";
 
 	assert(r != NULL);
 	r->egress = egress;
 	r->sink = sink;
-	r->message = message_request_copy(message);
+	// The start of a long body is kept once. The hash of a request that runs
+	// at most once takes it from the message.
+	if (message->more && !message->once)
+		head.body.size_bytes = 0;
+	r->message = message_request_copy(&head);
 	r->next = egress->first;
 	if (r->next != NULL)
 		r->next->prev = r;
@@ -44,6 +49,7 @@
 		held_update(
 		    HELD_UPLOAD, &r->upload_held_bytes, r->upload_bytes);
 	}
+	egress_memory_add(r);
 	return r;
 }
 
@@ -60,6 +66,7 @@
 		r->next->prev = r->prev;
 	if (r->state == REQUEST_COLLECTING)
 		egress_collect_end(r);
+	memory_account_remove(&r->holder);
 	header_list_free(&r->response_headers);
 	header_list_free(&r->connection_options);
 	free(r->headers);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -3,6 +3,7 @@
 #ifndef MV_PROXY_EGRESS_EGRESS_REQUEST_H
 #define MV_PROXY_EGRESS_EGRESS_REQUEST_H
 
+#include "core/memory_account.h"
 #include "core/requests/collector.h"
 #include "core/requests/outcome.h"
 #include "core/requests/server_terms.h"
@@ -23,6 +24,7 @@
 
 struct egress_request {
 	struct admission_item item;
+	struct memory_holder holder;
 	struct httpc_call call;
 	struct egress *egress;
 	struct egress_sink *sink; ///< NULL after its stream is closed.
@@ -71,11 +73,13 @@
 	bool limit_unreadable;
 	bool leaving;
 	bool abort_marked;
+	bool evict_marked;
 	bool key_was_free; ///< As the ledger reported to this attempt.
 };
 
 struct egress {
 	struct loop *loop;
+	struct memory_account *account;
 	const struct dialect *dialect;
 	struct httpc *httpc;
 	struct once_client *once;
@@ -99,6 +103,7 @@
 	int64_t announce_pace_deadline_us; ///< Earliest next announcement.
 	bool draining;
 	bool abort_deferred;
+	bool evict_deferred;
 	bool leave_deferred;
 	bool server_echoes; ///< Its responses name the attempts of callers.
 	/// Until then its connections may carry bytes of an earlier request.
@@ -193,6 +198,15 @@
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
 
+// egress_memory.c
+
+/// Adds a new request to the account of memory.
+void egress_memory_add(struct egress_request *r);
+
+/// Counts what a request holds, and whether it can still give way. Call it after
+/// each change of either.
+void egress_memory_update(struct egress_request *r);
+
 // egress_call.c
 
 /// Sends a request that holds a slot to the backend server.
--- a/src/proxy/egress/work.c
+++ b/src/proxy/egress/work.c
@@ -95,6 +95,7 @@
 		return;
 	}
 	r->state = REQUEST_CLAIMING;
+	egress_memory_update(r);
 	if (egress->once == NULL) {
 		egress_end_not_run(r, 503, US_PER_S, "no ledger is set");
 		return;
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -213,7 +213,10 @@
 	listener->trusted = trusted;
 	listener->httpd = httpd_open(
 	    ingress->loop, at, &httpd_ops, listener, &limits, bound, err);
-	return listener->httpd == NULL ? -1 : 0;
+	if (listener->httpd == NULL)
+		return -1;
+	httpd_set_account(listener->httpd, ingress->settings.account);
+	return 0;
 }
 
 struct ingress *
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -10,6 +10,7 @@
 #include "proxy/view.h"
 
 struct ingress;
+struct memory_account;
 
 struct ingress_settings {
 	const struct dialect *dialect;
@@ -26,6 +27,7 @@
 	uint32_t retry_ratio_pct;
 	uint32_t retry_burst; ///< For all proxies together.
 	uint64_t seed;
+	struct memory_account *account; ///< Of what callers hold.
 };
 
 /// Opens the listeners.
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -52,6 +52,8 @@
 #define RETRY_RATIO_SHARE 0.8
 #define RETRY_BURST_SHARE 0.5
 
+#define BYTES_PER_MB (1024 * 1024)
+
 const struct settings_field proxy_fields[] = {
     PROGRAM_LOG_FIELDS(S),
     TEXT("dialect", dialect, false, "\"own\"",
@@ -134,6 +136,9 @@
 	"longest admission queue, in requests"),
     INTEGER("limits.queued_bytes", max_queued_bytes, 65536, 1073741824,
 	"16777216", "memory of the requests in the admission queue"),
+    INTEGER("limits.memory_mb", memory_mb, 32, 1048576, "1024",
+	"memory of this VM for the proxy, in MB; callers may make it hold 40 % "
+	"of that"),
     NUMBER("limits.link_mbps", link_mbps, 1000000, "0",
 	"capacity of the link of this VM, in Mbit/s; 0: not known"),
 };
@@ -363,6 +368,7 @@
 	traffic->ingress.seed = control->seed + 1;
 	traffic->egress.max_queued = (uint32_t)s->max_queued;
 	traffic->egress.max_queued_bytes = (uint32_t)s->max_queued_bytes;
+	traffic->memory_bytes = s->memory_mb * BYTES_PER_MB;
 	traffic->link_mbps = s->link_mbps;
 	control->link_mbps = s->link_mbps;
 	resolve_bounds(s, control, &traffic->ingress);
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -50,6 +50,7 @@
 	int64_t max_connections;
 	int64_t max_queued;
 	int64_t max_queued_bytes;
+	int64_t memory_mb;
 	double link_mbps;
 };
 
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -7,7 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/memory_account.h"
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
@@ -18,10 +20,19 @@
 #define PUBLISH_PERIOD_US (20 * US_PER_MS)
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
+GAUGE_DEFINE(gauge_memory_held, "memory_account_held_bytes",
+    "Memory that callers and other proxies make this one hold");
+GAUGE_DEFINE(gauge_memory_peak, "memory_account_peak_bytes",
+    "Largest memory_account_held_bytes since the start");
+GAUGE_DEFINE(gauge_memory_limit, "memory_account_limit_bytes",
+    "Limit at which holders of memory give way");
 GAUGE_DEFINE(gauge_queued, "egress_waiting", "Requests queued now");
 
 struct traffic {
 	struct loop *loop;
+	struct memory_account account;
+	/// Messages to and from other proxies, and bytes to and from servers.
+	struct memory_holder streams;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	struct egress *egress;
@@ -247,6 +258,17 @@
 	return atomic_load(&traffic->drained);
 }
 
+/// Counts what streams hold, and publishes the account.
+static void
+count_memory(struct traffic *traffic)
+{
+	memory_holder_set(&traffic->streams,
+	    held_get_bytes(HELD_STREAM_OUT) + held_get_bytes(HELD_STREAM_IN) +
+		held_get_bytes(HELD_CALL));
+	counter_set(&gauge_memory_held, traffic->account.held_bytes);
+	counter_set(&gauge_memory_peak, traffic->account.peak_bytes);
+}
+
 /// Publishes the load and the requests in progress to the control thread.
 static void
 publish(void *arg)
@@ -262,6 +284,7 @@
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
+	count_memory(traffic);
 	end_drain_if_idle(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
@@ -296,12 +319,20 @@
     struct traffic_bound *bound, struct error *err)
 {
 	struct traffic *traffic = calloc(1, sizeof(*traffic));
+	struct egress_settings egress = settings->egress;
+	struct ingress_settings ingress = settings->ingress;
 
 	assert(traffic != NULL);
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
-	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
+	memory_account_init(
+	    &traffic->account, memory_account_share(settings->memory_bytes));
+	counter_set(&gauge_memory_limit, traffic->account.limit_bytes);
+	memory_account_add(&traffic->account, &traffic->streams, 0,
+	    loop_now_us(traffic->loop));
+	egress.account = ingress.account = &traffic->account;
+	traffic->egress = egress_create(traffic->loop, &egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
 	if (settings->ledger_count > 0) {
@@ -311,7 +342,7 @@
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
 	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
-	    &settings->ingress, &bound->outer, &bound->inner, err);
+	    &ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -20,6 +20,7 @@
 	struct address peer; ///< For streams from other proxies.
 	struct address ledgers[ONCE_MAX_REPLICAS];
 	uint32_t ledger_count;
+	int64_t memory_bytes; ///< Of this process.
 	double link_mbps; ///< Capacity of the link of this VM; 0: not known.
 };
 
