--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -428,9 +428,8 @@
 			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
-	traffic->ingress =
-	    ingress_open(traffic->loop, traffic->egress, traffic->link,
-		&ingress, &bound->outer, &bound->inner, err);
+	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
+	    traffic->link, &ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
