--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -406,8 +406,9 @@
 static struct balancer_choice
 find_by_rollout(struct balancer *b, struct choice_context *q, int64_t now_us)
 {
-	bool wants_new = rollout_filter_wants_new(
-	    &b->rollout, q->request->rollout_draw_permille);
+	bool wants_new = !b->rollout_own.stopped &&
+	    rollout_filter_wants_new(
+		&b->rollout, q->request->rollout_draw_permille);
 	enum rollout_side first =
 	    wants_new ? ROLLOUT_SIDE_NEW : ROLLOUT_SIDE_OLD;
 	enum rollout_side second =
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -15,7 +15,7 @@
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
 #include "core/requests/server_terms.h"
-#include "core/rollout/rollout_table.h"
+#include "core/rollout/rollout_own.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -76,6 +76,7 @@
 	struct retry_budget retries;
 	/// Set before the endpoints of a view are added.
 	struct rollout_filter rollout;
+	struct rollout_own rollout_own;
 	int64_t slow_start_us; ///< Length of the slow start.
 	/// Set after the first view with endpoints, which get no slow start.
 	bool slow_start_active;
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -26,6 +26,7 @@
 
 	for (i = 0; i < b->count; i++)
 		free(b->endpoints[i]);
+	rollout_own_free(&b->rollout_own);
 	free(b->endpoints);
 	b->endpoints = NULL;
 	b->count = 0;
--- a/src/core/rollout/rollout_table.c
+++ b/src/core/rollout/rollout_table.c
@@ -152,6 +152,7 @@
 	}
 	if (running != NULL) {
 		out->running = true;
+		out->order = running->order;
 		out->share_permille = running->share_permille;
 		memcpy(out->version, running->version, sizeof(out->version));
 	} else if (completed != NULL) {
--- a/src/core/rollout/rollout_table.h
+++ b/src/core/rollout/rollout_table.h
@@ -6,7 +6,7 @@
 
 #include "core/rollout/rollout.h"
 
-#define ROLLOUT_MAX_BARRED 8
+#define ROLLOUT_MAX_BARRED ROLLOUT_MAX_RECORDS
 
 /// At most one record for each version of a service.
 struct rollout_table {
@@ -25,6 +25,7 @@
 struct rollout_filter {
 	bool running;
 	bool completed;
+	uint64_t order;		 ///< Of the one that runs.
 	uint32_t share_permille; ///< Of the requests, to new ones; if running.
 	char version[MEMBER_VERSION_BYTES]; ///< Running, or completed last.
 	char barred[ROLLOUT_MAX_BARRED][MEMBER_VERSION_BYTES];
--- a/src/proxy/egress/egress_rollout.c
+++ b/src/proxy/egress/egress_rollout.c
@@ -31,8 +31,12 @@
 void
 egress_set_rollouts(struct egress *egress, const struct rollout_table *rollouts)
 {
+	bool was_rolled_back = egress_is_rolled_back(egress);
+
 	egress->rollouts = *rollouts;
 	egress_follow_rollouts(egress);
+	if (egress_is_rolled_back(egress) && !was_rolled_back)
+		egress_refuse_waiting(egress, "its version was rolled back");
 }
 
 bool
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -4,8 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "io/clock.h"
 #include "io/log/counters.h"
+#include "io/log/log.h"
 #include "proxy/headers.h"
 #include "proxy/ingress/ingress_log.h"
 #include "wire/head.h"
@@ -140,6 +143,41 @@
 		ingress_record_service_time(r, m);
 }
 
+/// Records an answer for the comparison of two versions while a roll-out runs.
+static void
+record_version(struct ingress_request *r, const struct message_response *m)
+{
+	struct balancer *b = r->balancer;
+	struct rollout_answer a = {
+	    .is_new = r->endpoint->side == ROLLOUT_SIDE_NEW,
+	    .route = ingress_get_route_stats(r)->route_hash,
+	    .failed = m->status >= 500,
+	    .run_us = r->endpoint->state == BACKEND_COLD ? 0 : m->run_us};
+	struct rollout_finding finding;
+	struct log_line line;
+
+	// A deadline that has passed says nothing of the server.
+	if (!b->rollout.running || !m->reached_backend ||
+	    outcome_is_not_run((enum outcome)m->outcome) ||
+	    (m->outcome == OUTCOME_UNKNOWN && m->status == 504))
+		return;
+	a.server = XXH3_64bits(r->endpoint->name, strlen(r->endpoint->name));
+	if (!rollout_own_add(
+		&b->rollout_own, &a, loop_now_us(r->ingress->loop), &finding))
+		return;
+	log_begin(&line, LOG_WARN, "rollout",
+	    "This proxy stops using a new version.");
+	log_text(&line, "service", b->service);
+	log_text(&line, "version", b->rollout.version);
+	log_text(&line, "why",
+	    finding.fault == ROLLOUT_FAULT_FAILED ? "answers fail"
+						  : "answers are slow");
+	log_number(&line, "bad", (int64_t)finding.bad);
+	log_number(&line, "answers", (int64_t)finding.answers);
+	log_number(&line, "bad_servers", finding.bad_servers);
+	log_end(&line);
+}
+
 static void
 handle_response(struct ingress_request *r, const struct message_response *m)
 {
@@ -149,6 +187,7 @@
 	if (r->state == ATTEMPT_STREAMING)
 		return;
 	record_report(r, m);
+	record_version(r, m);
 	r->arrivals += m->reached_backend;
 	failed = record_endpoint_refusal(r, m);
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -192,6 +192,7 @@
 
 		rollout_table_get_filter(
 		    &view->rollouts, b->service, &b->rollout);
+		rollout_own_follow(&b->rollout_own, &b->rollout);
 		balancer_begin_view(b);
 	}
 	for (i = 0; i < view->endpoint_count; i++) {
