fix(rollouts): a new leader does not take unknown for nothing runs

Problem: a source that became leader while all requests went to the new version knew of no request at old servers, and could say completed at once; these servers then stop with their work.

Solution: it waits until each server at which requests run has told it (1.5 s). Lookups of the table are const; functional.rollout kills a leader in a stage too.

--- a/src/core/rollout/rollout_plan.c
+++ b/src/core/rollout/rollout_plan.c
@@ -55,6 +55,9 @@
 /// After all requests go to the new version, the time until every proxy knows.
 #define SPREAD_MS 700
 
+/// Time in which each old server at which requests run has told a new leader.
+#define COUNTS_MS 1500
+
 /// The new servers need this part of the old ones' slots for the same share.
 #define SLOTS_PERMILLE 700
 
@@ -128,6 +131,9 @@
 {
 	if (s->stage_ms < SPREAD_MS)
 		return decide(ROLLOUT_PLAN_WAIT, 0, "proxies learn the share");
+	if (s->leading_ms < COUNTS_MS)
+		return decide(ROLLOUT_PLAN_WAIT, 0,
+		    "what runs at old servers is unknown");
 	if (s->old_running == 0)
 		return decide(ROLLOUT_PLAN_COMPLETE, PERMILLE,
 		    "all requests go to it, and nothing runs at old servers");
--- a/src/core/rollout/rollout_plan.h
+++ b/src/core/rollout/rollout_plan.h
@@ -27,6 +27,7 @@
 	uint64_t answers;     ///< Of the new version.
 	int64_t all_answers;  ///< Of both versions since the order.
 	int64_t silent_ms;    ///< Since the last counts of a new server.
+	int64_t leading_ms;   ///< Since this source leads, and gets counts.
 	bool doubted;	      ///< There is some evidence against the version.
 };
 
--- a/src/core/rollout/rollout_store.c
+++ b/src/core/rollout/rollout_store.c
@@ -57,7 +57,7 @@
 rollout_store_check(
     const struct rollout_store *store, const struct rollout_order *order)
 {
-	struct rollout_table *table = (struct rollout_table *)&store->table;
+	const struct rollout_table *table = &store->table;
 	const struct rollout *last =
 	    rollout_table_find_last(table, order->service);
 	const struct rollout *same =
@@ -118,7 +118,7 @@
     const struct rollout_progress *progress)
 {
 	struct rollout_store old = *store;
-	struct rollout *r;
+	const struct rollout *r;
 	uint32_t i;
 
 	rollout_table_merge(&store->table, record);
--- a/src/core/rollout/rollout_table.c
+++ b/src/core/rollout/rollout_table.c
@@ -29,9 +29,9 @@
 	return revision;
 }
 
-struct rollout *
+const struct rollout *
 rollout_table_find(
-    struct rollout_table *table, const char *service, const char *version)
+    const struct rollout_table *table, const char *service, const char *version)
 {
 	uint32_t i;
 
@@ -67,13 +67,13 @@
 bool
 rollout_table_merge(struct rollout_table *table, const struct rollout *record)
 {
-	struct rollout *mine =
+	const struct rollout *mine =
 	    rollout_table_find(table, record->service, record->version);
 
 	if (mine != NULL) {
 		if (mine->revision >= record->revision)
 			return false;
-		*mine = *record;
+		table->items[mine - table->items] = *record;
 		return true;
 	}
 	if (table->count == ROLLOUT_MAX_RECORDS && !remove_oldest_ended(table))
--- a/src/core/rollout/rollout_table.h
+++ b/src/core/rollout/rollout_table.h
@@ -43,8 +43,8 @@
 uint64_t rollout_table_revision(const struct rollout_table *table);
 
 /// Returns the record of a version of a service, or NULL.
-struct rollout *rollout_table_find(
-    struct rollout_table *table, const char *service, const char *version);
+const struct rollout *rollout_table_find(const struct rollout_table *table,
+    const char *service, const char *version);
 
 /// Returns the roll-out of a service that runs, or NULL.
 const struct rollout *rollout_table_find_running(
--- a/src/ctl/rollout.c
+++ b/src/ctl/rollout.c
@@ -10,6 +10,9 @@
 
 #define MS_PER_S 1000
 
+/// Largest number of a time, in any unit. The source has the bounds.
+#define MAX_TIME 1e9
+
 static const char *
 get_string(const json_t *root, const char *key)
 {
@@ -108,7 +111,7 @@
 	char *end;
 	double value = strtod(text, &end);
 
-	if (end == text || !(value > 0))
+	if (end == text || !(value > 0) || value > MAX_TIME)
 		return -1;
 	if (strcmp(end, "ms") == 0)
 		return (int64_t)value;
--- a/src/io/rollout_message.c
+++ b/src/io/rollout_message.c
@@ -14,9 +14,8 @@
 	out->count = rollout_table_since(table, revision, records,
 	    max < ROLLOUT_MAX_RECORDS ? max : ROLLOUT_MAX_RECORDS);
 	for (i = 0; i < out->count; i++) {
-		const struct rollout *r =
-		    rollout_table_find((struct rollout_table *)table,
-			records[i].service, records[i].version);
+		const struct rollout *r = rollout_table_find(
+		    table, records[i].service, records[i].version);
 
 		items[i].service = bytes_from_string(r->service);
 		items[i].version = bytes_from_string(r->version);
--- a/src/source/operator.c
+++ b/src/source/operator.c
@@ -273,7 +273,7 @@
 	struct error err;
 	char *text;
 
-	if (rollout_order_parse(source, body, body_bytes, &order, &err) != 0) {
+	if (rollout_order_parse(body, body_bytes, &order, &err) != 0) {
 		text = rollout_order_render_error(&err);
 		fn(arg, 400, 0, text);
 		free(text);
--- a/src/source/rollout_order.c
+++ b/src/source/rollout_order.c
@@ -59,14 +59,13 @@
 }
 
 int
-rollout_order_parse(const struct source *source, const char *body,
-    size_t body_bytes, struct rollout_order *out, struct error *err)
+rollout_order_parse(const char *body, size_t body_bytes,
+    struct rollout_order *out, struct error *err)
 {
 	json_t *root =
 	    json_loadb(body == NULL ? "" : body, body_bytes, 0, NULL);
 	int rc = read_order(root, out, err);
 
-	(void)source;
 	counter_add(&count_orders, 1);
 	json_decref(root);
 	return rc;
--- a/src/source/rollout_run.c
+++ b/src/source/rollout_run.c
@@ -301,6 +301,7 @@
 	};
 	struct rollout_plan_decision d;
 
+	state.leading_ms = (now_us - source->rollout_leading_us) / US_PER_MS;
 	state.doubted = rollout_judge_doubts(&run->judge);
 	state.used_ms = p->used_ms + state.stage_ms;
 	sum_slots(source, run, &state);
@@ -329,8 +330,12 @@
 
 	loop_timer_set(source->loop, &source->rollout_timer,
 	    loop_now_us(source->loop) + TICK_US);
-	if (!replica_is_leader(&source->host.replica))
+	if (!replica_is_leader(&source->host.replica)) {
+		source->rollout_leading_us = 0;
 		return;
+	}
+	if (source->rollout_leading_us == 0)
+		source->rollout_leading_us = loop_now_us(source->loop);
 	publish_rollouts(source);
 	for (run = source->rollout_runs; run != NULL; run = run->next)
 		rollout_judge_tick(&run->judge, loop_now_us(source->loop));
--- a/src/source/source.h
+++ b/src/source/source.h
@@ -77,6 +77,7 @@
 	struct rollout_run *rollout_runs; ///< One for each that runs.
 	uint64_t rollout_followed;	  ///< Revision that the runs have.
 	struct loop_timer rollout_timer;
+	int64_t rollout_leading_us; ///< Since when it leads; 0: it does not.
 	struct report_table reports;
 	struct quota_ledger quotas;  ///< Used while this replica leads.
 	uint64_t quota_term;	     ///< Term that was seen last.
@@ -194,8 +195,8 @@
 /// Parses an order of a roll-out.
 ///
 /// @return 0, or -1 with err set; its step is the name of the field
-int rollout_order_parse(const struct source *source, const char *body,
-    size_t body_bytes, struct rollout_order *out, struct error *err);
+int rollout_order_parse(const char *body, size_t body_bytes,
+    struct rollout_order *out, struct error *err);
 
 /// Checks that the accepted rules have the service of an order.
 ///
--- a/test/functional/rollout.sh
+++ b/test/functional/rollout.sh
@@ -1,5 +1,5 @@
 # A service moves to a new version while a leading source is lost between the order
-# and its acknowledgement; then a bad version is rolled back and gets nothing more.
+# and its acknowledgement, and the next one in the first stage; then a bad version is rolled back and gets nothing more.
 . scripts/mesh.sh
 MESH_SOURCES=3
 MESH_PROXY_EXTRA='"report_ms": 500,'
@@ -75,6 +75,11 @@
 call_all_the_time &
 calls=$!
 for n in 4 5 6; do mesh_backend $n log 'version="v2"' service_us=5000; done
+has_share() { rollout status log | grep -q 'running, [1-9]'; }
+mesh_wait 10 has_share || echo "the version gets no share"
+lost=$(leader)
+mesh_stop "source-$lost" KILL
+mesh_source "$lost"
 mesh_wait 20 is_state completed || rollout status log
 rollout status log | plainly
 echo "== the old servers stop at once"
--- a/test/unit/test_rollout_judge.c
+++ b/test/unit/test_rollout_judge.c
@@ -198,6 +198,7 @@
 	struct play p = {.kind = kind, .random = {.seed = seed}};
 
 	p.plan.begun_ms = -1;
+	p.plan.leading_ms = WITHIN_MS;
 	p.plan.within_ms = WITHIN_MS;
 	p.plan.exposure_permille = (uint32_t)(EXPOSURE_SHARE * 1000);
 	p.plan.old_slots = SERVERS;
@@ -260,6 +261,7 @@
 	    .begun_ms = -1,
 	    .exposure_permille = 100,
 	    .old_slots = 10,
+	    .leading_ms = 20000,
 	    .answers = 1000};
 	int64_t done_ms = 0;
 
@@ -325,6 +327,15 @@
 	s = good;
 	s.stage_ms = 200;
 	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
+	// A new leader does not know yet what runs at old servers.
+	s = good;
+	s.share_permille = 1000;
+	s.leading_ms = 500;
+	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
+	s.leading_ms = 2000;
+	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_COMPLETE);
+	s.old_running = 1;
+	assert_int_equal(rollout_plan_decide(&s).action, ROLLOUT_PLAN_WAIT);
 }
 
 int
--- a/test/unit/test_rollout_store.c
+++ b/test/unit/test_rollout_store.c
@@ -73,7 +73,7 @@
 	struct rollout_order v3 = make_order("a", "v3", 15000);
 	struct rollout_step step;
 	struct rollout_step late;
-	struct rollout *r;
+	const struct rollout *r;
 
 	(void)state;
 	assert_int_equal(apply_order(&store, &v2), ROLLOUT_ACCEPTED);
@@ -166,7 +166,8 @@
 	char number[3] = {'v', (char)('1' + version), '\0'};
 	struct rollout_order order =
 	    make_order(name, number, 5000 * (1 + random_below(&w->random, 2)));
-	struct rollout *r = rollout_table_find(&w->store.table, name, number);
+	const struct rollout *r =
+	    rollout_table_find(&w->store.table, name, number);
 	struct rollout_step step;
 	int verdict;
 
@@ -212,9 +213,8 @@
 		for (v = 0; v < VERSIONS; v++) {
 			char name[2] = {(char)('a' + s), '\0'};
 			char number[3] = {'v', (char)('1' + v), '\0'};
-			struct rollout *r = rollout_table_find(
-			    (struct rollout_table *)&w->store.table, name,
-			    number);
+			const struct rollout *r =
+			    rollout_table_find(&w->store.table, name, number);
 			struct rollout_filter filter;
 
 			assert_true(!w->ordered[s][v] || r != NULL);
