test(soak): roll-outs are ordered again and again, and read back

Problem: the soak knew nothing of roll-outs.

Solution: half of the servers of each service announce another version; the operator sends the same order to random sources all the time and reads the state: an acknowledged one may not be gone, one that ended may not run again. It has its own random numbers, so that the faults of a seed stay.

--- a/test/soak/fleet.c
+++ b/test/soak/fleet.c
@@ -128,9 +128,11 @@
 		fprintf(f,
 		    "\"name\": \"b%u\", \"service\": \"s%u\", \"listen\": "
 		    "\"%s:%d\", \"told\": \"%s:%d\", \"service_us\": 20000, "
+		    "\"version\": \"v%u\", "
 		    "\"proxy\": {\"admin\": \"%s:%d\"}",
-		    p->number, p->number % 2, p->host, PORT_HTTP, p->host,
-		    PORT_HTTP + PORT_RELAY_OFFSET, p->host, PORT_ADMIN);
+		    p->number, p->number % FLEET_SERVICES, p->host, PORT_HTTP,
+		    p->host, PORT_HTTP + PORT_RELAY_OFFSET,
+		    1 + p->number / FLEET_SERVICES % 2, p->host, PORT_ADMIN);
 	else
 		write_replica(f, fleet, p);
 	fprintf(f, "}\n");
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -350,6 +350,8 @@
 		}
 		if (now_us >= submit_us) {
 			operator_submit_rules(&run->op, &run->random);
+			operator_submit_rollout(&run->op);
+			operator_check_rollouts(&run->op);
 			submit_us = now_us + SUBMIT_INTERVAL_US;
 		}
 		usleep(TICK_US);
@@ -393,8 +395,10 @@
 
 	do {
 		fleet_tick(&run->fleet, clock_now_us());
-		if (operator_check_accepted(&run->op))
-			return true;
+		if (operator_check_accepted(&run->op)) {
+			operator_check_rollouts(&run->op);
+			return run->op.violations == 0;
+		}
 		usleep(TICK_US);
 	} while (clock_now_us() < deadline_us && run->op.violations == 0);
 	return false;
@@ -436,7 +440,7 @@
 		abort();
 	run.random.seed = seed;
 	fleet_create(&run.fleet, soak->bin, folder);
-	operator_init(&run.op, &run.fleet);
+	operator_init(&run.op, &run.fleet, seed);
 	for (i = 0; i < FLEET_SIZE; i++)
 		fleet_start(&run.fleet, &run.fleet.processes[i]);
 	ok = wait_in_force(&run, START_WAIT_US);
--- a/test/soak/operator.c
+++ b/test/soak/operator.c
@@ -53,10 +53,11 @@
 }
 
 void
-operator_init(struct soak_operator *op, struct fleet *fleet)
+operator_init(struct soak_operator *op, struct fleet *fleet, uint64_t seed)
 {
 	memset(op, 0, sizeof(*op));
 	op->fleet = fleet;
+	op->random.seed = ~seed;
 }
 
 static void
@@ -88,6 +89,77 @@
 	fetch_response_free(&response);
 }
 
+void
+operator_submit_rollout(struct soak_operator *op)
+{
+	const struct fleet_process *source = fleet_get(op->fleet, KIND_SOURCE,
+	    1 + random_below(&op->random, FLEET_SOURCES));
+	uint32_t service = random_below(&op->random, FLEET_SERVICES);
+	struct fetch_response response;
+	char order[96];
+	long status;
+
+	if (op->accepted == 0)
+		return;
+	snprintf(order, sizeof(order),
+	    "{\"service\":\"s%u\",\"version\":\"v2\",\"within_ms\":3000}",
+	    service);
+	status = call(source->host, PORT_HTTP, "/rollouts", order,
+	    SUBMIT_TIMEOUT_MS, &response);
+	if (status == 200)
+		op->rollout_ordered[service] = true;
+	else if (status == 400 || status == 409)
+		record_violation(
+		    op, "a proper order was refused", response.body);
+	fetch_response_free(&response);
+}
+
+static void
+check_rollout(struct soak_operator *op, uint32_t service, const char *answer)
+{
+	json_t *root = json_loads(answer, 0, NULL);
+	const char *state = json_string_value(json_object_get(root, "state"));
+	char last = op->rollout_state[service];
+
+	if (state == NULL)
+		record_violation(op, "a roll-out cannot be read", answer);
+	else {
+		// Running, completed, rolled_back: the first letters differ but
+		// for the last, of which the second one counts.
+		op->rollout_state[service] =
+		    state[0] == 'r' && state[1] == 'o' ? 'b' : state[0];
+		if (last != 0 && last != 'r' &&
+		    op->rollout_state[service] != last)
+			record_violation(op, "a roll-out went back", answer);
+	}
+	json_decref(root);
+}
+
+void
+operator_check_rollouts(struct soak_operator *op)
+{
+	const struct fleet_process *source = fleet_get(op->fleet, KIND_SOURCE,
+	    1 + random_below(&op->random, FLEET_SOURCES));
+	struct fetch_response response;
+	char path[32];
+	uint32_t i;
+	long status;
+
+	for (i = 0; i < FLEET_SERVICES; i++) {
+		bool ordered = op->rollout_ordered[i];
+
+		snprintf(path, sizeof(path), "/rollouts/s%u", i);
+		status = call(source->host, PORT_HTTP, path, NULL,
+		    QUERY_TIMEOUT_MS, &response);
+		if (status == 200)
+			check_rollout(op, i, response.body);
+		else if (status == 404 && ordered)
+			record_violation(
+			    op, "an acknowledged roll-out is gone", path);
+		fetch_response_free(&response);
+	}
+}
+
 /// Returns the version that a proxy serves from; 0 if it does not serve.
 static uint64_t
 read_version(const struct fleet_process *proxy)
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -17,11 +17,18 @@
 	/// Last version read from each proxy since its start; 0: none.
 	uint64_t observed_versions[FLEET_PROXIES];
 	uint32_t observed_starts[FLEET_PROXIES]; ///< Start count of that read.
-	int violations;				 ///< Checks that failed.
+	/// Of roll-outs, so that they leave the choice of faults as it is.
+	struct random random;
+	/// A roll-out of each service: its order was acknowledged, and the state
+	/// in which it was seen last, as its first letter; 0: not seen.
+	bool rollout_ordered[FLEET_SERVICES];
+	char rollout_state[FLEET_SERVICES];
+	int violations; ///< Checks that failed.
 };
 
 /// Initialises the operator of a fleet.
-void operator_init(struct soak_operator *op, struct fleet *fleet);
+void operator_init(
+    struct soak_operator *op, struct fleet *fleet, uint64_t seed);
 
 /// Submits the next version to a random source, or the last one again if its
 /// result is not known. Records a refusal as invalid or in conflict as a failed
@@ -41,6 +48,14 @@
 /// @return whether a source returned such rules
 bool operator_check_accepted(struct soak_operator *op);
 
+/// Orders that a random service moves to the version that half of its servers
+/// have, always with the same order. Records a refusal as a failed check.
+void operator_submit_rollout(struct soak_operator *op);
+
+/// Reads the roll-outs from a random source. Records it as a failed check if one
+/// that was acknowledged is gone, or runs again after it had ended.
+void operator_check_rollouts(struct soak_operator *op);
+
 /// Sets a behaviour of a fake backend server.
 ///
 /// @param what  "NAME=VALUE", a member of struct fake_behaviour
