fix(backend): a heartbeat from the future does not replace a server that is heard

Solution: a start that is more than 2 s ahead of this VM's clock cannot be true; it is stale while the current server renews its lease, and counts once that is silent, so that a clock that was set back holds nobody off for longer than a lease.

--- a/src/core/requests/backend.c
+++ b/src/core/requests/backend.c
@@ -7,6 +7,27 @@
 /// in transit.
 #define DRAINING_LEASE_US (60LL * 1000000)
 
+/// Between reading the clock for a heartbeat and its arrival.
+#define START_TOLERANCE_US (2LL * 1000000)
+
+#define US_PER_MS 1000
+
+bool
+backend_is_start_ahead(uint64_t process_start_ms, int64_t wall_us)
+{
+	return process_start_ms >
+	    (uint64_t)(wall_us + START_TOLERANCE_US) / US_PER_MS;
+}
+
+/// Tells whether the current server is sound: it renews its lease.
+static bool
+is_sound(const struct backend *b, int64_t now_us)
+{
+	return b->known && b->latest.address[0] != '\0' &&
+	    b->latest.state != BACKEND_NONE &&
+	    now_us < b->latest.lease_deadline_us;
+}
+
 static bool
 is_same_process(const struct backend *b, const struct backend_announcement *a)
 {
@@ -49,6 +70,9 @@
 		return false;
 	if (is_same_process(b, a))
 		return is_out_of_order(b, a, now_us);
+	// What cannot be true does not replace a server that is heard.
+	if (a->start_ahead && is_sound(b, now_us))
+		return true;
 	// Nothing is known but the leave of another server.
 	if (b->latest.address[0] == '\0' && strcmp(b->latest.id, a->id) != 0)
 		return false;
@@ -90,6 +114,8 @@
 	if (b->known && a->process_start != 0 &&
 	    a->process_start < b->latest.process_start)
 		return BACKEND_STALE;
+	if (a->start_ahead && is_sound(b, now_us) && !is_same_process(b, a))
+		return BACKEND_STALE;
 	if (!b->known) {
 		b->latest = *a;
 		b->known = true;
--- a/src/core/requests/backend.h
+++ b/src/core/requests/backend.h
@@ -25,6 +25,9 @@
 	    process_start; ///< Start time of its process; increases with each one.
 	/// A leave that states none: process_start is the time of its arrival.
 	bool start_assumed;
+	/// process_start is ahead of this VM's clock: not from a server here, or
+	/// from before the clock was set back.
+	bool start_ahead;
 	uint64_t sequence; ///< Increases with each announcement of a process.
 	int64_t slow_start_deadline_us; ///< End of its slow start; 0 for none.
 	int64_t lease_deadline_us;	///< It counts as gone after this.
@@ -39,6 +42,10 @@
 	uint64_t resumed_sequence;
 };
 
+/// Tells whether a process start, in milliseconds since 1970, is ahead of the clock by
+/// more than the clocks of programs on one VM differ.
+bool backend_is_start_ahead(uint64_t process_start_ms, int64_t wall_us);
+
 enum backend_verdict {
 	BACKEND_CHANGED, ///< State that other members must know changed.
 	BACKEND_RENEWED, ///< Only the lease and the sequence changed.
--- a/src/proxy/control/announce.c
+++ b/src/proxy/control/announce.c
@@ -205,6 +205,7 @@
 	log_text(&line, "id", a->id);
 	log_number(&line, "sequence", (int64_t)a->sequence);
 	log_number(&line, "born", (int64_t)a->process_start);
+	log_number(&line, "born_ahead", a->start_ahead);
 	log_text(&line, "holds_id", control->backend.latest.id);
 	log_number(
 	    &line, "holds_sequence", (int64_t)control->backend.latest.sequence);
@@ -270,6 +271,8 @@
 		respond_error(exchange, &err);
 		return;
 	}
+	a.start_ahead =
+	    backend_is_start_ahead(a.process_start, clock_wall_us());
 	verdict = call == DIALECT_DEREGISTER
 	    ? backend_drain(&control->backend, &a, now_us)
 	    : backend_announce(&control->backend, &a, now_us);
--- a/test/functional/foreign_heartbeat.sh
+++ b/test/functional/foreign_heartbeat.sh
@@ -69,3 +69,9 @@
 ask
 echo "== the server is heard as before"
 beat_own
+echo "== a heartbeat, and a leave, of a process that starts in the future"
+beat_own >/dev/null
+mesh_beat 1 i-1 work "$(mesh_host 1):$PORT_HTTP" 99999999999999 1 draining
+mesh_call_proxy 1 i-1 deregister '{"born": 99999999999999}'
+beat_own >/dev/null
+ask
--- a/test/unit/test_backend.c
+++ b/test/unit/test_backend.c
@@ -150,10 +150,41 @@
 	assert_int_equal(b.latest.state, BACKEND_NONE);
 }
 
+/// Load: a writer sends heartbeats and leaves under the server's id, born ahead of the
+/// clock. The server that is heard serves on; once it is silent, the other counts.
+static void
+test_born_ahead_of_the_clock(void **state)
+{
+	struct backend b = {.known = false};
+	struct backend_announcement odd =
+	    make_announcement("i-1", 900000, 1, BACKEND_READY, NOW_US);
+	struct backend_announcement left = {
+	    .process_start = 900000, .state = BACKEND_DRAINING};
+	int64_t now_us = NOW_US;
+
+	(void)state;
+	assert_true(backend_is_start_ahead(900000, 100000000));
+	assert_false(backend_is_start_ahead(101000, 100000000));
+	odd.start_ahead = left.start_ahead = true;
+	strcpy(left.id, "i-1");
+	announce(&b, "i-1", 100, 2, BACKEND_READY, now_us);
+	assert_int_equal(backend_announce(&b, &odd, now_us), BACKEND_STALE);
+	assert_int_equal(backend_drain(&b, &left, now_us), BACKEND_STALE);
+	assert_int_equal(announce(&b, "i-1", 100, 3, BACKEND_READY, now_us),
+	    BACKEND_RENEWED);
+	now_us += LEASE_US;
+	assert_int_equal(backend_announce(&b, &odd, now_us), BACKEND_CHANGED);
+	// The clock was set back while it ran: it renews its own lease.
+	odd.sequence++;
+	odd.lease_deadline_us = now_us + LEASE_US;
+	assert_int_equal(backend_announce(&b, &odd, now_us), BACKEND_RENEWED);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_born_ahead_of_the_clock),
 	    cmocka_unit_test(test_out_of_order),
 	    cmocka_unit_test(test_leave_is_final),
 	    cmocka_unit_test(test_leave_of_unknown_server),
