feat(http): callers that give way are closed within the account

Problem: refused callers lingered with their connections' memory: 3,840 clients with 1 MB each grew a proxy of 160 MB to 170 and 176 MB. Bodies grow to what is announced at most.

--- a/src/core/memory_account.c
+++ b/src/core/memory_account.c
@@ -21,7 +21,7 @@
 /// body that has stopped.
 #define BEHIND_MAX_US (10 * US_PER_S)
 
-#define CALLER_SHARE_PCT 40
+#define CALLER_SHARE_PCT 33
 #define PERCENT		 100
 
 int64_t
--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -182,8 +182,9 @@
 		return queue_error_response(
 		    x->connection, 431, "request head is too large\n", false);
 
-	if (length != NULL &&
-	    strtoll(length, NULL, 10) > httpd->limits.max_body_bytes)
+	if (length != NULL)
+		x->announced_bytes = strtoll(length, NULL, 10);
+	if (x->announced_bytes > httpd->limits.max_body_bytes)
 		return queue_error_response(
 		    x->connection, 413, httpd_body_too_large_text, false);
 	return MHD_YES;
@@ -218,6 +219,8 @@
 		httpd->run_pending = false;
 		MHD_run(httpd->daemon);
 		upload_deliver_joined(httpd);
+		memory_account_relieve(
+		    httpd->account, loop_now_us(httpd->loop));
 		if (httpd->run_pending)
 			continue;
 		if (MHD_get_timeout(httpd->daemon, &timeout_ms) != MHD_YES ||
@@ -334,7 +337,7 @@
 		*context = NULL;
 		return;
 	}
-	*context = caller_open(httpd, connection);
+	*context = caller_open(httpd, connection, &caller_holder_ops);
 	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
 	    (unsigned int)httpd->limits.idle_timeout_s);
 }
--- a/src/io/http/httpd_exchange.c
+++ b/src/io/http/httpd_exchange.c
@@ -15,6 +15,9 @@
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
 
+/// A body that is passed on at this size or before.
+#define KEPT_BODY_BYTES (HTTPD_BUFFERED_BODY_BYTES + CONNECTION_MEMORY_BYTES)
+
 /// Memory that the library takes for each header of a request besides its text.
 #define HEADER_ENTRY_BYTES 64
 
@@ -302,13 +305,32 @@
 	exchange_resume(x);
 }
 
+size_t
+exchange_body_growth_bytes(const struct exchange *x, size_t size_bytes)
+{
+	size_t needed_bytes = x->pub.body_bytes + size_bytes + 1;
+	size_t capacity_bytes = x->body_capacity_bytes * 2;
+
+	if (needed_bytes <= x->body_capacity_bytes)
+		return 0;
+	// Doubles, but for a body that comes at once, up to one that is passed on.
+	if (capacity_bytes > KEPT_BODY_BYTES)
+		capacity_bytes = KEPT_BODY_BYTES;
+	if (x->announced_bytes > 0 &&
+	    capacity_bytes > (size_t)x->announced_bytes + 1)
+		capacity_bytes = (size_t)x->announced_bytes + 1;
+	if (capacity_bytes < needed_bytes)
+		capacity_bytes = needed_bytes;
+	return capacity_bytes - x->body_capacity_bytes;
+}
+
 void
 http_exchange_keep_body(struct http_exchange *exchange, const char *data,
     size_t size_bytes, bool last)
 {
 	struct exchange *x = exchange_of(exchange);
 
-	x->body_capacity_bytes += upload_growth_bytes(x, size_bytes);
+	x->body_capacity_bytes += exchange_body_growth_bytes(x, size_bytes);
 	if (x->body_capacity_bytes != x->body_held_bytes) {
 		exchange->body =
 		    realloc(exchange->body, x->body_capacity_bytes);
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -56,6 +56,7 @@
 	int64_t credit_bytes;
 	int64_t received_bytes;	 ///< Of the request body.
 	int64_t discarded_bytes; ///< Of it, after an early response.
+	int64_t announced_bytes; ///< Content-Length; 0: none.
 	size_t body_capacity_bytes;
 	char *parts; ///< Joined, not yet delivered; NULL: none.
 	size_t parts_bytes;
@@ -112,14 +113,17 @@
 /// Ends an exchange whose caller has closed the connection, or loses it.
 void exchange_end_abandoned(struct exchange *x);
 
+/// Returns by how much the kept body has to grow for a further part.
+size_t exchange_body_growth_bytes(const struct exchange *x, size_t size_bytes);
+
 /// Frees the body that is kept.
 void exchange_drop_body(struct exchange *x);
 
 // Connections of callers, in httpd_caller.c.
 
 /// Adds a connection that was accepted.
-struct caller *caller_open(
-    struct httpd *httpd, struct MHD_Connection *connection);
+struct caller *caller_open(struct httpd *httpd,
+    struct MHD_Connection *connection, const struct memory_holder_ops *ops);
 
 void caller_free(struct caller *caller);
 
@@ -132,6 +136,10 @@
 /// Counts what a caller makes the server hold now.
 void caller_update(struct caller *caller);
 
+// Connections that give way, in httpd_evict.c.
+
+extern const struct memory_holder_ops caller_holder_ops;
+
 /// Closes the connections that hold up others: those refused that still stay, and
 /// near the limit on connections those that give least.
 void caller_close_strangers(struct httpd *httpd, int64_t now_us);
@@ -140,9 +148,6 @@
 
 extern const char httpd_body_too_large_text[];
 
-/// Returns by how much the kept body has to grow for a further part.
-size_t upload_growth_bytes(const struct exchange *x, size_t size_bytes);
-
 /// Prepares a new exchange.
 void upload_begin(struct exchange *x);
 
--- a/src/io/http/httpd_upload.c
+++ b/src/io/http/httpd_upload.c
@@ -136,22 +136,6 @@
 	x->parts_bytes += size_bytes;
 }
 
-size_t
-upload_growth_bytes(const struct exchange *x, size_t size_bytes)
-{
-	size_t needed_bytes = x->pub.body_bytes + size_bytes + 1;
-	size_t capacity_bytes = x->body_capacity_bytes * 2;
-
-	if (needed_bytes <= x->body_capacity_bytes)
-		return 0;
-	// Doubles, but for a body that comes at once, up to one that is passed on.
-	if (capacity_bytes > HTTPD_BUFFERED_BODY_BYTES + JOINED_BYTES)
-		capacity_bytes = HTTPD_BUFFERED_BODY_BYTES + JOINED_BYTES;
-	if (capacity_bytes < needed_bytes)
-		capacity_bytes = needed_bytes;
-	return capacity_bytes - x->body_capacity_bytes;
-}
-
 /// Buffers a part of a body before its request is passed on.
 static void
 buffer_part(struct exchange *x, const char *data, size_t size_bytes)
@@ -165,7 +149,7 @@
 		return;
 	}
 	if (!memory_holder_ask(&x->caller->holder,
-		(int64_t)upload_growth_bytes(x, size_bytes),
+		(int64_t)exchange_body_growth_bytes(x, size_bytes),
 		loop_now_us(httpd->loop))) {
 		if (!x->caller->holder.leaving)
 			memory_holder_evict(&x->caller->holder);
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -252,6 +252,7 @@
 	egress->account = settings->account;
 	egress->dialect = settings->dialect;
 	egress->on_slot_free = egress_run_queued;
+	egress->on_evicted = egress_refuse_evicted;
 	egress->httpc = httpc_open(loop, 1, err);
 	if (egress->httpc == NULL) {
 		free(egress);
--- a/src/proxy/egress/egress_memory.c
+++ b/src/proxy/egress/egress_memory.c
@@ -1,21 +1,10 @@
-// Memory that ingresses make the egress hold, and requests that give way when it is full.
+// Memory that ingresses make the egress hold.
 #include <string.h>
 
-#include "io/clock.h"
-#include "io/log/counters.h"
 #include "proxy/egress/egress_request.h"
 
-#define RETRY_US (1 * US_PER_S)
-
-COUNTER_DEFINE(count_refused, "egress_refused_memory",
-    "Requests refused before they ran, since memory was full");
-COUNTER_DEFINE(count_aborted, "egress_aborted_memory",
-    "Calls ended whose bodies had stopped, since memory was full");
-
-/// A request that waits can be refused, and a call whose body is not complete cannot
-/// have been understood. Any other one is at work.
-static bool
-can_give_way(const struct egress_request *r)
+bool
+egress_memory_can_give_way(const struct egress_request *r)
 {
 	switch (r->state) {
 	case REQUEST_COLLECTING:
@@ -28,41 +17,6 @@
 	}
 }
 
-static struct egress_request *
-find_marked(const struct egress *egress)
-{
-	struct egress_request *r = egress->first;
-
-	while (r != NULL && !r->evict_marked)
-		r = r->next;
-	return r;
-}
-
-/// Refuses the marked requests. The slot that one frees may end others, so each
-/// search starts anew.
-static void
-refuse_marked(void *arg)
-{
-	struct egress *egress = arg;
-	struct egress_request *r;
-
-	egress->evict_deferred = false;
-	while ((r = find_marked(egress)) != NULL) {
-		r->evict_marked = false;
-		if (!can_give_way(r)) {
-			memory_holder_unmark_leaving(&r->holder);
-		} else if (r->state == REQUEST_RUNNING) {
-			counter_add(&count_aborted, 1);
-			egress_mark_abort(r);
-		} else {
-			counter_add(&count_refused, 1);
-			egress_end_not_run(
-			    r, 503, RETRY_US, "this VM's memory is full");
-		}
-	}
-	egress->on_slot_free(egress);
-}
-
 static void
 evict(struct memory_holder *holder)
 {
@@ -74,7 +28,7 @@
 	if (egress->evict_deferred)
 		return;
 	egress->evict_deferred = true;
-	loop_defer(egress->loop, refuse_marked, egress);
+	loop_defer(egress->loop, egress->on_evicted, egress);
 }
 
 static const struct memory_holder_ops holder_ops = {.evict = evict};
@@ -93,7 +47,7 @@
 {
 	bool waits = !r->message->more || r->upload_last;
 
-	r->holder.ops = can_give_way(r) ? &holder_ops : NULL;
+	r->holder.ops = egress_memory_can_give_way(r) ? &holder_ops : NULL;
 	memory_holder_set(&r->holder,
 	    (int64_t)(sizeof(*r) + r->message->body.size_bytes +
 		r->upload_held_bytes + r->body_held_bytes));
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -92,6 +92,8 @@
 	struct collector collector;
 	/// Called when a call ends and frees its slot.
 	void (*on_slot_free)(struct egress *egress);
+	/// Called once requests were told to give way; gets the egress.
+	void (*on_evicted)(void *arg);
 	struct loop_timer sweep_timer;
 	struct loop_timer start_timer;	    ///< Next start that a limit allows.
 	void (*on_pace_changed)(void *arg); ///< May be NULL.
@@ -170,6 +172,19 @@
 bool egress_receive_body_part(
     struct egress_request *r, const struct message_body *body);
 
+// egress_memory.c
+
+/// Adds a new request to the account of memory.
+void egress_memory_add(struct egress_request *r);
+
+/// Counts what a request holds, and whether it can still give way. Call it after
+/// each change of either.
+void egress_memory_update(struct egress_request *r);
+
+/// Tells whether a request can give way: one that waits can be refused, and a call
+/// whose body is not complete cannot have been understood. Any other is at work.
+bool egress_memory_can_give_way(const struct egress_request *r);
+
 // egress_request.c
 
 /// Creates a request from a copy of the message and adds it to the egress.
@@ -198,15 +213,6 @@
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
 
-// egress_memory.c
-
-/// Adds a new request to the account of memory.
-void egress_memory_add(struct egress_request *r);
-
-/// Counts what a request holds, and whether it can still give way. Call it after
-/// each change of either.
-void egress_memory_update(struct egress_request *r);
-
 // egress_call.c
 
 /// Sends a request that holds a slot to the backend server.
@@ -215,6 +221,13 @@
 /// Marks a call to be aborted soon, outside of its callbacks.
 void egress_mark_abort(struct egress_request *r);
 
+// egress_evict.c
+
+/// Ends the requests that were told to give way.
+///
+/// @param arg  the egress
+void egress_refuse_evicted(void *arg);
+
 // work.c
 
 /// Offers a request to the admission. A body to collect must be complete.
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -1,6 +1,5 @@
 // mvproxy: the proxy on the VM of each backend server.
 #include <apr_general.h>
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -11,8 +10,6 @@
     "Proxy on the VM of a backend server: routes callers' requests by the "
     "rules in force, and admits requests to its backend server by rank.";
 
-#define MMAP_THRESHOLD_BYTES (128 * 1024)
-
 static struct proxy_settings settings;
 static struct control control;
 static struct traffic_settings traffic;
@@ -125,9 +122,6 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	// Long bodies go back to the system when they are freed: by default the
-	// threshold rises with the first one.
-	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	apr_initialize();
 	exit_code = run();
 	apr_terminate();
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -137,7 +137,7 @@
     INTEGER("limits.queued_bytes", max_queued_bytes, 65536, 1073741824,
 	"16777216", "memory of the requests in the admission queue"),
     INTEGER("limits.memory_mb", memory_mb, 32, 1048576, "1024",
-	"memory of this VM for the proxy, in MB; callers may make it hold 40 % "
+	"memory of this VM for the proxy, in MB; callers may make it hold 33 % "
 	"of that"),
     NUMBER("limits.link_mbps", link_mbps, 1000000, "0",
 	"capacity of the link of this VM, in Mbit/s; 0: not known"),
