--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -69,6 +69,8 @@
 	log_ms(&line, "drain_announce_ms", s->drain_announce_us);
 	log_ms(&line, "drain_limit_ms", s->drain_limit_us);
 	log_number(&line, "retry_ratio_pct", traffic.ingress.retry_ratio_pct);
+	log_number(&line, "memory_bytes", traffic.memory_bytes);
+	log_number(&line, "connections", traffic.ingress.max_connections);
 	log_number(&line, "retry_burst", traffic.ingress.retry_burst);
 	log_end(&line);
 }
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -1,6 +1,7 @@
 // Settings of mvproxy.
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <xxhash.h>
 
 #include "io/clock.h"
@@ -131,7 +132,8 @@
     INTEGER("limits.body_bytes", max_body_bytes, 1024, 1099511627776,
 	"1073741824", "largest request body"),
     INTEGER("limits.connections", max_connections, 1, 100000, "2000",
-	"connections of callers, for each listener"),
+	"connections of callers, for each listener; at most half of the "
+	"process's descriptors in all"),
     INTEGER("limits.queued", max_queued, 1, 1000000, "2000",
 	"longest admission queue, in requests"),
     INTEGER("limits.queued_bytes", max_queued_bytes, 65536, 1073741824,
@@ -317,6 +319,22 @@
 		    (uint32_t)(s->retry_allowed_burst * RETRY_BURST_SHARE);
 }
 
+/// Returns the connections of callers for each listener: the descriptors of the
+/// process are shared with control, servers and other proxies, which keep half.
+static int64_t
+resolve_connections(const struct proxy_settings *s)
+{
+	int64_t listeners = s->listen_inner[0] != '\0' ? 2 : 1;
+	struct rlimit limit;
+	int64_t cap;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+	    limit.rlim_cur == RLIM_INFINITY)
+		return s->max_connections;
+	cap = (int64_t)limit.rlim_cur / 2 / listeners;
+	return cap < s->max_connections ? cap : s->max_connections;
+}
+
 int
 proxy_settings_resolve(const struct proxy_settings *s,
     struct control_settings *control, struct traffic_settings *traffic)
@@ -361,7 +379,7 @@
 	    sizeof(traffic->ingress.service));
 	traffic->ingress.incarnation = control->self.incarnation;
 	traffic->ingress.max_body_bytes = s->max_body_bytes;
-	traffic->ingress.max_connections = s->max_connections;
+	traffic->ingress.max_connections = resolve_connections(s);
 	traffic->ingress.retry_ratio_pct = (uint32_t)s->retry_ratio_pct;
 	traffic->ingress.retry_burst = (uint32_t)s->retry_burst;
 	traffic->ingress.slow_start_us = s->warm_ms * US_PER_MS;
