--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -1,5 +1,6 @@
 // mvproxy: the proxy on the VM of each backend server.
 #include <apr_general.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -70,9 +71,13 @@
 	log_ms(&line, "drain_limit_ms", s->drain_limit_us);
 	log_number(&line, "retry_ratio_pct", traffic.ingress.retry_ratio_pct);
 	log_number(&line, "memory_bytes", traffic.memory_bytes);
-	log_number(&line, "connections", traffic.ingress.max_connections);
 	log_number(&line, "retry_burst", traffic.ingress.retry_burst);
 	log_end(&line);
+	if (traffic.ingress.max_connections < settings.max_connections)
+		log_write(LOG_WARN, "proxy",
+		    "Each listener takes %" PRId64 " connections: "
+		    "limits.connections is more than half of the descriptors.",
+		    traffic.ingress.max_connections);
 }
 
 static int
