--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -192,6 +192,7 @@
 
 		rollout_table_get_filter(
 		    &view->rollouts, b->service, &b->rollout);
+		rollout_own_follow(&b->rollout_own, &b->rollout);
 		balancer_begin_view(b);
 	}
 	for (i = 0; i < view->endpoint_count; i++) {
@@ -222,7 +223,10 @@
 	listener->trusted = trusted;
 	listener->httpd = httpd_open(
 	    ingress->loop, at, &httpd_ops, listener, &limits, bound, err);
-	return listener->httpd == NULL ? -1 : 0;
+	if (listener->httpd == NULL)
+		return -1;
+	httpd_set_account(listener->httpd, ingress->settings.account);
+	return 0;
 }
 
 struct ingress *
--- a/src/source/rollout_order.c
+++ b/src/source/rollout_order.c
@@ -59,14 +59,13 @@
 }
 
 int
-rollout_order_parse(const struct source *source, const char *body,
-    size_t body_bytes, struct rollout_order *out, struct error *err)
+rollout_order_parse(const char *body, size_t body_bytes,
+    struct rollout_order *out, struct error *err)
 {
 	json_t *root =
 	    json_loadb(body == NULL ? "" : body, body_bytes, 0, NULL);
 	int rc = read_order(root, out, err);
 
-	(void)source;
 	counter_add(&count_orders, 1);
 	json_decref(root);
 	return rc;
@@ -148,7 +147,10 @@
 	*status = 409;
 	switch (verdict) {
 	case ROLLOUT_ACCEPTED:
+		*status = 200;
+		break;
 	case ROLLOUT_DUPLICATE:
+		result = "already accepted";
 		*status = 200;
 		break;
 	case ROLLOUT_IN_PROGRESS:
