--- a/src/core/workspace/quota_ledger.c
+++ b/src/core/workspace/quota_ledger.c
@@ -21,6 +21,9 @@
 /// over meanwhile.
 #define WAIT_MAX_US 500000
 
+/// Most unmet demand that one ask may state.
+#define UNMET_MAX 10000
+
 /// Life of tokens of a workspace without a limit.
 #define UNLIMITED_LIFE_US 1000000
 
@@ -175,6 +178,7 @@
 	struct quota_grant grant = {.asked = ask->wanted + ask->spare,
 	    .tokens = ask->wanted,
 	    .life_us = UNLIMITED_LIFE_US};
+	uint32_t missing;
 	double wait_us;
 
 	if (a == NULL)
@@ -184,7 +188,8 @@
 	grant.tokens = whole_tokens(a->level, ask->wanted);
 	a->level -= grant.tokens;
 	if (grant.tokens < ask->wanted) {
-		a->unmet += ask->wanted - grant.tokens;
+		missing = ask->wanted - grant.tokens;
+		a->unmet += missing < UNMET_MAX ? missing : UNMET_MAX;
 		// Those who asked before come first.
 		wait_us = a->unmet / a->plan.rate_per_s / MICRO;
 		grant.wait_us =
--- a/src/core/workspace/quota_share.c
+++ b/src/core/workspace/quota_share.c
@@ -44,6 +44,9 @@
 /// Most tokens that one ask may name for one workspace.
 #define ASK_MAX_TOKENS 10000
 
+/// Longest life and wait that an answer may state.
+#define GRANT_MAX_US 10000000
+
 /// Longest time that a caller at the limit is told to wait.
 #define RETRY_MAX_US 2000000
 
@@ -394,19 +397,29 @@
 	into->tokens += tokens;
 }
 
+static int64_t
+at_most(int64_t time_us, int64_t max_us)
+{
+	return time_us < max_us ? time_us : max_us;
+}
+
 void
 quota_share_add_grant(struct quota_share *share, uint64_t workspace,
     const struct quota_grant *grant, int64_t granted_us, int64_t now_us)
 {
 	struct quota_entry *e = find_entry(share, workspace);
+	int64_t expires_us;
 
 	if (e == NULL)
 		return;
 	e->asked -= grant->asked < e->asked ? grant->asked : e->asked;
 	e->life_us = grant->life_us;
-	if (grant->tokens > 0 && granted_us + grant->life_us > now_us)
-		add_batch(e, grant->tokens, granted_us + grant->life_us);
-	e->full_until_us = grant->wait_us > 0 ? now_us + grant->wait_us : 0;
+	expires_us = granted_us + at_most(grant->life_us, GRANT_MAX_US);
+	if (grant->tokens > 0 && expires_us > now_us)
+		add_batch(e, grant->tokens, expires_us);
+	e->full_until_us = grant->wait_us > 0
+	    ? now_us + at_most(grant->wait_us, GRANT_MAX_US)
+	    : 0;
 	if (e->waiting > grant->tokens && grant->wait_us == 0)
 		list_entry(share, e);
 }
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -514,6 +514,13 @@
 	assert_int_equal(quota_share_take(&share, workspace, true,
 			     now_us + 300000, &retry_us),
 	    QUOTA_WAIT);
+	// Whatever an answer states, it holds for seconds.
+	grant.life_us = grant.wait_us = INT64_MAX / 4;
+	quota_share_add_grant(
+	    &share, workspace, &grant, sent_us, now_us + 300000);
+	assert_int_equal(quota_share_take(&share, workspace, true,
+			     now_us + 60000000, &retry_us),
+	    QUOTA_WAIT);
 	quota_share_free(&share);
 	rules_unref(rules);
 }
