--- a/src/proxy/egress/egress_log.c
+++ b/src/proxy/egress/egress_log.c
@@ -19,6 +19,8 @@
 	if (header != NULL && header_list_find(&m->headers, header, &name))
 		log_bytes(line, "request", name);
 	log_bytes(line, "rank", m->rank);
+	if (m->workspace.size_bytes > 0)
+		log_bytes(line, "workspace", m->workspace);
 	if (egress->rules != NULL)
 		log_number(line, "rules", (int64_t)egress->rules->version);
 }
