--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -384,8 +384,8 @@
 	if (strcmp(self->server_version, version) == 0)
 		return;
 	memset(self->server_version, 0, sizeof(self->server_version));
-	strncpy(self->server_version, version,
-	    sizeof(self->server_version) - 1);
+	strncpy(
+	    self->server_version, version, sizeof(self->server_version) - 1);
 	membership_raise_revision(m);
 	m->notice_deadline_us = now_us;
 }
