feat(rollouts): what proxies stopped by themselves reaches the sources

Problem: a version that turned bad while the sources were paused was completed by them afterwards (functional.rollout_cut_off): proxies had stopped using it, so no further counts came, and the cumulative ones held more good answers than bad.

Solution: a proxy that stops after bad answers of three servers names the order in its reports; two such proxies make the leader roll back. Counts are repeated each second, so that a new leader has them without further requests.

Result: functional.rollout_cut_off rolled back, no request failed meanwhile; it showed 'completed' on the code before.

--- a/src/core/membership/report_table.c
+++ b/src/core/membership/report_table.c
@@ -82,8 +82,8 @@
 }
 
 void
-report_table_set_rollouts(
-    struct report_table *table, const struct member *member, uint64_t revision)
+report_table_set_rollouts(struct report_table *table,
+    const struct member *member, uint64_t revision, uint64_t stopped)
 {
 	uint32_t at = report_position(table, member->name);
 	struct report *r = &table->items[at];
@@ -92,6 +92,26 @@
 	    r->member.incarnation != member->incarnation)
 		return;
 	r->rollout_revision = revision;
+	r->rollout_stopped = stopped;
+}
+
+uint32_t
+report_table_count_stopped(const struct report_table *table, uint64_t order,
+    int64_t now_us, uint32_t *members)
+{
+	uint32_t stopped = 0;
+	uint32_t i;
+
+	*members = 0;
+	for (i = 0; i < table->count; i++) {
+		const struct report *r = &table->items[i];
+
+		if (r->left || now_us - r->reported_us > table->stale_us)
+			continue;
+		(*members)++;
+		stopped += r->rollout_stopped == order;
+	}
+	return stopped;
 }
 
 static void
--- a/src/core/membership/report_table.h
+++ b/src/core/membership/report_table.h
@@ -14,6 +14,7 @@
 	int64_t reported_us;
 	bool left;
 	uint64_t rollout_revision; ///< Highest of the roll-outs known there.
+	uint64_t rollout_stopped; ///< Order that it stopped following; 0: none.
 	uint64_t rollout_notified; ///< Revision that it was last notified of.
 	int64_t rollout_notice_us; ///< Time of that notice.
 };
@@ -42,9 +43,17 @@
 const struct report *report_table_update(struct report_table *table,
     const struct member *member, bool leaving, int64_t now_us);
 
-/// Sets the revision of the roll-outs that a process of a proxy knows.
-void report_table_set_rollouts(
-    struct report_table *table, const struct member *member, uint64_t revision);
+/// Sets the revision of the roll-outs that a process of a proxy knows, and the
+/// order whose version it stopped using.
+void report_table_set_rollouts(struct report_table *table,
+    const struct member *member, uint64_t revision, uint64_t stopped);
+
+/// Counts the proxies with fresh reports that stopped using the version of an
+/// order.
+///
+/// @param members  receives the number of proxies with fresh reports
+uint32_t report_table_count_stopped(const struct report_table *table,
+    uint64_t order, int64_t now_us, uint32_t *members);
 
 /// Removes a proxy by name.
 ///
--- a/src/core/rollout/rollout_judge.c
+++ b/src/core/rollout/rollout_judge.c
@@ -39,9 +39,7 @@
 /// Answers of the old version from which its median is known.
 #define MEDIAN_ANSWERS 20.0
 
-/// Least number of bad servers, and their least share of those that answered as
-/// a divisor.
-#define BAD_SERVERS	    3
+/// Least share of bad servers among those that answered, as a divisor.
 #define BAD_SERVERS_DIVISOR 5
 
 void
@@ -284,7 +282,8 @@
 static bool
 is_spread(const struct rollout_finding *f)
 {
-	uint32_t needed = f->servers < BAD_SERVERS ? f->servers : BAD_SERVERS;
+	uint32_t needed =
+	    f->servers < ROLLOUT_BAD_SERVERS ? f->servers : ROLLOUT_BAD_SERVERS;
 
 	return f->bad_servers >= needed &&
 	    f->bad_servers * BAD_SERVERS_DIVISOR >= f->servers;
--- a/src/core/rollout/rollout_judge.h
+++ b/src/core/rollout/rollout_judge.h
@@ -17,6 +17,9 @@
 
 #define ROLLOUT_JUDGE_ROUTES 32
 
+/// Least number of bad servers, if that many answered.
+#define ROLLOUT_BAD_SERVERS 3
+
 /// Kinds of bad answers, each with a test of its own.
 enum rollout_fault {
 	ROLLOUT_FAULT_FAILED,
--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -125,8 +125,8 @@
 	    FLOOR_CHECK_US);
 	traffic_set_leaving_listener(
 	    control->traffic, control->loop, announce_backend_leaving, control);
-	traffic_set_counts_listener(
-	    control->traffic, control->loop, rollouts_send_counts, control);
+	traffic_set_rollout_listener(control->traffic, control->loop,
+	    rollouts_send_counts, rollouts_note_stopped, control);
 	distribution_post_sources(control);
 	control->lease_timer.fn = announce_lease_expired;
 	control->lease_timer.arg = control;
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -64,6 +64,8 @@
 	bool refused_delta; ///< Invalid rules were pulled; pull no delta.
 	struct rules *rules;
 	struct rollout_table rollouts;
+	/// Order of a roll-out whose version this proxy stopped using; 0: none.
+	uint64_t rollout_stopped;
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -390,7 +390,8 @@
 	struct message_report report = {.leaving = leaving,
 	    .members_known = membership_alive_count(&control->membership),
 	    .sources_hash = control->discovered_hash,
-	    .rollout_revision = rollout_table_revision(&control->rollouts)};
+	    .rollout_revision = rollout_table_revision(&control->rollouts),
+	    .rollout_stopped = control->rollout_stopped};
 	struct address sources[2 * CONTROL_MAX_SOURCES];
 	bool to_all = !leader_suffices(control, leaving);
 	msgpack_sbuffer out;
--- a/src/proxy/control/rollouts.c
+++ b/src/proxy/control/rollouts.c
@@ -52,6 +52,16 @@
 		   &control->rollouts, control->backend.latest.service) != NULL;
 }
 
+void
+rollouts_note_stopped(void *arg, uint64_t order)
+{
+	struct control *control = arg;
+
+	control->rollout_stopped = order;
+	loop_timer_set(
+	    control->loop, &control->report_timer, loop_now_us(control->loop));
+}
+
 void
 rollouts_send_counts(void *arg, const struct egress_counts *counts)
 {
--- a/src/proxy/control/rollouts.h
+++ b/src/proxy/control/rollouts.h
@@ -21,4 +21,8 @@
 /// @param arg     the control thread's state
 void rollouts_send_counts(void *arg, const struct egress_counts *counts);
 
+/// Notes that this proxy stopped using a new version, for the sources. Called on
+/// the control loop.
+void rollouts_note_stopped(void *arg, uint64_t order);
+
 #endif
--- a/src/proxy/egress/egress_rollout.c
+++ b/src/proxy/egress/egress_rollout.c
@@ -7,7 +7,7 @@
 /// Time between counts that are sent.
 #define COUNTS_PERIOD_US (250 * US_PER_MS)
 
-/// The same if only requests that run at the server are to be told.
+/// The same if nothing changed: a new leader has to learn them.
 #define REPEAT_PERIOD_US (1 * US_PER_S)
 
 void
@@ -81,12 +81,10 @@
 	struct egress_watch *w = &egress->watch;
 	int64_t now_us = loop_now_us(egress->loop);
 	uint32_t running = egress->admission.running + egress->admission.queued;
-	int64_t period_us = REPEAT_PERIOD_US;
+	int64_t period_us = w->changed || w->sent.running != running
+	    ? COUNTS_PERIOD_US
+	    : REPEAT_PERIOD_US;
 
-	if (w->changed || w->sent.running != running)
-		period_us = COUNTS_PERIOD_US;
-	else if (running == 0)
-		return false;
 	if (w->sent.order == 0 || now_us - w->sent_us < period_us)
 		return false;
 	w->changed = false;
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -176,6 +176,11 @@
 	log_number(&line, "answers", (int64_t)finding.answers);
 	log_number(&line, "bad_servers", finding.bad_servers);
 	log_end(&line);
+	// One that met a bad server or two only does not speak for the version.
+	if (r->ingress->on_stopped != NULL &&
+	    finding.bad_servers >= ROLLOUT_BAD_SERVERS)
+		r->ingress->on_stopped(
+		    r->ingress->stopped_arg, b->rollout.order);
 }
 
 static void
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -260,6 +260,14 @@
 	return ingress;
 }
 
+void
+ingress_set_stop_listener(
+    struct ingress *ingress, void (*fn)(void *arg, uint64_t order), void *arg)
+{
+	ingress->on_stopped = fn;
+	ingress->stopped_arg = arg;
+}
+
 void
 ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation)
 {
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -41,6 +41,12 @@
     struct address *bound_outer, struct address *bound_inner,
     struct error *err);
 
+/// Sets the callback for a new version that this ingress stops using by itself.
+///
+/// @param fn  gets the order of its roll-out
+void ingress_set_stop_listener(
+    struct ingress *ingress, void (*fn)(void *arg, uint64_t order), void *arg);
+
 /// Applies a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
 
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -133,6 +133,9 @@
 	struct loop_timer parked_timer;
 	int64_t drain_deadline_us; ///< End of the drain; 0 for none.
 	bool retries_disabled;	   ///< Set near the end of a drain.
+	/// Called when it stops using a new version; may be NULL.
+	void (*on_stopped)(void *arg, uint64_t order);
+	void *stopped_arg;
 	struct egress *egress;
 	struct links *links;
 	struct ingress_settings settings;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -35,9 +35,10 @@
 	struct loop *leaving_loop; ///< Of the listener below; or NULL.
 	traffic_leaving_fn *leaving_fn;
 	void *leaving_arg;
-	struct loop *counts_loop; ///< Of the listener below; or NULL.
+	struct loop *rollout_loop; ///< Of the listeners below; or NULL.
 	traffic_counts_fn *counts_fn;
-	void *counts_arg;
+	traffic_stopped_fn *stopped_fn;
+	void *rollout_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -259,46 +260,66 @@
 	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
 }
 
-/// Counts on their way to the listener.
-struct counts_notice {
-	traffic_counts_fn *fn;
-	void *arg;
+/// Counts, or a stop if its order is not 0, on their way to the listeners.
+struct rollout_notice {
+	struct traffic *traffic;
 	struct egress_counts counts;
+	uint64_t stopped_order;
 };
 
 static void
-deliver_counts(void *arg)
+deliver_rollout(void *arg)
 {
-	struct counts_notice *notice = arg;
+	struct rollout_notice *notice = arg;
+	struct traffic *traffic = notice->traffic;
 
-	notice->fn(notice->arg, &notice->counts);
+	if (notice->stopped_order != 0)
+		traffic->stopped_fn(
+		    traffic->rollout_arg, notice->stopped_order);
+	else
+		traffic->counts_fn(traffic->rollout_arg, &notice->counts);
 	free(notice);
 }
 
+static void
+post_rollout(struct traffic *traffic, const struct egress_counts *counts,
+    uint64_t stopped_order)
+{
+	struct rollout_notice *notice = calloc(1, sizeof(*notice));
+
+	assert(notice != NULL);
+	notice->traffic = traffic;
+	if (counts != NULL)
+		notice->counts = *counts;
+	notice->stopped_order = stopped_order;
+	loop_post(traffic->rollout_loop, deliver_rollout, notice);
+}
+
+static void
+on_stopped(void *arg, uint64_t order)
+{
+	post_rollout(arg, NULL, order);
+}
+
 static void
 post_counts(struct traffic *traffic)
 {
 	struct egress_counts counts;
-	struct counts_notice *notice;
 
-	if (traffic->counts_loop == NULL ||
-	    !egress_take_counts(traffic->egress, &counts))
-		return;
-	notice = calloc(1, sizeof(*notice));
-	assert(notice != NULL);
-	notice->fn = traffic->counts_fn;
-	notice->arg = traffic->counts_arg;
-	notice->counts = counts;
-	loop_post(traffic->counts_loop, deliver_counts, notice);
+	if (traffic->rollout_loop != NULL &&
+	    egress_take_counts(traffic->egress, &counts))
+		post_rollout(traffic, &counts, 0);
 }
 
 void
-traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
-    traffic_counts_fn *fn, void *arg)
+traffic_set_rollout_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *counts_fn, traffic_stopped_fn *stopped_fn, void *arg)
 {
-	traffic->counts_loop = loop;
-	traffic->counts_fn = fn;
-	traffic->counts_arg = arg;
+	traffic->rollout_loop = loop;
+	traffic->counts_fn = counts_fn;
+	traffic->stopped_fn = stopped_fn;
+	traffic->rollout_arg = arg;
+	ingress_set_stop_listener(traffic->ingress, on_stopped, traffic);
 }
 
 uint32_t
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -93,10 +93,14 @@
 /// Called with what the backend server has answered during a roll-out.
 typedef void traffic_counts_fn(void *arg, const struct egress_counts *counts);
 
-/// Sets the function to post counts to another loop with. Call it before
+/// Called when this proxy stops using a new version by itself, with the order of
+/// its roll-out.
+typedef void traffic_stopped_fn(void *arg, uint64_t order);
+
+/// Sets the functions to post to another loop during roll-outs. Call it before
 /// traffic_start.
-void traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
-    traffic_counts_fn *fn, void *arg);
+void traffic_set_rollout_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *counts_fn, traffic_stopped_fn *stopped_fn, void *arg);
 
 /// Ends the thread and frees everything.
 void traffic_stop(struct traffic *traffic);
--- a/src/source/publish.c
+++ b/src/source/publish.c
@@ -154,8 +154,9 @@
 							      : DISTANCE_DC);
 	report = report_table_update(&source->reports, &member,
 	    message->u.report.leaving != 0, loop_now_us(source->loop));
-	report_table_set_rollouts(
-	    &source->reports, &member, message->u.report.rollout_revision);
+	report_table_set_rollouts(&source->reports, &member,
+	    message->u.report.rollout_revision,
+	    message->u.report.rollout_stopped);
 	counter_set(&gauge_members,
 	    report_table_sum(
 		&source->reports, NULL, 0, loop_now_us(source->loop))
--- a/src/source/rollout_run.c
+++ b/src/source/rollout_run.c
@@ -26,6 +26,10 @@
 /// Counts older than this say nothing of what runs at a server.
 #define RUNNING_TIMEOUT_US (3 * US_PER_S)
 
+/// Proxies that stop using a version by themselves from which it is rolled back:
+/// a second one confirms the first.
+#define STOPPED_PROXIES 2
+
 COUNTER_DEFINE(count_counts, "rollout_counts", "Counts of proxies received");
 COUNTER_DEFINE(count_stages, "rollout_stages", "Changes of a share");
 COUNTER_DEFINE(count_completed, "rollouts_completed", "Roll-outs completed");
@@ -207,6 +211,26 @@
 	return run->proposed_deadline_us > loop_now_us(source->loop);
 }
 
+/// Rolls a version back if several proxies stopped using it by themselves.
+///
+/// @return whether it does
+static bool
+follow_proxies(struct source *source, struct rollout_run *run)
+{
+	char why[ROLLOUT_WHY_BYTES];
+	uint32_t members;
+	uint32_t stopped = report_table_count_stopped(
+	    &source->reports, run->order, loop_now_us(source->loop), &members);
+
+	if (stopped == 0 || (stopped < STOPPED_PROXIES && stopped < members))
+		return false;
+	snprintf(why, sizeof(why),
+	    "%u of %u proxies stopped using it by themselves", stopped,
+	    members);
+	propose(source, run, ROLLOUT_ROLLED_BACK, 0, why);
+	return true;
+}
+
 /// Rolls a version back if the judge finds it bad.
 ///
 /// @return whether it does
@@ -340,7 +364,8 @@
 	for (run = source->rollout_runs; run != NULL; run = run->next)
 		rollout_judge_tick(&run->judge, loop_now_us(source->loop));
 	for (run = source->rollout_runs; run != NULL; run = run->next)
-		if (!is_pending(source, run) && !judge_run(source, run))
+		if (!is_pending(source, run) && !judge_run(source, run) &&
+		    !follow_proxies(source, run))
 			advance_run(source, run);
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -158,6 +158,8 @@
 	uint32_t members_known;	   ///< Proxies that it knows to be up.
 	uint64_t sources_hash;	   ///< Of the sources that it knows.
 	uint64_t rollout_revision; ///< Highest of the roll-outs that it knows.
+	/// Order of a roll-out whose version it stopped using by itself; 0: none.
+	uint64_t rollout_stopped;
 };
 
 struct message_report_answer {
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -101,6 +101,7 @@
     F(message_report, U32, members_known),
     F(message_report, U64, sources_hash),
     F(message_report, COUNT, rollout_revision),
+    F(message_report, COUNT, rollout_stopped),
 };
 static const struct codec_schema report_schema =
     CODEC_SCHEMA(struct message_report, report_fields);
