--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -8,17 +8,39 @@
 
 #define PERMILLE 1000
 
+/// Sets the workspace whose share of the slots the request uses.
+static void
+set_workspace(struct egress_request *r)
+{
+	const struct bytes *name = &r->message->workspace;
+	const struct rules *rules = r->egress->rules;
+	int at;
+
+	if (name->size_bytes == 0)
+		return;
+	r->item.workspace = rule_file_hash(name->data, name->size_bytes);
+	at = rules_find_workspace(rules, name->data, name->size_bytes);
+	r->item.weight =
+	    fair_queue_weight(at < 0 ? 0 : rules->workspaces[at].rate_milli,
+		rules->rate_mean_milli);
+}
+
 struct egress_request *
 egress_request_create(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
 {
 	struct egress_request *r = calloc(1, sizeof(*r));
+	struct message_request head = *message;
 	char rank[RULES_NAME_BYTES] = "";
 
 	assert(r != NULL);
 	r->egress = egress;
 	r->sink = sink;
-	r->message = message_request_copy(message);
+	// The start of a long body is kept once. The hash of a request that runs
+	// at most once takes it from the message.
+	if (message->more && !message->once)
+		head.body.size_bytes = 0;
+	r->message = message_request_copy(&head);
 	r->next = egress->first;
 	if (r->next != NULL)
 		r->next->prev = r;
@@ -30,6 +52,7 @@
 	r->item.rank = admission_find_rank(&egress->admission, rank);
 	r->item.size_bytes = message->body.size_bytes;
 	r->item.begun = message->begun != 0;
+	set_workspace(r);
 	r->item.service_us = egress_get_service_us(egress) *
 	    (int64_t)message->service_permille / PERMILLE;
 	r->item.deadline_us =
@@ -44,6 +67,7 @@
 		held_update(
 		    HELD_UPLOAD, &r->upload_held_bytes, r->upload_bytes);
 	}
+	egress_memory_add(r);
 	return r;
 }
 
@@ -60,6 +84,7 @@
 		r->next->prev = r->prev;
 	if (r->state == REQUEST_COLLECTING)
 		egress_collect_end(r);
+	memory_account_remove(&r->holder);
 	header_list_free(&r->response_headers);
 	header_list_free(&r->connection_options);
 	free(r->headers);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -3,6 +3,7 @@
 #ifndef MV_PROXY_EGRESS_EGRESS_REQUEST_H
 #define MV_PROXY_EGRESS_EGRESS_REQUEST_H
 
+#include "core/memory_account.h"
 #include "core/requests/collector.h"
 #include "core/requests/outcome.h"
 #include "core/requests/server_terms.h"
@@ -23,6 +24,7 @@
 
 struct egress_request {
 	struct admission_item item;
+	struct memory_holder holder;
 	struct httpc_call call;
 	struct egress *egress;
 	struct egress_sink *sink; ///< NULL after its stream is closed.
@@ -71,6 +73,7 @@
 	bool limit_unreadable;
 	bool leaving;
 	bool abort_marked;
+	bool evict_marked;
 	bool key_was_free; ///< As the ledger reported to this attempt.
 };
 
@@ -83,6 +86,7 @@
 
 struct egress {
 	struct loop *loop;
+	struct memory_account *account;
 	const struct dialect *dialect;
 	struct httpc *httpc;
 	struct once_client *once;
@@ -98,6 +102,8 @@
 	struct collector collector;
 	/// Called when a call ends and frees its slot.
 	void (*on_slot_free)(struct egress *egress);
+	/// Called once requests were told to give way; gets the egress.
+	void (*on_evicted)(void *arg);
 	struct loop_timer sweep_timer;
 	struct loop_timer start_timer;	    ///< Next start that a limit allows.
 	void (*on_pace_changed)(void *arg); ///< May be NULL.
@@ -109,6 +115,7 @@
 	int64_t announce_pace_deadline_us; ///< Earliest next announcement.
 	bool draining;
 	bool abort_deferred;
+	bool evict_deferred;
 	bool leave_deferred;
 	bool server_echoes; ///< Its responses name the attempts of callers.
 	/// Until then its connections may carry bytes of an earlier request.
@@ -186,6 +193,19 @@
 bool egress_receive_body_part(
     struct egress_request *r, const struct message_body *body);
 
+// egress_memory.c
+
+/// Adds a new request to the account of memory.
+void egress_memory_add(struct egress_request *r);
+
+/// Counts what a request holds, and whether it can still give way. Call it after
+/// each change of either.
+void egress_memory_update(struct egress_request *r);
+
+/// Tells whether a request can give way: one that waits can be refused, and a call
+/// whose body is not complete cannot have been understood. Any other is at work.
+bool egress_memory_can_give_way(const struct egress_request *r);
+
 // egress_request.c
 
 /// Creates a request from a copy of the message and adds it to the egress.
@@ -222,6 +242,13 @@
 /// Marks a call to be aborted soon, outside of its callbacks.
 void egress_mark_abort(struct egress_request *r);
 
+// egress_evict.c
+
+/// Ends the requests that were told to give way.
+///
+/// @param arg  the egress
+void egress_refuse_evicted(void *arg);
+
 // work.c
 
 /// Offers a request to the admission. A body to collect must be complete.
