--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -380,20 +380,10 @@
 	return target_left_us < left_us ? target_left_us : left_us;
 }
 
-static bool
-has_room(const struct admission *a, const struct admission_item *item)
-{
-	const struct admission_rank *r = &a->ranks[item->rank];
-
-	return r->queued < a->max_queued - a->queued &&
-	    (uint64_t)r->queued_bytes + item->size_bytes <=
-	    a->max_queued_bytes - a->queued_bytes;
-}
-
 /// Keeps the shortest target of a rank's requests until it has an answer.
 static void
-note_unseen_target(struct admission_rank *r, const struct admission_item *item,
-    int64_t now_us)
+note_unseen_target(
+    struct admission_rank *r, const struct admission_item *item, int64_t now_us)
 {
 	int64_t target_us = item->target_deadline_us - now_us;
 
@@ -432,7 +422,7 @@
 	wait_us = scale_by_pace(a, estimate_wait_us(a, item, now_us), now_us);
 	// An empty queue always accepts one, so that the estimate of the wait
 	// stays current. A limit needs no estimate.
-	if (!has_room(a, item) ||
+	if (!admission_queue_has_room(a, item) ||
 	    ((r->queued > 0 || a->start_cost_us > 0) &&
 		wait_us > max_wait_us(a, item, now_us))) {
 		*retry_us = wait_us;
--- a/src/core/requests/admission_queue.c
+++ b/src/core/requests/admission_queue.c
@@ -36,6 +36,17 @@
 	return prev;
 }
 
+bool
+admission_queue_has_room(
+    const struct admission *a, const struct admission_item *item)
+{
+	const struct admission_rank *r = &a->ranks[item->rank];
+
+	return r->queued < a->max_queued - a->queued &&
+	    (uint64_t)r->queued_bytes + item->size_bytes <=
+	    a->max_queued_bytes - a->queued_bytes;
+}
+
 int64_t
 admission_queue_least_tag_us(
     const struct admission_rank *r, const struct admission_item *item)
--- a/src/core/requests/admission_queue.h
+++ b/src/core/requests/admission_queue.h
@@ -20,6 +20,10 @@
     const struct admission_rank *r, const struct admission_item *item,
     uint32_t *passed);
 
+/// Whether the queues have room for another item.
+bool admission_queue_has_room(
+    const struct admission *a, const struct admission_item *item);
+
 /// Returns the least tag of an item that starts and of those that are queued: the
 /// time that has passed for all of them.
 int64_t admission_queue_least_tag_us(
