--- a/src/io/dialect.c
+++ b/src/io/dialect.c
@@ -96,8 +96,7 @@
 
 	if (json_unpack(root, "{s:s, s:s, s:s, s:I, s?I, s?s}", "service",
 		&service, "address", &address, "state", &state, "lease_ms",
-		&lease_ms, "started_ms", &started_ms, "version",
-		&version) != 0)
+		&lease_ms, "started_ms", &started_ms, "version", &version) != 0)
 		return error_set(err, ERR_INVALID, "body", "",
 		    "needs service, address, state and lease_ms");
 	if (service[0] == '\0' || strlen(service) >= sizeof(out->service))
@@ -109,8 +108,7 @@
 		    err, ERR_INVALID, "address", "", "must be IP:port");
 	if (strlen(version) >= sizeof(out->version))
 		return error_set(err, ERR_INVALID, "version", "",
-		    "must have up to %zu characters",
-		    sizeof(out->version) - 1);
+		    "must have up to %zu characters", sizeof(out->version) - 1);
 	if (lease_ms < LEASE_MIN_MS || lease_ms > LEASE_MAX_MS)
 		return error_set(err, ERR_INVALID, "lease_ms", "",
 		    "must be from %d to %d", LEASE_MIN_MS, LEASE_MAX_MS);
--- a/test/unit/test_rollout_versions.c
+++ b/test/unit/test_rollout_versions.c
@@ -150,7 +150,7 @@
 test_stops_by_itself(void **state)
 {
 	struct rollout_answer a = {.route = 1};
-	struct rollout_finding finding;
+	struct rollout_finding finding = {.bad_servers = 0};
 	struct world w;
 	int64_t now_us = NOW_US;
 	uint32_t i;
