fix(rollouts): some broken servers are not a bad version

Solution: the fault has to show without the worst fifth of the servers, of the answers since the test began to rise; doubts follow the same rule.

--- a/src/source/rollout_run.c
+++ b/src/source/rollout_run.c
@@ -231,6 +231,25 @@
 	return true;
 }
 
+/// Counts the servers of the version that take work, as their proxies reported.
+static uint32_t
+count_servers(const struct source *source, const struct rollout_run *run)
+{
+	const struct report_table *table = &source->reports;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < table->count; i++) {
+		const struct member *m = &table->items[i].member;
+
+		count += !table->items[i].left &&
+		    strcmp(m->service, run->service) == 0 &&
+		    strcmp(m->server_version, run->version) == 0 &&
+		    backend_state_takes_work(m->backend);
+	}
+	return count;
+}
+
 /// Rolls a version back if the judge finds it bad.
 ///
 /// @return whether it does
@@ -241,6 +260,7 @@
 	struct log_line line;
 	char why[ROLLOUT_WHY_BYTES];
 
+	run->judge.known_servers = count_servers(source, run);
 	if (!rollout_judge_is_bad(&run->judge, &f))
 		return false;
 	if (is_pending(source, run))
@@ -255,8 +275,8 @@
 	log_text(&line, "service", run->service);
 	log_text(&line, "version", run->version);
 	log_text(&line, "why", why);
-	log_number(&line, "old_failed_permille",
-	    (int64_t)(f.old_share * ROLLOUT_PERMILLE));
+	log_number(&line, "expected_permille",
+	    (int64_t)(f.expected * ROLLOUT_PERMILLE));
 	log_ms(
 	    &line, "counts_age_ms", loop_now_us(source->loop) - run->heard_us);
 	log_end(&line);
--- a/test/unit/test_rollout_judge.c
+++ b/test/unit/test_rollout_judge.c
@@ -33,11 +33,12 @@
 	bool under_load; ///< Only while it has three tenths of all requests.
 	// Of both versions.
 	double base_fails;
-	double spread; ///< Of the logarithm of the run times.
-	double tail;   ///< Share that takes 7 times as long.
-	double noisy;  ///< Share of the servers that fail 4 in 10.
-	bool uneven;   ///< Servers are 0.7 to 1.6 times as fast.
-	bool burst;    ///< Both fail a third of their answers for 3 s.
+	double spread;	 ///< Of the logarithm of the run times.
+	double tail;	 ///< Share that takes 7 times as long.
+	double noisy;	 ///< Share of the servers that fail 4 in 10.
+	bool uneven;	 ///< Servers are 0.7 to 1.6 times as fast.
+	bool burst;	 ///< Both fail a third of their answers for 3 s.
+	uint32_t broken; ///< New servers that fail all answers.
 };
 
 static const struct kind kinds[] = {
@@ -62,6 +63,7 @@
     {"good, uneven servers", false, 400, .spread = 0.8, .tail = 0.03,
 	.uneven = true},
     {"good, noisy neighbours", false, 400, .spread = 0.5, .noisy = 0.15},
+    {"good, 4 servers are broken", false, 400, .spread = 0.5, .broken = 4},
     {"good, a burst", false, 400, .spread = 0.5, .burst = true},
 };
 
@@ -136,6 +138,8 @@
 		fails = 0.33;
 	if ((double)server < k->noisy * SERVERS)
 		fails = 0.4;
+	if (is_new && server < k->broken)
+		fails = 1;
 	if (faulty && k->fails > fails)
 		fails = k->fails;
 	rollout_counts_add(counts, route + 1, draw(&p->random) < fails,
@@ -203,6 +207,7 @@
 	p.plan.exposure_permille = (uint32_t)(EXPOSURE_SHARE * 1000);
 	p.plan.old_slots = SERVERS;
 	rollout_judge_init(&p.judge);
+	p.judge.known_servers = SERVERS;
 	for (; p.now_ms < WITHIN_MS && !p.result.rolled_back &&
 	     !p.result.completed;
 	     p.now_ms += STEP_MS) {
--- a/test/unit/test_rollout_versions.c
+++ b/test/unit/test_rollout_versions.c
@@ -112,6 +112,33 @@
 	balancer_free(&w.b);
 }
 
+/// While the old servers are full, what is drawn for them waits; what is drawn for
+/// the new one goes to the old one if that alone has room.
+static void
+test_full_servers(void **state)
+{
+	struct balancer_request q = {
+	    .worth = 1, .rollout_draw_permille = ROLLOUT_PERMILLE - 1};
+	struct world w;
+	uint32_t i;
+
+	(void)state;
+	setup(&w);
+	set_rollout(&w, "v2", ROLLOUT_RUNNING, 40, 1);
+	set_view(&w, 3, 3);
+	for (i = 0; i < 3; i++)
+		balancer_set_busy(w.b.endpoints[i], &q, NOW_US + 1);
+	assert_null(balancer_choose(&w.b, &q, NOW_US).endpoint);
+	q.rollout_draw_permille = 0;
+	assert_non_null(balancer_choose(&w.b, &q, NOW_US).endpoint);
+	for (i = 0; i < 6; i++)
+		balancer_set_busy(
+		    w.b.endpoints[i], &q, NOW_US + (i < 3 ? 0 : 1));
+	assert_int_equal(
+	    balancer_choose(&w.b, &q, NOW_US).endpoint->side, ROLLOUT_SIDE_OLD);
+	balancer_free(&w.b);
+}
+
 static void
 test_rolled_back(void **state)
 {
@@ -183,6 +210,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_shares),
+	    cmocka_unit_test(test_full_servers),
 	    cmocka_unit_test(test_rolled_back),
 	    cmocka_unit_test(test_no_order),
 	    cmocka_unit_test(test_stops_by_itself),
