--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -387,7 +387,8 @@
 {
 	int64_t target_us = item->target_deadline_us - now_us;
 
-	if (r->service_us > 0 || item->begun || target_us <= 0)
+	if (r->service_us > 0 || item->service_us > 0 || item->begun ||
+	    target_us <= 0)
 		return;
 	if (r->unseen_target_us == 0 || target_us < r->unseen_target_us)
 		r->unseen_target_us = target_us;
