fix(rollouts): calls that a deadline or the caller ended count by their time so far

Problem: a version so slow that every call is cancelled at its deadline would show no slow answers, as cancelled calls were not counted.

Solution: they count with the time that they had taken; never as failures.

--- a/src/proxy/egress/egress_rollout.c
+++ b/src/proxy/egress/egress_rollout.c
@@ -47,7 +47,8 @@
 }
 
 /// Tells whether the server itself failed a call. A call that was cancelled, or
-/// that its deadline ended, is no failure; if it was too slow, its time shows it.
+/// that its deadline ended, is no failure; if it took too long, its time
+/// so far shows it.
 static bool
 is_failure(const struct egress_request *r, const struct error *err)
 {
@@ -64,7 +65,7 @@
 	int64_t now_us = loop_now_us(egress->loop);
 	int64_t run_us = now_us - r->item.start_us;
 
-	if (w->sent.order == 0 || r->shed || (err != NULL && r->abort_marked) ||
+	if (w->sent.order == 0 || r->shed ||
 	    (err != NULL && !httpc_call_was_sent(&r->call)))
 		return;
 	if (egress->backend.slow_start_deadline_us > now_us ||
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -156,11 +156,14 @@
 	struct rollout_finding finding;
 	struct log_line line;
 
-	// A deadline that has passed says nothing of the server.
 	if (!b->rollout.running || !m->reached_backend ||
-	    outcome_is_not_run((enum outcome)m->outcome) ||
-	    (m->outcome == OUTCOME_UNKNOWN && m->status == 504))
+	    outcome_is_not_run((enum outcome)m->outcome))
 		return;
+	if (m->outcome == OUTCOME_UNKNOWN && m->status == 504) {
+		// Its deadline passed: it was slow rather than failed.
+		a.failed = false;
+		a.run_us = loop_now_us(r->ingress->loop) - r->sent_us;
+	}
 	a.server = XXH3_64bits(r->endpoint->name, strlen(r->endpoint->name));
 	if (!rollout_own_add(
 		&b->rollout_own, &a, loop_now_us(r->ingress->loop), &finding))
