--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -178,6 +178,13 @@
 	    (sent > 0 ? sent : 0) * LIMIT_COST_MILLI / e->limit_milli;
 }
 
+/// Usual size of the answer on the link of an endpoint.
+static int64_t
+answer_on_link(const struct endpoint *e, const struct balancer_request *q)
+{
+	return e->local ? -1 : q->answer_bytes;
+}
+
 /// Estimates the time until the response; 0 if no service time is known.
 static int64_t
 estimate_response_us(struct endpoint *e, const struct choice_context *q,
@@ -205,7 +212,8 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return model_us + service_us * relative_permille / PERMILLE;
+	return link_cost_response_us(&e->link, answer_on_link(e, q->request),
+	    model_us + service_us * relative_permille / PERMILLE, now_us);
 }
 
 static int64_t
@@ -274,7 +282,9 @@
 
 	if (volume > distance_costs[e->distance].max_permille)
 		volume = distance_costs[e->distance].max_permille;
-	return distance_costs[e->distance].fixed_permille + volume;
+	return distance_costs[e->distance].fixed_permille + volume +
+	    link_cost_volume_permille(q->request->answer_bytes,
+		distance_costs[e->distance].kilobyte_permille);
 }
 
 /// Estimates the part of its worth that a request loses at an endpoint.
@@ -323,8 +333,12 @@
 busy_until_us(
     const struct endpoint *e, const struct balancer_request *q, int64_t now_us)
 {
+	int64_t full_us =
+	    link_cost_full_until_us(&e->link, answer_on_link(e, q), now_us);
 	uint32_t i;
 
+	if (full_us > 0)
+		return full_us;
 	for (i = 0; i < BALANCER_BUSY_MARKS; i++) {
 		const struct busy_mark *mark = &e->busy[i];
 
@@ -387,6 +401,8 @@
 		choice = find_cheapest(b, &choice_context, true, now_us);
 	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
+		link_cost_send(
+		    &choice.endpoint->link, answer_on_link(choice.endpoint, q));
 		flow_enter(&choice.endpoint->response_time, now_us);
 	}
 	return choice;
@@ -409,19 +425,13 @@
 	return (ejected + 1) * 2 <= present;
 }
 
-void
-balancer_finish(struct balancer *b, struct endpoint *e, int64_t sent_us,
-    bool failed, int64_t now_us)
+/// Records a result, and ejects an endpoint that keeps failing.
+static void
+record_result(
+    struct balancer *b, struct endpoint *e, bool failed, int64_t now_us)
 {
 	uint32_t shift;
 
-	assert(e->outstanding > 0);
-	e->outstanding--;
-	// A failed request is no sample of the response time.
-	if (failed)
-		flow_cancel(&e->response_time, now_us);
-	else
-		flow_leave(&e->response_time, now_us - sent_us, now_us);
 	decay_failures(e, now_us);
 	e->responses += 1;
 	e->failures += failed;
@@ -443,6 +453,43 @@
 	e->failures_in_row = EJECTION_FAILURES - 1;
 }
 
+/// Ends a request as load on the slots of an endpoint.
+static void
+leave_slot(struct endpoint *e, int64_t sent_us, bool failed, int64_t now_us)
+{
+	assert(e->outstanding > 0);
+	e->outstanding--;
+	// A failed request is no sample of the response time.
+	if (failed)
+		flow_cancel(&e->response_time, now_us);
+	else
+		flow_leave(&e->response_time, now_us - sent_us, now_us);
+}
+
+void
+balancer_finish(struct balancer *b, struct endpoint *e, int64_t sent_us,
+    bool failed, int64_t now_us)
+{
+	leave_slot(e, sent_us, failed, now_us);
+	record_result(b, e, failed, now_us);
+}
+
+void
+balancer_begin_answer(struct endpoint *e, int64_t sent_us, int64_t now_us)
+{
+	leave_slot(e, sent_us, false, now_us);
+	e->answers++;
+}
+
+void
+balancer_end_answer(
+    struct balancer *b, struct endpoint *e, bool failed, int64_t now_us)
+{
+	assert(e->answers > 0);
+	e->answers--;
+	record_result(b, e, failed, now_us);
+}
+
 void
 balancer_report(
     struct endpoint *e, const struct balancer_report *report, int64_t now_us)
@@ -456,6 +503,8 @@
 	e->outstanding_at_report = e->outstanding;
 	e->limit_milli = report->limit_milli;
 	e->limit_wait_us = report->limit_wait_us;
+	link_cost_report(
+	    &e->link, report->link_wait_us, report->link_kbps, now_us);
 }
 
 void
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -12,6 +12,7 @@
 #include "core/membership/membership.h"
 #include "core/random.h"
 #include "core/requests/flow.h"
+#include "core/requests/link_cost.h"
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
 #include "core/requests/server_terms.h"
@@ -49,9 +50,11 @@
 	int64_t limit_wait_us;	     ///< Wait of a new request for the limit.
 	/// Copy of the terms of its server, for a proxy that has forgotten them.
 	struct server_terms terms;
+	struct link_cost link;	   ///< Of its VM.
 	int64_t terms_deadline_us; ///< Until then they outlive its absence.
 	// As observed by this ingress.
 	uint32_t outstanding;	   ///< Requests sent and not finished.
+	uint32_t answers;	   ///< Long answers that have begun.
 	struct flow response_time; ///< Time from sending to the response.
 	double failures;	   ///< Number of failures, decayed.
 	double responses;   ///< Number of responses and failures, decayed.
@@ -84,6 +87,7 @@
 	int64_t target_left_us;	  ///< Time until it is late; 0: not known.
 	int64_t deadline_left_us; ///< Time until its deadline; 0: not known.
 	uint32_t size_bytes;	  ///< Size of its body.
+	int64_t answer_bytes;	  ///< Usual size of its answer; -1: not known.
 	/// Its service time relative to the mean of the service, in permille;
 	/// 0: not known.
 	uint32_t relative_service_permille;
@@ -128,6 +132,14 @@
 void balancer_finish(struct balancer *b, struct endpoint *endpoint,
     int64_t sent_us, bool failed, int64_t now_us);
 
+/// A long answer begins: from now on the request is no load on the slots of its
+/// endpoint. In place of balancer_finish, with balancer_end_answer at the end.
+void balancer_begin_answer(
+    struct endpoint *endpoint, int64_t sent_us, int64_t now_us);
+
+void balancer_end_answer(
+    struct balancer *b, struct endpoint *endpoint, bool failed, int64_t now_us);
+
 /// Load that an endpoint reports.
 struct balancer_report {
 	uint32_t running;
@@ -135,6 +147,8 @@
 	int64_t service_us; ///< Mean service time; 0 if it is not known there.
 	uint32_t limit_milli;
 	int64_t limit_wait_us;
+	int64_t link_wait_us; ///< Until queued answers have left its VM.
+	uint32_t link_kbps;   ///< 0: not known.
 };
 
 /// Records the load that an endpoint reported.
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -125,7 +125,7 @@
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
 
-		if (e->present || e->outstanding > 0 ||
+		if (e->present || e->outstanding > 0 || e->answers > 0 ||
 		    e->terms_deadline_us > now_us)
 			b->endpoints[kept++] = e;
 		else
--- /dev/null
+++ b/src/core/requests/link_admission.c
@@ -0,0 +1,40 @@
+// Admission by bytes.
+#include "core/requests/link_admission.h"
+
+/// Part of the time left that the way of an answer may take. What is ahead is a
+/// sum of expected sizes, and the answer has to reach the caller as well.
+#define TARGET_PERMILLE 650
+
+/// The same for a late answer, which gives way to all that are in time.
+#define LATE_PERMILLE 500
+#define PERMILLE      1000
+
+bool
+link_admission_accepts(struct link_schedule *s, const struct link_request *q,
+    int64_t now_us, int64_t *wait_us)
+{
+	struct link_flow flow = {.worth = q->worth,
+	    .begun = q->begun,
+	    .target_deadline_us = q->target_deadline_us,
+	    .deadline_us = q->deadline_us,
+	    .left_bytes = q->answer_bytes};
+	int64_t in_time_us;
+	int64_t left_us;
+	int64_t way_us;
+
+	*wait_us = 0;
+	if (q->answer_bytes <= LINK_SHORT_BYTES || s->bytes_per_us <= 0)
+		return true;
+	way_us = link_schedule_ahead_us(s, &flow, now_us);
+	if (way_us < q->service_us)
+		way_us = q->service_us;
+	way_us += link_schedule_transfer_us(s, q->answer_bytes);
+	in_time_us =
+	    (q->target_deadline_us - now_us) * TARGET_PERMILLE / PERMILLE;
+	left_us = (q->deadline_us - now_us) * LATE_PERMILLE / PERMILLE;
+	if (!q->begun && !q->returned && q->target_deadline_us > now_us &&
+	    in_time_us < left_us)
+		left_us = in_time_us;
+	*wait_us = way_us - left_us;
+	return way_us <= left_us;
+}
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -18,6 +18,10 @@
 #define MIN_PIECE_BYTES 4096
 #define MAX_PIECE_BYTES 65536
 
+/// A body that leaves later than this before its target does not reach its caller
+/// in time: what is on its way to the link, and the ingress, take as long.
+#define ARRIVAL_MARGIN_US 20000
+
 /// Packets of a stream: data and heads, IP included.
 #define PACKET_DATA_BYTES 1448
 #define PACKET_HEAD_BYTES 52
@@ -87,6 +91,29 @@
 	s->queued_bytes -= flow->queued_bytes;
 }
 
+void
+link_schedule_expect(struct link_schedule *s, struct link_flow *flow)
+{
+	flow->prev = NULL;
+	flow->next = s->first_expected;
+	if (flow->next != NULL)
+		flow->next->prev = flow;
+	s->first_expected = flow;
+	s->expected_bytes += flow->left_bytes;
+}
+
+void
+link_schedule_unexpect(struct link_schedule *s, struct link_flow *flow)
+{
+	if (flow->prev != NULL)
+		flow->prev->next = flow->next;
+	else
+		s->first_expected = flow->next;
+	if (flow->next != NULL)
+		flow->next->prev = flow->prev;
+	s->expected_bytes -= flow->left_bytes;
+}
+
 void
 link_schedule_queue(
     struct link_schedule *s, struct link_flow *flow, int64_t size_bytes)
@@ -122,7 +149,8 @@
     const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
 {
 	return flow->target_deadline_us == 0 ||
-	    now_us + link_schedule_transfer_us(s, flow->left_bytes) <=
+	    now_us + link_schedule_transfer_us(s, flow->left_bytes) +
+		ARRIVAL_MARGIN_US <=
 	    flow->target_deadline_us;
 }
 
@@ -140,7 +168,10 @@
 		return flow->worth > other->worth;
 	if (meets != meets_target(s, other, now_us))
 		return meets;
-	return flow->target_deadline_us < other->target_deadline_us;
+	if (meets)
+		return flow->target_deadline_us < other->target_deadline_us;
+	// Late bodies get what others leave: as many as possible arrive.
+	return flow->left_bytes < other->left_bytes;
 }
 
 struct link_flow *
@@ -171,6 +202,13 @@
 	return NULL;
 }
 
+uint32_t
+link_schedule_kbps(const struct link_schedule *s)
+{
+	// Bytes a microsecond are megabytes a second.
+	return (uint32_t)(s->bytes_per_us * 8 * PERMILLE);
+}
+
 int64_t
 link_schedule_piece_bytes(const struct link_schedule *s)
 {
@@ -193,6 +231,32 @@
 	return over_bytes > 0 ? (int64_t)(over_bytes / s->bytes_per_us) + 1 : 0;
 }
 
+/// Bytes of a list of flows that go before another.
+static int64_t
+count_ahead(const struct link_schedule *s, const struct link_flow *list,
+    const struct link_flow *flow, int64_t now_us)
+{
+	int64_t ahead_bytes = 0;
+
+	for (; list != NULL; list = list->next)
+		if (!goes_before(s, flow, list, now_us))
+			ahead_bytes += list->left_bytes;
+	return ahead_bytes;
+}
+
+int64_t
+link_schedule_ahead_us(
+    struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
+{
+	if (s->bytes_per_us <= 0)
+		return 0;
+	update_backlog(s, now_us);
+	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
+	    link_schedule_transfer_us(s,
+		count_ahead(s, s->first, flow, now_us) +
+		    count_ahead(s, s->first_expected, flow, now_us));
+}
+
 int64_t
 link_schedule_backlog_us(struct link_schedule *s, int64_t now_us)
 {
@@ -200,5 +264,5 @@
 		return 0;
 	update_backlog(s, now_us);
 	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
-	    link_schedule_transfer_us(s, s->queued_bytes);
+	    link_schedule_transfer_us(s, s->queued_bytes + s->expected_bytes);
 }
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -34,6 +34,9 @@
 	int64_t queued_bytes;	 ///< Of all flows.
 	struct link_flow *first; ///< In the order in which they were added.
 	struct link_flow *last;
+	/// Answers of requests that wait or run here, with their usual sizes.
+	struct link_flow *first_expected;
+	int64_t expected_bytes; ///< Of those.
 };
 
 /// @param link_mbps  capacity of the link in Mbit/s; 0: not known, so that
@@ -50,6 +53,12 @@
 
 void link_schedule_remove(struct link_schedule *s, struct link_flow *flow);
 
+/// Adds an answer that a request which was accepted here will have.
+void link_schedule_expect(struct link_schedule *s, struct link_flow *flow);
+
+/// Removes an expected answer: it has begun, or there is none.
+void link_schedule_unexpect(struct link_schedule *s, struct link_flow *flow);
+
 /// Counts bytes of a body that have arrived for sending.
 void link_schedule_queue(
     struct link_schedule *s, struct link_flow *flow, int64_t size_bytes);
@@ -59,7 +68,8 @@
     struct link_schedule *s, struct link_flow *flow, int64_t size_bytes);
 
 /// Chooses the flow that sends the next piece: begun work first, then the
-/// highest worth, then what can still meet its target, nearest target first.
+/// highest worth, then what can still meet its target, nearest target first, then
+/// the shortest.
 ///
 /// @return NULL if nothing can be sent now
 struct link_flow *link_schedule_next(struct link_schedule *s, int64_t now_us);
@@ -69,6 +79,9 @@
 struct link_flow *link_schedule_find_late(
     const struct link_schedule *s, int64_t now_us);
 
+/// What the link carries for bodies, in kbit/s; 0: not known.
+uint32_t link_schedule_kbps(const struct link_schedule *s);
+
 /// Largest piece to send at once.
 int64_t link_schedule_piece_bytes(const struct link_schedule *s);
 
@@ -80,7 +93,12 @@
 int64_t link_schedule_transfer_us(
     const struct link_schedule *s, int64_t size_bytes);
 
-/// Time until what is queued has left this VM.
+/// Time until all that goes before a flow has left this VM, with the expected
+/// answers.
+int64_t link_schedule_ahead_us(
+    struct link_schedule *s, const struct link_flow *flow, int64_t now_us);
+
+/// Time until what is queued or expected has left this VM.
 int64_t link_schedule_backlog_us(struct link_schedule *s, int64_t now_us);
 
 #endif
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -35,6 +35,8 @@
 	size_t used_bytes;
 	size_t capacity_bytes;
 	size_t held_bytes; ///< Counted in held_bytes.
+	int64_t opened_us;
+	uint64_t total_bytes; ///< Sent so far.
 	bool last_queued;
 	bool failed;
 };
@@ -75,6 +77,33 @@
 	body->used_bytes = left_bytes;
 }
 
+/// Time left until a deadline; 0 if there is none.
+static int64_t
+left_us(const struct bulk_body *body, int64_t deadline_us)
+{
+	return deadline_us == 0 ? 0
+				: deadline_us - loop_now_us(body->link->loop);
+}
+
+static void
+log_sent(const struct bulk_body *body)
+{
+	const struct link_schedule *s = &body->link->schedule;
+	struct log_line line;
+
+	log_begin(&line, LOG_INFO, "bulk", "Sent a body in pieces.");
+	log_text(&line, "to", body->stream->peer);
+	log_number(&line, "bytes", (int64_t)body->total_bytes);
+	log_ms(&line, "took_ms",
+	    loop_now_us(body->link->loop) - body->opened_us);
+	log_ms(&line, "target_left_ms",
+	    left_us(body, body->flow.target_deadline_us));
+	log_ms(&line, "left_ms", left_us(body, body->flow.deadline_us));
+	log_number(&line, "queued_bytes", s->queued_bytes);
+	log_number(&line, "expected_bytes", s->expected_bytes);
+	log_end(&line);
+}
+
 /// Sends one piece, and frees the body after the last one.
 static void
 send_piece(struct bulk_body *body)
@@ -89,11 +118,13 @@
 	piece.data.size_bytes = (uint32_t)size_bytes;
 	link_schedule_take(&body->link->schedule, &body->flow, size_bytes);
 	body->sent_bytes += (size_t)size_bytes;
+	body->total_bytes += (uint64_t)size_bytes;
 	piece.last = body->last_queued && body->flow.queued_bytes == 0;
 	piece.failed = piece.last && body->failed;
 	counter_add(&count_pieces, 1);
 	stream_send(body->stream, MESSAGE_BODY, &piece);
 	if (piece.last) {
+		log_sent(body);
 		body_free(body);
 		return;
 	}
@@ -102,28 +133,31 @@
 }
 
 static void
-log_late(const struct bulk_body *body, int64_t now_us)
+log_late(const struct bulk_body *body)
 {
 	struct log_line line;
 
 	log_begin(&line, LOG_INFO, "bulk",
 	    "Ended a body that cannot arrive by its deadline.");
 	log_text(&line, "to", body->stream->peer);
+	log_number(&line, "bytes", (int64_t)body->total_bytes);
 	log_number(&line, "left_bytes", body->flow.left_bytes);
-	log_ms(&line, "left_ms", body->flow.deadline_us - now_us);
+	log_ms(&line, "took_ms",
+	    loop_now_us(body->link->loop) - body->opened_us);
+	log_ms(&line, "left_ms", left_us(body, body->flow.deadline_us));
 	log_number(&line, "queued_bytes", body->link->schedule.queued_bytes);
 	log_end(&line);
 }
 
 static void
-end_late_body(struct bulk_body *body, int64_t now_us)
+end_late_body(struct bulk_body *body)
 {
 	struct message_body end = {.id = body->id, .last = 1, .failed = 1};
 	void (*on_late)(void *arg, uint64_t id) = body->on_late;
 	void *arg = body->arg;
 
 	counter_add(&count_late, 1);
-	log_late(body, now_us);
+	log_late(body);
 	stream_send(body->stream, MESSAGE_BODY, &end);
 	body_free(body);
 	if (on_late != NULL)
@@ -137,7 +171,7 @@
 
 	while (
 	    (flow = link_schedule_find_late(&link->schedule, now_us)) != NULL)
-		end_late_body((struct bulk_body *)flow, now_us);
+		end_late_body((struct bulk_body *)flow);
 }
 
 /// Sends pieces as long as the link and the streams take them.
@@ -277,6 +311,7 @@
 	body->link = link;
 	body->stream = stream;
 	body->id = id;
+	body->opened_us = loop_now_us(link->loop);
 	body->on_late = terms->on_late;
 	body->arg = terms->arg;
 	body->flow.worth = terms->worth;
@@ -344,22 +379,15 @@
 void
 bulk_body_drop(struct bulk_body *body)
 {
+	struct message_body end = {.id = body->id, .last = 1, .failed = 1};
+
 	counter_add(&count_dropped, 1);
+	stream_send(body->stream, MESSAGE_BODY, &end);
 	body_free(body);
 }
 
-int64_t
-bulk_link_wait_us(struct bulk_link *link)
-{
-	return link == NULL ? 0
-			    : link_schedule_backlog_us(
-				  &link->schedule, loop_now_us(link->loop));
-}
-
-int64_t
-bulk_link_transfer_us(const struct bulk_link *link, int64_t size_bytes)
+struct link_schedule *
+bulk_link_schedule(struct bulk_link *link)
 {
-	return link == NULL
-	    ? 0
-	    : link_schedule_transfer_us(&link->schedule, size_bytes);
+	return link == NULL ? NULL : &link->schedule;
 }
--- a/src/io/net/bulk.h
+++ b/src/io/net/bulk.h
@@ -49,13 +49,11 @@
 /// Queues a part of a body. The body ends with its last part, once that is sent.
 void bulk_body_send(struct bulk_body *body, const struct message_body *part);
 
-/// Drops what has not been sent of a body.
+/// Drops what has not been sent of a body. The peer gets its end as failed.
 void bulk_body_drop(struct bulk_body *body);
 
-/// Time until what is queued has left this VM; 0 without a link.
-int64_t bulk_link_wait_us(struct bulk_link *link);
-
-/// Time in which the link carries a number of bytes; 0 without a link.
-int64_t bulk_link_transfer_us(const struct bulk_link *link, int64_t size_bytes);
+/// Returns the order of bodies on the link, for decisions that depend on it; NULL
+/// without a link.
+struct link_schedule *bulk_link_schedule(struct bulk_link *link);
 
 #endif
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -34,6 +34,7 @@
 	const struct egress_sink_ops *ops;
 	char origin[MEMBER_NAME_BYTES];
 	uint64_t origin_incarnation;
+	bool local; ///< On this VM: what it gets needs no link.
 };
 
 /// The backend server on the same VM, as it announced itself.
@@ -83,8 +84,18 @@
 struct egress_request *egress_find_request(
     struct egress *egress, const struct egress_sink *sink, uint64_t id);
 
+struct bulk_link;
 struct bulk_terms;
 
+/// Sets the link of this VM, which bounds the answers that are accepted; NULL:
+/// its capacity is not known. Call it before the first request.
+void egress_set_link(struct egress *egress, struct bulk_link *link);
+
+/// Reports the time until queued and expected answers have left this VM, and what
+/// its link carries (0: not known).
+void egress_get_link(
+    const struct egress *egress, int64_t *wait_us, uint32_t *kbps);
+
 /// Fills in what the order of answers on the link depends on. Does nothing
 /// without a request.
 void egress_get_terms(const struct egress *egress,
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -41,6 +41,7 @@
 	    .outcome = OUTCOME_ANSWERED,
 	    .reached_backend = 1};
 
+	egress_link_end_expected(r);
 	egress_fill_load(r->egress, &response);
 	response.run_us = loop_now_us(r->egress->loop) - r->item.start_us;
 	response.queue_us = r->item.start_us - r->item.arrival_us;
@@ -114,6 +115,8 @@
 		return;
 	}
 	admission_finish(&egress->admission, &r->item, now_us);
+	if (err == NULL)
+		egress_link_record_answer(r);
 	if (r->streaming)
 		send_stream_end(r, err != NULL);
 	else if (err != NULL)
@@ -221,6 +224,7 @@
 	    .total_bytes = r->total_bytes};
 
 	r->streaming = true;
+	egress_link_end_expected(r);
 	egress_fill_load(r->egress, &response);
 	response.headers = header_list_view(&r->response_headers);
 	response.body.data = r->body;
@@ -339,6 +343,7 @@
 		discard_body(r, size_bytes);
 		return true;
 	}
+	r->answer_bytes += (int64_t)size_bytes;
 	if (!r->streaming &&
 	    r->body_bytes + size_bytes <= MAX_BUFFERED_RESPONSE_BYTES) {
 		r->body = realloc(r->body, r->body_bytes + size_bytes);
--- a/src/proxy/egress/egress_load.c
+++ b/src/proxy/egress/egress_load.c
@@ -1,6 +1,5 @@
 // Load, pace and limit of the backend server, for the ingresses.
 #include "io/clock.h"
-#include "io/net/bulk.h"
 #include "proxy/egress/egress_request.h"
 
 /// Change of the pace that ingresses are told of, and the least time between
@@ -71,17 +70,6 @@
 	    admission_service_us(&egress->admission, loop_now_us(egress->loop));
 	response->queued = egress->admission.queued;
 	response->running = egress->admission.running;
+	egress_get_link(egress, &response->link_wait_us, &response->link_kbps);
 	fill_terms(egress, response);
 }
-
-void
-egress_get_terms(const struct egress *egress, const struct egress_request *r,
-    struct bulk_terms *terms)
-{
-	if (r == NULL)
-		return;
-	terms->worth = egress->admission.ranks[r->item.rank].worth;
-	terms->begun = r->item.begun;
-	terms->target_deadline_us = r->item.target_deadline_us;
-	terms->deadline_us = r->item.deadline_us;
-}
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -60,6 +60,7 @@
 		r->next->prev = r->prev;
 	if (r->state == REQUEST_COLLECTING)
 		egress_collect_end(r);
+	egress_link_end_expected(r);
 	header_list_free(&r->response_headers);
 	header_list_free(&r->connection_options);
 	free(r->headers);
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -3,7 +3,9 @@
 #ifndef MV_PROXY_EGRESS_EGRESS_REQUEST_H
 #define MV_PROXY_EGRESS_EGRESS_REQUEST_H
 
+#include "core/requests/answer_size.h"
 #include "core/requests/collector.h"
+#include "core/requests/link_schedule.h"
 #include "core/requests/outcome.h"
 #include "core/requests/server_terms.h"
 #include "io/dialect.h"
@@ -71,7 +73,10 @@
 	bool limit_unreadable;
 	bool leaving;
 	bool abort_marked;
-	bool key_was_free; ///< As the ledger reported to this attempt.
+	struct link_flow answer; ///< Expected, while answer_expected.
+	bool answer_expected;
+	int64_t answer_bytes; ///< Of the body of the response so far.
+	bool key_was_free;    ///< As the ledger reported to this attempt.
 };
 
 struct egress {
@@ -80,6 +85,8 @@
 	struct httpc *httpc;
 	struct once_client *once;
 	struct admission admission;
+	struct link_schedule *link; ///< NULL: its capacity is not known.
+	struct answer_size_table answer_sizes;
 	struct fence fence;
 	struct egress_backend backend;
 	struct server_terms_state terms; ///< Of that backend server.
@@ -116,6 +123,20 @@
 /// Fills in the load that each response reports to the ingress.
 void egress_fill_load(struct egress *egress, struct message_response *response);
 
+// egress_link.c
+
+/// Decides whether the link has room for the answer of a request, and reserves
+/// it.
+///
+/// @param wait_us  receives the time until there is room, if it has none
+bool egress_link_accepts(struct egress_request *r, int64_t *wait_us);
+
+/// Ends the reservation of a request: its answer begins, or there is none.
+void egress_link_end_expected(struct egress_request *r);
+
+/// Records the size of an answer that has arrived whole.
+void egress_link_record_answer(struct egress_request *r);
+
 // egress_terms.c
 
 /// Reads a response header if it states something of the server.
@@ -189,6 +210,9 @@
 void egress_end_not_run(struct egress_request *r, uint32_t status,
     int64_t retry_us, const char *why);
 
+/// Ends a request whose answer has no room on the link, and frees it.
+void egress_end_link_full(struct egress_request *r, int64_t retry_us);
+
 /// Responds that the outcome is unknown, and abandons the claim of the key.
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
--- a/src/proxy/egress/work.c
+++ b/src/proxy/egress/work.c
@@ -136,6 +136,10 @@
 	int64_t retry_us;
 
 	r->state = REQUEST_QUEUED;
+	if (!egress_link_accepts(r, &retry_us)) {
+		egress_end_link_full(r, retry_us);
+		return;
+	}
 	switch (admission_offer(&egress->admission, &r->item,
 	    loop_now_us(egress->loop), &retry_us)) {
 	case ADMISSION_RUN:
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -114,6 +114,11 @@
 	int64_t wait_us = m->retry_left_us;
 	struct balancer_request refused;
 
+	if (m->link_full) {
+		link_cost_set_full(&r->endpoint->link, now_us + BUSY_MAX_US);
+		return false;
+	}
+
 	if (!outcome_is_not_run((enum outcome)m->outcome) || wait_us <= 0)
 		return m->outcome != OUTCOME_ANSWERED;
 	if (wait_us > BUSY_MAX_US)
@@ -128,7 +133,7 @@
 record_report(struct ingress_request *r, const struct message_response *m)
 {
 	struct balancer_report report = {m->running, m->queued, m->service_us,
-	    m->limit_milli, m->limit_wait_us};
+	    m->limit_milli, m->limit_wait_us, m->link_wait_us, m->link_kbps};
 	struct server_terms terms = {
 	    m->server, m->limit_milli, m->leaving != 0};
 	int64_t now_us = loop_now_us(r->ingress->loop);
@@ -138,6 +143,10 @@
 		balancer_keep_terms(r->endpoint, &terms, now_us);
 	if (m->run_us > 0 && m->service_us > 0)
 		ingress_record_service_time(r, m);
+	if (m->run_us > 0)
+		link_cost_record_round_trip(&r->endpoint->link,
+		    now_us - r->sent_us - m->run_us - m->queue_us);
+	ingress_record_answer_size(r, m);
 }
 
 static void
@@ -152,6 +161,9 @@
 	r->arrivals += m->reached_backend;
 	failed = record_endpoint_refusal(r, m);
 	if (m->outcome == OUTCOME_ANSWERED && m->more && r->exchange != NULL) {
+		// Its slot is free, or soon; only the link is at work.
+		balancer_begin_answer(
+		    r->endpoint, r->sent_us, loop_now_us(r->ingress->loop));
 		r->state = ATTEMPT_STREAMING;
 		loop_timer_clear(r->ingress->loop, &r->timer);
 		if (forward_response(r, m))
@@ -197,8 +209,10 @@
 	if (!m->last)
 		return;
 	ingress_attempt_end(r, m->failed);
-	if (r->exchange != NULL)
+	if (r->exchange != NULL) {
+		ingress_log_answer_end(r, !m->failed);
 		http_exchange_respond_end(r->exchange, !m->failed);
+	}
 	ingress_request_free(r);
 }
 
@@ -254,7 +268,8 @@
 on_load(void *owner, struct link *link, const struct message_heartbeat *load)
 {
 	struct balancer_report report = {load->running, load->queued,
-	    load->service_us, load->limit_milli, load->limit_wait_us};
+	    load->service_us, load->limit_milli, load->limit_wait_us,
+	    load->link_wait_us, load->link_kbps};
 	const struct link_target *target = link_target(link);
 	struct ingress *ingress = owner;
 	uint32_t i;
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests/link_admission.h"
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "proxy/ingress/ingress_request.h"
@@ -56,8 +57,12 @@
 	*at = r->next;
 	if (r->link != NULL)
 		link_release(r->link);
-	balancer_finish(r->balancer, r->endpoint, r->sent_us, failed,
-	    loop_now_us(r->ingress->loop));
+	if (r->state == ATTEMPT_STREAMING)
+		balancer_end_answer(r->balancer, r->endpoint, failed,
+		    loop_now_us(r->ingress->loop));
+	else
+		balancer_finish(r->balancer, r->endpoint, r->sent_us, failed,
+		    loop_now_us(r->ingress->loop));
 	r->state = ATTEMPT_NONE;
 	r->link = NULL;
 	r->endpoint = NULL;
@@ -138,11 +143,16 @@
 	m->target_left_us = r->target_deadline_us - clock_now_us();
 	m->repeatable = r->safe;
 	m->begun = r->begun;
+	m->returned = r->returned;
 	m->repeat = r->parent_repeats || r->arrivals > 0;
 	m->service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
 	m->route = ingress_get_route_stats(r)->route_hash;
-	m->answer_bytes = -1;
+	m->answer_bytes =
+	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size);
+	// A long answer has to leave the other VM so much earlier.
+	if (m->answer_bytes > LINK_SHORT_BYTES)
+		m->target_left_us -= r->endpoint->link.round_trip_us;
 	if (r->endpoint->terms.limit_milli > 0 || r->endpoint->terms.leaving) {
 		m->server = r->endpoint->terms.server;
 		m->limit_milli = r->endpoint->terms.limit_milli;
--- a/src/proxy/ingress/conclude.c
+++ b/src/proxy/ingress/conclude.c
@@ -68,6 +68,9 @@
 		status = unknown_status(r, status);
 	if (r->exchange != NULL) {
 		ingress_log_own_response(r, status, outcome, retry_us, why);
+		if (retry_us > 0 && r->route != NULL)
+			ingress_get_route_stats(r)->returns_deadline_us =
+			    r->deadline_us;
 		send_response(r->ingress->dialect, r->exchange, status, outcome,
 		    retry_us, why);
 	}
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -236,6 +236,7 @@
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
+	ingress->local_sink.local = true;
 	ingress->links = links_create(loop, link, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_listener(&ingress->outer, ingress, &settings->outer, false,
--- a/src/proxy/ingress/ingress_log.c
+++ b/src/proxy/ingress/ingress_log.c
@@ -154,6 +154,22 @@
 	log_end(&line);
 }
 
+void
+ingress_log_answer_end(const struct ingress_request *r, bool complete)
+{
+	int64_t now_us = loop_now_us(r->ingress->loop);
+	struct log_line line;
+
+	begin(&line, r, "ingress", "A long answer ended.");
+	log_number(&line, "complete", complete);
+	log_number(&line, "returned", r->returned);
+	log_ms(&line, "stated_ms", r->stated_left_us);
+	log_ms(&line, "target_left_ms", r->target_deadline_us - now_us);
+	log_ms(&line, "left_ms", r->deadline_us - now_us);
+	log_ms(&line, "total_ms", age_us(r, r->exchange->arrival_us));
+	log_end(&line);
+}
+
 void
 ingress_log_own_response(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why)
--- a/src/proxy/ingress/ingress_log.h
+++ b/src/proxy/ingress/ingress_log.h
@@ -20,6 +20,10 @@
 void ingress_log_forwarded(
     struct ingress_request *r, const struct message_response *m);
 
+/// Logs the end of an answer that came in parts, with the time until the target
+/// and the deadline.
+void ingress_log_answer_end(const struct ingress_request *r, bool complete);
+
 /// Logs and measures a response made by this proxy.
 void ingress_log_own_response(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why);
--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -79,6 +79,9 @@
 		stats->route_hash = key;
 		stats->service_ratio_permille = 0;
 		stats->latency = NULL;
+		memset(&stats->answer_size, 0, sizeof(stats->answer_size));
+		memset(&stats->caller_age, 0, sizeof(stats->caller_age));
+		stats->returns_deadline_us = 0;
 	}
 	return stats;
 }
@@ -97,3 +100,16 @@
 		    (sample - stats->service_ratio_permille) /
 		    SERVICE_RATIO_SAMPLES;
 }
+
+void
+ingress_record_answer_size(
+    struct ingress_request *r, const struct message_response *m)
+{
+	int64_t size_bytes = m->more ? m->total_bytes : m->body.size_bytes;
+
+	if (m->outcome == OUTCOME_ANSWERED && m->status >= 200 &&
+	    m->status < 300 && size_bytes >= 0 && r->exchange != NULL &&
+	    strcmp(r->exchange->method, "HEAD") != 0)
+		answer_size_record(
+		    &ingress_get_route_stats(r)->answer_size, size_bytes);
+}
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -3,7 +3,9 @@
 #ifndef MV_PROXY_INGRESS_INGRESS_REQUEST_H
 #define MV_PROXY_INGRESS_INGRESS_REQUEST_H
 
+#include "core/requests/answer_size.h"
 #include "core/requests/balancer.h"
+#include "core/requests/caller_age.h"
 #include "core/requests/retry.h"
 #include "io/clock.h"
 #include "io/http/httpd.h"
@@ -69,8 +71,10 @@
 	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
-	uint32_t service;	    ///< Index; drawn from the route's targets.
-	uint32_t arrivals;	    ///< Backend servers that may have got it.
+	int64_t stated_left_us; ///< Until the caller's deadline; 0: not stated.
+	bool returned;		///< The caller was refused before.
+	uint32_t service;	///< Index; drawn from the route's targets.
+	uint32_t arrivals;	///< Backend servers that may have got it.
 	struct loop_timer timer;
 	// The attempt in progress.
 	enum attempt_state state;
@@ -96,6 +100,9 @@
 	/// Moving average of the time in a slot, relative to the mean of the
 	/// service; 0: not known.
 	double service_ratio_permille;
+	struct answer_size answer_size;
+	struct caller_age caller_age;
+	int64_t returns_deadline_us; ///< Until then refused callers come back.
 };
 
 struct ingress {
@@ -153,6 +160,10 @@
 void ingress_record_service_time(
     struct ingress_request *r, const struct message_response *m);
 
+/// Records the size of an answer of the request's route, if its head tells it.
+void ingress_record_answer_size(
+    struct ingress_request *r, const struct message_response *m);
+
 // conclude.c
 
 /// Ends the request: responds unless the caller is gone, and frees it. The
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests/link_admission.h"
 #include "io/clock.h"
 #include "io/log/counters.h"
 #include "proxy/headers.h"
@@ -12,6 +13,9 @@
 /// Requests have to end this long before the end of a drain.
 #define DRAIN_MARGIN_US (500 * US_PER_MS)
 
+/// A stated deadline that is later says nothing of its caller.
+#define MAX_STATED_MS (3600 * 1000LL)
+
 COUNTER_DEFINE(count_internal, "ingress_internal_headers",
     "Headers of callers dropped, since only proxies set them");
 
@@ -63,6 +67,8 @@
 		return;
 	// Values beyond the range of the type become its limits.
 	left_ms = strtoll(left, &end, 10);
+	if (end != left && left_ms > 0 && left_ms < MAX_STATED_MS)
+		r->stated_left_us = left_ms * US_PER_MS;
 	if (end != left &&
 	    left_ms < (r->deadline_us - r->exchange->arrival_us) / US_PER_MS)
 		r->deadline_us = r->exchange->arrival_us +
@@ -125,6 +131,27 @@
 	return -1;
 }
 
+/// Counts the time that a caller spent on earlier attempts towards its target, if
+/// the answer is long: what the link has room for should not go to the late.
+static void
+apply_caller_age(struct ingress_request *r)
+{
+	struct route_stats *stats = ingress_get_route_stats(r);
+	int64_t age_us;
+
+	if (r->begun || r->stated_left_us == 0)
+		return;
+	age_us = caller_age_estimate(&stats->caller_age, r->stated_left_us);
+	// Those that were refused a while ago may be among the callers now.
+	if (loop_now_us(r->ingress->loop) >= stats->returns_deadline_us)
+		caller_age_record(&stats->caller_age, r->stated_left_us);
+	if (age_us == 0 ||
+	    answer_size_estimate(&stats->answer_size) <= LINK_SHORT_BYTES)
+		return;
+	r->returned = true;
+	r->target_deadline_us -= age_us;
+}
+
 void
 ingress_route(struct ingress_request *r)
 {
@@ -152,6 +179,7 @@
 		inherit_rank(r);
 	if (r->trusted || ingress->dialect->callers_set_deadline)
 		ingress_read_deadline(r);
+	apply_caller_age(r);
 	if (read_idempotency_key(r) != 0) {
 		ingress_conclude(r, 400, ingress_not_run_outcome(r), 0,
 		    "an Idempotency-Key of 1 to 255 characters is needed");
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -60,6 +60,8 @@
 	// The caller may have left.
 	if (r->exchange != NULL)
 		q->size_bytes = (uint32_t)r->exchange->body_bytes;
+	q->answer_bytes =
+	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size);
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
 	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -308,6 +308,7 @@
 	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
+	egress_set_link(traffic->egress, traffic->link);
 	if (settings->ledger_count > 0) {
 		traffic->once =
 		    once_client_create(traffic->loop, settings->ledgers,
