--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -70,11 +70,13 @@
 	int64_t fixed_permille;
 	int64_t kilobyte_permille;
 	int64_t max_permille;
+	/// The same for answers: less than an answer loses that may be late.
+	int64_t answer_max_permille;
 	int64_t round_trip_us; ///< Typical.
 } distance_costs[DISTANCE_COUNT] = {
-    [DISTANCE_DC] = {0, 2, 200, 300},
-    [DISTANCE_REGION] = {5, 12, 700, 2000},
-    [DISTANCE_FAR] = {60, 40, 1400, 25000},
+    [DISTANCE_DC] = {0, 2, 200, 20, 300},
+    [DISTANCE_REGION] = {5, 12, 700, 120, 2000},
+    [DISTANCE_FAR] = {60, 40, 1400, 240, 25000},
 };
 
 /// Slots of an endpoint that count as usable: fewer while it is cold or in slow
@@ -284,7 +286,8 @@
 		volume = distance_costs[e->distance].max_permille;
 	return distance_costs[e->distance].fixed_permille + volume +
 	    link_cost_volume_permille(q->request->answer_bytes,
-		distance_costs[e->distance].kilobyte_permille);
+		distance_costs[e->distance].kilobyte_permille,
+		distance_costs[e->distance].answer_max_permille);
 }
 
 /// Estimates the part of its worth that a request loses at an endpoint.
--- a/src/core/requests/link_cost.c
+++ b/src/core/requests/link_cost.c
@@ -8,9 +8,7 @@
 /// so that the wait does not end by itself.
 #define WAIT_HALF_LIFE_US 1000000.0
 
-/// Cost of the longest answers: less than that of an answer which may be late.
-#define MAX_VOLUME_PERMILLE 150
-#define KILOBYTE	    1024
+#define KILOBYTE 1024
 
 /// Part of a longer round trip that counts: most of it is waiting.
 #define ROUND_TRIP_DIVISOR 32
@@ -88,11 +86,12 @@
 }
 
 int64_t
-link_cost_volume_permille(int64_t answer_bytes, int64_t kilobyte_permille)
+link_cost_volume_permille(
+    int64_t answer_bytes, int64_t kilobyte_permille, int64_t max_permille)
 {
-	int64_t cost = kilobyte_permille * answer_bytes / KILOBYTE;
+	int64_t cost = kilobyte_permille * (answer_bytes - KILOBYTE) / KILOBYTE;
 
-	if (answer_bytes <= LINK_SHORT_BYTES)
+	if (cost <= 0)
 		return 0;
-	return cost < MAX_VOLUME_PERMILLE ? cost : MAX_VOLUME_PERMILLE;
+	return cost < max_permille ? cost : max_permille;
 }
--- a/src/core/requests/link_cost.h
+++ b/src/core/requests/link_cost.h
@@ -45,10 +45,11 @@
     const struct link_cost *link, int64_t answer_bytes, int64_t now_us);
 
 /// Cost of the bytes of an answer on paid links, in permille of the worth of the
-/// request. Bounded, so that no answer is late for distance alone.
+/// request, beyond the first kilobyte.
 ///
 /// @param kilobyte_permille  cost of a kilobyte
+/// @param max_permille       bound, so that no answer is late for distance alone
 int64_t link_cost_volume_permille(
-    int64_t answer_bytes, int64_t kilobyte_permille);
+    int64_t answer_bytes, int64_t kilobyte_permille, int64_t max_permille);
 
 #endif
