--- /dev/null
+++ b/test/unit/test_link_room.c
@@ -0,0 +1,285 @@
+// Room on links: sizes of answers, admission and placement by bytes, the time that
+// callers have waited. On a virtual clock.
+#include <string.h>
+
+#include "core/random.h"
+#include "core/requests/answer_size.h"
+#include "core/requests/balancer.h"
+#include "core/requests/caller_age.h"
+#include "core/requests/link_admission.h"
+#include "unit/support.h"
+
+#define MS	   1000
+#define SECOND_US  1000000LL
+#define LINK_MBPS  14.0
+#define LINK_KBPS  14000
+#define BODY_BYTES 90000
+#define REQUESTS   400
+
+/// Sizes with a long tail: the estimate stays near the mean after a body of 50
+/// times that, and is not known before the first.
+static void
+test_sizes_are_learned(void **state)
+{
+	struct answer_size_table table = {0};
+	struct answer_size *size = answer_size_find(&table, 7);
+	int i;
+
+	(void)state;
+	assert_int_equal(answer_size_estimate(size), -1);
+	for (i = 0; i < 100; i++)
+		answer_size_record(size, i % 2 == 0 ? 60000 : 120000);
+	answer_size_record(size, 50 * BODY_BYTES);
+	assert_in_range(answer_size_estimate(size), 80000, 110000);
+	// Another route of the same entry begins anew.
+	size = answer_size_find(&table, 7 + ANSWER_SIZE_ROUTES);
+	assert_int_equal(answer_size_estimate(size), -1);
+}
+
+/// Load: downloads of 90 KB for one and a half times the link, each for a caller
+/// who wants it within 1 s, beside tiny answers of begun work.
+struct load {
+	struct link_schedule schedule;
+	struct link_flow flows[REQUESTS];
+	uint32_t accepted;
+	uint32_t in_time;
+	int64_t worst_us; ///< Longest time until a body had left.
+};
+
+/// Plays the load on a link that carries the accepted bodies in their order.
+///
+/// @param admits  whether the admission decides, or all are accepted
+static void
+play(struct load *load, bool admits)
+{
+	int64_t interval_us = (int64_t)(BODY_BYTES * 8 / LINK_MBPS / 1.5);
+	int64_t now_us = SECOND_US;
+	int64_t next_us = now_us;
+	uint32_t sent = 0;
+
+	memset(load, 0, sizeof(*load));
+	link_schedule_init(&load->schedule, LINK_MBPS);
+	for (; sent < REQUESTS || load->schedule.queued_bytes > 0;
+	     now_us += 1 * MS) {
+		struct link_flow *flow;
+
+		while (sent < REQUESTS && next_us <= now_us) {
+			struct link_request q = {.answer_bytes = BODY_BYTES,
+			    .service_us = 0,
+			    .worth = 1,
+			    .target_deadline_us = now_us + SECOND_US,
+			    .deadline_us = now_us + 4 * SECOND_US};
+			int64_t wait_us;
+
+			flow = &load->flows[sent++];
+			next_us += interval_us;
+			if (admits &&
+			    !link_admission_accepts(
+				&load->schedule, &q, now_us, &wait_us)) {
+				assert_true(wait_us > 0);
+				continue;
+			}
+			load->accepted++;
+			flow->worth = q.worth;
+			flow->target_deadline_us = q.target_deadline_us;
+			link_schedule_add(&load->schedule, flow);
+			link_schedule_queue(&load->schedule, flow, BODY_BYTES);
+		}
+		while ((flow = link_schedule_next(&load->schedule, now_us)) !=
+		    NULL) {
+			int64_t left_us = flow->target_deadline_us - now_us;
+			int64_t piece_bytes =
+			    link_schedule_piece_bytes(&load->schedule);
+
+			if (piece_bytes > flow->queued_bytes)
+				piece_bytes = flow->queued_bytes;
+			link_schedule_take(&load->schedule, flow, piece_bytes);
+			link_schedule_charge(
+			    &load->schedule, piece_bytes, now_us);
+			if (flow->queued_bytes > 0)
+				continue;
+			link_schedule_remove(&load->schedule, flow);
+			load->in_time += left_us > 0;
+			if (SECOND_US - left_us > load->worst_us)
+				load->worst_us = SECOND_US - left_us;
+		}
+	}
+}
+
+/// What the callers get: all accepted bodies arrive in time, and at least as many
+/// as without admission, where others wait for seconds.
+static void
+test_accepted_arrive_in_time(void **state)
+{
+	static struct load load;
+	uint32_t in_time;
+
+	(void)state;
+	play(&load, false);
+	in_time = load.in_time;
+	assert_true(load.worst_us > 4 * SECOND_US);
+	play(&load, true);
+	assert_int_equal(load.in_time, load.accepted);
+	assert_true(load.worst_us < SECOND_US);
+	assert_true(load.in_time * 100 >= in_time * 95);
+	// Two thirds of the load are what the link carries.
+	assert_true(load.accepted > REQUESTS * 6 / 10);
+}
+
+/// On a full link short answers and those of more worth are accepted; a caller
+/// that came back may be late, and one with no time left is refused.
+static void
+test_who_is_refused(void **state)
+{
+	struct link_schedule s;
+	struct link_flow expected = {.worth = 2,
+	    .target_deadline_us = 2 * SECOND_US,
+	    .left_bytes = 15 * BODY_BYTES};
+	struct link_request q = {.answer_bytes = BODY_BYTES,
+	    .worth = 2,
+	    .target_deadline_us = 2 * SECOND_US,
+	    .deadline_us = 5 * SECOND_US};
+	int64_t wait_us;
+
+	(void)state;
+	link_schedule_init(&s, LINK_MBPS);
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	link_schedule_expect(&s, &expected);
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.answer_bytes = 500;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.answer_bytes = BODY_BYTES;
+	q.worth = 3;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.worth = 2;
+	q.returned = true;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.deadline_us = SECOND_US + 500 * MS;
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	link_schedule_unexpect(&s, &expected);
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	// Without a known capacity nothing is refused.
+	link_schedule_init(&s, 0);
+	link_schedule_expect(&s, &expected);
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+}
+
+static void
+add_endpoint(struct balancer *b, const char *name, enum distance distance)
+{
+	struct member member = {.slots = 12, .backend = BACKEND_READY};
+
+	strncpy(member.name, name, sizeof(member.name) - 1);
+	balancer_add(b, &member, distance, SECOND_US);
+}
+
+/// Load: one of three VMs has half a second of bodies to carry, all have free
+/// slots. Downloads avoid it, short calls do not; requests sent since the report
+/// count, so that the others share the load.
+static void
+test_downloads_avoid_a_full_link(void **state)
+{
+	struct balancer_report full = {.service_us = 100 * MS,
+	    .link_wait_us = 500 * MS,
+	    .link_kbps = LINK_KBPS};
+	struct balancer_report idle = {
+	    .service_us = 100 * MS, .link_kbps = LINK_KBPS};
+	struct balancer_request q = {.worth = 1,
+	    .target_left_us = SECOND_US,
+	    .deadline_left_us = 4 * SECOND_US,
+	    .answer_bytes = BODY_BYTES};
+	uint32_t sent[3] = {0};
+	struct balancer b;
+	int i;
+
+	(void)state;
+	balancer_init(&b, "archive", 1, 0);
+	balancer_begin_view(&b);
+	add_endpoint(&b, "a", DISTANCE_DC);
+	add_endpoint(&b, "b", DISTANCE_DC);
+	add_endpoint(&b, "c", DISTANCE_DC);
+	balancer_end_view(&b, SECOND_US);
+	balancer_report(balancer_find(&b, "a"), &full, SECOND_US);
+	balancer_report(balancer_find(&b, "b"), &idle, SECOND_US);
+	balancer_report(balancer_find(&b, "c"), &idle, SECOND_US);
+	for (i = 0; i < 8; i++)
+		sent[balancer_choose(&b, &q, SECOND_US).endpoint->name[0] -
+		    'a']++;
+	assert_int_equal(sent[0], 0);
+	assert_in_range(sent[1], 3, 5);
+	// One that refused is left out for long answers only.
+	link_cost_set_full(&balancer_find(&b, "b")->link, 2 * SECOND_US);
+	link_cost_set_full(&balancer_find(&b, "c")->link, 2 * SECOND_US);
+	assert_string_equal(
+	    balancer_choose(&b, &q, SECOND_US).endpoint->name, "a");
+	link_cost_set_full(&balancer_find(&b, "a")->link, 2 * SECOND_US);
+	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	q.answer_bytes = 500;
+	assert_non_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	balancer_free(&b);
+}
+
+/// A long answer stays near while it is in time there, and goes further rather
+/// than late.
+static void
+test_distance_gives_way(void **state)
+{
+	struct balancer_report report = {
+	    .service_us = 100 * MS, .link_kbps = LINK_KBPS};
+	struct balancer_request q = {.worth = 1,
+	    .target_left_us = SECOND_US,
+	    .deadline_left_us = 4 * SECOND_US,
+	    .answer_bytes = BODY_BYTES};
+	struct balancer b;
+
+	(void)state;
+	balancer_init(&b, "archive", 1, 0);
+	balancer_begin_view(&b);
+	add_endpoint(&b, "near", DISTANCE_DC);
+	add_endpoint(&b, "other", DISTANCE_REGION);
+	balancer_end_view(&b, SECOND_US);
+	balancer_report(balancer_find(&b, "other"), &report, SECOND_US);
+	report.link_wait_us = 300 * MS;
+	balancer_report(balancer_find(&b, "near"), &report, SECOND_US);
+	assert_string_equal(
+	    balancer_choose(&b, &q, SECOND_US).endpoint->name, "near");
+	report.link_wait_us = 900 * MS;
+	balancer_report(balancer_find(&b, "near"), &report, SECOND_US);
+	assert_string_equal(
+	    balancer_choose(&b, &q, SECOND_US).endpoint->name, "other");
+	balancer_free(&b);
+}
+
+/// Callers with 3.4 to 4 s; one that comes back after 1 s states less. It is told
+/// from first attempts, which differ by less.
+static void
+test_ages_of_callers(void **state)
+{
+	struct random random = {5, 0};
+	struct caller_age age = {0};
+	int i;
+
+	(void)state;
+	assert_int_equal(caller_age_estimate(&age, 2600 * MS), 0);
+	for (i = 0; i < 50; i++)
+		caller_age_record(
+		    &age, 3400 * MS + (int64_t)random_below(&random, 600 * MS));
+	assert_in_range(
+	    caller_age_estimate(&age, 2600 * MS), 700 * MS, 1400 * MS);
+	assert_int_equal(caller_age_estimate(&age, 3900 * MS), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_sizes_are_learned),
+	    cmocka_unit_test(test_accepted_arrive_in_time),
+	    cmocka_unit_test(test_who_is_refused),
+	    cmocka_unit_test(test_downloads_avoid_a_full_link),
+	    cmocka_unit_test(test_distance_gives_way),
+	    cmocka_unit_test(test_ages_of_callers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
