--- a/src/proxy/control/distribution.c
+++ b/src/proxy/control/distribution.c
@@ -11,7 +11,7 @@
 #include "io/net/oneshot.h"
 #include "io/net/volume.h"
 #include "io/rules_message.h"
-#include "proxy/control/control.h"
+#include "proxy/control/rollouts.h"
 #include "wire/gossip_codec.h"
 
 #define PULL_TIMEOUT_US	       (3 * US_PER_S)
@@ -195,6 +195,45 @@
 	    now_us);
 }
 
+static bool
+is_in_settings(const struct control *control, const struct address *source)
+{
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		if (address_equals(&control->settings.sources[i], source))
+			return true;
+	return false;
+}
+
+/// Lists the sources in the settings and those that the sources report.
+///
+/// @return their number
+static uint32_t
+list_sources(
+    const struct control *control, struct address out[2 * CONTROL_MAX_SOURCES])
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < control->settings.source_count; i++)
+		out[count++] = control->settings.sources[i];
+	for (i = 0; i < control->discovered_count; i++)
+		if (!is_in_settings(control, &control->discovered_sources[i]))
+			out[count++] = control->discovered_sources[i];
+	return count;
+}
+
+void
+distribution_post_sources(struct control *control)
+{
+	struct address sources[2 * CONTROL_MAX_SOURCES];
+
+	traffic_post_sources(control->traffic, sources,
+	    list_sources(control, sources),
+	    control->has_leader ? &control->leader : NULL);
+}
+
 static void
 update_sources(struct control *control, const struct list *sources)
 {
@@ -212,6 +251,7 @@
 			0)
 			count++;
 	control->discovered_count = count;
+	distribution_post_sources(control);
 }
 
 static void
@@ -227,6 +267,7 @@
 		control->leader = at;
 		control->has_leader = true;
 		control->leader_answered_us = loop_now_us(control->loop);
+		distribution_post_sources(control);
 		distribution_send_report(control, false);
 	}
 	if (!control->floor.ready)
@@ -255,35 +296,6 @@
 	}
 }
 
-static bool
-is_in_settings(const struct control *control, const struct address *source)
-{
-	uint32_t i;
-
-	for (i = 0; i < control->settings.source_count; i++)
-		if (address_equals(&control->settings.sources[i], source))
-			return true;
-	return false;
-}
-
-/// Lists the sources in the settings and those that the sources report.
-///
-/// @return their number
-static uint32_t
-list_sources(
-    const struct control *control, struct address out[2 * CONTROL_MAX_SOURCES])
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < control->settings.source_count; i++)
-		out[count++] = control->settings.sources[i];
-	for (i = 0; i < control->discovered_count; i++)
-		if (!is_in_settings(control, &control->discovered_sources[i]))
-			out[count++] = control->discovered_sources[i];
-	return count;
-}
-
 static void
 note_source_answer(
     struct control *control, const struct message_report_answer *answer)
@@ -338,6 +350,8 @@
 	update_sources(control, &answer->sources);
 	update_leader(control, answer->leader);
 	sync_reported_members(control, &answer->members);
+	if (rollouts_merge(control, &answer->rollouts, "a source"))
+		distribution_send_report(control, false);
 	if (answer->version_seen > control->membership.version_floor)
 		control->membership.version_floor = answer->version_seen;
 	if (answer->accepted_version == 0 ||
@@ -375,7 +389,8 @@
 {
 	struct message_report report = {.leaving = leaving,
 	    .members_known = membership_alive_count(&control->membership),
-	    .sources_hash = control->discovered_hash};
+	    .sources_hash = control->discovered_hash,
+	    .rollout_revision = rollout_table_revision(&control->rollouts)};
 	struct address sources[2 * CONTROL_MAX_SOURCES];
 	bool to_all = !leader_suffices(control, leaving);
 	msgpack_sbuffer out;
@@ -446,6 +461,7 @@
 		control->has_leader = false;
 		return;
 	}
+	rollouts_merge(control, &answer->u.rules.rollouts, "the leader");
 	if (answer->u.rules.version > floor->confirmed_version)
 		floor->confirmed_version = answer->u.rules.version;
 	loop_timer_set(
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -70,6 +70,9 @@
 	}
 	r->upload_last = body->last != 0;
 	r->upload_failed = body->failed != 0;
+	memory_holder_progress(
+	    &r->holder, (int64_t)n, loop_now_us(egress->loop));
+	egress_memory_update(r);
 	if (r->state == REQUEST_COLLECTING) {
 		if (r->upload_credit_bytes > 0 &&
 		    egress_receive_body_part(r, body)) {
@@ -205,6 +208,7 @@
 {
 	egress_set_server(egress, backend);
 	egress->backend = *backend;
+	egress_follow_rollouts(egress);
 	configure_admission(egress);
 	if (backend->state == BACKEND_DRAINING ||
 	    backend->state == BACKEND_NONE)
@@ -246,6 +250,7 @@
 
 	assert(egress != NULL);
 	egress->loop = loop;
+	egress->account = settings->account;
 	egress->dialect = settings->dialect;
 	egress->on_slot_free = egress_run_queued;
 	egress->httpc = httpc_open(loop, 1, err);
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -18,7 +18,7 @@
 #define MAX_BUFFERED_RESPONSE_BYTES (64u * 1024)
 #define UPLOAD_WINDOW_BYTES	    (256u * 1024)
 #define RESPONSE_WINDOW_BYTES	    (256u * 1024)
-#define MAX_EXTRA_HEADERS	    4
+#define MAX_EXTRA_HEADERS	    5
 #define STATUS_MISDIRECTED	    421
 
 /// Time for which connections are not shared with requests that may not be
@@ -103,6 +103,7 @@
 	    (err != NULL && err->code == ERR_TIMEOUT);
 
 	egress_log_call_end(r, err);
+	egress_count_answer(r, err);
 	if (err != NULL && answers_other_attempt(r))
 		egress->separate_until_deadline_us =
 		    now_us + SEPARATE_CONNECTIONS_US;
@@ -352,6 +353,7 @@
 		r->body_bytes += size_bytes;
 		held_update(
 		    HELD_SERVER_ANSWER, &r->body_held_bytes, r->body_bytes);
+		egress_memory_update(r);
 		return true;
 	}
 	if (!r->streaming)
@@ -427,6 +429,12 @@
 	memcpy(out, r->upload, n);
 	memmove(r->upload, r->upload + n, r->upload_bytes - n);
 	r->upload_bytes -= n;
+	if (r->upload_bytes == 0) {
+		free(r->upload);
+		r->upload = NULL;
+		held_update(HELD_UPLOAD, &r->upload_held_bytes, 0);
+		egress_memory_update(r);
+	}
 	if (!r->upload_last && r->sink != NULL)
 		r->sink->ops->window(r->sink, r->message->id, (uint32_t)n);
 	return n;
@@ -465,6 +473,10 @@
 		r->headers[i].name = bytes_from_string(h->expected);
 		r->headers[i++].value = bytes_from_string(r->expected);
 	}
+	if (h->workspace != NULL && r->message->workspace.size_bytes > 0) {
+		r->headers[i].name = bytes_from_string(h->workspace);
+		r->headers[i++].value = r->message->workspace;
+	}
 	snprintf(r->deadline_text, sizeof(r->deadline_text), "%" PRId64,
 	    left_us > 0 ? left_us / US_PER_MS : 0);
 	r->headers[i].name = bytes_from_string(h->deadline);
@@ -491,6 +503,7 @@
 		abort();
 	build_headers(r);
 	r->state = REQUEST_RUNNING;
+	egress_memory_update(r);
 	r->server = egress->terms.terms.server;
 	r->window_bytes = RESPONSE_WINDOW_BYTES;
 	r->call.ops = &call_ops;
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -3,6 +3,7 @@
 #ifndef MV_PROXY_EGRESS_EGRESS_REQUEST_H
 #define MV_PROXY_EGRESS_EGRESS_REQUEST_H
 
+#include "core/memory_account.h"
 #include "core/requests/answer_size.h"
 #include "core/requests/collector.h"
 #include "core/requests/link_schedule.h"
@@ -25,6 +26,7 @@
 
 struct egress_request {
 	struct admission_item item;
+	struct memory_holder holder;
 	struct httpc_call call;
 	struct egress *egress;
 	struct egress_sink *sink; ///< NULL after its stream is closed.
@@ -76,11 +78,20 @@
 	struct link_flow answer; ///< Expected, while answer_expected.
 	bool answer_expected;
 	int64_t answer_bytes; ///< Of the body of the response so far.
-	bool key_was_free;    ///< As the ledger reported to this attempt.
+	bool evict_marked;
+	bool key_was_free; ///< As the ledger reported to this attempt.
+};
+
+/// Counts of the server that runs now.
+struct egress_watch {
+	struct egress_counts sent;
+	int64_t sent_us;
+	bool changed; ///< Since they were sent.
 };
 
 struct egress {
 	struct loop *loop;
+	struct memory_account *account;
 	const struct dialect *dialect;
 	struct httpc *httpc;
 	struct once_client *once;
@@ -91,6 +102,9 @@
 	struct egress_backend backend;
 	struct server_terms_state terms; ///< Of that backend server.
 	struct rules *rules;
+	struct rollout_table rollouts;
+	struct rollout_filter rollout_filter; ///< Of the server's service.
+	struct egress_watch watch;
 	struct egress_request *first;
 	struct collector collector;
 	/// Called when a call ends and frees its slot.
@@ -106,6 +120,7 @@
 	int64_t announce_pace_deadline_us; ///< Earliest next announcement.
 	bool draining;
 	bool abort_deferred;
+	bool evict_deferred;
 	bool leave_deferred;
 	bool server_echoes; ///< Its responses name the attempts of callers.
 	/// Until then its connections may carry bytes of an earlier request.
@@ -161,6 +176,17 @@
 void egress_set_server(
     struct egress *egress, const struct egress_backend *backend);
 
+// egress_rollout.c
+
+/// Follows a change of the server or of the roll-outs.
+void egress_follow_rollouts(struct egress *egress);
+
+/// Tells whether the server's version was rolled back.
+bool egress_is_rolled_back(const struct egress *egress);
+
+/// Counts a call that has ended.
+void egress_count_answer(struct egress_request *r, const struct error *err);
+
 // egress_collect.c
 
 /// Starts the transfer of further bodies, those of the nearest target first.
@@ -217,6 +243,15 @@
 void egress_send_unknown(
     struct egress_request *r, uint32_t status, const char *why);
 
+// egress_memory.c
+
+/// Adds a new request to the account of memory.
+void egress_memory_add(struct egress_request *r);
+
+/// Counts what a request holds, and whether it can still give way. Call it after
+/// each change of either.
+void egress_memory_update(struct egress_request *r);
+
 // egress_call.c
 
 /// Sends a request that holds a slot to the backend server.
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -177,14 +177,23 @@
 		ingress->rules = rules_ref(view->rules);
 		log_write(LOG_INFO, "config",
 		    "Version %" PRIu64 " is in force.", view->rules->version);
+		ingress_recheck_keys(ingress);
+		ingress_quota_set_rules(ingress);
 	}
 	set_limits(ingress);
 	// Each service of the rules has a balancer, even without endpoints.
 	for (i = 0; ingress->rules != NULL && i < ingress->rules->service_count;
 	     i++)
 		get_balancer(ingress, ingress->rules->services[i].name);
-	for (i = 0; i < ingress->balancer_count; i++)
-		balancer_begin_view(ingress->balancers[i]);
+	for (i = 0; i < view->endpoint_count; i++)
+		get_balancer(ingress, view->endpoints[i].member.service);
+	for (i = 0; i < ingress->balancer_count; i++) {
+		struct balancer *b = ingress->balancers[i];
+
+		rollout_table_get_filter(
+		    &view->rollouts, b->service, &b->rollout);
+		balancer_begin_view(b);
+	}
 	for (i = 0; i < view->endpoint_count; i++) {
 		const struct view_endpoint *e = &view->endpoints[i];
 
@@ -213,7 +222,10 @@
 	listener->trusted = trusted;
 	listener->httpd = httpd_open(
 	    ingress->loop, at, &httpd_ops, listener, &limits, bound, err);
-	return listener->httpd == NULL ? -1 : 0;
+	if (listener->httpd == NULL)
+		return -1;
+	httpd_set_account(listener->httpd, ingress->settings.account);
+	return 0;
 }
 
 struct ingress *
@@ -237,6 +249,7 @@
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
 	ingress->local_sink.local = true;
+	ingress_quota_open(ingress);
 	ingress->links = links_create(loop, link, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
 	if (open_listener(&ingress->outer, ingress, &settings->outer, false,
@@ -297,6 +310,7 @@
 		return;
 	ingress_close_listeners(ingress);
 	loop_timer_clear(ingress->loop, &ingress->parked_timer);
+	ingress_quota_close(ingress);
 	links_destroy(ingress->links);
 	while (ingress->all != NULL) {
 		ingress->all->state = ATTEMPT_NONE;
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -11,6 +11,7 @@
 
 struct bulk_link;
 struct ingress;
+struct memory_account;
 
 struct ingress_settings {
 	const struct dialect *dialect;
@@ -20,6 +21,8 @@
 	uint64_t incarnation;
 	struct address outer; ///< For callers.
 	struct address inner; ///< For the backend server on this VM.
+	struct address
+	    quota; ///< For answers of the accountant of quotas (UDP).
 	bool has_inner;
 	int64_t max_body_bytes;
 	int64_t max_connections;
@@ -27,6 +30,7 @@
 	uint32_t retry_ratio_pct;
 	uint32_t retry_burst; ///< For all proxies together.
 	uint64_t seed;
+	struct memory_account *account; ///< Of what callers hold.
 };
 
 /// Opens the listeners.
@@ -42,6 +46,12 @@
 /// Applies a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
 
+/// Sets the sources, of which one is the accountant of quotas.
+///
+/// @param leader  the one that leads, as far as is known; NULL if it is not
+void ingress_set_sources(struct ingress *ingress, const struct address *sources,
+    uint32_t count, const struct address *leader);
+
 /// Changes the incarnation of this process.
 void ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation);
 
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -7,7 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/memory_account.h"
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
@@ -19,10 +21,19 @@
 #define PUBLISH_PERIOD_US (20 * US_PER_MS)
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
+GAUGE_DEFINE(gauge_memory_held, "memory_account_held_bytes",
+    "Memory that callers and other proxies make this one hold");
+GAUGE_DEFINE(gauge_memory_peak, "memory_account_peak_bytes",
+    "Largest memory_account_held_bytes since the start");
+GAUGE_DEFINE(gauge_memory_limit, "memory_account_limit_bytes",
+    "Limit at which holders of memory give way");
 GAUGE_DEFINE(gauge_queued, "egress_waiting", "Requests queued now");
 
 struct traffic {
 	struct loop *loop;
+	struct memory_account account;
+	/// Messages to and from other proxies, and bytes to and from servers.
+	struct memory_holder streams;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	struct bulk_link *link; ///< NULL: its capacity is not known.
@@ -35,6 +46,9 @@
 	struct loop *leaving_loop; ///< Of the listener below; or NULL.
 	traffic_leaving_fn *leaving_fn;
 	void *leaving_arg;
+	struct loop *counts_loop; ///< Of the listener below; or NULL.
+	traffic_counts_fn *counts_fn;
+	void *counts_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -67,6 +81,7 @@
 	struct traffic *traffic = command->traffic;
 
 	ingress_set_view(traffic->ingress, command->view);
+	egress_set_rollouts(traffic->egress, &command->view->rollouts);
 	if (command->view->rules != NULL)
 		egress_set_rules(traffic->egress, command->view->rules);
 	view_free(command->view);
@@ -101,6 +116,42 @@
 	loop_post(traffic->loop, apply_backend, command);
 }
 
+/// Addresses of the sources that another thread posts to the traffic thread.
+struct sources_notice {
+	struct traffic *traffic;
+	bool has_leader;
+	struct address leader;
+	uint32_t count;
+	struct address sources[];
+};
+
+static void
+apply_sources(void *arg)
+{
+	struct sources_notice *notice = arg;
+
+	ingress_set_sources(notice->traffic->ingress, notice->sources,
+	    notice->count, notice->has_leader ? &notice->leader : NULL);
+	free(notice);
+}
+
+void
+traffic_post_sources(struct traffic *traffic, const struct address *sources,
+    uint32_t count, const struct address *leader)
+{
+	struct sources_notice *notice =
+	    calloc(1, sizeof(*notice) + count * sizeof(*sources));
+
+	assert(notice != NULL);
+	notice->traffic = traffic;
+	notice->has_leader = leader != NULL;
+	if (leader != NULL)
+		notice->leader = *leader;
+	notice->count = count;
+	memcpy(notice->sources, sources, count * sizeof(*sources));
+	loop_post(traffic->loop, apply_sources, notice);
+}
+
 static void
 apply_service(void *arg)
 {
@@ -219,6 +270,48 @@
 	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
 }
 
+/// Counts on their way to the listener.
+struct counts_notice {
+	traffic_counts_fn *fn;
+	void *arg;
+	struct egress_counts counts;
+};
+
+static void
+deliver_counts(void *arg)
+{
+	struct counts_notice *notice = arg;
+
+	notice->fn(notice->arg, &notice->counts);
+	free(notice);
+}
+
+static void
+post_counts(struct traffic *traffic)
+{
+	struct egress_counts counts;
+	struct counts_notice *notice;
+
+	if (traffic->counts_loop == NULL ||
+	    !egress_take_counts(traffic->egress, &counts))
+		return;
+	notice = calloc(1, sizeof(*notice));
+	assert(notice != NULL);
+	notice->fn = traffic->counts_fn;
+	notice->arg = traffic->counts_arg;
+	notice->counts = counts;
+	loop_post(traffic->counts_loop, deliver_counts, notice);
+}
+
+void
+traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *fn, void *arg)
+{
+	traffic->counts_loop = loop;
+	traffic->counts_fn = fn;
+	traffic->counts_arg = arg;
+}
+
 uint32_t
 traffic_load_pct(const struct traffic *traffic)
 {
@@ -249,6 +342,17 @@
 	return atomic_load(&traffic->drained);
 }
 
+/// Counts what streams hold, and publishes the account.
+static void
+count_memory(struct traffic *traffic)
+{
+	memory_holder_set(&traffic->streams,
+	    held_get_bytes(HELD_STREAM_OUT) + held_get_bytes(HELD_STREAM_IN) +
+		held_get_bytes(HELD_CALL));
+	counter_set(&gauge_memory_held, traffic->account.held_bytes);
+	counter_set(&gauge_memory_peak, traffic->account.peak_bytes);
+}
+
 /// Publishes the load and the requests in progress to the control thread.
 static void
 publish(void *arg)
@@ -264,7 +368,9 @@
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
+	count_memory(traffic);
 	end_drain_if_idle(traffic);
+	post_counts(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
 	loop_timer_set(traffic->loop, &traffic->publish_timer,
 	    loop_now_us(traffic->loop) + PUBLISH_PERIOD_US);
@@ -299,13 +405,21 @@
     struct traffic_bound *bound, struct error *err)
 {
 	struct traffic *traffic = calloc(1, sizeof(*traffic));
+	struct egress_settings egress = settings->egress;
+	struct ingress_settings ingress = settings->ingress;
 
 	assert(traffic != NULL);
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
 	traffic->link = bulk_link_create(traffic->loop, settings->link_mbps);
-	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
+	memory_account_init(
+	    &traffic->account, memory_account_share(settings->memory_bytes));
+	counter_set(&gauge_memory_limit, traffic->account.limit_bytes);
+	memory_account_add(&traffic->account, &traffic->streams, 0,
+	    loop_now_us(traffic->loop));
+	egress.account = ingress.account = &traffic->account;
+	traffic->egress = egress_create(traffic->loop, &egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
 	egress_set_link(traffic->egress, traffic->link);
@@ -315,9 +429,8 @@
 			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
-	traffic->ingress =
-	    ingress_open(traffic->loop, traffic->egress, traffic->link,
-		&settings->ingress, &bound->outer, &bound->inner, err);
+	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
+	    traffic->link, &ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -60,6 +60,11 @@
 	MESSAGE_RECORD = 52,
 	MESSAGE_RELEASE = 53,
 	MESSAGE_SETTLED = 54,
+	// Roll-outs of new versions.
+	MESSAGE_ROLLOUT_COUNTS = 60,
+	// Quotas of workspaces, over UDP.
+	MESSAGE_QUOTA_ASK = 63,
+	MESSAGE_QUOTA_ANSWER = 64,
 };
 
 /// Gossip record of one member. See core/membership/member.h.
@@ -100,6 +105,42 @@
 	uint32_t status;
 };
 
+/// Record of a roll-out. See core/rollout/rollout.h.
+struct message_rollout {
+	struct bytes service;
+	struct bytes version;
+	uint32_t state;
+	uint32_t share_permille;
+	uint64_t order;
+	uint64_t revision;
+};
+
+/// Requests of a run time. See core/rollout/rollout_counts.h.
+struct message_rollout_bucket {
+	uint32_t bucket;
+	uint32_t count;
+};
+
+struct message_rollout_route {
+	uint64_t route;
+	uint32_t answers;
+	uint32_t failures;
+	struct list runs; ///< of struct message_rollout_bucket
+};
+
+/// What a backend server has answered since the order of a roll-out; sent by the
+/// proxy next to it to the leading source.
+struct message_rollout_counts {
+	struct bytes name;
+	uint64_t incarnation;
+	uint64_t server; ///< Its process.
+	struct bytes service;
+	struct bytes version;
+	uint64_t order;
+	uint32_t running;   ///< Requests that run or wait there.
+	struct list routes; ///< of struct message_rollout_route
+};
+
 /// Step of an anti-entropy exchange of membership tables; the answer has the
 /// same layout. See proxy/control/gossip_io.c.
 struct message_sync {
@@ -107,14 +148,16 @@
 	struct list members;   ///< of struct message_member
 	struct list summaries; ///< of struct message_summary
 	struct list wanted;    ///< of struct message_summary; only names count.
+	struct list rollouts;  ///< of struct message_rollout
 };
 
 /// Reports the record of a proxy, with its version in force, to a source.
 struct message_report {
 	struct message_member member;
 	uint32_t leaving;
-	uint32_t members_known; ///< Proxies that it knows to be up.
-	uint64_t sources_hash;	///< Of the sources that it knows.
+	uint32_t members_known;	   ///< Proxies that it knows to be up.
+	uint64_t sources_hash;	   ///< Of the sources that it knows.
+	uint64_t rollout_revision; ///< Highest of the roll-outs that it knows.
 };
 
 struct message_report_answer {
@@ -131,6 +174,8 @@
 	/// Of struct message_address: some proxies. Empty if the reporter knows
 	/// as many as the source.
 	struct list members;
+	/// Of struct message_rollout: the next ones that the reporter lacks.
+	struct list rollouts;
 };
 
 struct message_address {
@@ -161,7 +206,8 @@
 struct message_rules {
 	uint64_t version; ///< 0: the sender has nothing newer.
 	uint64_t hash;
-	struct bytes text; ///< Empty in the answer to a confirm query.
+	struct bytes text;    ///< Empty in the answer to a confirm query.
+	struct list rollouts; ///< of struct message_rollout; in that answer.
 };
 
 /// One step of a line delta: copies old lines, then inserts text.
@@ -410,6 +456,39 @@
 	struct bytes leader;
 };
 
+/// Tokens that a proxy asks for, for one workspace.
+struct message_quota_item {
+	uint64_t workspace; ///< Hash of its name.
+	uint32_t wanted;
+	uint32_t spare;
+	uint32_t refused;
+};
+
+/// Ask of a proxy to the accountant of the quotas.
+struct message_quota_ask {
+	uint64_t sender; ///< Incarnation of the proxy; echoed.
+	uint32_t sequence;
+	struct list items; ///< of struct message_quota_item
+};
+
+/// Tokens that the accountant grants. See core/workspace/quota_ledger.h.
+struct message_quota_grant {
+	uint64_t workspace;
+	uint32_t asked;
+	uint32_t tokens;
+	int64_t life_us; ///< Since the ask was sent.
+	int64_t wait_us;
+};
+
+struct message_quota_answer {
+	uint64_t sender;
+	uint32_t sequence;
+	uint32_t refused;    ///< The answering source is not the accountant.
+	struct bytes leader; ///< "IP:port" of the one that is, or empty.
+	struct list grants;  ///< of struct message_quota_grant
+	uint64_t clock_us;   ///< Monotonic clock of the accountant.
+};
+
 /// A decoded message. Its bytes and lists are valid until message_free().
 struct message {
 	enum message_type type;
@@ -443,6 +522,9 @@
 		struct message_record record;
 		struct message_release release;
 		struct message_settled settled;
+		struct message_rollout_counts rollout_counts;
+		struct message_quota_ask quota_ask;
+		struct message_quota_answer quota_answer;
 	} u;
 	struct codec_decoder decoder;
 };
