--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -25,6 +25,11 @@
 	*wait_us = 0;
 	if (q->answer_bytes <= LINK_SHORT_BYTES || s->bytes_per_us <= 0)
 		return true;
+	if (s->queued_bytes + s->expected_bytes + q->answer_bytes >
+	    LINK_MAX_QUEUED_BYTES) {
+		*wait_us = link_schedule_transfer_us(s, q->answer_bytes);
+		return false;
+	}
 	way_us = link_schedule_ahead_us(s, &flow, now_us);
 	if (way_us < q->service_us)
 		way_us = q->service_us;
--- a/src/core/requests/link_admission.h
+++ b/src/core/requests/link_admission.h
@@ -11,6 +11,9 @@
 /// of room on the link.
 #define LINK_SHORT_BYTES 8192
 
+/// Most bytes of bodies that may wait for the link, in memory.
+#define LINK_MAX_QUEUED_BYTES (16LL * 1024 * 1024)
+
 /// A request whose answer is expected to be long.
 struct link_request {
 	int64_t answer_bytes; ///< Usual size of its answer; -1: not known.
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -87,8 +87,9 @@
 	else {
 		http_exchange_respond_start(r->exchange, m->status,
 		    headers.items, headers.count, m->total_bytes);
-		http_exchange_respond_body(
-		    r->exchange, m->body.data, m->body.size_bytes);
+		if (m->body.size_bytes > 0)
+			http_exchange_respond_body(
+			    r->exchange, m->body.data, m->body.size_bytes);
 	}
 out:
 	free_headers(&headers);
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -140,7 +140,8 @@
 	"memory of this VM for the proxy, in MB; callers may make it hold 40 % "
 	"of that"),
     NUMBER("limits.link_mbps", link_mbps, 1000000, "0",
-	"capacity of the link of this VM, in Mbit/s; 0: not known"),
+	"capacity of the link of this VM, in Mbit/s, to which long "
+	"bodies are paced; 0: not known"),
 };
 const size_t proxy_field_count = sizeof(proxy_fields) / sizeof(proxy_fields[0]);
 
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -158,6 +158,13 @@
 	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	link_schedule_unexpect(&s, &expected);
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	// Bodies in memory are bounded, whatever the deadlines.
+	expected.left_bytes = LINK_MAX_QUEUED_BYTES;
+	q.worth = 3;
+	q.deadline_us = 1000 * SECOND_US;
+	link_schedule_expect(&s, &expected);
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	assert_true(wait_us > 0);
 	// Without a known capacity nothing is refused.
 	link_schedule_init(&s, 0);
 	link_schedule_expect(&s, &expected);
