--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -94,8 +94,8 @@
 	log_begin(&line, LOG_INFO, "bulk", "Sent a body in pieces.");
 	log_text(&line, "to", body->stream->peer);
 	log_number(&line, "bytes", (int64_t)body->total_bytes);
-	log_ms(&line, "took_ms",
-	    loop_now_us(body->link->loop) - body->opened_us);
+	log_ms(
+	    &line, "took_ms", loop_now_us(body->link->loop) - body->opened_us);
 	log_ms(&line, "target_left_ms",
 	    left_us(body, body->flow.target_deadline_us));
 	log_ms(&line, "left_ms", left_us(body, body->flow.deadline_us));
@@ -142,8 +142,8 @@
 	log_text(&line, "to", body->stream->peer);
 	log_number(&line, "bytes", (int64_t)body->total_bytes);
 	log_number(&line, "left_bytes", body->flow.left_bytes);
-	log_ms(&line, "took_ms",
-	    loop_now_us(body->link->loop) - body->opened_us);
+	log_ms(
+	    &line, "took_ms", loop_now_us(body->link->loop) - body->opened_us);
 	log_ms(&line, "left_ms", left_us(body, body->flow.deadline_us));
 	log_number(&line, "queued_bytes", body->link->schedule.queued_bytes);
 	log_end(&line);
