--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -192,6 +192,7 @@
 
 		rollout_table_get_filter(
 		    &view->rollouts, b->service, &b->rollout);
+		rollout_own_follow(&b->rollout_own, &b->rollout);
 		balancer_begin_view(b);
 	}
 	for (i = 0; i < view->endpoint_count; i++) {
@@ -263,6 +264,14 @@
 	return ingress;
 }
 
+void
+ingress_set_stop_listener(
+    struct ingress *ingress, void (*fn)(void *arg, uint64_t order), void *arg)
+{
+	ingress->on_stopped = fn;
+	ingress->stopped_arg = arg;
+}
+
 void
 ingress_set_incarnation(struct ingress *ingress, uint64_t incarnation)
 {
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -1,6 +1,6 @@
 // mvproxy: the proxy on the VM of each backend server.
 #include <apr_general.h>
-#include <malloc.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -11,8 +11,6 @@
     "Proxy on the VM of a backend server: routes callers' requests by the "
     "rules in force, and admits requests to its backend server by rank.";
 
-#define MMAP_THRESHOLD_BYTES (128 * 1024)
-
 static struct proxy_settings settings;
 static struct control control;
 static struct traffic_settings traffic;
@@ -72,8 +70,14 @@
 	log_ms(&line, "drain_announce_ms", s->drain_announce_us);
 	log_ms(&line, "drain_limit_ms", s->drain_limit_us);
 	log_number(&line, "retry_ratio_pct", traffic.ingress.retry_ratio_pct);
+	log_number(&line, "memory_bytes", traffic.memory_bytes);
 	log_number(&line, "retry_burst", traffic.ingress.retry_burst);
 	log_end(&line);
+	if (traffic.ingress.max_connections < settings.max_connections)
+		log_write(LOG_WARN, "proxy",
+		    "Each listener takes %" PRId64 " connections: "
+		    "limits.connections is more than half of the descriptors.",
+		    traffic.ingress.max_connections);
 }
 
 static int
@@ -125,9 +129,6 @@
 
 	if (exit_code >= 0)
 		return exit_code;
-	// Long bodies go back to the system when they are freed: by default the
-	// threshold rises with the first one.
-	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	apr_initialize();
 	exit_code = run();
 	apr_terminate();
