--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -3,7 +3,7 @@
 
 /// Part of the time left that the way of an answer may take. What is ahead is a
 /// sum of expected sizes, and the answer has to reach the caller as well.
-#define TARGET_PERMILLE 650
+#define TARGET_PERMILLE 720
 
 /// The same for a late answer, which gives way to all that are in time.
 #define LATE_PERMILLE 500
