--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -249,6 +249,7 @@
 	memcpy(ingress->local_sink.origin, settings->name,
 	    sizeof(ingress->local_sink.origin));
 	ingress->local_sink.origin_incarnation = settings->incarnation;
+	ingress->local_sink.local = true;
 	ingress_quota_open(ingress);
 	ingress->links = links_create(loop, link, &ingress_links_ops, ingress,
 	    settings->name, settings->incarnation);
