--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -215,8 +215,7 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return link_cost_response_us(&e->link, answer_on_link(e, q->request),
-	    model_us + service_us * relative_permille / PERMILLE, now_us);
+	return model_us + service_us * relative_permille / PERMILLE;
 }
 
 static int64_t
@@ -458,8 +457,6 @@
 	}
 	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
-		link_cost_send(
-		    &choice.endpoint->link, answer_on_link(choice.endpoint, q));
 		flow_enter(&choice.endpoint->response_time, now_us);
 	}
 	return choice;
@@ -560,8 +557,6 @@
 	e->outstanding_at_report = e->outstanding;
 	e->limit_milli = report->limit_milli;
 	e->limit_wait_us = report->limit_wait_us;
-	link_cost_report(
-	    &e->link, report->link_wait_us, report->link_kbps, now_us);
 }
 
 void
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -154,8 +154,6 @@
 	int64_t service_us; ///< Mean service time; 0 if it is not known there.
 	uint32_t limit_milli;
 	int64_t limit_wait_us;
-	int64_t link_wait_us; ///< Until queued answers have left its VM.
-	uint32_t link_kbps;   ///< 0: not known.
 };
 
 /// Records the load that an endpoint reported.
--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -1,12 +1,10 @@
 // Admission by bytes.
 #include "core/requests/link_admission.h"
 
-/// Part of the time left that the way of an answer may take. What is ahead is a
-/// sum of expected sizes, and the answer has to reach the caller as well.
-#define TARGET_PERMILLE 720
-
-/// The same for a late answer, which gives way to all that are in time.
-#define LATE_PERMILLE 500
+/// An answer that will be late gets what those in time leave. It is accepted if all
+/// that is there is carried in this part of the time until its deadline: more
+/// answers in time will come.
+#define LATE_PERMILLE 300
 #define PERMILLE      1000
 
 bool
@@ -18,7 +16,6 @@
 	    .target_deadline_us = q->target_deadline_us,
 	    .deadline_us = q->deadline_us,
 	    .left_bytes = q->answer_bytes};
-	int64_t in_time_us;
 	int64_t left_us;
 	int64_t way_us;
 
@@ -34,12 +31,13 @@
 	if (way_us < q->service_us)
 		way_us = q->service_us;
 	way_us += link_schedule_transfer_us(s, q->answer_bytes);
-	in_time_us =
-	    (q->target_deadline_us - now_us) * TARGET_PERMILLE / PERMILLE;
+	if (!q->begun && now_us + way_us <= q->target_deadline_us)
+		return true;
+	way_us = link_schedule_all_us(s, now_us);
+	if (way_us < q->service_us)
+		way_us = q->service_us;
+	way_us += link_schedule_transfer_us(s, q->answer_bytes);
 	left_us = (q->deadline_us - now_us) * LATE_PERMILLE / PERMILLE;
-	if (!q->begun && !q->returned && q->target_deadline_us > now_us &&
-	    in_time_us < left_us)
-		left_us = in_time_us;
 	*wait_us = way_us - left_us;
 	return way_us <= left_us;
 }
--- a/src/core/requests/link_admission.h
+++ b/src/core/requests/link_admission.h
@@ -20,14 +20,12 @@
 	int64_t service_us;   ///< Until the server has answered, usually.
 	uint32_t worth;
 	bool begun;
-	bool
-	    returned; ///< Its caller was refused before, and may not come back.
 	int64_t target_deadline_us; ///< 0: not known.
 	int64_t deadline_us;
 };
 
-/// Decides whether the answer of a request can be carried in time: by its target,
-/// or by its deadline once it is late or if it belongs to begun work.
+/// Decides whether the answer of a request can be carried by its target, or else
+/// before its caller leaves.
 ///
 /// @param wait_us  receives the time after which there is room, if not
 bool link_admission_accepts(struct link_schedule *s,
--- a/src/core/requests/link_cost.h
+++ b/src/core/requests/link_cost.h
@@ -1,7 +1,7 @@
 /// @file
-/// The way of an answer from an endpoint: how long the link of its VM needs for
-/// what it still has to carry, and what the bytes cost on the way. Answers the
-/// load of links of which some are full while others have room.
+/// The way of an answer from an endpoint: whether the link of its VM is full, and
+/// what the bytes cost on the way. Answers the load of long answers while some
+/// links are full.
 #ifndef MV_CORE_REQUESTS_LINK_COST_H
 #define MV_CORE_REQUESTS_LINK_COST_H
 
@@ -11,32 +11,14 @@
 /// The link of an endpoint, as seen from this ingress. Zero it before the first
 /// use.
 struct link_cost {
-	int64_t wait_us;     ///< As last reported.
-	int64_t reported_us; ///< Time of that report; 0: never.
-	uint32_t kbps;	     ///< What the link carries; 0: not known.
-	int64_t sent_bytes;  ///< Answers asked for since the report.
 	int64_t full_until_deadline_us; ///< It refused for lack of room.
 	int64_t round_trip_us; ///< To the endpoint and back; 0: not known.
 };
 
-/// Records what an endpoint reported.
-void link_cost_report(
-    struct link_cost *link, int64_t wait_us, uint32_t kbps, int64_t now_us);
-
 /// Records the time that a short answer spent on the way, both ways. Samples that
 /// waited for something count little.
 void link_cost_record_round_trip(struct link_cost *link, int64_t sample_us);
 
-/// Counts the expected answer of a request that is sent to the endpoint.
-void link_cost_send(struct link_cost *link, int64_t answer_bytes);
-
-/// Returns the expected time of an answer, from that without regard to the
-/// link.
-///
-/// @param answer_bytes  its usual size; up to 0: short or not known
-int64_t link_cost_response_us(const struct link_cost *link,
-    int64_t answer_bytes, int64_t response_us, int64_t now_us);
-
 /// Marks the link as full until a time, for long answers.
 void link_cost_set_full(struct link_cost *link, int64_t until_deadline_us);
 
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -143,15 +143,26 @@
 	return (int64_t)((double)packed_bytes(size_bytes) / s->bytes_per_us);
 }
 
-/// Whether a flow can still meet its target if it has the link for itself.
-static bool
-meets_target(
+/// What a flow can still reach if it has the link for itself.
+enum link_reach {
+	REACH_NOTHING, ///< Its caller will have left.
+	REACH_DEADLINE,
+	REACH_TARGET,
+};
+
+static enum link_reach
+find_reach(
     const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
 {
-	return flow->target_deadline_us == 0 ||
-	    now_us + link_schedule_transfer_us(s, flow->left_bytes) +
-		ARRIVAL_MARGIN_US <=
-	    flow->target_deadline_us;
+	int64_t arrival_us =
+	    now_us + link_schedule_transfer_us(s, flow->left_bytes);
+
+	if (flow->target_deadline_us == 0 ||
+	    arrival_us + ARRIVAL_MARGIN_US <= flow->target_deadline_us)
+		return REACH_TARGET;
+	return flow->deadline_us == 0 || arrival_us <= flow->deadline_us
+	    ? REACH_DEADLINE
+	    : REACH_NOTHING;
 }
 
 /// Whether a flow goes before another. The first one added goes before its
@@ -160,15 +171,16 @@
 goes_before(const struct link_schedule *s, const struct link_flow *flow,
     const struct link_flow *other, int64_t now_us)
 {
-	bool meets = meets_target(s, flow, now_us);
+	enum link_reach reach = find_reach(s, flow, now_us);
+	enum link_reach other_reach = find_reach(s, other, now_us);
 
 	if (flow->begun != other->begun)
 		return flow->begun;
 	if (flow->worth != other->worth)
 		return flow->worth > other->worth;
-	if (meets != meets_target(s, other, now_us))
-		return meets;
-	if (meets)
+	if (reach != other_reach)
+		return reach > other_reach;
+	if (reach == REACH_TARGET)
 		return flow->target_deadline_us < other->target_deadline_us;
 	// Late bodies get what others leave: as many as possible arrive.
 	return flow->left_bytes < other->left_bytes;
@@ -195,20 +207,11 @@
 	struct link_flow *flow;
 
 	for (flow = s->first; flow != NULL; flow = flow->next)
-		if (flow->deadline_us != 0 &&
-		    now_us + link_schedule_transfer_us(s, flow->left_bytes) >
-			flow->deadline_us)
+		if (flow->deadline_us != 0 && now_us > flow->deadline_us)
 			return flow;
 	return NULL;
 }
 
-uint32_t
-link_schedule_kbps(const struct link_schedule *s)
-{
-	// Bytes a microsecond are megabytes a second.
-	return (uint32_t)(s->bytes_per_us * 8 * PERMILLE);
-}
-
 int64_t
 link_schedule_piece_bytes(const struct link_schedule *s)
 {
@@ -258,11 +261,16 @@
 }
 
 int64_t
-link_schedule_backlog_us(struct link_schedule *s, int64_t now_us)
+link_schedule_all_us(struct link_schedule *s, int64_t now_us)
 {
+	int64_t left_bytes = s->expected_bytes;
+	const struct link_flow *flow;
+
 	if (s->bytes_per_us <= 0)
 		return 0;
 	update_backlog(s, now_us);
+	for (flow = s->first; flow != NULL; flow = flow->next)
+		left_bytes += flow->left_bytes;
 	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
-	    link_schedule_transfer_us(s, s->queued_bytes + s->expected_bytes);
+	    link_schedule_transfer_us(s, left_bytes);
 }
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -74,14 +74,11 @@
 /// @return NULL if nothing can be sent now
 struct link_flow *link_schedule_next(struct link_schedule *s, int64_t now_us);
 
-/// Finds a flow that cannot arrive by its deadline, even alone on the link;
-/// NULL if there is none.
+/// Finds a flow whose deadline has passed; NULL if there is none. Until then even
+/// one that cannot arrive any more is kept: its caller may take what comes.
 struct link_flow *link_schedule_find_late(
     const struct link_schedule *s, int64_t now_us);
 
-/// What the link carries for bodies, in kbit/s; 0: not known.
-uint32_t link_schedule_kbps(const struct link_schedule *s);
-
 /// Largest piece to send at once.
 int64_t link_schedule_piece_bytes(const struct link_schedule *s);
 
@@ -98,7 +95,7 @@
 int64_t link_schedule_ahead_us(
     struct link_schedule *s, const struct link_flow *flow, int64_t now_us);
 
-/// Time until what is queued or expected has left this VM.
-int64_t link_schedule_backlog_us(struct link_schedule *s, int64_t now_us);
+/// Time until all that waits or is expected has left this VM.
+int64_t link_schedule_all_us(struct link_schedule *s, int64_t now_us);
 
 #endif
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -17,7 +17,7 @@
 
 COUNTER_DEFINE(count_pieces, "bulk_pieces", "Pieces of bodies sent");
 COUNTER_DEFINE(count_late, "bulk_bodies_late",
-    "Bodies ended since they could not arrive by their deadline");
+    "Bodies ended since their deadline had passed");
 COUNTER_DEFINE(
     count_dropped, "bulk_bodies_dropped", "Bodies ended since nobody waits");
 GAUGE_DEFINE(gauge_queued, "bulk_queued_bytes",
@@ -137,8 +137,8 @@
 {
 	struct log_line line;
 
-	log_begin(&line, LOG_INFO, "bulk",
-	    "Ended a body that cannot arrive by its deadline.");
+	log_begin(
+	    &line, LOG_INFO, "bulk", "Ended a body whose deadline has passed.");
 	log_text(&line, "to", body->stream->peer);
 	log_number(&line, "bytes", (int64_t)body->total_bytes);
 	log_number(&line, "left_bytes", body->flow.left_bytes);
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -113,11 +113,6 @@
 /// its capacity is not known. Call it before the first request.
 void egress_set_link(struct egress *egress, struct bulk_link *link);
 
-/// Reports the time until queued and expected answers have left this VM, and what
-/// its link carries (0: not known).
-void egress_get_link(
-    const struct egress *egress, int64_t *wait_us, uint32_t *kbps);
-
 /// Fills in what the order of answers on the link depends on. Does nothing
 /// without a request.
 void egress_get_terms(const struct egress *egress,
--- a/src/proxy/egress/egress_link.c
+++ b/src/proxy/egress/egress_link.c
@@ -40,7 +40,6 @@
 	struct link_request q = {
 	    .worth = egress->admission.ranks[r->item.rank].worth,
 	    .begun = r->item.begun,
-	    .returned = r->message->returned != 0,
 	    .target_deadline_us = r->item.target_deadline_us,
 	    .deadline_us = r->item.deadline_us,
 	};
@@ -89,18 +88,6 @@
 	    r->answer_bytes);
 }
 
-void
-egress_get_link(const struct egress *egress, int64_t *wait_us, uint32_t *kbps)
-{
-	*wait_us = 0;
-	*kbps = 0;
-	if (egress->link == NULL)
-		return;
-	*wait_us =
-	    link_schedule_backlog_us(egress->link, loop_now_us(egress->loop));
-	*kbps = link_schedule_kbps(egress->link);
-}
-
 void
 egress_get_terms(const struct egress *egress, const struct egress_request *r,
     struct bulk_terms *terms)
--- a/src/proxy/egress/egress_load.c
+++ b/src/proxy/egress/egress_load.c
@@ -70,6 +70,5 @@
 	    admission_service_us(&egress->admission, loop_now_us(egress->loop));
 	response->queued = egress->admission.queued;
 	response->running = egress->admission.running;
-	egress_get_link(egress, &response->link_wait_us, &response->link_kbps);
 	fill_terms(egress, response);
 }
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -268,8 +268,6 @@
 	egress_get_load(
 	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
 	answer.service_us = egress_get_service_us(conn->server->egress);
-	egress_get_link(
-	    conn->server->egress, &answer.link_wait_us, &answer.link_kbps);
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
--- a/src/proxy/ingress/attempt.c
+++ b/src/proxy/ingress/attempt.c
@@ -143,7 +143,6 @@
 	m->target_left_us = r->target_deadline_us - clock_now_us();
 	m->repeatable = r->safe;
 	m->begun = r->begun;
-	m->returned = r->returned;
 	m->repeat = r->parent_repeats || r->arrivals > 0;
 	m->service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -272,7 +272,6 @@
 	uint64_t route; ///< Hash of the route's name; 0: none.
 	struct bytes workspace;
 	int64_t answer_bytes; ///< Usual size of the response body; -1: unknown.
-	uint32_t returned;    ///< Its caller was refused before, and came back.
 };
 
 struct message_response {
@@ -295,8 +294,6 @@
 	struct list headers;   ///< of struct message_header
 	struct bytes body;
 	int64_t work_left_us; ///< Slot time that the server still has to give.
-	int64_t link_wait_us; ///< Until queued bodies have left this VM.
-	uint32_t link_kbps;   ///< What its link carries; 0: not known.
 	uint32_t link_full;   ///< Refused: its link has no room for the answer.
 };
 
@@ -341,8 +338,6 @@
 	uint32_t limit_milli; ///< As in struct message_response.
 	int64_t limit_wait_us;
 	int64_t work_left_us;
-	int64_t link_wait_us;
-	uint32_t link_kbps;
 };
 
 struct message_raft_entry {
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -218,7 +218,6 @@
     F(message_request, U64, route),
     F(message_request, BYTES, workspace),
     F(message_request, SIZE, answer_bytes),
-    F(message_request, U32, returned),
 };
 static const struct codec_schema request_schema =
     CODEC_SCHEMA(struct message_request, request_fields);
@@ -243,8 +242,6 @@
     N(message_response, LIST, headers, &header_schema),
     F(message_response, BYTES, body),
     F(message_response, TIME, work_left_us),
-    F(message_response, TIME, link_wait_us),
-    F(message_response, U32, link_kbps),
     F(message_response, U32, link_full),
 };
 static const struct codec_schema response_schema =
@@ -296,8 +293,6 @@
     F(message_heartbeat, U32, limit_milli),
     F(message_heartbeat, TIME, limit_wait_us),
     F(message_heartbeat, TIME, work_left_us),
-    F(message_heartbeat, TIME, link_wait_us),
-    F(message_heartbeat, U32, link_kbps),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
