--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -4,7 +4,7 @@
 /// An answer that will be late gets what those in time leave. It is accepted if all
 /// that is there is carried in this part of the time until its deadline: more
 /// answers in time will come.
-#define LATE_PERMILLE 300
+#define LATE_PERMILLE 600
 #define PERMILLE      1000
 
 bool
