--- a/src/proxy/control/control.c
+++ b/src/proxy/control/control.c
@@ -212,6 +212,7 @@
 	control->drain_deadline_us = now_us +
 	    control->settings.drain_announce_us +
 	    control->settings.drain_limit_us;
+	traffic_post_leave(control->traffic, control->drain_deadline_us);
 	if (control->backend.known)
 		announce_publish(control);
 	control_publish_view(control);
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -280,6 +280,12 @@
 	links_set_incarnation(ingress->links, incarnation);
 }
 
+void
+ingress_leave(struct ingress *ingress, int64_t deadline_us)
+{
+	ingress->leave_deadline_us = deadline_us;
+}
+
 void
 ingress_drain(struct ingress *ingress, int64_t deadline_us)
 {
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -64,6 +64,10 @@
 /// Changes the service of the backend server on this VM; "": as it announces.
 void ingress_set_service(struct ingress *ingress, const char *service);
 
+/// Begins to leave: callers may still come, but a long answer that may be on its way
+/// at the deadline is not begun any more.
+void ingress_leave(struct ingress *ingress, int64_t deadline_us);
+
 /// Stops accepting connections; requests in progress continue.
 ///
 /// @param deadline_us  end of the drain; new requests whose deadline is later
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -138,6 +138,7 @@
 	struct random random;
 	int64_t start_deadline_us; ///< Until then requests may be parked.
 	struct loop_timer parked_timer;
+	int64_t leave_deadline_us; ///< End of this process; 0: not known.
 	int64_t drain_deadline_us; ///< End of the drain; 0 for none.
 	bool retries_disabled;	   ///< Set near the end of a drain.
 	/// Called when it stops using a new version; may be NULL.
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -162,6 +162,21 @@
 	r->target_deadline_us -= age_us;
 }
 
+/// Whether the request may be in progress when this process ends. A long answer
+/// depends on links as well, so that it is refused from the first sign on.
+static bool
+may_outlast(struct ingress_request *r)
+{
+	const struct ingress *ingress = r->ingress;
+	int64_t end_us = ingress->drain_deadline_us;
+
+	if (end_us == 0 &&
+	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size) >
+		LINK_SHORT_BYTES)
+		end_us = ingress->leave_deadline_us;
+	return end_us != 0 && r->deadline_us > end_us - DRAIN_MARGIN_US;
+}
+
 void
 ingress_route(struct ingress_request *r)
 {
@@ -202,8 +217,7 @@
 	http_exchange_visit_headers(exchange, collect_header, r);
 	if (check_head(r) != 0)
 		return;
-	if (ingress->drain_deadline_us != 0 &&
-	    r->deadline_us > ingress->drain_deadline_us - DRAIN_MARGIN_US) {
+	if (may_outlast(r)) {
 		ingress_conclude(r, 503, ingress_not_run_outcome(r),
 		    DRAINING_RETRY_US, "this proxy is leaving");
 		return;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -194,6 +194,24 @@
 	loop_post(traffic->loop, apply_incarnation, command);
 }
 
+static void
+apply_leave(void *arg)
+{
+	struct command *command = arg;
+
+	ingress_leave(command->traffic->ingress, command->deadline_us);
+	free(command);
+}
+
+void
+traffic_post_leave(struct traffic *traffic, int64_t deadline_us)
+{
+	struct command *command = command_create(traffic);
+
+	command->deadline_us = deadline_us;
+	loop_post(traffic->loop, apply_leave, command);
+}
+
 static void
 apply_drain(void *arg)
 {
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -59,6 +59,12 @@
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
 
+/// Begins to leave: long answers that may still be on their way at the deadline are
+/// not begun any more. Any thread.
+///
+/// @param deadline_us  end of this process
+void traffic_post_leave(struct traffic *traffic, int64_t deadline_us);
+
 /// Stops accepting connections at the ingress and requests at the egress, and
 /// closes the connections of callers once none has a request in progress. Any
 /// thread.
