--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -17,6 +17,10 @@
 #define MAX_BUSY_US (100 * US_PER_MS)
 
 #define MAX_ARRIVALS 3
+#define PERMILLE     1000
+
+/// Requests over which an ingress averages the ratio of a kind.
+#define RATIO_SAMPLES 32
 
 /// Time from the statement of a limit until it is checked.
 #define LIMIT_SETTLED_US (1000 * US_PER_MS)
@@ -51,9 +55,11 @@
 	uint32_t attempts;
 	uint32_t arrivals;
 	int64_t sent_us;
+	int64_t expected_us; ///< Slot time that its choice expected.
 	// The response in transit.
 	enum outcome outcome;
 	bool failed;
+	int64_t run_us;	      ///< In its slot; 0: it did not run.
 	bool has_load_report; ///< The reported_* fields are set.
 	int64_t retry_us;
 	struct balancer_report report;
@@ -182,10 +188,45 @@
 		c->next->prev = c->prev;
 }
 
+static struct work_left_item
+describe_work(const struct call *c, int64_t usual_us)
+{
+	return (struct work_left_item){.route = c->kind + 1,
+	    .expected_us =
+		c->item.service_us > 0 ? c->item.service_us : usual_us,
+	    .start_us = c->item.running ? c->item.start_us : 0};
+}
+
+int64_t
+call_get_work_left_us(struct node *node)
+{
+	struct admission *a = &node->admission;
+	int64_t now_us = node->sim->events.now_us;
+	int64_t usual_us = admission_service_us(a, now_us);
+	struct work_left_item item;
+	const struct admission_item *at;
+	const struct call *c;
+	int64_t sum_us = 0;
+	uint32_t i;
+
+	for (c = node->running; c != NULL; c = c->next) {
+		item = describe_work(c, usual_us);
+		sum_us += work_left_of_item_us(&node->work_left, &item, now_us);
+	}
+	for (i = 0; i < a->rank_count; i++)
+		for (at = a->ranks[i].head; at != NULL; at = at->next) {
+			item = describe_work((const struct call *)at, usual_us);
+			sum_us += work_left_of_item_us(
+			    &node->work_left, &item, now_us);
+		}
+	return sum_us;
+}
+
 static void
 finish_work(struct call *c, bool failed)
 {
 	struct node *node = c->egress;
+	struct work_left_item item;
 
 	slot_release(c);
 	if (c->sim->mix->services[node->service].neighbour_period_us > 0)
@@ -193,6 +234,9 @@
 		    (uint32_t)(node->neighbours * 100), call_now_us(c));
 	admission_set_limit(
 	    &node->admission, node->limit_milli, call_now_us(c));
+	c->run_us = call_now_us(c) - c->item.start_us;
+	item = describe_work(c, 0);
+	work_left_record(&node->work_left, &item, call_now_us(c));
 	admission_finish(&node->admission, &c->item, call_now_us(c));
 	send_response(c, OUTCOME_ANSWERED, failed, 0);
 	call_unref(c);
@@ -216,8 +260,12 @@
 	struct node *node = c->egress;
 	double work_factor = FIXED_WORK_SHARE -
 	    (1 - FIXED_WORK_SHARE) * log(1 - simulation_random(c->sim));
-	double time_us = (double)call_get_kind(c)->work_us * work_factor *
-	    node->slowdown * node->neighbours / node->speed;
+	const struct mix_kind *k = call_get_kind(c);
+	double time_us = (double)k->work_us * work_factor * node->slowdown *
+	    node->neighbours / node->speed;
+
+	if (simulation_random(c->sim) * 100 < (double)k->heavy_pct)
+		time_us *= k->heavy_factor;
 
 	if (call_now_us(c) < node->slow_start_deadline_us)
 		time_us *= 2;
@@ -326,6 +374,10 @@
 	c->item.deadline_us = c->deadline_us;
 	c->item.target_deadline_us = c->target_deadline_us;
 	c->item.begun = c->parent != NULL;
+	c->item.service_us =
+	    admission_service_us(&node->admission, call_now_us(c)) *
+	    (int64_t)c->ingress->ratios_permille[c->kind] / PERMILLE;
+	c->run_us = 0;
 	switch (admission_offer(
 	    &node->admission, &c->item, call_now_us(c), &retry_us)) {
 	case ADMISSION_RUN:
@@ -413,6 +465,21 @@
 		schedule_work(parent);
 }
 
+/// Records the time in the slot, as an ingress does.
+static void
+learn_cost(struct call *c)
+{
+	double *ratio = &c->ingress->ratios_permille[c->kind];
+	double sample;
+
+	if (c->run_us == 0 || c->report.service_us == 0)
+		return;
+	work_cost_record(&c->ingress->costs[c->kind], c->run_us,
+	    c->expected_us, call_now_us(c));
+	sample = (double)c->run_us * PERMILLE / (double)c->report.service_us;
+	*ratio += *ratio == 0 ? sample : (sample - *ratio) / RATIO_SAMPLES;
+}
+
 static void
 on_response(void *arg)
 {
@@ -434,6 +501,7 @@
 
 	if (c->has_load_report)
 		balancer_report(c->endpoint, &c->report, now_us);
+	learn_cost(c);
 	balancer_finish(
 	    c->balancer, c->endpoint, c->sent_us, c->failed, now_us);
 	if (c->outcome == OUTCOME_NOT_RUN && c->retry_us > 0)
@@ -470,6 +538,7 @@
 	    admission_backlog_us(&node->admission, call_now_us(c));
 	c->report.running = node->admission.running;
 	c->report.queued = node->admission.queued;
+	c->report.work_left_us = call_get_work_left_us(node);
 	c->report.service_us =
 	    admission_service_us(&node->admission, call_now_us(c));
 	call_schedule(c,
@@ -531,6 +600,29 @@
 	c->target_deadline_us = c->first_sent_us + k->target_us;
 }
 
+/// Reports the load of the moment and the speeds of all servers to the ingress.
+static void
+report_truth(struct call *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->sim->node_count; i++) {
+		struct node *node = &c->sim->nodes[i];
+		struct endpoint *e =
+		    balancer_find(c->balancer, node->member.name);
+		int64_t service_us =
+		    (int64_t)((double)call_get_kind(c)->work_us *
+			node->slowdown * node->neighbours / node->speed);
+		struct balancer_report report = {node->admission.running,
+		    node->admission.queued, service_us, node->limit_milli,
+		    admission_backlog_us(&node->admission, call_now_us(c)),
+		    call_get_work_left_us(node)};
+
+		if (e != NULL && !node->down)
+			balancer_report(e, &report, call_now_us(c));
+	}
+}
+
 static void
 start_attempt(void *arg)
 {
@@ -557,7 +649,14 @@
 	q.deadline_left_us = c->deadline_us - now_us;
 	q.tried = (const char(*)[MEMBER_NAME_BYTES])c->tried;
 	q.tried_count = c->attempts;
+	q.relative_service_permille =
+	    (uint32_t)c->ingress->ratios_permille[c->kind];
+	if (sim->policy->learns_cost)
+		q.cost = &c->ingress->costs[c->kind];
+	if (sim->policy->is_oracle)
+		report_truth(c);
 	choice.endpoint = NULL;
+	choice.service_us = 0;
 	choice.busy_until_deadline_us = INT64_MAX;
 	if (c->attempts < SIMULATION_MAX_ATTEMPTS)
 		choice = sim->policy->choose(c->balancer, &q, now_us);
@@ -571,6 +670,7 @@
 		return;
 	}
 	c->endpoint = choice.endpoint;
+	c->expected_us = choice.service_us;
 	memcpy(
 	    c->tried[c->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
 	c->egress = find_node(sim, choice.endpoint->name);
--- a/bench/model/mix.c
+++ b/bench/model/mix.c
@@ -91,13 +91,14 @@
 		return set_error(r, "too many kinds", "");
 	if (json_unpack_ex(object, &json_err, JSON_STRICT,
 		"{s:s, s:s, s:F, s:i, s:i, s:i, s:F, s:F, s:i, s:i, s:b, "
-		"s?s, s?i, s?i}",
+		"s?s, s?i, s?i, s?i, s?F}",
 		"name", &name, "service", &service, "per_s", &k->rate_per_s,
 		"work_ms", &work_ms, "target_ms", &target_ms, "deadline_ms",
 		&deadline_ms, "worth", &k->worth, "worth_late", &k->worth_late,
 		"rank", &k->rank, "repeats", &k->caller_retries, "safe", &safe,
 		"calls", &callee, "calls_pct", &k->calls_pct, "calls_count",
-		&k->calls_count) != 0)
+		&k->calls_count, "heavy_pct", &k->heavy_pct, "heavy_factor",
+		&k->heavy_factor) != 0)
 		return set_error(r, json_err.text, name);
 	found = find_service(r->mix, service);
 	if (found < 0)
--- a/bench/model/mix.h
+++ b/bench/model/mix.h
@@ -47,6 +47,10 @@
 	int callee;
 	uint32_t calls_pct;   ///< Share of requests that make such calls.
 	uint32_t calls_count; ///< Parallel calls of each of those.
+	/// Requests that cannot be told from the others and take so many times
+	/// as long.
+	uint32_t heavy_pct;
+	double heavy_factor;
 };
 
 enum mix_event_type {
--- a/bench/model/policies.c
+++ b/bench/model/policies.c
@@ -105,17 +105,27 @@
 }
 
 const struct model_policy model_product = {
-    "rank, expected loss", &admission_reserved_shares, balancer_choose, true};
+    "rank, expected loss", &admission_reserved_shares, balancer_choose, true,
+    true, false};
 
 const struct model_policy model_policies[] = {
-    {"arrival, nearest", &admission_fifo, choose_nearest, true},
-    {"arrival, best of two", &admission_fifo, choose_best_of_two, true},
-    {"arrival, expected loss", &admission_fifo, balancer_choose, true},
-    {"rank, nearest", &admission_reserved_shares, choose_nearest, true},
-    {"rank, best of two", &admission_reserved_shares, choose_best_of_two, true},
+    {"arrival, nearest", &admission_fifo, choose_nearest, true, false, false},
+    {"arrival, best of two", &admission_fifo, choose_best_of_two, true, false,
+	false},
+    {"arrival, expected loss", &admission_fifo, balancer_choose, true, true,
+	false},
+    {"rank, nearest", &admission_reserved_shares, choose_nearest, true, false,
+	false},
+    {"rank, best of two", &admission_reserved_shares, choose_best_of_two, true,
+	false, false},
     {"rank, expected loss, no repeats", &admission_reserved_shares,
-	balancer_choose, false},
-    {"rank, expected loss", &admission_reserved_shares, balancer_choose, true},
+	balancer_choose, false, true, false},
+    {"rank, expected loss of the mean time", &admission_reserved_shares,
+	balancer_choose, true, false, false},
+    {"rank, expected loss, oracle", &admission_reserved_shares, balancer_choose,
+	true, true, true},
+    {"rank, expected loss", &admission_reserved_shares, balancer_choose, true,
+	true, false},
 };
 
 const uint32_t model_policy_count =
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -3,6 +3,7 @@
 #ifndef MV_BENCH_MODEL_WORLD_H
 #define MV_BENCH_MODEL_WORLD_H
 
+#include "core/requests/work_left.h"
 #include "model/events.h"
 #include "model/model.h"
 
@@ -30,6 +31,7 @@
 	bool down;
 	int64_t slow_start_deadline_us;
 	struct admission admission;
+	struct work_left work_left;
 	uint32_t limit_milli; ///< That the server states; 0: none.
 	int64_t limited_us;   ///< Time at which it began to.
 	/// Times of its last runs, oldest first.
@@ -37,6 +39,9 @@
 	uint32_t run_count;
 	struct call *running; ///< List of the calls that hold a slot.
 	struct balancer balancers[MIX_MAX_SERVICES];
+	// As an ingress, of the kinds that it has sent.
+	struct work_cost costs[MIX_MAX_KINDS];
+	double ratios_permille[MIX_MAX_KINDS];
 };
 
 /// Worth earned by, and offered with, a set of requests.
@@ -83,6 +88,9 @@
 /// their deadlines any more.
 void call_dispatch_queued(struct node *node);
 
+/// Returns the slot time that the requests at a server still need.
+int64_t call_get_work_left_us(struct node *node);
+
 /// Fails all running and queued calls of a server whose process ended.
 void call_abort_all(struct node *node);
 
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/requests/balancer.h"
+#include "core/requests/work_left.h"
 
 #define EJECTION_FAILURES  5
 #define BASE_EJECTION_US   2000000LL
@@ -24,6 +25,15 @@
 /// Half-life of the weight of a reported service time.
 #define SERVICE_HALF_LIFE_US 3000000.0
 
+/// The same of what is usual at a server, and the share of a report in it: that
+/// of the time since the last one, but no more than one in USUAL_REPORTS.
+#define USUAL_HALF_LIFE_US 30000000.0
+#define USUAL_MEAN_US	   5000000.0
+#define USUAL_REPORTS	   4
+
+/// Half-life of what the requests at an endpoint are reported to need.
+#define WORK_LEFT_HALF_LIFE_US 500000.0
+
 /// Half-life of a reported wait for a limit. Other proxies use what becomes free
 /// meanwhile, so that the wait does not end by itself.
 #define LIMIT_HALF_LIFE_US 1000000.0
@@ -95,6 +105,13 @@
 	return pct > 0 ? pct : 1;
 }
 
+/// A request, and defaults for endpoints without a report.
+struct choice_context {
+	const struct balancer_request *request;
+	/// Of all endpoints that reported it. One without a report is assumed to
+	/// take as long, so that it does not attract all requests at once.
+	int64_t mean_service_us;
+};
 /// Estimates the load: the last report, corrected by the requests sent and
 /// finished since.
 static int64_t
@@ -113,12 +130,10 @@
 	return load < slots ? 0 : load - slots + 1;
 }
 
-/// A request, and defaults for endpoints without a report.
-struct choice_context {
-	const struct balancer_request *request;
-	/// Of all endpoints that reported it. One without a report is assumed to
-	/// take as long, so that it does not attract all requests at once.
-	int64_t mean_service_us;
+/// Expected times of a request at an endpoint.
+struct expected_times {
+	int64_t until_slot_us; ///< The way there and back, and the wait.
+	int64_t service_us;    ///< In a slot.
 };
 
 /// Weight of the reported service time of an endpoint: decays with its age.
@@ -147,20 +162,23 @@
 	return sum > 0 ? (int64_t)(sum_us / sum) : 0;
 }
 
-/// Mean service time at an endpoint. Its report decays towards the mean over
-/// all endpoints, so that one that was slow gets requests again.
+/// Mean service time at an endpoint. Its last report decays towards what is usual
+/// there, since what slows a server for a while passes, and that towards the mean
+/// over all endpoints, so that one that was slow for long gets requests again.
 static int64_t
 effective_service_us(
     const struct endpoint *e, const struct choice_context *q, int64_t now_us)
 {
-	double weight;
+	double age_us = (double)(now_us - e->service_reported_us);
+	double usual_us = (double)q->mean_service_us;
 
 	if (e->service_us == 0)
 		return q->mean_service_us;
-	weight = exp2(
-	    -(double)(now_us - e->service_reported_us) / SERVICE_HALF_LIFE_US);
-	return q->mean_service_us +
-	    (int64_t)(weight * (double)(e->service_us - q->mean_service_us));
+	usual_us += exp2(-age_us / USUAL_HALF_LIFE_US) *
+	    ((double)e->usual_service_us - usual_us);
+	return (int64_t)(usual_us +
+	    exp2(-age_us / SERVICE_HALF_LIFE_US) *
+		((double)e->service_us - usual_us));
 }
 
 /// Estimates the wait for the limit that the backend server states: as reported,
@@ -178,11 +196,30 @@
 	    (sent > 0 ? sent : 0) * LIMIT_COST_MILLI / e->limit_milli;
 }
 
-/// Estimates the time until the response; 0 if no service time is known.
+/// Estimates the wait for a slot. What the requests there still need is as
+/// reported; others replace them with time.
 static int64_t
-estimate_response_us(struct endpoint *e, const struct choice_context *q,
-    int64_t load, int64_t slots, int64_t now_us)
+estimate_wait_us(const struct endpoint *e, int64_t load, int64_t slots,
+    int64_t service_us, int64_t now_us)
+{
+	int64_t ahead = count_queued_ahead(load, slots);
+	int64_t usual_us = ahead * service_us / slots;
+	int64_t reported_us = work_left_wait_us(
+	    e->work_left_us, e->reported_load, ahead, slots, service_us);
+
+	return usual_us +
+	    (int64_t)(exp2(-(double)(now_us - e->reported_us) /
+			  WORK_LEFT_HALF_LIFE_US) *
+		(double)(reported_us - usual_us));
+}
+
+/// Estimates the time until a slot and in it; both are 0 if no service time is
+/// known.
+static struct expected_times
+estimate_times(struct endpoint *e, const struct choice_context *q, int64_t load,
+    int64_t slots, int64_t now_us)
 {
+	struct expected_times none = {0, 0};
 	int64_t relative_permille = q->request->relative_service_permille > 0
 	    ? q->request->relative_service_permille
 	    : PERMILLE;
@@ -193,10 +230,10 @@
 	int64_t observed_us;
 
 	if (service_us == 0)
-		return 0;
+		return none;
 	if (e->state == BACKEND_COLD)
 		service_us = service_us * FULL_PCT / COLD_PCT;
-	wait_us = count_queued_ahead(load, slots) * service_us / slots;
+	wait_us = estimate_wait_us(e, load, slots, service_us, now_us);
 	if (wait_us < limit_us)
 		wait_us = limit_us;
 	model_us = distance_costs[e->distance].round_trip_us + wait_us;
@@ -205,19 +242,17 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return model_us + service_us * relative_permille / PERMILLE;
+	return (struct expected_times){
+	    model_us, service_us * relative_permille / PERMILLE};
 }
 
+/// Estimates how likely a response is late, without knowledge of how much the
+/// times of such requests vary.
 static int64_t
-lateness_cost_permille(const struct choice_context *q, int64_t expected_us)
+assume_lateness_permille(int64_t expected_us, int64_t left_us)
 {
-	int64_t part;
+	int64_t part = expected_us * PERMILLE / left_us;
 
-	if (expected_us > q->request->deadline_left_us)
-		return DEADLINE_MISS_PERMILLE;
-	if (q->request->target_left_us <= 0)
-		return PERMILLE;
-	part = expected_us * PERMILLE / q->request->target_left_us;
 	if (part <= LATE_FROM_PERMILLE)
 		return part / 20;
 	part = (part - LATE_FROM_PERMILLE) * PERMILLE /
@@ -225,6 +260,26 @@
 	return part < PERMILLE ? part : PERMILLE;
 }
 
+static int64_t
+lateness_cost_permille(const struct choice_context *q,
+    const struct expected_times *times, int64_t now_us)
+{
+	int64_t expected_us = times->until_slot_us + times->service_us;
+	int64_t left_us = q->request->target_left_us;
+	int64_t assumed;
+
+	if (expected_us > q->request->deadline_left_us)
+		return DEADLINE_MISS_PERMILLE;
+	if (left_us <= 0)
+		return PERMILLE;
+	assumed = assume_lateness_permille(expected_us, left_us);
+	if (q->request->cost == NULL)
+		return assumed;
+	// The wait depends on the times of requests as well.
+	return work_cost_exceeding_permille(q->request->cost,
+	    (double)left_us / (double)expected_us, assumed, now_us);
+}
+
 static int64_t
 utilization_cost_permille(int64_t load, int64_t slots)
 {
@@ -280,7 +335,8 @@
 /// Estimates the part of its worth that a request loses at an endpoint.
 static int64_t
 cost_permille(struct balancer *b, struct endpoint *e,
-    const struct choice_context *q, int64_t now_us, int64_t *expected_us)
+    const struct choice_context *q, int64_t now_us,
+    struct expected_times *times)
 {
 	int64_t slots = usable_slots(b, e, now_us);
 	int64_t load = current_load(e);
@@ -289,13 +345,13 @@
 	    failure_cost_permille(e, now_us) +
 	    (int64_t)random_below(&b->random, JITTER_PERMILLE);
 
-	*expected_us = estimate_response_us(e, q, load, slots, now_us);
+	*times = estimate_times(e, q, load, slots, now_us);
 	if (e->suspect)
 		cost += SUSPECT_PERMILLE;
-	if (*expected_us == 0 || q->request->deadline_left_us == 0)
+	if (times->service_us == 0 || q->request->deadline_left_us == 0)
 		return cost +
 		    count_queued_ahead(load, slots) * PERMILLE / slots;
-	return cost + lateness_cost_permille(q, *expected_us);
+	return cost + lateness_cost_permille(q, times, now_us);
 }
 
 static bool
@@ -348,7 +404,7 @@
 
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
-		int64_t expected_us;
+		struct expected_times times;
 		int64_t busy_us;
 		int64_t cost;
 
@@ -362,12 +418,13 @@
 			continue;
 		}
 		choice.candidates++;
-		cost = cost_permille(b, e, q, now_us, &expected_us);
+		cost = cost_permille(b, e, q, now_us, &times);
 		if (cost >= choice.cost_permille)
 			continue;
 		choice.endpoint = e;
 		choice.cost_permille = cost;
-		choice.expected_us = expected_us;
+		choice.expected_us = times.until_slot_us + times.service_us;
+		choice.service_us = times.service_us;
 	}
 	return choice;
 }
@@ -443,17 +500,36 @@
 	e->failures_in_row = EJECTION_FAILURES - 1;
 }
 
+/// Updates what is usual at an endpoint by a report.
+static void
+update_usual_service(struct endpoint *e, int64_t service_us, int64_t now_us)
+{
+	double elapsed_us = (double)(now_us - e->service_reported_us);
+	double share = 1 - exp2(-elapsed_us / USUAL_MEAN_US);
+
+	if (e->usual_service_us == 0) {
+		e->usual_service_us = service_us;
+		return;
+	}
+	if (share > 1.0 / USUAL_REPORTS)
+		share = 1.0 / USUAL_REPORTS;
+	e->usual_service_us +=
+	    (int64_t)(share * (double)(service_us - e->usual_service_us));
+}
+
 void
 balancer_report(
     struct endpoint *e, const struct balancer_report *report, int64_t now_us)
 {
 	if (report->service_us > 0) {
+		update_usual_service(e, report->service_us, now_us);
 		e->service_us = report->service_us;
 		e->service_reported_us = now_us;
 	}
 	e->reported_load = report->running + report->queued;
 	e->reported_us = now_us;
 	e->outstanding_at_report = e->outstanding;
+	e->work_left_us = report->work_left_us;
 	e->limit_milli = report->limit_milli;
 	e->limit_wait_us = report->limit_wait_us;
 }
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -15,6 +15,7 @@
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
 #include "core/requests/server_terms.h"
+#include "core/requests/work_cost.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -42,9 +43,11 @@
 	// As last reported by its egress.
 	uint32_t reported_load; ///< Requests running and queued there.
 	uint32_t outstanding_at_report;
+	int64_t work_left_us; ///< Slot time that they need; 0: not known.
 	int64_t reported_us;	     ///< Time of the last report; 0: never.
 	int64_t service_us;	     ///< Mean service time; 0: not known.
 	int64_t service_reported_us; ///< Time of the report of service_us.
+	int64_t usual_service_us;    ///< Mean over reports; 0: not known.
 	uint32_t limit_milli;	     ///< Requests in 1,000 s; 0: no limit.
 	int64_t limit_wait_us;	     ///< Wait of a new request for the limit.
 	/// Copy of the terms of its server, for a proxy that has forgotten them.
@@ -87,6 +90,8 @@
 	/// Its service time relative to the mean of the service, in permille;
 	/// 0: not known.
 	uint32_t relative_service_permille;
+	/// How much the times of its route vary; NULL: not known.
+	const struct work_cost *cost;
 	const char (*tried)[MEMBER_NAME_BYTES]; ///< Endpoints to avoid.
 	uint32_t tried_count;
 };
@@ -99,6 +104,7 @@
 	uint32_t candidates;
 	int64_t cost_permille; ///< Part of its worth likely to be lost.
 	int64_t expected_us;   ///< Time until the response.
+	int64_t service_us;    ///< Part of it in a slot; 0: not known.
 };
 
 void balancer_init(struct balancer *b, const char *service, uint64_t seed,
@@ -135,6 +141,7 @@
 	int64_t service_us; ///< Mean service time; 0 if it is not known there.
 	uint32_t limit_milli;
 	int64_t limit_wait_us;
+	int64_t work_left_us; ///< Of all requests there; 0: not known.
 };
 
 /// Records the load that an endpoint reported.
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -77,8 +77,10 @@
 	e->ejected_until_deadline_us = 0;
 	e->failures = e->responses = 0;
 	e->service_us = 0;
+	e->usual_service_us = 0;
 	e->limit_milli = 0;
 	e->reported_load = 0;
+	e->work_left_us = 0;
 	e->outstanding_at_report = 0;
 	e->slow_start_deadline_us =
 	    b->slow_start_active ? now_us + b->slow_start_us : 0;
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -122,6 +122,10 @@
 /// Returns the expected time of a request in a slot now; 0 if unknown.
 int64_t egress_get_service_us(struct egress *egress);
 
+/// Returns the slot time that the requests here still need; see
+/// core/requests/work_left.h.
+int64_t egress_get_work_left_us(struct egress *egress);
+
 /// Sets the callback for a marked change of the pace of the backend server,
 /// which ingresses should know of at once.
 void egress_set_pace_listener(
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -113,6 +113,7 @@
 		egress->on_slot_free(egress);
 		return;
 	}
+	egress_record_cost(r, now_us);
 	admission_finish(&egress->admission, &r->item, now_us);
 	if (r->streaming)
 		send_stream_end(r, err != NULL);
--- a/src/proxy/egress/egress_load.c
+++ b/src/proxy/egress/egress_load.c
@@ -14,6 +14,43 @@
 	    &egress->admission, loop_now_us(egress->loop));
 }
 
+static struct work_left_item
+describe_work(const struct egress_request *r, int64_t usual_us)
+{
+	return (struct work_left_item){.route = r->message->route,
+	    .expected_us =
+		r->item.service_us > 0 ? r->item.service_us : usual_us,
+	    .start_us = r->item.running ? r->item.start_us : 0};
+}
+
+int64_t
+egress_get_work_left_us(struct egress *egress)
+{
+	int64_t now_us = loop_now_us(egress->loop);
+	int64_t usual_us = admission_service_us(&egress->admission, now_us);
+	const struct egress_request *r;
+	int64_t sum_us = 0;
+
+	for (r = egress->first; r != NULL; r = r->next) {
+		struct work_left_item item = describe_work(r, usual_us);
+
+		if (!r->item.running && !r->item.queued)
+			continue;
+		sum_us +=
+		    work_left_of_item_us(&egress->work_left, &item, now_us);
+	}
+	return sum_us;
+}
+
+void
+egress_record_cost(struct egress_request *r, int64_t now_us)
+{
+	struct work_left_item item = describe_work(r, 0);
+
+	if (r->item.running)
+		work_left_record(&r->egress->work_left, &item, now_us);
+}
+
 void
 egress_set_pace_listener(
     struct egress *egress, void (*fn)(void *arg), void *arg)
@@ -70,5 +107,6 @@
 	    admission_service_us(&egress->admission, loop_now_us(egress->loop));
 	response->queued = egress->admission.queued;
 	response->running = egress->admission.running;
+	response->work_left_us = egress_get_work_left_us(egress);
 	fill_terms(egress, response);
 }
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -191,6 +191,7 @@
 	egress_get_load(
 	    conn->server->egress, &answer.queued, &answer.running, &load_pct);
 	answer.service_us = egress_get_service_us(conn->server->egress);
+	answer.work_left_us = egress_get_work_left_us(conn->server->egress);
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -6,6 +6,7 @@
 #include "core/requests/collector.h"
 #include "core/requests/outcome.h"
 #include "core/requests/server_terms.h"
+#include "core/requests/work_left.h"
 #include "io/dialect.h"
 #include "io/http/httpc.h"
 #include "proxy/egress/egress.h"
@@ -80,6 +81,7 @@
 	struct httpc *httpc;
 	struct once_client *once;
 	struct admission admission;
+	struct work_left work_left;
 	struct fence fence;
 	struct egress_backend backend;
 	struct server_terms_state terms; ///< Of that backend server.
@@ -113,6 +115,9 @@
 /// Calls the pace listener after a marked change, at a limited rate.
 void egress_announce_pace(struct egress *egress, int64_t now_us);
 
+/// Learns from a request whose call has ended how long such requests take.
+void egress_record_cost(struct egress_request *r, int64_t now_us);
+
 /// Fills in the load that each response reports to the ingress.
 void egress_fill_load(struct egress *egress, struct message_response *response);
 
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -128,7 +128,7 @@
 record_report(struct ingress_request *r, const struct message_response *m)
 {
 	struct balancer_report report = {m->running, m->queued, m->service_us,
-	    m->limit_milli, m->limit_wait_us};
+	    m->limit_milli, m->limit_wait_us, m->work_left_us};
 	struct server_terms terms = {
 	    m->server, m->limit_milli, m->leaving != 0};
 	int64_t now_us = loop_now_us(r->ingress->loop);
@@ -254,7 +254,8 @@
 on_load(void *owner, struct link *link, const struct message_heartbeat *load)
 {
 	struct balancer_report report = {load->running, load->queued,
-	    load->service_us, load->limit_milli, load->limit_wait_us};
+	    load->service_us, load->limit_milli, load->limit_wait_us,
+	    load->work_left_us};
 	const struct link_target *target = link_target(link);
 	struct ingress *ingress = owner;
 	uint32_t i;
--- a/src/proxy/ingress/ingress_log.c
+++ b/src/proxy/ingress/ingress_log.c
@@ -82,10 +82,12 @@
 	log_number(&line, "candidates", choice->candidates);
 	log_number(&line, "cost_permille", choice->cost_permille);
 	log_ms(&line, "expected_ms", choice->expected_us);
+	log_ms(&line, "expected_slot_ms", choice->service_us);
 	log_ms(&line, "target_left_ms", query->target_left_us);
 	log_ms(&line, "left_ms", query->deadline_left_us);
 	log_number(&line, "load", e->reported_load);
 	log_number(&line, "slots", e->slots);
+	log_ms(&line, "work_left_ms", e->work_left_us);
 	if (e->reported_us != 0)
 		log_ms(&line, "load_age_ms", age_us(r, e->reported_us));
 	log_number(&line, "own_requests_there", e->outstanding);
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -62,6 +62,7 @@
 		q->size_bytes = (uint32_t)r->exchange->body_bytes;
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
+	q->cost = &ingress_get_route_stats(r)->cost;
 	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
 	q->tried_count = r->attempts;
 }
@@ -97,6 +98,7 @@
 		return;
 	}
 	r->endpoint = choice.endpoint;
+	r->expected_slot_us = choice.service_us;
 	memcpy(
 	    r->tried[r->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
 	ingress_log_sent(r, &choice, &query);
