--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -22,15 +22,6 @@
 /// after a few seconds.
 #define FAILURE_HALF_LIFE_US 2000000.0
 
-/// Half-life of the weight of a reported service time.
-#define SERVICE_HALF_LIFE_US 3000000.0
-
-/// The same of what is usual at a server, and the share of a report in it: that
-/// of the time since the last one, but no more than one in USUAL_REPORTS.
-#define USUAL_HALF_LIFE_US 30000000.0
-#define USUAL_MEAN_US	   5000000.0
-#define USUAL_REPORTS	   4
-
 /// Half-life of what the requests at an endpoint are reported to need.
 #define WORK_LEFT_HALF_LIFE_US 500000.0
 
@@ -105,13 +96,6 @@
 	return pct > 0 ? pct : 1;
 }
 
-/// A request, and defaults for endpoints without a report.
-struct choice_context {
-	const struct balancer_request *request;
-	/// Of all endpoints that reported it. One without a report is assumed to
-	/// take as long, so that it does not attract all requests at once.
-	int64_t mean_service_us;
-};
 /// Estimates the load: the last report, corrected by the requests sent and
 /// finished since.
 static int64_t
@@ -130,22 +114,21 @@
 	return load < slots ? 0 : load - slots + 1;
 }
 
+/// A request, and defaults for endpoints without a report.
+struct choice_context {
+	const struct balancer_request *request;
+	/// Of all endpoints that reported it. One without a report is assumed to
+	/// take as long, so that it does not attract all requests at once.
+	int64_t mean_service_us;
+	bool sides[ROLLOUT_SIDE_BARRED]; ///< That may get it.
+};
+
 /// Expected times of a request at an endpoint.
 struct expected_times {
 	int64_t until_slot_us; ///< The way there and back, and the wait.
 	int64_t service_us;    ///< In a slot.
 };
 
-/// Weight of the reported service time of an endpoint: decays with its age.
-static double
-service_confidence(const struct endpoint *e, int64_t now_us)
-{
-	if (e->service_us == 0)
-		return 0;
-	return exp2(
-	    -(double)(now_us - e->service_reported_us) / SERVICE_HALF_LIFE_US);
-}
-
 int64_t
 balancer_mean_service_us(const struct balancer *b, int64_t now_us)
 {
@@ -154,33 +137,15 @@
 	uint32_t i;
 
 	for (i = 0; i < b->count; i++) {
-		double weight = service_confidence(b->endpoints[i], now_us);
+		const struct server_speed *speed = &b->endpoints[i]->speed;
+		double weight = server_speed_confidence(speed, now_us);
 
-		sum_us += weight * (double)b->endpoints[i]->service_us;
+		sum_us += weight * (double)speed->last_us;
 		sum += weight;
 	}
 	return sum > 0 ? (int64_t)(sum_us / sum) : 0;
 }
 
-/// Mean service time at an endpoint. Its last report decays towards what is usual
-/// there, since what slows a server for a while passes, and that towards the mean
-/// over all endpoints, so that one that was slow for long gets requests again.
-static int64_t
-effective_service_us(
-    const struct endpoint *e, const struct choice_context *q, int64_t now_us)
-{
-	double age_us = (double)(now_us - e->service_reported_us);
-	double usual_us = (double)q->mean_service_us;
-
-	if (e->service_us == 0)
-		return q->mean_service_us;
-	usual_us += exp2(-age_us / USUAL_HALF_LIFE_US) *
-	    ((double)e->usual_service_us - usual_us);
-	return (int64_t)(usual_us +
-	    exp2(-age_us / SERVICE_HALF_LIFE_US) *
-		((double)e->service_us - usual_us));
-}
-
 /// Estimates the wait for the limit that the backend server states: as reported,
 /// and behind the requests sent there since.
 static int64_t
@@ -223,7 +188,8 @@
 	int64_t relative_permille = q->request->relative_service_permille > 0
 	    ? q->request->relative_service_permille
 	    : PERMILLE;
-	int64_t service_us = effective_service_us(e, q, now_us);
+	int64_t service_us =
+	    server_speed_expect_us(&e->speed, q->mean_service_us, now_us);
 	int64_t limit_us = estimate_limit_wait_us(e, now_us);
 	int64_t wait_us;
 	int64_t model_us;
@@ -409,6 +375,7 @@
 		int64_t cost;
 
 		if (!is_usable(e, include_ejected, now_us) ||
+		    e->side == ROLLOUT_SIDE_BARRED || !q->sides[e->side] ||
 		    was_tried(e, q->request->tried, q->request->tried_count))
 			continue;
 		busy_us = busy_until_us(e, q->request, now_us);
@@ -429,19 +396,70 @@
 	return choice;
 }
 
-struct balancer_choice
-balancer_choose(
-    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+/// Finds the cheapest endpoint on the sides of the context.
+static struct balancer_choice
+find_on_sides(
+    struct balancer *b, const struct choice_context *q, int64_t now_us)
 {
-	struct choice_context choice_context = {
-	    q, balancer_mean_service_us(b, now_us)};
-	struct balancer_choice choice =
-	    find_cheapest(b, &choice_context, false, now_us);
+	struct balancer_choice choice = find_cheapest(b, q, false, now_us);
 
 	// An ejected endpoint is better than none, but a busy one is not.
 	if (choice.endpoint == NULL &&
 	    choice.busy_until_deadline_us == INT64_MAX)
-		choice = find_cheapest(b, &choice_context, true, now_us);
+		choice = find_cheapest(b, q, true, now_us);
+	return choice;
+}
+
+static bool
+side_takes_work(const struct balancer *b, enum rollout_side side)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (b->endpoints[i]->side == side &&
+		    is_usable(b->endpoints[i], true, 0))
+			return true;
+	return false;
+}
+
+/// Finds an endpoint while a roll-out decides between the versions. What is drawn
+/// for the new one goes to the old one if that has room only; nothing that is
+/// drawn for the old one goes to the new one while an old server takes work.
+static struct balancer_choice
+find_by_rollout(struct balancer *b, struct choice_context *q, int64_t now_us)
+{
+	bool wants_new = rollout_filter_wants_new(
+	    &b->rollout, q->request->rollout_draw_permille);
+	enum rollout_side first =
+	    wants_new ? ROLLOUT_SIDE_NEW : ROLLOUT_SIDE_OLD;
+	enum rollout_side second =
+	    wants_new ? ROLLOUT_SIDE_OLD : ROLLOUT_SIDE_NEW;
+	struct balancer_choice choice;
+
+	q->sides[first] = true;
+	choice = find_on_sides(b, q, now_us);
+	if (choice.endpoint != NULL ||
+	    ((!wants_new || b->rollout.completed) && side_takes_work(b, first)))
+		return choice;
+	q->sides[first] = false;
+	q->sides[second] = true;
+	return find_on_sides(b, q, now_us);
+}
+
+struct balancer_choice
+balancer_choose(
+    struct balancer *b, const struct balancer_request *q, int64_t now_us)
+{
+	struct choice_context context = {.request = q,
+	    .mean_service_us = balancer_mean_service_us(b, now_us)};
+	struct balancer_choice choice;
+
+	if (b->rollout.running || b->rollout.completed)
+		choice = find_by_rollout(b, &context, now_us);
+	else {
+		context.sides[ROLLOUT_SIDE_OLD] = true;
+		choice = find_on_sides(b, &context, now_us);
+	}
 	if (choice.endpoint != NULL) {
 		choice.endpoint->outstanding++;
 		flow_enter(&choice.endpoint->response_time, now_us);
@@ -500,32 +518,12 @@
 	e->failures_in_row = EJECTION_FAILURES - 1;
 }
 
-/// Updates what is usual at an endpoint by a report.
-static void
-update_usual_service(struct endpoint *e, int64_t service_us, int64_t now_us)
-{
-	double elapsed_us = (double)(now_us - e->service_reported_us);
-	double share = 1 - exp2(-elapsed_us / USUAL_MEAN_US);
-
-	if (e->usual_service_us == 0) {
-		e->usual_service_us = service_us;
-		return;
-	}
-	if (share > 1.0 / USUAL_REPORTS)
-		share = 1.0 / USUAL_REPORTS;
-	e->usual_service_us +=
-	    (int64_t)(share * (double)(service_us - e->usual_service_us));
-}
-
 void
 balancer_report(
     struct endpoint *e, const struct balancer_report *report, int64_t now_us)
 {
-	if (report->service_us > 0) {
-		update_usual_service(e, report->service_us, now_us);
-		e->service_us = report->service_us;
-		e->service_reported_us = now_us;
-	}
+	if (report->service_us > 0)
+		server_speed_report(&e->speed, report->service_us, now_us);
 	e->reported_load = report->running + report->queued;
 	e->reported_us = now_us;
 	e->outstanding_at_report = e->outstanding;
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -14,8 +14,10 @@
 #include "core/requests/flow.h"
 #include "core/requests/outcome.h"
 #include "core/requests/retry.h"
+#include "core/requests/server_speed.h"
 #include "core/requests/server_terms.h"
 #include "core/requests/work_cost.h"
+#include "core/rollout/rollout_table.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -40,16 +42,15 @@
 	bool suspect;
 	bool local;   ///< On the same VM as this ingress: no network link.
 	bool present; ///< In the current view.
+	enum rollout_side side; ///< Of its server's version.
 	// As last reported by its egress.
 	uint32_t reported_load; ///< Requests running and queued there.
 	uint32_t outstanding_at_report;
 	int64_t work_left_us; ///< Slot time that they need; 0: not known.
-	int64_t reported_us;	     ///< Time of the last report; 0: never.
-	int64_t service_us;	     ///< Mean service time; 0: not known.
-	int64_t service_reported_us; ///< Time of the report of service_us.
-	int64_t usual_service_us;    ///< Mean over reports; 0: not known.
-	uint32_t limit_milli;	     ///< Requests in 1,000 s; 0: no limit.
-	int64_t limit_wait_us;	     ///< Wait of a new request for the limit.
+	int64_t reported_us;  ///< Time of the last report; 0: never.
+	struct server_speed speed;
+	uint32_t limit_milli;  ///< Requests in 1,000 s; 0: no limit.
+	int64_t limit_wait_us; ///< Wait of a new request for the limit.
 	/// Copy of the terms of its server, for a proxy that has forgotten them.
 	struct server_terms terms;
 	int64_t terms_deadline_us; ///< Until then they outlive its absence.
@@ -75,6 +76,8 @@
 	uint32_t count;
 	uint32_t capacity;
 	struct retry_budget retries;
+	/// Set before the endpoints of a view are added.
+	struct rollout_filter rollout;
 	int64_t slow_start_us; ///< Length of the slow start.
 	/// Set after the first view with endpoints, which get no slow start.
 	bool slow_start_active;
@@ -92,6 +95,8 @@
 	uint32_t relative_service_permille;
 	/// How much the times of its route vary; NULL: not known.
 	const struct work_cost *cost;
+	/// From 0 to 999: which requests go to a new version at a share.
+	uint32_t rollout_draw_permille;
 	const char (*tried)[MEMBER_NAME_BYTES]; ///< Endpoints to avoid.
 	uint32_t tried_count;
 };
--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -76,8 +76,7 @@
 	e->ejections = 0;
 	e->ejected_until_deadline_us = 0;
 	e->failures = e->responses = 0;
-	e->service_us = 0;
-	e->usual_service_us = 0;
+	memset(&e->speed, 0, sizeof(e->speed));
 	e->limit_milli = 0;
 	e->reported_load = 0;
 	e->work_left_us = 0;
@@ -102,6 +101,7 @@
 	e->incarnation = member->incarnation;
 	e->distance = distance;
 	e->state = member->backend;
+	e->side = rollout_filter_side(&b->rollout, member->server_version);
 	e->slots = member->slots > 0 ? member->slots : 1;
 	e->local = b->local_name != NULL && strcmp(b->local_name, e->name) == 0;
 	e->suspect = member->status == MEMBER_SUSPECT;
--- a/src/proxy/control/control.h
+++ b/src/proxy/control/control.h
@@ -10,6 +10,7 @@
 #include "core/membership/pull_share.h"
 #include "core/membership/version_sync.h"
 #include "core/requests/backend.h"
+#include "core/rollout/rollout_table.h"
 #include "core/rules/rules.h"
 #include "io/dialect.h"
 #include "io/http/httpd.h"
@@ -62,6 +63,7 @@
 	struct pull_share pull_share;
 	bool refused_delta; ///< Invalid rules were pulled; pull no delta.
 	struct rules *rules;
+	struct rollout_table rollouts;
 	struct datagram_socket udp;
 	struct listener listener;
 	struct httpd *admin;
@@ -130,6 +132,8 @@
 void distribution_receive_answer(
     struct control *control, const struct message_report_answer *answer);
 void distribution_check_floor(void *arg);
+/// Passes the addresses of the sources to the traffic thread.
+void distribution_post_sources(struct control *control);
 void distribution_send_report(struct control *control, bool leaving);
 
 // Backend server and admin requests, in announce.c.
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -5,8 +5,10 @@
 
 #include "core/requests/balancer.h"
 #include "core/requests/retry.h"
+#include "core/workspace/quota_share.h"
 #include "io/clock.h"
 #include "io/http/httpd.h"
+#include "io/net/net.h"
 #include "proxy/egress/egress.h"
 #include "proxy/ingress/ingress.h"
 #include "proxy/ingress/link.h"
@@ -20,6 +22,7 @@
 #define DRAINING_RETRY_US (20 * US_PER_MS)
 
 #define INGRESS_BUCKETS		 1024
+#define INGRESS_MAX_SOURCES	 14
 #define INGRESS_MAX_ATTEMPTS	 4
 #define INGRESS_ROUTE_STATS	 1024 ///< Slots in the table of routes.
 #define INGRESS_REQUEST_ID_BYTES 72   ///< Longer request ids are cut.
@@ -51,8 +54,11 @@
 	char key[256]; ///< Idempotency key, or empty.
 	/// The caller's id of the request, or a generated one.
 	char request_id[INGRESS_REQUEST_ID_BYTES];
-	bool safe;		    ///< May run more than once.
-	bool repeatable;	    ///< Safe, or guarded by a key.
+	char workspace[RULES_LABEL_BYTES]; ///< Its workspace, or "".
+	bool keyed;	    ///< Its caller's key named the workspace.
+	bool states_parent; ///< Its id names the request it is a call of.
+	bool safe;	    ///< May run more than once.
+	bool repeatable;    ///< Safe, or guarded by a key.
 	size_t windowed_sent_bytes; ///< Part of a windowed body sent so far.
 	bool body_windowed;	    ///< The body is sent on credit only.
 	bool upload_forwarded;	    ///< Sent parts of the body are not kept.
@@ -64,13 +70,18 @@
 	bool trusted;	      ///< It came from the trusted listener.
 	bool begun; ///< A call of a request that a backend server runs.
 	bool parent_repeats; ///< That run repeats an earlier one.
-	bool parked;	     ///< Waits for rules or endpoints after a start.
-	bool parked_before;  ///< It has been parked at least once.
-	bool visit_pending;  ///< Still to visit in a loop of waiting.c.
+	bool quota_waiting;  ///< Waits for a token of its workspace's quota.
+	struct ingress_request *quota_next; ///< In the order of arrival.
+	struct ingress_request *quota_prev;
+	bool parked;	    ///< Waits for rules or endpoints after a start.
+	bool parked_before; ///< It has been parked at least once.
+	bool visit_pending; ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	uint32_t service;	    ///< Index; drawn from the route's targets.
-	uint32_t arrivals;	    ///< Backend servers that may have got it.
+	/// Decides between the versions of the service; see rollout_table.h.
+	uint32_t rollout_draw_permille;
+	uint32_t arrivals; ///< Backend servers that may have got it.
 	struct loop_timer timer;
 	// The attempt in progress.
 	enum attempt_state state;
@@ -101,6 +112,21 @@
 	struct work_cost cost;
 };
 
+/// Client of the accountant of quotas. See proxy/ingress/quota.c.
+struct quota_client {
+	struct quota_share share;
+	struct datagram_socket udp; ///< Open once a workspace has a limit.
+	struct loop_timer timer;
+	struct address sources[INGRESS_MAX_SOURCES];
+	uint32_t source_count;
+	struct address accountant;
+	bool has_accountant;
+	struct address clock_of; ///< Source that answered last.
+	uint32_t turn; ///< Source that is asked while none is known to lead.
+	struct ingress_request *first; ///< Requests that wait for a token.
+	struct ingress_request *last;
+};
+
 struct ingress {
 	struct egress_sink local_sink;
 	struct loop *loop;
@@ -121,6 +147,7 @@
 	struct route_stats route_table[INGRESS_ROUTE_STATS];
 	struct ingress_request *buckets[INGRESS_BUCKETS];
 	struct ingress_request *all;
+	struct quota_client quota;
 	uint64_t next_id;
 	uint64_t generated_ids; ///< Count of request ids generated.
 	/// Service that the last request named as its caller's.
@@ -139,6 +166,9 @@
 /// Frees a request whose exchange has ended or got its response.
 void ingress_request_free(struct ingress_request *r);
 
+/// Takes a request out of those that wait for a token.
+void ingress_stop_quota_wait(struct ingress_request *r);
+
 /// Value of a request header; NULL if it is absent, or if name is NULL since
 /// the dialect has no such header.
 const char *ingress_find_header(
@@ -163,6 +193,21 @@
 void ingress_conclude(struct ingress_request *r, uint32_t status,
     enum outcome outcome, int64_t retry_us, const char *why);
 
+// workspace.c
+
+/// Decides which workspace the request belongs to: the one of its key, or that of
+/// the request that it is a call of. Responds if the route needs a key and it has
+/// none that is known.
+///
+/// @return false if the request has ended
+bool ingress_set_workspace(struct ingress_request *r);
+
+/// Whether the rules in force now still grant the request's key to its workspace.
+bool ingress_key_holds(const struct ingress_request *r);
+
+/// Ends a request that has not run and whose key was withdrawn.
+void ingress_conclude_key_withdrawn(struct ingress_request *r);
+
 // park.c
 
 /// Lets a request wait while this process has just started and lacks rules or
@@ -252,6 +297,21 @@
 /// Adds the header that names the service on this VM as the caller's.
 void ingress_add_caller_service(struct ingress_request *r);
 
+// quota.c
+
+/// Spends a token of the quota of the request's workspace. Without one the request
+/// waits for the accountant's answer, or is refused.
+///
+/// @return whether it may be sent now
+bool ingress_take_quota(struct ingress_request *r);
+
+/// Takes over the limits of the rules in force.
+void ingress_quota_set_rules(struct ingress *ingress);
+
+void ingress_quota_open(struct ingress *ingress);
+
+void ingress_quota_close(struct ingress *ingress);
+
 // route.c
 
 /// Routes a request by the rules in force, and starts its first attempt.
@@ -262,6 +322,10 @@
 
 // waiting.c
 
+/// Ends all requests that no backend server runs yet and whose key the rules in
+/// force have withdrawn.
+void ingress_recheck_keys(struct ingress *ingress);
+
 /// Retries all parked requests.
 void ingress_resume_parked(void *arg);
 
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -63,6 +63,9 @@
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
 	q->cost = &ingress_get_route_stats(r)->cost;
+	// After a failure of a new version the old one is better known.
+	q->rollout_draw_permille =
+	    r->arrivals > 0 ? ROLLOUT_PERMILLE - 1 : r->rollout_draw_permille;
 	q->tried = (const char(*)[MEMBER_NAME_BYTES])r->tried;
 	q->tried_count = r->attempts;
 }
@@ -128,7 +131,8 @@
 	// to another request (422), the head cannot be sent (400), or the
 	// deadline has passed (504).
 	if (r->exchange == NULL || r->ingress->retries_disabled ||
-	    status == 409 || status == 422 || status == 400 || status == 504 ||
+	    !ingress_key_holds(r) || status == 409 || status == 422 ||
+	    status == 400 || status == 504 ||
 	    !retry_decide(
 		&r->balancer->retries, &q, loop_now_us(r->ingress->loop)))
 		return false;
@@ -154,6 +158,10 @@
 	if (status == 503 && outcome_is_not_run(outcome) &&
 	    retry_us != UNREACHABLE_RETRY_US)
 		retry_us = draw_retry_after_us(r);
+	if (outcome_is_not_run(outcome) && !ingress_key_holds(r)) {
+		ingress_conclude_key_withdrawn(r);
+		return;
+	}
 	if (!ingress_may_retry(r, status, outcome)) {
 		ingress_conclude(r, status, outcome, retry_us, why);
 		return;
@@ -177,6 +185,12 @@
 				     : "no backend server can be had");
 		return;
 	}
+	if (r->quota_waiting) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    UNREACHABLE_RETRY_US,
+		    "the limit of its workspace could not be checked in time");
+		return;
+	}
 	if (r->state == ATTEMPT_NONE) {
 		ingress_conclude(
 		    r, 504, ingress_not_run_outcome(r), 0, "deadline passed");
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -47,6 +47,13 @@
 /// "": as it announces. Any thread.
 void traffic_post_service(struct traffic *traffic, const char *service);
 
+/// Passes the addresses of the sources to the thread. Any thread.
+///
+/// @param leader  the one that leads; NULL if it is not known
+void traffic_post_sources(struct traffic *traffic,
+    const struct address *sources, uint32_t count,
+    const struct address *leader);
+
 /// Passes the state of the backend server to the thread. Any thread.
 void traffic_post_backend(
     struct traffic *traffic, const struct egress_backend *backend);
@@ -83,6 +90,14 @@
 void traffic_set_leaving_listener(struct traffic *traffic, struct loop *loop,
     traffic_leaving_fn *fn, void *arg);
 
+/// Called with what the backend server has answered during a roll-out.
+typedef void traffic_counts_fn(void *arg, const struct egress_counts *counts);
+
+/// Sets the function to post counts to another loop with. Call it before
+/// traffic_start.
+void traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *fn, void *arg);
+
 /// Ends the thread and frees everything.
 void traffic_stop(struct traffic *traffic);
 
--- a/src/source/main.c
+++ b/src/source/main.c
@@ -4,11 +4,12 @@
 #include <string.h>
 
 #include "io/clock.h"
-#include "source/source.h"
+#include "source/rollout_run.h"
 
 #define MAX_CONNECTIONS	   256
 #define IDLE_TIMEOUT_S	   30
 #define EXPIRE_INTERVAL_US (1 * US_PER_S)
+#define PERMILLE	   1000
 
 static const char program_purpose[] =
     "Replica of the source: accepts rule files from operators, stores them "
@@ -43,6 +44,16 @@
 	"pulls answered per second; excess pulls get a retry time"),
     ROW("compact_every", SETTINGS_INTEGER, compact_every, false, 1, 1000000,
 	"200", "entries of the log between snapshots"),
+    ROW("rollout.exposure_share", SETTINGS_NUMBER, exposure_share, false, 0, 1,
+	"0.1",
+	"part of a service's requests during a roll-out that a bad version may "
+	"get"),
+    ROW("quota.window_s", SETTINGS_NUMBER, quota_window_s, false, 0, 3600, "5",
+	"time over which the use of a workspace is bounded"),
+    ROW("quota.overage", SETTINGS_NUMBER, quota_overage, false, 0, 10, "0.1",
+	"part of its limit by which a workspace may exceed it in a window"),
+    ROW("quota.slack", SETTINGS_INTEGER, quota_slack, false, 0, 1000000, "20",
+	"requests by which a workspace may exceed that in a window"),
 };
 
 static void
@@ -52,6 +63,7 @@
 	int64_t now_us = loop_now_us(source->loop);
 
 	report_table_expire(&source->reports, now_us);
+	quota_follow(source);
 	loop_timer_set(
 	    source->loop, &source->expire_timer, now_us + EXPIRE_INTERVAL_US);
 }
@@ -75,7 +87,7 @@
 		&source_stream_ops, source, NULL, &source->bound_control,
 		err) != 0 ||
 	    datagram_open(&source->udp, source->loop, &source->bound_control,
-		source, publish_receive_datagram, &udp_bound, err) != 0)
+		source, rollout_run_receive_datagram, &udp_bound, err) != 0)
 		return -1;
 	source->httpd = httpd_open(source->loop, &operators, &source_httpd_ops,
 	    source, &limits, &source->bound_operators, err);
@@ -120,6 +132,11 @@
 		    source.settings.dialect_name, "no dialect has this name");
 	source.loop = loop;
 	source.random.seed = (uint64_t)clock_wall_us();
+	quota_ledger_init(&source.quotas,
+	    &(struct quota_bounds){
+		(int64_t)(source.settings.quota_window_s * US_PER_S),
+		(uint32_t)(source.settings.quota_overage * PERMILLE),
+		(uint32_t)source.settings.quota_slack});
 	source.reports.stale_us = source.settings.stale_ms * US_PER_MS;
 	source.reports.forget_us = source.settings.forget_ms * US_PER_MS;
 	return open_sockets(&source, err);
@@ -136,6 +153,7 @@
 	source.expire_timer.fn = expire_reports;
 	source.expire_timer.arg = &source;
 	expire_reports(&source);
+	rollout_run_start(&source);
 	return write_bound_addresses(&source, err);
 }
 
@@ -146,8 +164,10 @@
 	listener_close(&source.listener);
 	datagram_close(&source.udp);
 	operator_cancel_forwards(&source);
+	rollout_run_stop(&source);
 	replica_host_close(&source.host);
 	rule_store_free(&source.store);
+	quota_ledger_free(&source.quotas);
 	report_table_free(&source.reports);
 }
 
