--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -233,6 +233,7 @@
 	int64_t expected_us = times->until_slot_us + times->service_us;
 	int64_t left_us = q->request->target_left_us;
 	int64_t assumed;
+	int64_t learned;
 
 	if (expected_us > q->request->deadline_left_us)
 		return DEADLINE_MISS_PERMILLE;
@@ -241,9 +242,12 @@
 	assumed = assume_lateness_permille(expected_us, left_us);
 	if (q->request->cost == NULL)
 		return assumed;
-	// The wait depends on the times of requests as well.
-	return work_cost_exceeding_permille(q->request->cost,
-	    (double)left_us / (double)expected_us, assumed, now_us);
+	// What is learned leaves out the errors of the expected wait.
+	learned = work_cost_exceeding_permille(q->request->cost,
+	    (double)(left_us - times->until_slot_us) /
+		(double)times->service_us,
+	    assumed, now_us);
+	return learned > assumed ? learned : assumed;
 }
 
 static int64_t
