--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -242,12 +242,11 @@
 	assumed = assume_lateness_permille(expected_us, left_us);
 	if (q->request->cost == NULL)
 		return assumed;
-	// What is learned leaves out the errors of the expected wait.
+	// Of the wait only the mean is known: what is learned counts as if there
+	// were none.
 	learned = work_cost_exceeding_permille(q->request->cost,
-	    (double)(left_us - times->until_slot_us) /
-		(double)times->service_us,
-	    assumed, now_us);
-	return learned > assumed ? learned : assumed;
+	    (double)left_us / (double)times->service_us, assumed, now_us);
+	return learned + assumed < PERMILLE ? learned + assumed : PERMILLE;
 }
 
 static int64_t
