--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -474,8 +474,8 @@
 
 	if (c->run_us == 0 || c->report.service_us == 0)
 		return;
-	work_cost_record(&c->ingress->costs[c->kind], c->run_us,
-	    c->expected_us, call_now_us(c));
+	work_cost_record(&c->ingress->costs[c->kind], c->run_us, c->expected_us,
+	    call_now_us(c));
 	sample = (double)c->run_us * PERMILLE / (double)c->report.service_us;
 	*ratio += *ratio == 0 ? sample : (sample - *ratio) / RATIO_SAMPLES;
 }
--- a/bench/model/policies.c
+++ b/bench/model/policies.c
@@ -104,9 +104,8 @@
 	return record_choice(best, now_us);
 }
 
-const struct model_policy model_product = {
-    "rank, expected loss", &admission_reserved_shares, balancer_choose, true,
-    true, false};
+const struct model_policy model_product = {"rank, expected loss",
+    &admission_reserved_shares, balancer_choose, true, true, false};
 
 const struct model_policy model_policies[] = {
     {"arrival, nearest", &admission_fifo, choose_nearest, true, false, false},
--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -146,6 +146,15 @@
 	return sum > 0 ? (int64_t)(sum_us / sum) : 0;
 }
 
+/// Scales a mean time over the requests of a service to a request.
+static int64_t
+scale_to_route_us(const struct choice_context *q, int64_t mean_us)
+{
+	uint32_t permille = q->request->relative_service_permille;
+
+	return permille > 0 ? mean_us * permille / PERMILLE : mean_us;
+}
+
 /// Estimates the wait for the limit that the backend server states: as reported,
 /// and behind the requests sent there since.
 static int64_t
@@ -185,9 +194,6 @@
     int64_t slots, int64_t now_us)
 {
 	struct expected_times none = {0, 0};
-	int64_t relative_permille = q->request->relative_service_permille > 0
-	    ? q->request->relative_service_permille
-	    : PERMILLE;
 	int64_t service_us =
 	    server_speed_expect_us(&e->speed, q->mean_service_us, now_us);
 	int64_t limit_us = estimate_limit_wait_us(e, now_us);
@@ -209,7 +215,7 @@
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
 	return (struct expected_times){
-	    model_us, service_us * relative_permille / PERMILLE};
+	    model_us, scale_to_route_us(q, service_us)};
 }
 
 /// Estimates how likely a response is late, without knowledge of how much the
@@ -226,8 +232,27 @@
 	return part < PERMILLE ? part : PERMILLE;
 }
 
+/// Returns how likely a request takes longer than the time left, without a wait.
+///
+/// A server in another region counts as one of the usual speed at best: work does
+/// not cross the paid link between regions for a quicker server, but where there is
+/// room.
+static int64_t
+learned_lateness_permille(const struct endpoint *e,
+    const struct choice_context *q, int64_t service_us, int64_t prior_permille,
+    int64_t now_us)
+{
+	int64_t usual_us = scale_to_route_us(q, q->mean_service_us);
+
+	if (e->distance == DISTANCE_FAR && service_us < usual_us)
+		service_us = usual_us;
+	return work_cost_exceeding_permille(q->request->cost,
+	    (double)q->request->target_left_us / (double)service_us,
+	    prior_permille, now_us);
+}
+
 static int64_t
-lateness_cost_permille(const struct choice_context *q,
+lateness_cost_permille(const struct endpoint *e, const struct choice_context *q,
     const struct expected_times *times, int64_t now_us)
 {
 	int64_t expected_us = times->until_slot_us + times->service_us;
@@ -244,8 +269,8 @@
 		return assumed;
 	// Of the wait only the mean is known: what is learned counts as if there
 	// were none.
-	learned = work_cost_exceeding_permille(q->request->cost,
-	    (double)left_us / (double)times->service_us, assumed, now_us);
+	learned =
+	    learned_lateness_permille(e, q, times->service_us, assumed, now_us);
 	return learned + assumed < PERMILLE ? learned + assumed : PERMILLE;
 }
 
@@ -320,7 +345,7 @@
 	if (times->service_us == 0 || q->request->deadline_left_us == 0)
 		return cost +
 		    count_queued_ahead(load, slots) * PERMILLE / slots;
-	return cost + lateness_cost_permille(q, times, now_us);
+	return cost + lateness_cost_permille(e, q, times, now_us);
 }
 
 static bool
--- a/src/core/requests/work_cost.c
+++ b/src/core/requests/work_cost.c
@@ -101,8 +101,8 @@
 	// Without samples, requests are taken to end at a constant rate.
 	double prior = PRIOR_WEIGHT * sample_weight(cost, now_us);
 	double relative = (double)elapsed_us / (double)expected_us;
-	double count = prior;
-	double sum = prior;
+	double count;
+	double sum;
 	uint32_t i;
 
 	if (expected_us <= 0)
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -20,6 +20,8 @@
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
 GAUGE_DEFINE(gauge_queued, "egress_waiting", "Requests queued now");
+GAUGE_DEFINE(gauge_work, "egress_work_left_ms",
+    "Slot time that the requests in slots and queues still need");
 
 struct traffic {
 	struct loop *loop;
@@ -343,6 +345,8 @@
 	egress_get_load(traffic->egress, &queued, &running, &load_pct);
 	counter_set(&gauge_running, running);
 	counter_set(&gauge_queued, queued);
+	counter_set(
+	    &gauge_work, egress_get_work_left_us(traffic->egress) / US_PER_MS);
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
