--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -127,6 +127,7 @@
 struct expected_times {
 	int64_t until_slot_us; ///< The way there and back, and the wait.
 	int64_t service_us;    ///< In a slot.
+	int64_t usual_us;      ///< The same, at the server's usual speed.
 };
 
 int64_t
@@ -193,9 +194,11 @@
 estimate_times(struct endpoint *e, const struct choice_context *q, int64_t load,
     int64_t slots, int64_t now_us)
 {
-	struct expected_times none = {0, 0};
+	struct expected_times none = {0};
 	int64_t service_us =
 	    server_speed_expect_us(&e->speed, q->mean_service_us, now_us);
+	int64_t usual_us =
+	    server_speed_usual_us(&e->speed, q->mean_service_us, now_us);
 	int64_t limit_us = estimate_limit_wait_us(e, now_us);
 	int64_t wait_us;
 	int64_t model_us;
@@ -203,8 +206,10 @@
 
 	if (service_us == 0)
 		return none;
-	if (e->state == BACKEND_COLD)
+	if (e->state == BACKEND_COLD) {
 		service_us = service_us * FULL_PCT / COLD_PCT;
+		usual_us = usual_us * FULL_PCT / COLD_PCT;
+	}
 	wait_us = estimate_wait_us(e, load, slots, service_us, now_us);
 	if (wait_us < limit_us)
 		wait_us = limit_us;
@@ -214,8 +219,8 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return (struct expected_times){
-	    model_us, scale_to_route_us(q, service_us)};
+	return (struct expected_times){model_us,
+	    scale_to_route_us(q, service_us), scale_to_route_us(q, usual_us)};
 }
 
 /// Estimates how likely a response is late, without knowledge of how much the
@@ -232,27 +237,8 @@
 	return part < PERMILLE ? part : PERMILLE;
 }
 
-/// Returns how likely a request takes longer than the time left, without a wait.
-///
-/// A server in another region counts as one of the usual speed at best: work does
-/// not cross the paid link between regions for a quicker server, but where there is
-/// room.
-static int64_t
-learned_lateness_permille(const struct endpoint *e,
-    const struct choice_context *q, int64_t service_us, int64_t prior_permille,
-    int64_t now_us)
-{
-	int64_t usual_us = scale_to_route_us(q, q->mean_service_us);
-
-	if (e->distance == DISTANCE_FAR && service_us < usual_us)
-		service_us = usual_us;
-	return work_cost_exceeding_permille(q->request->cost,
-	    (double)q->request->target_left_us / (double)service_us,
-	    prior_permille, now_us);
-}
-
 static int64_t
-lateness_cost_permille(const struct endpoint *e, const struct choice_context *q,
+lateness_cost_permille(const struct choice_context *q,
     const struct expected_times *times, int64_t now_us)
 {
 	int64_t expected_us = times->until_slot_us + times->service_us;
@@ -267,10 +253,9 @@
 	assumed = assume_lateness_permille(expected_us, left_us);
 	if (q->request->cost == NULL)
 		return assumed;
-	// Of the wait only the mean is known: what is learned counts as if there
-	// were none.
-	learned =
-	    learned_lateness_permille(e, q, times->service_us, assumed, now_us);
+	// What passes soon, waits and slow neighbours, is in the expected end.
+	learned = work_cost_exceeding_permille(q->request->cost,
+	    (double)left_us / (double)times->usual_us, assumed, now_us);
 	return learned + assumed < PERMILLE ? learned + assumed : PERMILLE;
 }
 
@@ -345,7 +330,7 @@
 	if (times->service_us == 0 || q->request->deadline_left_us == 0)
 		return cost +
 		    count_queued_ahead(load, slots) * PERMILLE / slots;
-	return cost + lateness_cost_permille(e, q, times, now_us);
+	return cost + lateness_cost_permille(q, times, now_us);
 }
 
 static bool
--- a/src/core/requests/server_speed.c
+++ b/src/core/requests/server_speed.c
@@ -14,6 +14,9 @@
 #define MEAN_HALF_LIFE_US 5000000.0
 #define MIN_REPORTS	  4
 
+/// Reports that weigh as much as the mean of the service.
+#define PRIOR_REPORTS 8.0
+
 static double
 decay(int64_t since_us, double half_life_us, int64_t now_us)
 {
@@ -32,6 +35,9 @@
 		share = 1.0 / MIN_REPORTS;
 	speed->usual_us +=
 	    (int64_t)(share * (double)(service_us - speed->usual_us));
+	speed->reports = 1 +
+	    speed->reports *
+		decay(speed->reported_us, USUAL_HALF_LIFE_US, now_us);
 	speed->last_us = service_us;
 	speed->reported_us = now_us;
 }
@@ -44,17 +50,25 @@
 	return decay(speed->reported_us, LAST_HALF_LIFE_US, now_us);
 }
 
+int64_t
+server_speed_usual_us(
+    const struct server_speed *speed, int64_t mean_us, int64_t now_us)
+{
+	double reports = speed->reports *
+	    decay(speed->reported_us, USUAL_HALF_LIFE_US, now_us);
+
+	return mean_us +
+	    (int64_t)(reports / (reports + PRIOR_REPORTS) *
+		(double)(speed->usual_us - mean_us));
+}
+
 int64_t
 server_speed_expect_us(
     const struct server_speed *speed, int64_t mean_us, int64_t now_us)
 {
-	double expected_us = (double)mean_us;
+	int64_t usual_us = server_speed_usual_us(speed, mean_us, now_us);
 
-	if (speed->last_us == 0)
-		return mean_us;
-	expected_us += decay(speed->reported_us, USUAL_HALF_LIFE_US, now_us) *
-	    ((double)speed->usual_us - expected_us);
-	expected_us += server_speed_confidence(speed, now_us) *
-	    ((double)speed->last_us - expected_us);
-	return (int64_t)expected_us;
+	return usual_us +
+	    (int64_t)(server_speed_confidence(speed, now_us) *
+		(double)(speed->last_us - usual_us));
 }
--- a/src/core/requests/server_speed.h
+++ b/src/core/requests/server_speed.h
@@ -16,6 +16,7 @@
 	int64_t last_us;     ///< Mean service time last reported; 0: none yet.
 	int64_t usual_us;    ///< Mean over the reports.
 	int64_t reported_us; ///< Time of the last report.
+	double reports;	     ///< Number of reports, decayed.
 };
 
 /// Records a mean service time.
@@ -26,9 +27,13 @@
 double server_speed_confidence(
     const struct server_speed *speed, int64_t now_us);
 
-/// Returns the mean service time to expect now.
+/// Returns what is usual at the server. Few reports count for little.
 ///
 /// @param mean_us  mean over the servers of the service
+int64_t server_speed_usual_us(
+    const struct server_speed *speed, int64_t mean_us, int64_t now_us);
+
+/// Returns the mean service time to expect now.
 int64_t server_speed_expect_us(
     const struct server_speed *speed, int64_t mean_us, int64_t now_us);
 
