--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -127,7 +127,6 @@
 struct expected_times {
 	int64_t until_slot_us; ///< The way there and back, and the wait.
 	int64_t service_us;    ///< In a slot.
-	int64_t usual_us;      ///< The same, at the server's usual speed.
 };
 
 int64_t
@@ -197,8 +196,6 @@
 	struct expected_times none = {0};
 	int64_t service_us =
 	    server_speed_expect_us(&e->speed, q->mean_service_us, now_us);
-	int64_t usual_us =
-	    server_speed_usual_us(&e->speed, q->mean_service_us, now_us);
 	int64_t limit_us = estimate_limit_wait_us(e, now_us);
 	int64_t wait_us;
 	int64_t model_us;
@@ -206,10 +203,8 @@
 
 	if (service_us == 0)
 		return none;
-	if (e->state == BACKEND_COLD) {
+	if (e->state == BACKEND_COLD)
 		service_us = service_us * FULL_PCT / COLD_PCT;
-		usual_us = usual_us * FULL_PCT / COLD_PCT;
-	}
 	wait_us = estimate_wait_us(e, load, slots, service_us, now_us);
 	if (wait_us < limit_us)
 		wait_us = limit_us;
@@ -219,17 +214,20 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return (struct expected_times){model_us,
-	    scale_to_route_us(q, service_us), scale_to_route_us(q, usual_us)};
+	return (struct expected_times){
+	    model_us, scale_to_route_us(q, service_us)};
 }
 
-/// Estimates how likely a response is late, without knowledge of how much the
-/// times of such requests vary.
 static int64_t
-assume_lateness_permille(int64_t expected_us, int64_t left_us)
+lateness_cost_permille(const struct choice_context *q, int64_t expected_us)
 {
-	int64_t part = expected_us * PERMILLE / left_us;
+	int64_t part;
 
+	if (expected_us > q->request->deadline_left_us)
+		return DEADLINE_MISS_PERMILLE;
+	if (q->request->target_left_us <= 0)
+		return PERMILLE;
+	part = expected_us * PERMILLE / q->request->target_left_us;
 	if (part <= LATE_FROM_PERMILLE)
 		return part / 20;
 	part = (part - LATE_FROM_PERMILLE) * PERMILLE /
@@ -237,28 +235,6 @@
 	return part < PERMILLE ? part : PERMILLE;
 }
 
-static int64_t
-lateness_cost_permille(const struct choice_context *q,
-    const struct expected_times *times, int64_t now_us)
-{
-	int64_t expected_us = times->until_slot_us + times->service_us;
-	int64_t left_us = q->request->target_left_us;
-	int64_t assumed;
-	int64_t learned;
-
-	if (expected_us > q->request->deadline_left_us)
-		return DEADLINE_MISS_PERMILLE;
-	if (left_us <= 0)
-		return PERMILLE;
-	assumed = assume_lateness_permille(expected_us, left_us);
-	if (q->request->cost == NULL)
-		return assumed;
-	// What passes soon, waits and slow neighbours, is in the expected end.
-	learned = work_cost_exceeding_permille(q->request->cost,
-	    (double)left_us / (double)times->usual_us, assumed, now_us);
-	return learned + assumed < PERMILLE ? learned + assumed : PERMILLE;
-}
-
 static int64_t
 utilization_cost_permille(int64_t load, int64_t slots)
 {
@@ -330,7 +306,8 @@
 	if (times->service_us == 0 || q->request->deadline_left_us == 0)
 		return cost +
 		    count_queued_ahead(load, slots) * PERMILLE / slots;
-	return cost + lateness_cost_permille(q, times, now_us);
+	return cost +
+	    lateness_cost_permille(q, times->until_slot_us + times->service_us);
 }
 
 static bool
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -16,7 +16,6 @@
 #include "core/requests/retry.h"
 #include "core/requests/server_speed.h"
 #include "core/requests/server_terms.h"
-#include "core/requests/work_cost.h"
 #include "core/rollout/rollout_table.h"
 
 #define BALANCER_BUSY_MARKS 8
@@ -93,8 +92,6 @@
 	/// Its service time relative to the mean of the service, in permille;
 	/// 0: not known.
 	uint32_t relative_service_permille;
-	/// How much the times of its route vary; NULL: not known.
-	const struct work_cost *cost;
 	/// From 0 to 999: which requests go to a new version at a share.
 	uint32_t rollout_draw_permille;
 	const char (*tried)[MEMBER_NAME_BYTES]; ///< Endpoints to avoid.
--- a/src/core/requests/work_cost.c
+++ b/src/core/requests/work_cost.c
@@ -5,7 +5,6 @@
 
 #define PER_OCTAVE    4
 #define LOWEST_OCTAVE (-3)
-#define PERMILLE      1000
 #define MAX_SCALE     1e6
 #define HALF_LIFE_US  30000000.0
 
@@ -73,27 +72,6 @@
 	return cost->total / sample_weight(cost, now_us);
 }
 
-int64_t
-work_cost_exceeding_permille(const struct work_cost *cost, double relative,
-    int64_t prior_permille, int64_t now_us)
-{
-	double prior = PRIOR_WEIGHT * sample_weight(cost, now_us);
-	double exceeding = prior * (double)prior_permille;
-	double at;
-	uint32_t i;
-
-	if (relative <= 0)
-		return PERMILLE;
-	if (cost->total <= 0)
-		return prior_permille;
-	at = find_position(relative);
-	i = (uint32_t)at;
-	exceeding += cost->counts[i] * (i + 1 - at) * PERMILLE;
-	for (i++; i < WORK_COST_BUCKETS; i++)
-		exceeding += cost->counts[i] * (double)PERMILLE;
-	return (int64_t)(exceeding / (prior + cost->total));
-}
-
 int64_t
 work_cost_remainder_us(const struct work_cost *cost, int64_t expected_us,
     int64_t elapsed_us, int64_t now_us)
--- a/src/core/requests/work_cost.h
+++ b/src/core/requests/work_cost.h
@@ -33,14 +33,6 @@
 /// Returns the decayed number of samples.
 double work_cost_samples(const struct work_cost *cost, int64_t now_us);
 
-/// Returns the part of the requests, in permille, that take longer than a time.
-/// Few samples count for little beside the given prior.
-///
-/// @param relative        the time in units of the expected one
-/// @param prior_permille  assumed without samples
-int64_t work_cost_exceeding_permille(const struct work_cost *cost,
-    double relative, int64_t prior_permille, int64_t now_us);
-
 /// Returns how long a request is expected to run on.
 ///
 /// @param expected_us  expected at its start
--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -97,7 +97,6 @@
 	if (stats->route_hash != key) {
 		stats->route_hash = key;
 		stats->service_ratio_permille = 0;
-		memset(&stats->cost, 0, sizeof(stats->cost));
 		stats->latency = NULL;
 	}
 	return stats;
@@ -110,8 +109,6 @@
 	struct route_stats *stats = ingress_get_route_stats(r);
 	double sample = (double)m->run_us * PERMILLE / m->service_us;
 
-	work_cost_record(&stats->cost, m->run_us, r->expected_slot_us,
-	    loop_now_us(r->ingress->loop));
 	if (stats->service_ratio_permille <= 0)
 		stats->service_ratio_permille = sample;
 	else
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -88,7 +88,6 @@
 	uint64_t attempt_id;
 	int64_t first_sent_us; ///< Of the first attempt; 0: none yet.
 	int64_t sent_us;
-	int64_t expected_slot_us; ///< Time in a slot, as expected there; or 0.
 	struct balancer *balancer;
 	struct endpoint *endpoint;
 	struct link *link; ///< NULL for the own egress.
@@ -108,8 +107,6 @@
 	/// Moving average of the time in a slot, relative to the mean of the
 	/// service; 0: not known.
 	double service_ratio_permille;
-	/// Of the time in a slot, relative to the one expected by the choice.
-	struct work_cost cost;
 };
 
 /// Client of the accountant of quotas. See proxy/ingress/quota.c.
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -62,7 +62,6 @@
 		q->size_bytes = (uint32_t)r->exchange->body_bytes;
 	q->relative_service_permille =
 	    (uint32_t)ingress_get_route_stats(r)->service_ratio_permille;
-	q->cost = &ingress_get_route_stats(r)->cost;
 	// After a failure of a new version the old one is better known.
 	q->rollout_draw_permille =
 	    r->arrivals > 0 ? ROLLOUT_PERMILLE - 1 : r->rollout_draw_permille;
@@ -101,7 +100,6 @@
 		return;
 	}
 	r->endpoint = choice.endpoint;
-	r->expected_slot_us = choice.service_us;
 	memcpy(
 	    r->tried[r->attempts++], choice.endpoint->name, MEMBER_NAME_BYTES);
 	ingress_log_sent(r, &choice, &query);
