--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -3,11 +3,11 @@
 #include <string.h>
 
 #include "core/requests/admission.h"
+#include "core/requests/admission_queue.h"
 
 #define EMA_DIVISOR	     16
 #define IDLE_CREDIT_REQUESTS 2
 #define CREDIT_MAX_US	     2000000LL
-#define DEFAULT_SERVICE_US   5000LL
 #define PERCENT		     100
 #define PERMILLE	     1000
 
@@ -21,6 +21,10 @@
 /// A request may wait for the time left beside its service, divided by this.
 #define WAIT_DIVISOR 2
 
+/// A request of which nothing is known is assumed to take the time until its target
+/// divided by this.
+#define UNSEEN_DIVISOR 2
+
 /// Starts that the limit allows within this time may come at once. Short, so that
 /// the limit holds within each second.
 #define LIMIT_BURST_US 250000LL
@@ -143,69 +147,6 @@
 	return lowest;
 }
 
-static void
-queue_push(struct admission *a, struct admission_item *item)
-{
-	struct admission_rank *r = &a->ranks[item->rank];
-
-	item->queued = true;
-	item->prev = item->begun ? r->begun_tail : r->tail;
-	item->next = item->prev == NULL ? r->head : item->prev->next;
-	if (item->prev != NULL)
-		item->prev->next = item;
-	else
-		r->head = item;
-	if (item->next != NULL)
-		item->next->prev = item;
-	else
-		r->tail = item;
-	if (item->begun)
-		r->begun_tail = item;
-	r->begun_queued += item->begun;
-	r->queued++;
-	r->queued_bytes += item->size_bytes;
-	a->queued++;
-	a->queued_bytes += item->size_bytes;
-}
-
-static void
-queue_remove(struct admission *a, struct admission_item *item)
-{
-	struct admission_rank *r = &a->ranks[item->rank];
-
-	assert(item->queued);
-	if (r->begun_tail == item)
-		r->begun_tail = item->prev;
-	r->begun_queued -= item->begun;
-	if (item->prev != NULL)
-		item->prev->next = item->next;
-	else
-		r->head = item->next;
-	if (item->next != NULL)
-		item->next->prev = item->prev;
-	else
-		r->tail = item->prev;
-	item->next = item->prev = NULL;
-	item->queued = false;
-	r->queued--;
-	r->queued_bytes -= item->size_bytes;
-	a->queued--;
-	a->queued_bytes -= item->size_bytes;
-}
-
-static int64_t
-estimate_service_us(const struct admission_rank *r)
-{
-	return r->service_us > 0 ? r->service_us : DEFAULT_SERVICE_US;
-}
-
-static int64_t
-estimate_item_service_us(
-    const struct admission_rank *r, const struct admission_item *item)
-{
-	return item->service_us > 0 ? item->service_us : estimate_service_us(r);
-}
-
 /// Adds to a credit within its limits. Slot time used beyond the share is not
 /// a debt. While a rank has no queue, it saves up two requests' worth at most.
 static void
@@ -213,7 +154,7 @@
 {
 	int64_t max_us = r->queued > 0
 	    ? CREDIT_MAX_US
-	    : IDLE_CREDIT_REQUESTS * estimate_service_us(r);
+	    : IDLE_CREDIT_REQUESTS * admission_rank_service_us(r);
 
 	r->credit_us += time_us;
 	if (r->credit_us < 0)
@@ -265,7 +206,7 @@
 
 		if (r->begun_queued > 0 &&
 		    a->begun_credit_us >=
-			estimate_item_service_us(r, r->head) &&
+			admission_item_service_us(r, r->head) &&
 		    (best < 0 || r->worth > a->ranks[best].worth))
 			best = (int)i;
 	}
@@ -284,7 +225,7 @@
 		return best;
 	for (i = 0; i < a->rank_count; i++) {
 		const struct admission_rank *r = &a->ranks[i];
-		bool below_share = r->credit_us >= estimate_service_us(r);
+		bool below_share = r->credit_us >= admission_rank_service_us(r);
 
 		if (r->queued == 0 || (best_below_share && !below_share))
 			continue;
@@ -316,13 +257,17 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	item->running = true;
+	if (!item->begun)
+		fair_queue_start(&r->fair,
+		    admission_queue_least_tag_us(r, item),
+		    item->fair_charged_us, r->running + r->queued + 1);
 	item->start_us = now_us;
-	item->charged_us = r->credit_us < estimate_service_us(r)
+	item->charged_us = r->credit_us < admission_rank_service_us(r)
 	    ? r->credit_us
-	    : estimate_service_us(r);
+	    : admission_rank_service_us(r);
 	add_credit(r, -item->charged_us);
 	if (item->begun) {
-		item->begun_charged_us = estimate_item_service_us(r, item);
+		item->begun_charged_us = admission_item_service_us(r, item);
 		if (item->begun_charged_us > a->begun_credit_us)
 			item->begun_charged_us = a->begun_credit_us;
 		add_begun_credit(a, -item->begun_charged_us);
@@ -334,13 +279,28 @@
 	flow_enter(&a->slot_time, now_us);
 }
 
+/// Estimates the time in a slot for the decisions that follow from it. A process
+/// that has just started has seen none of its rank: then the mean of all ranks
+/// counts, or, without any answer yet, a part of the time that callers expect to
+/// wait. A short guess would admit a queue for seconds before the first answer.
+static int64_t
+assume_service_us(const struct admission *a, const struct admission_rank *r)
+{
+	if (r->service_us > 0)
+		return r->service_us;
+	if (a->slot_time.long_mean_us > 0)
+		return (int64_t)a->slot_time.long_mean_us;
+	return r->unseen_target_us > 0 ? r->unseen_target_us / UNSEEN_DIVISOR
+				       : admission_rank_service_us(r);
+}
+
 /// Estimates the time between starts of a rank while its queue is not empty.
 static int64_t
 estimate_interval_us(const struct admission *a, const struct admission_rank *r)
 {
 	int64_t interval_us = r->interval_us > 0
 	    ? r->interval_us
-	    : estimate_service_us(r) / a->slots;
+	    : assume_service_us(a, r) / a->slots;
 
 	return interval_us > a->start_cost_us ? interval_us : a->start_cost_us;
 }
@@ -380,10 +340,18 @@
     int64_t now_us)
 {
 	const struct admission_rank *r = &a->ranks[item->rank];
+	uint32_t passed;
+	uint32_t ahead;
 
-	if (!item->begun)
-		return admission_wait_us(a, item->rank, now_us);
-	return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
+	if (item->begun)
+		return estimate_wait_behind_us(a, r, r->begun_queued, now_us);
+	if (a->running < a->slots && a->queued == 0)
+		return admission_limit_wait_us(a, now_us);
+	admission_queue_find_place(r, item, &passed);
+	ahead = r->queued - passed;
+	if (item->over_share)
+		ahead = fair_queue_ahead(&r->fair, item->fair_tag_us, ahead);
+	return estimate_wait_behind_us(a, r, ahead, now_us);
 }
 
 /// Longest expected wait with which an item is accepted: a part of the time that
@@ -397,7 +365,7 @@
 	const struct admission_rank *r = &a->ranks[item->rank];
 	int64_t service_us = item->service_us > 0
 	    ? item->service_us
-	    : scale_by_pace(a, estimate_service_us(r), now_us);
+	    : scale_by_pace(a, assume_service_us(a, r), now_us);
 	int64_t left_us = item->deadline_us - now_us - service_us;
 	int64_t target_left_us;
 
@@ -422,6 +390,20 @@
 	    a->max_queued_bytes - a->queued_bytes;
 }
 
+/// Keeps the shortest target of a rank's requests until it has an answer.
+static void
+note_unseen_target(
+    struct admission_rank *r, const struct admission_item *item, int64_t now_us)
+{
+	int64_t target_us = item->target_deadline_us - now_us;
+
+	if (r->service_us > 0 || item->service_us > 0 || item->begun ||
+	    target_us <= 0)
+		return;
+	if (r->unseen_target_us == 0 || target_us < r->unseen_target_us)
+		r->unseen_target_us = target_us;
+}
+
 enum admission_verdict
 admission_offer(struct admission *a, struct admission_item *item,
     int64_t now_us, int64_t *retry_us)
@@ -433,11 +415,18 @@
 	r = &a->ranks[item->rank];
 	update_credits(a, now_us);
 	item->arrival_us = now_us;
+	item->fair_tag_us = fair_queue_tag(
+	    &r->fair, item->workspace, admission_fair_cost_us(a, item));
+	item->over_share = fair_queue_is_over_share(
+	    &r->fair, item->fair_tag_us, admission_fair_cost_us(a, item));
+	item->overtaken = false;
+	note_unseen_target(r, item, now_us);
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
 		return ADMISSION_REFUSED;
 	if (a->running < a->slots && a->queued == 0 &&
 	    admission_limit_wait_us(a, now_us) == 0) {
+		admission_charge_workspace(a, item);
 		start_item(a, item, now_us);
 		return ADMISSION_RUN;
 	}
@@ -452,7 +441,8 @@
 	}
 	if (r->queued == 0)
 		r->last_start_us = now_us;
-	queue_push(a, item);
+	admission_charge_workspace(a, item);
+	admission_queue_push(a, item);
 	return ADMISSION_QUEUED;
 }
 
@@ -480,6 +470,7 @@
 	struct admission_rank *r = &a->ranks[item->rank];
 
 	release_slot(a, item, now_us);
+	admission_settle_workspace(a, item, now_us - item->start_us);
 	flow_leave(&a->slot_time, now_us - item->start_us, now_us);
 	r->service_us = update_ema(r->service_us, now_us - item->start_us + 1);
 }
@@ -489,13 +480,15 @@
     struct admission *a, struct admission_item *item, int64_t now_us)
 {
 	release_slot(a, item, now_us);
+	admission_settle_workspace(a, item, 0);
 	flow_cancel(&a->slot_time, now_us);
 }
 
 void
 admission_cancel(struct admission *a, struct admission_item *item)
 {
-	queue_remove(a, item);
+	admission_queue_remove(a, item);
+	admission_settle_workspace(a, item, 0);
 }
 
 /// Finds a head of a queue that can no longer meet its deadline. The limit is
@@ -541,6 +534,29 @@
 	return NULL;
 }
 
+/// Finds the last item of a queue if requests of other workspaces went ahead of it,
+/// so that it cannot be served any more: it is refused at once.
+static struct admission_item *
+find_overtaken(const struct admission *a, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->rank_count; i++) {
+		const struct admission_rank *r = &a->ranks[i];
+		struct admission_item *item = r->tail;
+		int64_t wait_us;
+
+		if (item == NULL || !item->overtaken)
+			continue;
+		wait_us = estimate_wait_behind_us(a, r, r->queued - 1, now_us);
+		if (now_us + scale_by_pace(a, wait_us, now_us) +
+			admission_item_service_us(r, item) >
+		    item->deadline_us)
+			return item;
+	}
+	return NULL;
+}
+
 struct admission_item *
 admission_next(
     struct admission *a, int64_t now_us, enum admission_verdict *verdict)
@@ -555,9 +571,12 @@
 	item = find_unmeetable(a, now_us);
 	if (item == NULL)
 		item = find_beyond_limit(a, now_us);
+	if (item == NULL)
+		item = find_overtaken(a, now_us);
 	if (item != NULL) {
 		*verdict = ADMISSION_REFUSED;
-		queue_remove(a, item);
+		admission_queue_remove(a, item);
+		admission_settle_workspace(a, item, 0);
 		return item;
 	}
 	if (a->running >= a->slots || admission_limit_wait_us(a, now_us) > 0)
@@ -567,10 +586,11 @@
 		return NULL;
 	r = &a->ranks[rank];
 	item = r->head;
-	queue_remove(a, item);
+	admission_queue_remove(a, item);
 	r->interval_us =
 	    update_ema(r->interval_us, now_us - r->last_start_us + 1);
 	r->last_start_us = now_us;
+	fair_queue_note_turn(&r->fair, item->went_ahead);
 	start_item(a, item, now_us);
 	*verdict = ADMISSION_RUN;
 	return item;
--- a/src/core/requests/balancer.h
+++ b/src/core/requests/balancer.h
@@ -16,7 +16,7 @@
 #include "core/requests/retry.h"
 #include "core/requests/server_speed.h"
 #include "core/requests/server_terms.h"
-#include "core/rollout/rollout_table.h"
+#include "core/rollout/rollout_own.h"
 
 #define BALANCER_BUSY_MARKS 8
 
@@ -77,6 +77,7 @@
 	struct retry_budget retries;
 	/// Set before the endpoints of a view are added.
 	struct rollout_filter rollout;
+	struct rollout_own rollout_own;
 	int64_t slow_start_us; ///< Length of the slow start.
 	/// Set after the first view with endpoints, which get no slow start.
 	bool slow_start_active;
--- a/src/core/rollout/rollout_plan.c
+++ b/src/core/rollout/rollout_plan.c
@@ -42,6 +42,10 @@
 #define FEW_ANSWERS	 10
 #define FEW_ANSWERS_WAIT 2
 
+/// Time for which doubts hold up a step to a large share: some more windows of
+/// the judge.
+#define DOUBT_MS 1000
+
 /// No step up without counts of a new server in this time.
 #define FRESH_MS 3000
 
@@ -51,6 +55,9 @@
 /// After all requests go to the new version, the time until every proxy knows.
 #define SPREAD_MS 700
 
+/// Time in which each old server at which requests run has told a new leader.
+#define COUNTS_MS 1500
+
 /// The new servers need this part of the old ones' slots for the same share.
 #define SLOTS_PERMILLE 700
 
@@ -124,6 +131,9 @@
 {
 	if (s->stage_ms < SPREAD_MS)
 		return decide(ROLLOUT_PLAN_WAIT, 0, "proxies learn the share");
+	if (s->leading_ms < COUNTS_MS)
+		return decide(ROLLOUT_PLAN_WAIT, 0,
+		    "what runs at old servers is unknown");
 	if (s->old_running == 0)
 		return decide(ROLLOUT_PLAN_COMPLETE, PERMILLE,
 		    "all requests go to it, and nothing runs at old servers");
@@ -165,6 +175,9 @@
 	if (s->stage_ms < MIN_STAGE_MS ||
 	    s->stage_ms < length_ms / HASTE_DIVISOR)
 		return decide(ROLLOUT_PLAN_WAIT, 0, "its stage began late");
+	if (s->doubted && stages[now + 1].share_permille >= THIRD_SHARE &&
+	    s->stage_ms < length_ms + DOUBT_MS)
+		return decide(ROLLOUT_PLAN_WAIT, 0, "its answers are doubtful");
 	if (s->silent_ms > FRESH_MS)
 		return decide(
 		    ROLLOUT_PLAN_WAIT, 0, "no counts of its servers come");
--- a/src/core/workspace/quota_share.c
+++ b/src/core/workspace/quota_share.c
@@ -20,6 +20,10 @@
 /// Time after which an answer is overdue, beside the round trips measured.
 #define ANSWER_TIMEOUT_US 80000
 
+/// Longest such time. Requests that wait need their tokens before they give up: on
+/// a link that is full they are asked for more than once.
+#define ANSWER_TIMEOUT_MAX_US 300000
+
 /// Time without an answer after which other sources are asked, beside the round
 /// trips measured: a link that is full holds answers up for longer than most.
 #define SILENCE_US 300000
@@ -40,6 +44,9 @@
 /// Most tokens that one ask may name for one workspace.
 #define ASK_MAX_TOKENS 10000
 
+/// Longest life and wait that an answer may state.
+#define GRANT_MAX_US 10000000
+
 /// Longest time that a caller at the limit is told to wait.
 #define RETRY_MAX_US 2000000
 
@@ -390,19 +397,29 @@
 	into->tokens += tokens;
 }
 
+static int64_t
+at_most(int64_t time_us, int64_t max_us)
+{
+	return time_us < max_us ? time_us : max_us;
+}
+
 void
 quota_share_add_grant(struct quota_share *share, uint64_t workspace,
     const struct quota_grant *grant, int64_t granted_us, int64_t now_us)
 {
 	struct quota_entry *e = find_entry(share, workspace);
+	int64_t expires_us;
 
 	if (e == NULL)
 		return;
 	e->asked -= grant->asked < e->asked ? grant->asked : e->asked;
 	e->life_us = grant->life_us;
-	if (grant->tokens > 0 && granted_us + grant->life_us > now_us)
-		add_batch(e, grant->tokens, granted_us + grant->life_us);
-	e->full_until_us = grant->wait_us > 0 ? now_us + grant->wait_us : 0;
+	expires_us = granted_us + at_most(grant->life_us, GRANT_MAX_US);
+	if (grant->tokens > 0 && expires_us > now_us)
+		add_batch(e, grant->tokens, expires_us);
+	e->full_until_us = grant->wait_us > 0
+	    ? now_us + at_most(grant->wait_us, GRANT_MAX_US)
+	    : 0;
 	if (e->waiting > grant->tokens && grant->wait_us == 0)
 		list_entry(share, e);
 }
@@ -424,18 +441,21 @@
 	}
 }
 
-bool
-quota_share_is_silent(const struct quota_share *share, int64_t now_us)
-{
-	return now_us - share->answered_us >
-	    SILENCE_US + 2 * share->round_trip_us;
-}
-
 /// Time after which an answer is overdue.
 static int64_t
 answer_timeout_us(const struct quota_share *share)
 {
-	return ANSWER_TIMEOUT_US + 2 * share->round_trip_us;
+	int64_t timeout_us = ANSWER_TIMEOUT_US + 2 * share->round_trip_us;
+
+	return timeout_us < ANSWER_TIMEOUT_MAX_US ? timeout_us
+						  : ANSWER_TIMEOUT_MAX_US;
+}
+
+bool
+quota_share_is_silent(const struct quota_share *share, int64_t now_us)
+{
+	return now_us - share->answered_us >
+	    SILENCE_US + answer_timeout_us(share);
 }
 
 bool
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -11,6 +11,7 @@
 
 struct bulk_link;
 struct ingress;
+struct memory_account;
 
 struct ingress_settings {
 	const struct dialect *dialect;
@@ -29,6 +30,7 @@
 	uint32_t retry_ratio_pct;
 	uint32_t retry_burst; ///< For all proxies together.
 	uint64_t seed;
+	struct memory_account *account; ///< Of what callers hold.
 };
 
 /// Opens the listeners.
@@ -41,6 +43,12 @@
     struct address *bound_outer, struct address *bound_inner,
     struct error *err);
 
+/// Sets the callback for a new version that this ingress stops using by itself.
+///
+/// @param fn  gets the order of its roll-out
+void ingress_set_stop_listener(
+    struct ingress *ingress, void (*fn)(void *arg, uint64_t order), void *arg);
+
 /// Applies a new view of rules and endpoints.
 void ingress_set_view(struct ingress *ingress, const struct view *view);
 
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -7,7 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/memory_account.h"
 #include "io/clock.h"
+#include "io/held.h"
 #include "io/log/counters.h"
 #include "io/log/log.h"
 #include "io/loop.h"
@@ -19,12 +21,21 @@
 #define PUBLISH_PERIOD_US (20 * US_PER_MS)
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
+GAUGE_DEFINE(gauge_memory_held, "memory_account_held_bytes",
+    "Memory that callers and other proxies make this one hold");
+GAUGE_DEFINE(gauge_memory_peak, "memory_account_peak_bytes",
+    "Largest memory_account_held_bytes since the start");
+GAUGE_DEFINE(gauge_memory_limit, "memory_account_limit_bytes",
+    "Limit at which holders of memory give way");
 GAUGE_DEFINE(gauge_queued, "egress_waiting", "Requests queued now");
 GAUGE_DEFINE(gauge_work, "egress_work_left_ms",
     "Slot time that the requests in slots and queues still need");
 
 struct traffic {
 	struct loop *loop;
+	struct memory_account account;
+	/// Messages to and from other proxies, and bytes to and from servers.
+	struct memory_holder streams;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	struct bulk_link *link; ///< NULL: its capacity is not known.
@@ -37,9 +48,10 @@
 	struct loop *leaving_loop; ///< Of the listener below; or NULL.
 	traffic_leaving_fn *leaving_fn;
 	void *leaving_arg;
-	struct loop *counts_loop; ///< Of the listener below; or NULL.
+	struct loop *rollout_loop; ///< Of the listeners below; or NULL.
 	traffic_counts_fn *counts_fn;
-	void *counts_arg;
+	traffic_stopped_fn *stopped_fn;
+	void *rollout_arg;
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -261,46 +273,66 @@
 	egress_set_leaving_listener(traffic->egress, on_leaving, traffic);
 }
 
-/// Counts on their way to the listener.
-struct counts_notice {
-	traffic_counts_fn *fn;
-	void *arg;
+/// Counts, or a stop if its order is not 0, on their way to the listeners.
+struct rollout_notice {
+	struct traffic *traffic;
 	struct egress_counts counts;
+	uint64_t stopped_order;
 };
 
 static void
-deliver_counts(void *arg)
+deliver_rollout(void *arg)
 {
-	struct counts_notice *notice = arg;
+	struct rollout_notice *notice = arg;
+	struct traffic *traffic = notice->traffic;
 
-	notice->fn(notice->arg, &notice->counts);
+	if (notice->stopped_order != 0)
+		traffic->stopped_fn(
+		    traffic->rollout_arg, notice->stopped_order);
+	else
+		traffic->counts_fn(traffic->rollout_arg, &notice->counts);
 	free(notice);
 }
 
+static void
+post_rollout(struct traffic *traffic, const struct egress_counts *counts,
+    uint64_t stopped_order)
+{
+	struct rollout_notice *notice = calloc(1, sizeof(*notice));
+
+	assert(notice != NULL);
+	notice->traffic = traffic;
+	if (counts != NULL)
+		notice->counts = *counts;
+	notice->stopped_order = stopped_order;
+	loop_post(traffic->rollout_loop, deliver_rollout, notice);
+}
+
+static void
+on_stopped(void *arg, uint64_t order)
+{
+	post_rollout(arg, NULL, order);
+}
+
 static void
 post_counts(struct traffic *traffic)
 {
 	struct egress_counts counts;
-	struct counts_notice *notice;
 
-	if (traffic->counts_loop == NULL ||
-	    !egress_take_counts(traffic->egress, &counts))
-		return;
-	notice = calloc(1, sizeof(*notice));
-	assert(notice != NULL);
-	notice->fn = traffic->counts_fn;
-	notice->arg = traffic->counts_arg;
-	notice->counts = counts;
-	loop_post(traffic->counts_loop, deliver_counts, notice);
+	if (traffic->rollout_loop != NULL &&
+	    egress_take_counts(traffic->egress, &counts))
+		post_rollout(traffic, &counts, 0);
 }
 
 void
-traffic_set_counts_listener(struct traffic *traffic, struct loop *loop,
-    traffic_counts_fn *fn, void *arg)
+traffic_set_rollout_listener(struct traffic *traffic, struct loop *loop,
+    traffic_counts_fn *counts_fn, traffic_stopped_fn *stopped_fn, void *arg)
 {
-	traffic->counts_loop = loop;
-	traffic->counts_fn = fn;
-	traffic->counts_arg = arg;
+	traffic->rollout_loop = loop;
+	traffic->counts_fn = counts_fn;
+	traffic->stopped_fn = stopped_fn;
+	traffic->rollout_arg = arg;
+	ingress_set_stop_listener(traffic->ingress, on_stopped, traffic);
 }
 
 uint32_t
@@ -333,6 +365,17 @@
 	return atomic_load(&traffic->drained);
 }
 
+/// Counts what streams hold, and publishes the account.
+static void
+count_memory(struct traffic *traffic)
+{
+	memory_holder_set(&traffic->streams,
+	    held_get_bytes(HELD_STREAM_OUT) + held_get_bytes(HELD_STREAM_IN) +
+		held_get_bytes(HELD_CALL));
+	counter_set(&gauge_memory_held, traffic->account.held_bytes);
+	counter_set(&gauge_memory_peak, traffic->account.peak_bytes);
+}
+
 /// Publishes the load and the requests in progress to the control thread.
 static void
 publish(void *arg)
@@ -350,6 +393,7 @@
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
+	count_memory(traffic);
 	end_drain_if_idle(traffic);
 	post_counts(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
@@ -386,13 +430,21 @@
     struct traffic_bound *bound, struct error *err)
 {
 	struct traffic *traffic = calloc(1, sizeof(*traffic));
+	struct egress_settings egress = settings->egress;
+	struct ingress_settings ingress = settings->ingress;
 
 	assert(traffic != NULL);
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
 	traffic->link = bulk_link_create(traffic->loop, settings->link_mbps);
-	traffic->egress = egress_create(traffic->loop, &settings->egress, err);
+	memory_account_init(
+	    &traffic->account, memory_account_share(settings->memory_bytes));
+	counter_set(&gauge_memory_limit, traffic->account.limit_bytes);
+	memory_account_add(&traffic->account, &traffic->streams, 0,
+	    loop_now_us(traffic->loop));
+	egress.account = ingress.account = &traffic->account;
+	traffic->egress = egress_create(traffic->loop, &egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
 	if (settings->ledger_count > 0) {
@@ -401,9 +453,8 @@
 			settings->ledger_count, settings->ingress.seed);
 		egress_set_once_client(traffic->egress, traffic->once);
 	}
-	traffic->ingress =
-	    ingress_open(traffic->loop, traffic->egress, traffic->link,
-		&settings->ingress, &bound->outer, &bound->inner, err);
+	traffic->ingress = ingress_open(traffic->loop, traffic->egress,
+	    traffic->link, &ingress, &bound->outer, &bound->inner, err);
 	if (traffic->ingress == NULL)
 		goto fail;
 	traffic->server = egress_server_open(traffic->loop, traffic->egress,
