--- a/src/core/requests/work_cost.c
+++ b/src/core/requests/work_cost.c
@@ -66,12 +66,6 @@
 	cost->total += weight;
 }
 
-double
-work_cost_samples(const struct work_cost *cost, int64_t now_us)
-{
-	return cost->total / sample_weight(cost, now_us);
-}
-
 int64_t
 work_cost_remainder_us(const struct work_cost *cost, int64_t expected_us,
     int64_t elapsed_us, int64_t now_us)
--- a/src/core/requests/work_cost.h
+++ b/src/core/requests/work_cost.h
@@ -2,10 +2,9 @@
 /// How much the time of requests in a slot differs from what was expected.
 ///
 /// Answers the load of requests that look alike and cost servers very different
-/// amounts of work: a mean does not tell how likely a request is to be late, nor
-/// how long one that has run for some time will still run. Times are recorded
-/// relative to the expectation at the time of the choice, so that the distribution
-/// also holds its errors: servers that have changed since, and neighbours.
+/// amounts of work: a mean does not tell how long one that has run for some time
+/// will still run. Times are recorded relative to the expectation at their start,
+/// so that servers of any speed add to one distribution.
 #ifndef MV_CORE_REQUESTS_WORK_COST_H
 #define MV_CORE_REQUESTS_WORK_COST_H
 
@@ -30,9 +29,6 @@
 void work_cost_record(struct work_cost *cost, int64_t time_us,
     int64_t expected_us, int64_t now_us);
 
-/// Returns the decayed number of samples.
-double work_cost_samples(const struct work_cost *cost, int64_t now_us);
-
 /// Returns how long a request is expected to run on.
 ///
 /// @param expected_us  expected at its start
