--- a/src/core/requests/balancer.c
+++ b/src/core/requests/balancer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/requests/balancer.h"
+#include "core/requests/work_left.h"
 
 #define EJECTION_FAILURES  5
 #define BASE_EJECTION_US   2000000LL
@@ -21,8 +22,8 @@
 /// after a few seconds.
 #define FAILURE_HALF_LIFE_US 2000000.0
 
-/// Half-life of the weight of a reported service time.
-#define SERVICE_HALF_LIFE_US 3000000.0
+/// Half-life of what the requests at an endpoint are reported to need.
+#define WORK_LEFT_HALF_LIFE_US 500000.0
 
 /// Half-life of a reported wait for a limit. Other proxies use what becomes free
 /// meanwhile, so that the wait does not end by itself.
@@ -124,15 +125,11 @@
 	bool sides[ROLLOUT_SIDE_BARRED]; ///< That may get it.
 };
 
-/// Weight of the reported service time of an endpoint: decays with its age.
-static double
-service_confidence(const struct endpoint *e, int64_t now_us)
-{
-	if (e->service_us == 0)
-		return 0;
-	return exp2(
-	    -(double)(now_us - e->service_reported_us) / SERVICE_HALF_LIFE_US);
-}
+/// Expected times of a request at an endpoint.
+struct expected_times {
+	int64_t until_slot_us; ///< The way there and back, and the wait.
+	int64_t service_us;    ///< In a slot.
+};
 
 int64_t
 balancer_mean_service_us(const struct balancer *b, int64_t now_us)
@@ -142,28 +139,22 @@
 	uint32_t i;
 
 	for (i = 0; i < b->count; i++) {
-		double weight = service_confidence(b->endpoints[i], now_us);
+		const struct server_speed *speed = &b->endpoints[i]->speed;
+		double weight = server_speed_confidence(speed, now_us);
 
-		sum_us += weight * (double)b->endpoints[i]->service_us;
+		sum_us += weight * (double)speed->last_us;
 		sum += weight;
 	}
 	return sum > 0 ? (int64_t)(sum_us / sum) : 0;
 }
 
-/// Mean service time at an endpoint. Its report decays towards the mean over
-/// all endpoints, so that one that was slow gets requests again.
+/// Scales a mean time over the requests of a service to a request.
 static int64_t
-effective_service_us(
-    const struct endpoint *e, const struct choice_context *q, int64_t now_us)
+scale_to_route_us(const struct choice_context *q, int64_t mean_us)
 {
-	double weight;
-
-	if (e->service_us == 0)
-		return q->mean_service_us;
-	weight = exp2(
-	    -(double)(now_us - e->service_reported_us) / SERVICE_HALF_LIFE_US);
-	return q->mean_service_us +
-	    (int64_t)(weight * (double)(e->service_us - q->mean_service_us));
+	uint32_t permille = q->request->relative_service_permille;
+
+	return permille > 0 ? mean_us * permille / PERMILLE : mean_us;
 }
 
 /// Estimates the wait for the limit that the backend server states: as reported,
@@ -188,25 +179,42 @@
 	return e->local ? -1 : q->answer_bytes;
 }
 
-/// Estimates the time until the response; 0 if no service time is known.
+/// Estimates the wait for a slot. What the requests there still need is as
+/// reported; others replace them with time.
 static int64_t
-estimate_response_us(struct endpoint *e, const struct choice_context *q,
-    int64_t load, int64_t slots, int64_t now_us)
+estimate_wait_us(const struct endpoint *e, int64_t load, int64_t slots,
+    int64_t service_us, int64_t now_us)
 {
-	int64_t relative_permille = q->request->relative_service_permille > 0
-	    ? q->request->relative_service_permille
-	    : PERMILLE;
-	int64_t service_us = effective_service_us(e, q, now_us);
+	int64_t ahead = count_queued_ahead(load, slots);
+	int64_t usual_us = ahead * service_us / slots;
+	int64_t reported_us = work_left_wait_us(
+	    e->work_left_us, e->reported_load, ahead, slots, service_us);
+
+	return usual_us +
+	    (int64_t)(exp2(-(double)(now_us - e->reported_us) /
+			  WORK_LEFT_HALF_LIFE_US) *
+		(double)(reported_us - usual_us));
+}
+
+/// Estimates the time until a slot and in it; both are 0 if no service time is
+/// known.
+static struct expected_times
+estimate_times(struct endpoint *e, const struct choice_context *q, int64_t load,
+    int64_t slots, int64_t now_us)
+{
+	struct expected_times none = {0};
+	int64_t service_us =
+	    server_speed_expect_us(&e->speed, q->mean_service_us, now_us);
 	int64_t limit_us = estimate_limit_wait_us(e, now_us);
 	int64_t wait_us;
 	int64_t model_us;
 	int64_t observed_us;
 
 	if (service_us == 0)
-		return 0;
+		return none;
 	if (e->state == BACKEND_COLD)
 		service_us = service_us * FULL_PCT / COLD_PCT;
-	wait_us = count_queued_ahead(load, slots) * service_us / slots;
+	wait_us = estimate_wait_us(e, load, slots, service_us, now_us);
 	if (wait_us < limit_us)
 		wait_us = limit_us;
 	model_us = distance_costs[e->distance].round_trip_us + wait_us;
@@ -215,7 +223,8 @@
 	// Delays that the model leaves out show in the observed times.
 	if (observed_us > 2 * (model_us + service_us))
 		model_us += observed_us - model_us - service_us;
-	return model_us + service_us * relative_permille / PERMILLE;
+	return (struct expected_times){
+	    model_us, scale_to_route_us(q, service_us)};
 }
 
 static int64_t
@@ -293,7 +302,8 @@
 /// Estimates the part of its worth that a request loses at an endpoint.
 static int64_t
 cost_permille(struct balancer *b, struct endpoint *e,
-    const struct choice_context *q, int64_t now_us, int64_t *expected_us)
+    const struct choice_context *q, int64_t now_us,
+    struct expected_times *times)
 {
 	int64_t slots = usable_slots(b, e, now_us);
 	int64_t load = current_load(e);
@@ -302,13 +312,14 @@
 	    failure_cost_permille(e, now_us) +
 	    (int64_t)random_below(&b->random, JITTER_PERMILLE);
 
-	*expected_us = estimate_response_us(e, q, load, slots, now_us);
+	*times = estimate_times(e, q, load, slots, now_us);
 	if (e->suspect)
 		cost += SUSPECT_PERMILLE;
-	if (*expected_us == 0 || q->request->deadline_left_us == 0)
+	if (times->service_us == 0 || q->request->deadline_left_us == 0)
 		return cost +
 		    count_queued_ahead(load, slots) * PERMILLE / slots;
-	return cost + lateness_cost_permille(q, *expected_us);
+	return cost +
+	    lateness_cost_permille(q, times->until_slot_us + times->service_us);
 }
 
 static bool
@@ -365,7 +376,7 @@
 
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
-		int64_t expected_us;
+		struct expected_times times;
 		int64_t busy_us;
 		int64_t cost;
 
@@ -380,12 +391,13 @@
 			continue;
 		}
 		choice.candidates++;
-		cost = cost_permille(b, e, q, now_us, &expected_us);
+		cost = cost_permille(b, e, q, now_us, &times);
 		if (cost >= choice.cost_permille)
 			continue;
 		choice.endpoint = e;
 		choice.cost_permille = cost;
-		choice.expected_us = expected_us;
+		choice.expected_us = times.until_slot_us + times.service_us;
+		choice.service_us = times.service_us;
 	}
 	return choice;
 }
@@ -548,13 +560,12 @@
 balancer_report(
     struct endpoint *e, const struct balancer_report *report, int64_t now_us)
 {
-	if (report->service_us > 0) {
-		e->service_us = report->service_us;
-		e->service_reported_us = now_us;
-	}
+	if (report->service_us > 0)
+		server_speed_report(&e->speed, report->service_us, now_us);
 	e->reported_load = report->running + report->queued;
 	e->reported_us = now_us;
 	e->outstanding_at_report = e->outstanding;
+	e->work_left_us = report->work_left_us;
 	e->limit_milli = report->limit_milli;
 	e->limit_wait_us = report->limit_wait_us;
 }
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -115,6 +115,7 @@
 		egress->on_slot_free(egress);
 		return;
 	}
+	egress_record_cost(r, now_us);
 	admission_finish(&egress->admission, &r->item, now_us);
 	if (err == NULL)
 		egress_link_record_answer(r);
