--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -382,13 +382,12 @@
 
 /// Keeps the shortest target of a rank's requests until it has an answer.
 static void
-note_unseen_target(
-    struct admission_rank *r, const struct admission_item *item, int64_t now_us)
+note_unseen_target(struct admission_rank *r, const struct admission_item *item,
+    int64_t now_us)
 {
 	int64_t target_us = item->target_deadline_us - now_us;
 
-	if (r->service_us > 0 || item->service_us > 0 || item->begun ||
-	    target_us <= 0)
+	if (r->service_us > 0 || item->begun || target_us <= 0)
 		return;
 	if (r->unseen_target_us == 0 || target_us < r->unseen_target_us)
 		r->unseen_target_us = target_us;
