fix(egress): a key that becomes free starts no call without a slot

A request whose key another attempt held had given up its slot; a later verdict 'granted' started its call all the same, and its end released a slot that it did not have.

Solution: it ends as not run and releases the claim, as when the ledger answers that the key is free.

--- a/src/proxy/egress/work.c
+++ b/src/proxy/egress/work.c
@@ -50,7 +50,13 @@
 
 	r->key_was_free = verdict == ONCE_GRANTED || verdict == ONCE_FREE;
 	if (verdict == ONCE_GRANTED) {
-		if (egress->backend.address[0] == '\0')
+		// While it waited for another attempt it gave up its slot; the
+		// key became free meanwhile.
+		if (!r->item.running) {
+			egress_end_not_run(
+			    r, 503, 0, "the key's first attempt did not run");
+			egress_run_queued(egress);
+		} else if (egress->backend.address[0] == '\0')
 			egress_end_not_run(r, 503, 0, "no backend server");
 		else
 			egress_start_call(r);
