--- a/src/core/requests/balancer_view.c
+++ b/src/core/requests/balancer_view.c
@@ -77,9 +77,10 @@
 	e->ejections = 0;
 	e->ejected_until_deadline_us = 0;
 	e->failures = e->responses = 0;
-	e->service_us = 0;
+	memset(&e->speed, 0, sizeof(e->speed));
 	e->limit_milli = 0;
 	e->reported_load = 0;
+	e->work_left_us = 0;
 	e->outstanding_at_report = 0;
 	e->slow_start_deadline_us =
 	    b->slow_start_active ? now_us + b->slow_start_us : 0;
@@ -127,7 +128,7 @@
 	for (i = 0; i < b->count; i++) {
 		struct endpoint *e = b->endpoints[i];
 
-		if (e->present || e->outstanding > 0 ||
+		if (e->present || e->outstanding > 0 || e->answers > 0 ||
 		    e->terms_deadline_us > now_us)
 			b->endpoints[kept++] = e;
 		else
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -28,6 +28,8 @@
 GAUGE_DEFINE(gauge_memory_limit, "memory_account_limit_bytes",
     "Limit at which holders of memory give way");
 GAUGE_DEFINE(gauge_queued, "egress_waiting", "Requests queued now");
+GAUGE_DEFINE(gauge_work, "egress_work_left_ms",
+    "Slot time that the requests in slots and queues still need");
 
 struct traffic {
 	struct loop *loop;
@@ -194,6 +196,24 @@
 	loop_post(traffic->loop, apply_incarnation, command);
 }
 
+static void
+apply_leave(void *arg)
+{
+	struct command *command = arg;
+
+	ingress_leave(command->traffic->ingress, command->deadline_us);
+	free(command);
+}
+
+void
+traffic_post_leave(struct traffic *traffic, int64_t deadline_us)
+{
+	struct command *command = command_create(traffic);
+
+	command->deadline_us = deadline_us;
+	loop_post(traffic->loop, apply_leave, command);
+}
+
 static void
 apply_drain(void *arg)
 {
@@ -386,6 +406,8 @@
 	egress_get_load(traffic->egress, &queued, &running, &load_pct);
 	counter_set(&gauge_running, running);
 	counter_set(&gauge_queued, queued);
+	counter_set(
+	    &gauge_work, egress_get_work_left_us(traffic->egress) / US_PER_MS);
 	atomic_store(&traffic->load_pct, load_pct);
 	atomic_store(&traffic->active_count,
 	    queued + running + ingress_active_count(traffic->ingress));
@@ -443,6 +465,7 @@
 	traffic->egress = egress_create(traffic->loop, &egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
+	egress_set_link(traffic->egress, traffic->link);
 	if (settings->ledger_count > 0) {
 		traffic->once =
 		    once_client_create(traffic->loop, settings->ledgers,
