--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -18,6 +18,10 @@
 #define MIN_PIECE_BYTES 4096
 #define MAX_PIECE_BYTES 65536
 
+/// A body that leaves later than this before its target does not reach its caller
+/// in time: what is on its way to the link, and the ingress, take as long.
+#define ARRIVAL_MARGIN_US 20000
+
 /// Packets of a stream: data and heads, IP included.
 #define PACKET_DATA_BYTES 1448
 #define PACKET_HEAD_BYTES 52
@@ -87,6 +91,29 @@
 	s->queued_bytes -= flow->queued_bytes;
 }
 
+void
+link_schedule_expect(struct link_schedule *s, struct link_flow *flow)
+{
+	flow->prev = NULL;
+	flow->next = s->first_expected;
+	if (flow->next != NULL)
+		flow->next->prev = flow;
+	s->first_expected = flow;
+	s->expected_bytes += flow->left_bytes;
+}
+
+void
+link_schedule_unexpect(struct link_schedule *s, struct link_flow *flow)
+{
+	if (flow->prev != NULL)
+		flow->prev->next = flow->next;
+	else
+		s->first_expected = flow->next;
+	if (flow->next != NULL)
+		flow->next->prev = flow->prev;
+	s->expected_bytes -= flow->left_bytes;
+}
+
 void
 link_schedule_queue(
     struct link_schedule *s, struct link_flow *flow, int64_t size_bytes)
@@ -116,14 +143,26 @@
 	return (int64_t)((double)packed_bytes(size_bytes) / s->bytes_per_us);
 }
 
-/// Whether a flow can still meet its target if it has the link for itself.
-static bool
-meets_target(
+/// What a flow can still reach if it has the link for itself.
+enum link_reach {
+	REACH_NOTHING, ///< Its caller will have left.
+	REACH_DEADLINE,
+	REACH_TARGET,
+};
+
+static enum link_reach
+find_reach(
     const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
 {
-	return flow->target_deadline_us == 0 ||
-	    now_us + link_schedule_transfer_us(s, flow->left_bytes) <=
-	    flow->target_deadline_us;
+	int64_t arrival_us =
+	    now_us + link_schedule_transfer_us(s, flow->left_bytes);
+
+	if (flow->target_deadline_us == 0 ||
+	    arrival_us + ARRIVAL_MARGIN_US <= flow->target_deadline_us)
+		return REACH_TARGET;
+	return flow->deadline_us == 0 || arrival_us <= flow->deadline_us
+	    ? REACH_DEADLINE
+	    : REACH_NOTHING;
 }
 
 /// Whether a flow goes before another. The first one added goes before its
@@ -132,15 +171,19 @@
 goes_before(const struct link_schedule *s, const struct link_flow *flow,
     const struct link_flow *other, int64_t now_us)
 {
-	bool meets = meets_target(s, flow, now_us);
+	enum link_reach reach = find_reach(s, flow, now_us);
+	enum link_reach other_reach = find_reach(s, other, now_us);
 
 	if (flow->begun != other->begun)
 		return flow->begun;
 	if (flow->worth != other->worth)
 		return flow->worth > other->worth;
-	if (meets != meets_target(s, other, now_us))
-		return meets;
-	return flow->target_deadline_us < other->target_deadline_us;
+	if (reach != other_reach)
+		return reach > other_reach;
+	if (reach == REACH_TARGET)
+		return flow->target_deadline_us < other->target_deadline_us;
+	// Late bodies get what others leave: as many as possible arrive.
+	return flow->left_bytes < other->left_bytes;
 }
 
 struct link_flow *
@@ -164,9 +207,7 @@
 	struct link_flow *flow;
 
 	for (flow = s->first; flow != NULL; flow = flow->next)
-		if (flow->deadline_us != 0 &&
-		    now_us + link_schedule_transfer_us(s, flow->left_bytes) >
-			flow->deadline_us)
+		if (flow->deadline_us != 0 && now_us > flow->deadline_us)
 			return flow;
 	return NULL;
 }
@@ -193,12 +234,43 @@
 	return over_bytes > 0 ? (int64_t)(over_bytes / s->bytes_per_us) + 1 : 0;
 }
 
+/// Bytes of a list of flows that go before another.
+static int64_t
+count_ahead(const struct link_schedule *s, const struct link_flow *list,
+    const struct link_flow *flow, int64_t now_us)
+{
+	int64_t ahead_bytes = 0;
+
+	for (; list != NULL; list = list->next)
+		if (!goes_before(s, flow, list, now_us))
+			ahead_bytes += list->left_bytes;
+	return ahead_bytes;
+}
+
+int64_t
+link_schedule_ahead_us(
+    struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
+{
+	if (s->bytes_per_us <= 0)
+		return 0;
+	update_backlog(s, now_us);
+	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
+	    link_schedule_transfer_us(s,
+		count_ahead(s, s->first, flow, now_us) +
+		    count_ahead(s, s->first_expected, flow, now_us));
+}
+
 int64_t
-link_schedule_backlog_us(struct link_schedule *s, int64_t now_us)
+link_schedule_all_us(struct link_schedule *s, int64_t now_us)
 {
+	int64_t left_bytes = s->expected_bytes;
+	const struct link_flow *flow;
+
 	if (s->bytes_per_us <= 0)
 		return 0;
 	update_backlog(s, now_us);
+	for (flow = s->first; flow != NULL; flow = flow->next)
+		left_bytes += flow->left_bytes;
 	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
-	    link_schedule_transfer_us(s, s->queued_bytes);
+	    link_schedule_transfer_us(s, left_bytes);
 }
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -196,6 +196,24 @@
 	loop_post(traffic->loop, apply_incarnation, command);
 }
 
+static void
+apply_leave(void *arg)
+{
+	struct command *command = arg;
+
+	ingress_leave(command->traffic->ingress, command->deadline_us);
+	free(command);
+}
+
+void
+traffic_post_leave(struct traffic *traffic, int64_t deadline_us)
+{
+	struct command *command = command_create(traffic);
+
+	command->deadline_us = deadline_us;
+	loop_post(traffic->loop, apply_leave, command);
+}
+
 static void
 apply_drain(void *arg)
 {
@@ -447,6 +465,7 @@
 	traffic->egress = egress_create(traffic->loop, &egress, err);
 	if (traffic->egress == NULL)
 		goto fail;
+	egress_set_link(traffic->egress, traffic->link);
 	if (settings->ledger_count > 0) {
 		traffic->once =
 		    once_client_create(traffic->loop, settings->ledgers,
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -294,7 +294,7 @@
 	struct list headers;   ///< of struct message_header
 	struct bytes body;
 	int64_t work_left_us; ///< Slot time that the server still has to give.
-	int64_t link_wait_us; ///< Until queued bodies have left this VM.
+	uint32_t link_full;   ///< Refused: its link has no room for the answer.
 };
 
 /// A part of the body of a request or response.
@@ -338,7 +338,6 @@
 	uint32_t limit_milli; ///< As in struct message_response.
 	int64_t limit_wait_us;
 	int64_t work_left_us;
-	int64_t link_wait_us;
 };
 
 struct message_raft_entry {
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -242,7 +242,7 @@
     N(message_response, LIST, headers, &header_schema),
     F(message_response, BYTES, body),
     F(message_response, TIME, work_left_us),
-    F(message_response, TIME, link_wait_us),
+    F(message_response, U32, link_full),
 };
 static const struct codec_schema response_schema =
     CODEC_SCHEMA(struct message_response, response_fields);
@@ -293,7 +293,6 @@
     F(message_heartbeat, U32, limit_milli),
     F(message_heartbeat, TIME, limit_wait_us),
     F(message_heartbeat, TIME, work_left_us),
-    F(message_heartbeat, TIME, link_wait_us),
 };
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
