revert: the rest of a queue without answers

The stand-in writes the workspace only where there is one, so that the expected output of odd_targets holds.

--- a/src/core/requests/admission.c
+++ b/src/core/requests/admission.c
@@ -21,10 +21,6 @@
 /// A request may wait for the time left beside its service, divided by this.
 #define WAIT_DIVISOR 2
 
-/// A request of which nothing is known is assumed to take the time until its target
-/// divided by this.
-#define UNSEEN_DIVISOR 2
-
 /// Starts that the limit allows within this time may come at once. Short, so that
 /// the limit holds within each second.
 #define LIMIT_BURST_US 250000LL
@@ -279,28 +275,13 @@
 	flow_enter(&a->slot_time, now_us);
 }
 
-/// Estimates the time in a slot for the decisions that follow from it. A process
-/// that has just started has seen none of its rank: then the mean of all ranks
-/// counts, or, without any answer yet, a part of the time that callers expect to
-/// wait. A short guess would admit a queue for seconds before the first answer.
-static int64_t
-assume_service_us(const struct admission *a, const struct admission_rank *r)
-{
-	if (r->service_us > 0)
-		return r->service_us;
-	if (a->slot_time.long_mean_us > 0)
-		return (int64_t)a->slot_time.long_mean_us;
-	return r->unseen_target_us > 0 ? r->unseen_target_us / UNSEEN_DIVISOR
-				       : admission_rank_service_us(r);
-}
-
 /// Estimates the time between starts of a rank while its queue is not empty.
 static int64_t
 estimate_interval_us(const struct admission *a, const struct admission_rank *r)
 {
 	int64_t interval_us = r->interval_us > 0
 	    ? r->interval_us
-	    : assume_service_us(a, r) / a->slots;
+	    : admission_rank_service_us(r) / a->slots;
 
 	return interval_us > a->start_cost_us ? interval_us : a->start_cost_us;
 }
@@ -365,7 +346,7 @@
 	const struct admission_rank *r = &a->ranks[item->rank];
 	int64_t service_us = item->service_us > 0
 	    ? item->service_us
-	    : scale_by_pace(a, assume_service_us(a, r), now_us);
+	    : scale_by_pace(a, admission_rank_service_us(r), now_us);
 	int64_t left_us = item->deadline_us - now_us - service_us;
 	int64_t target_left_us;
 
@@ -380,19 +361,6 @@
 	return target_left_us < left_us ? target_left_us : left_us;
 }
 
-/// Keeps the shortest target of a rank's requests until it has an answer.
-static void
-note_unseen_target(struct admission_rank *r, const struct admission_item *item,
-    int64_t now_us)
-{
-	int64_t target_us = item->target_deadline_us - now_us;
-
-	if (r->service_us > 0 || item->begun || target_us <= 0)
-		return;
-	if (r->unseen_target_us == 0 || target_us < r->unseen_target_us)
-		r->unseen_target_us = target_us;
-}
-
 enum admission_verdict
 admission_offer(struct admission *a, struct admission_item *item,
     int64_t now_us, int64_t *retry_us)
@@ -409,7 +377,6 @@
 	item->over_share = fair_queue_is_over_share(
 	    &r->fair, item->fair_tag_us, admission_fair_cost_us(a, item));
 	item->overtaken = false;
-	note_unseen_target(r, item, now_us);
 	*retry_us = 0;
 	if (item->deadline_us <= now_us)
 		return ADMISSION_REFUSED;
--- a/src/core/requests/admission.h
+++ b/src/core/requests/admission.h
@@ -79,8 +79,6 @@
 	uint32_t running;
 	int64_t credit_us;  ///< Unused slot time of the reserved share.
 	int64_t service_us; ///< Moving average of the service time.
-	/// Shortest target of a request until the first answer; 0: none.
-	int64_t unseen_target_us;
 	/// Moving average of the time between starts while the queue was not
 	/// empty.
 	int64_t interval_us;
--- a/test/fakes/odd_server.pl
+++ b/test/fakes/odd_server.pl
@@ -143,9 +143,9 @@
 	}
 	substr $$in, 0, $left, "";
 	my $workspaces = join ",",
-	    map { "workspace=$_" } $head =~ /(?:Tenant|Workspace): (\S+)/gi;
+	    map { " workspace=$_" } $head =~ /(?:Tenant|Workspace): (\S+)/gi;
 	$workspaces .= " KEY" if $head =~ /^(?:X-Magnoliavalve|Magnolia)-Key:/mi;
-	printf "%s %s %d %s %s\n", $method, $path, $count - 1, $caller,
+	printf "%s %s %d %s%s\n", $method, $path, $count - 1, $caller,
 	    $workspaces unless $set{not};
 	select undef, undef, undef, $set{wait} if $set{wait};
 	answer($client, $head, %set);
