fix(requests): what a request still needs is finite, however long it runs

Problem: a request that ran for a thousand times its expected time, or a route without requests for eight hours, had a remainder of 0/0. It left the proxy as a time out of range, so that the ingress broke the stream, and the requests that waited there got 502 or 503.

Solution: beyond all that is known a request may go on for as long as it has; samples are scaled to the present instead of the prior to the epoch.

--- a/src/core/requests/work_cost.c
+++ b/src/core/requests/work_cost.c
@@ -8,6 +8,9 @@
 #define MAX_SCALE     1e6
 #define HALF_LIFE_US  30000000.0
 
+/// Samples and prior beyond an age count as none below this.
+#define MIN_COUNT 1e-9
+
 /// Number of samples that weigh as much as the prior.
 #define PRIOR_WEIGHT 16.0
 
@@ -71,7 +74,7 @@
     int64_t elapsed_us, int64_t now_us)
 {
 	// Without samples, requests are taken to end at a constant rate.
-	double prior = PRIOR_WEIGHT * sample_weight(cost, now_us);
+	double weight = sample_weight(cost, now_us); // May be infinite.
 	double relative = (double)elapsed_us / (double)expected_us;
 	double count;
 	double sum;
@@ -81,14 +84,17 @@
 		return 0;
 	if (cost->total <= 0)
 		return expected_us;
-	count = sum = prior * exp(-relative);
+	count = sum = PRIOR_WEIGHT * exp(-relative);
 	for (i = 0; i < WORK_COST_BUCKETS; i++) {
 		double middle = bucket_middle(i);
 
 		if (middle <= relative)
 			continue;
-		count += cost->counts[i];
-		sum += cost->counts[i] * (middle - relative);
+		count += cost->counts[i] / weight;
+		sum += cost->counts[i] / weight * (middle - relative);
 	}
+	// Beyond all that is known, it may go on for as long as it has.
+	if (count < MIN_COUNT)
+		return elapsed_us;
 	return (int64_t)(sum / count * (double)expected_us);
 }
--- a/test/unit/test_work_cost.c
+++ b/test/unit/test_work_cost.c
@@ -60,6 +60,25 @@
 	    80 * MS_US, 110 * MS_US);
 }
 
+/// A request that goes on far beyond all that is known, and one of a route that was
+/// not used for days, still have a remainder that a report can carry.
+static void
+test_remainder_is_finite(void **state)
+{
+	struct work_cost cost = {0};
+	int64_t days_us = 3 * 24 * 3600 * S_US;
+
+	(void)state;
+	learn_heavy_tail(&cost, S_US);
+	assert_in_range(work_cost_remainder_us(&cost, 200, 3 * S_US, S_US),
+	    S_US, 10 * S_US);
+	assert_int_equal(
+	    work_cost_remainder_us(&cost, 94 * MS_US, 0, days_us), 94 * MS_US);
+	work_cost_record(&cost, 80 * MS_US, 94 * MS_US, days_us);
+	assert_in_range(work_cost_remainder_us(&cost, 94 * MS_US, 0, days_us),
+	    80 * MS_US, 100 * MS_US);
+}
+
 /// Adds a slow server "a" in the data centre and a quick one "b" in the next.
 static void
 add_unequal(struct balancer *b)
@@ -161,6 +180,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_heavy_tail),
 	    cmocka_unit_test(test_samples_decay),
+	    cmocka_unit_test(test_remainder_is_finite),
 	    cmocka_unit_test(test_slow_server_is_remembered),
 	    cmocka_unit_test(test_wait_follows_work),
 	};
