fix(requests): an answer in time is in time for its deadline too

Problem: where a rank's target is later than a request's deadline, a body that could not arrive was accepted as one in time (functional.slow_link).

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -31,7 +31,8 @@
 	if (way_us < q->service_us)
 		way_us = q->service_us;
 	way_us += link_schedule_transfer_us(s, q->answer_bytes);
-	if (!q->begun && now_us + way_us <= q->target_deadline_us)
+	if (!q->begun && now_us + way_us <= q->target_deadline_us &&
+	    now_us + way_us <= q->deadline_us)
 		return true;
 	way_us = link_schedule_all_us(s, now_us);
 	if (way_us < q->service_us)
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -157,12 +157,12 @@
 	int64_t arrival_us =
 	    now_us + link_schedule_transfer_us(s, flow->left_bytes);
 
-	if (flow->target_deadline_us == 0 ||
-	    arrival_us + ARRIVAL_MARGIN_US <= flow->target_deadline_us)
-		return REACH_TARGET;
-	return flow->deadline_us == 0 || arrival_us <= flow->deadline_us
-	    ? REACH_DEADLINE
-	    : REACH_NOTHING;
+	if (flow->deadline_us != 0 && arrival_us > flow->deadline_us)
+		return REACH_NOTHING;
+	return flow->target_deadline_us == 0 ||
+		arrival_us + ARRIVAL_MARGIN_US <= flow->target_deadline_us
+	    ? REACH_TARGET
+	    : REACH_DEADLINE;
 }
 
 /// Whether a flow goes before another. The first one added goes before its
