--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -58,9 +58,12 @@
 	free(text);
 	if (rules == NULL)
 		return CTL_REFUSED;
-	printf("%s: version %" PRIu64 ", %u ranks, %u services, %u routes\n",
+	printf("%s: version %" PRIu64 ", %u ranks, %u services, %u routes",
 	    ctl->args[0], rules->version, rules->rank_count,
 	    rules->service_count, rules->route_count);
+	if (rules->workspace_count > 0)
+		printf(", %u workspaces", rules->workspace_count);
+	printf("\n");
 	rules_unref(rules);
 	return CTL_OK;
 }
--- a/src/proxy/ingress/quota.c
+++ b/src/proxy/ingress/quota.c
@@ -45,12 +45,20 @@
 	    retry_us, "its workspace is at its limit");
 }
 
+static bool
+can_ask(const struct quota_client *q)
+{
+	return q->udp.loop != NULL &&
+	    (q->has_accountant || q->source_count > 0);
+}
+
 static void
 set_timer(struct ingress *ingress)
 {
 	struct quota_client *q = &ingress->quota;
 	int64_t now_us = loop_now_us(ingress->loop);
-	int64_t at_us = quota_share_ask_deadline_us(&q->share);
+	int64_t at_us =
+	    can_ask(q) ? quota_share_ask_deadline_us(&q->share) : INT64_MAX;
 
 	if (q->first != NULL && at_us > now_us + CHECK_PERIOD_US)
 		at_us = now_us + CHECK_PERIOD_US;
@@ -66,8 +74,7 @@
 {
 	if (q->has_accountant)
 		return &q->accountant;
-	return q->source_count == 0 ? NULL
-				    : &q->sources[q->turn++ % q->source_count];
+	return &q->sources[q->turn++ % q->source_count];
 }
 
 static void
@@ -78,11 +85,10 @@
 	struct message_quota_item items[MAX_ITEMS];
 	struct message_quota_ask m = {
 	    .sender = ingress->settings.incarnation, .items = {items, 0}};
-	const struct address *to = choose_source(q);
 	msgpack_sbuffer out;
 	uint32_t i;
 
-	if (to == NULL)
+	if (!can_ask(q))
 		return;
 	m.items.count = quota_share_compose_ask(&q->share, asks, MAX_ITEMS,
 	    loop_now_us(ingress->loop), &m.sequence);
@@ -98,8 +104,8 @@
 	msgpack_sbuffer_init(&out);
 	message_pack(&out, MESSAGE_QUOTA_ASK, &m);
 	if (out.size <= DATAGRAM_MAX_BYTES)
-		datagram_send(
-		    &q->udp, to, MESSAGE_QUOTA_ASK, out.data, out.size);
+		datagram_send(&q->udp, choose_source(q), MESSAGE_QUOTA_ASK,
+		    out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
 
