fix(ingress): a leaving proxy takes an answer of unknown size for a long one

A leaving proxy refuses a request whose long answer may outlast it, by the usual size of the answers of its route. Where that was not known, the answer counted as short: at a proxy that had just started, on a route that it had not used, and always where long answers have no length in their heads, since only heads were recorded.

Solution: an unknown size counts as long, and an answer without a length is recorded when it has arrived whole. Long answers depend on the link of another VM, which nobody can promise; a refusal that states 'not run' lets the caller go elsewhere at once.

--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -265,6 +265,8 @@
 	if (r->exchange != NULL)
 		ingress_log_answer_end(
 		    r, m->failed ? "the egress ended it" : NULL);
+	if (!m->failed)
+		ingress_record_answer_end(r);
 	ingress_attempt_end(r, m->failed);
 	if (r->exchange != NULL) {
 		http_exchange_respond_end(r->exchange, !m->failed);
--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -126,9 +126,20 @@
 {
 	int64_t size_bytes = m->more ? m->total_bytes : m->body.size_bytes;
 
-	if (m->outcome == OUTCOME_ANSWERED && m->status >= 200 &&
-	    m->status < 300 && size_bytes >= 0 && r->exchange != NULL &&
-	    strcmp(r->exchange->method, "HEAD") != 0)
+	if (m->outcome != OUTCOME_ANSWERED || m->status < 200 ||
+	    m->status >= 300 || r->exchange == NULL ||
+	    strcmp(r->exchange->method, "HEAD") == 0)
+		return;
+	r->answer_unsized = size_bytes < 0;
+	if (!r->answer_unsized)
 		answer_size_record(
 		    &ingress_get_route_stats(r)->answer_size, size_bytes);
 }
+
+void
+ingress_record_answer_end(struct ingress_request *r)
+{
+	if (r->answer_unsized)
+		answer_size_record(
+		    &ingress_get_route_stats(r)->answer_size, r->answer_bytes);
+}
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -83,6 +83,7 @@
 	int64_t stated_left_us; ///< Until the caller's deadline; 0: not stated.
 	bool returned;		///< The caller was refused before.
 	int64_t answer_bytes;	///< Of the body of the response, received.
+	bool answer_unsized;	///< Its head does not tell its length.
 	uint32_t service;	///< Index; drawn from the route's targets.
 	/// Decides between the versions of the service; see rollout_table.h.
 	uint32_t rollout_draw_permille;
@@ -197,9 +198,13 @@
     struct ingress_request *r, const struct message_response *m);
 
 /// Records the size of an answer of the request's route, if its head tells it.
+/// Otherwise ingress_record_answer_end does.
 void ingress_record_answer_size(
     struct ingress_request *r, const struct message_response *m);
 
+/// Records the size of an answer that has arrived whole, unless its head told it.
+void ingress_record_answer_end(struct ingress_request *r);
+
 // conclude.c
 
 /// Ends the request: responds unless the caller is gone, and frees it. The
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -162,6 +162,16 @@
 	r->target_deadline_us -= age_us;
 }
 
+/// Whether the answer is known to be short, so that no link holds it up.
+static bool
+is_answer_short(struct ingress_request *r)
+{
+	int64_t size_bytes =
+	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size);
+
+	return size_bytes >= 0 && size_bytes <= LINK_SHORT_BYTES;
+}
+
 /// Whether the request may be in progress when this process ends. A long answer
 /// depends on links as well, so that it is refused from the first sign on.
 static bool
@@ -170,9 +180,7 @@
 	const struct ingress *ingress = r->ingress;
 	int64_t end_us = ingress->drain_deadline_us;
 
-	if (end_us == 0 &&
-	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size) >
-		LINK_SHORT_BYTES)
+	if (end_us == 0 && !is_answer_short(r))
 		end_us = ingress->leave_deadline_us;
 	return end_us != 0 && r->deadline_us > end_us - DRAIN_MARGIN_US;
 }
