fix(links): egresses learn that an ingress leaves, and answer it first

Problem: callers received the start of a download and then a closed connection (LOST under planned work): it was accepted before the SIGTERM of its ingress, or after it as usually short, and waited at the link of the VM beside the server behind answers to others until the process ended, 5.75 s after the signal. The order on a link goes by the deadlines of callers, and nothing there says that the receiver ends before them.

Solution: a message tells each egress when the process ends. Answers to it go first as long as they can arrive, and requests that do not run yet are started only if they can be answered before. An egress that leaves itself prefers what can still leave.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -15,6 +15,7 @@
 	    .begun = q->begun,
 	    .target_deadline_us = q->target_deadline_us,
 	    .deadline_us = q->deadline_us,
+	    .receiver_end_us = q->receiver_end_us,
 	    .left_bytes = q->answer_bytes};
 	int64_t left_us;
 	int64_t way_us;
--- a/src/core/requests/link_admission.h
+++ b/src/core/requests/link_admission.h
@@ -22,6 +22,7 @@
 	bool begun;
 	int64_t target_deadline_us; ///< 0: not known.
 	int64_t deadline_us;
+	int64_t receiver_end_us; ///< As in struct link_flow.
 };
 
 /// Decides whether the answer of a request can be carried by its target, or else
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -150,6 +150,12 @@
 	REACH_TARGET,
 };
 
+static bool
+is_past(int64_t time_us, int64_t end_us)
+{
+	return end_us != 0 && time_us > end_us;
+}
+
 static enum link_reach
 find_reach(
     const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
@@ -157,7 +163,9 @@
 	int64_t arrival_us =
 	    now_us + link_schedule_transfer_us(s, flow->left_bytes);
 
-	if (flow->deadline_us != 0 && arrival_us > flow->deadline_us)
+	if (is_past(arrival_us, flow->deadline_us) ||
+	    is_past(arrival_us, flow->receiver_end_us) ||
+	    is_past(arrival_us, s->end_us))
 		return REACH_NOTHING;
 	return flow->target_deadline_us == 0 ||
 		arrival_us + ARRIVAL_MARGIN_US <= flow->target_deadline_us
@@ -173,7 +181,14 @@
 {
 	enum link_reach reach = find_reach(s, flow, now_us);
 	enum link_reach other_reach = find_reach(s, other, now_us);
-
+	int64_t end_us = reach == REACH_NOTHING ? 0 : flow->receiver_end_us;
+	int64_t other_end_us =
+	    other_reach == REACH_NOTHING ? 0 : other->receiver_end_us;
+
+	// What a proxy lacks when it ends is cut; what others get is only late.
+	if (end_us != other_end_us)
+		return other_end_us == 0 ||
+		    (end_us != 0 && end_us < other_end_us);
 	if (flow->begun != other->begun)
 		return flow->begun;
 	if (flow->worth != other->worth)
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -21,17 +21,20 @@
 	bool blocked;	///< Its stream takes nothing at present.
 	int64_t target_deadline_us; ///< Later it loses worth; 0: not known.
 	int64_t deadline_us;	    ///< Later it is of no use; 0: not known.
-	int64_t queued_bytes;	    ///< Here and not sent.
+	/// End of the proxy that gets it, which leaves; 0: it stays.
+	int64_t receiver_end_us;
+	int64_t queued_bytes; ///< Here and not sent.
 	/// Not sent, with the part that has not arrived here yet. At least
 	/// queued_bytes.
 	int64_t left_bytes;
 };
 
 struct link_schedule {
-	double bytes_per_us;	 ///< What the link carries; 0: not known.
-	double backlog_bytes;	 ///< Sent, and not carried yet.
-	int64_t updated_us;	 ///< Time of backlog_bytes.
-	int64_t queued_bytes;	 ///< Of all flows.
+	double bytes_per_us;  ///< What the link carries; 0: not known.
+	double backlog_bytes; ///< Sent, and not carried yet.
+	int64_t updated_us;   ///< Time of backlog_bytes.
+	int64_t end_us;	      ///< End of this proxy, once it leaves; 0: none.
+	int64_t queued_bytes; ///< Of all flows.
 	struct link_flow *first; ///< In the order in which they were added.
 	struct link_flow *last;
 	/// Answers of requests that wait or run here, with their usual sizes.
@@ -67,9 +70,9 @@
 void link_schedule_take(
     struct link_schedule *s, struct link_flow *flow, int64_t size_bytes);
 
-/// Chooses the flow that sends the next piece: begun work first, then the
-/// highest worth, then what can still meet its target, nearest target first, then
-/// the shortest.
+/// Chooses the flow that sends the next piece: first what can still reach a proxy
+/// that leaves, then begun work, then the highest worth, then what can still meet its
+/// target, nearest target first, then the shortest.
 ///
 /// @return NULL if nothing can be sent now
 struct link_flow *link_schedule_next(struct link_schedule *s, int64_t now_us);
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -303,6 +303,26 @@
 		stream->pacer = &link->pacer;
 }
 
+void
+bulk_link_set_end(struct bulk_link *link, int64_t end_us)
+{
+	if (link != NULL)
+		link->schedule.end_us = end_us;
+}
+
+void
+bulk_link_set_receiver_end(
+    struct bulk_link *link, const struct stream *stream, int64_t end_us)
+{
+	struct link_flow *flow;
+
+	if (link == NULL)
+		return;
+	for (flow = link->schedule.first; flow != NULL; flow = flow->next)
+		if (((struct bulk_body *)flow)->stream == stream)
+			flow->receiver_end_us = end_us;
+}
+
 struct bulk_body *
 bulk_body_open(struct bulk_link *link, struct stream *stream, uint64_t id,
     const struct bulk_terms *terms)
@@ -320,6 +340,7 @@
 	body->flow.begun = terms->begun;
 	body->flow.target_deadline_us = terms->target_deadline_us;
 	body->flow.deadline_us = terms->deadline_us;
+	body->flow.receiver_end_us = terms->receiver_end_us;
 	if (terms->total_bytes > 0)
 		body->flow.left_bytes = terms->total_bytes;
 	link_schedule_add(&link->schedule, &body->flow);
--- a/src/io/net/bulk.h
+++ b/src/io/net/bulk.h
@@ -22,6 +22,7 @@
 	bool begun;
 	int64_t target_deadline_us; ///< 0: not known.
 	int64_t deadline_us;	    ///< 0: not known.
+	int64_t receiver_end_us;    ///< As in struct link_flow.
 	int64_t total_bytes;	    ///< Length of the body; -1: not known.
 	/// Called when a body is ended since it cannot arrive in time. May be
 	/// NULL; never called after the stream was closed.
@@ -38,6 +39,13 @@
 /// Makes a stream count on the link. Does nothing without a link.
 void bulk_link_attach(struct bulk_link *link, struct stream *stream);
 
+/// Sets when this process ends, which leaves.
+void bulk_link_set_end(struct bulk_link *link, int64_t end_us);
+
+/// Sets when the proxy at the other end of a stream ends, for the bodies on it.
+void bulk_link_set_receiver_end(
+    struct bulk_link *link, const struct stream *stream, int64_t end_us);
+
 /// Begins a body. It follows all messages sent before.
 struct bulk_body *bulk_body_open(struct bulk_link *link, struct stream *stream,
     uint64_t id, const struct bulk_terms *terms);
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -142,6 +142,24 @@
 	egress_run_queued(egress);
 }
 
+void
+egress_set_sink_end(
+    struct egress *egress, struct egress_sink *sink, int64_t end_us)
+{
+	struct egress_request *r;
+
+	sink->end_us = end_us;
+	for (r = egress->first; r != NULL; r = r->next) {
+		if (r->sink != sink)
+			continue;
+		if (r->state == REQUEST_RUNNING)
+			r->answer.receiver_end_us = end_us;
+		else
+			egress_request_apply_end(r);
+	}
+	egress_run_queued(egress);
+}
+
 void
 egress_detach_sink(struct egress *egress, struct egress_sink *sink)
 {
--- a/src/proxy/egress/egress.h
+++ b/src/proxy/egress/egress.h
@@ -37,7 +37,8 @@
 	const struct egress_sink_ops *ops;
 	char origin[MEMBER_NAME_BYTES];
 	uint64_t origin_incarnation;
-	bool local; ///< On this VM: what it gets needs no link.
+	bool local;	///< On this VM: what it gets needs no link.
+	int64_t end_us; ///< End of its process, which leaves; 0: it stays.
 };
 
 /// The backend server on the same VM, as it announced itself.
@@ -142,6 +143,11 @@
 /// can retry them elsewhere.
 void egress_refuse_waiting(struct egress *egress, const char *why);
 
+/// Sets when the process of a sink ends, which leaves. Its requests have to be
+/// answered a while before.
+void egress_set_sink_end(
+    struct egress *egress, struct egress_sink *sink, int64_t end_us);
+
 /// Detaches a closed sink from its requests. Requests that are not running end
 /// without a response. A running one is aborted if that is safe, and otherwise
 /// runs to completion.
--- a/src/proxy/egress/egress_call.c
+++ b/src/proxy/egress/egress_call.c
@@ -99,7 +99,7 @@
 {
 	struct egress *egress = r->egress;
 	int64_t now_us = loop_now_us(egress->loop);
-	bool deadline_passed = now_us >= r->item.deadline_us ||
+	bool deadline_passed = now_us >= r->deadline_us ||
 	    (err != NULL && err->code == ERR_TIMEOUT);
 
 	egress_log_call_end(r, err);
@@ -456,7 +456,7 @@
 	const struct dialect_headers *h = &r->egress->dialect->headers;
 	const struct message_header *from = r->message->headers.items;
 	uint32_t count = r->message->headers.count;
-	int64_t left_us = r->item.deadline_us - loop_now_us(r->egress->loop);
+	int64_t left_us = r->deadline_us - loop_now_us(r->egress->loop);
 	uint32_t i;
 
 	r->headers = calloc(count + MAX_EXTRA_HEADERS, sizeof(*r->headers));
@@ -513,7 +513,7 @@
 	r->call.url = r->url;
 	r->call.body = m->body.data;
 	r->call.body_bytes = m->body.size_bytes;
-	r->call.deadline_us = r->item.deadline_us;
+	r->call.deadline_us = r->deadline_us;
 	r->call.repeatable = m->repeatable != 0;
 	r->call.first = !r->call.repeatable &&
 	    loop_now_us(egress->loop) < egress->separate_until_deadline_us;
--- a/src/proxy/egress/egress_link.c
+++ b/src/proxy/egress/egress_link.c
@@ -42,6 +42,7 @@
 	    .begun = r->item.begun,
 	    .target_deadline_us = r->item.target_deadline_us,
 	    .deadline_us = r->item.deadline_us,
+	    .receiver_end_us = r->answer.receiver_end_us,
 	};
 
 	*wait_us = 0;
@@ -97,5 +98,6 @@
 	terms->worth = egress->admission.ranks[r->item.rank].worth;
 	terms->begun = r->item.begun;
 	terms->target_deadline_us = r->item.target_deadline_us;
-	terms->deadline_us = r->item.deadline_us;
+	terms->deadline_us = r->deadline_us;
+	terms->receiver_end_us = r->answer.receiver_end_us;
 }
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -279,6 +279,18 @@
 		send_load(conn);
 }
 
+/// The ingress leaves: its answers go first, since those that it lacks when it ends
+/// are cut.
+static void
+on_leaving(struct egress_conn *conn, const struct message_leaving *m)
+{
+	struct egress_server *server = conn->server;
+	int64_t end_us = loop_now_us(server->loop) + m->left_us;
+
+	bulk_link_set_receiver_end(server->link, conn->stream, end_us);
+	egress_set_sink_end(server->egress, &conn->sink, end_us);
+}
+
 /// Reports the load to the ingresses that send requests at present.
 static void
 on_pace_changed(void *arg)
@@ -340,6 +352,9 @@
 	case MESSAGE_HEARTBEAT:
 		on_heartbeat(conn, &message->u.heartbeat);
 		break;
+	case MESSAGE_LEAVING:
+		on_leaving(conn, &message->u.leaving);
+		break;
 	default:
 		conn_close(conn);
 		break;
--- a/src/proxy/egress/egress_request.c
+++ b/src/proxy/egress/egress_request.c
@@ -3,11 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/clock.h"
 #include "io/held.h"
 #include "proxy/egress/egress_request.h"
 
 #define PERMILLE 1000
 
+/// A request has to be answered this long before the process of its sink ends.
+#define ANSWER_MARGIN_US (500 * US_PER_MS)
+
 /// Sets the workspace whose share of the slots the request uses.
 static void
 set_workspace(struct egress_request *r)
@@ -25,6 +29,18 @@
 		rules->rate_mean_milli);
 }
 
+void
+egress_request_apply_end(struct egress_request *r)
+{
+	int64_t end_us = r->sink->end_us;
+
+	if (end_us == 0)
+		return;
+	r->answer.receiver_end_us = end_us;
+	if (r->item.deadline_us > end_us - ANSWER_MARGIN_US)
+		r->item.deadline_us = end_us - ANSWER_MARGIN_US;
+}
+
 struct egress_request *
 egress_request_create(struct egress *egress, struct egress_sink *sink,
     const struct message_request *message)
@@ -55,8 +71,9 @@
 	set_workspace(r);
 	r->item.service_us = egress_get_service_us(egress) *
 	    (int64_t)message->service_permille / PERMILLE;
-	r->item.deadline_us =
+	r->deadline_us = r->item.deadline_us =
 	    loop_now_us(egress->loop) + message->deadline_left_us;
+	egress_request_apply_end(r);
 	r->item.target_deadline_us =
 	    loop_now_us(egress->loop) + message->target_left_us;
 	if (message->more) {
--- a/src/proxy/egress/egress_request.h
+++ b/src/proxy/egress/egress_request.h
@@ -37,6 +37,8 @@
 	struct once_claim *claim;
 	enum request_state state;
 	uint64_t fence_key;
+	int64_t deadline_us; ///< Of its caller. That of item is earlier if its
+			     ///< ingress ends before.
 	struct bytes caller_id; ///< The caller's id of the request, or empty.
 	char method[HEADERS_METHOD_BYTES];
 	char *url;
@@ -238,6 +240,10 @@
 struct egress_request *egress_request_create(struct egress *egress,
     struct egress_sink *sink, const struct message_request *message);
 
+/// Moves the deadline of a request that does not run yet before the end of its
+/// sink.
+void egress_request_apply_end(struct egress_request *r);
+
 void egress_request_free(struct egress_request *r);
 
 // refuse.c
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -291,6 +291,7 @@
 ingress_leave(struct ingress *ingress, int64_t deadline_us)
 {
 	ingress->leave_deadline_us = deadline_us;
+	links_leave(ingress->links, deadline_us);
 }
 
 void
--- a/src/proxy/ingress/link.c
+++ b/src/proxy/ingress/link.c
@@ -44,6 +44,7 @@
 	char name[MEMBER_NAME_BYTES];
 	uint64_t incarnation;
 	uint64_t next_sequence;
+	int64_t leave_deadline_us; ///< End of this process; 0: not known.
 };
 
 static const struct stream_ops stream_ops;
@@ -72,6 +73,27 @@
 	return link;
 }
 
+static int
+send_leaving(struct link *link)
+{
+	const struct links *links = link->links;
+	struct message_leaving leaving = {
+	    links->leave_deadline_us - loop_now_us(links->loop)};
+
+	return stream_send(link->stream, MESSAGE_LEAVING, &leaving);
+}
+
+void
+links_leave(struct links *links, int64_t deadline_us)
+{
+	struct link *link;
+
+	links->leave_deadline_us = deadline_us;
+	for (link = links->first; link != NULL; link = link->next)
+		if (link->stream != NULL)
+			send_leaving(link);
+}
+
 static int
 dial(struct link *link)
 {
@@ -92,7 +114,9 @@
 	counter_add(&count_dialled, 1);
 	hello.name = bytes_from_string(links->name);
 	hello.sequence = ++links->next_sequence;
-	return stream_send(link->stream, MESSAGE_HELLO, &hello);
+	if (stream_send(link->stream, MESSAGE_HELLO, &hello) != 0)
+		return -1;
+	return links->leave_deadline_us == 0 ? 0 : send_leaving(link);
 }
 
 int
--- a/src/proxy/ingress/link.h
+++ b/src/proxy/ingress/link.h
@@ -51,6 +51,11 @@
 /// Changes the incarnation that later streams send in their hello.
 void links_set_incarnation(struct links *links, uint64_t incarnation);
 
+/// Tells all egresses in use, now and later, that this proxy leaves.
+///
+/// @param deadline_us  end of this process
+void links_leave(struct links *links, int64_t deadline_us);
+
 /// Link to an egress process, created if there is none.
 struct link *links_get(struct links *links, const struct link_target *target);
 
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -207,6 +207,7 @@
 {
 	struct command *command = arg;
 
+	bulk_link_set_end(command->traffic->link, command->deadline_us);
 	ingress_leave(command->traffic->ingress, command->deadline_us);
 	free(command);
 }
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -162,6 +162,13 @@
 	q.worth = 3;
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	q.worth = 2;
+	// What goes to a proxy that leaves waits for no other.
+	q.target_deadline_us = SECOND_US + 500 * MS;
+	q.receiver_end_us = SECOND_US + 900 * MS;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	expected.receiver_end_us = q.receiver_end_us;
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.receiver_end_us = expected.receiver_end_us = 0;
 	link_schedule_unexpect(&s, &expected);
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	// Bodies in memory are bounded, whatever the deadlines.
--- a/test/unit/test_link_schedule.c
+++ b/test/unit/test_link_schedule.c
@@ -176,6 +176,68 @@
 	    link_schedule_next(&vm.schedule, vm.now_us), &hopeless->flow);
 }
 
+/// Load: bodies for 2.1 s of the link, and behind them two for proxies that leave in
+/// 300 and 200 ms. Both arrive whole before, the nearest end first, and the others are
+/// only as much later.
+static void
+test_leaving_receiver_gets_its_answers(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct body *leaving[2];
+	int64_t last_us = 0;
+	uint32_t i;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	for (i = 0; i < BODIES - 2; i++)
+		add_body(&vm, i, 2, 4 * SECOND_US)->flow.begun = i % 2;
+	for (i = 0; i < 2; i++) {
+		leaving[i] = add_body(&vm, BODIES - 2 + i, 1, SECOND_US);
+		leaving[i]->flow.receiver_end_us =
+		    vm.now_us + (300 - 100 * i) * MS;
+	}
+	for (; vm.schedule.queued_bytes > 0; vm.now_us += 1 * MS)
+		send_pieces(&vm);
+	assert_true(leaving[1]->end_us < leaving[0]->end_us);
+	for (i = 0; i < 2; i++)
+		assert_true(
+		    leaving[i]->end_us <= leaving[i]->flow.receiver_end_us);
+	for (i = 0; i < BODIES; i++)
+		if (vm.bodies[i].end_us > last_us)
+			last_us = vm.bodies[i].end_us;
+	assert_true(last_us - SECOND_US < 2300 * MS);
+}
+
+/// A body that cannot reach a proxy before it ends, or leave this VM before its own
+/// end, holds up no other.
+static void
+test_no_link_for_what_is_cut_anyway(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct body *hopeless;
+	struct body *other;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	hopeless = add_body(&vm, 0, 1, 4 * SECOND_US);
+	other = add_body(&vm, 1, 1, 5 * SECOND_US);
+	other->flow.left_bytes = 2 * BODY_BYTES;
+	// A body is 53 ms of the link.
+	hopeless->flow.receiver_end_us = vm.now_us + 40 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &other->flow);
+	hopeless->flow.receiver_end_us = vm.now_us + 100 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &hopeless->flow);
+	hopeless->flow.receiver_end_us = 0;
+	other->flow.target_deadline_us = 3 * SECOND_US;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &other->flow);
+	vm.schedule.end_us = vm.now_us + 80 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &hopeless->flow);
+}
+
 /// A stream that takes nothing does not hold up the others; and without a known
 /// capacity nothing waits.
 static void
@@ -208,6 +270,8 @@
 	    cmocka_unit_test(test_some_arrive_in_time),
 	    cmocka_unit_test(test_order),
 	    cmocka_unit_test(test_hopeless_gives_way),
+	    cmocka_unit_test(test_leaving_receiver_gets_its_answers),
+	    cmocka_unit_test(test_no_link_for_what_is_cut_anyway),
 	    cmocka_unit_test(test_blocked_and_unknown),
 	};
 
