fix(loop): calls that are deferred for an object end with it

Problem: a proxy whose drain limit came while its server still worked on requests of other proxies ended with SIGSEGV, and the last lines of its log were lost, those that name the requests which it cut among them. Its streams were closed first, which marked the calls to be aborted in a deferred call; the egress was freed, and loop_destroy ran the call. Shown with the address sanitizer: a write in abort_marked to the freed egress.

Solution: loop_cancel_deferred; the egress and the pacer of bodies drop their calls when they are freed.

--- a/src/io/loop.c
+++ b/src/io/loop.c
@@ -294,6 +294,23 @@
 	call_list_push(&loop->deferred, fn, arg);
 }
 
+static void
+call_nothing(void *arg)
+{
+	(void)arg;
+}
+
+void
+loop_cancel_deferred(struct loop *loop, const void *arg)
+{
+	uint32_t i;
+
+	// The list may be running: its entries stay where they are.
+	for (i = 0; i < loop->deferred.count; i++)
+		if (loop->deferred.items[i].arg == arg)
+			loop->deferred.items[i].fn = call_nothing;
+}
+
 void
 loop_stop(struct loop *loop)
 {
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -88,6 +88,10 @@
 /// Must be called from the loop's thread.
 void loop_defer(struct loop *loop, void (*fn)(void *arg), void *arg);
 
+/// Drops the deferred calls with an argument, which is about to be freed. Must be
+/// called from the loop's thread, or once the loop has ended.
+void loop_cancel_deferred(struct loop *loop, const void *arg);
+
 /// Takes a share of what bulk work may cost in this iteration, so that it does not
 /// delay other events. The last share may exceed what is left.
 ///
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -293,6 +293,7 @@
 	loop_timer_clear(link->loop, &link->timer);
 	while (link->schedule.first != NULL)
 		body_free((struct bulk_body *)link->schedule.first);
+	loop_cancel_deferred(link->loop, link);
 	free(link);
 }
 
--- a/src/proxy/egress/egress.c
+++ b/src/proxy/egress/egress.c
@@ -299,6 +299,7 @@
 	httpc_close(egress->httpc);
 	while (egress->first != NULL)
 		egress_request_free(egress->first);
+	loop_cancel_deferred(egress->loop, egress);
 	fence_free(&egress->fence);
 	rules_unref(egress->rules);
 	free(egress);
--- a/test/unit/test_loop.c
+++ b/test/unit/test_loop.c
@@ -86,11 +86,38 @@
 	loop_destroy(scene.loop);
 }
 
+static void
+count_call(void *arg)
+{
+	(*(uint32_t *)arg)++;
+}
+
+/// The calls that are deferred for an object end with it; those of others stay.
+static void
+test_deferred_calls_end_with_their_object(void **state)
+{
+	struct error err;
+	struct loop *loop = loop_create("test", &err);
+	uint32_t gone = 0;
+	uint32_t stays = 0;
+
+	(void)state;
+	assert_non_null(loop);
+	loop_defer(loop, count_call, &gone);
+	loop_defer(loop, count_call, &stays);
+	loop_defer(loop, count_call, &gone);
+	loop_cancel_deferred(loop, &gone);
+	loop_destroy(loop);
+	assert_int_equal(gone, 0);
+	assert_int_equal(stays, 1);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_bulk_work_takes_turns),
+	    cmocka_unit_test(test_deferred_calls_end_with_their_object),
 	};
 
 	apr_initialize();
