fix(proxy): a leaving proxy waits until its last short answers have left its VM

Problem: a proxy that leaves ends 50 ms after its server's last answer. The answer may then be in the kernel, and a close with unread bytes (a heartbeat of the ingress) discards it: the ingress takes a request that was answered for one whose outcome is unknown. Bodies sent in pieces already had 200 ms for that. Solution: the same 200 ms after any request at the egress.

--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -20,9 +20,9 @@
 
 #define PUBLISH_PERIOD_US (20 * US_PER_MS)
 
-/// Time in which the last pieces of an answer reach the other VM: closing the
-/// stream may discard them before.
-#define LAST_PIECES_US (200 * US_PER_MS)
+/// Time in which the last answers reach the other VMs: closing a stream may discard
+/// them before.
+#define LAST_ANSWERS_US (200 * US_PER_MS)
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
 GAUGE_DEFINE(gauge_memory_held, "memory_account_held_bytes",
@@ -56,7 +56,7 @@
 	traffic_counts_fn *counts_fn;
 	traffic_stopped_fn *stopped_fn;
 	void *rollout_arg;
-	/// Until then the ends of long answers may be on their way.
+	/// Until then the last answers may be on their way.
 	int64_t answers_leave_deadline_us;
 	bool draining;
 	atomic_bool drained;
@@ -419,9 +419,9 @@
 	    &gauge_work, egress_get_work_left_us(traffic->egress) / US_PER_MS);
 	atomic_store(&traffic->load_pct, load_pct);
 	bodies = bulk_link_count_bodies(traffic->link);
-	if (bodies > 0)
+	if (queued + running + bodies > 0)
 		traffic->answers_leave_deadline_us =
-		    loop_now_us(traffic->loop) + LAST_PIECES_US;
+		    loop_now_us(traffic->loop) + LAST_ANSWERS_US;
 	atomic_store(&traffic->active_count,
 	    queued + running + bodies + ingress_active_count(traffic->ingress));
 	count_memory(traffic);
