fix(links): an egress accepts no more bytes than a planned stop lets it send

Problem: callers were cut in the middle of their answers when the proxy beside the server was stopped: more was queued for its link than it carries until its process ends.

Solution: all that is accepted has to be carried within 0.8 of the time that a stop leaves.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -7,6 +7,16 @@
 #define LATE_PERMILLE 600
 #define PERMILLE      1000
 
+/// Part of the time of a planned stop in which all that is accepted has to leave. The
+/// rest is for answers that are longer than usual.
+#define STOP_PERMILLE 800
+
+static int64_t
+later_us(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
+}
+
 bool
 link_admission_accepts(struct link_schedule *s, const struct link_request *q,
     int64_t now_us, int64_t *wait_us)
@@ -17,6 +27,9 @@
 	    .deadline_us = q->deadline_us,
 	    .receiver_end_us = q->receiver_end_us,
 	    .left_bytes = q->answer_bytes};
+	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
+	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
+	int64_t all_us;
 	int64_t left_us;
 	int64_t way_us;
 
@@ -25,21 +38,22 @@
 		return true;
 	if (s->queued_bytes + s->expected_bytes + q->answer_bytes >
 	    LINK_MAX_QUEUED_BYTES) {
-		*wait_us = link_schedule_transfer_us(s, q->answer_bytes);
+		*wait_us = transfer_us;
+		return false;
+	}
+	all_us = later_us(link_schedule_all_us(s, now_us), q->service_us) +
+	    transfer_us;
+	if (stop_us > 0 && all_us > stop_us) {
+		*wait_us = all_us - stop_us;
 		return false;
 	}
-	way_us = link_schedule_ahead_us(s, &flow, now_us);
-	if (way_us < q->service_us)
-		way_us = q->service_us;
-	way_us += link_schedule_transfer_us(s, q->answer_bytes);
+	way_us =
+	    later_us(link_schedule_ahead_us(s, &flow, now_us), q->service_us) +
+	    transfer_us;
 	if (!q->begun && now_us + way_us <= q->target_deadline_us &&
 	    now_us + way_us <= q->deadline_us)
 		return true;
-	way_us = link_schedule_all_us(s, now_us);
-	if (way_us < q->service_us)
-		way_us = q->service_us;
-	way_us += link_schedule_transfer_us(s, q->answer_bytes);
 	left_us = (q->deadline_us - now_us) * LATE_PERMILLE / PERMILLE;
-	*wait_us = way_us - left_us;
-	return way_us <= left_us;
+	*wait_us = all_us - left_us;
+	return all_us <= left_us;
 }
--- a/src/core/requests/link_admission.h
+++ b/src/core/requests/link_admission.h
@@ -26,7 +26,8 @@
 };
 
 /// Decides whether the answer of a request can be carried by its target, or else
-/// before its caller leaves.
+/// before its caller leaves; and with all others before this proxy ends, if it has to
+/// stop now.
 ///
 /// @param wait_us  receives the time after which there is room, if not
 bool link_admission_accepts(struct link_schedule *s,
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -34,7 +34,9 @@
 	double backlog_bytes; ///< Sent, and not carried yet.
 	int64_t updated_us;   ///< Time of backlog_bytes.
 	int64_t end_us;	      ///< End of this proxy, once it leaves; 0: none.
-	int64_t queued_bytes; ///< Of all flows.
+	/// Time that a planned stop leaves this proxy; 0: without a limit.
+	int64_t stop_time_us;
+	int64_t queued_bytes;	 ///< Of all flows.
 	struct link_flow *first; ///< In the order in which they were added.
 	struct link_flow *last;
 	/// Answers of requests that wait or run here, with their usual sizes.
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -269,7 +269,7 @@
 };
 
 struct bulk_link *
-bulk_link_create(struct loop *loop, double link_mbps)
+bulk_link_create(struct loop *loop, double link_mbps, int64_t stop_time_us)
 {
 	struct bulk_link *link;
 
@@ -280,6 +280,7 @@
 	link->pacer.ops = &pacer_ops;
 	link->loop = loop;
 	link_schedule_init(&link->schedule, link_mbps);
+	link->schedule.stop_time_us = stop_time_us;
 	link->timer.fn = on_timer;
 	link->timer.arg = link;
 	return link;
--- a/src/io/net/bulk.h
+++ b/src/io/net/bulk.h
@@ -30,9 +30,11 @@
 	void *arg;
 };
 
-/// @param link_mbps  capacity of the link; 0: not known
+/// @param link_mbps     capacity of the link; 0: not known
+/// @param stop_time_us  from the order to stop to the end of this process
 /// @return the link, or NULL if its capacity is not known: nothing is paced
-struct bulk_link *bulk_link_create(struct loop *loop, double link_mbps);
+struct bulk_link *bulk_link_create(
+    struct loop *loop, double link_mbps, int64_t stop_time_us);
 
 void bulk_link_destroy(struct bulk_link *link);
 
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -392,5 +392,7 @@
 	traffic->link_mbps = s->link_mbps;
 	control->link_mbps = s->link_mbps;
 	resolve_bounds(s, control, &traffic->ingress);
+	traffic->stop_time_us =
+	    control->drain_announce_us + control->drain_limit_us;
 	return problems == 0 ? 0 : -1;
 }
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -468,7 +468,8 @@
 	traffic->loop = loop_create("traffic", err);
 	if (traffic->loop == NULL)
 		goto fail;
-	traffic->link = bulk_link_create(traffic->loop, settings->link_mbps);
+	traffic->link = bulk_link_create(
+	    traffic->loop, settings->link_mbps, settings->stop_time_us);
 	memory_account_init(
 	    &traffic->account, memory_account_share(settings->memory_bytes));
 	counter_set(&gauge_memory_limit, traffic->account.limit_bytes);
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -22,6 +22,7 @@
 	uint32_t ledger_count;
 	int64_t memory_bytes; ///< Of this process.
 	double link_mbps; ///< Capacity of the link of this VM; 0: not known.
+	int64_t stop_time_us; ///< From the order to stop to the end of a drain.
 };
 
 /// Addresses in use once the listeners are open.
--- a/test/functional/stop_slow_link.sh
+++ b/test/functional/stop_slow_link.sh
@@ -5,8 +5,13 @@
 . scripts/mesh.sh
 . test/fakes/downloads.sh
 mesh_init "$BUILD"
-MESH_PROXY_EXTRA='"limits": {"link_mbps": 4}, "drain": {"stop_s": 5},'
+MESH_PROXY_EXTRA='"limits": {"link_mbps": 4},'
 mesh_start test/functional/stop_slow_link.mv 3 other work other
+# Only the proxy that leaves: the one beside the server would take less of the load.
+MESH_PROXY_EXTRA='"limits": {"link_mbps": 4}, "drain": {"stop_s": 5},'
+mesh_stop proxy-1 KILL
+mesh_proxy 1 "$(mesh_region 1)" "$(mesh_dc 1)"
+mesh_wait 10 mesh_proxy_has 1 1 || echo "proxy 1 has no rules"
 mesh_stop backend-2 KILL
 
 mesh_odd_server 2
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -171,6 +171,16 @@
 	q.receiver_end_us = expected.receiver_end_us = 0;
 	link_schedule_unexpect(&s, &expected);
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	// All has to leave before the end of a stop that may come at any time.
+	q.target_deadline_us = q.deadline_us = 1000 * SECOND_US;
+	link_schedule_expect(&s, &expected);
+	s.stop_time_us = 1200 * MS;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	s.stop_time_us = 1000 * MS;
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	assert_true(wait_us > 0);
+	s.stop_time_us = 0;
+	link_schedule_unexpect(&s, &expected);
 	// Bodies in memory are bounded, whatever the deadlines.
 	expected.left_bytes = LINK_MAX_QUEUED_BYTES;
 	q.worth = 3;
