fix(requests): long answers after a few short ones count as long

Problem: a leaving proxy begins long answers on routes that it takes for short, and they are cut when it ends: in the soak of planned stops most of the cut answers that were begun after the SIGTERM. A sample counted as at most four times the mean, so that after a first short answer the mean grew by a few per cent a sample: an ingress that had passed on 21 answers, 11 of them of 150 to 300 KB, still expected 8 KB or less. The admission by bytes uses the same estimate.

Solution: the first eight samples count in full; and a leaving proxy goes by the longest answer seen lately (it decays over 32), since one long answer is enough to be cut.

Result: unit.test_link_room, test_long_answers_after_short_ones, fails with the old rule (FULL_SAMPLES 1) and passes.

--- a/src/core/requests/answer_size.c
+++ b/src/core/requests/answer_size.c
@@ -10,6 +10,9 @@
 /// and one long body says little about the next.
 #define MAX_RATIO 4
 
+/// The first answers may all be short by chance: until then each counts in full.
+#define FULL_SAMPLES 8
+
 void
 answer_size_record(struct answer_size *size, int64_t size_bytes)
 {
@@ -17,7 +20,10 @@
 
 	if (size->samples < MEAN_SAMPLES)
 		size->samples++;
-	if (size->samples > 1 && size->mean_bytes > 0 &&
+	size->longest_bytes -= size->longest_bytes / MEAN_SAMPLES;
+	if (size->longest_bytes < sample)
+		size->longest_bytes = sample;
+	if (size->samples > FULL_SAMPLES && size->mean_bytes > 0 &&
 	    sample > MAX_RATIO * size->mean_bytes)
 		sample = MAX_RATIO * size->mean_bytes;
 	size->mean_bytes += (sample - size->mean_bytes) / size->samples;
@@ -29,6 +35,12 @@
 	return size->samples == 0 ? -1 : (int64_t)size->mean_bytes;
 }
 
+int64_t
+answer_size_longest(const struct answer_size *size)
+{
+	return size->samples == 0 ? -1 : (int64_t)size->longest_bytes;
+}
+
 struct answer_size *
 answer_size_find(struct answer_size_table *table, uint64_t route)
 {
--- a/src/core/requests/answer_size.h
+++ b/src/core/requests/answer_size.h
@@ -8,7 +8,8 @@
 /// Zero it before the first use.
 struct answer_size {
 	double mean_bytes;
-	uint32_t samples; ///< Up to the number that the mean is taken over.
+	double longest_bytes; ///< Seen lately; decays with each shorter one.
+	uint32_t samples;     ///< Up to the number that the mean is taken over.
 };
 
 /// Records the length of the body of a whole answer. A single one changes the
@@ -18,6 +19,10 @@
 /// Returns the usual length; -1 if it is not known.
 int64_t answer_size_estimate(const struct answer_size *size);
 
+/// Returns the length that an answer may well have, for decisions that a single long
+/// one defeats; -1 if it is not known.
+int64_t answer_size_longest(const struct answer_size *size);
+
 #define ANSWER_SIZE_ROUTES 256
 
 /// Sizes by route. Routes that share an entry replace each other.
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -167,7 +167,7 @@
 is_answer_short(struct ingress_request *r)
 {
 	int64_t size_bytes =
-	    answer_size_estimate(&ingress_get_route_stats(r)->answer_size);
+	    answer_size_longest(&ingress_get_route_stats(r)->answer_size);
 
 	return size_bytes >= 0 && size_bytes <= LINK_SHORT_BYTES;
 }
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -35,6 +35,29 @@
 	assert_int_equal(answer_size_estimate(size), -1);
 }
 
+/// A route with answers of both kinds: short ones that come first by chance do not
+/// hide the long ones, neither in the mean nor from who needs the longest.
+static void
+test_long_answers_after_short_ones(void **state)
+{
+	struct answer_size size = {0};
+	int i;
+
+	(void)state;
+	assert_int_equal(answer_size_longest(&size), -1);
+	for (i = 0; i < 4; i++)
+		answer_size_record(&size, i == 0 ? 300 : 2 * BODY_BYTES);
+	assert_true(answer_size_estimate(&size) > BODY_BYTES);
+	// One in ten is long.
+	for (i = 0; i < 100; i++)
+		answer_size_record(&size, i % 10 == 0 ? BODY_BYTES : 300);
+	assert_in_range(answer_size_longest(&size), BODY_BYTES / 2, BODY_BYTES);
+	// The route has changed.
+	for (i = 0; i < 200; i++)
+		answer_size_record(&size, 300);
+	assert_true(answer_size_longest(&size) <= LINK_SHORT_BYTES);
+}
+
 /// Load: downloads of 90 KB for one and a half times the link, each for a caller
 /// who wants it within 1 s and leaves after 4 s.
 struct load {
@@ -288,6 +311,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_sizes_are_learned),
+	    cmocka_unit_test(test_long_answers_after_short_ones),
 	    cmocka_unit_test(test_accepted_arrive),
 	    cmocka_unit_test(test_who_is_refused),
 	    cmocka_unit_test(test_downloads_avoid_a_full_link),
