--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -202,7 +202,7 @@
 	    "$MESH_DIR/ledger-$mesh_ledger_id.json"
 }
 
-mesh_proxy() { # N REGION DC
+mesh_proxy_settings() { # N REGION DC
 	mesh_proxy_host=$(mesh_host "$1")
 	cat >"$MESH_DIR/proxy-$1.json" <<END
 {
@@ -221,6 +221,10 @@
   "sources": [$(mesh_source_list)]
 }
 END
+}
+
+mesh_proxy() { # N REGION DC
+	mesh_proxy_settings "$@"
 	mesh_run "proxy-$1" mvproxy "$MESH_DIR/proxy-$1.json"
 }
 
