--- a/test/soak/planned/Planned.pm
+++ b/test/soak/planned/Planned.pm
@@ -2,12 +2,12 @@
 package Planned;
 use strict;
 use warnings;
+use Exporter "import";
 use IO::Socket::INET;
 use Time::HiRes qw(time alarm);
 use Odd;
 
-our @EXPORT = qw(dial exchange stamp);
-use Exporter "import";
+our @EXPORT = qw(dial framed exchange stamp);
 
 # Seconds after a deadline at which a caller gives up.
 my $patience = 3;
@@ -19,17 +19,12 @@
 	    Timeout => 1);
 }
 
-# Returns the bytes of a request.
-sub bytes_of {
-	my ($r) = @_;
-	my $body = $r->{body};
-	my $head = "$r->{method} $r->{target} HTTP/1.1\r\nHost: x\r\n" .
-	    "Magnolia-Request-Id: $r->{id}\r\n";
-	return "$head\r\n" unless defined $body;
-	return $head . "Content-Length: " . length($body) . "\r\n\r\n$body"
-	    unless $r->{chunked};
-	return $head . "Transfer-Encoding: chunked\r\n\r\n" . join("",
-	    map { sprintf "%x\r\n%s\r\n", length $_, $_ } unpack "(a20000)*", $body) .
+# The rest of a message whose body has a length, or comes in chunks.
+sub framed {
+	my ($body, $chunked) = @_;
+	return "Content-Length: " . length($body) . "\r\n\r\n$body" unless $chunked;
+	return "Transfer-Encoding: chunked\r\n\r\n" . join("",
+	    map { sprintf "%x\r\n%s\r\n", length $_, $_ } unpack "(a9000)*", $body) .
 	    "0\r\n\r\n";
 }
 
@@ -50,21 +45,24 @@
 sub exchange {
 	my ($log, $node, $socket, $r) = @_;
 	my ($in, $sent, $begun, $sent_at, $head, $body) = ("", 0, stamp());
+	my $upload = $r->{body} // "";
 	my $ended = eval {
 		local $SIG{ALRM} = sub { die };
 		alarm $r->{deadline} + $patience;
 		$$socket->autoflush(0);
-		$sent = print({$$socket} bytes_of($r)) && $$socket->flush;
+		$sent = print({$$socket} "$r->{method} $r->{target} HTTP/1.1\r\n" .
+		    "Host: x\r\nMagnolia-Request-Id: $r->{id}\r\n" .
+		    (defined $r->{body} ? framed($upload, $r->{chunked}) : "\r\n")) &&
+		    $$socket->flush;
 		$sent_at = stamp();
 		$head = read_head($$socket, \$in);
 		$body = read_body($$socket, \$in, $head) if defined $head;
 		1;
 	};
 	alarm 0;
-	my $length = length($r->{body} // "");
-	note($log, "got", $r->{id}, $node, $r->{method}, $r->{target},
-	    sum_of($r->{body} // ""), $length, $r->{deadline}, $begun,
-	    $sent_at // stamp(), stamp(), judge($r, $sent, !$ended, $head, $body));
+	note($log, "got", $r->{id}, $node, $r->{method}, $r->{target}, sum_of($upload),
+	    length $upload, $r->{deadline}, $begun, $sent_at // stamp(), stamp(),
+	    judge($r, $sent, !$ended, $head, $body));
 	$$socket = undef if !defined $body || length $in ||
 	    $head =~ /^Connection: close/mi;
 }
--- a/test/soak/planned/client.pl
+++ b/test/soak/planned/client.pl
@@ -12,36 +12,33 @@
 open my $log, ">>", $path or die "$path: $!";
 my $end = time + $seconds;
 
-# Routes by name, with the deadline in seconds; see operator.pl.
+# The number in the name of a route is its deadline in seconds; see operator.pl.
 sub draw_request {
 	my ($id) = @_;
-	my %r = (id => $id, method => "GET", bytes => int rand 3000);
+	my %r = (id => $id, method => pick("GET", "POST"), bytes => int rand 3000);
 	my %set = (framing => pick(qw(length length chunked)));
 	my $route = pick(qw(d1 d3 d8));
 	my $kind = rand;
 	if ($kind < 0.45) {
+		$r{method} = "GET" if chance(0.7);
 		$r{bytes} = 100000 + int rand 200000;
-		$route = chance(0.06) ? "rare" . pick(1 .. 6) :
+		$route = chance(0.06) ? "d20rare" . pick(1 .. 6) :
 		    pick(qw(d3 d8 d8 d20 d20 d40 d40));
-		$r{method} = "POST" if chance(0.15);
 		$set{drip} = int 300 + rand 6000 if chance(0.15);
 	} elsif ($kind < 0.75) {
-		$r{method} = pick(qw(GET POST));
 		$set{wait} = int rand pick(200, 900, 4000);
 	} elsif ($kind < 0.88) {
 		$r{method} = "POST";
 		$r{body} = body_of($id, int rand pick(400000, 400000, 2500000));
 		$route = pick(qw(d3 d8 d20 d40));
-	} elsif ($kind < 0.94) { # A request of which another is part.
-		$set{call} = pick(qw(alpha beta));
-		$route = pick(qw(d8 d20));
 	} else {
+		$set{call} = pick(qw(alpha beta)) if $kind < 0.94;
 		$set{wait} = int rand 7000;
 		$route = pick(qw(d8 d20 d40));
 	}
-	$r{body} = "" if $r{method} eq "POST" && !defined $r{body};
+	$r{body} //= "" if $r{method} eq "POST";
 	$r{chunked} = chance(0.4);
-	$r{deadline} = $route =~ /^d(\d+)/ ? $1 : 20;
+	($r{deadline}) = $route =~ /^d(\d+)/;
 	$set{bytes} = $r{bytes};
 	$r{target} = "/" . pick(qw(alpha alpha beta)) . "/$route/" .
 	    join(",", map { "$_=$set{$_}" } sort keys %set) . "/$id";
--- a/test/soak/planned/operator.pl
+++ b/test/soak/planned/operator.pl
@@ -15,8 +15,6 @@
 my ($seed, $seconds, $folder, $bin, $source, $stop_s, $path) = @ARGV;
 my @nodes = sort map { /proxy-(\d+)\.json$/ } glob "$folder/proxy-*.json";
 open my $log, ">>", $path or die "$path: $!";
-srand $seed;
-
 my (%pid, %settings, %stopped, %restart, %down);
 my ($apply_pid, $version, $accepted) = (0, 0, 0);
 
@@ -51,18 +49,15 @@
 # slots and at times in a route.
 sub apply {
 	return if $apply_pid;
-	$version++;
-	srand $seed * 1009 + $version;
+	srand $seed * 1009 + ++$version;
 	my @out = ("version $version",
 	    "rank money worth=" . pick(50, 100) . " target=1s keep=20%",
 	    "rank log worth=1 target=" . pick("4s", "2s", "8s") . " keep=5%");
 	for my $s ("alpha", "beta") {
 		push @out, "service $s slots=" . pick(20, 40, 60) . " connections=100",
-		    map({ "route * /$s/d$_/* $s rank=" . ($_ < 8 ? "money" : "log") .
-			" deadline=${_}s" } 1, 3, 8, 20, 40),
-		    map({ "route * /$s/rare$_/* $s rank=log deadline=20s" } 1 .. 6);
-		push @out, "route * /$s/new$version/* $s rank=log deadline=9s"
-		    if chance(0.5);
+		    map { "route * /$s/d$_/* $s rank=" . (/^[13]$/ ? "money" : "log") .
+			" deadline=" . int(s/rare.//r) . "s" }
+		    1, 3, 8, 20, 40, map { "20rare$_" } 1 .. pick(6, 9);
 	}
 	write_file("v$version.mv", join("", map { "$_ # op\n" } @out));
 	event("send", $version);
@@ -96,6 +91,7 @@
 sub draw_schedule {
 	my $bursts = $seed % 4 == 0;
 	my (@out, %busy);
+	srand $seed;
 	for (my $at = 1.5 + rand 1; $at < $seconds - 2;) {
 		my @free = grep { ($busy{$_} // 0) < $at } @nodes;
 		my @entry = grep { $_ <= 3 } @free;
@@ -107,10 +103,9 @@
 		for my $n (@stop) {
 			my $down = rand 1.5;
 			push @out, [$at, \&stop_proxy, $n, $down];
-			$busy{$n} = $at + $stop_s + $down + 0.5 + rand 2;
-			# Twice, as an operator may who is in a hurry.
 			push @out, [$at + rand 3, \&stop_proxy, $n, $down]
-			    if chance(0.1);
+			    if chance(0.1); # Again, while it leaves.
+			$busy{$n} = $at + $stop_s + $down + 0.5 + rand 2;
 		}
 		push @out, [$at, \&reload, pick(@nodes), int rand 4]
 		    if $what > 0.55 && $what < 0.8;
--- a/test/soak/planned/run.sh
+++ b/test/soak/planned/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Soak of planned work: stops, restarts and reloads of proxies and new versions of the
 # rules, in series and at once, while callers use their connections until the process is
-# gone. Nothing fails here, so each request that was read is answered whole or refused
+# gone. Nothing else happens, so each request that was read is answered whole or refused
 # as not run. Prints a line a seed; fails if a promise is broken.
 #
 #   run.sh BUILD [FIRST_SEED [SEEDS [SECONDS [CALLERS]]]]
@@ -12,22 +12,37 @@
 seeds=${3:-2}
 seconds=${4:-14}
 callers=${5:-12}
-here=test/soak/planned
+nodes="1 2 3 4 5 6"
 rc=0
 
 planned_perl() { # NAME ARG ...
-	planned_script=$1
+	planned_script=test/soak/planned/$1.pl
 	shift
-	exec perl -I$here -Itest/soak/misbehave "$here/$planned_script.pl" "$@"
+	exec perl -Itest/soak/planned -Itest/soak/misbehave "$planned_script" "$@"
 }
 
 service() { [ "$1" -lt 6 ] && echo alpha || echo beta; }
 
-serves() { # N
+announce_servers() {
+	while sleep 0.3; do
+		for n in 4 5 6; do mesh_announce $n "$(service $n)"; done
+	done
+}
+
+serves() { # N VERSION
+	mesh_proxy_has "$1" "$2" || return 1
 	for name in alpha beta; do
-		curl -sf -m 5 -o /dev/null \
-		    "$(mesh_url "$1" "/$name/d8/bytes=100,framing=length/probe")" ||
-		    return 1
+		curl -sf -m 5 -o /dev/null "$(mesh_url "$1" \
+		    "/$name/d8/bytes=100,framing=length/probe")" || return 1
+	done
+}
+
+wait_served() { # VERSION
+	for n in $nodes; do
+		mesh_wait 20 serves $n "$1" || {
+			echo "SERVES: proxy $n does not serve by version $1"
+			found=1
+		}
 	done
 }
 
@@ -36,9 +51,9 @@
 	mesh_init "$BUILD"
 	stop_s=$((5 + $1 % 2))
 	log=$MESH_DIR/events
-	: >"$log"
+	found=0
 	mesh_source 1 --bootstrap
-	for n in 1 2 3 4 5 6; do
+	for n in $nodes; do
 		MESH_PROXY_EXTRA="\"drain\": {\"stop_s\": $stop_s}, \"report_ms\": 500,
 		    \"limits\": {\"link_mbps\": $((4 + ($1 + n) % 5))},"
 		mesh_proxy_settings $n "$(mesh_region $n)" "$(mesh_dc $n)"
@@ -46,17 +61,16 @@
 	planned_perl operator "$1" "$seconds" "$MESH_DIR" "$MESH_BIN" \
 	    "$(mesh_operators)" $stop_s "$log" &
 	operator=$!
+	echo $operator >"$MESH_DIR/operator.pid"
 	for n in 4 5 6; do
-		planned_perl server $n "$(mesh_host $n)" $PORT_HTTP $PORT_ADMIN \
-		    $PORT_INNER "$(service $n)" "$log" &
+		planned_perl server $n "$(mesh_host $n)" $PORT_HTTP $PORT_INNER "$log" &
 		echo $! >"$MESH_DIR/server-$n.pid"
 	done
-	for n in 1 2 3 4 5 6; do
-		mesh_wait 20 mesh_proxy_has $n 1 || echo "proxy $n has no rules"
-		mesh_wait 20 serves $n || echo "proxy $n does not serve"
-	done
+	announce_servers &
+	echo $! >"$MESH_DIR/announce.pid"
+	wait_served 1
 	clients=
-	for n in 1 2 3 4 5 6; do
+	for n in $nodes; do
 		planned_perl client "$1" $n "$(mesh_host $n)" $PORT_OUTER "$log" \
 		    "$seconds" "$callers" &
 		clients="$clients $!"
@@ -64,16 +78,11 @@
 	: >"$MESH_DIR/go"
 	# shellcheck disable=SC2086
 	wait $operator $clients
-	found=0
+	rm "$MESH_DIR/operator.pid"
 	last=$(cat "$MESH_DIR/last")
-	for n in 1 2 3 4 5 6; do
-		mesh_wait 20 mesh_proxy_has $n "$last" && mesh_wait 20 serves $n || {
-			echo "proxy $n does not serve again, or not by version $last"
-			found=1
-		}
-	done
+	wait_served "$last"
 	mesh_ctl show | cmp -s - "$MESH_DIR/v$last.mv" || {
-		echo "version $last is not what was accepted"
+		echo "CONFIG: version $last is not what was accepted"
 		found=1
 	}
 	(planned_perl check $stop_s "$log" "$MESH_DIR"/proxy-*.log) >"$MESH_DIR/check" ||
@@ -82,9 +91,8 @@
 	[ $found = 0 ] || {
 		echo "seed $1: logs in $MESH_DIR"
 		MESH_KEEP=1
-		exit 1
 	}
-	exit 0
+	exit $found
 }
 
 seed=$first
