test(functional): requests in all states beside planned work

Problem: planned work (SIGTERM, SIGHUP, a version) was tested with one state of requests at a time; the class of LOST is who leaves or reloads times what state the request is in.

Solution: planned_caller.pl sends parts of 39 requests before and after an event; planned.sh sets up seven proxies so that each is where it belongs: line, head or body half sent, long uploads, at work, queued, parked, long answers, kept connections, retried after a refusal, calls by the inner listener. Three tests play the events: SIGTERM of the ingress, of the proxies beside the servers, of both; SIGHUP of either and of all; versions; and all of them overlapping. A request at which a server is at work must be answered, all others answered or refused as not run, which the servers' output proves. odd_server.pl reads chunked bodies, and prints their size if asked.

--- a/test/fakes/odd_server.pl
+++ b/test/fakes/odd_server.pl
@@ -16,6 +16,7 @@
 #   interim   number of responses 103 before, which state that too
 #   wait      seconds before its answer
 #   early     1: it answers before it has read the body of the request
+#   sum       1: the size of the body of the request is printed too
 #   endless   part of the answer that does not end: head, field, interim, size,
 #             extension, chunkN (chunks of N bytes), trailer, body (without length),
 #             foreign (the body of another request's answer), after (bytes after a
@@ -23,7 +24,7 @@
 #
 # Each request that it runs is a line on standard output: method, path, number of
 # headers, the caller's service, and if there are such headers the workspaces and the
-# word KEY.
+# word KEY. It counts as run once its body was read.
 use strict;
 use warnings;
 use IO::Socket::INET;
@@ -117,6 +118,34 @@
 	shutdown $client, 1 if $set{framing} eq "none";
 }
 
+# Reads at least a number of bytes.
+sub fill {
+	my ($client, $in, $bytes) = @_;
+	while (length $$in < $bytes) {
+		sysread $client, $$in, 65536, length $$in or exit;
+	}
+}
+
+# Drops the body of a request and returns its size.
+sub read_body {
+	my ($client, $in, $head) = @_;
+	my $size = 0;
+	my ($left) = $head =~ /^Content-Length: (\d+)/mi;
+	my $chunked = $head =~ /^Transfer-Encoding: *chunked/mi;
+	do {
+		if ($chunked) {
+			fill($client, $in, 1 + length $$in)
+			    until $$in =~ s/^([0-9a-f]+)\r\n//i;
+			$left = hex $1;
+		}
+		my $frame = $chunked ? 2 : 0;
+		fill($client, $in, ($left // 0) + $frame);
+		substr $$in, 0, ($left // 0) + $frame, "";
+		$size += $left // 0;
+	} while $chunked && $left > 0;
+	return $size;
+}
+
 sub serve {
 	my ($client, $in) = @_;
 	$$in =~ s/^(.*?\r\n)\r\n//s or return 0;
@@ -136,15 +165,11 @@
 		while (sysread $client, my $rest, 65536) { }
 		exit;
 	}
-	my ($left) = $head =~ /^Content-Length: (\d+)/mi;
-	$left //= 0;
-	while (length $$in < $left) {
-		sysread $client, $$in, 65536, length $$in or exit;
-	}
-	substr $$in, 0, $left, "";
+	my $size = read_body($client, $in, $head);
 	my $workspaces = join ",",
 	    map { " workspace=$_" } $head =~ /(?:Tenant|Workspace): (\S+)/gi;
 	$workspaces .= " KEY" if $head =~ /^(?:X-Magnoliavalve|Magnolia)-Key:/mi;
+	$workspaces .= " body=$size" if $set{sum};
 	printf "%s %s %d %s%s\n", $method, $path, $count - 1, $caller,
 	    $workspaces unless $set{not};
 	select undef, undef, undef, $set{wait} if $set{wait};
--- /dev/null
+++ b/test/functional/planned_stop.sh
@@ -0,0 +1,25 @@
+# LOST, REFUSED, TWICE: SIGTERM of the proxy that takes the requests, of those beside
+# the servers, and of both at once, while requests are in all states. Work that has begun
+# is answered; all others are answered too, or refused and have not run.
+. scripts/mesh.sh
+. test/fakes/planned.sh
+mesh_init "$BUILD"
+planned_start
+
+stop() { # N ...
+	stopped=$*
+	planned_stop "$@"
+}
+planned_late() {
+	# shellcheck disable=SC2086
+	planned_shut $stopped
+}
+
+echo "== SIGTERM of the proxy that takes the requests"
+planned_play ingress 7 stop 1
+planned_end_stop 1
+echo "== SIGTERM of those beside the servers"
+planned_play server 7 stop 2 3 4 5 7
+planned_end_stop 2 3 4 5 7
+echo "== SIGTERM of both at once"
+planned_play both 7 stop 1 2 3 4 5 7
