test(functional): answers that begin after the signal, behind others on a link

Problem: stop_slow_link had answers only that waited for the link when the signal came; those that their server begins to send in the drain wait too.

Solution: two more requests, with a length and chunked, answered 1.5 s later.

--- a/test/functional/stop_slow_link.sh
+++ b/test/functional/stop_slow_link.sh
@@ -1,7 +1,8 @@
 # LOST: long answers that a proxy has accepted wait for the link of another VM, behind
 # those of a third one, when it gets SIGTERM. The link could carry them before its
-# process ends: they arrive whole, of the same worth and of less, as do the others. So
-# does one taken after the signal, on a route whose answers are usually short.
+# process ends: they arrive whole, of the same worth and of less, and those that their
+# server begins to send after the signal, as do the others. So does one taken after the
+# signal, on a route whose answers are usually short.
 . scripts/mesh.sh
 . test/fakes/downloads.sh
 mesh_init "$BUILD"
@@ -31,16 +32,18 @@
 # 8 s of the link.
 downloads_start fill 3 /fill/bytes=200000 1 18
 mesh_wait 10 all_run /fill- 18 || echo "not all run"
-# 1 s of the link, and the process of proxy 1 ends after 4.75 s.
+# 2 s of the link, and the process of proxy 1 ends after 4.75 s.
 downloads_start same 1 /same/bytes=200000 1 1
 downloads_start less 1 /less/bytes=200000 1 1
-mesh_wait 10 all_run '/same-\|/less-' 2 || echo "not all run"
+downloads_start later 1 /same/bytes=200000,wait=1.5 1 1
+downloads_start parts 1 /same/bytes=200000,wait=1.5,framing=chunked 1 1
+mesh_wait 10 all_run '/same-\|/less-\|/later-\|/parts-' 4 || echo "not all run"
 kill -TERM "$(mesh_pid proxy-1)"
 mesh_wait 2 leaves || echo "proxy 1 does not leave"
 downloads_start short 1 /short/bytes=200000 1 1
 [ "$(mesh_proxy_counter 2 bulk_queued_bytes)" -gt 2000000 ] ||
     echo "the link is not full"
-for label in same less; do
+for label in same less later parts; do
 	downloads_judge $label 1 1 "$hash"
 	echo "answered: $(downloads_answered $label 1 1)"
 done
