test(functional): planned work while keys are claimed and results awaited

Problem: requests that run at most once have states of their own: a claim that the ledger has not answered, a second attempt that waits for the result of the first, a resend in the drain. None was tested beside planned work.

--- a/test/fakes/planned_caller.pl
+++ b/test/fakes/planned_caller.pl
@@ -16,6 +16,7 @@
 #             the request was sent whole, and it did not run
 #             may: the same
 #             route: the same, or 404 and it did not run
+#             key: the same, or 409 and not known
 #   method
 #   path      without the name, which is appended
 #   body      bytes of its body: N, or chunked:N; -: none
@@ -37,8 +38,9 @@
 $| = 1;
 
 sub make_head {
-	my ($method, $target, $body) = @_;
+	my ($method, $target, $body, $key) = @_;
 	my $head = "$method $target HTTP/1.1\r\nHost: mesh\r\n";
+	$head .= "Idempotency-Key: $key\r\n" if defined $key;
 	$head .= "Transfer-Encoding: chunked\r\n" if $body =~ /^chunked/;
 	$head .= "Content-Length: $body\r\n" if $body =~ /^\d/;
 	return "$head\r\n";
@@ -60,7 +62,8 @@
 sub cut_request {
 	my ($r) = @_;
 	my $line = "$r->{method} $r->{path}";
-	my $head = make_head($r->{method}, $r->{path}, $r->{body});
+	my ($key) = $r->{options} =~ /key=([^,]+)/;
+	my $head = make_head($r->{method}, $r->{path}, $r->{body}, $key);
 	my $all = $head . make_body($r->{body});
 	my %end = (line => length($line) / 2, head => (length($line) + length $head) / 2,
 	    body => (length($head) + length $all) / 2);
@@ -160,8 +163,10 @@
 		return 0 if $r->{got} != ($bytes // 3) || grep { $_ != ($size // 0) } @$sizes;
 		return $runs == 1 || ($r->{method} eq "GET" && $runs > 1);
 	}
-	return 0 if $r->{must} eq "answer" || $runs > 0;
+	# The first request with a key may have run, not this one.
+	return 0 if $r->{must} eq "answer" || ($runs > 0 && $r->{runs_as} eq $r->{name});
 	return 1 if $r->{must} eq "route" && $r->{end} eq "404 not-run";
+	return 1 if $r->{must} eq "key" && $r->{end} eq "409 unknown";
 	return $r->{end} =~ /^(?:503 (?:not-run|refused)|not sent whole|no connection)$/;
 }
 
@@ -171,7 +176,8 @@
 	next if /^\s*(?:#|$)/;
 	my %r = (in => "", out => "", end => "");
 	@r{qw(name must method path body parts options)} = split;
-	$r{path} .= $r{name};
+	($r{runs_as}) = $r{options} =~ /like=([^,]+)/;
+	$r{path} .= $r{runs_as} //= $r{name};
 	($r{slow}) = $r{options} =~ /slow=(\d+)/;
 	$r{parts} = [cut_request(\%r)];
 	if ($r{options} =~ /kept/) {
@@ -227,10 +233,11 @@
 	}
 }
 for my $r (@rows) {
-	my $runs = $runs{$r->{name}} // 0;
+	my $runs = $runs{$r->{runs_as}} // 0;
 	my $what = ($r->{end} eq "" ? "no answer" : $r->{end}) . ", run $runs";
 	$what .= ", $r->{got} bytes" if $r->{end} eq "200" || $r->{end} =~ /^cut in/;
-	$what .= ", body $_" for @{$sizes{$r->{name}} // []};
-	print "$r->{name}: ", holds($r, $runs, $sizes{$r->{name}} // []) ? "ok" : $what, "\n";
+	my $sizes = $sizes{$r->{runs_as}} // [];
+	$what .= ", body $_" for @$sizes;
+	print "$r->{name}: ", holds($r, $runs, $sizes) ? "ok" : $what, "\n";
 	print STDERR "$r->{name}: $what\n";
 }
