test(functional): requests queued for a service that a version removes

Problem: planned_rules.sh had no version without the service of requests that wait for a slot.

Solution: the second version drops it and its route; the slot is held until the version is in force.

--- a/test/fakes/planned.sh
+++ b/test/fakes/planned.sh
@@ -7,7 +7,8 @@
 #   planned_play NAME HOLD_S EVENT ...
 #                     brings requests into all states, runs EVENT, which returns when it
 #                     has taken effect, and has the requests go on; prints one line for
-#                     each. The slot of held is taken for HOLD_S seconds
+#                     each. The slot of held is taken for HOLD_S seconds, that of busy
+#                     for planned_busy_s
 #   planned_stop, planned_shut, planned_reload, planned_apply
 #                     events, and waiting for the second part of a stop, see there
 #   planned_end_stop N ...
@@ -117,6 +118,7 @@
 }
 
 planned_must=truth
+planned_busy_s=1.8
 
 planned_more() { :; }
 
@@ -228,7 +230,7 @@
 	done
 	mesh_wait 10 planned_ask 5 /pair/x/x || echo "pair is not served"
 	planned_holders=
-	planned_hold 3 busy 1.8
+	planned_hold 3 busy "$planned_busy_s"
 	planned_hold 7 held "$planned_hold_s"
 	planned_parked=$(mesh_proxy_counter 1 ingress_parked)
 	planned_table "$planned_name" >"$MESH_DIR/table"
--- a/test/functional/planned_rules.sh
+++ b/test/functional/planned_rules.sh
@@ -1,7 +1,8 @@
 # LOST, REFUSED, TWICE: versions of the rules come into force while requests are in all
 # states: one that changes nothing, then one with another rank, less slots and connections,
-# other deadlines, and without the route of some. All are answered, those that go on
-# without a route by 404. Then versions, SIGHUP and SIGTERM overlap.
+# other deadlines, and without the route of some and the service of those that are queued.
+# All are answered, those that go on without a route by 404. Then versions, SIGHUP and
+# SIGTERM overlap.
 . scripts/mesh.sh
 . test/fakes/planned.sh
 mesh_init "$BUILD"
@@ -22,7 +23,7 @@
 	    s/rank=log deadline=40s/rank=low deadline=35s/
 	    s/rank=log/rank=low/
 	    s/slots=60 connections=200/slots=3 connections=4/
-	    /dropped/d" test/functional/planned.mv >"$MESH_DIR/v$1.mv"
+	    /dropped/d; /busy/d" test/functional/planned.mv >"$MESH_DIR/v$1.mv"
 	echo "$MESH_DIR/v$1.mv"
 }
 
@@ -31,6 +32,7 @@
 planned_late() {
 	planned_apply 3 "$(changed_rules 3)"
 }
+planned_busy_s=3
 planned_play rules 2 planned_apply 2 "$(mesh_version_file 2 test/functional/planned.mv)"
 
 echo "== a version, SIGHUP, SIGTERM of all, and another version"
