fix(http): an upload keeps the limit on bodies that it began with

Problem: a version that lowers the limit on bodies closed the connections of uploads that were longer and already at work at a server, without an answer (LOST beside a configuration). The limit in force was compared with what had been received, at each part.

Solution: a request is bound by the limit at its begin.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -32,6 +32,7 @@
 	x->pub.target = strdup(uri);
 	assert(x->pub.target != NULL);
 	x->pub.arrival_us = clock_now_us();
+	x->max_body_bytes = httpd->limits.max_body_bytes;
 	x->header_deadline_us = httpd->limits.header_timeout_us > 0
 	    ? x->pub.arrival_us + httpd->limits.header_timeout_us
 	    : DEADLINE_NEVER_US;
@@ -184,7 +185,7 @@
 
 	if (length != NULL)
 		x->announced_bytes = strtoll(length, NULL, 10);
-	if (x->announced_bytes > httpd->limits.max_body_bytes)
+	if (x->announced_bytes > x->max_body_bytes)
 		return queue_error_response(
 		    x->connection, 413, httpd_body_too_large_text, false);
 	return MHD_YES;
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -57,6 +57,7 @@
 	int64_t received_bytes;	 ///< Of the request body.
 	int64_t discarded_bytes; ///< Of it, after an early response.
 	int64_t announced_bytes; ///< Content-Length; 0: none.
+	int64_t max_body_bytes;	 ///< Limit in force when it began.
 	size_t body_capacity_bytes;
 	char *parts; ///< Joined, not yet delivered; NULL: none.
 	size_t parts_bytes;
--- a/src/io/http/httpd_upload.c
+++ b/src/io/http/httpd_upload.c
@@ -142,7 +142,7 @@
 {
 	const struct httpd *httpd = x->pub.httpd;
 
-	if (x->received_bytes > httpd->limits.max_body_bytes) {
+	if (x->received_bytes > x->max_body_bytes) {
 		http_exchange_respond_text(
 		    &x->pub, 413, httpd_body_too_large_text);
 		exchange_drop_body(x);
@@ -186,9 +186,9 @@
 		buffer_part(x, data, n);
 		return MHD_YES;
 	}
-	if (x->discarding ? x->discarded_bytes <=
-		    httpd->limits.max_body_bytes + MAX_EXCESS_BYTES
-			  : x->received_bytes <= httpd->limits.max_body_bytes)
+	if (x->discarding
+		? x->discarded_bytes <= x->max_body_bytes + MAX_EXCESS_BYTES
+		: x->received_bytes <= x->max_body_bytes)
 		return MHD_YES;
 	counter_add(&count_cut, 1);
 	return MHD_NO;
