fix(proxy): calls of work that has begun are taken until it has ended

Problem: a server that works while the proxy of its VM leaves could not make its calls from 2 s after the SIGTERM on: new connections were not accepted, requests on kept ones refused with 'this proxy is leaving'. Its work had run for nothing, and callers got its 502.

Solution: calls of begun work are never refused for leaving, and the listener by which they come accepts connections until the server has ended its work. That of callers is closed as before where the server has one of its own; else new callers are told to go elsewhere.

--- a/src/io/http/httpd.c
+++ b/src/io/http/httpd.c
@@ -427,12 +427,18 @@
 
 void
 httpd_drain(struct httpd *httpd)
+{
+	httpd->draining = true;
+}
+
+void
+httpd_stop_accepting(struct httpd *httpd)
 {
 	MHD_socket fd;
 
-	if (httpd->draining)
+	if (httpd->closed_to_callers)
 		return;
-	httpd->draining = true;
+	httpd->closed_to_callers = true;
 	fd = MHD_quiesce_daemon(httpd->daemon);
 	if (fd != MHD_INVALID_SOCKET)
 		shutdown(fd, SHUT_RDWR);
--- a/src/io/http/httpd.h
+++ b/src/io/http/httpd.h
@@ -74,10 +74,12 @@
 /// their next request on.
 void httpd_set_limits(struct httpd *httpd, const struct httpd_limits *limits);
 
-/// Starts a graceful shutdown: accepts no more connections, and closes open
-/// ones after their current response.
+/// Starts a graceful shutdown: closes connections after their current response.
 void httpd_drain(struct httpd *httpd);
 
+/// Accepts no more connections.
+void httpd_stop_accepting(struct httpd *httpd);
+
 /// Number of exchanges that have not ended.
 uint32_t httpd_active_count(const struct httpd *httpd);
 
--- a/src/io/http/httpd_exchange.h
+++ b/src/io/http/httpd_exchange.h
@@ -29,6 +29,7 @@
 	struct exchange *joined; ///< Exchanges that hold joined parts.
 	uint32_t active_count;
 	bool draining;
+	bool closed_to_callers; ///< Accepts no more connections.
 	bool run_pending; ///< MHD_run must be called before the next wait.
 };
 
--- a/src/proxy/ingress/ingress.c
+++ b/src/proxy/ingress/ingress.c
@@ -298,10 +298,19 @@
 ingress_drain(struct ingress *ingress, int64_t deadline_us)
 {
 	ingress->drain_deadline_us = deadline_us;
-	if (ingress->outer.httpd != NULL)
-		httpd_drain(ingress->outer.httpd);
+	httpd_drain(ingress->outer.httpd);
+	if (ingress->inner.httpd == NULL)
+		return;
+	httpd_stop_accepting(ingress->outer.httpd);
+	httpd_drain(ingress->inner.httpd);
+}
+
+void
+ingress_stop_accepting(struct ingress *ingress)
+{
+	httpd_stop_accepting(ingress->outer.httpd);
 	if (ingress->inner.httpd != NULL)
-		httpd_drain(ingress->inner.httpd);
+		httpd_stop_accepting(ingress->inner.httpd);
 }
 
 void
--- a/src/proxy/ingress/ingress.h
+++ b/src/proxy/ingress/ingress.h
@@ -68,12 +68,17 @@
 /// at the deadline is not begun any more.
 void ingress_leave(struct ingress *ingress, int64_t deadline_us);
 
-/// Stops accepting connections; requests in progress continue.
+/// Takes no more requests of callers that may last beyond the end of the drain;
+/// requests in progress continue. Where the backend server has a listener of its own,
+/// that of the callers accepts no more connections.
 ///
-/// @param deadline_us  end of the drain; new requests whose deadline is later
-///                     are refused
+/// @param deadline_us  end of the drain
 void ingress_drain(struct ingress *ingress, int64_t deadline_us);
 
+/// Accepts no more connections. Call it once the backend server is not at work, whose
+/// calls come by a listener too.
+void ingress_stop_accepting(struct ingress *ingress);
+
 /// Refuses all requests that no backend server runs yet, and disables retries.
 void ingress_refuse_waiting(struct ingress *ingress);
 
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -180,6 +180,9 @@
 	const struct ingress *ingress = r->ingress;
 	int64_t end_us = ingress->drain_deadline_us;
 
+	// Without its calls the work that has begun is lost in any case.
+	if (r->begun)
+		return false;
 	if (end_us == 0 && !is_answer_short(r))
 		end_us = ingress->leave_deadline_us;
 	return end_us != 0 && r->deadline_us > end_us - DRAIN_MARGIN_US;
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -402,6 +402,16 @@
 	counter_set(&gauge_memory_peak, traffic->account.peak_bytes);
 }
 
+/// Closes the listeners to new connections once the backend server makes no more
+/// calls.
+static void
+stop_accepting_if_idle(struct traffic *traffic, uint32_t running)
+{
+	if (traffic->draining && running == 0 &&
+	    !atomic_load(&traffic->drained))
+		ingress_stop_accepting(traffic->ingress);
+}
+
 /// Publishes the load and the requests in progress to the control thread.
 static void
 publish(void *arg)
@@ -425,6 +435,7 @@
 	atomic_store(&traffic->active_count,
 	    queued + running + bodies + ingress_active_count(traffic->ingress));
 	count_memory(traffic);
+	stop_accepting_if_idle(traffic, running);
 	end_drain_if_idle(traffic);
 	post_counts(traffic);
 	volume_log_backlog(&traffic->volume, loop_now_us(traffic->loop));
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -66,9 +66,9 @@
 /// @param deadline_us  end of this process
 void traffic_post_leave(struct traffic *traffic, int64_t deadline_us);
 
-/// Stops accepting connections at the ingress and requests at the egress, and
-/// closes the connections of callers once none has a request in progress. Any
-/// thread.
+/// Stops accepting requests at the egress, and connections at the ingress once the
+/// backend server is not at work; closes the connections of callers once none has a
+/// request in progress. Any thread.
 ///
 /// @param deadline_us  end of the drain; requests whose deadline is later are
 ///                     refused
