fix(ingress): waiting and retried requests too begin no long answer that outlasts the proxy

Problem: whether a long answer may outlast a leaving proxy was decided once, when the request came. One that was parked, waited for its workspace's quota or was refused by an egress was sent later, on a process with less time left. Solution: the same check before each attempt. Result: found by reading, not seen in a run; functional.stop_slow_link, stop_unknown_answer, stop_calls and late_in_drain pass.

--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests/link_admission.h"
 #include "core/rules/rules.h"
 #include "io/dialect.h"
 #include "proxy/ingress/ingress_request.h"
@@ -143,3 +144,24 @@
 		answer_size_record(
 		    &ingress_get_route_stats(r)->answer_size, r->answer_bytes);
 }
+
+/// Whether the answer is known to be short, so that no link holds it up.
+static bool
+is_answer_short(struct ingress_request *r)
+{
+	int64_t size_bytes =
+	    answer_size_longest(&ingress_get_route_stats(r)->answer_size);
+
+	return size_bytes >= 0 && size_bytes <= LINK_SHORT_BYTES;
+}
+
+bool
+ingress_answer_may_outlast(struct ingress_request *r)
+{
+	int64_t end_us = r->ingress->leave_deadline_us;
+
+	// Without its calls the work that has begun is lost in any case.
+	return end_us != 0 && !r->begun &&
+	    r->deadline_us > end_us - INGRESS_DRAIN_MARGIN_US &&
+	    !is_answer_short(r);
+}
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -23,6 +23,9 @@
 /// Retry hint of a draining proxy: the caller can use another proxy at once.
 #define DRAINING_RETRY_US (20 * US_PER_MS)
 
+/// Requests have to end this long before the end of a drain.
+#define INGRESS_DRAIN_MARGIN_US (500 * US_PER_MS)
+
 #define INGRESS_BUCKETS		 1024
 #define INGRESS_MAX_SOURCES	 14
 #define INGRESS_MAX_ATTEMPTS	 4
@@ -205,6 +208,10 @@
 /// Records the size of an answer that has arrived whole, unless its head told it.
 void ingress_record_answer_end(struct ingress_request *r);
 
+/// Whether this process leaves and the answer may still be on its way when it ends. A
+/// long answer depends on links as well, so that none is begun from the first sign on.
+bool ingress_answer_may_outlast(struct ingress_request *r);
+
 // conclude.c
 
 /// Ends the request: responds unless the caller is gone, and frees it. The
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -10,9 +10,6 @@
 #include "proxy/ingress/ingress_request.h"
 #include "wire/head.h"
 
-/// Requests have to end this long before the end of a drain.
-#define DRAIN_MARGIN_US (500 * US_PER_MS)
-
 /// A stated deadline that is later says nothing of its caller.
 #define MAX_STATED_MS (3600 * 1000LL)
 
@@ -162,30 +159,16 @@
 	r->target_deadline_us -= age_us;
 }
 
-/// Whether the answer is known to be short, so that no link holds it up.
-static bool
-is_answer_short(struct ingress_request *r)
-{
-	int64_t size_bytes =
-	    answer_size_longest(&ingress_get_route_stats(r)->answer_size);
-
-	return size_bytes >= 0 && size_bytes <= LINK_SHORT_BYTES;
-}
-
-/// Whether the request may be in progress when this process ends. A long answer
-/// depends on links as well, so that it is refused from the first sign on.
+/// Whether the request may be in progress when this process ends.
 static bool
 may_outlast(struct ingress_request *r)
 {
-	const struct ingress *ingress = r->ingress;
-	int64_t end_us = ingress->drain_deadline_us;
+	int64_t end_us = r->ingress->drain_deadline_us;
 
-	// Without its calls the work that has begun is lost in any case.
-	if (r->begun)
-		return false;
-	if (end_us == 0 && !is_answer_short(r))
-		end_us = ingress->leave_deadline_us;
-	return end_us != 0 && r->deadline_us > end_us - DRAIN_MARGIN_US;
+	if (ingress_answer_may_outlast(r))
+		return true;
+	return end_us != 0 && !r->begun &&
+	    r->deadline_us > end_us - INGRESS_DRAIN_MARGIN_US;
 }
 
 void
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -81,6 +81,12 @@
 	struct balancer_choice choice;
 	uint32_t i;
 
+	// It may have waited, or been refused elsewhere, since it was routed.
+	if (ingress_answer_may_outlast(r)) {
+		ingress_conclude(r, 503, ingress_not_run_outcome(r),
+		    DRAINING_RETRY_US, "this proxy is leaving");
+		return;
+	}
 	r->balancer = NULL;
 	for (i = 0; i < ingress->balancer_count; i++)
 		if (strcmp(ingress->balancers[i]->service, service) == 0)
