fix(balancer): a refused long answer does not leave out an endpoint for far shorter ones

Problem: a link that had refused an answer of 1.5 MB was left out for 100 ms for all answers over 8 KB; callers of others got 503 'all backend servers are busy' though it was idle. Solution: the mark keeps the length of the refused answer, and holds from half of it on.

--- a/src/core/requests/link_cost.c
+++ b/src/core/requests/link_cost.c
@@ -20,8 +20,10 @@
 }
 
 void
-link_cost_set_full(struct link_cost *link, int64_t until_deadline_us)
+link_cost_set_full(
+    struct link_cost *link, int64_t refused_bytes, int64_t until_deadline_us)
 {
+	link->refused_bytes = refused_bytes;
 	link->full_until_deadline_us = until_deadline_us;
 }
 
@@ -30,6 +32,7 @@
     const struct link_cost *link, int64_t answer_bytes, int64_t now_us)
 {
 	if (answer_bytes <= LINK_SHORT_BYTES ||
+	    answer_bytes < link->refused_bytes / 2 ||
 	    link->full_until_deadline_us <= now_us)
 		return 0;
 	return link->full_until_deadline_us;
--- a/src/core/requests/link_cost.h
+++ b/src/core/requests/link_cost.h
@@ -12,6 +12,7 @@
 /// use.
 struct link_cost {
 	int64_t full_until_deadline_us; ///< It refused for lack of room.
+	int64_t refused_bytes; ///< Length of the answer that it refused.
 	int64_t round_trip_us; ///< To the endpoint and back; 0: not known.
 };
 
@@ -19,8 +20,10 @@
 /// waited for something count little.
 void link_cost_record_round_trip(struct link_cost *link, int64_t sample_us);
 
-/// Marks the link as full until a time, for long answers.
-void link_cost_set_full(struct link_cost *link, int64_t until_deadline_us);
+/// Marks the link as full until a time, for long answers of about the length of the
+/// one that it refused, or more.
+void link_cost_set_full(
+    struct link_cost *link, int64_t refused_bytes, int64_t until_deadline_us);
 
 /// Time until which the link is full for an answer; 0 if it is not.
 int64_t link_cost_full_until_us(
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -122,7 +122,9 @@
 	struct balancer_request refused;
 
 	if (m->link_full) {
-		link_cost_set_full(&r->endpoint->link, now_us + BUSY_MAX_US);
+		ingress_fill_query(r, &refused, now_us);
+		link_cost_set_full(&r->endpoint->link, refused.answer_bytes,
+		    now_us + BUSY_MAX_US);
 		return false;
 	}
 
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -246,13 +246,21 @@
 	balancer_end_view(&b, SECOND_US);
 	balancer_report(balancer_find(&b, "a"), &report, SECOND_US);
 	balancer_report(balancer_find(&b, "b"), &report, SECOND_US);
-	link_cost_set_full(&balancer_find(&b, "b")->link, 2 * SECOND_US);
+	link_cost_set_full(
+	    &balancer_find(&b, "b")->link, BODY_BYTES, 2 * SECOND_US);
 	assert_string_equal(
 	    balancer_choose(&b, &q, SECOND_US).endpoint->name, "a");
-	link_cost_set_full(&balancer_find(&b, "a")->link, 2 * SECOND_US);
+	link_cost_set_full(
+	    &balancer_find(&b, "a")->link, BODY_BYTES, 2 * SECOND_US);
 	assert_null(balancer_choose(&b, &q, SECOND_US).endpoint);
 	q.answer_bytes = 500;
 	assert_non_null(balancer_choose(&b, &q, SECOND_US).endpoint);
+	// A refusal of a far longer answer says nothing of this one.
+	q.answer_bytes = BODY_BYTES;
+	link_cost_set_full(
+	    &balancer_find(&b, "a")->link, 6 * BODY_BYTES, 2 * SECOND_US);
+	assert_string_equal(
+	    balancer_choose(&b, &q, SECOND_US).endpoint->name, "a");
 	balancer_free(&b);
 }
 
