fix(streams): a leaving proxy ends its streams when the others have taken all

A close with unread bytes resets a TCP connection and discards what the peer has not got; credit for pieces and heartbeats come all the time. 200 ms were left for the last answers, which a link with other traffic, or a busy proxy at the other end, exceeds.

Solution: stream_finish ends the sending side behind what is queued and reads on until the peer, which then has it all, closes. The proxy ends once all streams have ended so, or after a second. It replaces the fixed wait.

--- a/src/io/net/net.h
+++ b/src/io/net/net.h
@@ -59,6 +59,7 @@
 	bool connecting;
 	bool flush_deferred;
 	bool overflowed; ///< A message was not queued; the stream ends.
+	bool finishing;	 ///< Nothing more is sent; the peer closes.
 	bool closed;
 	int64_t last_received_us;
 	uint64_t sent_bytes;
@@ -87,6 +88,11 @@
 /// Whether the stream is open and the kernel has taken all that was queued.
 bool stream_is_idle(const struct stream *stream);
 
+/// Ends what is sent, behind all that is queued, and reads on until the peer has taken
+/// it and closes: on_closed follows. A close with unread bytes would reset the
+/// connection, and discard what is on its way.
+void stream_finish(struct stream *stream);
+
 /// Closes and frees the stream. Sends the queued bytes that the kernel accepts
 /// at once and drops the rest.
 void stream_close(struct stream *stream);
--- a/src/io/net/stream.c
+++ b/src/io/net/stream.c
@@ -163,6 +163,8 @@
 	held_update(
 	    HELD_STREAM_OUT, &stream->out_held_bytes, stream->out.alloc);
 	update_watch(stream);
+	if (stream->finishing && stream_queued_bytes(stream) == 0)
+		shutdown(stream->watch.fd, SHUT_WR);
 	if (stream->pacer != NULL && stream_queued_bytes(stream) == 0)
 		stream->pacer->ops->on_idle(stream->pacer);
 }
@@ -221,7 +223,7 @@
 {
 	size_t start;
 
-	if (stream->closed || stream->overflowed)
+	if (stream->closed || stream->overflowed || stream->finishing)
 		return -1;
 	if (stream_queued_bytes(stream) > MAX_QUEUED_BYTES) {
 		stream->overflowed = true;
@@ -247,6 +249,16 @@
 	return 0;
 }
 
+void
+stream_finish(struct stream *stream)
+{
+	if (stream->closed || stream->finishing)
+		return;
+	stream->finishing = true;
+	if (!stream->connecting)
+		stream_flush(stream);
+}
+
 void
 stream_close(struct stream *stream)
 {
--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -449,6 +449,19 @@
 	server->incarnation = incarnation;
 }
 
+uint32_t
+egress_server_finish(struct egress_server *server)
+{
+	struct egress_conn *conn;
+	uint32_t count = 0;
+
+	for (conn = server->first; conn != NULL; conn = conn->next) {
+		stream_finish(conn->stream);
+		count++;
+	}
+	return count;
+}
+
 void
 egress_server_close(struct egress_server *server)
 {
--- a/src/proxy/egress/egress_peer.h
+++ b/src/proxy/egress/egress_peer.h
@@ -21,6 +21,12 @@
 void egress_server_set_incarnation(
     struct egress_server *server, uint64_t incarnation);
 
+/// Ends the streams of all ingresses once they have taken what was sent. Call it when no
+/// request is in progress.
+///
+/// @return the number of streams that are still open
+uint32_t egress_server_finish(struct egress_server *server);
+
 void egress_server_close(struct egress_server *server);
 
 #endif
--- a/src/proxy/traffic.c
+++ b/src/proxy/traffic.c
@@ -20,9 +20,8 @@
 
 #define PUBLISH_PERIOD_US (20 * US_PER_MS)
 
-/// Time in which the last answers reach the other VMs: closing a stream may discard
-/// them before.
-#define LAST_ANSWERS_US (200 * US_PER_MS)
+/// Longest wait for other proxies to take the last answers and close their streams.
+#define FINISH_LIMIT_US (1 * US_PER_S)
 
 GAUGE_DEFINE(gauge_running, "egress_running", "Requests in slots now");
 GAUGE_DEFINE(gauge_memory_held, "memory_account_held_bytes",
@@ -56,8 +55,8 @@
 	traffic_counts_fn *counts_fn;
 	traffic_stopped_fn *stopped_fn;
 	void *rollout_arg;
-	/// Until then the last answers may be on their way.
-	int64_t answers_leave_deadline_us;
+	int64_t
+	    finish_deadline_us; ///< Of the streams to this egress; 0: they stay.
 	bool draining;
 	atomic_bool drained;
 	atomic_uint load_pct;
@@ -372,14 +371,27 @@
 	return atomic_load(&traffic->active_count);
 }
 
+/// Ends the streams of other proxies once nothing is in progress.
+///
+/// @return whether they have taken all answers
+static bool
+finish_streams(struct traffic *traffic)
+{
+	int64_t now_us = loop_now_us(traffic->loop);
+
+	if (traffic->finish_deadline_us == 0)
+		traffic->finish_deadline_us = now_us + FINISH_LIMIT_US;
+	return egress_server_finish(traffic->server) == 0 ||
+	    now_us >= traffic->finish_deadline_us;
+}
+
 /// Closes the listeners in the same loop iteration that finds nothing in
 /// progress, so that no request is accepted between the check and the close.
 static void
 end_drain_if_idle(struct traffic *traffic)
 {
 	if (!traffic->draining || atomic_load(&traffic->drained) ||
-	    atomic_load(&traffic->active_count) > 0 ||
-	    loop_now_us(traffic->loop) < traffic->answers_leave_deadline_us)
+	    atomic_load(&traffic->active_count) > 0 || !finish_streams(traffic))
 		return;
 	ingress_close_listeners(traffic->ingress);
 	atomic_store(&traffic->drained, true);
@@ -429,9 +441,6 @@
 	    &gauge_work, egress_get_work_left_us(traffic->egress) / US_PER_MS);
 	atomic_store(&traffic->load_pct, load_pct);
 	bodies = bulk_link_count_bodies(traffic->link);
-	if (queued + running + bodies > 0)
-		traffic->answers_leave_deadline_us =
-		    loop_now_us(traffic->loop) + LAST_ANSWERS_US;
 	atomic_store(&traffic->active_count,
 	    queued + running + bodies + ingress_active_count(traffic->ingress));
 	count_memory(traffic);
--- a/test/unit/test_stream.c
+++ b/test/unit/test_stream.c
@@ -62,9 +62,7 @@
 static void
 on_timeout(void *arg)
 {
-	struct sender *s = arg;
-
-	loop_stop(s->loop);
+	loop_stop(arg);
 }
 
 /// A message that is not queued ends the stream: the peer must not take what
@@ -73,7 +71,7 @@
 test_full_queue_ends_stream(void **state)
 {
 	struct sender s = {.timer = {.fn = send_parts, .arg = &s}};
-	struct loop_timer timeout = {.fn = on_timeout, .arg = &s};
+	struct loop_timer timeout = {.fn = on_timeout};
 	struct sockaddr_in bound;
 	socklen_t len = sizeof(bound);
 	struct address to;
@@ -93,6 +91,7 @@
 	s.stream = stream_dial(s.loop, &to, &ops, &s, &err);
 	assert_non_null(s.stream);
 	loop_timer_set(s.loop, &s.timer, loop_now_us(s.loop));
+	timeout.arg = s.loop;
 	loop_timer_set(s.loop, &timeout, loop_now_us(s.loop) + 2000000);
 	loop_run(s.loop);
 	assert_true(s.refused > 0);
@@ -183,12 +182,103 @@
 	close(f.listener);
 }
 
+#define ANSWER_BYTES (256u * 1024)
+
+/// A peer that reads late, and has sent bytes that the stream has not read.
+struct late_reader {
+	struct loop *loop;
+	struct loop_timer timer;
+	int fd;
+	size_t read_bytes;
+	bool reset;
+	bool ended; ///< The stream was closed by its peer.
+};
+
+static void
+note_end(struct stream *stream, const struct error *err)
+{
+	struct late_reader *r = stream->owner;
+
+	(void)err;
+	r->ended = true;
+	loop_stop(r->loop);
+}
+
+static const struct stream_ops late_ops = {
+    .on_message = ignore_message,
+    .on_closed = note_end,
+};
+
+static void
+read_late(void *arg)
+{
+	struct late_reader *r = arg;
+	static char bytes[ANSWER_BYTES];
+	ssize_t n = read(r->fd, bytes, sizeof(bytes) / 8);
+
+	if (n > 0) {
+		r->read_bytes += (size_t)n;
+		loop_timer_set(r->loop, &r->timer, loop_now_us(r->loop) + 1000);
+		return;
+	}
+	r->reset = n < 0;
+	close(r->fd);
+	r->fd = -1;
+}
+
+/// What was sent before a stream is finished arrives, though its peer sends bytes that
+/// nobody reads any more.
+static void
+test_finished_stream_delivers_all(void **state)
+{
+	struct late_reader r = {.timer = {.fn = read_late, .arg = &r}};
+	struct loop_timer timeout = {.fn = on_timeout};
+	struct message_body body = {.id = 1, .last = 1};
+	static char answer[ANSWER_BYTES];
+	static const char unread[] = {0, 0, 0, 9};
+	struct stream *stream;
+	struct address to;
+	struct sockaddr_in bound;
+	socklen_t len = sizeof(bound);
+	struct error err;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	(void)state;
+	assert_int_equal(address_make("127.0.0.1", 0, &to), 0);
+	assert_int_equal(
+	    bind(fd, (const struct sockaddr *)&to.in, sizeof(to.in)), 0);
+	assert_int_equal(listen(fd, 1), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&bound, &len), 0);
+	to.in = bound;
+	r.loop = loop_create("test", &err);
+	assert_non_null(r.loop);
+	stream = stream_dial(r.loop, &to, &late_ops, &r, &err);
+	assert_non_null(stream);
+	r.fd = accept(fd, NULL, NULL);
+	body.data.data = answer;
+	body.data.size_bytes = ANSWER_BYTES;
+	assert_int_equal(stream_send(stream, MESSAGE_BODY, &body), 0);
+	assert_int_equal(write(r.fd, unread, sizeof(unread)), sizeof(unread));
+	stream_finish(stream);
+	assert_int_equal(stream_send(stream, MESSAGE_BODY, &body), -1);
+	loop_timer_set(r.loop, &r.timer, loop_now_us(r.loop) + 50000);
+	timeout.arg = r.loop;
+	loop_timer_set(r.loop, &timeout, loop_now_us(r.loop) + 5000000);
+	loop_run(r.loop);
+	assert_true(r.read_bytes > ANSWER_BYTES);
+	assert_false(r.reset);
+	assert_true(r.ended);
+	loop_destroy(r.loop);
+	close(fd);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_full_queue_ends_stream),
 	    cmocka_unit_test(test_busy_stream_drops_sent_bytes),
+	    cmocka_unit_test(test_finished_stream_delivers_all),
 	};
 
 	apr_initialize();
