fix(links): of answers to leaving proxies the one that is cut first goes first

Problem: when half of a fleet leaves in series, most answers on a link go to proxies that leave; they went in the order in which these end, and one whose caller's deadline comes before that was cut behind others that had time. Solution: the order goes by the earlier of both.

--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -173,6 +173,18 @@
 	    : REACH_DEADLINE;
 }
 
+/// Time at which a flow to a proxy that leaves is cut; INT64_MAX if its receiver
+/// stays, or does not get it whole in any case.
+static int64_t
+find_cut_us(const struct link_flow *flow, enum link_reach reach)
+{
+	if (flow->receiver_end_us == 0 || reach == REACH_NOTHING)
+		return INT64_MAX;
+	if (flow->deadline_us != 0 && flow->deadline_us < flow->receiver_end_us)
+		return flow->deadline_us;
+	return flow->receiver_end_us;
+}
+
 /// Whether a flow goes before another. The first one added goes before its
 /// equals.
 static bool
@@ -181,14 +193,12 @@
 {
 	enum link_reach reach = find_reach(s, flow, now_us);
 	enum link_reach other_reach = find_reach(s, other, now_us);
-	int64_t end_us = reach == REACH_NOTHING ? 0 : flow->receiver_end_us;
-	int64_t other_end_us =
-	    other_reach == REACH_NOTHING ? 0 : other->receiver_end_us;
+	int64_t cut_us = find_cut_us(flow, reach);
+	int64_t other_cut_us = find_cut_us(other, other_reach);
 
 	// What a proxy lacks when it ends is cut; what others get is only late.
-	if (end_us != other_end_us)
-		return other_end_us == 0 ||
-		    (end_us != 0 && end_us < other_end_us);
+	if (cut_us != other_cut_us)
+		return cut_us < other_cut_us;
 	if (flow->begun != other->begun)
 		return flow->begun;
 	if (flow->worth != other->worth)
--- a/test/unit/test_link_schedule.c
+++ b/test/unit/test_link_schedule.c
@@ -208,6 +208,29 @@
 	assert_true(last_us - SECOND_US < 2300 * MS);
 }
 
+/// Of two bodies for proxies that leave, the one whose caller leaves before them goes
+/// first.
+static void
+test_nearest_cut_first(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct body *first_end;
+	struct body *first_cut;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	first_end = add_body(&vm, 0, 1, SECOND_US);
+	first_end->flow.receiver_end_us = vm.now_us + 400 * MS;
+	first_cut = add_body(&vm, 1, 1, SECOND_US);
+	first_cut->flow.receiver_end_us = vm.now_us + 900 * MS;
+	first_cut->flow.deadline_us = vm.now_us + 200 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &first_cut->flow);
+	first_cut->flow.deadline_us = vm.now_us + 600 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &first_end->flow);
+}
+
 /// A body that cannot reach a proxy before it ends, or leave this VM before its own
 /// end, holds up no other.
 static void
@@ -271,6 +294,7 @@
 	    cmocka_unit_test(test_order),
 	    cmocka_unit_test(test_hopeless_gives_way),
 	    cmocka_unit_test(test_leaving_receiver_gets_its_answers),
+	    cmocka_unit_test(test_nearest_cut_first),
 	    cmocka_unit_test(test_no_link_for_what_is_cut_anyway),
 	    cmocka_unit_test(test_blocked_and_unknown),
 	};
