fix(wire): a leaving ingress cuts no answers of an egress of the version before

Problem: MESSAGE_LEAVING is a new type. An egress of the version before does not know it, fails the stream and drops the answers on it: callers of a proxy that is stopped are cut at once, beside each proxy that is not upgraded yet, or after a roll-back. Planned work of just the kind that the message is for.

Solution: the heartbeat of an ingress carries the time until its end, in work_left_us, which has no meaning in that direction and is not read by the version before. It answers the heartbeat as any other. unit.test_wire keeps the types and numbers of fields of the messages between ingress and egress; it fails on the code before (type 29).

--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -272,25 +272,28 @@
 	stream_send(conn->stream, MESSAGE_HEARTBEAT, &answer);
 }
 
-static void
-on_heartbeat(struct egress_conn *conn, const struct message_heartbeat *m)
-{
-	if (!m->answer)
-		send_load(conn);
-}
-
 /// The ingress leaves: its answers go first, since those that it lacks when it ends
 /// are cut.
 static void
-on_leaving(struct egress_conn *conn, const struct message_leaving *m)
+on_leaving(struct egress_conn *conn, int64_t left_us)
 {
 	struct egress_server *server = conn->server;
-	int64_t end_us = loop_now_us(server->loop) + m->left_us;
+	int64_t end_us = loop_now_us(server->loop) + left_us;
 
 	bulk_link_set_receiver_end(server->link, conn->stream, end_us);
 	egress_set_sink_end(server->egress, &conn->sink, end_us);
 }
 
+static void
+on_heartbeat(struct egress_conn *conn, const struct message_heartbeat *m)
+{
+	if (m->answer)
+		return;
+	if (m->work_left_us > 0)
+		on_leaving(conn, m->work_left_us);
+	send_load(conn);
+}
+
 /// Reports the load to the ingresses that send requests at present.
 static void
 on_pace_changed(void *arg)
@@ -352,9 +355,6 @@
 	case MESSAGE_HEARTBEAT:
 		on_heartbeat(conn, &message->u.heartbeat);
 		break;
-	case MESSAGE_LEAVING:
-		on_leaving(conn, &message->u.leaving);
-		break;
 	default:
 		conn_close(conn);
 		break;
--- a/src/proxy/ingress/link.c
+++ b/src/proxy/ingress/link.c
@@ -73,14 +73,20 @@
 	return link;
 }
 
+/// Sends a heartbeat, which says when this process ends, if it leaves.
 static int
-send_leaving(struct link *link)
+send_heartbeat(struct link *link)
 {
 	const struct links *links = link->links;
-	struct message_leaving leaving = {
-	    links->leave_deadline_us - loop_now_us(links->loop)};
+	struct message_heartbeat beat = {0};
 
-	return stream_send(link->stream, MESSAGE_LEAVING, &leaving);
+	if (links->leave_deadline_us != 0) {
+		beat.work_left_us =
+		    links->leave_deadline_us - loop_now_us(links->loop);
+		if (beat.work_left_us <= 0)
+			beat.work_left_us = 1;
+	}
+	return stream_send(link->stream, MESSAGE_HEARTBEAT, &beat);
 }
 
 void
@@ -91,7 +97,7 @@
 	links->leave_deadline_us = deadline_us;
 	for (link = links->first; link != NULL; link = link->next)
 		if (link->stream != NULL)
-			send_leaving(link);
+			send_heartbeat(link);
 }
 
 static int
@@ -116,7 +122,7 @@
 	hello.sequence = ++links->next_sequence;
 	if (stream_send(link->stream, MESSAGE_HELLO, &hello) != 0)
 		return -1;
-	return links->leave_deadline_us == 0 ? 0 : send_leaving(link);
+	return links->leave_deadline_us == 0 ? 0 : send_heartbeat(link);
 }
 
 int
@@ -247,7 +253,6 @@
 static void
 check_silence(struct link *link, int64_t now_us)
 {
-	struct message_heartbeat beat = {0};
 	struct stream *stream = link->stream;
 	int64_t quiet_us = now_us - stream->last_received_us;
 
@@ -267,7 +272,9 @@
 	    now_us - link->heartbeat_us < HEARTBEAT_AFTER_US)
 		return;
 	link->heartbeat_us = now_us;
-	link_send(link, MESSAGE_HEARTBEAT, &beat);
+	if (link->unanswered_since_us == 0)
+		link->unanswered_since_us = now_us;
+	send_heartbeat(link);
 }
 
 static void
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -45,7 +45,6 @@
 	MESSAGE_FENCE = 26,
 	MESSAGE_FENCE_ANSWER = 27,
 	MESSAGE_HEARTBEAT = 28,
-	MESSAGE_LEAVING = 29,
 	// Replicated log.
 	MESSAGE_RAFT = 40,
 	MESSAGE_REPLICA_QUERY = 41,
@@ -346,14 +345,13 @@
 	int64_t service_us;   ///< Mean slot time; 0: unknown.
 	uint32_t limit_milli; ///< As in struct message_response.
 	int64_t limit_wait_us;
+	/// In an answer: slot time that the requests there still need. In a
+	/// request: time until the end of the ingress's process, which leaves;
+	/// 0: it stays. A message of its own would close streams to proxies of
+	/// the version before, which do not know its type.
 	int64_t work_left_us;
 };
 
-/// The ingress leaves: what it has not got by its end does not reach its callers.
-struct message_leaving {
-	int64_t left_us; ///< Until the end of its process.
-};
-
 struct message_raft_entry {
 	uint64_t index;
 	uint64_t term;
@@ -521,7 +519,6 @@
 		struct message_fence fence;
 		struct message_fence_answer fence_answer;
 		struct message_heartbeat heartbeat;
-		struct message_leaving leaving;
 		struct message_raft raft;
 		struct message_replica_query replica_query;
 		struct message_replica_answer replica_answer;
--- a/src/wire/schemas.c
+++ b/src/wire/schemas.c
@@ -297,12 +297,6 @@
 static const struct codec_schema heartbeat_schema =
     CODEC_SCHEMA(struct message_heartbeat, heartbeat_fields);
 
-static const struct codec_field leaving_fields[] = {
-    F(message_leaving, TIME, left_us),
-};
-static const struct codec_schema leaving_schema =
-    CODEC_SCHEMA(struct message_leaving, leaving_fields);
-
 static const struct codec_field raft_entry_fields[] = {
     F(message_raft_entry, COUNT, index),
     F(message_raft_entry, COUNT, term),
@@ -512,8 +506,6 @@
 		return &fence_answer_schema;
 	case MESSAGE_HEARTBEAT:
 		return &heartbeat_schema;
-	case MESSAGE_LEAVING:
-		return &leaving_schema;
 	case MESSAGE_RAFT:
 		return &raft_schema;
 	case MESSAGE_REPLICA_QUERY:
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -294,11 +294,52 @@
 #undef REFUSED
 }
 
+/// A proxy of the version before closes a stream on a type or on a number of fields
+/// that it does not know, and cuts the answers on it: what is new goes into values
+/// that it does not read. A change here needs a way to tell which version the other
+/// end has.
+static void
+test_peer_messages_keep_their_form(void **state)
+{
+	static const struct {
+		int64_t type;
+		uint32_t field_count;
+	} known[] = {
+	    {MESSAGE_HELLO, 3},
+	    {MESSAGE_REQUEST, 24},
+	    {MESSAGE_RESPONSE, 20},
+	    {MESSAGE_BODY, 4},
+	    {MESSAGE_WINDOW, 2},
+	    {MESSAGE_CANCEL, 2},
+	    {MESSAGE_FENCE, 3},
+	    {MESSAGE_FENCE_ANSWER, 2},
+	    {MESSAGE_HEARTBEAT, 7},
+	};
+	const struct codec_schema *schema;
+	int64_t type;
+	size_t i;
+
+	(void)state;
+	for (type = MESSAGE_HELLO; type < MESSAGE_RAFT; type++) {
+		schema = message_find_schema(type);
+		for (i = 0; i < sizeof(known) / sizeof(known[0]); i++)
+			if (known[i].type == type)
+				break;
+		if (i == sizeof(known) / sizeof(known[0])) {
+			assert_null(schema);
+			continue;
+		}
+		assert_non_null(schema);
+		assert_int_equal(schema->field_count, known[i].field_count);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_round_trip),
+	    cmocka_unit_test(test_peer_messages_keep_their_form),
 	    cmocka_unit_test(test_numbers_out_of_range),
 	    cmocka_unit_test(test_member_out_of_range),
 	    cmocka_unit_test(test_truncated_and_corrupted),
