--- a/src/core/requests/link_admission.h
+++ b/src/core/requests/link_admission.h
@@ -22,10 +22,12 @@
 	bool begun;
 	int64_t target_deadline_us; ///< 0: not known.
 	int64_t deadline_us;
+	int64_t receiver_end_us; ///< As in struct link_flow.
 };
 
 /// Decides whether the answer of a request can be carried by its target, or else
-/// before its caller leaves.
+/// before its caller leaves; and with all others before this proxy ends, if it has to
+/// stop now.
 ///
 /// @param wait_us  receives the time after which there is room, if not
 bool link_admission_accepts(struct link_schedule *s,
