fix(links): an idle link is tried, and late bodies are looked for on a busy one

An idle egress refused all downloads of a route for over 30 s ('its answer cannot be carried in time'): the time at the server, as learned under load, was more than the part of the deadline that the link may take, and no sample came any more to correct it. And on a busy link the one timer of the pacer was moved on at each turn, so that bodies whose deadline had passed were found up to 1.4 s late.

Solution: a link with nothing on it takes an answer that it can carry. The search for late bodies has its own deadline and runs with the pump.

The late search has no test of its own.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -29,6 +29,10 @@
 	    .left_bytes = q->answer_bytes};
 	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
 	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
+	bool idle = s->queued_bytes == 0 && s->expected_bytes == 0;
+	// An idle link takes one that it can carry, whatever the server is expected to
+	// need: only its answers correct that.
+	int64_t service_us = idle ? 0 : q->service_us;
 	int64_t all_us;
 	int64_t left_us;
 	int64_t way_us;
@@ -41,14 +45,14 @@
 		*wait_us = transfer_us;
 		return false;
 	}
-	all_us = later_us(link_schedule_all_us(s, now_us), q->service_us) +
-	    transfer_us;
+	all_us =
+	    later_us(link_schedule_all_us(s, now_us), service_us) + transfer_us;
 	if (stop_us > 0 && all_us > stop_us) {
 		*wait_us = all_us - stop_us;
 		return false;
 	}
 	way_us =
-	    later_us(link_schedule_ahead_us(s, &flow, now_us), q->service_us) +
+	    later_us(link_schedule_ahead_us(s, &flow, now_us), service_us) +
 	    transfer_us;
 	if (!q->begun && now_us + way_us <= q->target_deadline_us &&
 	    now_us + way_us <= q->deadline_us)
--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -46,6 +46,7 @@
 	struct loop *loop;
 	struct link_schedule schedule;
 	struct loop_timer timer;
+	int64_t sweep_deadline_us; ///< Next search for late bodies.
 	bool pump_deferred;
 };
 
@@ -170,6 +171,9 @@
 {
 	struct link_flow *flow;
 
+	if (now_us < link->sweep_deadline_us)
+		return;
+	link->sweep_deadline_us = now_us + SWEEP_INTERVAL_US;
 	while (
 	    (flow = link_schedule_find_late(&link->schedule, now_us)) != NULL)
 		end_late_body((struct bulk_body *)flow);
@@ -183,6 +187,8 @@
 	int64_t wait_us;
 	struct link_flow *flow;
 
+	// Here, since a busy link moves the timer on at each turn.
+	end_late_bodies(link, now_us);
 	for (flow = link->schedule.first; flow != NULL; flow = flow->next)
 		flow->blocked =
 		    !stream_is_idle(((struct bulk_body *)flow)->stream);
@@ -225,10 +231,7 @@
 static void
 on_timer(void *arg)
 {
-	struct bulk_link *link = arg;
-
-	end_late_bodies(link, loop_now_us(link->loop));
-	pump(link);
+	pump(arg);
 }
 
 static void
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -194,6 +194,13 @@
 	q.receiver_end_us = expected.receiver_end_us = 0;
 	link_schedule_unexpect(&s, &expected);
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	// An idle link is tried, however long answers are said to take.
+	q.service_us = 100 * SECOND_US;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	link_schedule_expect(&s, &expected);
+	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	link_schedule_unexpect(&s, &expected);
+	q.service_us = 0;
 	// All has to leave before the end of a stop that may come at any time.
 	q.target_deadline_us = q.deadline_us = 1000 * SECOND_US;
 	link_schedule_expect(&s, &expected);
