fix(requests): an answer that comes at its deadline is not cut

At the deadline the ingress cancels, and waits 100 ms for an answer that is on its way. The cancel then met the body of that answer and dropped it, as if the caller had left; and a body that begins near the deadline was ended within 50 ms.

Solution: the cancel at the deadline concerns queued requests only; a server at work keeps the deadline itself, and so does its proxy. A body that begins in the last 100 ms or later has 100 ms to leave.

Result: unit.test_link_schedule, test_answer_of_the_last_moment.

--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -22,6 +22,10 @@
 /// in time: what is on its way to the link, and the ingress, take as long.
 #define ARRIVAL_MARGIN_US 20000
 
+/// An answer has so long to leave, whatever its deadline: its request may have run once
+/// and for all. An ingress waits as long for the head.
+#define LAST_ANSWER_US 100000
+
 /// Packets of a stream: data and heads, IP included.
 #define PACKET_DATA_BYTES 1448
 #define PACKET_HEAD_BYTES 52
@@ -226,6 +230,14 @@
 	return best;
 }
 
+int64_t
+link_schedule_answer_deadline_us(int64_t deadline_us, int64_t now_us)
+{
+	int64_t last_us = now_us + LAST_ANSWER_US;
+
+	return deadline_us > last_us ? deadline_us : last_us;
+}
+
 struct link_flow *
 link_schedule_find_late(const struct link_schedule *s, int64_t now_us)
 {
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -79,6 +79,10 @@
 /// @return NULL if nothing can be sent now
 struct link_flow *link_schedule_next(struct link_schedule *s, int64_t now_us);
 
+/// Returns the deadline of the body of an answer that begins now. One that comes in the
+/// last moment has a while to leave.
+int64_t link_schedule_answer_deadline_us(int64_t deadline_us, int64_t now_us);
+
 /// Finds a flow whose deadline has passed; NULL if there is none. Until then even
 /// one that cannot arrive any more is kept: its caller may take what comes.
 struct link_flow *link_schedule_find_late(
--- a/src/proxy/egress/egress_link.c
+++ b/src/proxy/egress/egress_link.c
@@ -98,6 +98,7 @@
 	terms->worth = egress->admission.ranks[r->item.rank].worth;
 	terms->begun = r->item.begun;
 	terms->target_deadline_us = r->item.target_deadline_us;
-	terms->deadline_us = r->deadline_us;
+	terms->deadline_us = link_schedule_answer_deadline_us(
+	    r->deadline_us, loop_now_us(egress->loop));
 	terms->receiver_end_us = r->answer.receiver_end_us;
 }
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -211,7 +211,9 @@
 		r->cancel_sent = true;
 		loop_timer_set(ingress->loop, &r->timer,
 		    loop_now_us(ingress->loop) + CANCEL_GRACE_US);
-		ingress_send_cancel(r, false);
+		// A server that is at work keeps the deadline itself, and its
+		// answer may be on its way.
+		ingress_send_cancel(r, true);
 		return;
 	}
 	ingress_attempt_end(r, true);
--- a/test/unit/test_link_schedule.c
+++ b/test/unit/test_link_schedule.c
@@ -261,6 +261,28 @@
 	    link_schedule_next(&vm.schedule, vm.now_us), &hopeless->flow);
 }
 
+/// An answer that its server gives 10 ms before the deadline, 53 ms of the link, leaves
+/// whole.
+static void
+test_answer_of_the_last_moment(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct body *body;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	body = add_body(&vm, 0, 1, SECOND_US);
+	body->flow.deadline_us =
+	    link_schedule_answer_deadline_us(SECOND_US + 10 * MS, vm.now_us);
+	for (; vm.schedule.queued_bytes > 0; vm.now_us += 1 * MS) {
+		assert_null(link_schedule_find_late(&vm.schedule, vm.now_us));
+		send_pieces(&vm);
+	}
+	assert_int_equal(
+	    link_schedule_answer_deadline_us(9 * SECOND_US, vm.now_us),
+	    9 * SECOND_US);
+}
+
 /// A stream that takes nothing does not hold up the others; and without a known
 /// capacity nothing waits.
 static void
@@ -296,6 +318,7 @@
 	    cmocka_unit_test(test_leaving_receiver_gets_its_answers),
 	    cmocka_unit_test(test_nearest_cut_first),
 	    cmocka_unit_test(test_no_link_for_what_is_cut_anyway),
+	    cmocka_unit_test(test_answer_of_the_last_moment),
 	    cmocka_unit_test(test_blocked_and_unknown),
 	};
 
