fix(egress): no use after free when a stream breaks as a stop ends it

Problem: a proxy that stops reads freed memory, and may crash with the answers of others still on their way, if an ingress resets its stream while bytes for it are queued (an ingress that ends at the same time does, after its last message). egress_server_finish goes on from a connection that stream_finish has closed: the send fails, on_closed frees it. Timers run before deferred sends, so answers of the same turn of the loop are queued then.

Solution: the next one is read first, and only streams that are left are counted.

Result: unit.test_egress_peer under the address sanitizer: heap-use-after-free in egress_server_finish before, none after. Without a sanitizer it passes on both.

--- a/src/proxy/egress/egress_peer.c
+++ b/src/proxy/egress/egress_peer.c
@@ -452,13 +452,18 @@
 uint32_t
 egress_server_finish(struct egress_server *server)
 {
-	struct egress_conn *conn;
+	struct egress_conn *conn = server->first;
 	uint32_t count = 0;
 
-	for (conn = server->first; conn != NULL; conn = conn->next) {
+	// A stream that its peer has reset is closed at once.
+	while (conn != NULL) {
+		struct egress_conn *next = conn->next;
+
 		stream_finish(conn->stream);
-		count++;
+		conn = next;
 	}
+	for (conn = server->first; conn != NULL; conn = conn->next)
+		count++;
 	return count;
 }
 
