fix(links): long answers on idle links, and bodies about to be ended, beside stops

An answer that takes longer than 0.8 of the time of a stop was refused for ever, also on an idle link (3 MB at 4 Mbit/s and drain.stop_s 5: the first one served in 6.5 s while its size was not known, three further ones refused). And a body for a proxy that ends in 3 s went before one whose caller leaves in 80 ms, though the link carries both.

Solution: the bound by the time of a stop concerns what an answer is queued behind; an idle link takes any answer that it carries by the deadline. A body for a leaving proxy with 2 s or more gives way to one within 300 ms of its deadline.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -30,8 +30,9 @@
 	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
 	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
 	bool idle = s->queued_bytes == 0 && s->expected_bytes == 0;
-	// An idle link takes one that it can carry, whatever the server is expected to
-	// need: only its answers correct that.
+	// An idle link takes one by the deadline, whatever the server is expected to
+	// need, since only its answers correct that, and however long it is: else it
+	// would never be served.
 	int64_t service_us = idle ? 0 : q->service_us;
 	int64_t all_us;
 	int64_t left_us;
@@ -47,7 +48,7 @@
 	}
 	all_us =
 	    later_us(link_schedule_all_us(s, now_us), service_us) + transfer_us;
-	if (stop_us > 0 && all_us > stop_us) {
+	if (stop_us > 0 && !idle && all_us > stop_us) {
 		*wait_us = all_us - stop_us;
 		return false;
 	}
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -26,6 +26,11 @@
 /// and for all. An ingress waits as long for the head.
 #define LAST_ANSWER_US 100000
 
+/// A body whose deadline is so near goes before one for a proxy that leaves, if that has
+/// the second time left.
+#define NEAR_DEADLINE_US 300000
+#define AMPLE_TIME_US	 2000000
+
 /// Packets of a stream: data and heads, IP included.
 #define PACKET_DATA_BYTES 1448
 #define PACKET_HEAD_BYTES 52
@@ -189,6 +194,16 @@
 	return flow->receiver_end_us;
 }
 
+/// Whether a flow to a proxy that stays is about to be ended by its deadline.
+static bool
+is_near_deadline(
+    const struct link_flow *flow, enum link_reach reach, int64_t now_us)
+{
+	return flow->receiver_end_us == 0 && reach != REACH_NOTHING &&
+	    flow->deadline_us != 0 &&
+	    flow->deadline_us - now_us <= NEAR_DEADLINE_US;
+}
+
 /// Whether a flow goes before another. The first one added goes before its
 /// equals.
 static bool
@@ -200,9 +215,15 @@
 	int64_t cut_us = find_cut_us(flow, reach);
 	int64_t other_cut_us = find_cut_us(other, other_reach);
 
-	// What a proxy lacks when it ends is cut; what others get is only late.
-	if (cut_us != other_cut_us)
+	// What a proxy lacks when it ends is cut; what others get is only late, unless
+	// their callers are about to leave.
+	if (cut_us != other_cut_us) {
+		if (is_near_deadline(other, other_reach, now_us))
+			return cut_us - now_us <= AMPLE_TIME_US;
+		if (is_near_deadline(flow, reach, now_us))
+			return other_cut_us - now_us > AMPLE_TIME_US;
 		return cut_us < other_cut_us;
+	}
 	if (flow->begun != other->begun)
 		return flow->begun;
 	if (flow->worth != other->worth)
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -201,6 +201,9 @@
 	assert_false(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	link_schedule_unexpect(&s, &expected);
 	q.service_us = 0;
+	// Nor is one refused for ever that takes longer than a stop.
+	s.stop_time_us = 40 * MS;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	// All has to leave before the end of a stop that may come at any time.
 	q.target_deadline_us = q.deadline_us = 1000 * SECOND_US;
 	link_schedule_expect(&s, &expected);
--- a/test/unit/test_link_schedule.c
+++ b/test/unit/test_link_schedule.c
@@ -208,6 +208,30 @@
 	assert_true(last_us - SECOND_US < 2300 * MS);
 }
 
+/// What a proxy that stays gets is cut too, at the deadline of its caller. A body that has
+/// time until its proxy ends leaves it the link, one that has little does not.
+static void
+test_near_deadline_before_far_end(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct body *leaving;
+	struct body *near;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	leaving = add_body(&vm, 0, 1, SECOND_US);
+	near = add_body(&vm, 1, 1, SECOND_US);
+	near->flow.deadline_us = vm.now_us + 80 * MS;
+	leaving->flow.receiver_end_us = vm.now_us + 500 * MS;
+	assert_ptr_equal(
+	    link_schedule_next(&vm.schedule, vm.now_us), &leaving->flow);
+	leaving->flow.receiver_end_us = vm.now_us + 3 * SECOND_US;
+	for (; vm.schedule.queued_bytes > 0; vm.now_us += 1 * MS)
+		send_pieces(&vm);
+	assert_true(leaving->end_us <= leaving->flow.receiver_end_us);
+	assert_true(near->end_us <= near->flow.deadline_us);
+}
+
 /// Of two bodies for proxies that leave, the one whose caller leaves before them goes
 /// first.
 static void
@@ -316,6 +340,7 @@
 	    cmocka_unit_test(test_order),
 	    cmocka_unit_test(test_hopeless_gives_way),
 	    cmocka_unit_test(test_leaving_receiver_gets_its_answers),
+	    cmocka_unit_test(test_near_deadline_before_far_end),
 	    cmocka_unit_test(test_nearest_cut_first),
 	    cmocka_unit_test(test_no_link_for_what_is_cut_anyway),
 	    cmocka_unit_test(test_answer_of_the_last_moment),
