fix(requests): uploads whose answers have no room are refused before their bodies are sent

An egress granted credit for the whole body of an upload and refused it afterwards, since its answer had no room on the link; and a proxy that had just started sent such a request again every 50 ms, as if a start made room. The bodies filled the link of their own VM (2.3 to 38 MB in some seconds), so that the answers which that VM owed to leaving proxies, and all others, stood still and were cut.

Solution: the link is asked before credit is granted, and a request that was refused for lack of room is not parked.

Result: functional.upload_refused fails before (the body is collected; one request sent 13 times in 0.7 s) and passes.

--- a/src/proxy/egress/submit.c
+++ b/src/proxy/egress/submit.c
@@ -86,9 +86,13 @@
 	}
 	r = egress_request_create(egress, sink, message);
 	r->fence_key = key;
-	if (must_collect_body(message))
+	r->state = REQUEST_QUEUED;
+	if (!must_collect_body(message))
+		egress_admit(r);
+	else if (egress_link_accepts(r, &retry_us))
 		egress_collect_begin(r);
 	else
-		egress_admit(r);
+		// Before its body takes the link of the other VM.
+		egress_end_link_full(r, retry_us);
 	return egress_find_request(egress, sink, message->id);
 }
--- a/src/proxy/egress/work.c
+++ b/src/proxy/egress/work.c
@@ -143,7 +143,7 @@
 	int64_t retry_us;
 
 	r->state = REQUEST_QUEUED;
-	if (!egress_link_accepts(r, &retry_us)) {
+	if (!r->answer_expected && !egress_link_accepts(r, &retry_us)) {
 		egress_end_link_full(r, retry_us);
 		return;
 	}
--- a/src/proxy/ingress/answer.c
+++ b/src/proxy/ingress/answer.c
@@ -121,6 +121,7 @@
 	int64_t wait_us = m->retry_left_us;
 	struct balancer_request refused;
 
+	r->refused_for_room |= m->link_full || m->retry_left_us > 0;
 	if (m->link_full) {
 		ingress_fill_query(r, &refused, now_us);
 		link_cost_set_full(&r->endpoint->link, refused.answer_bytes,
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -78,9 +78,10 @@
 	bool quota_waiting;  ///< Waits for a token of its workspace's quota.
 	struct ingress_request *quota_next; ///< In the order of arrival.
 	struct ingress_request *quota_prev;
-	bool parked;	    ///< Waits for rules or endpoints after a start.
-	bool parked_before; ///< It has been parked at least once.
-	bool visit_pending; ///< Still to visit in a loop of waiting.c.
+	bool parked;	       ///< Waits for rules or endpoints after a start.
+	bool parked_before;    ///< It has been parked at least once.
+	bool refused_for_room; ///< An egress had no room for it.
+	bool visit_pending;    ///< Still to visit in a loop of waiting.c.
 	int64_t deadline_us;
 	int64_t target_deadline_us; ///< A later response loses worth.
 	int64_t stated_left_us; ///< Until the caller's deadline; 0: not stated.
--- a/src/proxy/ingress/tries.c
+++ b/src/proxy/ingress/tries.c
@@ -35,7 +35,9 @@
 static void
 conclude_without_endpoint(struct ingress_request *r, int64_t busy_until_us)
 {
-	if (r->arrivals == 0 && busy_until_us == INT64_MAX && ingress_park(r))
+	// A start does not make room; trying again and again would fill the links.
+	if (r->arrivals == 0 && busy_until_us == INT64_MAX &&
+	    !r->refused_for_room && ingress_park(r))
 		return;
 	if (r->last_status != 0)
 		ingress_conclude(r, r->last_status, r->last_outcome,
