fix(links): no more long answers are promised to leaving proxies than the link carries

Solution: a long answer for a leaving proxy is accepted only if it and all that is owed to such proxies, each by the time at which it is cut, still leave.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -52,6 +52,11 @@
 		*wait_us = all_us - stop_us;
 		return false;
 	}
+	if (q->receiver_end_us != 0 &&
+	    !link_schedule_keeps_cuts(s, &flow, now_us)) {
+		*wait_us = transfer_us;
+		return false;
+	}
 	way_us =
 	    later_us(link_schedule_ahead_us(s, &flow, now_us), service_us) +
 	    transfer_us;
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -318,6 +318,66 @@
 		    count_ahead(s, s->first_expected, flow, now_us));
 }
 
+/// Time at which the schedule would cut a flow.
+static int64_t
+cut_of(
+    const struct link_schedule *s, const struct link_flow *flow, int64_t now_us)
+{
+	return find_cut_us(flow, find_reach(s, flow, now_us));
+}
+
+/// Bytes of a list of flows that are cut by a time.
+static int64_t
+count_cut_by(const struct link_schedule *s, const struct link_flow *list,
+    int64_t by_us, int64_t now_us)
+{
+	int64_t bytes = 0;
+
+	for (; list != NULL; list = list->next)
+		if (cut_of(s, list, now_us) <= by_us)
+			bytes += list->left_bytes;
+	return bytes;
+}
+
+/// Whether all that is cut by a time leaves before, with a further flow.
+static bool
+keeps_cut(const struct link_schedule *s, const struct link_flow *added,
+    int64_t by_us, int64_t now_us)
+{
+	int64_t bytes = added->left_bytes +
+	    count_cut_by(s, s->first, by_us, now_us) +
+	    count_cut_by(s, s->first_expected, by_us, now_us);
+
+	return now_us + (int64_t)(s->backlog_bytes / s->bytes_per_us) +
+	    link_schedule_transfer_us(s, bytes) <=
+	    by_us;
+}
+
+bool
+link_schedule_keeps_cuts(
+    struct link_schedule *s, const struct link_flow *added, int64_t now_us)
+{
+	int64_t added_cut_us = cut_of(s, added, now_us);
+	const struct link_flow *lists[] = {s->first, s->first_expected};
+	const struct link_flow *flow;
+	uint32_t i;
+
+	if (s->bytes_per_us <= 0)
+		return true;
+	update_backlog(s, now_us);
+	if (!keeps_cut(s, added, added_cut_us, now_us))
+		return false;
+	for (i = 0; i < 2; i++)
+		for (flow = lists[i]; flow != NULL; flow = flow->next) {
+			int64_t cut_us = cut_of(s, flow, now_us);
+
+			if (cut_us > added_cut_us && cut_us != INT64_MAX &&
+			    !keeps_cut(s, added, cut_us, now_us))
+				return false;
+		}
+	return true;
+}
+
 int64_t
 link_schedule_all_us(struct link_schedule *s, int64_t now_us)
 {
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -104,6 +104,11 @@
 int64_t link_schedule_ahead_us(
     struct link_schedule *s, const struct link_flow *flow, int64_t now_us);
 
+/// Whether a flow to a proxy that leaves can be added, so that it and all others to such
+/// proxies, expected ones too, still leave before they are cut.
+bool link_schedule_keeps_cuts(
+    struct link_schedule *s, const struct link_flow *added, int64_t now_us);
+
 /// Time until all that waits or is expected has left this VM.
 int64_t link_schedule_all_us(struct link_schedule *s, int64_t now_us);
 
--- a/test/unit/test_link_schedule.c
+++ b/test/unit/test_link_schedule.c
@@ -285,6 +285,31 @@
 	    link_schedule_next(&vm.schedule, vm.now_us), &hopeless->flow);
 }
 
+/// Two bodies for a proxy that leaves fill the link until it ends. A third one for it, which
+/// would go before them since its caller leaves earlier, is not taken; one that is cut
+/// later, by another proxy, is.
+static void
+test_leaving_receivers_are_not_promised_too_much(void **state)
+{
+	struct vm vm = {.now_us = SECOND_US};
+	struct link_flow added = {.worth = 9, .left_bytes = BODY_BYTES};
+	uint32_t i;
+
+	(void)state;
+	link_schedule_init(&vm.schedule, LINK_MBPS);
+	for (i = 0; i < 2; i++)
+		add_body(&vm, i, 1, 0)->flow.receiver_end_us =
+		    vm.now_us + 130 * MS;
+	added.receiver_end_us = vm.now_us + 130 * MS;
+	added.deadline_us = vm.now_us + 100 * MS;
+	assert_false(link_schedule_keeps_cuts(&vm.schedule, &added, vm.now_us));
+	added.receiver_end_us = vm.now_us + 300 * MS;
+	added.deadline_us = 0;
+	assert_true(link_schedule_keeps_cuts(&vm.schedule, &added, vm.now_us));
+	added.receiver_end_us = vm.now_us + 140 * MS;
+	assert_false(link_schedule_keeps_cuts(&vm.schedule, &added, vm.now_us));
+}
+
 /// An answer that its server gives 10 ms before the deadline, 53 ms of the link, leaves
 /// whole.
 static void
@@ -343,6 +368,7 @@
 	    cmocka_unit_test(test_near_deadline_before_far_end),
 	    cmocka_unit_test(test_nearest_cut_first),
 	    cmocka_unit_test(test_no_link_for_what_is_cut_anyway),
+	    cmocka_unit_test(test_leaving_receivers_are_not_promised_too_much),
 	    cmocka_unit_test(test_answer_of_the_last_moment),
 	    cmocka_unit_test(test_blocked_and_unknown),
 	};
