fix(ingress): a leaving proxy begins no long calls of servers that are not at work

Problem: a server that calls others for itself (a job, no request is at work there) got no answer to a POST that had run: its proxy had 1 s left, took the call with a deadline of 40 s, and closed the connection when its process ended. All that comes by the inner listener counts as a call of begun work, and since that is never refused for leaving.

Solution: the exemption holds while the server of the VM is at work on a request; else the call is refused as not run, as before.

--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -145,6 +145,17 @@
 		    &ingress_get_route_stats(r)->answer_size, r->answer_bytes);
 }
 
+bool
+ingress_is_call_of_work(const struct ingress_request *r)
+{
+	uint32_t queued;
+	uint32_t running;
+	uint32_t load_pct;
+
+	egress_get_load(r->ingress->egress, &queued, &running, &load_pct);
+	return r->begun && running > 0;
+}
+
 /// Whether the answer is known to be short, so that no link holds it up.
 static bool
 is_answer_short(struct ingress_request *r)
@@ -161,7 +172,7 @@
 	int64_t end_us = r->ingress->leave_deadline_us;
 
 	// Without its calls the work that has begun is lost in any case.
-	return end_us != 0 && !r->begun &&
+	return end_us != 0 && !ingress_is_call_of_work(r) &&
 	    r->deadline_us > end_us - INGRESS_DRAIN_MARGIN_US &&
 	    !is_answer_short(r);
 }
--- a/src/proxy/ingress/ingress_request.h
+++ b/src/proxy/ingress/ingress_request.h
@@ -208,6 +208,10 @@
 /// Records the size of an answer that has arrived whole, unless its head told it.
 void ingress_record_answer_end(struct ingress_request *r);
 
+/// Whether the request is a call of work that the local backend server is at. What it
+/// calls for itself comes by the same listener.
+bool ingress_is_call_of_work(const struct ingress_request *r);
+
 /// Whether this process leaves and the answer may still be on its way when it ends. A
 /// long answer depends on links as well, so that none is begun from the first sign on.
 bool ingress_answer_may_outlast(struct ingress_request *r);
--- a/src/proxy/ingress/route.c
+++ b/src/proxy/ingress/route.c
@@ -167,7 +167,7 @@
 
 	if (ingress_answer_may_outlast(r))
 		return true;
-	return end_us != 0 && !r->begun &&
+	return end_us != 0 && !ingress_is_call_of_work(r) &&
 	    r->deadline_us > end_us - INGRESS_DRAIN_MARGIN_US;
 }
 
