fix(ingress): a leaving proxy serves HEAD requests like other short ones

Problem: from the SIGTERM on a proxy refused HEAD requests whose deadline is beyond its end with 'this proxy is leaving', where it served them before until the end of the announcement. Since an answer of unknown size counts as long; the answers to HEAD are not recorded, so that routes asked by HEAD only stay unknown for ever.

Solution: an answer without a body is short.

Result: functional.stop_heads: 503 before, 200 after; stop_unknown_answer, stop_jobs pass.

--- a/src/proxy/ingress/ingress_request.c
+++ b/src/proxy/ingress/ingress_request.c
@@ -163,6 +163,8 @@
 	int64_t size_bytes =
 	    answer_size_longest(&ingress_get_route_stats(r)->answer_size);
 
+	if (r->exchange != NULL && strcmp(r->exchange->method, "HEAD") == 0)
+		return true;
 	return size_bytes >= 0 && size_bytes <= LINK_SHORT_BYTES;
 }
 
