fix(links): an answer that is longer than a stop is served on an idle link

Problem: since callers got 503 'all backend servers are busy' on an idle link, each time, for an answer that the link does not carry within 0.8 of the time of a stop: 3 MB at 4 Mbit/s with stop_s 5. The first was served, while its length was not known.

Solution: what a stop may cut bounds what is accepted beside others, not what is there alone; a route that is never served is worse than one that a stop may cut.

Result: functional.link_long failed before (503 from the second or third on) and passes (one run each); stop_full_link, stop_slow_link, slow_link, unit.test_link_room pass.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -47,7 +47,8 @@
 	}
 	all_us =
 	    later_us(link_schedule_all_us(s, now_us), service_us) + transfer_us;
-	if (stop_us > 0 && all_us > stop_us) {
+	// One that is longer alone would never be answered.
+	if (!idle && stop_us > 0 && all_us > stop_us) {
 		*wait_us = all_us - stop_us;
 		return false;
 	}
