fix(links): an answer that takes longer than a stop does not keep others out

Problem: found by the review: while an answer of 3 MB was in transfer (6.5 s of the link, with 5 s for a stop), 5 of 6 short downloads that were asked for beside it were refused, since all that is there was compared with the time of a stop. Solution: what alone takes longer than a stop cannot be kept by refusing others, and is left out of that sum.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -17,6 +17,23 @@
 	return a_us > b_us ? a_us : b_us;
 }
 
+/// Whether all that is there, with a further answer, leaves in the time of a stop that
+/// begins now. What alone takes longer cannot, and does not count.
+static bool
+fits_stop(struct link_schedule *s, const struct link_request *q, int64_t now_us,
+    int64_t *wait_us)
+{
+	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
+	int64_t all_us =
+	    later_us(link_schedule_all_us(s, stop_us, now_us), q->service_us) +
+	    link_schedule_transfer_us(s, q->answer_bytes);
+
+	if (stop_us == 0 || all_us <= stop_us)
+		return true;
+	*wait_us = all_us - stop_us;
+	return false;
+}
+
 bool
 link_admission_accepts(struct link_schedule *s, const struct link_request *q,
     int64_t now_us, int64_t *wait_us)
@@ -28,7 +45,6 @@
 	    .receiver_end_us = q->receiver_end_us,
 	    .left_bytes = q->answer_bytes};
 	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
-	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
 	bool idle = s->queued_bytes == 0 && s->expected_bytes == 0;
 	// An idle link takes one by the deadline, whatever the server is expected to
 	// need, since only its answers correct that, and however long it is: else it
@@ -46,12 +62,10 @@
 		*wait_us = transfer_us;
 		return false;
 	}
-	all_us =
-	    later_us(link_schedule_all_us(s, now_us), service_us) + transfer_us;
-	if (stop_us > 0 && !idle && all_us > stop_us) {
-		*wait_us = all_us - stop_us;
+	if (!idle && !fits_stop(s, q, now_us, wait_us))
 		return false;
-	}
+	all_us = later_us(link_schedule_all_us(s, 0, now_us), service_us) +
+	    transfer_us;
 	if (q->receiver_end_us != 0 &&
 	    !link_schedule_keeps_cuts(s, &flow, now_us)) {
 		*wait_us = transfer_us;
--- a/src/core/requests/link_schedule.c
+++ b/src/core/requests/link_schedule.c
@@ -378,17 +378,29 @@
 	return true;
 }
 
-int64_t
-link_schedule_all_us(struct link_schedule *s, int64_t now_us)
+static int64_t
+count_left(const struct link_schedule *s, const struct link_flow *list,
+    int64_t longest_us)
 {
-	int64_t left_bytes = s->expected_bytes;
-	const struct link_flow *flow;
+	int64_t bytes = 0;
 
+	for (; list != NULL; list = list->next)
+		if (longest_us == 0 ||
+		    link_schedule_transfer_us(s, list->left_bytes) <=
+			longest_us)
+			bytes += list->left_bytes;
+	return bytes;
+}
+
+int64_t
+link_schedule_all_us(
+    struct link_schedule *s, int64_t longest_us, int64_t now_us)
+{
 	if (s->bytes_per_us <= 0)
 		return 0;
 	update_backlog(s, now_us);
-	for (flow = s->first; flow != NULL; flow = flow->next)
-		left_bytes += flow->left_bytes;
 	return (int64_t)(s->backlog_bytes / s->bytes_per_us) +
-	    link_schedule_transfer_us(s, left_bytes);
+	    link_schedule_transfer_us(s,
+		count_left(s, s->first, longest_us) +
+		    count_left(s, s->first_expected, longest_us));
 }
--- a/src/core/requests/link_schedule.h
+++ b/src/core/requests/link_schedule.h
@@ -110,6 +110,9 @@
     struct link_schedule *s, const struct link_flow *added, int64_t now_us);
 
 /// Time until all that waits or is expected has left this VM.
-int64_t link_schedule_all_us(struct link_schedule *s, int64_t now_us);
+///
+/// @param longest_us  flows that alone take longer are left out; 0: none is
+int64_t link_schedule_all_us(
+    struct link_schedule *s, int64_t longest_us, int64_t now_us);
 
 #endif
