fix(links): an idle link takes one answer of any length that it carries

Solution: an idle link is exempt; an answer is streamed and never held as a whole. Result: unit.test_link_room fails without the change (the new lines) and passes.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -57,8 +57,9 @@
 	*wait_us = 0;
 	if (q->answer_bytes <= LINK_SHORT_BYTES || s->bytes_per_us <= 0)
 		return true;
-	if (s->queued_bytes + s->expected_bytes + q->answer_bytes >
-	    LINK_MAX_QUEUED_BYTES) {
+	if (!idle &&
+	    s->queued_bytes + s->expected_bytes + q->answer_bytes >
+		LINK_MAX_QUEUED_BYTES) {
 		*wait_us = transfer_us;
 		return false;
 	}
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -217,6 +217,12 @@
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
 	s.stop_time_us = 0;
 	link_schedule_unexpect(&s, &expected);
+	// An idle link takes one of any length that it carries: it is streamed, and one
+	// long answer may be all that is known of the route.
+	q.answer_bytes = 2 * LINK_MAX_QUEUED_BYTES;
+	q.deadline_us = 1000 * SECOND_US;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.answer_bytes = BODY_BYTES;
 	// Bodies in memory are bounded, whatever the deadlines.
 	expected.left_bytes = LINK_MAX_QUEUED_BYTES;
 	q.worth = 3;
