fix(links): an answer that takes longer than a stop is not bound by it

Problem: found by the review: beside other answers, one that alone takes longer than 0.8 of the time of a stop was refused; under steady load it never finds an idle link. Solution: the bound does not concern it; a stop may cut it. Result: unit.test_link_room; functional.stop_full_link, link_long pass.

--- a/src/core/requests/link_admission.c
+++ b/src/core/requests/link_admission.c
@@ -18,17 +18,17 @@
 }
 
 /// Whether all that is there, with a further answer, leaves in the time of a stop that
-/// begins now. What alone takes longer cannot, and does not count.
+/// begins now. What alone takes longer cannot: it is not bound and binds no others.
 static bool
 fits_stop(struct link_schedule *s, const struct link_request *q, int64_t now_us,
     int64_t *wait_us)
 {
 	int64_t stop_us = s->stop_time_us * STOP_PERMILLE / PERMILLE;
-	int64_t all_us =
-	    later_us(link_schedule_all_us(s, stop_us, now_us), q->service_us) +
-	    link_schedule_transfer_us(s, q->answer_bytes);
+	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
+	int64_t all_us = transfer_us +
+	    later_us(link_schedule_all_us(s, stop_us, now_us), q->service_us);
 
-	if (stop_us == 0 || all_us <= stop_us)
+	if (stop_us == 0 || all_us <= stop_us || transfer_us > stop_us)
 		return true;
 	*wait_us = all_us - stop_us;
 	return false;
@@ -46,9 +46,8 @@
 	    .left_bytes = q->answer_bytes};
 	int64_t transfer_us = link_schedule_transfer_us(s, q->answer_bytes);
 	bool idle = s->queued_bytes == 0 && s->expected_bytes == 0;
-	// An idle link takes one by the deadline, whatever the server is expected to
-	// need, since only its answers correct that, and however long it is: else it
-	// would never be served.
+	// An idle link takes one that it carries by the deadline, whatever the server is
+	// expected to need and however long it is: only answers correct that.
 	int64_t service_us = idle ? 0 : q->service_us;
 	int64_t all_us;
 	int64_t left_us;
--- a/test/unit/test_link_room.c
+++ b/test/unit/test_link_room.c
@@ -215,6 +215,9 @@
 	// One that takes longer than a stop does not keep others out.
 	s.stop_time_us = 800 * MS;
 	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.answer_bytes = 15 * BODY_BYTES;
+	assert_true(link_admission_accepts(&s, &q, SECOND_US, &wait_us));
+	q.answer_bytes = BODY_BYTES;
 	s.stop_time_us = 0;
 	link_schedule_unexpect(&s, &expected);
 	// An idle link takes one of any length that it carries: it is streamed, and one
