--- a/test/fakes/planned_caller.pl
+++ b/test/fakes/planned_caller.pl
@@ -71,6 +71,7 @@
 		push @parts, [$mark, substr $all, $from, $to - $from];
 		$from = $to;
 	}
+	$parts[-1][1] .= make_head("GET", "/work/x/piped", "-") if $r->{options} =~ /piped/;
 	return @parts;
 }
 
