--- a/src/io/net/bulk.c
+++ b/src/io/net/bulk.c
@@ -132,13 +132,13 @@
 	counter_set(&gauge_queued, body->link->schedule.queued_bytes);
 }
 
+/// Logs a body that is not sent whole.
 static void
-log_late(const struct bulk_body *body)
+log_cut(const struct bulk_body *body, const char *text)
 {
 	struct log_line line;
 
-	log_begin(
-	    &line, LOG_INFO, "bulk", "Ended a body whose deadline has passed.");
+	log_begin(&line, LOG_INFO, "bulk", text);
 	log_text(&line, "to", body->stream->peer);
 	log_number(&line, "bytes", (int64_t)body->total_bytes);
 	log_number(&line, "left_bytes", body->flow.left_bytes);
@@ -158,7 +158,7 @@
 	void *arg = body->arg;
 
 	counter_add(&count_late, 1);
-	log_late(body);
+	log_cut(body, "Ended a body whose deadline has passed.");
 	stream_send(body->stream, MESSAGE_BODY, &end);
 	body_free(body);
 	if (on_late != NULL)
@@ -256,8 +256,10 @@
 		struct bulk_body *body = (struct bulk_body *)flow;
 
 		flow = flow->next;
-		if (body->stream == stream)
-			body_free(body);
+		if (body->stream != stream)
+			continue;
+		log_cut(body, "Dropped a body whose stream was closed.");
+		body_free(body);
 	}
 }
 
@@ -268,7 +270,7 @@
 };
 
 struct bulk_link *
-bulk_link_create(struct loop *loop, double link_mbps)
+bulk_link_create(struct loop *loop, double link_mbps, int64_t stop_time_us)
 {
 	struct bulk_link *link;
 
@@ -279,6 +281,7 @@
 	link->pacer.ops = &pacer_ops;
 	link->loop = loop;
 	link_schedule_init(&link->schedule, link_mbps);
+	link->schedule.stop_time_us = stop_time_us;
 	link->timer.fn = on_timer;
 	link->timer.arg = link;
 	return link;
@@ -292,6 +295,7 @@
 	loop_timer_clear(link->loop, &link->timer);
 	while (link->schedule.first != NULL)
 		body_free((struct bulk_body *)link->schedule.first);
+	loop_cancel_deferred(link->loop, link);
 	free(link);
 }
 
@@ -302,6 +306,26 @@
 		stream->pacer = &link->pacer;
 }
 
+void
+bulk_link_set_end(struct bulk_link *link, int64_t end_us)
+{
+	if (link != NULL)
+		link->schedule.end_us = end_us;
+}
+
+void
+bulk_link_set_receiver_end(
+    struct bulk_link *link, const struct stream *stream, int64_t end_us)
+{
+	struct link_flow *flow;
+
+	if (link == NULL)
+		return;
+	for (flow = link->schedule.first; flow != NULL; flow = flow->next)
+		if (((struct bulk_body *)flow)->stream == stream)
+			flow->receiver_end_us = end_us;
+}
+
 struct bulk_body *
 bulk_body_open(struct bulk_link *link, struct stream *stream, uint64_t id,
     const struct bulk_terms *terms)
@@ -319,6 +343,7 @@
 	body->flow.begun = terms->begun;
 	body->flow.target_deadline_us = terms->target_deadline_us;
 	body->flow.deadline_us = terms->deadline_us;
+	body->flow.receiver_end_us = terms->receiver_end_us;
 	if (terms->total_bytes > 0)
 		body->flow.left_bytes = terms->total_bytes;
 	link_schedule_add(&link->schedule, &body->flow);
--- a/src/proxy/ingress/broken.c
+++ b/src/proxy/ingress/broken.c
@@ -4,6 +4,8 @@
 #include "proxy/ingress/ingress_log.h"
 
 COUNTER_DEFINE(count_fences, "ingress_fences", "Fences asked for");
+COUNTER_DEFINE(count_cut_stream, "ingress_cut_by_stream",
+    "Answers cut since the stream to the egress was lost");
 
 /// Asks on a new stream for the outcome of a request that may have run.
 static void
@@ -31,12 +33,13 @@
 	case ATTEMPT_NONE:
 		break;
 	case ATTEMPT_STREAMING:
-		ingress_attempt_end(r, true);
 		if (r->exchange != NULL) {
-			ingress_log_answer_end(
-			    r, "the connection to the egress was lost");
-			http_exchange_respond_end(r->exchange, false);
+			counter_add(&count_cut_stream, 1);
+			ingress_log_answer_end(r, "the stream was lost");
 		}
+		ingress_attempt_end(r, true);
+		if (r->exchange != NULL)
+			http_exchange_respond_end(r->exchange, false);
 		ingress_request_free(r);
 		break;
 	case ATTEMPT_SENT:
--- a/src/proxy/ingress/ingress_log.c
+++ b/src/proxy/ingress/ingress_log.c
@@ -87,6 +87,7 @@
 	log_ms(&line, "expected_slot_ms", choice->service_us);
 	log_ms(&line, "target_left_ms", query->target_left_us);
 	log_ms(&line, "left_ms", query->deadline_left_us);
+	log_number(&line, "usual_answer_bytes", query->answer_bytes);
 	log_number(&line, "load", e->reported_load);
 	log_number(&line, "slots", e->slots);
 	log_ms(&line, "work_left_ms", e->work_left_us);
@@ -159,23 +160,47 @@
 	log_end(&line);
 }
 
-void
-ingress_log_answer_end(const struct ingress_request *r, const char *why)
+/// Adds where the request got to, and what its answer still had to come.
+static void
+log_progress(struct log_line *line, const struct ingress_request *r)
 {
+	static const char *const states[] = {
+	    "waits", "sent", "fenced", "answered in part"};
 	int64_t now_us = loop_now_us(r->ingress->loop);
+
+	log_text(line, "state", states[r->state]);
+	if (r->attempts > 0)
+		log_text(line, "from", r->tried[r->attempts - 1]);
+	log_number(line, "arrivals", r->arrivals);
+	log_number(line, "upload_ended", r->upload_ended);
+	log_number(line, "answer_bytes", r->answer_bytes);
+	log_number(line, "returned", r->returned);
+	log_ms(line, "stated_ms", r->stated_left_us);
+	log_ms(line, "target_left_ms", r->target_deadline_us - now_us);
+	log_ms(line, "left_ms", r->deadline_us - now_us);
+	log_ms(line, "total_ms", age_us(r, r->exchange->arrival_us));
+}
+
+void
+ingress_log_answer_end(const struct ingress_request *r, const char *cut)
+{
 	struct log_line line;
 
 	begin(&line, r, "ingress", "A long answer ended.");
-	log_number(&line, "complete", why == NULL);
-	if (why != NULL)
-		log_text(&line, "why", why);
-	if (r->attempts > 0)
-		log_text(&line, "from", r->tried[r->attempts - 1]);
-	log_number(&line, "returned", r->returned);
-	log_ms(&line, "stated_ms", r->stated_left_us);
-	log_ms(&line, "target_left_ms", r->target_deadline_us - now_us);
-	log_ms(&line, "left_ms", r->deadline_us - now_us);
-	log_ms(&line, "total_ms", age_us(r, r->exchange->arrival_us));
+	log_number(&line, "complete", cut == NULL);
+	if (cut != NULL)
+		log_text(&line, "why", cut);
+	log_progress(&line, r);
+	log_end(&line);
+}
+
+void
+ingress_log_cut_by_stop(const struct ingress_request *r)
+{
+	struct log_line line;
+
+	begin(&line, r, "ingress", "The process ends before the request.");
+	log_progress(&line, r);
 	log_end(&line);
 }
 
@@ -204,27 +229,6 @@
 	log_end(&line);
 }
 
-/// What the request waits for.
-static const char *
-state_name(const struct ingress_request *r)
-{
-	if (r->parked)
-		return "parked";
-	if (r->quota_waiting)
-		return "waits for its quota";
-	switch (r->state) {
-	case ATTEMPT_NONE:
-		return "between attempts";
-	case ATTEMPT_SENT:
-		return "sent";
-	case ATTEMPT_FENCED:
-		return "fenced";
-	case ATTEMPT_STREAMING:
-		return "answer begun";
-	}
-	return "";
-}
-
 void
 ingress_log_caller_closed(const struct ingress_request *r, enum http_end end)
 {
@@ -235,15 +239,10 @@
 		? "The caller closed its connection early."
 		: "Closed a caller's connection before the end of an answer.");
 	log_text(&line, "why", http_end_name(end));
-	log_text(&line, "state", state_name(r));
-	if (r->attempts > 0)
-		log_text(&line, "to", r->tried[r->attempts - 1]);
 	log_number(&line, "attempts", r->attempts);
 	if (r->state != ATTEMPT_NONE)
 		log_ms(&line, "attempt_ms", age_us(r, r->sent_us));
-	log_ms(
-	    &line, "left_ms", r->deadline_us - loop_now_us(r->ingress->loop));
-	log_ms(&line, "total_ms", age_us(r, r->exchange->arrival_us));
+	log_progress(&line, r);
 	log_end(&line);
 }
 
