--- a/test/fakes/planned.sh
+++ b/test/fakes/planned.sh
@@ -13,9 +13,9 @@
 #   planned_end_stop N ...
 #                     waits for the ends of proxies that got SIGTERM, and starts them again
 #
-# A test defines planned_late, which returns once the requests that go on late are due;
-# with planned_more it adds requests to the table. With planned_must=answer those that must
-# have a true answer have to be served.
+# A test defines planned_late, which returns once the requests that go on late are due, and
+# may define planned_end for those of mark 3. With planned_more it adds requests to the
+# table. With planned_must=answer those that must have a true answer have to be served.
 #
 # MESH_KEEP=1 leaves what happened to each request in fates-NAME.
 
@@ -118,6 +118,7 @@
 
 planned_must=truth
 planned_more() { :; }
+planned_end() { :; }
 planned_at_work=13 # requests at the server of work, with those of planned_more
 
 # Writes the requests of a play, see planned_caller.pl. In the order of the paragraphs:
@@ -256,6 +257,8 @@
 	echo 1 >&9
 	planned_late
 	echo 2 >&9
+	planned_end
+	echo 3 >&9
 	exec 9>&-
 	wait $planned_caller
 	# shellcheck disable=SC2086
--- a/test/fakes/planned_caller.pl
+++ b/test/fakes/planned_caller.pl
@@ -16,6 +16,7 @@
 #             the request was sent whole, and it did not run
 #             may: the same
 #             route: the same, or 404 and it did not run
+#             cross: the same, or the connection closes and it did not run
 #             limit: the same, or 413 and it did not run
 #             key: the same, or 409 and not known
 #   method
@@ -168,6 +169,7 @@
 	# The first request with a key may have run, not this one.
 	return 0 if $r->{must} eq "answer" || ($runs > 0 && $r->{runs_as} eq $r->{name});
 	return 1 if $r->{must} eq "route" && $r->{end} eq "404 not-run";
+	return 1 if $r->{must} eq "cross" && $r->{end} eq "closed";
 	return 1 if $r->{must} eq "limit" && $r->{end} =~ /^413\b/;
 	return 1 if $r->{must} eq "key" && $r->{end} eq "409 unknown";
 	return $r->{end} =~ /^(?:503 (?:not-run|refused)|not sent whole|no connection)$/;
--- a/test/functional/planned_stop.sh
+++ b/test/functional/planned_stop.sh
@@ -15,6 +15,19 @@
 	planned_shut $stopped
 }
 
+# The process ends 0.4 s later; requests that are still there have been refused.
+planned_end() { sleep 2.2; }
+planned_more() {
+	cat <<'END'
+end-head        cross  POST /work/x/        0           0:head,3:rest  -
+end-body        cross  POST /work/sum=1/    20000       0:body,3:rest  -
+end-kept        cross  POST /work/x/        0           3:all          kept
+end-quick       cross  POST /quick/x/       0           3:all          kept
+end-upload      cross  POST /work/sum=1/    2000000     3:all          kept
+end-call        cross  POST /quick/x/       0           3:all          inner,kept
+END
+}
+
 echo "== SIGTERM of the proxy that takes the requests"
 planned_play ingress 7 stop 1
 planned_end_stop 1
